--- /dev/null
+++ b/src/api/operator_api.cc
@@ -0,0 +1,212 @@
+#include "api/operator_api.h"
+
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <memory>
+
+#include "config/intent_file.h"
+#include "config/strict_yaml.h"
+#include "core/configuration/plan.h"
+#include "platform/json_codec.h"
+#include "request/api_error.h"
+
+namespace moorfold {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kConflict = 409;
+constexpr unsigned kUnprocessable = 422;
+constexpr unsigned kUnavailable = 503;
+
+HttpResponse JsonAnswer(unsigned status, const json::value& body) {
+  return {status, {{"Content-Type", "application/json"}}, json::serialize(body)};
+}
+
+HttpResponse Refuse(unsigned status, const std::string& code, const std::string& message,
+                    const std::string& remedy) {
+  return ToResponse({status, code, message, remedy, Executed::kNo, std::nullopt});
+}
+
+/// Turns a callback of a port into an awaitable result.
+template <typename T, typename Start>
+Awaitable<T> AwaitCallback(Start start) {
+  auto initiate = [start = std::move(start)](auto handler) mutable {
+    auto shared = std::make_shared<decltype(handler)>(std::move(handler));
+    start([shared](T result) { std::move (*shared)(std::move(result)); });
+  };
+  co_return co_await boost::asio::async_initiate<const boost::asio::use_awaitable_t<>, void(T)>(
+      std::move(initiate), boost::asio::use_awaitable);
+}
+
+const char* StatusText(MemberStatus status) {
+  switch (status) {
+    case MemberStatus::kAlive:
+      return "alive";
+    case MemberStatus::kSuspect:
+      return "suspect";
+    case MemberStatus::kDead:
+      return "dead";
+    case MemberStatus::kLeft:
+      return "left";
+  }
+  return "unknown";
+}
+
+json::array DescribeMembers(const State& state) {
+  json::array members;
+  members.push_back({{"name", state.self.name}, {"status", "alive"}, {"self", true}});
+  for (const auto& [name, member] : state.membership.members)
+    members.push_back({{"name", name}, {"status", StatusText(member.status)}, {"self", false}});
+  return members;
+}
+
+json::array DescribeServers(const State& state) {
+  json::array servers;
+  for (const auto& [name, server] : state.servers) {
+    json::object entry = {{"name", name},
+                          {"listed", server.listed},
+                          {"leaving", server.Leaving()},
+                          {"reported", server.report.has_value()}};
+    json::array replicas;
+    if (server.report) {
+      entry["memory_total_mib"] = server.report->memory_total;
+      entry["memory_used_mib"] = server.report->memory_used;
+      for (const ReplicaReport& replica : server.report->replicas)
+        replicas.push_back({{"servable", ToString(replica.servable)},
+                            {"state", ToString(replica.state)},
+                            {"running", replica.running},
+                            {"queued", replica.queued},
+                            {"adapters", json::value_from(replica.adapters)}});
+    }
+    entry["replicas"] = std::move(replicas);
+    servers.push_back(std::move(entry));
+  }
+  return servers;
+}
+
+json::array DescribePendingOrders(const State& state) {
+  json::array orders;
+  for (const auto& [id, pending] : state.coordinator.pending)
+    orders.push_back({{"order", id}, {"server", pending.order.server}});
+  return orders;
+}
+
+unsigned StatusOf(ConfirmOutcome outcome) {
+  switch (outcome) {
+    case ConfirmOutcome::kConfirmed:
+    case ConfirmOutcome::kAlreadyConfirmed:
+      return kOk;
+    case ConfirmOutcome::kUnknownPlan:
+      return kNotFound;
+    case ConfirmOutcome::kStaleBase:
+      return kConflict;
+    case ConfirmOutcome::kRefused:
+      return kUnprocessable;
+    case ConfirmOutcome::kUnavailable:
+      return kUnavailable;
+  }
+  return kUnavailable;
+}
+
+const char* CodeOf(ConfirmOutcome outcome) {
+  switch (outcome) {
+    case ConfirmOutcome::kConfirmed:
+      return "confirmed";
+    case ConfirmOutcome::kAlreadyConfirmed:
+      return "already_confirmed";
+    case ConfirmOutcome::kUnknownPlan:
+      return "unknown_plan";
+    case ConfirmOutcome::kStaleBase:
+      return "stale_plan";
+    case ConfirmOutcome::kRefused:
+      return "plan_refused";
+    case ConfirmOutcome::kUnavailable:
+      return "key_value_unavailable";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+Awaitable<HttpResponse> OperatorApi::MakePlanFor(std::string intent_text) {
+  Intent intent;
+  std::string mistakes;
+  try {
+    intent = ParseIntent(intent_text, "intent");
+  } catch (const ConfigError& error) {
+    mistakes = error.what();
+  }
+  if (!mistakes.empty())
+    co_return Refuse(kUnprocessable, "bad_intent", mistakes, "correct these and plan again");
+  using Read = Outcome<std::optional<ConfigurationSnapshot>>;
+  const Read read = co_await AwaitCallback<Read>(
+      [this](auto done) { runner_.documents().ReadConfiguration(0, std::move(done)); });
+  if (!read.ok())
+    co_return Refuse(kUnavailable, "key_value_unavailable", read.failure().message,
+                     "plan again when the key-value service answers");
+  const ConfigurationSnapshot in_force = read.value().value_or(ConfigurationSnapshot{});
+  std::vector<Machine> machines;
+  for (const auto& [name, machine] : runner_.state().machines) machines.push_back(machine);
+  const Plan plan =
+      MakePlan(in_force, intent, DescribeFleet(machines), PlanId(in_force.revision, intent));
+  using Stored = std::optional<PlatformFailure>;
+  const Stored failure = co_await AwaitCallback<Stored>(
+      [this, &plan](auto done) { runner_.documents().StorePlan(plan, std::move(done)); });
+  if (failure)
+    co_return Refuse(kUnavailable, "key_value_unavailable", failure->message,
+                     "plan again when the key-value service answers");
+  json::value answer = json::value_from(plan);
+  answer.as_object().erase("intent");
+  co_return JsonAnswer(kOk, answer);
+}
+
+Awaitable<HttpResponse> OperatorApi::Confirm(std::string body) {
+  boost::system::error_code error;
+  const json::value parsed = json::parse(body, error);
+  const json::value* plan_id =
+      !error && parsed.is_object() ? parsed.get_object().if_contains("plan_id") : nullptr;
+  if (plan_id == nullptr || !plan_id->is_string())
+    co_return Refuse(kUnprocessable, "bad_request", "'plan_id' is missing",
+                     "send {\"plan_id\": ID} with the id that 'plan' printed");
+  const std::string id(plan_id->get_string());
+  const ConfirmResult result = co_await AwaitCallback<ConfirmResult>(
+      [this, &id](auto done) { runner_.documents().ConfirmPlan(id, std::move(done)); });
+  const unsigned status = StatusOf(result.outcome);
+  if (status != kOk)
+    co_return Refuse(status, CodeOf(result.outcome), result.message, "see the message");
+  co_return JsonAnswer(kOk, {{"outcome", CodeOf(result.outcome)}, {"revision", result.revision}});
+}
+
+HttpResponse OperatorApi::Status() const {
+  const State& state = runner_.state();
+  const Ledger& ledger = state.ledger.ledger;
+  return JsonAnswer(kOk, {{"daemon", state.self.name},
+                          {"zone", state.self.zone},
+                          {"configuration_revision", state.configuration.revision},
+                          {"ledger",
+                           {{"revision", ledger.revision},
+                            {"epoch", ledger.epoch},
+                            {"leader", ledger.leader},
+                            {"configuration_revision", ledger.configuration_revision},
+                            {"permits", ledger.permits.size()}}},
+                          {"coordinator", CoordinatorOf(state)},
+                          {"members", DescribeMembers(state)},
+                          {"servers", DescribeServers(state)},
+                          {"pending_orders", DescribePendingOrders(state)}});
+}
+
+Awaitable<HttpResponse> OperatorApi::Handle(HttpRequest request) {
+  const std::string call = request.method + " " + request.target;
+  if (call == "GET /operator/status") co_return Status();
+  if (call == "POST /operator/plan") co_return co_await MakePlanFor(std::move(request.body));
+  if (call == "POST /operator/confirm") co_return co_await Confirm(std::move(request.body));
+  co_return Refuse(kNotFound, "not_found", "no such operators' call: " + call,
+                   "use POST /operator/plan, POST /operator/confirm or GET /operator/status");
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/api/operator_api.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string>
+
+#include "daemon/core_runner.h"
+#include "http/http_server.h"
+
+namespace moorfold {
+
+/// The operators' calls, answered from the control thread:
+///   POST /operator/plan     an intent as YAML; answers the plan
+///   POST /operator/confirm  {"plan_id": ID}; puts the plan in force
+///   GET  /operator/status   members, replicas, loads, revisions of this daemon's zone
+class OperatorApi {
+ public:
+  /// @param runner outlives this object.
+  explicit OperatorApi(CoreRunner& runner) : runner_(runner) {}
+
+  /// Control thread only.
+  Awaitable<HttpResponse> Handle(HttpRequest request);
+
+ private:
+  Awaitable<HttpResponse> MakePlanFor(std::string intent_text);
+  Awaitable<HttpResponse> Confirm(std::string body);
+  HttpResponse Status() const;
+
+  CoreRunner& runner_;
+};
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/cli/main.cc
@@ -0,0 +1,83 @@
+#include <glog/logging.h>
+
+#include <iostream>
+
+#include "cli/command_line.h"
+#include "config/nearest_name.h"
+#include "config/strict_yaml.h"
+
+namespace moorfold {
+namespace {
+
+constexpr const char* kVersion = "0.1.0";
+
+struct Command {
+  const char* name;
+  const char* summary;
+  CommandMain run;
+};
+
+const std::vector<Command>& Commands() {
+  static const std::vector<Command> kCommands = {
+      {"serve", "runs the daemon", RunServe},
+      {"validate", "checks settings, intents and deployments without running anything",
+       RunValidate},
+      {"plan", "states an intent; prints the plan and its id", RunPlan},
+      {"confirm", "puts a plan in force", RunConfirm},
+      {"status", "shows replicas, members and revisions of a zone", RunStatus},
+  };
+  return kCommands;
+}
+
+void PrintHelp(std::ostream& stream) {
+  stream << "moorfold " << kVersion << ": serves rarely used language models\n\n"
+         << "usage: moorfold COMMAND [flags]\n\n";
+  for (const Command& command : Commands())
+    stream << "  " << command.name << std::string(12 - std::string(command.name).size(), ' ')
+           << command.summary << "\n";
+  stream << "\nmoorfold COMMAND --help explains one; moorfold --version prints the version.\n"
+         << "Exit codes: 0 done, 1 failed, 2 bad usage or input.\n";
+}
+
+int Run(const std::vector<std::string>& arguments) {
+  if (arguments.empty()) {
+    PrintHelp(std::cerr);
+    return kExitBadUsage;
+  }
+  const std::string& name = arguments.front();
+  if (name == "--help" || name == "-h") {
+    PrintHelp(std::cout);
+    return kExitDone;
+  }
+  if (name == "--version") {
+    std::cout << "moorfold " << kVersion << "\n";
+    return kExitDone;
+  }
+  std::vector<std::string> names;
+  for (const Command& command : Commands()) {
+    names.emplace_back(command.name);
+    if (name == command.name) return command.run({arguments.begin() + 1, arguments.end()});
+  }
+  throw UsageError("moorfold: no command '" + name + "'; did you mean '" +
+                   NearestName(name, names) + "'? See moorfold --help");
+}
+
+}  // namespace
+}  // namespace moorfold
+
+int main(int argc, char** argv) {
+  google::InitGoogleLogging(argv[0]);
+  FLAGS_logtostderr = true;
+  try {
+    return moorfold::Run({argv + 1, argv + argc});
+  } catch (const moorfold::UsageError& error) {
+    std::cerr << error.what() << "\n";
+    return moorfold::kExitBadUsage;
+  } catch (const moorfold::ConfigError& error) {
+    std::cerr << error.what() << "\n";
+    return moorfold::kExitBadUsage;
+  } catch (const std::exception& error) {
+    std::cerr << "moorfold: " << error.what() << "\n";
+    return moorfold::kExitFailed;
+  }
+}
--- /dev/null
+++ b/src/common/async_signal.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "http/http_types.h"
+
+namespace moorfold {
+
+/// Wakes coroutines of one thread that wait for a condition: they test it, wait, and test again.
+class AsyncSignal {
+ public:
+  explicit AsyncSignal(const boost::asio::any_io_executor& executor)
+      : timer_(executor, Deadline::max()) {}
+
+  /// Returns at the next NotifyAll, or at `deadline`.
+  Awaitable<void> Wait(Deadline deadline = Deadline::max()) {
+    if (deadline == Deadline::max()) {
+      co_await timer_.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+      co_return;
+    }
+    // Its own timer, ended by the first of deadline and notification.
+    boost::asio::steady_timer limited(timer_.get_executor(), deadline);
+    const Registration registration(limited_, limited);
+    co_await limited.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+  }
+
+  void NotifyAll() {
+    timer_.cancel();
+    for (boost::asio::steady_timer* limited : limited_) limited->cancel();
+  }
+
+ private:
+  /// Also undone when the waiting coroutine is destroyed instead of resumed.
+  class Registration {
+   public:
+    Registration(std::vector<boost::asio::steady_timer*>& timers, boost::asio::steady_timer& timer)
+        : timers_(timers), timer_(&timer) {
+      timers_.push_back(timer_);
+    }
+    ~Registration() { std::erase(timers_, timer_); }
+    Registration(const Registration&) = delete;
+    Registration& operator=(const Registration&) = delete;
+
+   private:
+    std::vector<boost::asio::steady_timer*>& timers_;
+    boost::asio::steady_timer* timer_;
+  };
+
+  boost::asio::steady_timer timer_;
+  std::vector<boost::asio::steady_timer*> limited_;
+};
+
+/// Suspends the calling coroutine.
+inline Awaitable<void> Sleep(std::chrono::steady_clock::duration duration) {
+  boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, duration);
+  co_await timer.async_wait(boost::asio::use_awaitable);
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/daemon/daemon.cc
@@ -0,0 +1,213 @@
+#include "daemon/daemon.h"
+
+#include <glog/logging.h>
+#include <prometheus/text_serializer.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include "daemon/local_claims.h"
+#include "daemon/log_line.h"
+
+namespace moorfold {
+
+namespace {
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kMethodNotAllowed = 405;
+constexpr unsigned kUnavailable = 503;
+constexpr std::chrono::milliseconds kKeyValueTimeout{2'000};
+constexpr std::chrono::milliseconds kListTimeout{2'000};
+constexpr std::chrono::milliseconds kReportTimeout{2'000};
+constexpr std::chrono::minutes kOrderTimeout{10};
+constexpr std::chrono::milliseconds kDrainCheck{20};
+
+Identity MakeIdentity(const DaemonSettings& settings) {
+  const auto boot = std::chrono::duration_cast<std::chrono::microseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+  return {settings.name, settings.zone, static_cast<Incarnation>(boot.count())};
+}
+
+HttpResponse PlainText(unsigned status, std::string text) {
+  return {status, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(text)};
+}
+
+HttpResponse RejectUnread(unsigned status, const std::string& reason) {
+  constexpr unsigned kFirstServerError = 500;
+  const bool ours = status >= kFirstServerError;
+  return ToResponse({status, ours ? "internal_error" : "unreadable_request", reason,
+                     ours ? "report this" : "send a complete HTTP/1.1 request within the limits",
+                     ours ? Executed::kUnknown : Executed::kNo, std::nullopt});
+}
+
+HttpResponse NoSuchPath(const std::string& call) {
+  return ToResponse({kNotFound, "not_found", "no such call: " + call,
+                     "use /v1/chat/completions, /v1/completions, /v1/models or /services/NAME/...",
+                     Executed::kNo, std::nullopt});
+}
+
+HttpResponse WrongMethod(const std::string& method) {
+  return ToResponse({kMethodNotAllowed, "method_not_allowed", "completions take no " + method,
+                     "use POST", Executed::kNo, std::nullopt});
+}
+
+}  // namespace
+
+Daemon::Daemon(const DaemonSettings& settings)
+    : settings_(settings),
+      self_(MakeIdentity(settings)),
+      registry_(std::make_shared<prometheus::Registry>()),
+      metrics_(*registry_) {
+  shared_.metrics = &metrics_;
+  shared_.daemon_name = self_.name;
+  shared_.incarnation = self_.incarnation;
+  shared_.worker_count = settings_.threads;
+  shared_.limits = {settings_.max_queued_per_model, settings_.max_queued_bytes,
+                    settings_.max_requests_per_caller};
+  shared_.nudge_core = [this] { boost::asio::post(control_, [this] { runner_->OnNudge(); }); };
+  shared_.wake_waiting = [this] {
+    for (const std::unique_ptr<Worker>& worker : workers_)
+      boost::asio::post(worker->context, [target = worker.get()] { target->models.WakeWaiting(); });
+  };
+  key_value_ = std::make_unique<EtcdKeyValueStore>(control_, settings_.key_value, kKeyValueTimeout);
+  documents_ = std::make_unique<DocumentStore>(*key_value_);
+  machine_list_ = std::make_unique<HttpMachineList>(control_, settings_.machine_list, kListTimeout);
+  engines_ = std::make_unique<HttpModelEngine>(control_, kReportTimeout, kOrderTimeout);
+  runner_ = std::make_unique<CoreRunner>(
+      control_, settings_, self_,
+      CoreRunner::Ports{documents_.get(), machine_list_.get(), engines_.get()}, shared_.tables,
+      shared_.wake_waiting);
+  operator_api_ = std::make_unique<OperatorApi>(*runner_);
+  claims_ = std::make_unique<LocalClaims>();
+  transport_ = std::make_unique<PeerTransport>(
+      control_, settings_.peer_listen,
+      FrameCodec(settings_.peer_key, self_.name, self_.incarnation),
+      [this] { return runner_->clock().Now(); },
+      [this](const DaemonName& from, const PeerPayload& payload) {
+        if (const auto* message = std::get_if<PeerMessage>(&payload))
+          runner_->OnPeerMessage(from, *message);
+      });
+  std::vector<boost::asio::io_context*> contexts;
+  for (std::uint32_t index = 0; index < settings_.threads; ++index) {
+    workers_.push_back(std::make_unique<Worker>(shared_, *claims_));
+    contexts.push_back(&workers_.back()->context);
+  }
+  http_ = std::make_unique<HttpServer>(
+      contexts, settings_.listen, HttpServerLimits{},
+      [this](HttpServerExchange& exchange) { return Handle(exchange); }, RejectUnread);
+}
+
+Daemon::~Daemon() {
+  BeginStop();
+  JoinThreads();
+}
+
+namespace {
+/// The worker that the current thread runs.
+thread_local void* current_worker = nullptr;
+}  // namespace
+
+void Daemon::RunWorker(Worker& worker) {
+  current_worker = &worker;
+  worker.context.run();
+}
+
+void Daemon::Start() {
+  guards_.push_back(boost::asio::make_work_guard(control_));
+  for (const std::unique_ptr<Worker>& worker : workers_) {
+    guards_.push_back(boost::asio::make_work_guard(worker->context));
+    worker->thread = std::thread([this, target = worker.get()] { RunWorker(*target); });
+  }
+  transport_->Start();
+  runner_->Start(*transport_);
+  control_thread_ = std::thread([this] { control_.run(); });
+  http_->Start();
+}
+
+bool Daemon::Ready(Worker& worker) const {
+  return !stopping_ && worker.models.Table()->configuration_revision > 0;
+}
+
+HttpResponse Daemon::ListModels(Worker& worker) {
+  boost::json::array models;
+  for (const auto& [name, route] : worker.models.Table()->models) {
+    if (name != route->called_as) continue;
+    models.push_back({{"id", name},
+                      {"object", "model"},
+                      {"owned_by", "moorfold"},
+                      {"loaded_replicas", route->local ? route->targets.size() : 0}});
+  }
+  const boost::json::value body = {{"object", "list"}, {"data", std::move(models)}};
+  return {kOk, {{"Content-Type", "application/json"}}, boost::json::serialize(body)};
+}
+
+HttpResponse Daemon::RenderMetrics() {
+  const prometheus::TextSerializer serializer;
+  return PlainText(kOk, serializer.Serialize(registry_->Collect()));
+}
+
+Awaitable<void> Daemon::Handle(HttpServerExchange& exchange) {
+  Worker& worker = *static_cast<Worker*>(current_worker);
+  const HttpRequest& request = exchange.request();
+  const std::string& target = request.target;
+  if (target == "/v1/chat/completions" || target == "/v1/completions") {
+    if (request.method == "POST")
+      co_await worker.models.Handle(exchange);
+    else
+      co_await exchange.Respond(WrongMethod(request.method));
+  } else if (target.starts_with("/services/")) {
+    co_await worker.services.Handle(exchange);
+  } else if (target == "/v1/models") {
+    co_await exchange.Respond(ListModels(worker));
+  } else if (target == "/healthz") {
+    co_await exchange.Respond(PlainText(kOk, "ok\n"));
+  } else if (target == "/readyz") {
+    const bool ready = Ready(worker);
+    co_await exchange.Respond(
+        PlainText(ready ? kOk : kUnavailable, ready ? "ready\n" : "not ready\n"));
+  } else if (target == "/metrics") {
+    co_await exchange.Respond(RenderMetrics());
+  } else if (target.starts_with("/operator/")) {
+    HttpResponse response = co_await boost::asio::co_spawn(control_, operator_api_->Handle(request),
+                                                           boost::asio::use_awaitable);
+    co_await exchange.Respond(std::move(response));
+  } else {
+    co_await exchange.Respond(NoSuchPath(request.method + " " + target));
+  }
+}
+
+void Daemon::BeginStop() {
+  if (stopping_.exchange(true)) return;
+  LOG(INFO) << LogLine("stopping").Field("active_requests", http_->active_requests());
+  http_->StopAccepting();
+  boost::asio::post(control_, [this] { runner_->RequestStop(); });
+}
+
+bool Daemon::AwaitStopped() {
+  const auto give_up = std::chrono::steady_clock::now() + settings_.drain_timeout;
+  while (http_->active_requests() > 0 && std::chrono::steady_clock::now() < give_up)
+    std::this_thread::sleep_for(kDrainCheck);
+  const bool drained = http_->active_requests() == 0;
+  LOG(INFO) << LogLine("stopped").Field("drained", drained ? "yes" : "no");
+  JoinThreads();
+  return drained;
+}
+
+void Daemon::JoinThreads() {
+  guards_.clear();
+  for (const std::unique_ptr<Worker>& worker : workers_) {
+    worker->context.stop();
+    if (worker->thread.joinable()) worker->thread.join();
+  }
+  control_.stop();
+  if (control_thread_.joinable()) control_thread_.join();
+}
+
+void Daemon::Reload(const CoreSettings& settings) {
+  boost::asio::post(control_, [this, settings] { runner_->UpdateSettings(settings); });
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/http/http_client.cc
@@ -0,0 +1,191 @@
+#include "http/http_client.h"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+
+namespace moorfold {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::use_awaitable;
+using boost::system::system_error;
+
+namespace {
+constexpr std::size_t kReadChunk = 16 * 1024;
+constexpr std::size_t kMaxIdlePerEndpoint = 64;
+constexpr std::uint64_t kMaxAnswerBytes = 256ULL * 1024 * 1024;
+}  // namespace
+
+/// One TCP connection with the state of the exchange that uses it.
+class HttpConnection {
+ public:
+  HttpConnection(asio::io_context& context, Endpoint endpoint)
+      : stream_(context), endpoint_(std::move(endpoint)) {}
+
+  Awaitable<void> Connect(Deadline deadline) {
+    try {
+      SetDeadline(deadline);
+      const asio::ip::tcp::endpoint target(asio::ip::make_address(endpoint_.address),
+                                           endpoint_.port);
+      co_await stream_.async_connect(target, use_awaitable);
+      stream_.socket().set_option(asio::ip::tcp::no_delay(true));
+    } catch (const system_error& error) {
+      throw Failure(HttpStage::kConnecting, error);
+    }
+  }
+
+  Awaitable<void> SendAndReadHead(const HttpRequest& request, Deadline deadline) {
+    HttpStage stage = HttpStage::kSending;
+    try {
+      SetDeadline(deadline);
+      http::request<http::string_body> message = MakeMessage(request);
+      co_await http::async_write(stream_, message, use_awaitable);
+      stage = HttpStage::kAwaitingAnswer;
+      parser_.emplace();
+      parser_->body_limit(kMaxAnswerBytes);
+      co_await http::async_read_header(stream_, buffer_, *parser_, use_awaitable);
+    } catch (const system_error& error) {
+      throw Failure(stage, error);
+    }
+  }
+
+  Awaitable<std::string> ReadSome() {
+    std::string chunk(kReadChunk, '\0');
+    while (!parser_->is_done()) {
+      parser_->get().body().data = chunk.data();
+      parser_->get().body().size = chunk.size();
+      try {
+        co_await http::async_read_some(stream_, buffer_, *parser_, use_awaitable);
+      } catch (const system_error& error) {
+        if (error.code() != http::error::need_buffer)
+          throw Failure(HttpStage::kReadingAnswer, error);
+      }
+      const std::size_t got = chunk.size() - parser_->get().body().size;
+      if (got == 0) continue;
+      chunk.resize(got);
+      co_return chunk;
+    }
+    co_return std::string();
+  }
+
+  bool Reusable() const { return parser_ && parser_->is_done() && parser_->keep_alive(); }
+  void Close() { stream_.close(); }
+  const Endpoint& endpoint() const { return endpoint_; }
+  const http::response_parser<http::buffer_body>& parser() const { return *parser_; }
+
+ private:
+  http::request<http::string_body> MakeMessage(const HttpRequest& request) const {
+    constexpr unsigned kHttp11 = 11;
+    http::request<http::string_body> message;
+    message.version(kHttp11);
+    message.method_string(request.method);
+    message.target(request.target);
+    message.set(http::field::host, ToString(endpoint_));
+    for (const HttpHeader& header : request.headers) message.set(header.name, header.value);
+    message.body() = request.body;
+    message.prepare_payload();
+    return message;
+  }
+
+  void SetDeadline(Deadline deadline) {
+    if (deadline == Deadline::max())
+      stream_.expires_never();
+    else
+      stream_.expires_at(deadline);
+  }
+
+  HttpError Failure(HttpStage stage, const system_error& error) const {
+    const bool timed_out = error.code() == beast::error::timeout;
+    return {stage, timed_out, ToString(endpoint_) + ": " + error.code().message()};
+  }
+
+  beast::tcp_stream stream_;
+  Endpoint endpoint_;
+  beast::flat_buffer buffer_;
+  std::optional<http::response_parser<http::buffer_body>> parser_;
+};
+
+class HttpConnectionPool {
+ public:
+  std::unique_ptr<HttpConnection> Take(const Endpoint& endpoint) {
+    const auto idle = idle_.find(endpoint);
+    if (idle == idle_.end() || idle->second.empty()) return nullptr;
+    std::unique_ptr<HttpConnection> connection = std::move(idle->second.back());
+    idle->second.pop_back();
+    return connection;
+  }
+  void Give(std::unique_ptr<HttpConnection> connection) {
+    auto& idle = idle_[connection->endpoint()];
+    if (idle.size() < kMaxIdlePerEndpoint) idle.push_back(std::move(connection));
+  }
+
+ private:
+  std::map<Endpoint, std::vector<std::unique_ptr<HttpConnection>>> idle_;
+};
+
+HttpExchange::HttpExchange(std::unique_ptr<HttpConnection> connection,
+                           std::shared_ptr<HttpConnectionPool> pool)
+    : connection_(std::move(connection)), pool_(std::move(pool)) {}
+
+HttpExchange::~HttpExchange() {
+  if (connection_->Reusable()) pool_->Give(std::move(connection_));
+}
+
+unsigned HttpExchange::status() const { return connection_->parser().get().result_int(); }
+
+HttpHeaders HttpExchange::headers() const {
+  HttpHeaders headers;
+  for (const auto& field : connection_->parser().get())
+    headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  return headers;
+}
+
+Awaitable<std::string> HttpExchange::ReadSome() { return connection_->ReadSome(); }
+
+void HttpExchange::Cancel() { connection_->Close(); }
+
+HttpClient::HttpClient(asio::io_context& context)
+    : context_(context), pool_(std::make_shared<HttpConnectionPool>()) {}
+
+Awaitable<std::unique_ptr<HttpExchange>> HttpClient::Open(Endpoint endpoint, HttpRequest request,
+                                                          HttpSendOptions options) {
+  std::unique_ptr<HttpConnection> connection;
+  if (!options.fresh_connection) connection = pool_->Take(endpoint);
+  if (connection) {
+    bool stale = false;
+    try {
+      co_await connection->SendAndReadHead(request, options.deadline);
+    } catch (const HttpError& error) {
+      if (error.timed_out()) throw;
+      stale = true;
+    }
+    if (!stale) co_return std::make_unique<HttpExchange>(std::move(connection), pool_);
+  }
+  connection = std::make_unique<HttpConnection>(context_, endpoint);
+  co_await connection->Connect(options.deadline);
+  co_await connection->SendAndReadHead(request, options.deadline);
+  co_return std::make_unique<HttpExchange>(std::move(connection), pool_);
+}
+
+Awaitable<HttpResponse> HttpClient::Send(Endpoint endpoint, HttpRequest request,
+                                         HttpSendOptions options) {
+  std::unique_ptr<HttpExchange> exchange =
+      co_await Open(std::move(endpoint), std::move(request), options);
+  HttpResponse response;
+  response.status = exchange->status();
+  response.headers = exchange->headers();
+  while (true) {
+    const std::string chunk = co_await exchange->ReadSome();
+    if (chunk.empty()) break;
+    response.body += chunk;
+  }
+  co_return response;
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/http/http_server.cc
@@ -0,0 +1,302 @@
+#include "http/http_server.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+
+namespace moorfold {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::use_awaitable;
+using asio::ip::tcp;
+using boost::system::error_code;
+using boost::system::system_error;
+
+namespace {
+
+constexpr unsigned kHttp11 = 11;
+
+HttpRequest TakeRequest(http::request<http::string_body>&& message) {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message)
+    request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  request.body = std::move(message.body());
+  return request;
+}
+
+unsigned RejectionStatus(const error_code& code) {
+  constexpr unsigned kBadRequest = 400;
+  constexpr unsigned kTimeout = 408;
+  constexpr unsigned kTooLarge = 413;
+  constexpr unsigned kHeadersTooLarge = 431;
+  if (code == beast::error::timeout) return kTimeout;
+  if (code == http::error::body_limit) return kTooLarge;
+  if (code == http::error::header_limit || code == http::error::buffer_overflow)
+    return kHeadersTooLarge;
+  return kBadRequest;
+}
+
+}  // namespace
+
+class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
+ public:
+  Impl(std::vector<asio::io_context*> contexts, const Endpoint& listen, HttpServerLimits limits,
+       HttpHandler handler, HttpRejection rejection)
+      : contexts_(std::move(contexts)),
+        acceptor_(*contexts_.front(),
+                  tcp::endpoint(asio::ip::make_address(listen.address), listen.port)),
+        limits_(limits),
+        handler_(std::move(handler)),
+        rejection_(std::move(rejection)) {
+    const tcp::endpoint local = acceptor_.local_endpoint();
+    endpoint_ = {local.address().to_string(), local.port()};
+  }
+
+  void Start() { asio::co_spawn(*contexts_.front(), Accept(shared_from_this()), asio::detached); }
+
+  void StopAccepting() {
+    stopping_ = true;
+    asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+      error_code ignored;
+      self->acceptor_.close(ignored);
+    });
+  }
+
+  const Endpoint& endpoint() const { return endpoint_; }
+  std::size_t active_requests() const { return active_requests_; }
+
+ private:
+  class Exchange;
+
+  static Awaitable<void> Accept(std::shared_ptr<Impl> self) {
+    std::size_t next = 0;
+    while (!self->stopping_) {
+      asio::io_context& context = *self->contexts_[next++ % self->contexts_.size()];
+      tcp::socket socket(context);
+      error_code error;
+      co_await self->acceptor_.async_accept(socket, asio::redirect_error(use_awaitable, error));
+      if (error == asio::error::operation_aborted) co_return;
+      if (error) {  // Out of descriptors, say: wait a little instead of spinning.
+        asio::steady_timer pause(*self->contexts_.front(), std::chrono::milliseconds(50));
+        co_await pause.async_wait(use_awaitable);
+        continue;
+      }
+      if (self->connections_ >= self->limits_.connections) continue;
+      asio::co_spawn(context, Serve(self, std::move(socket)), asio::detached);
+    }
+  }
+
+  static Awaitable<void> Serve(std::shared_ptr<Impl> self, tcp::socket socket) {
+    ++self->connections_;
+    try {
+      error_code ignored;
+      socket.set_option(tcp::no_delay(true), ignored);
+      beast::tcp_stream stream(std::move(socket));
+      beast::flat_buffer buffer;
+      bool keep_alive = true;
+      while (keep_alive) keep_alive = co_await ServeOne(*self, stream, buffer);
+      stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    } catch (const std::exception&) {  // The connection broke; its handler has been told.
+    }
+    --self->connections_;
+  }
+
+  static Awaitable<bool> ServeOne(Impl& server, beast::tcp_stream& stream,
+                                  beast::flat_buffer& buffer);
+
+  std::vector<asio::io_context*> contexts_;
+  tcp::acceptor acceptor_;
+  Endpoint endpoint_;
+  HttpServerLimits limits_;
+  HttpHandler handler_;
+  HttpRejection rejection_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<std::size_t> active_requests_{0};
+  std::atomic<std::size_t> connections_{0};
+};
+
+class HttpServer::Impl::Exchange : public HttpServerExchange {
+ public:
+  Exchange(Impl& server, beast::tcp_stream& stream, HttpRequest request, bool keep_alive)
+      : server_(server),
+        stream_(stream),
+        request_(std::move(request)),
+        keep_alive_(keep_alive),
+        watch_(std::make_shared<DisconnectWatch>()) {
+    ++server_.active_requests_;
+  }
+  ~Exchange() override {
+    watch_->callback = nullptr;
+    --server_.active_requests_;
+  }
+
+  const HttpRequest& request() const override { return request_; }
+  asio::any_io_executor executor() override { return stream_.get_executor(); }
+  std::string remote_address() const override {
+    error_code error;
+    const tcp::endpoint remote = stream_.socket().remote_endpoint(error);
+    return error ? std::string() : remote.address().to_string();
+  }
+  bool started() const override { return started_; }
+  bool keep_alive() const { return keep_alive_ && !aborted_; }
+  bool complete() const { return complete_; }
+
+  Awaitable<void> Respond(HttpResponse answer) override {
+    started_ = true;
+    StopWatching();
+    http::response<http::string_body> message =
+        MakeHead<http::string_body>(answer.status, answer.headers);
+    message.body() = std::move(answer.body);
+    message.prepare_payload();
+    stream_.expires_after(server_.limits_.write_timeout);
+    co_await http::async_write(stream_, message, use_awaitable);
+    complete_ = true;
+  }
+
+  Awaitable<void> BeginStream(unsigned status, HttpHeaders headers) override {
+    started_ = true;
+    http::response<http::empty_body> message = MakeHead<http::empty_body>(status, headers);
+    message.chunked(true);
+    http::response_serializer<http::empty_body> serializer(message);
+    stream_.expires_after(server_.limits_.write_timeout);
+    co_await http::async_write_header(stream_, serializer, use_awaitable);
+  }
+
+  Awaitable<void> Write(std::string data) override {
+    if (data.empty()) co_return;
+    stream_.expires_after(server_.limits_.write_timeout);
+    co_await asio::async_write(stream_, http::make_chunk(asio::buffer(data)), use_awaitable);
+  }
+
+  Awaitable<void> EndStream() override {
+    StopWatching();
+    stream_.expires_after(server_.limits_.write_timeout);
+    co_await asio::async_write(stream_, http::make_chunk_last(), use_awaitable);
+    complete_ = true;
+  }
+
+  void Abort() override {
+    aborted_ = true;
+    stream_.close();
+  }
+
+  void OnDisconnect(std::function<void()> callback) override {
+    watch_->callback = std::move(callback);
+    WaitForClose(watch_, stream_.socket());
+  }
+
+ private:
+  struct DisconnectWatch {
+    std::function<void()> callback;
+  };
+
+  template <typename Body>
+  http::response<Body> MakeHead(unsigned status, const HttpHeaders& headers) const {
+    http::response<Body> message;
+    message.version(kHttp11);
+    message.result(status);
+    for (const HttpHeader& header : headers) message.insert(header.name, header.value);
+    message.keep_alive(keep_alive_ && !server_.stopping_);
+    return message;
+  }
+
+  void StopWatching() {
+    if (!watch_->callback) return;
+    watch_->callback = nullptr;
+    error_code ignored;
+    stream_.socket().cancel(ignored);
+  }
+
+  /// Readable with nothing to read means that the caller closed its side.
+  static void WaitForClose(const std::shared_ptr<DisconnectWatch>& watch, tcp::socket& socket) {
+    socket.async_wait(tcp::socket::wait_read, [watch, &socket](const error_code& error) {
+      if (!watch->callback || error == asio::error::operation_aborted) return;
+      error_code failed;
+      const std::size_t available = socket.available(failed);
+      if (!error && !failed && available > 0) return;  // A pipelined request: still there.
+      std::function<void()> callback = std::move(watch->callback);
+      watch->callback = nullptr;
+      callback();
+    });
+  }
+
+  Impl& server_;
+  beast::tcp_stream& stream_;
+  HttpRequest request_;
+  bool keep_alive_;
+  bool started_ = false;
+  bool complete_ = false;
+  bool aborted_ = false;
+  std::shared_ptr<DisconnectWatch> watch_;
+};
+
+Awaitable<bool> HttpServer::Impl::ServeOne(Impl& server, beast::tcp_stream& stream,
+                                           beast::flat_buffer& buffer) {
+  http::request_parser<http::string_body> parser;
+  parser.header_limit(server.limits_.header_bytes);
+  parser.body_limit(server.limits_.body_bytes);
+  error_code error;
+  if (buffer.size() == 0) {  // Idle between requests: the request's own time has not begun.
+    stream.expires_after(server.limits_.idle_timeout);
+    constexpr std::size_t kFirstRead = 4096;
+    const std::size_t got = co_await stream.async_read_some(
+        buffer.prepare(kFirstRead), asio::redirect_error(use_awaitable, error));
+    buffer.commit(got);
+    if (error) co_return false;
+  }
+  stream.expires_after(server.limits_.request_timeout);
+  co_await http::async_read(stream, buffer, parser, asio::redirect_error(use_awaitable, error));
+  if (error == http::error::end_of_stream || error == asio::error::connection_reset)
+    co_return false;
+  const bool keep_alive = !error && parser.get().keep_alive();
+  HttpRequest request;
+  if (!error) request = TakeRequest(parser.release());
+  stream.expires_never();
+  Exchange exchange(server, stream, std::move(request), keep_alive);
+  if (error) {
+    const unsigned status = RejectionStatus(error);
+    co_await exchange.Respond(server.rejection_(status, error.message()));
+    co_return false;
+  }
+  bool failed = false;
+  std::string reason;
+  try {
+    co_await server.handler_(exchange);
+  } catch (const std::exception& thrown) {
+    failed = true;
+    reason = thrown.what();
+  }
+  if (failed && !exchange.started()) {
+    constexpr unsigned kInternalError = 500;
+    co_await exchange.Respond(server.rejection_(kInternalError, reason));
+  }
+  if (!exchange.complete()) stream.close();
+  co_return exchange.keep_alive() && exchange.complete() && !server.stopping_;
+}
+
+HttpServer::HttpServer(std::vector<asio::io_context*> contexts, const Endpoint& listen,
+                       HttpServerLimits limits, HttpHandler handler, HttpRejection rejection)
+    : impl_(std::make_shared<Impl>(std::move(contexts), listen, limits, std::move(handler),
+                                   std::move(rejection))) {}
+
+HttpServer::~HttpServer() { impl_->StopAccepting(); }
+
+void HttpServer::Start() { impl_->Start(); }
+Endpoint HttpServer::endpoint() const { return impl_->endpoint(); }
+void HttpServer::StopAccepting() { impl_->StopAccepting(); }
+std::size_t HttpServer::active_requests() const { return impl_->active_requests(); }
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/http/http_server.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "http/http_types.h"
+
+namespace moorfold {
+
+struct HttpServerLimits {
+  std::uint32_t header_bytes = 32 * 1024;
+  std::uint64_t body_bytes = 8ULL * 1024 * 1024;
+  std::chrono::milliseconds request_timeout{15'000};  ///< From the first byte to the last.
+  std::chrono::milliseconds idle_timeout{120'000};
+  std::chrono::milliseconds write_timeout{30'000};  ///< A caller that stops reading is cut off.
+  std::size_t connections = 10'000;
+};
+
+/// A request being answered. Lives as long as its handler runs, on one thread.
+class HttpServerExchange {
+ public:
+  virtual ~HttpServerExchange() = default;
+  virtual const HttpRequest& request() const = 0;
+  virtual boost::asio::any_io_executor executor() = 0;
+  /// @return the caller's IP number.
+  virtual std::string remote_address() const = 0;
+  /// Sends a whole answer. Exactly one of Respond and BeginStream is called.
+  virtual Awaitable<void> Respond(HttpResponse response) = 0;
+  virtual Awaitable<void> BeginStream(unsigned status, HttpHeaders headers) = 0;
+  virtual Awaitable<void> Write(std::string data) = 0;
+  virtual Awaitable<void> EndStream() = 0;
+  /// Breaks the connection, so that the caller can see that the answer is not whole.
+  virtual void Abort() = 0;
+  virtual bool started() const = 0;
+  /// Calls `callback` once if the caller closes its side before the answer is complete.
+  virtual void OnDisconnect(std::function<void()> callback) = 0;
+};
+
+using HttpHandler = std::function<Awaitable<void>(HttpServerExchange&)>;
+/// Makes the answer to a request that could not be read (400, 408, 413, 431).
+using HttpRejection = std::function<HttpResponse(unsigned status, const std::string& reason)>;
+
+/// HTTP/1.1 server. Connections are dealt to the given contexts in turn and stay there; each
+/// context is run by one thread. The handler is called on the connection's thread.
+class HttpServer {
+ public:
+  /// @throws boost::system::system_error when the address cannot be bound.
+  HttpServer(std::vector<boost::asio::io_context*> contexts, const Endpoint& listen,
+             HttpServerLimits limits, HttpHandler handler, HttpRejection rejection);
+  ~HttpServer();
+
+  void Start();
+  Endpoint endpoint() const;
+  /// Accepts no more; requests in progress go on and answers say "connection: close".
+  void StopAccepting();
+  /// @return requests being answered now. Any thread.
+  std::size_t active_requests() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/modelled/key_value_table.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/time.h"
+#include "platform/key_value_store.h"
+
+namespace moorfold {
+
+/// The data of a small key-value service: revisions, compare-and-swap, leases, and the history
+/// that watches start from. Pure: time is an argument. The stand-in and the simulator share it.
+class KeyValueTable {
+ public:
+  RangeResult Range(const KeyRange& range) const;
+  TransactionResult Transact(const Transaction& transaction);
+  LeaseId GrantLease(Duration time_to_live, Timestamp now);
+  /// @return the time to live granted anew, or nothing when the lease has lapsed.
+  std::optional<Duration> KeepLeaseAlive(LeaseId lease, Timestamp now);
+  bool RevokeLease(LeaseId lease);
+  /// Deletes the keys of lapsed leases.
+  void ExpireLeases(Timestamp now);
+  /// @return the changes in `range` from revision `start` on, grouped by revision.
+  std::vector<WatchBatch> EventsSince(const KeyRange& range, std::int64_t start) const;
+  std::int64_t revision() const { return revision_; }
+
+ private:
+  struct Lease {
+    Duration time_to_live{0};
+    Timestamp expires{};
+  };
+  bool Holds(const Comparison& comparison) const;
+  void Apply(const Operation& operation);
+  void DeleteKeysOf(LeaseId lease);
+  void Record(const WatchEvent& event);
+
+  std::map<std::string, KeyValue> entries_;
+  std::map<LeaseId, Lease> leases_;
+  std::vector<WatchBatch> history_;
+  std::int64_t revision_ = 1;
+  LeaseId next_lease_ = 1;
+};
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/platform/document_store.cc
@@ -0,0 +1,280 @@
+#include "platform/document_store.h"
+
+#include <xxhash.h>
+
+#include <array>
+#include <cstdio>
+
+#include "platform/json_codec.h"
+
+namespace moorfold {
+
+BOOST_DESCRIBE_STRUCT(ConfigurationChange, (), (plan_id, delta))
+
+namespace {
+
+constexpr const char* kHeadKey = "moorfold/configuration/head";
+constexpr const char* kSnapshotKey = "moorfold/configuration/snapshot";
+constexpr const char* kChangesPrefix = "moorfold/configuration/changes/";
+constexpr Revision kKeptChanges = 100;
+constexpr Duration kPlanLifetime = std::chrono::hours(1);
+
+std::string LedgerKey(const ZoneName& zone) { return "moorfold/ledger/" + zone; }
+std::string PlanKey(const std::string& id) { return "moorfold/plans/" + id; }
+
+std::string ChangeKey(Revision revision) {
+  std::array<char, 32> digits{};
+  std::snprintf(digits.data(), digits.size(), "%020llu", static_cast<unsigned long long>(revision));
+  return kChangesPrefix + std::string(digits.data());
+}
+
+template <typename T>
+std::optional<T> DecodeFirst(const RangeResult& result) {
+  if (result.entries.empty()) return std::nullopt;
+  return FromJson<T>(result.entries.front().value);
+}
+
+PlatformFailure Undecodable(const std::exception& error) {
+  return {PlatformFault::kRejected, error.what()};
+}
+
+}  // namespace
+
+std::string PlanId(Revision base, const Intent& intent) {
+  const std::string content = std::to_string(base) + ToJson(intent);
+  std::array<char, 32> digits{};
+  std::snprintf(digits.data(), digits.size(), "%016llx",
+                static_cast<unsigned long long>(XXH3_64bits(content.data(), content.size())));
+  return digits.data();
+}
+
+DocumentStore::DocumentStore(KeyValueStore& store) : store_(store) {}
+
+void DocumentStore::ReadLedger(const ZoneName& zone,
+                               std::function<void(Outcome<std::optional<Ledger>>)> done) {
+  store_.Range({LedgerKey(zone), ""}, [this, zone,
+                                       done = std::move(done)](const Outcome<RangeResult>& result) {
+    if (!result.ok()) return done(result.failure());
+    try {
+      const std::optional<Ledger> ledger = DecodeFirst<Ledger>(result.value());
+      if (ledger)
+        known_ledgers_[zone] = {ledger->revision, result.value().entries.front().mod_revision};
+      else
+        known_ledgers_[zone] = {};
+      done(ledger);
+    } catch (const DecodeError& error) {
+      done(Undecodable(error));
+    }
+  });
+}
+
+void DocumentStore::SwapLedger(const ZoneName& zone, Revision expected, Ledger proposed,
+                               std::function<void(SwapOutcome)> done) {
+  const auto known = known_ledgers_.find(zone);
+  if (known != known_ledgers_.end() && known->second.revision == expected)
+    return WriteLedger(zone, proposed, known->second.mod_revision, std::move(done));
+  // The revision was learned from a peer: the service is asked for its own number of it.
+  ReadLedger(zone, [this, zone, expected, proposed = std::move(proposed),
+                    done = std::move(done)](const Outcome<std::optional<Ledger>>& result) {
+    if (!result.ok()) return done(SwapOutcome::kConflict);
+    const Revision stored = result.value() ? result.value()->revision : 0;
+    if (stored != expected) return done(SwapOutcome::kConflict);
+    WriteLedger(zone, proposed, known_ledgers_[zone].mod_revision, done);
+  });
+}
+
+void DocumentStore::WriteLedger(const ZoneName& zone, const Ledger& proposed,
+                                std::int64_t mod_revision, std::function<void(SwapOutcome)> done) {
+  Transaction transaction;
+  transaction.comparisons.push_back({LedgerKey(zone), mod_revision});
+  transaction.operations.emplace_back(PutOperation{LedgerKey(zone), ToJson(proposed), 0});
+  store_.Transact(std::move(transaction),
+                  [this, zone, revision = proposed.revision,
+                   done = std::move(done)](const Outcome<TransactionResult>& result) {
+                    known_ledgers_.erase(zone);
+                    if (!result.ok()) {
+                      const bool untouched = result.failure().fault != PlatformFault::kNoAnswer;
+                      return done(untouched ? SwapOutcome::kConflict : SwapOutcome::kUnknown);
+                    }
+                    if (!result.value().succeeded) return done(SwapOutcome::kConflict);
+                    known_ledgers_[zone] = {revision, result.value().revision};
+                    done(SwapOutcome::kCommitted);
+                  });
+}
+
+void DocumentStore::ReadConfiguration(Revision have, ConfigurationCallback done) {
+  store_.Range({kHeadKey, ""},
+               [this, have, done = std::move(done)](const Outcome<RangeResult>& head_result) {
+                 if (!head_result.ok()) return done(head_result.failure());
+                 try {
+                   const auto head = DecodeFirst<ConfigurationHead>(head_result.value());
+                   if (!head || head->revision <= have)
+                     return done(std::optional<ConfigurationSnapshot>());
+                 } catch (const DecodeError& error) {
+                   return done(Undecodable(error));
+                 }
+                 store_.Range({kSnapshotKey, ""}, [done](const Outcome<RangeResult>& result) {
+                   if (!result.ok()) return done(result.failure());
+                   try {
+                     done(DecodeFirst<ConfigurationSnapshot>(result.value()));
+                   } catch (const DecodeError& error) {
+                     done(Undecodable(error));
+                   }
+                 });
+               });
+}
+
+std::unique_ptr<WatchHandle> DocumentStore::WatchConfiguration(ChangeCallback changed,
+                                                               std::function<void()> ended) {
+  const auto deliver = [changed = std::move(changed)](const WatchBatch& batch) {
+    for (const WatchEvent& event : batch.events)
+      if (!event.deleted) changed(FromJson<ConfigurationChange>(event.entry.value).delta);
+  };
+  return store_.Watch(PrefixRange(kChangesPrefix), 0, deliver,
+                      [ended = std::move(ended)](const PlatformFailure&) { ended(); });
+}
+
+void DocumentStore::StorePlan(const Plan& plan,
+                              std::function<void(std::optional<PlatformFailure>)> done) {
+  const std::string key = PlanKey(plan.id);
+  store_.GrantLease(kPlanLifetime, [this, key, text = ToJson(plan),
+                                    done = std::move(done)](const Outcome<LeaseId>& lease) {
+    if (!lease.ok()) return done(lease.failure());
+    Transaction transaction;
+    transaction.operations.emplace_back(PutOperation{key, text, lease.value()});
+    store_.Transact(std::move(transaction), [done](const Outcome<TransactionResult>& result) {
+      if (result.ok())
+        done(std::nullopt);
+      else
+        done(result.failure());
+    });
+  });
+}
+
+/// The steps of one confirmation; keeps itself alive through its callbacks.
+class DocumentStore::Confirmation
+    : public std::enable_shared_from_this<DocumentStore::Confirmation> {
+ public:
+  Confirmation(KeyValueStore& store, std::string plan_id, std::function<void(ConfirmResult)> done)
+      : store_(store), plan_id_(std::move(plan_id)), done_(std::move(done)) {}
+
+  void Start() {
+    Read({PlanKey(plan_id_), ""}, [this](const RangeResult& result) {
+      const std::optional<Plan> plan = DecodeFirst<Plan>(result);
+      if (!plan)
+        return Finish(
+            ConfirmOutcome::kUnknownPlan, 0,
+            "no plan " + plan_id_ + "; plans are kept for an hour: state the intent again");
+      plan_ = *plan;
+      if (!plan_.refusals.empty())
+        return Finish(ConfirmOutcome::kRefused, plan_.base_revision,
+                      "the plan has refusals; correct the intent and plan again");
+      ReadHead();
+    });
+  }
+
+ private:
+  template <typename Next>
+  void Read(KeyRange range, Next next) {
+    store_.Range(std::move(range), [self = shared_from_this(),
+                                    next](const Outcome<RangeResult>& result) {
+      if (!result.ok())
+        return self->Finish(ConfirmOutcome::kUnavailable, 0,
+                            result.failure().message + "; confirm again, it cannot apply twice");
+      try {
+        next(result.value());
+      } catch (const DecodeError& error) {
+        self->Finish(ConfirmOutcome::kUnavailable, 0, error.what());
+      }
+    });
+  }
+
+  void ReadHead() {
+    Read({kHeadKey, ""}, [this](const RangeResult& result) {
+      const auto head = DecodeFirst<ConfigurationHead>(result);
+      const Revision in_force = head ? head->revision : 0;
+      if (in_force > plan_.base_revision) return CheckAlreadyConfirmed(in_force);
+      if (in_force < plan_.base_revision)
+        return Finish(ConfirmOutcome::kStaleBase, in_force,
+                      "the service holds an older revision than the plan's base; plan again");
+      head_mod_revision_ = head ? result.entries.front().mod_revision : 0;
+      ReadSnapshot();
+    });
+  }
+
+  /// The change after the plan's base names the plan that made it.
+  void CheckAlreadyConfirmed(Revision in_force) {
+    Read({ChangeKey(plan_.base_revision + 1), ""}, [this, in_force](const RangeResult& result) {
+      const auto change = DecodeFirst<ConfigurationChange>(result);
+      if (change && change->plan_id == plan_id_)
+        return Finish(wrote_ ? ConfirmOutcome::kConfirmed : ConfirmOutcome::kAlreadyConfirmed,
+                      plan_.base_revision + 1, "");
+      Finish(ConfirmOutcome::kStaleBase, in_force,
+             "revision " + std::to_string(in_force) +
+                 " came into force after this plan was made "
+                 "from revision " +
+                 std::to_string(plan_.base_revision) + "; plan again");
+    });
+  }
+
+  void ReadSnapshot() {
+    Read({kSnapshotKey, ""}, [this](const RangeResult& result) {
+      const auto snapshot = DecodeFirst<ConfigurationSnapshot>(result);
+      Write(snapshot ? snapshot->intent : Intent{});
+    });
+  }
+
+  void Write(const Intent& before) {
+    const Revision revision = plan_.base_revision + 1;
+    ConfigurationChange change{plan_id_, DiffIntents(before, plan_.intent)};
+    change.delta.base = plan_.base_revision;
+    change.delta.revision = revision;
+    Transaction transaction;
+    transaction.comparisons.push_back({kHeadKey, head_mod_revision_});
+    auto& operations = transaction.operations;
+    operations.emplace_back(PutOperation{kHeadKey, ToJson(ConfigurationHead{revision, plan_id_})});
+    operations.emplace_back(
+        PutOperation{kSnapshotKey, ToJson(ConfigurationSnapshot{revision, plan_.intent})});
+    operations.emplace_back(PutOperation{ChangeKey(revision), ToJson(change)});
+    if (revision > kKeptChanges)
+      operations.emplace_back(DeleteOperation{ChangeKey(revision - kKeptChanges)});
+    wrote_ = true;
+    store_.Transact(std::move(transaction), [self = shared_from_this(),
+                                             revision](const Outcome<TransactionResult>& result) {
+      if (result.ok() && result.value().succeeded)
+        return self->Finish(ConfirmOutcome::kConfirmed, revision, "");
+      self->OnWriteUnclear(result);
+    });
+  }
+
+  /// A lost answer or a lost race: what the service holds decides.
+  void OnWriteUnclear(const Outcome<TransactionResult>& result) {
+    const bool may_have_written = result.ok() || result.failure().fault == PlatformFault::kNoAnswer;
+    if (!may_have_written)
+      return Finish(ConfirmOutcome::kUnavailable, 0, result.failure().message + "; confirm again");
+    if (++attempts_ > kMaxAttempts)
+      return Finish(ConfirmOutcome::kUnavailable, 0,
+                    "the service does not answer; confirm again, it cannot apply twice");
+    ReadHead();
+  }
+
+  void Finish(ConfirmOutcome outcome, Revision revision, const std::string& message) {
+    done_({outcome, revision, message});
+  }
+
+  static constexpr int kMaxAttempts = 3;
+  KeyValueStore& store_;
+  std::string plan_id_;
+  std::function<void(ConfirmResult)> done_;
+  Plan plan_;
+  std::int64_t head_mod_revision_ = 0;
+  bool wrote_ = false;
+  int attempts_ = 0;
+};
+
+void DocumentStore::ConfirmPlan(const std::string& plan_id,
+                                std::function<void(ConfirmResult)> done) {
+  std::make_shared<Confirmation>(store_, plan_id, std::move(done))->Start();
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/platform/http_machine_list.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+
+#include "http/http_client.h"
+#include "platform/machine_list.h"
+
+namespace moorfold {
+
+/// MachineList over HTTP: GET /machines answers a JSON array. Belongs to one context's thread.
+class HttpMachineList : public MachineList {
+ public:
+  HttpMachineList(boost::asio::io_context& context, Endpoint endpoint,
+                  std::chrono::milliseconds timeout);
+  void List(ListCallback done) override;
+
+ private:
+  boost::asio::io_context& context_;
+  Endpoint endpoint_;
+  std::chrono::milliseconds timeout_;
+  std::shared_ptr<HttpClient> client_;
+};
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/platform/key_value_store.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/time.h"
+
+namespace moorfold {
+
+/// Why a platform call did not answer. Callbacks cannot throw across threads and time, so ports
+/// hand this over as a value; adapters throw it nowhere.
+enum class PlatformFault : std::uint8_t {
+  kUnavailable,  ///< Not reached: the call was not carried out.
+  kRateLimited,  ///< Refused: the call was not carried out; try again later.
+  kNoAnswer,     ///< It may have been carried out: read before trying again.
+  kRejected,     ///< The service understood and refused; trying again is useless.
+};
+
+struct PlatformFailure {
+  PlatformFault fault = PlatformFault::kUnavailable;
+  std::string message;
+};
+
+/// A value or the reason why there is none.
+template <typename T>
+class Outcome {
+ public:
+  Outcome(T value) : content_(std::move(value)) {}                    // NOLINT: converts on purpose
+  Outcome(PlatformFailure failure) : content_(std::move(failure)) {}  // NOLINT
+  bool ok() const { return std::holds_alternative<T>(content_); }
+  const T& value() const { return std::get<T>(content_); }
+  const PlatformFailure& failure() const { return std::get<PlatformFailure>(content_); }
+
+ private:
+  std::variant<T, PlatformFailure> content_;
+};
+
+using LeaseId = std::int64_t;
+
+/// Keys from `key` up to but not including `end`; an empty `end` means just `key`.
+struct KeyRange {
+  std::string key;
+  std::string end;
+
+  bool Contains(const std::string& candidate) const {
+    return end.empty() ? candidate == key : candidate >= key && candidate < end;
+  }
+};
+
+/// @return the range of all keys that begin with `prefix`.
+inline KeyRange PrefixRange(std::string prefix) {
+  std::string end = prefix;
+  end.back() = static_cast<char>(end.back() + 1);
+  return {std::move(prefix), std::move(end)};
+}
+
+struct KeyValue {
+  std::string key;
+  std::string value;
+  std::int64_t mod_revision = 0;
+  LeaseId lease = 0;
+};
+struct RangeResult {
+  std::int64_t revision = 0;
+  std::vector<KeyValue> entries;
+};
+
+/// Holds when the key's last change has this revision; 0: the key does not exist.
+struct Comparison {
+  std::string key;
+  std::int64_t mod_revision = 0;
+};
+struct PutOperation {
+  std::string key;
+  std::string value;
+  LeaseId lease = 0;
+};
+struct DeleteOperation {
+  std::string key;
+};
+using Operation = std::variant<PutOperation, DeleteOperation>;
+
+/// All operations take effect at once if all comparisons hold; else nothing does.
+struct Transaction {
+  std::vector<Comparison> comparisons;
+  std::vector<Operation> operations;
+};
+struct TransactionResult {
+  bool succeeded = false;
+  std::int64_t revision = 0;
+};
+
+struct WatchEvent {
+  bool deleted = false;
+  KeyValue entry;
+};
+struct WatchBatch {
+  std::int64_t revision = 0;
+  std::vector<WatchEvent> events;
+};
+
+/// A running watch; destroying it ends the watch without a further callback.
+class WatchHandle {
+ public:
+  virtual ~WatchHandle() = default;
+};
+
+/// The platform's key-value service (etcd v3 semantics). Every call answers its callback exactly
+/// once, on the thread that runs the implementation; never from within the call itself.
+class KeyValueStore {
+ public:
+  template <typename T>
+  using Callback = std::function<void(Outcome<T>)>;
+  using WatchCallback = std::function<void(const WatchBatch&)>;
+  using WatchEndCallback = std::function<void(PlatformFailure)>;
+
+  virtual ~KeyValueStore() = default;
+  virtual void Range(KeyRange range, Callback<RangeResult> done) = 0;
+  virtual void Transact(Transaction transaction, Callback<TransactionResult> done) = 0;
+  /// @param time_to_live whole seconds, at least one.
+  virtual void GrantLease(Duration time_to_live, Callback<LeaseId> done) = 0;
+  /// Answers kRejected when the lease has lapsed.
+  virtual void KeepLeaseAlive(LeaseId lease, Callback<Duration> done) = 0;
+  virtual void RevokeLease(LeaseId lease, Callback<bool> done) = 0;
+  /// Delivers changes from revision `start` on, in order, without gaps, until `ended` is called
+  /// (once) or the handle is destroyed.
+  [[nodiscard]] virtual std::unique_ptr<WatchHandle> Watch(KeyRange range, std::int64_t start,
+                                                           WatchCallback changed,
+                                                           WatchEndCallback ended) = 0;
+};
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/request/model_router.cc
@@ -0,0 +1,361 @@
+#include "request/model_router.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+#include "request/replica_picker.h"
+
+namespace moorfold {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t kPrefixBytes = 256;
+constexpr int kMaxAttempts = 4;
+constexpr int kMaxRefusedAttempts = 8;
+/// A replica may hold this many requests for each that it runs: the engine orders them by
+/// priority, which it can only do among those that it has.
+constexpr std::uint32_t kEngineQueueFactor = 2;
+constexpr std::uint32_t kRemoteLimit = 10'000;
+constexpr std::chrono::milliseconds kRecheck{250};
+
+std::int64_t Microseconds(Deadline when) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(when.time_since_epoch()).count();
+}
+
+void Average(std::atomic<std::uint64_t>& average, std::uint64_t newest) {
+  constexpr std::uint64_t kShare = 8;
+  const std::uint64_t old = average.load(std::memory_order_relaxed);
+  average.store(old == 0 ? newest : old - old / kShare + newest / kShare,
+                std::memory_order_relaxed);
+}
+
+std::string FirstPrompt(const json::object& body) {
+  if (const json::value* prompt = body.if_contains("prompt"))
+    return prompt->is_string() ? std::string(prompt->get_string()) : std::string();
+  const json::value* messages = body.if_contains("messages");
+  if (messages == nullptr || !messages->is_array() || messages->get_array().empty()) return {};
+  const json::value& first = messages->get_array().front();
+  if (!first.is_object()) return {};
+  const json::value* content = first.get_object().if_contains("content");
+  return content != nullptr && content->is_string() ? std::string(content->get_string())
+                                                    : std::string();
+}
+
+std::optional<ApiError> CheckShape(const json::object& body, bool chat) {
+  const json::value* model = body.if_contains("model");
+  if (model == nullptr || !model->is_string())
+    return errors::BadRequest("'model' is no text", "name a model, as {\"model\": \"NAME\"}");
+  const json::value* prompt = body.if_contains(chat ? "messages" : "prompt");
+  if (chat && (prompt == nullptr || !prompt->is_array() || prompt->get_array().empty()))
+    return errors::BadRequest("'messages' is no list", "send at least one message");
+  if (!chat && (prompt == nullptr || !prompt->is_string()))
+    return errors::BadRequest("'prompt' is no text", "send a text as 'prompt'");
+  const json::value* stream = body.if_contains("stream");
+  if (stream != nullptr && !stream->is_bool())
+    return errors::BadRequest("'stream' is neither true nor false", "send true or false");
+  const json::value* tokens = body.if_contains("max_tokens");
+  if (tokens != nullptr && (!tokens->is_int64() || tokens->get_int64() < 1))
+    return errors::BadRequest("'max_tokens' is no positive whole number", "send 1 or more");
+  return std::nullopt;
+}
+
+}  // namespace
+
+/// Counts a caller's requests in progress.
+class ModelRouter::CallerSlot {
+ public:
+  CallerSlot(std::shared_ptr<CallerCounts> counts, const std::string& caller, std::uint32_t limit)
+      : counts_(std::move(counts)), caller_(caller), granted_(++(*counts_)[caller_] <= limit) {}
+  ~CallerSlot() {
+    const auto found = counts_->find(caller_);
+    if (--found->second == 0) counts_->erase(found);
+  }
+  CallerSlot(const CallerSlot&) = delete;
+  CallerSlot& operator=(const CallerSlot&) = delete;
+  bool granted() const { return granted_; }
+
+ private:
+  std::shared_ptr<CallerCounts> counts_;
+  std::string caller_;
+  bool granted_;
+};
+
+/// A request's place in the queue and its share of the queued bytes.
+class ModelRouter::QueuedRequest {
+ public:
+  QueuedRequest(WorkerShared& shared, std::shared_ptr<Waiting> waiting, DemandCountersPtr counters,
+                const Call& call, std::uint64_t bytes)
+      : shared_(shared),
+        waiting_(std::move(waiting)),
+        counters_(std::move(counters)),
+        bytes_(bytes) {
+    const std::uint64_t queued = shared_.queued_bytes.fetch_add(bytes_) + bytes_;
+    counters_->waiting.fetch_add(1, std::memory_order_relaxed);
+    if (queued <= shared_.limits.queued_bytes)
+      ticket_ = waiting_->queue.Enter(call.priority, Microseconds(call.deadline),
+                                      shared_.limits.queued_per_model);
+  }
+  ~QueuedRequest() {
+    shared_.queued_bytes.fetch_sub(bytes_);
+    counters_->waiting.fetch_sub(1, std::memory_order_relaxed);
+    if (ticket_) waiting_->queue.Leave(*ticket_);
+    waiting_->signal.NotifyAll();  // The next one may be first now.
+  }
+  QueuedRequest(const QueuedRequest&) = delete;
+  QueuedRequest& operator=(const QueuedRequest&) = delete;
+  bool admitted() const { return ticket_.has_value(); }
+  bool first() const { return waiting_->queue.IsFirst(*ticket_); }
+  std::size_t position() const { return waiting_->queue.Position(*ticket_); }
+
+ private:
+  WorkerShared& shared_;
+  std::shared_ptr<Waiting> waiting_;
+  DemandCountersPtr counters_;
+  std::uint64_t bytes_;
+  std::optional<QueueTicket> ticket_;
+};
+
+ModelRouter::ModelRouter(boost::asio::io_context& context, WorkerShared& shared)
+    : context_(context), shared_(shared), tables_(shared.tables), client_(context) {}
+
+ModelRouteConstPtr ModelRouter::FindRoute(const std::string& name) {
+  const RoutingTableConstPtr& table = tables_.Get();
+  const auto found = table->models.find(name);
+  return found == table->models.end() ? nullptr : found->second;
+}
+
+std::shared_ptr<ModelRouter::Waiting> ModelRouter::WaitingFor(const std::string& name) {
+  std::shared_ptr<Waiting>& waiting = waiting_[name];
+  if (!waiting) waiting = std::make_shared<Waiting>(context_.get_executor());
+  return waiting;
+}
+
+void ModelRouter::WakeWaiting() {
+  for (auto& [name, waiting] : waiting_)
+    if (waiting->queue.size() > 0) waiting->signal.NotifyAll();
+}
+
+std::optional<ApiError> ModelRouter::Parse(const HttpRequest& request, Call& call) {
+  boost::system::error_code error;
+  const json::value parsed = json::parse(request.body, error);
+  if (error || !parsed.is_object())
+    return errors::BadRequest("the body is no JSON object", "send JSON, as OpenAI's API has it");
+  const json::object& body = parsed.get_object();
+  const bool chat = request.target == "/v1/chat/completions";
+  if (std::optional<ApiError> mistake = CheckShape(body, chat)) return mistake;
+  call.name = std::string(body.at("model").get_string());
+  const json::value* stream = body.if_contains("stream");
+  call.stream = stream != nullptr && stream->get_bool();
+  const std::string prompt = FirstPrompt(body);
+  call.prefix_hash = XXH3_64bits(prompt.data(), std::min(prompt.size(), kPrefixBytes));
+  if (tables_.Get()->configuration_revision == 0) return errors::NotReady();
+  const ModelRouteConstPtr route = FindRoute(call.name);
+  if (!route) return errors::UnknownModel(call.name);
+  std::optional<ApiError> mistake =
+      ReadCallHeaders(request.headers, route->model.deadline, route->model.priority, call);
+  if (!mistake && call.forwarded && !route->local) return errors::StillLoading(call.name);
+  return mistake;
+}
+
+std::optional<Target> ModelRouter::TryAcquire(const ModelRoute& route, const Call& call,
+                                              const std::set<std::string>& excluded) {
+  const std::int64_t now = Microseconds(std::chrono::steady_clock::now());
+  const std::uint32_t limit =
+      route.local ? route.model.concurrency * kEngineQueueFactor : kRemoteLimit;
+  std::vector<ReplicaCandidate> candidates;
+  for (const Target& target : route.targets)
+    candidates.push_back({target.name, target.load->in_flight.load(std::memory_order_relaxed),
+                          target.load->reported.load(std::memory_order_relaxed), limit,
+                          target.load->SetAside(now) || excluded.contains(target.name)});
+  const std::optional<std::size_t> picked = PickReplica(candidates, call.prefix_hash);
+  if (!picked) return std::nullopt;
+  const Target& target = route.targets[*picked];
+  if (!target.load->TryAcquire(limit)) return std::nullopt;
+  return target;
+}
+
+std::optional<ApiError> ModelRouter::RefuseEarly(const ModelRoute& route, const Call& call,
+                                                 std::size_t position) const {
+  const auto now = std::chrono::steady_clock::now();
+  const double left = std::chrono::duration<double>(call.deadline - now).count();
+  double predicted = 0;
+  if (route.targets.empty()) {
+    const double cold =
+        static_cast<double>(route.counters->cold_microseconds.load(std::memory_order_relaxed)) /
+        1e6;
+    const double waited = std::chrono::duration<double>(now - call.arrival).count();
+    predicted = std::max(0.0, cold - waited);
+  } else {
+    const auto slots = static_cast<std::uint32_t>(route.targets.size()) * route.model.concurrency;
+    const double service =
+        static_cast<double>(route.counters->service_microseconds.load(std::memory_order_relaxed)) /
+        1e6;
+    predicted = PredictWait(position * shared_.worker_count, slots, service) + service;
+  }
+  if (predicted <= left) return std::nullopt;
+  return errors::TooLate(call.name, predicted);
+}
+
+Awaitable<std::optional<Target>> ModelRouter::AcquireTarget(Call& call, std::uint64_t body_bytes,
+                                                            const std::set<std::string>& excluded) {
+  ModelRouteConstPtr route = FindRoute(call.name);
+  if (!route) {
+    call.refusal = errors::UnknownModel(call.name);
+    co_return std::nullopt;
+  }
+  const std::shared_ptr<Waiting> waiting = WaitingFor(route->called_as);
+  if (waiting->queue.size() == 0) {
+    std::optional<Target> target = TryAcquire(*route, call, excluded);
+    if (target) co_return target;
+  }
+  QueuedRequest queued(shared_, waiting, route->counters, call, body_bytes);
+  if (!queued.admitted()) {
+    call.refusal = errors::QueueFull(call.name);
+    co_return std::nullopt;
+  }
+  const Deadline refusal_time = RefusalTime(call);
+  bool judged = false;
+  while (!call.disconnected) {
+    route = FindRoute(call.name);
+    if (!route) {
+      call.refusal = errors::UnknownModel(call.name);
+      co_return std::nullopt;
+    }
+    if (queued.first()) {
+      std::optional<Target> target = TryAcquire(*route, call, excluded);
+      if (target) co_return target;
+    }
+    if (route->targets.empty()) call.was_cold = true;
+    if (!judged) call.refusal = RefuseEarly(*route, call, queued.position());
+    judged = true;
+    if (call.refusal) co_return std::nullopt;
+    if (std::chrono::steady_clock::now() >= refusal_time) {
+      call.refusal = errors::StillLoading(call.name);
+      co_return std::nullopt;
+    }
+    if (!route->counters->nudged.exchange(true)) shared_.nudge_core();
+    co_await waiting->signal.Wait(
+        std::min(refusal_time, std::chrono::steady_clock::now() + kRecheck));
+  }
+  co_return std::nullopt;
+}
+
+HttpRequest ModelRouter::MakeRequest(const HttpRequest& original, const ModelRoute& route,
+                                     const Call& call) const {
+  HttpRequest request{original.method, original.target, {}, original.body};
+  const char* priority = call.priority == Priority::kCritical ? "critical"
+                         : call.priority == Priority::kBatch  ? "batch"
+                                                              : "interactive";
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      call.deadline - std::chrono::steady_clock::now());
+  request.headers = {{"Content-Type", "application/json"},
+                     {"x-request-id", call.id},
+                     {"x-priority", priority},
+                     {"x-deadline-ms", std::to_string(std::max<std::int64_t>(1, left.count()))}};
+  if (!route.local) request.headers.push_back({"x-moorfold-forwarded", shared_.daemon_name});
+  if (call.name == route.called_as || !route.local) return request;
+  // The adapter was called by its own name; engines know it beside its base.
+  boost::system::error_code error;
+  json::value body = json::parse(original.body, error);
+  body.as_object()["model"] = route.called_as;
+  request.body = json::serialize(body);
+  return request;
+}
+
+Awaitable<std::optional<ApiError>> ModelRouter::Serve(HttpServerExchange& exchange, Call& call) {
+  std::set<std::string> excluded;
+  int refused = 0;
+  for (int attempt = 1;; ++attempt) {
+    const std::optional<Target> target =
+        co_await AcquireTarget(call, exchange.request().body.size(), excluded);
+    if (!target) co_return call.refusal;
+    const ModelRouteConstPtr route = FindRoute(call.name);
+    if (!route) {
+      target->load->Release();
+      co_return errors::UnknownModel(call.name);
+    }
+    const DemandCountersPtr counters = route->counters;
+    counters->in_flight.fetch_add(1, std::memory_order_relaxed);
+    const auto started = std::chrono::steady_clock::now();
+    const auto first_byte = [this, &call] {
+      const double seconds =
+          std::chrono::duration<double>(std::chrono::steady_clock::now() - call.arrival).count();
+      (call.was_cold ? shared_.metrics->first_byte_cold : shared_.metrics->first_byte_warm)
+          .Observe(seconds);
+    };
+    const Attempt ended =
+        co_await ForwardOnce(client_, exchange, call, target->endpoint,
+                             MakeRequest(exchange.request(), *route, call), first_byte);
+    counters->in_flight.fetch_sub(1, std::memory_order_relaxed);
+    target->load->Release();
+    if (counters->waiting.load(std::memory_order_relaxed) > 0) shared_.wake_waiting();
+    const auto now = std::chrono::steady_clock::now();
+    const auto took = std::chrono::duration_cast<std::chrono::microseconds>(now - started);
+    if (ended.end == AttemptEnd::kAnswered) {
+      target->load->RecordSuccess();
+      Average(counters->service_microseconds, static_cast<std::uint64_t>(took.count()));
+      if (call.was_cold)
+        Average(counters->cold_microseconds,
+                static_cast<std::uint64_t>(
+                    std::chrono::duration_cast<std::chrono::microseconds>(started - call.arrival)
+                        .count()));
+      co_return std::nullopt;
+    }
+    if (call.disconnected) co_return std::nullopt;
+    if (ended.end == AttemptEnd::kBroken)
+      co_return errors::BackendFailed(ended.problem, Executed::kUnknown);
+    const bool not_run = ended.end == AttemptEnd::kNotRun;
+    const bool late = now >= RefusalTime(call);
+    if (!not_run) target->load->RecordFailure(Microseconds(now));
+    if (not_run && late) co_return errors::StillLoading(call.name);
+    if (!not_run && (late || !call.repeatable || attempt >= kMaxAttempts || !retries_.TrySpend()))
+      co_return errors::BackendFailed(ended.problem, Executed::kUnknown);
+    if (not_run && ++refused >= kMaxRefusedAttempts)
+      co_return errors::BackendFailed(ended.problem, Executed::kNo);
+    shared_.metrics->retries.Increment();
+    excluded.insert(target->name);
+    if (excluded.size() >= route->targets.size()) excluded.clear();
+    if (not_run) co_await Sleep(std::chrono::milliseconds(5) * refused);
+  }
+}
+
+void ModelRouter::RecordEnd(const Call& call, const std::optional<ApiError>& error) {
+  if (call.disconnected)
+    shared_.metrics->disconnected.Increment();
+  else if (!error)
+    shared_.metrics->served.Increment();
+  else if (error->executed == Executed::kNo)
+    shared_.metrics->refused.Increment();
+  else
+    shared_.metrics->unknown.Increment();
+}
+
+Awaitable<void> ModelRouter::Handle(HttpServerExchange& exchange) {
+  Call call;
+  call.id = shared_.daemon_name + "-" + std::to_string(shared_.incarnation) + "-" +
+            std::to_string(shared_.next_request.fetch_add(1, std::memory_order_relaxed));
+  std::optional<ApiError> error = Parse(exchange.request(), call);
+  if (!error) {
+    const CallerSlot slot(callers_, exchange.remote_address(), shared_.limits.requests_per_caller);
+    retries_.Earn();
+    FindRoute(call.name)->counters->arrivals.fetch_add(1, std::memory_order_relaxed);
+    exchange.OnDisconnect([this, &call] {
+      call.disconnected = true;
+      if (call.upstream != nullptr) call.upstream->Cancel();
+      WakeWaiting();
+    });
+    if (slot.granted())
+      error = co_await Serve(exchange, call);
+    else
+      error = errors::CallerLimit(shared_.limits.requests_per_caller);
+  }
+  RecordEnd(call, error);
+  if (error && !exchange.started()) co_await exchange.Respond(ToResponse(*error));
+  if (!exchange.started()) exchange.Abort();
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/request/service_router.cc
@@ -0,0 +1,202 @@
+#include "request/service_router.h"
+
+#include <algorithm>
+
+namespace moorfold {
+namespace {
+
+constexpr std::string_view kPrefix = "/services/";
+constexpr std::size_t kMaxKeyLength = 256;
+constexpr int kMaxAttempts = 4;
+constexpr std::size_t kKeptAnswerBytes = 64 * 1024;
+
+std::int64_t NowMicroseconds() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+bool IsSafeMethod(const std::string& method) {
+  return method == "GET" || method == "HEAD" || method == "OPTIONS";
+}
+
+bool IsRepeatable(const ServiceIntent& service, const HttpRequest& request,
+                  const std::string& path) {
+  if (IsSafeMethod(request.method)) return true;
+  if (!FindHeader(request.headers, "Idempotency-Key").empty()) return false;
+  return std::none_of(service.non_repeatable_paths.begin(), service.non_repeatable_paths.end(),
+                      [&](const std::string& prefix) { return path.starts_with(prefix); });
+}
+
+/// Remembers the answer that passes through to the caller, for later requests with its key.
+class RecordingExchange : public HttpServerExchange {
+ public:
+  explicit RecordingExchange(HttpServerExchange& inner) : inner_(inner) {}
+  const HttpRequest& request() const override { return inner_.request(); }
+  boost::asio::any_io_executor executor() override { return inner_.executor(); }
+  std::string remote_address() const override { return inner_.remote_address(); }
+  Awaitable<void> Respond(HttpResponse response) override {
+    answer_ = {response.status, std::string(FindHeader(response.headers, "Content-Type")),
+               response.body.substr(0, kKeptAnswerBytes)};
+    answered_ = true;
+    return inner_.Respond(std::move(response));
+  }
+  Awaitable<void> BeginStream(unsigned status, HttpHeaders headers) override {
+    answer_ = {status, std::string(FindHeader(headers, "Content-Type")), ""};
+    return inner_.BeginStream(status, std::move(headers));
+  }
+  Awaitable<void> Write(std::string data) override {
+    if (answer_.body.size() < kKeptAnswerBytes) answer_.body += data;
+    return inner_.Write(std::move(data));
+  }
+  Awaitable<void> EndStream() override {
+    answered_ = true;
+    return inner_.EndStream();
+  }
+  void Abort() override { inner_.Abort(); }
+  bool started() const override { return inner_.started(); }
+  void OnDisconnect(std::function<void()> callback) override {
+    inner_.OnDisconnect(std::move(callback));
+  }
+  bool answered() const { return answered_; }
+  const KeptAnswer& answer() const { return answer_; }
+
+ private:
+  HttpServerExchange& inner_;
+  KeptAnswer answer_;
+  bool answered_ = false;
+};
+
+HttpResponse Replay(const KeptAnswer& answer, const std::string& id) {
+  return {answer.status,
+          {{"Content-Type", answer.content_type},
+           {"x-request-id", id},
+           {"x-idempotent-replay", "true"}},
+          answer.body};
+}
+
+}  // namespace
+
+ServiceRouter::ServiceRouter(boost::asio::io_context& context, WorkerShared& shared,
+                             ClaimService& claims)
+    : shared_(shared), claims_(claims), tables_(shared.tables), client_(context) {}
+
+std::optional<ApiError> ServiceRouter::Resolve(const HttpRequest& request, Call& call,
+                                               Destination& destination) {
+  const std::string rest = request.target.substr(kPrefix.size());
+  const std::size_t slash = rest.find('/');
+  call.name = rest.substr(0, slash);
+  destination.path = slash == std::string::npos ? "/" : rest.substr(slash);
+  const RoutingTableConstPtr& table = tables_.Get();
+  if (table->configuration_revision == 0) return errors::NotReady();
+  const auto found = table->services.find(call.name);
+  if (found == table->services.end()) return errors::UnknownService(call.name);
+  destination.route = found->second;
+  call.repeatable = IsRepeatable(found->second->service, request, destination.path);
+  if (FindHeader(request.headers, "Idempotency-Key").size() > kMaxKeyLength)
+    return errors::BadRequest("the Idempotency-Key is too long", "use at most 256 characters");
+  return ReadCallHeaders(request.headers, found->second->service.deadline, Priority::kInteractive,
+                         call);
+}
+
+std::optional<Target> ServiceRouter::Pick(const ServiceRoute& route, const std::string& excluded) {
+  const std::int64_t now = NowMicroseconds();
+  for (const std::vector<Target>* group : {&route.near, &route.far}) {
+    const Target* best = nullptr;
+    for (const Target& target : *group) {
+      if (target.name == excluded || target.load->SetAside(now)) continue;
+      if (best == nullptr || target.load->in_flight < best->load->in_flight) best = &target;
+    }
+    if (best != nullptr) return *best;
+  }
+  return std::nullopt;
+}
+
+HttpRequest ServiceRouter::MakeRequest(const HttpRequest& original, const Destination& destination,
+                                       const Call& call) const {
+  HttpRequest request{original.method, destination.path, {}, original.body};
+  for (const char* name : {"Content-Type", "Accept", "Idempotency-Key", "Authorization"}) {
+    const std::string_view value = FindHeader(original.headers, name);
+    if (!value.empty()) request.headers.push_back({name, std::string(value)});
+  }
+  request.headers.push_back({"x-request-id", call.id});
+  return request;
+}
+
+Awaitable<std::optional<ApiError>> ServiceRouter::Serve(HttpServerExchange& exchange, Call& call,
+                                                        const Destination& destination) {
+  std::string excluded;
+  for (int attempt = 1;; ++attempt) {
+    std::optional<Target> target = Pick(*destination.route, excluded);
+    if (!target) target = Pick(*destination.route, "");
+    if (!target) co_return errors::NoBackend(call.name);
+    target->load->in_flight.fetch_add(1, std::memory_order_relaxed);
+    const Attempt ended =
+        co_await ForwardOnce(client_, exchange, call, target->endpoint,
+                             MakeRequest(exchange.request(), destination, call), [] {});
+    target->load->Release();
+    if (ended.end == AttemptEnd::kAnswered) {
+      target->load->RecordSuccess();
+      co_return std::nullopt;
+    }
+    const bool not_run = ended.end == AttemptEnd::kNotRun;
+    target->load->RecordFailure(NowMicroseconds());
+    if (call.disconnected) co_return errors::BackendFailed("the caller left", Executed::kUnknown);
+    const bool again = ended.end != AttemptEnd::kBroken && (not_run || call.repeatable) &&
+                       attempt < kMaxAttempts &&
+                       std::chrono::steady_clock::now() < RefusalTime(call);
+    if (!again || (!not_run && !retries_.TrySpend()))
+      co_return errors::BackendFailed(ended.problem, not_run ? Executed::kNo : Executed::kUnknown);
+    shared_.metrics->retries.Increment();
+    excluded = target->name;
+  }
+}
+
+Awaitable<std::optional<ApiError>> ServiceRouter::ServeClaimed(HttpServerExchange& exchange,
+                                                               Call& call,
+                                                               const Destination& destination,
+                                                               std::string key) {
+  const std::string scoped_key = call.name + " " + key;
+  const ClaimResult claim = co_await claims_.Claim(scoped_key, call.id);
+  switch (claim.end) {
+    case ClaimEnd::kInUse:
+      co_return errors::KeyInUse();
+    case ClaimEnd::kNoMajority:
+      co_return errors::NoClaimMajority();
+    case ClaimEnd::kFinished:
+      co_await exchange.Respond(Replay(claim.answer, call.id));
+      co_return std::nullopt;
+    case ClaimEnd::kGranted:
+      break;
+  }
+  RecordingExchange recording(exchange);
+  const std::optional<ApiError> error = co_await Serve(recording, call, destination);
+  if (recording.answered())
+    claims_.Finish(scoped_key, call.id, recording.answer());
+  else if (error && error->executed == Executed::kNo)
+    claims_.GiveBack(scoped_key, call.id);
+  co_return error;
+}
+
+Awaitable<void> ServiceRouter::Handle(HttpServerExchange& exchange) {
+  Call call;
+  call.id = shared_.daemon_name + "-" + std::to_string(shared_.incarnation) + "-" +
+            std::to_string(shared_.next_request.fetch_add(1, std::memory_order_relaxed));
+  Destination destination;
+  std::optional<ApiError> error = Resolve(exchange.request(), call, destination);
+  if (!error) {
+    retries_.Earn();
+    const std::string key(FindHeader(exchange.request().headers, "Idempotency-Key"));
+    if (key.empty())
+      error = co_await Serve(exchange, call, destination);
+    else
+      error = co_await ServeClaimed(exchange, call, destination, key);
+  }
+  prometheus::Counter& end = !error                             ? shared_.metrics->served
+                             : error->executed == Executed::kNo ? shared_.metrics->refused
+                                                                : shared_.metrics->unknown;
+  end.Increment();
+  if (error && !exchange.started()) co_await exchange.Respond(ToResponse(*error));
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/standin/lagging_machine_list.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "common/wall_clock.h"
+#include "core/types.h"
+
+namespace moorfold {
+
+/// The platform's machine list: what callers see is `lag` behind what happened.
+class LaggingMachineList {
+ public:
+  explicit LaggingMachineList(Duration lag) : lag_(lag) {}
+
+  void Put(const Machine& machine);
+  void Remove(const std::string& name);
+  void SetLeaving(const std::string& name);
+  /// Shows all changes at once, for a start without waiting.
+  void Settle();
+  std::vector<Machine> Visible();
+  const std::map<std::string, Machine>& actual() const { return actual_; }
+
+ private:
+  struct Change {
+    Timestamp visible_at;
+    std::map<std::string, Machine> machines;
+  };
+  void Record();
+
+  WallClock clock_;
+  Duration lag_;
+  std::map<std::string, Machine> actual_;
+  std::map<std::string, Machine> visible_;
+  std::deque<Change> changes_;
+};
+
+}  // namespace moorfold
