--- a/src/api/operator_api.cc
+++ b/src/api/operator_api.cc
@@ -145,18 +145,18 @@
     co_return Refuse(kUnprocessable, "bad_intent", mistakes, "correct these and plan again");
   using Read = Outcome<std::optional<ConfigurationSnapshot>>;
   const Read read = co_await AwaitCallback<Read>(
-      [this](auto done) { runner_.documents().ReadConfiguration(0, std::move(done)); });
+      [this](auto done) { host_.documents().ReadConfiguration(0, std::move(done)); });
   if (!read.ok())
     co_return Refuse(kUnavailable, "key_value_unavailable", read.failure().message,
                      "plan again when the key-value service answers");
   const ConfigurationSnapshot in_force = read.value().value_or(ConfigurationSnapshot{});
   std::vector<Machine> machines;
-  for (const auto& [name, machine] : runner_.state().machines) machines.push_back(machine);
+  for (const auto& [name, machine] : host_.state().machines) machines.push_back(machine);
   const Plan plan =
       MakePlan(in_force, intent, DescribeFleet(machines), PlanId(in_force.revision, intent));
   using Stored = std::optional<PlatformFailure>;
   const Stored failure = co_await AwaitCallback<Stored>(
-      [this, &plan](auto done) { runner_.documents().StorePlan(plan, std::move(done)); });
+      [this, &plan](auto done) { host_.documents().StorePlan(plan, std::move(done)); });
   if (failure)
     co_return Refuse(kUnavailable, "key_value_unavailable", failure->message,
                      "plan again when the key-value service answers");
@@ -175,7 +175,7 @@
                      "send {\"plan_id\": ID} with the id that 'plan' printed");
   const std::string id(plan_id->get_string());
   const ConfirmResult result = co_await AwaitCallback<ConfirmResult>(
-      [this, &id](auto done) { runner_.documents().ConfirmPlan(id, std::move(done)); });
+      [this, &id](auto done) { host_.documents().ConfirmPlan(id, std::move(done)); });
   const unsigned status = StatusOf(result.outcome);
   if (status != kOk)
     co_return Refuse(status, CodeOf(result.outcome), result.message, "see the message");
@@ -183,7 +183,7 @@
 }
 
 HttpResponse OperatorApi::Status() const {
-  const State& state = runner_.state();
+  const State& state = host_.state();
   const Ledger& ledger = state.ledger.ledger;
   return JsonAnswer(kOk, {{"daemon", state.self.name},
                           {"zone", state.self.zone},
--- a/src/api/operator_api.h
+++ b/src/api/operator_api.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include "daemon/core_runner.h"
+#include "host/core_host.h"
 #include "http/http_server.h"
 
 namespace moorfold {
@@ -13,8 +13,8 @@
 ///   GET  /operator/status   members, replicas, loads, revisions of this daemon's zone
 class OperatorApi {
  public:
-  /// @param runner outlives this object.
-  explicit OperatorApi(CoreRunner& runner) : runner_(runner) {}
+  /// @param host outlives this object.
+  explicit OperatorApi(CoreHost& host) : host_(host) {}
 
   /// Control thread only.
   Awaitable<HttpResponse> Handle(HttpRequest request);
@@ -24,7 +24,7 @@
   Awaitable<HttpResponse> Confirm(std::string body);
   HttpResponse Status() const;
 
-  CoreRunner& runner_;
+  CoreHost& host_;
 };
 
 }  // namespace moorfold
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -46,5 +46,6 @@
 int RunPlan(const std::vector<std::string>& arguments);
 int RunConfirm(const std::vector<std::string>& arguments);
 int RunStatus(const std::vector<std::string>& arguments);
+int RunSimulate(const std::vector<std::string>& arguments);
 
 }  // namespace moorfold
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -25,6 +25,7 @@
       {"plan", "states an intent; prints the plan and its id", RunPlan},
       {"confirm", "puts a plan in force", RunConfirm},
       {"status", "shows replicas, members and revisions of a zone", RunStatus},
+      {"simulate", "runs a scenario in virtual time with faults and checks", RunSimulate},
   };
   return kCommands;
 }
--- a/src/peer/claim_messages.h
+++ b/src/core/claims/claim_messages.h
@@ -8,16 +8,25 @@
 
 namespace moorfold {
 
-/// The set of daemons that own claims, agreed through the key-value service. A claim names the
-/// number of its view; an owner of another view refuses it.
+/// One daemon that remembers idempotency keys. A restarted daemon has forgotten: with its new
+/// boot it is another owner.
+struct ClaimOwner {
+  DaemonName name;
+  ZoneName zone;
+  Incarnation boot = 0;
+
+  auto operator<=>(const ClaimOwner&) const = default;
+};
+
+constexpr std::size_t kClaimHistory = 8;
+
+/// The set of owners, agreed through the key-value service and numbered. A claim names the number
+/// of its view; an owner in another view refuses it.
 struct ClaimView {
   std::uint64_t number = 0;
-  struct Owner {
-    DaemonName name;
-    Incarnation incarnation = 0;  ///< A restarted daemon has forgotten: it is another owner.
-    auto operator<=>(const Owner&) const = default;
-  };
-  std::vector<Owner> owners;  ///< Sorted by name.
+  std::vector<ClaimOwner> owners;  ///< Sorted.
+  /// The owners of the views before, newest first, at most kClaimHistory of them.
+  std::vector<std::vector<ClaimOwner>> history;
 
   auto operator<=>(const ClaimView&) const = default;
 };
@@ -32,6 +41,8 @@
   unsigned status = 0;
   std::string content_type;
   std::string body;
+
+  auto operator<=>(const KeptAnswer&) const = default;
 };
 
 /// One key as an owner holds it. Of two records of a key the one with the higher state counts.
@@ -41,6 +52,8 @@
   ClaimState state = ClaimState::kUnclaimed;
   KeptAnswer answer;
   std::int64_t expires_microseconds = 0;  ///< Since the epoch.
+
+  auto operator<=>(const ClaimRecord&) const = default;
 };
 
 /// Asks an owner to claim `key` for `holder`.
@@ -58,22 +71,27 @@
 };
 /// Tells an owner how the claimed request ended.
 struct ClaimUpdate {
-  std::uint64_t view = 0;
   std::string key;
   std::string holder;
   ClaimState state = ClaimState::kFinished;  ///< kUnclaimed gives the key back: it was not run.
   KeptAnswer answer;
 };
-/// An owner of view `view` asks an owner of the view before for everything it holds.
+/// An owner of view `view` asks an owner of an earlier view for everything it holds. Whoever gets
+/// this grants nothing in older views any more.
 struct ClaimTransferRequest {
   std::uint64_t view = 0;
+  Incarnation boot = 0;  ///< Of the owner that is asked.
 };
 struct ClaimTransferReply {
   std::uint64_t view = 0;
+  Incarnation boot = 0;           ///< As asked for.
+  bool gone = false;              ///< That owner runs no more; this is a later start.
+  std::uint64_t served_view = 0;  ///< The newest view whose earlier claims it had all of.
   std::vector<ClaimRecord> records;
+  bool complete = false;  ///< The last of the messages that make up the reply.
 };
 
-using ClaimMessage =
-    std::variant<ClaimRequest, ClaimReply, ClaimUpdate, ClaimTransferRequest, ClaimTransferReply>;
+using ClaimMessage = std::variant<ClaimRequest, ClaimReply, ClaimUpdate, ClaimTransferRequest,
+                                  ClaimTransferReply>;
 
 }  // namespace moorfold
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -27,6 +27,16 @@
 struct WatchConfiguration {
   bool enabled = false;
 };
+struct ReadClaimView {};
+/// Writes `proposed` if the stored view still has number `expected` (zero: is absent).
+struct SwapClaimView {
+  std::uint64_t expected = 0;
+  ClaimView proposed;
+};
+/// The agreed view of claim owners changed.
+struct AdoptClaimView {
+  ClaimView view;
+};
 struct PollServer {
   ServerName server;
 };
@@ -49,7 +59,8 @@
 
 using Effect =
     std::variant<SendMessage, ReadLedger, SwapLedger, ReadConfiguration, WatchConfiguration,
-                 PollServer, SendOrder, PublishRouting, PublishLoads, LogRecord>;
+                 ReadClaimView, SwapClaimView, AdoptClaimView, PollServer, SendOrder,
+                 PublishRouting, PublishLoads, LogRecord>;
 using Effects = std::vector<Effect>;
 
 }  // namespace moorfold
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -34,6 +34,13 @@
   Ledger proposed;
   SwapOutcome outcome = SwapOutcome::kUnknown;
 };
+struct ClaimViewRead {
+  std::optional<ClaimView> view;  ///< Empty: never written.
+};
+struct ClaimViewSwapFinished {
+  ClaimView proposed;
+  SwapOutcome outcome = SwapOutcome::kUnknown;
+};
 struct ServerReported {
   ServerReport report;
 };
@@ -53,7 +60,7 @@
 
 using EventBody =
     std::variant<Tick, MessageReceived, MachineListRead, ConfigurationSnapshotRead,
-                 ConfigurationDeltaRead, LedgerRead, LedgerSwapFinished, ServerReported,
+                 ConfigurationDeltaRead, LedgerRead, LedgerSwapFinished, ClaimViewRead, ClaimViewSwapFinished, ServerReported,
                  ServerUnreachable, OrderFinished, DemandObserved, StopRequested>;
 
 /// Everything a reducer may know: what happened, when, and one random number to draw from.
--- a/src/core/load/coordinator.cc
+++ b/src/core/load/coordinator.cc
@@ -177,7 +177,7 @@
     return;
   if (state_.coordinator.recovering) {
     state_.coordinator.recovering = false;
-    Log(LogSeverity::kInfo, "coordinator_recovered",
+    Log(LogSeverity::kInfo, "coordinator_first_order",
         {{"after_ms", std::to_string((now_ - state_.coordinator.active_since).count() / 1000)}});
   }
   state_.coordinator.pending[order.id] = {order, now_};
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -53,7 +53,7 @@
     if (machine.name == self_.name) continue;
     const auto known = state_.members.find(machine.name);
     listed[machine.name] =
-        known == state_.members.end() ? Member{0, MemberStatus::kDead, now} : known->second;
+        known == state_.members.end() ? Member{0, 0, MemberStatus::kDead, now} : known->second;
   }
   const std::vector<DaemonName> before = state_.alive;
   state_.members = std::move(listed);
@@ -120,6 +120,15 @@
   return SetStatus(update.member, member, update.incarnation, update.status, now);
 }
 
+bool Membership::HearFrom(const DaemonName& from, const Digest& digest, Timestamp now) {
+  const auto member = state_.members.find(from);
+  if (member == state_.members.end()) return false;
+  bool changed = member->second.boot != digest.boot;
+  member->second.boot = digest.boot;
+  changed = Apply({from, digest.incarnation, MemberStatus::kAlive}, now) || changed;
+  return changed;
+}
+
 bool Membership::ApplyAll(const std::vector<MemberUpdate>& updates, Timestamp now) {
   bool changed = false;
   for (const MemberUpdate& update : updates) changed = Apply(update, now) || changed;
@@ -195,8 +204,7 @@
 bool Membership::OnProbe(const DaemonName& from, const ProbeMessage& probe, Timestamp now,
                          const Digest& digest, Effects& effects) {
   bool changed = ApplyAll(probe.updates, now);
-  if (probe.on_behalf_of.empty())
-    changed = Apply({from, probe.digest.incarnation, MemberStatus::kAlive}, now) || changed;
+  changed = HearFrom(from, probe.digest, now) || changed;
   Digest answer = digest;
   answer.incarnation = state_.own_incarnation;  // A refutation just made goes out at once.
   const DaemonName receiver = probe.on_behalf_of.empty() ? from : probe.on_behalf_of;
@@ -209,7 +217,7 @@
                        Effects& effects) {
   (void)effects;
   bool changed = ApplyAll(ack.updates, now);
-  changed = Apply({from, ack.digest.incarnation, MemberStatus::kAlive}, now) || changed;
+  changed = HearFrom(from, ack.digest, now) || changed;
   if (state_.probe && state_.probe->sequence == ack.sequence && state_.probe->target == ack.target)
     state_.probe.reset();
   return changed;
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -16,6 +16,7 @@
 /// partition needs no other path back.
 struct Member {
   Incarnation incarnation = 0;
+  Incarnation boot = 0;  ///< Of its process, once heard from directly; 0: not yet.
   MemberStatus status = MemberStatus::kDead;
   Timestamp status_since{};
 };
@@ -68,6 +69,7 @@
   void Leave(Effects& effects);
 
  private:
+  bool HearFrom(const DaemonName& from, const Digest& digest, Timestamp now);
   bool Apply(const MemberUpdate& update, Timestamp now);
   bool ApplyAll(const std::vector<MemberUpdate>& updates, Timestamp now);
   bool SetStatus(const DaemonName& name, Member& member, Incarnation incarnation,
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "core/claims/claim_messages.h"
 #include "core/intent.h"
 #include "core/ledger.h"
 #include "core/types.h"
@@ -24,7 +25,9 @@
 struct Digest {
   Revision configuration_revision = 0;
   Revision ledger_revision = 0;
-  Incarnation incarnation = 0;  ///< Of the sender.
+  Incarnation incarnation = 0;  ///< Of the sender; raised to refute a suspicion.
+  Incarnation boot = 0;         ///< Of the sender's process.
+  std::uint64_t claim_view = 0;
 };
 
 struct ProbeMessage {
@@ -64,6 +67,11 @@
   Intent intent;
 };
 
+struct ClaimViewRequest {};
+struct ClaimViewMessage {
+  ClaimView view;
+};
+
 struct LedgerRequest {
   Revision have = 0;
 };
@@ -94,10 +102,11 @@
   std::vector<DemandSample> samples;
 };
 
-using PeerMessage = std::variant<ProbeMessage, ProbeAckMessage, IndirectProbeMessage, LeaveMessage,
-                                 ZoneDigestMessage, ConfigurationRequest, ConfigurationDeltaMessage,
-                                 ConfigurationSnapshotMessage, LedgerRequest, LedgerDeltaMessage,
-                                 LedgerSnapshotMessage, ServerReportsMessage, ServerReportsRequest,
-                                 ServerLoadsMessage, DemandMessage>;
+using PeerMessage =
+    std::variant<ProbeMessage, ProbeAckMessage, IndirectProbeMessage, LeaveMessage,
+                 ZoneDigestMessage, ConfigurationRequest, ConfigurationDeltaMessage,
+                 ConfigurationSnapshotMessage, LedgerRequest, LedgerDeltaMessage,
+                 LedgerSnapshotMessage, ServerReportsMessage, ServerReportsRequest,
+                 ServerLoadsMessage, DemandMessage, ClaimViewRequest, ClaimViewMessage>;
 
 }  // namespace moorfold
--- a/src/core/reducer.cc
+++ b/src/core/reducer.cc
@@ -20,6 +20,7 @@
         random_(event.random),
         membership_(state.self, state.settings, state.membership),
         configuration_(state.configuration),
+        claim_views_(state.self, state.settings, state.membership, state.claim_views),
         sharing_(state, event.now, effects_),
         coordinator_(state, event.now, effects_) {}
 
@@ -31,7 +32,8 @@
  private:
   Digest OwnDigest() const {
     return {state_.configuration.revision, state_.ledger.ledger.revision,
-            state_.membership.own_incarnation};
+            state_.membership.own_incarnation, state_.self.incarnation,
+            state_.claim_views.view.number};
   }
 
   void On(const Tick&) {
@@ -41,7 +43,10 @@
     sharing_.OnTick();
     SendZoneDigest();
     ForwardDemand(false);
+    if (state_.coordinator.active) claim_views_.Maintain(now_, effects_);
     coordinator_.ReconcilePlacement();
+    if (now_ - state_.last_plan < state_.settings.plan_interval) return;
+    state_.last_plan = now_;
     coordinator_.PlanOrders();
   }
 
@@ -50,6 +55,8 @@
   }
 
   void On(const MachineListRead& event) {
+    if (event.machines == state_.listed) return;
+    state_.listed = event.machines;
     state_.machines.clear();
     for (auto& [name, server] : state_.servers) server.listed = false;
     for (const Machine& machine : event.machines) {
@@ -91,6 +98,15 @@
     LedgerChanged();
   }
 
+  void On(const ClaimViewRead& event) { AdoptView(event.view.value_or(ClaimView{})); }
+
+  void On(const ClaimViewSwapFinished& event) {
+    if (event.outcome == SwapOutcome::kCommitted)
+      AdoptView(event.proposed);
+    else
+      effects_.push_back(ReadClaimView{});
+  }
+
   void On(const ServerReported& event) {
     coordinator_.OnServerReported(event.report.server);
     if (sharing_.Accept(event.report, true)) ReplicasChanged();
@@ -139,11 +155,18 @@
 
   void OnMessage(const DaemonName& from, const ZoneDigestMessage& message) {
     const Revision own = state_.configuration.revision;
+    RequestClaimView(from, message.digest);
     if (message.digest.configuration_revision > own) RequestConfiguration(from);
-    if (message.digest.configuration_revision < own)
+    if (message.digest.configuration_revision < own ||
+        message.digest.claim_view < state_.claim_views.view.number)
       effects_.push_back(SendMessage{from, ZoneDigestMessage{state_.self.zone, OwnDigest()}});
   }
 
+  void OnMessage(const DaemonName& from, const ClaimViewRequest&) {
+    effects_.push_back(SendMessage{from, ClaimViewMessage{state_.claim_views.view}});
+  }
+  void OnMessage(const DaemonName&, const ClaimViewMessage& message) { AdoptView(message.view); }
+
   void OnMessage(const DaemonName& from, const ConfigurationRequest& message) {
     configuration_.Answer(from, message.have, effects_);
   }
@@ -194,10 +217,26 @@
   }
 
   void CompareDigest(const DaemonName& from, const Digest& digest) {
+    RequestClaimView(from, digest);
     if (digest.configuration_revision > state_.configuration.revision) RequestConfiguration(from);
     if (digest.ledger_revision > state_.ledger.ledger.revision) RequestLedger(from);
   }
 
+  void RequestClaimView(const DaemonName& from, const Digest& digest) {
+    ClaimViewState& claims = state_.claim_views;
+    if (digest.claim_view <= claims.view.number) return;
+    if (now_ - claims.last_request < kRequestInterval) return;
+    claims.last_request = now_;
+    effects_.push_back(SendMessage{from, ClaimViewRequest{}});
+  }
+
+  void AdoptView(const ClaimView& view) {
+    if (!claim_views_.Adopt(view)) return;
+    effects_.push_back(AdoptClaimView{view});
+    Log(LogSeverity::kInfo, "claim_view_adopted",
+        {{"number", std::to_string(view.number)}, {"owners", std::to_string(view.owners.size())}});
+  }
+
   void RequestConfiguration(const DaemonName& from) {
     if (now_ - state_.configuration.last_request < kRequestInterval) return;
     state_.configuration.last_request = now_;
@@ -312,6 +351,7 @@
   Effects effects_;
   Membership membership_;
   Configuration configuration_;
+  ClaimViews claim_views_;
   ReportSharing sharing_;
   Coordinator coordinator_;
 };
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -30,6 +30,9 @@
   Duration demand_expiry = std::chrono::seconds(6);
   Duration order_retry = std::chrono::seconds(3);
   std::uint32_t watchers_per_zone = 2;
+  std::uint32_t claim_owners_per_zone = 2;
+  /// How often idle replicas and expected demand are looked at.
+  Duration plan_interval = std::chrono::seconds(1);
   PolicyKind policy = PolicyKind::kCostAware;
   Duration keep_alive = std::chrono::minutes(10);  ///< For kFixedKeepAlive.
   /// Load time assumed for a model that was never loaded.
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -4,6 +4,7 @@
 #include <set>
 #include <string>
 
+#include "core/claims/claim_views.h"
 #include "core/configuration/configuration.h"
 #include "core/demand/demand.h"
 #include "core/demand/residency_policy.h"
@@ -47,10 +48,12 @@
   Identity self;
   CoreSettings settings;
   ResidencyPolicyConstPtr policy;
-  std::map<std::string, Machine> machines;  ///< The whole list, all zones and kinds.
+  std::vector<Machine> listed;              ///< The machine list as last read.
+  std::map<std::string, Machine> machines;  ///< The same by name: all zones and kinds.
   MembershipState membership;
   ConfigurationState configuration;
   LedgerState ledger;
+  ClaimViewState claim_views;
   ServerViews servers;                    ///< Engines of the own zone.
   std::map<ServerName, Timestamp> polls;  ///< Servers this daemon polls, and when it last did.
   std::set<ServerName> reports_to_share;
@@ -61,6 +64,7 @@
   Timestamp started{};
   Timestamp last_zone_digest{};
   Timestamp last_demand_sent{};
+  Timestamp last_plan{};
   bool stopping = false;
 };
 
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -8,8 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
-#include "daemon/local_claims.h"
-#include "daemon/log_line.h"
+#include "common/log_line.h"
 
 namespace moorfold {
 
@@ -19,10 +18,6 @@
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kMethodNotAllowed = 405;
 constexpr unsigned kUnavailable = 503;
-constexpr std::chrono::milliseconds kKeyValueTimeout{2'000};
-constexpr std::chrono::milliseconds kListTimeout{2'000};
-constexpr std::chrono::milliseconds kReportTimeout{2'000};
-constexpr std::chrono::minutes kOrderTimeout{10};
 constexpr std::chrono::milliseconds kDrainCheck{20};
 
 Identity MakeIdentity(const DaemonSettings& settings) {
@@ -67,32 +62,17 @@
   shared_.worker_count = settings_.threads;
   shared_.limits = {settings_.max_queued_per_model, settings_.max_queued_bytes,
                     settings_.max_requests_per_caller};
-  shared_.nudge_core = [this] { boost::asio::post(control_, [this] { runner_->OnNudge(); }); };
+  shared_.nudge_core = [this] { boost::asio::post(control_, [this] { control_loop_->host().OnNudge(); }); };
   shared_.wake_waiting = [this] {
     for (const std::unique_ptr<Worker>& worker : workers_)
       boost::asio::post(worker->context, [target = worker.get()] { target->models.WakeWaiting(); });
   };
-  key_value_ = std::make_unique<EtcdKeyValueStore>(control_, settings_.key_value, kKeyValueTimeout);
-  documents_ = std::make_unique<DocumentStore>(*key_value_);
-  machine_list_ = std::make_unique<HttpMachineList>(control_, settings_.machine_list, kListTimeout);
-  engines_ = std::make_unique<HttpModelEngine>(control_, kReportTimeout, kOrderTimeout);
-  runner_ = std::make_unique<CoreRunner>(
-      control_, settings_, self_,
-      CoreRunner::Ports{documents_.get(), machine_list_.get(), engines_.get()}, shared_.tables,
-      shared_.wake_waiting);
-  operator_api_ = std::make_unique<OperatorApi>(*runner_);
-  claims_ = std::make_unique<LocalClaims>();
-  transport_ = std::make_unique<PeerTransport>(
-      control_, settings_.peer_listen,
-      FrameCodec(settings_.peer_key, self_.name, self_.incarnation),
-      [this] { return runner_->clock().Now(); },
-      [this](const DaemonName& from, const PeerPayload& payload) {
-        if (const auto* message = std::get_if<PeerMessage>(&payload))
-          runner_->OnPeerMessage(from, *message);
-      });
+  control_loop_ = std::make_unique<ControlLoop>(control_, settings_, self_, shared_.tables,
+                                                shared_.wake_waiting);
+  operator_api_ = std::make_unique<OperatorApi>(control_loop_->host());
   std::vector<boost::asio::io_context*> contexts;
   for (std::uint32_t index = 0; index < settings_.threads; ++index) {
-    workers_.push_back(std::make_unique<Worker>(shared_, *claims_));
+    workers_.push_back(std::make_unique<Worker>(shared_, *control_loop_));
     contexts.push_back(&workers_.back()->context);
   }
   http_ = std::make_unique<HttpServer>(
@@ -121,8 +101,7 @@
     guards_.push_back(boost::asio::make_work_guard(worker->context));
     worker->thread = std::thread([this, target = worker.get()] { RunWorker(*target); });
   }
-  transport_->Start();
-  runner_->Start(*transport_);
+  control_loop_->Start();
   control_thread_ = std::thread([this] { control_.run(); });
   http_->Start();
 }
@@ -183,7 +162,7 @@
   if (stopping_.exchange(true)) return;
   LOG(INFO) << LogLine("stopping").Field("active_requests", http_->active_requests());
   http_->StopAccepting();
-  boost::asio::post(control_, [this] { runner_->RequestStop(); });
+  boost::asio::post(control_, [this] { control_loop_->host().RequestStop(); });
 }
 
 bool Daemon::AwaitStopped() {
@@ -207,7 +186,7 @@
 }
 
 void Daemon::Reload(const CoreSettings& settings) {
-  boost::asio::post(control_, [this, settings] { runner_->UpdateSettings(settings); });
+  boost::asio::post(control_, [this, settings] { control_loop_->host().UpdateSettings(settings); });
 }
 
 }  // namespace moorfold
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -11,12 +11,8 @@
 
 #include "api/operator_api.h"
 #include "config/settings_file.h"
-#include "daemon/core_runner.h"
+#include "daemon/control_loop.h"
 #include "http/http_server.h"
-#include "platform/etcd_key_value_store.h"
-#include "platform/http_machine_list.h"
-#include "platform/http_model_engine.h"
-#include "request/claim_service.h"
 #include "request/model_router.h"
 #include "request/service_router.h"
 
@@ -35,7 +31,7 @@
 
   void Start();
   Endpoint http_endpoint() const { return http_->endpoint(); }
-  Endpoint peer_endpoint() const { return transport_->endpoint(); }
+  Endpoint peer_endpoint() const { return control_loop_->peer_endpoint(); }
   const Identity& identity() const { return self_; }
   /// Begins a planned stop. Any thread; a second call does nothing.
   void BeginStop();
@@ -69,14 +65,8 @@
   RequestMetrics metrics_;
   WorkerShared shared_;
   boost::asio::io_context control_{1};
-  std::unique_ptr<EtcdKeyValueStore> key_value_;
-  std::unique_ptr<DocumentStore> documents_;
-  std::unique_ptr<HttpMachineList> machine_list_;
-  std::unique_ptr<HttpModelEngine> engines_;
-  std::unique_ptr<CoreRunner> runner_;
+  std::unique_ptr<ControlLoop> control_loop_;
   std::unique_ptr<OperatorApi> operator_api_;
-  std::unique_ptr<PeerTransport> transport_;
-  std::unique_ptr<ClaimService> claims_;
   std::vector<std::unique_ptr<Worker>> workers_;
   std::unique_ptr<HttpServer> http_;
   std::vector<WorkGuard> guards_;
--- a/src/modelled/engine_model.cc
+++ b/src/modelled/engine_model.cc
@@ -42,6 +42,13 @@
   return servables;
 }
 
+std::vector<EngineModel::ReplicaUse> EngineModel::Uses() const {
+  std::vector<ReplicaUse> uses;
+  for (const auto& [servable, replica] : replicas_)
+    uses.push_back({replica.memory, replica.state == ReplicaState::kReady, replica.running});
+  return uses;
+}
+
 OrderDecision EngineModel::Begin(const Order& order) {
   if (order.incarnation != incarnation_ && !bugs_.ignore_incarnation)
     return {true, OrderOutcome::kWrongIncarnation};
--- a/src/modelled/engine_model.h
+++ b/src/modelled/engine_model.h
@@ -63,6 +63,13 @@
   const ServerName& name() const { return name_; }
   bool leaving() const { return leaving_; }
   std::vector<ModelVersion> Servables() const;
+  struct ReplicaUse {
+    MebiBytes memory = 0;
+    bool ready = false;
+    std::uint32_t running = 0;
+  };
+  /// @return what each replica takes and does, for accounting.
+  std::vector<ReplicaUse> Uses() const;
   std::uint32_t running() const;
 
  private:
--- a/src/standin/lagging_machine_list.h
+++ b/src/modelled/lagging_machine_list.h
@@ -5,7 +5,6 @@
 #include <string>
 #include <vector>
 
-#include "common/wall_clock.h"
 #include "core/types.h"
 
 namespace moorfold {
@@ -15,12 +14,14 @@
  public:
   explicit LaggingMachineList(Duration lag) : lag_(lag) {}
 
-  void Put(const Machine& machine);
-  void Remove(const std::string& name);
-  void SetLeaving(const std::string& name);
+  void Put(const Machine& machine, Timestamp now);
+  void Remove(const std::string& name, Timestamp now);
+  void SetLeaving(const std::string& name, Timestamp now);
+  /// Changes from now on show so much later.
+  void SetLag(Duration lag) { lag_ = lag; }
   /// Shows all changes at once, for a start without waiting.
   void Settle();
-  std::vector<Machine> Visible();
+  std::vector<Machine> Visible(Timestamp now);
   const std::map<std::string, Machine>& actual() const { return actual_; }
 
  private:
@@ -28,9 +29,8 @@
     Timestamp visible_at;
     std::map<std::string, Machine> machines;
   };
-  void Record();
+  void Record(Timestamp now);
 
-  WallClock clock_;
   Duration lag_;
   std::map<std::string, Machine> actual_;
   std::map<std::string, Machine> visible_;
--- a/src/peer/message_codec.cc
+++ b/src/peer/message_codec.cc
@@ -16,16 +16,6 @@
 
 namespace moorfold {
 
-BOOST_DESCRIBE_STRUCT(ClaimView::Owner, (), (name, incarnation))
-BOOST_DESCRIBE_STRUCT(ClaimView, (), (number, owners))
-BOOST_DESCRIBE_STRUCT(KeptAnswer, (), (status, content_type, body))
-BOOST_DESCRIBE_STRUCT(ClaimRecord, (), (key, holder, state, answer, expires_microseconds))
-BOOST_DESCRIBE_STRUCT(ClaimRequest, (), (call, view, key, holder))
-BOOST_DESCRIBE_STRUCT(ClaimReply, (), (call, verdict, answer))
-BOOST_DESCRIBE_STRUCT(ClaimUpdate, (), (view, key, holder, state, answer))
-BOOST_DESCRIBE_STRUCT(ClaimTransferRequest, (), (view))
-BOOST_DESCRIBE_STRUCT(ClaimTransferReply, (), (view, records))
-
 /// Serializes any described struct field by field; cereal finds it through the namespace.
 template <class Archive, class T>
   requires(boost::describe::has_describe_members<T>::value && !std::is_enum_v<T>)
--- a/src/peer/message_codec.h
+++ b/src/peer/message_codec.h
@@ -4,7 +4,7 @@
 #include <string_view>
 
 #include "core/messages.h"
-#include "peer/claim_messages.h"
+#include "core/claims/claim_messages.h"
 
 namespace moorfold {
 
--- a/src/platform/described_types.h
+++ b/src/platform/described_types.h
@@ -58,7 +58,20 @@
                       (base, revision, epoch, leader, configuration_revision, changed, removed))
 
 BOOST_DESCRIBE_STRUCT(MemberUpdate, (), (member, incarnation, status))
-BOOST_DESCRIBE_STRUCT(Digest, (), (configuration_revision, ledger_revision, incarnation))
+BOOST_DESCRIBE_STRUCT(Digest, (),
+                      (configuration_revision, ledger_revision, incarnation, boot, claim_view))
+BOOST_DESCRIBE_STRUCT(ClaimOwner, (), (name, zone, boot))
+BOOST_DESCRIBE_STRUCT(ClaimView, (), (number, owners, history))
+BOOST_DESCRIBE_STRUCT(ClaimViewRequest, (), ())
+BOOST_DESCRIBE_STRUCT(ClaimViewMessage, (), (view))
+BOOST_DESCRIBE_STRUCT(KeptAnswer, (), (status, content_type, body))
+BOOST_DESCRIBE_STRUCT(ClaimRecord, (), (key, holder, state, answer, expires_microseconds))
+BOOST_DESCRIBE_STRUCT(ClaimRequest, (), (call, view, key, holder))
+BOOST_DESCRIBE_STRUCT(ClaimReply, (), (call, verdict, answer))
+BOOST_DESCRIBE_STRUCT(ClaimUpdate, (), (key, holder, state, answer))
+BOOST_DESCRIBE_STRUCT(ClaimTransferRequest, (), (view, boot))
+BOOST_DESCRIBE_STRUCT(ClaimTransferReply, (),
+                      (view, boot, gone, served_view, records, complete))
 BOOST_DESCRIBE_STRUCT(ProbeMessage, (), (sequence, on_behalf_of, digest, updates))
 BOOST_DESCRIBE_STRUCT(ProbeAckMessage, (), (sequence, target, digest, updates))
 BOOST_DESCRIBE_STRUCT(IndirectProbeMessage, (), (sequence, target, updates))
--- a/src/platform/document_store.cc
+++ b/src/platform/document_store.cc
@@ -19,6 +19,11 @@
 constexpr Revision kKeptChanges = 100;
 constexpr Duration kPlanLifetime = std::chrono::hours(1);
 
+constexpr const char* kClaimViewKey = "moorfold/claims/view";
+
+std::uint64_t NumberOf(const Ledger& ledger) { return ledger.revision; }
+std::uint64_t NumberOf(const ClaimView& view) { return view.number; }
+
 std::string LedgerKey(const ZoneName& zone) { return "moorfold/ledger/" + zone; }
 std::string PlanKey(const std::string& id) { return "moorfold/plans/" + id; }
 
@@ -50,56 +55,76 @@
 
 DocumentStore::DocumentStore(KeyValueStore& store) : store_(store) {}
 
-void DocumentStore::ReadLedger(const ZoneName& zone,
-                               std::function<void(Outcome<std::optional<Ledger>>)> done) {
-  store_.Range({LedgerKey(zone), ""}, [this, zone,
-                                       done = std::move(done)](const Outcome<RangeResult>& result) {
+template <typename T>
+void DocumentStore::ReadDocument(const std::string& key,
+                                 std::function<void(Outcome<std::optional<T>>)> done) {
+  store_.Range({key, ""}, [this, key, done = std::move(done)](const Outcome<RangeResult>& result) {
     if (!result.ok()) return done(result.failure());
     try {
-      const std::optional<Ledger> ledger = DecodeFirst<Ledger>(result.value());
-      if (ledger)
-        known_ledgers_[zone] = {ledger->revision, result.value().entries.front().mod_revision};
-      else
-        known_ledgers_[zone] = {};
-      done(ledger);
+      const std::optional<T> document = DecodeFirst<T>(result.value());
+      known_[key] = document ? StoredNumber{NumberOf(*document),
+                                            result.value().entries.front().mod_revision}
+                             : StoredNumber{};
+      done(document);
     } catch (const DecodeError& error) {
       done(Undecodable(error));
     }
   });
 }
 
-void DocumentStore::SwapLedger(const ZoneName& zone, Revision expected, Ledger proposed,
-                               std::function<void(SwapOutcome)> done) {
-  const auto known = known_ledgers_.find(zone);
-  if (known != known_ledgers_.end() && known->second.revision == expected)
-    return WriteLedger(zone, proposed, known->second.mod_revision, std::move(done));
-  // The revision was learned from a peer: the service is asked for its own number of it.
-  ReadLedger(zone, [this, zone, expected, proposed = std::move(proposed),
-                    done = std::move(done)](const Outcome<std::optional<Ledger>>& result) {
+template <typename T>
+void DocumentStore::SwapDocument(const std::string& key, std::uint64_t expected, const T& proposed,
+                                 std::function<void(SwapOutcome)> done) {
+  const auto known = known_.find(key);
+  if (known != known_.end() && known->second.number == expected)
+    return WriteDocument(key, ToJson(proposed), known->second, NumberOf(proposed),
+                         std::move(done));
+  // The expected number was learned from a peer: the service is asked for its own number of it.
+  ReadDocument<T>(key, [this, key, expected, proposed,
+                        done = std::move(done)](const Outcome<std::optional<T>>& result) {
     if (!result.ok()) return done(SwapOutcome::kConflict);
-    const Revision stored = result.value() ? result.value()->revision : 0;
+    const std::uint64_t stored = result.value() ? NumberOf(*result.value()) : 0;
     if (stored != expected) return done(SwapOutcome::kConflict);
-    WriteLedger(zone, proposed, known_ledgers_[zone].mod_revision, done);
+    WriteDocument(key, ToJson(proposed), known_[key], NumberOf(proposed), done);
   });
 }
 
-void DocumentStore::WriteLedger(const ZoneName& zone, const Ledger& proposed,
-                                std::int64_t mod_revision, std::function<void(SwapOutcome)> done) {
+void DocumentStore::WriteDocument(const std::string& key, std::string text, StoredNumber before,
+                                  std::uint64_t number, std::function<void(SwapOutcome)> done) {
   Transaction transaction;
-  transaction.comparisons.push_back({LedgerKey(zone), mod_revision});
-  transaction.operations.emplace_back(PutOperation{LedgerKey(zone), ToJson(proposed), 0});
-  store_.Transact(std::move(transaction),
-                  [this, zone, revision = proposed.revision,
-                   done = std::move(done)](const Outcome<TransactionResult>& result) {
-                    known_ledgers_.erase(zone);
-                    if (!result.ok()) {
-                      const bool untouched = result.failure().fault != PlatformFault::kNoAnswer;
-                      return done(untouched ? SwapOutcome::kConflict : SwapOutcome::kUnknown);
-                    }
-                    if (!result.value().succeeded) return done(SwapOutcome::kConflict);
-                    known_ledgers_[zone] = {revision, result.value().revision};
-                    done(SwapOutcome::kCommitted);
-                  });
+  transaction.comparisons.push_back({key, before.mod_revision});
+  transaction.operations.emplace_back(PutOperation{key, std::move(text), 0});
+  store_.Transact(
+      std::move(transaction),
+      [this, key, number, done = std::move(done)](const Outcome<TransactionResult>& result) {
+        known_.erase(key);
+        if (!result.ok()) {
+          const bool untouched = result.failure().fault != PlatformFault::kNoAnswer;
+          return done(untouched ? SwapOutcome::kConflict : SwapOutcome::kUnknown);
+        }
+        if (!result.value().succeeded) return done(SwapOutcome::kConflict);
+        known_[key] = {number, result.value().revision};
+        done(SwapOutcome::kCommitted);
+      });
+}
+
+void DocumentStore::ReadLedger(const ZoneName& zone,
+                               std::function<void(Outcome<std::optional<Ledger>>)> done) {
+  ReadDocument<Ledger>(LedgerKey(zone), std::move(done));
+}
+
+void DocumentStore::SwapLedger(const ZoneName& zone, Revision expected, const Ledger& proposed,
+                               std::function<void(SwapOutcome)> done) {
+  SwapDocument(LedgerKey(zone), expected, proposed, std::move(done));
+}
+
+void DocumentStore::ReadClaimView(std::function<void(Outcome<std::optional<ClaimView>>)> done) {
+  ReadDocument<ClaimView>(kClaimViewKey, std::move(done));
+}
+
+void DocumentStore::SwapClaimView(std::uint64_t expected, const ClaimView& proposed,
+                                  std::function<void(SwapOutcome)> done) {
+  SwapDocument(kClaimViewKey, expected, proposed, std::move(done));
 }
 
 void DocumentStore::ReadConfiguration(Revision have, ConfigurationCallback done) {
--- a/src/platform/document_store.h
+++ b/src/platform/document_store.h
@@ -40,6 +40,7 @@
 ///   moorfold/configuration/snapshot   the whole configuration at that revision
 ///   moorfold/configuration/changes/R  the delta that made revision R (the newest 100)
 ///   moorfold/ledger/ZONE              the placement ledger of a zone
+///   moorfold/claims/view              the owners of claims on idempotency keys
 ///   moorfold/plans/ID                 a stated intent, kept for an hour
 /// A write whose answer was lost is read back before it is called done or failed. Not
 /// thread-safe; callbacks come as those of the KeyValueStore below.
@@ -53,8 +54,12 @@
 
   void ReadLedger(const ZoneName& zone, std::function<void(Outcome<std::optional<Ledger>>)> done);
   /// Writes `proposed` if the stored ledger still has revision `expected`.
-  void SwapLedger(const ZoneName& zone, Revision expected, Ledger proposed,
+  void SwapLedger(const ZoneName& zone, Revision expected, const Ledger& proposed,
                   std::function<void(SwapOutcome)> done);
+  void ReadClaimView(std::function<void(Outcome<std::optional<ClaimView>>)> done);
+  /// Writes `proposed` if the stored view still has number `expected`.
+  void SwapClaimView(std::uint64_t expected, const ClaimView& proposed,
+                     std::function<void(SwapOutcome)> done);
 
   /// Reads the configuration if its revision is above `have`; else answers nothing.
   void ReadConfiguration(Revision have, ConfigurationCallback done);
@@ -66,17 +71,23 @@
   void ConfirmPlan(const std::string& plan_id, std::function<void(ConfirmResult)> done);
 
  private:
-  struct StoredLedger {
-    Revision revision = 0;
+  /// Where a numbered document stands: its own number, and the service's number of its change.
+  struct StoredNumber {
+    std::uint64_t number = 0;
     std::int64_t mod_revision = 0;
   };
   class Confirmation;
 
-  void WriteLedger(const ZoneName& zone, const Ledger& proposed, std::int64_t mod_revision,
-                   std::function<void(SwapOutcome)> done);
+  template <typename T>
+  void ReadDocument(const std::string& key, std::function<void(Outcome<std::optional<T>>)> done);
+  template <typename T>
+  void SwapDocument(const std::string& key, std::uint64_t expected, const T& proposed,
+                    std::function<void(SwapOutcome)> done);
+  void WriteDocument(const std::string& key, std::string text, StoredNumber before,
+                     std::uint64_t number, std::function<void(SwapOutcome)> done);
 
   KeyValueStore& store_;
-  std::map<ZoneName, StoredLedger> known_ledgers_;
+  std::map<std::string, StoredNumber> known_;  ///< By key.
 };
 
 /// @return a key for plans: the same base and intent always have the same id.
--- a/src/request/call.cc
+++ b/src/request/call.cc
@@ -11,12 +11,25 @@
 constexpr unsigned kFirstServerError = 500;
 constexpr std::int64_t kMaxDeadlineMilliseconds = 24LL * 3600 * 1000;
 
-bool SaysNotRun(const HttpResponse& response) {
+/// What a back end's refusal says about the request and about the back end.
+struct Refusal {
+  bool not_run = false;
+  bool leaving = false;
+};
+
+Refusal ReadRefusal(const HttpResponse& response) {
+  Refusal refusal;
   boost::system::error_code error;
   const boost::json::value body = boost::json::parse(response.body, error);
-  if (error || !body.is_object()) return false;
+  if (error || !body.is_object()) return refusal;
   const boost::json::value* executed = body.get_object().if_contains("executed");
-  return executed != nullptr && executed->is_string() && executed->get_string() == "no";
+  refusal.not_run =
+      executed != nullptr && executed->is_string() && executed->get_string() == "no";
+  const boost::json::value* problem = body.get_object().if_contains("error");
+  if (problem == nullptr || !problem->is_object()) return refusal;
+  const boost::json::value* code = problem->get_object().if_contains("code");
+  refusal.leaving = code != nullptr && code->is_string() && code->get_string() == "leaving";
+  return refusal;
 }
 
 bool IsForeignAnswer(const HttpHeaders& headers, const Call& call) {
@@ -50,14 +63,17 @@
   const HttpHeaders headers = upstream.headers();
   response.headers = AnswerHeaders(headers, call);
   response.body = co_await ReadAll(upstream);
-  if (response.status == kServiceUnavailable && SaysNotRun(response))
-    co_return Attempt{AttemptEnd::kNotRun, "the back end did not take it"};
+  if (response.status == kServiceUnavailable) {
+    const Refusal refusal = ReadRefusal(response);
+    if (refusal.not_run)
+      co_return Attempt{AttemptEnd::kNotRun, "the back end did not take it", refusal.leaving};
+  }
   if (response.status >= kFirstServerError)
     co_return Attempt{AttemptEnd::kMayHaveRun,
-                      "the back end answered status " + std::to_string(response.status)};
+                      "the back end answered status " + std::to_string(response.status), false};
   first_byte();
   co_await exchange.Respond(std::move(response));
-  co_return Attempt{AttemptEnd::kAnswered, ""};
+  co_return Attempt{AttemptEnd::kAnswered, "", false};
 }
 
 Awaitable<Attempt> PassStream(HttpServerExchange& exchange, Call& call, HttpExchange& upstream,
@@ -71,7 +87,7 @@
     chunk = co_await upstream.ReadSome();
   }
   co_await exchange.EndStream();
-  co_return Attempt{AttemptEnd::kAnswered, ""};
+  co_return Attempt{AttemptEnd::kAnswered, "", false};
 }
 
 bool IsEventStream(const HttpHeaders& headers) {
@@ -93,7 +109,8 @@
     const HttpHeaders headers = upstream->headers();
     if (IsForeignAnswer(headers, call)) {
       upstream->Cancel();
-      co_return Attempt{AttemptEnd::kMayHaveRun, "the back end answered another request"};
+      co_return Attempt{AttemptEnd::kMayHaveRun, "the back end answered another request",
+                        false};
     }
     call.upstream = upstream.get();
     if (IsEventStream(headers))
@@ -102,10 +119,10 @@
       attempt = co_await PassWhole(exchange, call, *upstream, first_byte);
   } catch (const HttpError& error) {
     const bool never_sent = error.stage() == HttpStage::kConnecting;
-    attempt = {never_sent ? AttemptEnd::kNotRun : AttemptEnd::kMayHaveRun, error.what()};
+    attempt = {never_sent ? AttemptEnd::kNotRun : AttemptEnd::kMayHaveRun, error.what(), false};
   } catch (const std::exception& error) {  // Writing to the caller failed: it is gone.
     call.disconnected = true;
-    attempt = {AttemptEnd::kMayHaveRun, error.what()};
+    attempt = {AttemptEnd::kMayHaveRun, error.what(), false};
   }
   call.upstream = nullptr;
   if (exchange.started() && attempt.end != AttemptEnd::kAnswered) {
--- a/src/request/call.h
+++ b/src/request/call.h
@@ -11,6 +11,7 @@
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "request/api_error.h"
+#include "request/attempt.h"
 
 namespace moorfold {
 
@@ -31,19 +32,6 @@
   std::optional<ApiError> refusal;
 };
 
-/// How one attempt at a back end ended.
-enum class AttemptEnd : std::uint8_t {
-  kAnswered,    ///< The caller has its answer (also one that names the caller's mistake).
-  kNotRun,      ///< The back end did not run it: trying elsewhere is safe.
-  kMayHaveRun,  ///< No whole answer came.
-  kBroken,      ///< Part of the answer is with the caller already: it was cut off.
-};
-
-struct Attempt {
-  AttemptEnd end = AttemptEnd::kNotRun;
-  std::string problem;
-};
-
 /// Sends `request` to `endpoint` and passes the answer on to the caller as it comes. An answer
 /// that names another request's id is discarded, with its connection.
 Awaitable<Attempt> ForwardOnce(HttpClient& client, HttpServerExchange& exchange, Call& call,
--- a/src/request/claim_service.h
+++ b/src/request/claims/claim_service.h
@@ -3,7 +3,7 @@
 #include <string>
 
 #include "http/http_types.h"
-#include "peer/claim_messages.h"
+#include "core/claims/claim_messages.h"
 
 namespace moorfold {
 
--- a/src/request/model_router.cc
+++ b/src/request/model_router.cc
@@ -5,8 +5,6 @@
 #include <algorithm>
 #include <boost/json.hpp>
 
-#include "request/replica_picker.h"
-
 namespace moorfold {
 
 namespace json = boost::json;
@@ -14,25 +12,13 @@
 namespace {
 
 constexpr std::size_t kPrefixBytes = 256;
-constexpr int kMaxAttempts = 4;
-constexpr int kMaxRefusedAttempts = 8;
-/// A replica may hold this many requests for each that it runs: the engine orders them by
-/// priority, which it can only do among those that it has.
-constexpr std::uint32_t kEngineQueueFactor = 2;
-constexpr std::uint32_t kRemoteLimit = 10'000;
 constexpr std::chrono::milliseconds kRecheck{250};
+constexpr std::chrono::milliseconds kRefusedPause{5};
 
 std::int64_t Microseconds(Deadline when) {
   return std::chrono::duration_cast<std::chrono::microseconds>(when.time_since_epoch()).count();
 }
 
-void Average(std::atomic<std::uint64_t>& average, std::uint64_t newest) {
-  constexpr std::uint64_t kShare = 8;
-  const std::uint64_t old = average.load(std::memory_order_relaxed);
-  average.store(old == 0 ? newest : old - old / kShare + newest / kShare,
-                std::memory_order_relaxed);
-}
-
 std::string FirstPrompt(const json::object& body) {
   if (const json::value* prompt = body.if_contains("prompt"))
     return prompt->is_string() ? std::string(prompt->get_string()) : std::string();
@@ -161,41 +147,12 @@
   return mistake;
 }
 
-std::optional<Target> ModelRouter::TryAcquire(const ModelRoute& route, const Call& call,
-                                              const std::set<std::string>& excluded) {
-  const std::int64_t now = Microseconds(std::chrono::steady_clock::now());
-  const std::uint32_t limit =
-      route.local ? route.model.concurrency * kEngineQueueFactor : kRemoteLimit;
-  std::vector<ReplicaCandidate> candidates;
-  for (const Target& target : route.targets)
-    candidates.push_back({target.name, target.load->in_flight.load(std::memory_order_relaxed),
-                          target.load->reported.load(std::memory_order_relaxed), limit,
-                          target.load->SetAside(now) || excluded.contains(target.name)});
-  const std::optional<std::size_t> picked = PickReplica(candidates, call.prefix_hash);
-  if (!picked) return std::nullopt;
-  const Target& target = route.targets[*picked];
-  if (!target.load->TryAcquire(limit)) return std::nullopt;
-  return target;
-}
-
 std::optional<ApiError> ModelRouter::RefuseEarly(const ModelRoute& route, const Call& call,
                                                  std::size_t position) const {
   const auto now = std::chrono::steady_clock::now();
   const double left = std::chrono::duration<double>(call.deadline - now).count();
-  double predicted = 0;
-  if (route.targets.empty()) {
-    const double cold =
-        static_cast<double>(route.counters->cold_microseconds.load(std::memory_order_relaxed)) /
-        1e6;
-    const double waited = std::chrono::duration<double>(now - call.arrival).count();
-    predicted = std::max(0.0, cold - waited);
-  } else {
-    const auto slots = static_cast<std::uint32_t>(route.targets.size()) * route.model.concurrency;
-    const double service =
-        static_cast<double>(route.counters->service_microseconds.load(std::memory_order_relaxed)) /
-        1e6;
-    predicted = PredictWait(position * shared_.worker_count, slots, service) + service;
-  }
+  const double waited = std::chrono::duration<double>(now - call.arrival).count();
+  const double predicted = PredictAnswerSeconds(route, position * shared_.worker_count, waited);
   if (predicted <= left) return std::nullopt;
   return errors::TooLate(call.name, predicted);
 }
@@ -209,7 +166,8 @@
   }
   const std::shared_ptr<Waiting> waiting = WaitingFor(route->called_as);
   if (waiting->queue.size() == 0) {
-    std::optional<Target> target = TryAcquire(*route, call, excluded);
+    std::optional<Target> target = AcquireReplica(
+          *route, call.prefix_hash, excluded, Microseconds(std::chrono::steady_clock::now()));
     if (target) co_return target;
   }
   QueuedRequest queued(shared_, waiting, route->counters, call, body_bytes);
@@ -226,7 +184,8 @@
       co_return std::nullopt;
     }
     if (queued.first()) {
-      std::optional<Target> target = TryAcquire(*route, call, excluded);
+      std::optional<Target> target = AcquireReplica(
+          *route, call.prefix_hash, excluded, Microseconds(std::chrono::steady_clock::now()));
       if (target) co_return target;
     }
     if (route->targets.empty()) call.was_cold = true;
@@ -266,60 +225,72 @@
   return request;
 }
 
+void ModelRouter::ObserveFirstByte(const Call& call) {
+  const std::chrono::duration<double> passed = std::chrono::steady_clock::now() - call.arrival;
+  (call.was_cold ? shared_.metrics->first_byte_cold : shared_.metrics->first_byte_warm)
+      .Observe(passed.count());
+}
+
+Awaitable<Attempt> ModelRouter::TryTarget(HttpServerExchange& exchange, Call& call,
+                                          const ModelRoute& route, const Target& target) {
+  const DemandCountersPtr counters = route.counters;
+  counters->in_flight.fetch_add(1, std::memory_order_relaxed);
+  const auto started = std::chrono::steady_clock::now();
+  Attempt attempt = co_await ForwardOnce(client_, exchange, call, target.endpoint,
+                                         MakeRequest(exchange.request(), route, call),
+                                         [this, &call] { ObserveFirstByte(call); });
+  const auto ended = std::chrono::steady_clock::now();
+  counters->in_flight.fetch_sub(1, std::memory_order_relaxed);
+  target.load->Release();
+  if (counters->waiting.load(std::memory_order_relaxed) > 0) shared_.wake_waiting();
+  if (attempt.end == AttemptEnd::kAnswered) {
+    target.load->RecordSuccess();
+    counters->RecordService(static_cast<std::uint64_t>(Microseconds(ended) -
+                                                       Microseconds(started)));
+    if (call.was_cold)
+      counters->RecordColdWait(static_cast<std::uint64_t>(Microseconds(started) -
+                                                          Microseconds(call.arrival)));
+  } else if (attempt.leaving) {
+    target.load->RecordLeaving(Microseconds(ended));
+  } else if (attempt.end != AttemptEnd::kNotRun) {
+    target.load->RecordFailure(Microseconds(ended));
+  }
+  co_return attempt;
+}
+
 Awaitable<std::optional<ApiError>> ModelRouter::Serve(HttpServerExchange& exchange, Call& call) {
+  RetryPolicy retry(call.repeatable, retries_);
   std::set<std::string> excluded;
-  int refused = 0;
-  for (int attempt = 1;; ++attempt) {
+  while (true) {
     const std::optional<Target> target =
         co_await AcquireTarget(call, exchange.request().body.size(), excluded);
-    if (!target) co_return call.refusal;
+    if (!target) {
+      if (call.refusal && retry.may_have_run()) call.refusal->executed = Executed::kUnknown;
+      co_return call.refusal;
+    }
     const ModelRouteConstPtr route = FindRoute(call.name);
     if (!route) {
       target->load->Release();
       co_return errors::UnknownModel(call.name);
     }
-    const DemandCountersPtr counters = route->counters;
-    counters->in_flight.fetch_add(1, std::memory_order_relaxed);
-    const auto started = std::chrono::steady_clock::now();
-    const auto first_byte = [this, &call] {
-      const double seconds =
-          std::chrono::duration<double>(std::chrono::steady_clock::now() - call.arrival).count();
-      (call.was_cold ? shared_.metrics->first_byte_cold : shared_.metrics->first_byte_warm)
-          .Observe(seconds);
-    };
-    const Attempt ended =
-        co_await ForwardOnce(client_, exchange, call, target->endpoint,
-                             MakeRequest(exchange.request(), *route, call), first_byte);
-    counters->in_flight.fetch_sub(1, std::memory_order_relaxed);
-    target->load->Release();
-    if (counters->waiting.load(std::memory_order_relaxed) > 0) shared_.wake_waiting();
-    const auto now = std::chrono::steady_clock::now();
-    const auto took = std::chrono::duration_cast<std::chrono::microseconds>(now - started);
-    if (ended.end == AttemptEnd::kAnswered) {
-      target->load->RecordSuccess();
-      Average(counters->service_microseconds, static_cast<std::uint64_t>(took.count()));
-      if (call.was_cold)
-        Average(counters->cold_microseconds,
-                static_cast<std::uint64_t>(
-                    std::chrono::duration_cast<std::chrono::microseconds>(started - call.arrival)
-                        .count()));
-      co_return std::nullopt;
-    }
+    const Attempt attempt = co_await TryTarget(exchange, call, *route, *target);
     if (call.disconnected) co_return std::nullopt;
-    if (ended.end == AttemptEnd::kBroken)
-      co_return errors::BackendFailed(ended.problem, Executed::kUnknown);
-    const bool not_run = ended.end == AttemptEnd::kNotRun;
-    const bool late = now >= RefusalTime(call);
-    if (!not_run) target->load->RecordFailure(Microseconds(now));
-    if (not_run && late) co_return errors::StillLoading(call.name);
-    if (!not_run && (late || !call.repeatable || attempt >= kMaxAttempts || !retries_.TrySpend()))
-      co_return errors::BackendFailed(ended.problem, Executed::kUnknown);
-    if (not_run && ++refused >= kMaxRefusedAttempts)
-      co_return errors::BackendFailed(ended.problem, Executed::kNo);
+    const bool late = std::chrono::steady_clock::now() >= RefusalTime(call);
+    switch (retry.Decide(attempt.end, late)) {
+      case AfterAttempt::kDone:
+        co_return std::nullopt;
+      case AfterAttempt::kRefuseNotRun:
+        if (late) co_return errors::StillLoading(call.name);
+        co_return errors::BackendFailed(attempt.problem, Executed::kNo);
+      case AfterAttempt::kReportUnknown:
+        co_return errors::BackendFailed(attempt.problem, Executed::kUnknown);
+      case AfterAttempt::kTryAgain:
+        break;
+    }
     shared_.metrics->retries.Increment();
     excluded.insert(target->name);
     if (excluded.size() >= route->targets.size()) excluded.clear();
-    if (not_run) co_await Sleep(std::chrono::milliseconds(5) * refused);
+    if (attempt.end == AttemptEnd::kNotRun) co_await Sleep(kRefusedPause * retry.refused());
   }
 }
 
--- a/src/request/model_router.h
+++ b/src/request/model_router.h
@@ -10,7 +10,7 @@
 #include "common/async_signal.h"
 #include "request/admission_queue.h"
 #include "request/call.h"
-#include "request/retry_budget.h"
+#include "request/retry_policy.h"
 #include "request/worker_shared.h"
 
 namespace moorfold {
@@ -43,8 +43,10 @@
   /// Waits for a replica with room and takes a slot on it.
   Awaitable<std::optional<Target>> AcquireTarget(Call& call, std::uint64_t body_bytes,
                                                  const std::set<std::string>& excluded);
-  std::optional<Target> TryAcquire(const ModelRoute& route, const Call& call,
-                                   const std::set<std::string>& excluded);
+  /// One attempt, with its bookkeeping; the slot on `target` is released.
+  Awaitable<Attempt> TryTarget(HttpServerExchange& exchange, Call& call, const ModelRoute& route,
+                               const Target& target);
+  void ObserveFirstByte(const Call& call);
   std::optional<ApiError> RefuseEarly(const ModelRoute& route, const Call& call,
                                       std::size_t position) const;
   HttpRequest MakeRequest(const HttpRequest& original, const ModelRoute& route,
--- a/src/request/routing_table.cc
+++ b/src/request/routing_table.cc
@@ -2,12 +2,21 @@
 
 #include <algorithm>
 
+#include "request/admission_queue.h"
+#include "request/replica_picker.h"
+
 namespace moorfold {
 namespace {
 
+/// A replica may hold this many requests for each that it runs: the engine orders them by
+/// priority, which it can only do among those that it has.
+constexpr std::uint32_t kEngineQueueFactor = 2;
+constexpr std::uint32_t kRemoteLimit = 10'000;
+
 constexpr std::uint32_t kFailuresToSetAside = 3;
 constexpr std::int64_t kFirstAsideMicroseconds = 500'000;
 constexpr std::uint32_t kMaxAsideDoublings = 4;
+constexpr std::int64_t kLeavingAsideMicroseconds = 600'000'000;
 
 /// @return the version that requests go to: the declared one, or an older one that is still
 ///   loaded while the declared one is not.
@@ -23,6 +32,61 @@
 
 }  // namespace
 
+void DemandCounters::Average(std::atomic<std::uint64_t>& average, std::uint64_t newest) {
+  constexpr std::uint64_t kShare = 8;
+  const std::uint64_t old = average.load(std::memory_order_relaxed);
+  average.store(old == 0 ? newest : old - old / kShare + newest / kShare,
+                std::memory_order_relaxed);
+}
+
+double PredictAnswerSeconds(const ModelRoute& route, std::size_t waiting_before,
+                            double waited_seconds) {
+  constexpr double kMicrosecondsPerSecond = 1e6;
+  const DemandCounters& counters = *route.counters;
+  const auto seconds = [](const std::atomic<std::uint64_t>& average) {
+    return static_cast<double>(average.load(std::memory_order_relaxed)) / kMicrosecondsPerSecond;
+  };
+  const double service = seconds(counters.service_microseconds);
+  if (!route.targets.empty()) {
+    const auto slots = static_cast<std::uint32_t>(route.targets.size()) * route.model.concurrency;
+    return PredictWait(waiting_before, slots, service) + service;
+  }
+  const double cold = seconds(counters.cold_microseconds);
+  return cold == 0 ? 0 : std::max(0.0, cold - waited_seconds) + service;
+}
+
+std::optional<Target> AcquireReplica(const ModelRoute& route, std::uint64_t prefix_hash,
+                                     const std::set<std::string>& excluded,
+                                     std::int64_t now_microseconds) {
+  const std::uint32_t limit =
+      route.local ? route.model.concurrency * kEngineQueueFactor : kRemoteLimit;
+  std::vector<ReplicaCandidate> candidates;
+  candidates.reserve(route.targets.size());
+  for (const Target& target : route.targets)
+    candidates.push_back({target.name, target.load->in_flight.load(std::memory_order_relaxed),
+                          target.load->reported.load(std::memory_order_relaxed), limit,
+                          target.load->SetAside(now_microseconds) ||
+                              excluded.contains(target.name)});
+  const std::optional<std::size_t> picked = PickReplica(candidates, prefix_hash);
+  if (!picked) return std::nullopt;
+  const Target& target = route.targets[*picked];
+  if (!target.load->TryAcquire(limit)) return std::nullopt;
+  return target;
+}
+
+std::optional<Target> PickBackend(const ServiceRoute& route, const std::string& excluded,
+                                  std::int64_t now_microseconds) {
+  for (const std::vector<Target>* group : {&route.near, &route.far}) {
+    const Target* best = nullptr;
+    for (const Target& target : *group) {
+      if (target.name == excluded || target.load->SetAside(now_microseconds)) continue;
+      if (best == nullptr || target.load->in_flight < best->load->in_flight) best = &target;
+    }
+    if (best != nullptr) return *best;
+  }
+  return std::nullopt;
+}
+
 bool TargetLoad::TryAcquire(std::uint32_t limit) {
   std::uint32_t current = in_flight.load(std::memory_order_relaxed);
   while (current < limit)
@@ -39,6 +103,10 @@
                         std::memory_order_relaxed);
 }
 
+void TargetLoad::RecordLeaving(std::int64_t now_microseconds) {
+  set_aside_until.store(now_microseconds + kLeavingAsideMicroseconds, std::memory_order_relaxed);
+}
+
 TargetLoadPtr RoutingTableBuilder::LoadOf(const std::string& key) {
   TargetLoadPtr& load = loads_[key];
   if (!load) load = std::make_shared<TargetLoad>();
@@ -83,7 +151,7 @@
   return targets;
 }
 
-ModelRouteConstPtr RoutingTableBuilder::MakeRoute(const State& state, const ModelIntent& model,
+ModelRouteConstPtr RoutingTableBuilder::BuildRoute(const State& state, const ModelIntent& model,
                                                   const AdapterName& adapter) {
   auto route = std::make_shared<ModelRoute>();
   route->model = model;
@@ -101,16 +169,16 @@
 
 void RoutingTableBuilder::AddModel(const State& state, const ModelIntent& model,
                                    RoutingTable& table) {
-  table.models[model.name] = MakeRoute(state, model, {});
+  table.models[model.name] = BuildRoute(state, model, {});
   for (const AdapterIntent& adapter : model.adapters) {
-    const ModelRouteConstPtr route = MakeRoute(state, model, adapter.name);
+    const ModelRouteConstPtr route = BuildRoute(state, model, adapter.name);
     table.models[adapter.name] = route;
     table.models[route->called_as] = route;
   }
 }
 
-void RoutingTableBuilder::AddService(const State& state, const ServiceIntent& service,
-                                     RoutingTable& table) {
+ServiceRouteConstPtr RoutingTableBuilder::BuildServiceRoute(const State& state,
+                                                            const ServiceIntent& service) {
   auto route = std::make_shared<ServiceRoute>();
   route->service = service;
   for (const auto& [name, machine] : state.machines) {
@@ -120,7 +188,7 @@
     const Target target{name, {machine.address, machine.http_port}, LoadOf("service/" + name)};
     (machine.zone == state.self.zone ? route->near : route->far).push_back(target);
   }
-  table.services[service.name] = route;
+  return route;
 }
 
 RoutingTableConstPtr RoutingTableBuilder::Build(const State& state) {
@@ -129,7 +197,7 @@
   for (const auto& [name, model] : state.configuration.intent.models)
     AddModel(state, model, *table);
   for (const auto& [name, service] : state.configuration.intent.services)
-    AddService(state, service, *table);
+    table->services[name] = BuildServiceRoute(state, service);
   return table;
 }
 
--- a/src/request/routing_table.h
+++ b/src/request/routing_table.h
@@ -2,6 +2,8 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -22,6 +24,8 @@
   bool TryAcquire(std::uint32_t limit);
   void Release() { in_flight.fetch_sub(1, std::memory_order_relaxed); }
   void RecordFailure(std::int64_t now_microseconds);
+  /// The server said that it is about to stop: it gets nothing until the machine list drops it.
+  void RecordLeaving(std::int64_t now_microseconds);
   void RecordSuccess() { failures.store(0, std::memory_order_relaxed); }
   bool SetAside(std::int64_t now_microseconds) const {
     return set_aside_until.load(std::memory_order_relaxed) > now_microseconds;
@@ -37,6 +41,12 @@
   std::atomic<bool> nudged{false};                     ///< The core was told that requests wait.
   std::atomic<std::uint64_t> service_microseconds{0};  ///< Moving average; 0: unknown.
   std::atomic<std::uint64_t> cold_microseconds{0};     ///< Moving average of cold waits.
+
+  void RecordService(std::uint64_t microseconds) { Average(service_microseconds, microseconds); }
+  void RecordColdWait(std::uint64_t microseconds) { Average(cold_microseconds, microseconds); }
+
+ private:
+  static void Average(std::atomic<std::uint64_t>& average, std::uint64_t newest);
 };
 using DemandCountersPtr = std::shared_ptr<DemandCounters>;
 
@@ -65,6 +75,23 @@
 };
 using ServiceRouteConstPtr = std::shared_ptr<const ServiceRoute>;
 
+/// Predicts when a request would be answered if it waited, from moving averages.
+/// @param waiting_before requests that are served first.
+/// @param waited_seconds how long it has waited already.
+/// @return seconds from now; 0 when nothing is known.
+double PredictAnswerSeconds(const ModelRoute& route, std::size_t waiting_before,
+                            double waited_seconds);
+
+/// @return the replica that the request goes to, with a slot on it taken, or nothing when all are
+///   full, set aside or excluded.
+std::optional<Target> AcquireReplica(const ModelRoute& route, std::uint64_t prefix_hash,
+                                     const std::set<std::string>& excluded,
+                                     std::int64_t now_microseconds);
+
+/// @return the least loaded usable back end, of the own zone if there is any.
+std::optional<Target> PickBackend(const ServiceRoute& route, const std::string& excluded,
+                                  std::int64_t now_microseconds);
+
 /// Everything a request's path needs to know; immutable.
 struct RoutingTable {
   Revision configuration_revision = 0;
@@ -78,6 +105,10 @@
 class RoutingTableBuilder {
  public:
   RoutingTableConstPtr Build(const State& state);
+  /// @return the route of one model, or of one of its adapters, as Build would make it.
+  ModelRouteConstPtr BuildRoute(const State& state, const ModelIntent& model,
+                                const AdapterName& adapter);
+  ServiceRouteConstPtr BuildServiceRoute(const State& state, const ServiceIntent& service);
   /// Takes the load figures of servers without a new table.
   void UpdateLoads(const std::vector<ServerLoad>& loads);
   /// Reads and resets the counters of every model that saw demand.
@@ -92,12 +123,9 @@
     bool was_active = false;
   };
   void AddModel(const State& state, const ModelIntent& model, RoutingTable& table);
-  ModelRouteConstPtr MakeRoute(const State& state, const ModelIntent& model,
-                               const AdapterName& adapter);
   std::vector<Target> ReplicasOf(const State& state, const ModelIntent& model,
                                  const AdapterName& adapter);
   std::vector<Target> DaemonsOfOtherZones(const State& state, const ModelIntent& model);
-  void AddService(const State& state, const ServiceIntent& service, RoutingTable& table);
   TargetLoadPtr LoadOf(const std::string& key);
 
   std::map<std::string, TargetLoadPtr> loads_;  ///< By "server/model" or "kind/name".
--- a/src/request/service_router.cc
+++ b/src/request/service_router.cc
@@ -7,7 +7,6 @@
 
 constexpr std::string_view kPrefix = "/services/";
 constexpr std::size_t kMaxKeyLength = 256;
-constexpr int kMaxAttempts = 4;
 constexpr std::size_t kKeptAnswerBytes = 64 * 1024;
 
 std::int64_t NowMicroseconds() {
@@ -99,19 +98,6 @@
                          call);
 }
 
-std::optional<Target> ServiceRouter::Pick(const ServiceRoute& route, const std::string& excluded) {
-  const std::int64_t now = NowMicroseconds();
-  for (const std::vector<Target>* group : {&route.near, &route.far}) {
-    const Target* best = nullptr;
-    for (const Target& target : *group) {
-      if (target.name == excluded || target.load->SetAside(now)) continue;
-      if (best == nullptr || target.load->in_flight < best->load->in_flight) best = &target;
-    }
-    if (best != nullptr) return *best;
-  }
-  return std::nullopt;
-}
-
 HttpRequest ServiceRouter::MakeRequest(const HttpRequest& original, const Destination& destination,
                                        const Call& call) const {
   HttpRequest request{original.method, destination.path, {}, original.body};
@@ -123,30 +109,46 @@
   return request;
 }
 
+Awaitable<Attempt> ServiceRouter::TryTarget(HttpServerExchange& exchange, Call& call,
+                                            const Destination& destination,
+                                            const Target& target) {
+  target.load->in_flight.fetch_add(1, std::memory_order_relaxed);
+  Attempt attempt = co_await ForwardOnce(client_, exchange, call, target.endpoint,
+                                         MakeRequest(exchange.request(), destination, call), [] {});
+  target.load->Release();
+  if (attempt.end == AttemptEnd::kAnswered)
+    target.load->RecordSuccess();
+  else if (attempt.leaving)
+    target.load->RecordLeaving(NowMicroseconds());
+  else
+    target.load->RecordFailure(NowMicroseconds());
+  co_return attempt;
+}
+
 Awaitable<std::optional<ApiError>> ServiceRouter::Serve(HttpServerExchange& exchange, Call& call,
                                                         const Destination& destination) {
+  RetryPolicy retry(call.repeatable, retries_);
   std::string excluded;
-  for (int attempt = 1;; ++attempt) {
-    std::optional<Target> target = Pick(*destination.route, excluded);
-    if (!target) target = Pick(*destination.route, "");
-    if (!target) co_return errors::NoBackend(call.name);
-    target->load->in_flight.fetch_add(1, std::memory_order_relaxed);
-    const Attempt ended =
-        co_await ForwardOnce(client_, exchange, call, target->endpoint,
-                             MakeRequest(exchange.request(), destination, call), [] {});
-    target->load->Release();
-    if (ended.end == AttemptEnd::kAnswered) {
-      target->load->RecordSuccess();
-      co_return std::nullopt;
+  while (true) {
+    std::optional<Target> target = PickBackend(*destination.route, excluded, NowMicroseconds());
+    if (!target) target = PickBackend(*destination.route, "", NowMicroseconds());
+    if (!target) {
+      if (!retry.may_have_run()) co_return errors::NoBackend(call.name);
+      co_return errors::BackendFailed("no other server is known", Executed::kUnknown);
     }
-    const bool not_run = ended.end == AttemptEnd::kNotRun;
-    target->load->RecordFailure(NowMicroseconds());
+    const Attempt attempt = co_await TryTarget(exchange, call, destination, *target);
     if (call.disconnected) co_return errors::BackendFailed("the caller left", Executed::kUnknown);
-    const bool again = ended.end != AttemptEnd::kBroken && (not_run || call.repeatable) &&
-                       attempt < kMaxAttempts &&
-                       std::chrono::steady_clock::now() < RefusalTime(call);
-    if (!again || (!not_run && !retries_.TrySpend()))
-      co_return errors::BackendFailed(ended.problem, not_run ? Executed::kNo : Executed::kUnknown);
+    const bool late = std::chrono::steady_clock::now() >= RefusalTime(call);
+    switch (retry.Decide(attempt.end, late)) {
+      case AfterAttempt::kDone:
+        co_return std::nullopt;
+      case AfterAttempt::kRefuseNotRun:
+        co_return errors::BackendFailed(attempt.problem, Executed::kNo);
+      case AfterAttempt::kReportUnknown:
+        co_return errors::BackendFailed(attempt.problem, Executed::kUnknown);
+      case AfterAttempt::kTryAgain:
+        break;
+    }
     shared_.metrics->retries.Increment();
     excluded = target->name;
   }
--- a/src/request/service_router.h
+++ b/src/request/service_router.h
@@ -4,8 +4,8 @@
 #include <string>
 
 #include "request/call.h"
-#include "request/claim_service.h"
-#include "request/retry_budget.h"
+#include "request/claims/claim_service.h"
+#include "request/retry_policy.h"
 #include "request/worker_shared.h"
 
 namespace moorfold {
@@ -30,7 +30,8 @@
                                            const Destination& destination);
   Awaitable<std::optional<ApiError>> ServeClaimed(HttpServerExchange& exchange, Call& call,
                                                   const Destination& destination, std::string key);
-  std::optional<Target> Pick(const ServiceRoute& route, const std::string& excluded);
+  Awaitable<Attempt> TryTarget(HttpServerExchange& exchange, Call& call,
+                               const Destination& destination, const Target& target);
   HttpRequest MakeRequest(const HttpRequest& original, const Destination& destination,
                           const Call& call) const;
 
--- a/src/standin/platform.cc
+++ b/src/standin/platform.cc
@@ -73,7 +73,7 @@
     if (on_disk(random_)) cached.insert(checkpoint);
   engine->model().SetDiskCache(std::move(cached));
   machine.http_port = engine->endpoint().port;
-  machines_.Put(machine);
+  machines_.Put(machine, clock_.Now());
   engines_[machine.name] = std::move(engine);
 }
 
@@ -83,7 +83,7 @@
     if (traits.name != machine.service) continue;
     auto service = std::make_unique<ServiceServer>(context_, machine, traits, executions_);
     machine.http_port = service->endpoint().port;
-    machines_.Put(machine);
+    machines_.Put(machine, clock_.Now());
     services_[machine.name] = std::move(service);
   }
 }
@@ -108,7 +108,7 @@
 
 json::value Platform::Administer(const HttpRequest& request) {
   const std::string call = request.method + " " + request.target;
-  if (call == "GET /machines") return json::value_from(machines_.Visible());
+  if (call == "GET /machines") return json::value_from(machines_.Visible(clock_.Now()));
   if (call == "GET /admin/executions") return json::value_from(executions_.counts());
   if (call == "GET /admin/summary") {
     std::uint32_t loaded = 0;
@@ -119,7 +119,7 @@
             {"requests_run", executions_.counts().size()}};
   }
   if (call == "POST /admin/machines") {
-    machines_.Put(FromJson<Machine>(request.body));
+    machines_.Put(FromJson<Machine>(request.body), clock_.Now());
     machines_.Settle();
     return {{"ok", true}};
   }
@@ -139,8 +139,8 @@
     return store_.SetSlowdown(fault.at("slowdown").to_number<double>());
   if (component == "machine") {
     const std::string name = ReadName(fault);
-    return fault.at("action").as_string() == "remove" ? machines_.Remove(name)
-                                                      : machines_.SetLeaving(name);
+    return fault.at("action").as_string() == "remove" ? machines_.Remove(name, clock_.Now())
+                                                      : machines_.SetLeaving(name, clock_.Now());
   }
   throw std::invalid_argument("no component '" + component +
                               "'; use key_value, engine, service, weight_store or machine");
@@ -170,7 +170,7 @@
     engine.Restart(NextIncarnation());
   } else if (action->as_string() == "leave") {
     engine.Leave();
-    machines_.SetLeaving(ReadName(fault));
+    machines_.SetLeaving(ReadName(fault), clock_.Now());
   } else {
     throw std::invalid_argument("no such action; use kill, restart or leave");
   }
@@ -185,7 +185,7 @@
   if (action == nullptr) return;
   if (action->as_string() != "leave") throw std::invalid_argument("no such action; use leave");
   service.Leave();
-  machines_.SetLeaving(ReadName(fault));
+  machines_.SetLeaving(ReadName(fault), clock_.Now());
 }
 
 }  // namespace moorfold
