--- a/src/core/events.h
+++ b/src/core/events.h
@@ -16,7 +16,7 @@
   PeerMessage message;
 };
 struct MachineListRead {
-  std::vector<Machine> machines;
+  MachineListing machines;
 };
 /// The highest configuration that a watcher read from the key-value service.
 struct ConfigurationSnapshotRead {
--- a/src/core/load/coordinator.cc
+++ b/src/core/load/coordinator.cc
@@ -339,8 +339,24 @@
   std::erase_if(coordinator.pending,
                 [&](const auto& entry) { return now_ - entry.second.sent >= kOrderForgotten; });
   if (Leads()) ReleaseMovingPermits();
-  for (const auto& [name, model] : state_.configuration.intent.models)
-    PlanModel(model, state_.demand.models[name]);
+  const std::set<ModelName> busy = BusyModels();
+  for (const auto& [name, model] : state_.configuration.intent.models) {
+    ModelDemand& demand = state_.demand.models[name];
+    const bool quiet = demand.routers.empty() && !busy.contains(name);
+    if (!quiet || state_.policy->HoldAhead(model, demand, now_)) PlanModel(model, demand);
+  }
+}
+
+/// Models that are loaded somewhere or about to be: all others need no look without demand.
+std::set<ModelName> Coordinator::BusyModels() const {
+  std::set<ModelName> busy;
+  for (const auto& [name, server] : state_.servers)
+    if (server.report)
+      for (const ReplicaReport& replica : server.report->replicas)
+        busy.insert(replica.servable.model);
+  for (const auto& [id, pending] : state_.coordinator.pending)
+    busy.insert(pending.order.servable.model);
+  return busy;
 }
 
 void Coordinator::OnServerReported(const ServerName& server) {
--- a/src/core/load/coordinator.h
+++ b/src/core/load/coordinator.h
@@ -38,6 +38,7 @@
   void LoadAdapters(const ModelIntent& model, const ModelDemand& demand);
   bool MakeRoom(const ServerView& server, MebiBytes memory, Priority priority);
   MebiBytes FreeMemory(const ServerView& server) const;
+  std::set<ModelName> BusyModels() const;
   bool CanOrder(const Permit& permit) const;
   bool IsLoaded(const Permit& permit) const;
   bool HasPending(OrderKind kind, const Permit& permit) const;
--- a/src/core/reducer.cc
+++ b/src/core/reducer.cc
@@ -43,10 +43,10 @@
     sharing_.OnTick();
     SendZoneDigest();
     ForwardDemand(false);
-    if (state_.coordinator.active) claim_views_.Maintain(now_, effects_);
     coordinator_.ReconcilePlacement();
     if (now_ - state_.last_plan < state_.settings.plan_interval) return;
     state_.last_plan = now_;
+    if (state_.coordinator.active) claim_views_.Maintain(now_, effects_);
     coordinator_.PlanOrders();
   }
 
@@ -55,18 +55,20 @@
   }
 
   void On(const MachineListRead& event) {
-    if (event.machines == state_.listed) return;
+    const bool same = state_.listed != nullptr &&
+                      (event.machines == state_.listed || *event.machines == *state_.listed);
+    if (same) return;
     state_.listed = event.machines;
     state_.machines.clear();
     for (auto& [name, server] : state_.servers) server.listed = false;
-    for (const Machine& machine : event.machines) {
+    for (const Machine& machine : *event.machines) {
       state_.machines[machine.name] = machine;
       if (machine.kind != MachineKind::kEngine || machine.zone != state_.self.zone) continue;
       ServerView& server = state_.servers[machine.name];
       server.machine = machine;
       server.listed = true;
     }
-    membership_.UpdateListed(event.machines, now_);
+    membership_.UpdateListed(*event.machines, now_);
     state_.coordinator.placement_dirty = true;
     MembersChanged();
   }
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -48,7 +48,7 @@
   Identity self;
   CoreSettings settings;
   ResidencyPolicyConstPtr policy;
-  std::vector<Machine> listed;              ///< The machine list as last read.
+  MachineListing listed;                    ///< The machine list as last read; may be null.
   std::map<std::string, Machine> machines;  ///< The same by name: all zones and kinds.
   MembershipState membership;
   ConfigurationState configuration;
--- a/src/core/types.h
+++ b/src/core/types.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -52,6 +53,9 @@
   auto operator<=>(const Machine&) const = default;
 };
 
+/// One reading of the machine list. Shared, because every daemon reads it over and over.
+using MachineListing = std::shared_ptr<const std::vector<Machine>>;
+
 /// Where a checkpoint is held, cheapest load first.
 enum class CacheTier : std::uint8_t { kMemory, kDisk, kRemote };
 
--- a/src/host/core_host.cc
+++ b/src/host/core_host.cc
@@ -48,13 +48,9 @@
 }
 
 void CoreHost::ScheduleMachineList() {
-  ports_.machine_list->List(WhileAlive([this](const Outcome<std::vector<Machine>>& listed) {
+  ports_.machine_list->List(WhileAlive([this](const Outcome<MachineListing>& listed) {
     if (listed.ok()) {
-      Dispatch(MachineListRead{listed.value()});
-      std::set<DaemonName> daemons;
-      for (const Machine& machine : listed.value())
-        if (machine.kind == MachineKind::kDaemon) daemons.insert(machine.name);
-      claims_.SetListedDaemons(daemons);
+      if (listed.value() != state_.listed) OnMachineList(listed.value());
     } else {
       LogFailure("machine_list_unreachable", listed.failure());
     }
@@ -63,6 +59,14 @@
   }));
 }
 
+void CoreHost::OnMachineList(const MachineListing& listing) {
+  Dispatch(MachineListRead{listing});
+  std::set<DaemonName> daemons;
+  for (const Machine& machine : *listing)
+    if (machine.kind == MachineKind::kDaemon) daemons.insert(machine.name);
+  claims_.SetListedDaemons(daemons);
+}
+
 void CoreHost::Dispatch(EventBody body) {
   const Effects effects = Reduce(state_, {ports_.scheduler->Now(), random_(), std::move(body)});
   for (const Effect& effect : effects)
--- a/src/host/core_host.h
+++ b/src/host/core_host.h
@@ -111,6 +111,7 @@
   void ScheduleTick();
   void ScheduleDemand();
   void ScheduleMachineList();
+  void OnMachineList(const MachineListing& listing);
   void LogFailure(const std::string& event, const PlatformFailure& failure);
   /// Wraps a callback so that it does nothing once this host is gone.
   template <typename Callback>
--- a/src/modelled/lagging_machine_list.cc
+++ b/src/modelled/lagging_machine_list.cc
@@ -30,16 +30,20 @@
 void LaggingMachineList::Settle() {
   changes_.clear();
   visible_ = actual_;
+  listing_.reset();
 }
 
-std::vector<Machine> LaggingMachineList::Visible(Timestamp now) {
+MachineListing LaggingMachineList::Visible(Timestamp now) {
   while (!changes_.empty() && changes_.front().visible_at <= now) {
     visible_ = std::move(changes_.front().machines);
     changes_.pop_front();
+    listing_.reset();
   }
+  if (listing_) return listing_;
   std::vector<Machine> machines;
   for (const auto& [name, machine] : visible_) machines.push_back(machine);
-  return machines;
+  listing_ = std::make_shared<const std::vector<Machine>>(std::move(machines));
+  return listing_;
 }
 
 }  // namespace moorfold
--- a/src/modelled/lagging_machine_list.h
+++ b/src/modelled/lagging_machine_list.h
@@ -21,7 +21,8 @@
   void SetLag(Duration lag) { lag_ = lag; }
   /// Shows all changes at once, for a start without waiting.
   void Settle();
-  std::vector<Machine> Visible(Timestamp now);
+  /// @return the same pointer as long as nothing changes.
+  MachineListing Visible(Timestamp now);
   const std::map<std::string, Machine>& actual() const { return actual_; }
 
  private:
@@ -34,6 +35,7 @@
   Duration lag_;
   std::map<std::string, Machine> actual_;
   std::map<std::string, Machine> visible_;
+  MachineListing listing_;
   std::deque<Change> changes_;
 };
 
--- a/src/platform/http_machine_list.cc
+++ b/src/platform/http_machine_list.cc
@@ -22,7 +22,7 @@
     failure.message = std::string("machine list: ") + error.what();
   }
   if (machines)
-    done(std::move(*machines));
+    done(std::make_shared<const std::vector<Machine>>(std::move(*machines)));
   else
     done(failure);
 }
--- a/src/platform/machine_list.h
+++ b/src/platform/machine_list.h
@@ -12,7 +12,7 @@
 /// or live and not yet listed. A machine that was listed and is no longer has ended for good.
 class MachineList {
  public:
-  using ListCallback = std::function<void(Outcome<std::vector<Machine>>)>;
+  using ListCallback = std::function<void(Outcome<MachineListing>)>;
   virtual ~MachineList() = default;
   /// Answers once, never from within the call.
   virtual void List(ListCallback done) = 0;
--- a/src/request/service_router.cc
+++ b/src/request/service_router.cc
@@ -2,12 +2,15 @@
 
 #include <algorithm>
 
+#include "common/async_signal.h"
+
 namespace moorfold {
 namespace {
 
 constexpr std::string_view kPrefix = "/services/";
 constexpr std::size_t kMaxKeyLength = 256;
 constexpr std::size_t kKeptAnswerBytes = 64 * 1024;
+constexpr std::chrono::milliseconds kClaimPoll{50};
 
 std::int64_t NowMicroseconds() {
   return std::chrono::duration_cast<std::chrono::microseconds>(
@@ -159,7 +162,12 @@
                                                                const Destination& destination,
                                                                std::string key) {
   const std::string scoped_key = call.name + " " + key;
-  const ClaimResult claim = co_await claims_.Claim(scoped_key, call.id);
+  ClaimResult claim = co_await claims_.Claim(scoped_key, call.id);
+  // Another request with the key is running: its answer is this one's, too, once it is there.
+  while (claim.end == ClaimEnd::kInUse && std::chrono::steady_clock::now() < RefusalTime(call)) {
+    co_await Sleep(kClaimPoll);
+    claim = co_await claims_.Claim(scoped_key, call.id);
+  }
   switch (claim.end) {
     case ClaimEnd::kInUse:
       co_return errors::KeyInUse();
--- a/src/simulation/result_report.cc
+++ b/src/simulation/result_report.cc
@@ -103,7 +103,7 @@
          << "  configuration " << result.configuration_changes << " changes, in force after p50 "
          << Percentile(result.in_force_seconds, 0.5) << " s, max "
          << Percentile(result.in_force_seconds, 1) << " s\n"
-         << "  recovery    " << result.recovery_seconds.size() << " leaders lost, next load after p50 "
+         << "  recovery    " << result.recovery_seconds.size() << " leaders lost, loads can be ordered again after p50 "
          << Percentile(result.recovery_seconds, 0.5) << " s, max "
          << Percentile(result.recovery_seconds, 1) << " s\n"
          << "  key-value   " << result.key_value_reads << " reads, " << result.key_value_writes
--- a/src/simulation/simulated_daemon.h
+++ b/src/simulation/simulated_daemon.h
@@ -77,6 +77,7 @@
   const ZoneName& zone() const { return zone_; }
   SimulatedRouter& router() { return *parts_->router; }
   CoreHost& host() { return *parts_->host; }
+  const CoreHost& host() const { return *parts_->host; }
   bool IsCoordinator() const;
 
  private:
--- a/src/simulation/simulated_engine.cc
+++ b/src/simulation/simulated_engine.cc
@@ -290,20 +290,23 @@
   }
   const Duration there = world_.NetworkDelay(zone_, zone);
   const Duration back = world_.NetworkDelay(zone, zone_);
-  world_.queue.After(there, [this, name = server.name, reply, back] {
-    const auto engine = engines_.find(name);
-    const bool answers = engine != engines_.end() && engine->second->alive();
+  // From here on the daemon may be gone: nothing below touches this object.
+  world_.queue.After(there, [&world = world_, &engines = engines_, name = server.name, reply,
+                             back] {
+    const auto engine = engines.find(name);
+    const bool answers = engine != engines.end() && engine->second->alive();
     Outcome<ServerReport> outcome =
         answers ? Outcome<ServerReport>(engine->second->Report())
                 : Outcome<ServerReport>(
                       PlatformFailure{PlatformFault::kUnavailable, "the engine is down"});
-    world_.queue.After(back, [reply, outcome = std::move(outcome)] { reply(outcome); });
+    world.queue.After(back, [reply, outcome = std::move(outcome)] { reply(outcome); });
   });
 }
 
-void SimulatedModelEngine::Misdirect(const Order& order) {
-  for (auto& [name, engine] : engines_) {
-    if (name == order.server || engine->machine().zone != zone_ || !engine->alive()) continue;
+void SimulatedModelEngine::Misdirect(SimulatedEngines& engines, const ZoneName& zone,
+                                     const Order& order) {
+  for (auto& [name, engine] : engines) {
+    if (name == order.server || engine->machine().zone != zone || !engine->alive()) continue;
     Order copy = order;
     copy.server = name;
     copy.incarnation = engine->model().incarnation();
@@ -325,29 +328,30 @@
   const Duration held_up =
       world_.Chance(kHeldUp) ? world_.Exponential(std::chrono::seconds(10)) : Duration{0};
   const Duration there = world_.NetworkDelay(zone_, server.zone) + held_up;
-  world_.queue.After(there, [this, order = std::move(order), reply, back] {
-    if (world_.bugs.load_orders_reach_a_second_server && order.kind == OrderKind::kLoad)
-      Misdirect(order);
-    const auto engine = engines_.find(order.server);
-    if (engine == engines_.end() || !engine->second->alive()) {
-      world_.queue.After(back,
-                         [reply] { reply(OrderResult{OrderOutcome::kFailed, std::nullopt}); });
+  world_.queue.After(there, [&world = world_, &engines = engines_, zone = zone_,
+                             order = std::move(order), reply, back] {
+    if (world.bugs.load_orders_reach_a_second_server && order.kind == OrderKind::kLoad)
+      Misdirect(engines, zone, order);
+    const auto engine = engines.find(order.server);
+    if (engine == engines.end() || !engine->second->alive()) {
+      world.queue.After(back,
+                        [reply] { reply(OrderResult{OrderOutcome::kFailed, std::nullopt}); });
       return;
     }
     // A lost answer: the order was carried out and nobody hears of it.
     constexpr double kAnswerLost = 0.005;
-    const bool lost = world_.Chance(kAnswerLost);
-    engine->second->Execute(order, [this, reply, back, lost](const OrderResult& result) {
+    const bool lost = world.Chance(kAnswerLost);
+    engine->second->Execute(order, [&world, reply, back, lost](const OrderResult& result) {
       const OrderResult told = lost ? OrderResult{OrderOutcome::kUnknown, std::nullopt} : result;
-      world_.queue.After(back, [reply, told] { reply(told); });
+      world.queue.After(back, [reply, told] { reply(told); });
     });
   });
 }
 
 void SimulatedMachineList::List(ListCallback done) {
   auto reply = process_.Gate(std::move(done));
-  world_.queue.After(std::chrono::milliseconds(2), [this, reply] {
-    reply(Outcome<std::vector<Machine>>(list_.Visible(world_.queue.Now())));
+  world_.queue.After(std::chrono::milliseconds(2), [&world = world_, &list = list_, reply] {
+    reply(Outcome<MachineListing>(list.Visible(world.queue.Now())));
   });
 }
 
--- a/src/simulation/simulated_engine.h
+++ b/src/simulation/simulated_engine.h
@@ -141,7 +141,7 @@
   void Execute(const Machine& server, Order order, OrderCallback done) override;
 
  private:
-  void Misdirect(const Order& order);
+  static void Misdirect(SimulatedEngines& engines, const ZoneName& zone, const Order& order);
 
   World& world_;
   const Process& process_;
--- a/src/simulation/simulated_key_value_store.cc
+++ b/src/simulation/simulated_key_value_store.cc
@@ -91,12 +91,14 @@
   if (!service_.TakeToken())
     return queue.After(latency,
                        [reply] { reply(Outcome<T>(Failure(PlatformFault::kRateLimited))); });
-  queue.After(latency / 2, [this, write, execute = std::move(execute), reply, latency, gives_up] {
-    EventQueue& events = service_.world().queue;
+  // The daemon may end while its call is under way: nothing below touches this object.
+  queue.After(latency / 2, [&service = service_, zone = zone_, write, execute = std::move(execute),
+                            reply, latency, gives_up] {
+    EventQueue& events = service.world().queue;
     const auto unanswered = [reply] { reply(Outcome<T>(Failure(PlatformFault::kNoAnswer))); };
-    if (!service_.ReachableFrom(zone_)) return events.At(gives_up, unanswered);
+    if (!service.ReachableFrom(zone)) return events.At(gives_up, unanswered);
     const Outcome<T> outcome = execute();
-    std::uint32_t& lost = service_.world().faults.lost_answers;
+    std::uint32_t& lost = service.world().faults.lost_answers;
     if (write && lost > 0) {
       --lost;
       return events.At(gives_up, unanswered);
@@ -110,9 +112,9 @@
 void SimulatedKeyValueStore::Range(KeyRange range, Callback<RangeResult> done) {
   Call<RangeResult>(
       false,
-      [this, range = std::move(range)] {
-        service_.table().ExpireLeases(service_.world().queue.Now());
-        return Outcome<RangeResult>(service_.table().Range(range));
+      [&service = service_, range = std::move(range)] {
+        service.table().ExpireLeases(service.world().queue.Now());
+        return Outcome<RangeResult>(service.table().Range(range));
       },
       std::move(done));
 }
@@ -120,9 +122,9 @@
 void SimulatedKeyValueStore::Transact(Transaction transaction, Callback<TransactionResult> done) {
   Call<TransactionResult>(
       true,
-      [this, transaction = std::move(transaction)] {
-        service_.table().ExpireLeases(service_.world().queue.Now());
-        return Outcome<TransactionResult>(service_.Commit(transaction));
+      [&service = service_, transaction = std::move(transaction)] {
+        service.table().ExpireLeases(service.world().queue.Now());
+        return Outcome<TransactionResult>(service.Commit(transaction));
       },
       std::move(done));
 }
@@ -130,9 +132,9 @@
 void SimulatedKeyValueStore::GrantLease(Duration time_to_live, Callback<LeaseId> done) {
   Call<LeaseId>(
       true,
-      [this, time_to_live] {
-        const Timestamp now = service_.world().queue.Now();
-        return Outcome<LeaseId>(service_.table().GrantLease(time_to_live, now));
+      [&service = service_, time_to_live] {
+        const Timestamp now = service.world().queue.Now();
+        return Outcome<LeaseId>(service.table().GrantLease(time_to_live, now));
       },
       std::move(done));
 }
@@ -140,9 +142,9 @@
 void SimulatedKeyValueStore::KeepLeaseAlive(LeaseId lease, Callback<Duration> done) {
   Call<Duration>(
       true,
-      [this, lease]() -> Outcome<Duration> {
-        const Timestamp now = service_.world().queue.Now();
-        const std::optional<Duration> granted = service_.table().KeepLeaseAlive(lease, now);
+      [&service = service_, lease]() -> Outcome<Duration> {
+        const Timestamp now = service.world().queue.Now();
+        const std::optional<Duration> granted = service.table().KeepLeaseAlive(lease, now);
         if (!granted) return Failure(PlatformFault::kRejected);
         return *granted;
       },
@@ -152,8 +154,8 @@
 void SimulatedKeyValueStore::RevokeLease(LeaseId lease, Callback<bool> done) {
   Call<bool>(
       true,
-      [this, lease]() -> Outcome<bool> {
-        if (!service_.table().RevokeLease(lease)) return Failure(PlatformFault::kRejected);
+      [&service = service_, lease]() -> Outcome<bool> {
+        if (!service.table().RevokeLease(lease)) return Failure(PlatformFault::kRejected);
         return true;
       },
       std::move(done));
--- a/src/simulation/simulated_router.cc
+++ b/src/simulation/simulated_router.cc
@@ -7,6 +7,7 @@
 
 constexpr Duration kConnectTimeout = std::chrono::seconds(1);
 constexpr Duration kRefusedPause = std::chrono::milliseconds(5);
+constexpr Duration kClaimPoll = std::chrono::milliseconds(50);
 constexpr Duration kMostRefusalMargin = std::chrono::milliseconds(50);
 
 Timestamp RefusalTimeOf(const SimulatedRequest& request) {
@@ -52,7 +53,7 @@
                              RequestDone done) {
   const std::uint64_t number = next_++;
   active_.emplace(number, Active{request, std::move(done), forwarded,
-                                 RetryPolicy(request->repeatable, budget_), {}, {}, false, 0, {}});
+                                 RetryPolicy(request->repeatable, budget_), {}, {}, false, false, 0, {}});
   budget_.Earn();
   world_.queue.At(RefusalTimeOf(*request), process_.Gate([this, number] { OnDeadline(number); }));
   if (host_.state().configuration.revision == 0) return Finish(number, RequestEnd::kRefusedNotRun);
@@ -177,13 +178,14 @@
   const auto first_token = process_.Gate([this, request] {
     if (request->first_token == Timestamp{}) request->first_token = world_.queue.Now();
   });
-  world_.queue.After(there, [this, name = target.name, request, reply, first_token, back] {
-    const auto server = backends_.engines->find(name);
-    if (server == backends_.engines->end())
-      return reply({BackendAnswer::kNotRun, request->id});
+  // Past this point the daemon may be gone: nothing below touches the router.
+  world_.queue.After(there, [&world = world_, engines = backends_.engines, name = target.name,
+                             request, reply, first_token, back] {
+    const auto server = engines->find(name);
+    if (server == engines->end()) return reply({BackendAnswer::kNotRun, request->id});
     server->second->Accept(request, [first_token] { first_token(); },
-                           [this, reply, back](BackendReply answer) {
-                             world_.queue.After(back, [reply, answer] { reply(answer); });
+                           [&world, reply, back](BackendReply answer) {
+                             world.queue.After(back, [reply, answer] { reply(answer); });
                            });
   });
 }
@@ -252,9 +254,10 @@
 }
 
 void SimulatedRouter::StartService(std::uint64_t number) {
-  const Active& active = active_.at(number);
+  Active& active = active_.at(number);
   if (active.request->key.empty() || world_.bugs.claims_are_skipped)
     return DispatchService(number);
+  active.claiming = true;
   claim_calls_[number] = number;
   // The holder is unique to this request at this daemon.
   const State& state = host_.state();
@@ -269,6 +272,7 @@
   const std::uint64_t number = found->second;
   claim_calls_.erase(found);
   const bool waiting = active_.contains(number);
+  if (waiting && result.end != ClaimEnd::kInUse) active_.at(number).claiming = false;
   switch (result.end) {
     case ClaimEnd::kGranted:
       if (waiting) return DispatchService(number);
@@ -277,7 +281,11 @@
       if (waiting) Finish(number, RequestEnd::kServed);
       return;
     case ClaimEnd::kInUse:
-      if (waiting) Finish(number, RequestEnd::kUnknown);
+      // Its answer is this request's, too, once it is there; at the deadline the wait ends.
+      if (waiting)
+        world_.queue.After(kClaimPoll, process_.Gate([this, number] {
+          if (active_.contains(number)) StartService(number);
+        }));
       return;
     case ClaimEnd::kNoMajority:
       if (waiting) Finish(number, RequestEnd::kRefusedNotRun);
@@ -316,12 +324,12 @@
   }
   const Duration there = world_.NetworkDelay(from, to);
   const Duration back = world_.NetworkDelay(to, from);
-  world_.queue.After(there, [this, name = target->name, request, reply, back] {
-    const auto server = backends_.services->find(name);
-    if (server == backends_.services->end())
-      return reply({BackendAnswer::kNotRun, request->id});
-    server->second->Accept(request, [this, reply, back](BackendReply answer) {
-      world_.queue.After(back, [reply, answer] { reply(answer); });
+  world_.queue.After(there, [&world = world_, services = backends_.services, name = target->name,
+                             request, reply, back] {
+    const auto server = services->find(name);
+    if (server == services->end()) return reply({BackendAnswer::kNotRun, request->id});
+    server->second->Accept(request, [&world, reply, back](BackendReply answer) {
+      world.queue.After(back, [reply, answer] { reply(answer); });
     });
   });
 }
@@ -342,7 +350,8 @@
   const auto found = active_.find(number);
   if (found == active_.end()) return;
   const Active& active = found->second;
-  const bool may_have_run = active.dispatched || active.retry.may_have_run();
+  // While another request with the key may be running, nobody can say "not run".
+  const bool may_have_run = active.dispatched || active.claiming || active.retry.may_have_run();
   Finish(number, may_have_run ? RequestEnd::kUnknown : RequestEnd::kRefusedNotRun);
 }
 
--- a/src/simulation/simulated_router.h
+++ b/src/simulation/simulated_router.h
@@ -55,6 +55,7 @@
     std::set<std::string> excluded;
     std::optional<QueueTicket> ticket;
     bool dispatched = false;
+    bool claiming = false;  ///< Its claim has no result yet.
     std::uint64_t attempt = 0;
     std::string last_backend;
   };
--- a/src/simulation/simulation.cc
+++ b/src/simulation/simulation.cc
@@ -13,6 +13,7 @@
 constexpr Timestamp kFirstMonday{std::chrono::seconds(1'767'571'200)};
 constexpr Duration kDemandChunk = std::chrono::hours(1);
 constexpr Duration kCheckInterval = std::chrono::seconds(5);
+constexpr Duration kRecoveryCheck = std::chrono::milliseconds(100);
 constexpr Duration kClientPatience = std::chrono::seconds(2);
 constexpr Duration kSettleTime = std::chrono::seconds(20);
 constexpr std::uint32_t kClientTries = 3;
@@ -239,10 +240,11 @@
 
 void Simulation::KillDaemon(SimulatedDaemon& daemon) {
   if (!daemon.process().alive()) return;
-  if (daemon.IsCoordinator()) leader_died_[daemon.zone()] = world_.queue.Now();
+  const bool led = daemon.IsCoordinator();
   const std::vector<SimulatedRequestPtr> requests = daemon.router().Requests();
   result_.suspicions += daemon.host().state().membership.suspicions;
   daemon.Kill();
+  if (led) WatchRecovery(daemon.zone(), world_.queue.Now());
   for (const SimulatedRequestPtr& request : requests)
     world_.queue.After(world_.NetworkDelay(daemon.zone(), request->zone),
                        [this, request] { OnClientConnectionBroken(request); });
@@ -260,6 +262,29 @@
   world_.queue.At(from + length, [this, next = from + length] { ScheduleDemand(next); });
 }
 
+/// Recovered: another coordinator acts and knows what every server holds, so that it can order.
+bool Simulation::HasRecovered(const ZoneName& zone) const {
+  for (const SimulatedDaemon* daemon : daemons_by_zone_.at(zone)) {
+    if (!daemon->IsCoordinator() || daemon->process().paused()) continue;
+    const State& state = daemon->host().state();
+    return std::all_of(state.servers.begin(), state.servers.end(), [&](const auto& entry) {
+      const auto engine = engines_.find(entry.first);
+      const bool alive = engine != engines_.end() && engine->second->alive();
+      return !alive || entry.second.report_received >= state.coordinator.active_since;
+    });
+  }
+  return false;
+}
+
+void Simulation::WatchRecovery(const ZoneName& zone, Timestamp died) {
+  if (HasRecovered(zone)) {
+    result_.recovery_seconds.push_back(ToSeconds(world_.queue.Now() - died));
+    return;
+  }
+  if (world_.queue.Now() > end_) return;
+  world_.queue.After(kRecoveryCheck, [this, zone, died] { WatchRecovery(zone, died); });
+}
+
 void Simulation::CheckRegularly() {
   if (injector_->Disturbing()) checkers_.OnDisturbance();
   checkers_.CheckConfigurationLate();
--- a/src/simulation/simulation.h
+++ b/src/simulation/simulation.h
@@ -42,7 +42,7 @@
   std::map<FaultKind, std::uint64_t> faults;
   std::map<Invariant, std::uint64_t> violation_counts;
   std::vector<Violation> violations;
-  std::vector<double> recovery_seconds;  ///< Leader's death to the next load ordered; sorted.
+  std::vector<double> recovery_seconds;  ///< Leader's death until another can order loads; sorted.
   std::uint64_t suspicions = 0;
   std::uint64_t key_value_reads = 0;
   std::uint64_t key_value_writes = 0;
@@ -72,6 +72,8 @@
   void End(const SimulatedRequestPtr& request, RequestEnd end);
   void KillDaemon(SimulatedDaemon& daemon);
   void ObserveCommit(const Transaction& transaction);
+  bool HasRecovered(const ZoneName& zone) const;
+  void WatchRecovery(const ZoneName& zone, Timestamp died);
   void CheckRegularly();
   void StartMeasuring();
   SimulationResult Collect();
@@ -98,7 +100,6 @@
   std::unique_ptr<Injector> injector_;
   SimulationResult result_;
   Revision last_head_ = 0;
-  std::map<ZoneName, Timestamp> leader_died_;
 };
 
 }  // namespace moorfold
--- a/src/simulation/world.h
+++ b/src/simulation/world.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <random>
 #include <set>
 #include <string>
--- a/src/standin/platform.cc
+++ b/src/standin/platform.cc
@@ -108,7 +108,7 @@
 
 json::value Platform::Administer(const HttpRequest& request) {
   const std::string call = request.method + " " + request.target;
-  if (call == "GET /machines") return json::value_from(machines_.Visible(clock_.Now()));
+  if (call == "GET /machines") return json::value_from(*machines_.Visible(clock_.Now()));
   if (call == "GET /admin/executions") return json::value_from(executions_.counts());
   if (call == "GET /admin/summary") {
     std::uint32_t loaded = 0;
