--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -47,5 +47,6 @@
 int RunConfirm(const std::vector<std::string>& arguments);
 int RunStatus(const std::vector<std::string>& arguments);
 int RunSimulate(const std::vector<std::string>& arguments);
+int RunLoadCommand(const std::vector<std::string>& arguments);
 
 }  // namespace moorfold
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -25,6 +25,8 @@
       {"plan", "states an intent; prints the plan and its id", RunPlan},
       {"confirm", "puts a plan in force", RunConfirm},
       {"status", "shows replicas, members and revisions of a zone", RunStatus},
+      {"load", "sends a scenario's requests to real daemons and checks the answers",
+       RunLoadCommand},
       {"simulate", "runs a scenario in virtual time with faults and checks", RunSimulate},
   };
   return kCommands;
--- a/src/cli/serve.cc
+++ b/src/cli/serve.cc
@@ -7,9 +7,9 @@
 #include <functional>
 
 #include "cli/command_line.h"
+#include "common/log_line.h"
 #include "config/settings_file.h"
 #include "daemon/daemon.h"
-#include "common/log_line.h"
 #include "platform/json_codec.h"
 
 namespace moorfold {
--- a/src/cli/simulate.cc
+++ b/src/cli/simulate.cc
@@ -52,8 +52,8 @@
 
 void PrintReplay(const std::string& file, const std::string& faults,
                  const std::vector<std::string>& settings, std::uint64_t seed) {
-  std::cerr << "replay: moorfold simulate --scenario " << file << " --seed " << seed
-            << " --faults " << faults;
+  std::cerr << "replay: moorfold simulate --scenario " << file << " --seed " << seed << " --faults "
+            << faults;
   for (const std::string& setting : settings) std::cerr << " --set " << setting;
   std::cerr << "\n";
 }
@@ -65,8 +65,8 @@
   TCLAP::ValueArg<std::string> scenario_file("", "scenario", "Scenario file (YAML)", true, "",
                                              "FILE", line.tclap());
   TCLAP::ValueArg<std::uint64_t> seed("", "seed", "First seed", false, 1, "N", line.tclap());
-  TCLAP::ValueArg<std::uint64_t> seeds("", "seeds", "How many seeds, one after the other", false,
-                                       1, "N", line.tclap());
+  TCLAP::ValueArg<std::uint64_t> seeds("", "seeds", "How many seeds, one after the other", false, 1,
+                                       "N", line.tclap());
   TCLAP::ValueArg<std::string> faults("", "faults", "none, scenario, chaos or chaos:KIND,KIND",
                                       false, "none", "MODE", line.tclap());
   TCLAP::MultiArg<std::string> settings("", "set", "Replaces a top-level value of the scenario",
--- a/src/config/scenario_file.cc
+++ b/src/config/scenario_file.cc
@@ -28,10 +28,10 @@
       map.Problem("hours", "'" + text + "' is no weight", "write 24 numbers from 0 to 1");
     }
   }
-  const bool valid = weights.empty() ||
-                     (weights.size() == kHoursPerDay &&
-                      std::all_of(weights.begin(), weights.end(),
-                                  [](double weight) { return weight >= 0 && weight <= 1; }));
+  const bool valid =
+      weights.empty() || (weights.size() == kHoursPerDay &&
+                          std::all_of(weights.begin(), weights.end(),
+                                      [](double weight) { return weight >= 0 && weight <= 1; }));
   if (!valid)
     map.Problem("hours", "'hours' are not 24 weights from 0 to 1",
                 "write one for each hour of the day (UTC)");
@@ -130,9 +130,10 @@
 
 const std::vector<std::string>& FaultKindNames() {
   static const std::vector<std::string> kNames = {
-      "process_killed", "load_aborted", "weight_store_slow", "machine_reclaimed", "kv_down",
-      "kv_slow",        "kv_answer_lost", "holder_paused",   "zone_cut",          "intents_conflict",
-      "message_lost",   "planned_stop", "list_lagged"};
+      "process_killed", "load_aborted",     "weight_store_slow", "machine_reclaimed",
+      "kv_down",        "kv_slow",          "kv_answer_lost",    "holder_paused",
+      "zone_cut",       "intents_conflict", "message_lost",      "planned_stop",
+      "list_lagged"};
   return kNames;
 }
 
--- a/src/config/scenario_file.h
+++ b/src/config/scenario_file.h
@@ -38,16 +38,16 @@
 /// Requests for models: bursts after idle times, as the deployments know them.
 struct ModelDemandTraits {
   std::string name;
-  std::string models;           ///< A name, or a prefix followed by '*'.
-  double adapter_share = 0;     ///< Requests that call an adapter, where the model has any.
-  double bursts_per_hour = 0;   ///< Of each model, in the busiest hour.
+  std::string models;          ///< A name, or a prefix followed by '*'.
+  double adapter_share = 0;    ///< Requests that call an adapter, where the model has any.
+  double bursts_per_hour = 0;  ///< Of each model, in the busiest hour.
   HourWeights hours;
-  double weekend = 1;           ///< Factor on Saturdays and Sundays.
+  double weekend = 1;             ///< Factor on Saturdays and Sundays.
   double requests_per_burst = 1;  ///< Mean.
-  Duration spacing{0};          ///< Mean time between the requests of a burst.
-  std::uint32_t routers = 1;    ///< The first requests arrive at so many daemons at once.
+  Duration spacing{0};            ///< Mean time between the requests of a burst.
+  std::uint32_t routers = 1;      ///< The first requests arrive at so many daemons at once.
   std::uint32_t tokens = 16;
-  std::uint32_t prompts = 4;    ///< Distinct prompts (floor policies, dossiers) per model.
+  std::uint32_t prompts = 4;  ///< Distinct prompts (floor policies, dossiers) per model.
 };
 
 /// Requests for ordinary back ends.
@@ -75,8 +75,8 @@
   std::uint32_t first_weekday = 0;  ///< 0: Monday.
   CoreSettings core;
   double demand_scale = 1;
-  double shift_hours = 0;       ///< Moves the measured days' demand, as a holiday or change of shift.
-  double night_bursts = 0;      ///< Extra bursts an hour, of any model, at any hour.
+  double shift_hours = 0;   ///< Moves the measured days' demand, as a holiday or change of shift.
+  double night_bursts = 0;  ///< Extra bursts an hour, of any model, at any hour.
   double changes_per_hour = 0;  ///< Confirmed changes of configuration.
   std::vector<ModelDemandTraits> demand;
   std::vector<ServiceDemandTraits> service_demand;
--- a/src/core/claims/claim_messages.h
+++ b/src/core/claims/claim_messages.h
@@ -91,7 +91,7 @@
   bool complete = false;  ///< The last of the messages that make up the reply.
 };
 
-using ClaimMessage = std::variant<ClaimRequest, ClaimReply, ClaimUpdate, ClaimTransferRequest,
-                                  ClaimTransferReply>;
+using ClaimMessage =
+    std::variant<ClaimRequest, ClaimReply, ClaimUpdate, ClaimTransferRequest, ClaimTransferReply>;
 
 }  // namespace moorfold
--- a/src/core/claims/claim_views.cc
+++ b/src/core/claims/claim_views.cc
@@ -22,10 +22,9 @@
   std::vector<ClaimOwner> living;
   for (const DaemonName& name : membership_.alive) {
     const auto member = membership_.members.find(name);
-    const Incarnation boot =
-        name == self_.name
-            ? self_.incarnation
-            : (member == membership_.members.end() ? 0 : member->second.boot);
+    const Incarnation boot = name == self_.name
+                                 ? self_.incarnation
+                                 : (member == membership_.members.end() ? 0 : member->second.boot);
     if (boot != 0) living.push_back({name, self_.zone, boot});
   }
   std::vector<ClaimOwner> owners;
--- a/src/core/effects.h
+++ b/src/core/effects.h
@@ -57,10 +57,9 @@
   std::vector<std::pair<std::string, std::string>> fields;
 };
 
-using Effect =
-    std::variant<SendMessage, ReadLedger, SwapLedger, ReadConfiguration, WatchConfiguration,
-                 ReadClaimView, SwapClaimView, AdoptClaimView, PollServer, SendOrder,
-                 PublishRouting, PublishLoads, LogRecord>;
+using Effect = std::variant<SendMessage, ReadLedger, SwapLedger, ReadConfiguration,
+                            WatchConfiguration, ReadClaimView, SwapClaimView, AdoptClaimView,
+                            PollServer, SendOrder, PublishRouting, PublishLoads, LogRecord>;
 using Effects = std::vector<Effect>;
 
 }  // namespace moorfold
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -58,10 +58,10 @@
 /// The operator or the platform asked this daemon to stop.
 struct StopRequested {};
 
-using EventBody =
-    std::variant<Tick, MessageReceived, MachineListRead, ConfigurationSnapshotRead,
-                 ConfigurationDeltaRead, LedgerRead, LedgerSwapFinished, ClaimViewRead, ClaimViewSwapFinished, ServerReported,
-                 ServerUnreachable, OrderFinished, DemandObserved, StopRequested>;
+using EventBody = std::variant<Tick, MessageReceived, MachineListRead, ConfigurationSnapshotRead,
+                               ConfigurationDeltaRead, LedgerRead, LedgerSwapFinished,
+                               ClaimViewRead, ClaimViewSwapFinished, ServerReported,
+                               ServerUnreachable, OrderFinished, DemandObserved, StopRequested>;
 
 /// Everything a reducer may know: what happened, when, and one random number to draw from.
 struct Event {
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -140,26 +140,25 @@
     auto shared = std::make_shared<decltype(handler)>(std::move(handler));
     // The result is handed back to the caller's own thread.
     const auto executor = boost::asio::get_associated_executor(*shared);
-    boost::asio::post(context_, [this, key = std::move(key), holder = std::move(holder), shared,
-                                 executor] {
-      const std::uint64_t call = next_claim_call_++;
-      claim_calls_[call] = [shared, executor](ClaimResult result) {
-        boost::asio::post(executor, [shared, result = std::move(result)]() mutable {
-          std::move (*shared)(std::move(result));
+    boost::asio::post(
+        context_, [this, key = std::move(key), holder = std::move(holder), shared, executor] {
+          const std::uint64_t call = next_claim_call_++;
+          claim_calls_[call] = [shared, executor](ClaimResult result) {
+            boost::asio::post(executor, [shared, result = std::move(result)]() mutable {
+              std::move (*shared)(std::move(result));
+            });
+          };
+          host_->Claim(call, key, holder);
         });
-      };
-      host_->Claim(call, key, holder);
-    });
   };
   return boost::asio::async_initiate<const boost::asio::use_awaitable_t<>, void(ClaimResult)>(
       std::move(initiate), boost::asio::use_awaitable);
 }
 
 void ControlLoop::Finish(std::string key, std::string holder, KeptAnswer answer) {
-  boost::asio::post(context_, [this, key = std::move(key), holder = std::move(holder),
-                               answer = std::move(answer)] {
-    host_->FinishClaim(key, holder, answer);
-  });
+  boost::asio::post(context_,
+                    [this, key = std::move(key), holder = std::move(holder),
+                     answer = std::move(answer)] { host_->FinishClaim(key, holder, answer); });
 }
 
 void ControlLoop::GiveBack(std::string key, std::string holder) {
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -62,7 +62,9 @@
   shared_.worker_count = settings_.threads;
   shared_.limits = {settings_.max_queued_per_model, settings_.max_queued_bytes,
                     settings_.max_requests_per_caller};
-  shared_.nudge_core = [this] { boost::asio::post(control_, [this] { control_loop_->host().OnNudge(); }); };
+  shared_.nudge_core = [this] {
+    boost::asio::post(control_, [this] { control_loop_->host().OnNudge(); });
+  };
   shared_.wake_waiting = [this] {
     for (const std::unique_ptr<Worker>& worker : workers_)
       boost::asio::post(worker->context, [target = worker.get()] { target->models.WakeWaiting(); });
--- a/src/host/core_host.cc
+++ b/src/host/core_host.cc
@@ -40,8 +40,7 @@
 
 void CoreHost::ScheduleDemand() {
   ports_.scheduler->After(settings_.demand_interval, WhileAlive([this] {
-                            std::vector<DemandSample> samples =
-                                ports_.observer->TakeDemand(false);
+                            std::vector<DemandSample> samples = ports_.observer->TakeDemand(false);
                             if (!samples.empty()) Dispatch(DemandObserved{std::move(samples)});
                             ScheduleDemand();
                           }));
@@ -175,13 +174,12 @@
 }
 
 void CoreHost::Carry(const ReadClaimView&) {
-  ports_.documents->ReadClaimView(
-      WhileAlive([this](const Outcome<std::optional<ClaimView>>& read) {
-        if (read.ok())
-          Dispatch(ClaimViewRead{read.value()});
-        else
-          LogFailure("claim_view_read_failed", read.failure());
-      }));
+  ports_.documents->ReadClaimView(WhileAlive([this](const Outcome<std::optional<ClaimView>>& read) {
+    if (read.ok())
+      Dispatch(ClaimViewRead{read.value()});
+    else
+      LogFailure("claim_view_read_failed", read.failure());
+  }));
 }
 
 void CoreHost::Carry(const SwapClaimView& effect) {
--- a/src/peer/message_codec.h
+++ b/src/peer/message_codec.h
@@ -3,8 +3,8 @@
 #include <string>
 #include <string_view>
 
-#include "core/messages.h"
 #include "core/claims/claim_messages.h"
+#include "core/messages.h"
 
 namespace moorfold {
 
--- a/src/platform/document_store.cc
+++ b/src/platform/document_store.cc
@@ -62,9 +62,9 @@
     if (!result.ok()) return done(result.failure());
     try {
       const std::optional<T> document = DecodeFirst<T>(result.value());
-      known_[key] = document ? StoredNumber{NumberOf(*document),
-                                            result.value().entries.front().mod_revision}
-                             : StoredNumber{};
+      known_[key] =
+          document ? StoredNumber{NumberOf(*document), result.value().entries.front().mod_revision}
+                   : StoredNumber{};
       done(document);
     } catch (const DecodeError& error) {
       done(Undecodable(error));
@@ -77,8 +77,7 @@
                                  std::function<void(SwapOutcome)> done) {
   const auto known = known_.find(key);
   if (known != known_.end() && known->second.number == expected)
-    return WriteDocument(key, ToJson(proposed), known->second, NumberOf(proposed),
-                         std::move(done));
+    return WriteDocument(key, ToJson(proposed), known->second, NumberOf(proposed), std::move(done));
   // The expected number was learned from a peer: the service is asked for its own number of it.
   ReadDocument<T>(key, [this, key, expected, proposed,
                         done = std::move(done)](const Outcome<std::optional<T>>& result) {
@@ -94,18 +93,17 @@
   Transaction transaction;
   transaction.comparisons.push_back({key, before.mod_revision});
   transaction.operations.emplace_back(PutOperation{key, std::move(text), 0});
-  store_.Transact(
-      std::move(transaction),
-      [this, key, number, done = std::move(done)](const Outcome<TransactionResult>& result) {
-        known_.erase(key);
-        if (!result.ok()) {
-          const bool untouched = result.failure().fault != PlatformFault::kNoAnswer;
-          return done(untouched ? SwapOutcome::kConflict : SwapOutcome::kUnknown);
-        }
-        if (!result.value().succeeded) return done(SwapOutcome::kConflict);
-        known_[key] = {number, result.value().revision};
-        done(SwapOutcome::kCommitted);
-      });
+  store_.Transact(std::move(transaction), [this, key, number, done = std::move(done)](
+                                              const Outcome<TransactionResult>& result) {
+    known_.erase(key);
+    if (!result.ok()) {
+      const bool untouched = result.failure().fault != PlatformFault::kNoAnswer;
+      return done(untouched ? SwapOutcome::kConflict : SwapOutcome::kUnknown);
+    }
+    if (!result.value().succeeded) return done(SwapOutcome::kConflict);
+    known_[key] = {number, result.value().revision};
+    done(SwapOutcome::kCommitted);
+  });
 }
 
 void DocumentStore::ReadLedger(const ZoneName& zone,
--- a/src/request/call.cc
+++ b/src/request/call.cc
@@ -23,8 +23,7 @@
   const boost::json::value body = boost::json::parse(response.body, error);
   if (error || !body.is_object()) return refusal;
   const boost::json::value* executed = body.get_object().if_contains("executed");
-  refusal.not_run =
-      executed != nullptr && executed->is_string() && executed->get_string() == "no";
+  refusal.not_run = executed != nullptr && executed->is_string() && executed->get_string() == "no";
   const boost::json::value* problem = body.get_object().if_contains("error");
   if (problem == nullptr || !problem->is_object()) return refusal;
   const boost::json::value* code = problem->get_object().if_contains("code");
@@ -109,8 +108,7 @@
     const HttpHeaders headers = upstream->headers();
     if (IsForeignAnswer(headers, call)) {
       upstream->Cancel();
-      co_return Attempt{AttemptEnd::kMayHaveRun, "the back end answered another request",
-                        false};
+      co_return Attempt{AttemptEnd::kMayHaveRun, "the back end answered another request", false};
     }
     call.upstream = upstream.get();
     if (IsEventStream(headers))
--- a/src/request/claims/claim_node.cc
+++ b/src/request/claims/claim_node.cc
@@ -148,8 +148,8 @@
     reply.verdict = ClaimVerdict::kHeldByOther;
     return reply;
   }
-  claims[request.holder] = {request.key, request.holder, ClaimState::kClaimed, {},
-                            Microseconds(now + kClaimRetention)};
+  claims[request.holder] = {
+      request.key, request.holder, ClaimState::kClaimed, {}, Microseconds(now + kClaimRetention)};
   reply.verdict = ClaimVerdict::kGranted;
   return reply;
 }
@@ -238,8 +238,8 @@
 void ClaimNode::On(const DaemonName& from, const ClaimTransferRequest& request, Timestamp now,
                    ClaimOutput& output) {
   lowest_view_ = std::max(lowest_view_, request.view);
-  ClaimTransferReply reply{request.view, request.boot, request.boot != boot_, served_view_, {},
-                           false};
+  ClaimTransferReply reply{request.view, request.boot, request.boot != boot_,
+                           served_view_, {},           false};
   const ClaimTransferReply empty = reply;
   for (const auto& [key, claims] : records_) {
     for (const auto& [holder, record] : claims) {
--- a/src/request/claims/claim_node.h
+++ b/src/request/claims/claim_node.h
@@ -97,7 +97,7 @@
   Incarnation boot_;
   ClaimView view_;
   Timestamp view_since_{};
-  bool serving_ = false;       ///< Owner of the view, with all that was claimed before it.
+  bool serving_ = false;           ///< Owner of the view, with all that was claimed before it.
   std::uint64_t served_view_ = 0;  ///< The last view this node served as an owner.
   std::uint64_t lowest_view_ = 0;  ///< Grants nothing in older ones.
   std::map<ClaimOwner, std::uint64_t> answered_;  ///< Old owners that sent all, and served_view.
--- a/src/request/claims/claim_service.h
+++ b/src/request/claims/claim_service.h
@@ -2,8 +2,8 @@
 
 #include <string>
 
-#include "http/http_types.h"
 #include "core/claims/claim_messages.h"
+#include "http/http_types.h"
 
 namespace moorfold {
 
--- a/src/request/model_router.cc
+++ b/src/request/model_router.cc
@@ -166,8 +166,8 @@
   }
   const std::shared_ptr<Waiting> waiting = WaitingFor(route->called_as);
   if (waiting->queue.size() == 0) {
-    std::optional<Target> target = AcquireReplica(
-          *route, call.prefix_hash, excluded, Microseconds(std::chrono::steady_clock::now()));
+    std::optional<Target> target = AcquireReplica(*route, call.prefix_hash, excluded,
+                                                  Microseconds(std::chrono::steady_clock::now()));
     if (target) co_return target;
   }
   QueuedRequest queued(shared_, waiting, route->counters, call, body_bytes);
@@ -184,8 +184,8 @@
       co_return std::nullopt;
     }
     if (queued.first()) {
-      std::optional<Target> target = AcquireReplica(
-          *route, call.prefix_hash, excluded, Microseconds(std::chrono::steady_clock::now()));
+      std::optional<Target> target = AcquireReplica(*route, call.prefix_hash, excluded,
+                                                    Microseconds(std::chrono::steady_clock::now()));
       if (target) co_return target;
     }
     if (route->targets.empty()) call.was_cold = true;
@@ -245,11 +245,11 @@
   if (counters->waiting.load(std::memory_order_relaxed) > 0) shared_.wake_waiting();
   if (attempt.end == AttemptEnd::kAnswered) {
     target.load->RecordSuccess();
-    counters->RecordService(static_cast<std::uint64_t>(Microseconds(ended) -
-                                                       Microseconds(started)));
+    counters->RecordService(
+        static_cast<std::uint64_t>(Microseconds(ended) - Microseconds(started)));
     if (call.was_cold)
-      counters->RecordColdWait(static_cast<std::uint64_t>(Microseconds(started) -
-                                                          Microseconds(call.arrival)));
+      counters->RecordColdWait(
+          static_cast<std::uint64_t>(Microseconds(started) - Microseconds(call.arrival)));
   } else if (attempt.leaving) {
     target.load->RecordLeaving(Microseconds(ended));
   } else if (attempt.end != AttemptEnd::kNotRun) {
--- a/src/request/retry_policy.h
+++ b/src/request/retry_policy.h
@@ -24,10 +24,10 @@
 };
 
 enum class AfterAttempt : std::uint8_t {
-  kDone,            ///< The caller has its answer.
-  kTryAgain,        ///< Elsewhere, or later.
-  kRefuseNotRun,    ///< Nothing ran: say so.
-  kReportUnknown,   ///< It may have run: say so, never try again.
+  kDone,           ///< The caller has its answer.
+  kTryAgain,       ///< Elsewhere, or later.
+  kRefuseNotRun,   ///< Nothing ran: say so.
+  kReportUnknown,  ///< It may have run: say so, never try again.
 };
 
 /// What follows an attempt of one request. Keeps count of the attempts.
--- a/src/request/routing_table.cc
+++ b/src/request/routing_table.cc
@@ -63,10 +63,10 @@
   std::vector<ReplicaCandidate> candidates;
   candidates.reserve(route.targets.size());
   for (const Target& target : route.targets)
-    candidates.push_back({target.name, target.load->in_flight.load(std::memory_order_relaxed),
-                          target.load->reported.load(std::memory_order_relaxed), limit,
-                          target.load->SetAside(now_microseconds) ||
-                              excluded.contains(target.name)});
+    candidates.push_back(
+        {target.name, target.load->in_flight.load(std::memory_order_relaxed),
+         target.load->reported.load(std::memory_order_relaxed), limit,
+         target.load->SetAside(now_microseconds) || excluded.contains(target.name)});
   const std::optional<std::size_t> picked = PickReplica(candidates, prefix_hash);
   if (!picked) return std::nullopt;
   const Target& target = route.targets[*picked];
@@ -152,7 +152,7 @@
 }
 
 ModelRouteConstPtr RoutingTableBuilder::BuildRoute(const State& state, const ModelIntent& model,
-                                                  const AdapterName& adapter) {
+                                                   const AdapterName& adapter) {
   auto route = std::make_shared<ModelRoute>();
   route->model = model;
   route->model.adapters.clear();  // Not needed on the path of a request.
--- a/src/request/service_router.cc
+++ b/src/request/service_router.cc
@@ -113,8 +113,7 @@
 }
 
 Awaitable<Attempt> ServiceRouter::TryTarget(HttpServerExchange& exchange, Call& call,
-                                            const Destination& destination,
-                                            const Target& target) {
+                                            const Destination& destination, const Target& target) {
   target.load->in_flight.fetch_add(1, std::memory_order_relaxed);
   Attempt attempt = co_await ForwardOnce(client_, exchange, call, target.endpoint,
                                          MakeRequest(exchange.request(), destination, call), [] {});
--- a/src/simulation/checkers.cc
+++ b/src/simulation/checkers.cc
@@ -6,10 +6,11 @@
 namespace {
 
 constexpr std::array<const char*, kInvariants> kInvariantNames = {
-    "replicas_over_decided", "memory_overcommitted",       "request_dropped",
-    "answer_mismatched",     "refused_but_run",            "ran_twice",
-    "work_to_leaving",       "stream_cut_by_planned_stop", "configuration_reverted",
-    "configuration_late"};
+    "replicas_over_decided",  "memory_overcommitted",
+    "request_dropped",        "answer_mismatched",
+    "refused_but_run",        "ran_twice",
+    "work_to_leaving",        "stream_cut_by_planned_stop",
+    "configuration_reverted", "configuration_late"};
 
 constexpr std::size_t kChainLength = 40;
 constexpr std::size_t kKeptViolations = 20;
@@ -108,8 +109,8 @@
 void Checkers::OnWorkArrived(const std::string& server, Timestamp leaving_since) {
   const Duration leaving = world_.queue.Now() - std::max(leaving_since, last_disturbance_);
   if (leaving > kLeavingLimit)
-    Violate(Invariant::kWorkToLeaving,
-            server + " got work " + std::to_string(ToSeconds(leaving)) + " s after it said leaving");
+    Violate(Invariant::kWorkToLeaving, server + " got work " + std::to_string(ToSeconds(leaving)) +
+                                           " s after it said leaving");
 }
 
 void Checkers::OnCutByPlannedStop(const SimulatedRequest& request) {
--- a/src/simulation/demand_generator.cc
+++ b/src/simulation/demand_generator.cc
@@ -85,12 +85,10 @@
 }
 
 void DemandGenerator::AddServiceRequests(const ServiceDemandTraits& traits, Timestamp from,
-                                         Duration length,
-                                         std::vector<SimulatedRequest>& requests) {
+                                         Duration length, std::vector<SimulatedRequest>& requests) {
   const ServiceIntent& service = scenario_.intent.services.at(traits.service);
   const double hours = ToSeconds(length) / kSecondsPerHour;
-  const std::uint64_t count =
-      Poisson(traits.per_hour * RateAt(traits.hours, 1, from) * hours);
+  const std::uint64_t count = Poisson(traits.per_hour * RateAt(traits.hours, 1, from) * hours);
   const std::vector<ZoneName>& zones = scenario_.deployment.zones;
   for (std::uint64_t index = 0; index < count; ++index) {
     SimulatedRequest request;
--- a/src/simulation/operators.cc
+++ b/src/simulation/operators.cc
@@ -21,14 +21,14 @@
   const Plan plan = MakePlan(base, intent, Fleet{}, PlanId(base.revision, intent));
   Plan accepted = plan;
   accepted.refusals.clear();  // Checked when the scenario was read; the fleet is not asked here.
-  documents_.StorePlan(accepted, [this, id = plan.id,
-                                  done](const std::optional<PlatformFailure>& failure) {
-    if (failure) return done(false);
-    documents_.ConfirmPlan(id, [done](const ConfirmResult& result) {
-      done(result.outcome == ConfirmOutcome::kConfirmed ||
-           result.outcome == ConfirmOutcome::kAlreadyConfirmed);
-    });
-  });
+  documents_.StorePlan(accepted,
+                       [this, id = plan.id, done](const std::optional<PlatformFailure>& failure) {
+                         if (failure) return done(false);
+                         documents_.ConfirmPlan(id, [done](const ConfirmResult& result) {
+                           done(result.outcome == ConfirmOutcome::kConfirmed ||
+                                result.outcome == ConfirmOutcome::kAlreadyConfirmed);
+                         });
+                       });
 }
 
 void SimulatedOperators::ConfirmFirst() {
--- a/src/simulation/result_report.cc
+++ b/src/simulation/result_report.cc
@@ -25,8 +25,7 @@
 
 double Percentile(const std::vector<double>& sorted, double share) {
   if (sorted.empty()) return 0;
-  const auto rank =
-      static_cast<std::size_t>(std::ceil(share * static_cast<double>(sorted.size())));
+  const auto rank = static_cast<std::size_t>(std::ceil(share * static_cast<double>(sorted.size())));
   return sorted[std::min(sorted.size() - 1, rank == 0 ? 0 : rank - 1)];
 }
 
@@ -103,7 +102,8 @@
          << "  configuration " << result.configuration_changes << " changes, in force after p50 "
          << Percentile(result.in_force_seconds, 0.5) << " s, max "
          << Percentile(result.in_force_seconds, 1) << " s\n"
-         << "  recovery    " << result.recovery_seconds.size() << " leaders lost, loads can be ordered again after p50 "
+         << "  recovery    " << result.recovery_seconds.size()
+         << " leaders lost, loads can be ordered again after p50 "
          << Percentile(result.recovery_seconds, 0.5) << " s, max "
          << Percentile(result.recovery_seconds, 1) << " s\n"
          << "  key-value   " << result.key_value_reads << " reads, " << result.key_value_writes
--- a/src/simulation/simulated_daemon.cc
+++ b/src/simulation/simulated_daemon.cc
@@ -21,8 +21,8 @@
   daemons_[name] = {std::move(zone), std::move(deliver)};
 }
 
-void SimulatedNetwork::Send(const DaemonName& from, const ZoneName& from_zone,
-                            const DaemonName& to, PeerPayload payload) {
+void SimulatedNetwork::Send(const DaemonName& from, const ZoneName& from_zone, const DaemonName& to,
+                            PeerPayload payload) {
   const std::size_t size =
       count_bytes_ ? EncodePayload(payload).size() + kFrameOverhead + from.size() : 0;
   Traffic& sent = sent_[from];
@@ -61,8 +61,8 @@
  public:
   explicit Observer(SimulatedDaemon& daemon) : daemon_(daemon) {}
   void OnRoutingChanged(const State& state) override {
-    daemon_.surroundings_.checkers->OnConfigurationInForce(
-        daemon_.name_, daemon_.process_.life(), state.configuration.revision);
+    daemon_.surroundings_.checkers->OnConfigurationInForce(daemon_.name_, daemon_.process_.life(),
+                                                           state.configuration.revision);
     if (daemon_.parts_ && daemon_.parts_->router) daemon_.parts_->router->OnRoutingChanged();
   }
   void OnLoadsChanged(const std::vector<ServerLoad>& loads) override {
@@ -174,8 +174,7 @@
     return;
   }
   surroundings_.world->queue.After(
-      kDrainCheck,
-      process_.Gate([this, stopped = std::move(stopped)] { AwaitDrained(stopped); }));
+      kDrainCheck, process_.Gate([this, stopped = std::move(stopped)] { AwaitDrained(stopped); }));
 }
 
 bool SimulatedDaemon::IsCoordinator() const {
--- a/src/simulation/simulated_engine.cc
+++ b/src/simulation/simulated_engine.cc
@@ -75,8 +75,8 @@
   accounted_ = now;
   if (elapsed <= 0) return;
   for (const EngineModel::ReplicaUse& use : model_.Uses()) {
-    const double share = static_cast<double>(use.memory) /
-                         static_cast<double>(machine_.memory) * machine_.accelerators;
+    const double share = static_cast<double>(use.memory) / static_cast<double>(machine_.memory) *
+                         machine_.accelerators;
     usage_.loaded_accelerator_seconds += share * elapsed;
     if (use.ready && use.running == 0) usage_.idle_accelerator_seconds += share * elapsed;
   }
@@ -291,16 +291,16 @@
   const Duration there = world_.NetworkDelay(zone_, zone);
   const Duration back = world_.NetworkDelay(zone, zone_);
   // From here on the daemon may be gone: nothing below touches this object.
-  world_.queue.After(there, [&world = world_, &engines = engines_, name = server.name, reply,
-                             back] {
-    const auto engine = engines.find(name);
-    const bool answers = engine != engines.end() && engine->second->alive();
-    Outcome<ServerReport> outcome =
-        answers ? Outcome<ServerReport>(engine->second->Report())
-                : Outcome<ServerReport>(
-                      PlatformFailure{PlatformFault::kUnavailable, "the engine is down"});
-    world.queue.After(back, [reply, outcome = std::move(outcome)] { reply(outcome); });
-  });
+  world_.queue.After(
+      there, [&world = world_, &engines = engines_, name = server.name, reply, back] {
+        const auto engine = engines.find(name);
+        const bool answers = engine != engines.end() && engine->second->alive();
+        Outcome<ServerReport> outcome =
+            answers ? Outcome<ServerReport>(engine->second->Report())
+                    : Outcome<ServerReport>(
+                          PlatformFailure{PlatformFault::kUnavailable, "the engine is down"});
+        world.queue.After(back, [reply, outcome = std::move(outcome)] { reply(outcome); });
+      });
 }
 
 void SimulatedModelEngine::Misdirect(SimulatedEngines& engines, const ZoneName& zone,
@@ -318,8 +318,9 @@
 void SimulatedModelEngine::Execute(const Machine& server, Order order, OrderCallback done) {
   auto reply = process_.Gate(std::move(done));
   if (world_.Cut(zone_, server.zone)) {
-    world_.queue.After(kConnectTimeout,
-                       [reply] { reply(OrderResult{OrderOutcome::kFailed, std::nullopt}); });
+    world_.queue.After(kConnectTimeout, [reply] {
+      reply(OrderResult{OrderOutcome::kFailed, std::nullopt});
+    });
     return;
   }
   const Duration back = world_.NetworkDelay(server.zone, zone_);
@@ -334,8 +335,7 @@
       Misdirect(engines, zone, order);
     const auto engine = engines.find(order.server);
     if (engine == engines.end() || !engine->second->alive()) {
-      world.queue.After(back,
-                        [reply] { reply(OrderResult{OrderOutcome::kFailed, std::nullopt}); });
+      world.queue.After(back, [reply] { reply(OrderResult{OrderOutcome::kFailed, std::nullopt}); });
       return;
     }
     // A lost answer: the order was carried out and nobody hears of it.
--- a/src/simulation/simulated_key_value_store.cc
+++ b/src/simulation/simulated_key_value_store.cc
@@ -83,9 +83,8 @@
   auto reply = process_.Gate(std::move(done));
   ++(write ? service_.writes : service_.reads);
   if (!service_.ReachableFrom(zone_))
-    return queue.After(kCallTimeout, [reply] {
-      reply(Outcome<T>(Failure(PlatformFault::kUnavailable)));
-    });
+    return queue.After(kCallTimeout,
+                       [reply] { reply(Outcome<T>(Failure(PlatformFault::kUnavailable))); });
   const Duration latency = service_.Latency();
   const Timestamp gives_up = queue.Now() + kCallTimeout;
   if (!service_.TakeToken())
@@ -177,10 +176,10 @@
   watcher.zone = zone_;
   // A destroyed handle ends deliveries under way, too.
   const auto open = std::make_shared<bool>(true);
-  watcher.changed = [open, gate = process_.Gate([open, changed = std::move(changed)](
-                                                    const WatchBatch& batch) {
-                       if (*open) changed(batch);
-                     })](WatchBatch batch) { gate(std::move(batch)); };
+  watcher.changed =
+      [open, gate = process_.Gate([open, changed = std::move(changed)](const WatchBatch& batch) {
+        if (*open) changed(batch);
+      })](WatchBatch batch) { gate(std::move(batch)); };
   watcher.ended = [&queue, end](PlatformFailure failure) {
     queue.After(Duration{0}, [end, failure = std::move(failure)] { end(failure); });
   };
--- a/src/simulation/simulated_router.cc
+++ b/src/simulation/simulated_router.cc
@@ -49,11 +49,18 @@
   return route;
 }
 
-void SimulatedRouter::Submit(const SimulatedRequestPtr& request, bool forwarded,
-                             RequestDone done) {
+void SimulatedRouter::Submit(const SimulatedRequestPtr& request, bool forwarded, RequestDone done) {
   const std::uint64_t number = next_++;
-  active_.emplace(number, Active{request, std::move(done), forwarded,
-                                 RetryPolicy(request->repeatable, budget_), {}, {}, false, false, 0, {}});
+  active_.emplace(number, Active{request,
+                                 std::move(done),
+                                 forwarded,
+                                 RetryPolicy(request->repeatable, budget_),
+                                 {},
+                                 {},
+                                 false,
+                                 false,
+                                 0,
+                                 {}});
   budget_.Earn();
   world_.queue.At(RefusalTimeOf(*request), process_.Gate([this, number] { OnDeadline(number); }));
   if (host_.state().configuration.revision == 0) return Finish(number, RequestEnd::kRefusedNotRun);
@@ -75,8 +82,8 @@
 
 bool SimulatedRouter::TryDispatch(std::uint64_t number, const ModelRoute& route) {
   Active& active = active_.at(number);
-  const std::optional<Target> target = AcquireReplica(route, active.request->prefix_hash,
-                                                      active.excluded, NowMicroseconds());
+  const std::optional<Target> target =
+      AcquireReplica(route, active.request->prefix_hash, active.excluded, NowMicroseconds());
   if (!target) return false;
   Dispatch(number, RouteFor(*active.request), *target);
   return true;
@@ -93,16 +100,16 @@
   const std::int64_t deadline = active.request->deadline.time_since_epoch().count();
   active.ticket = queue.queue.Enter(active.request->priority, deadline, kQueueLimit);
   if (!active.ticket)
-    return Finish(number, active.retry.may_have_run() ? RequestEnd::kUnknown
-                                                      : RequestEnd::kRefusedNotRun);
+    return Finish(number,
+                  active.retry.may_have_run() ? RequestEnd::kUnknown : RequestEnd::kRefusedNotRun);
   queue.requests[*active.ticket] = number;
   route.counters->waiting.fetch_add(1);
   if (route.targets.empty()) active.request->cold = true;
   const double waited = ToSeconds(world_.queue.Now() - active.request->arrival);
   const double left = ToSeconds(active.request->deadline - world_.queue.Now());
   if (PredictAnswerSeconds(route, queue.queue.Position(*active.ticket), waited) > left)
-    return Finish(number, active.retry.may_have_run() ? RequestEnd::kUnknown
-                                                      : RequestEnd::kRefusedNotRun);
+    return Finish(number,
+                  active.retry.may_have_run() ? RequestEnd::kUnknown : RequestEnd::kRefusedNotRun);
   if (!route.counters->nudged.exchange(true))
     world_.queue.After(Duration{0}, process_.Gate([this] { host_.OnNudge(); }));
 }
@@ -168,8 +175,9 @@
   }
   const auto engine = backends_.engines->find(target.name);
   if (engine == backends_.engines->end()) {
-    world_.queue.After(kConnectTimeout,
-                       [reply, request] { reply({BackendAnswer::kNotRun, request->id}); });
+    world_.queue.After(kConnectTimeout, [reply, request] {
+      reply({BackendAnswer::kNotRun, request->id});
+    });
     return;
   }
   const ZoneName zone = host_.state().self.zone;
@@ -183,10 +191,11 @@
                              request, reply, first_token, back] {
     const auto server = engines->find(name);
     if (server == engines->end()) return reply({BackendAnswer::kNotRun, request->id});
-    server->second->Accept(request, [first_token] { first_token(); },
-                           [&world, reply, back](BackendReply answer) {
-                             world.queue.After(back, [reply, answer] { reply(answer); });
-                           });
+    server->second->Accept(
+        request, [first_token] { first_token(); },
+        [&world, reply, back](BackendReply answer) {
+          world.queue.After(back, [reply, answer] { reply(answer); });
+        });
   });
 }
 
@@ -255,8 +264,7 @@
 
 void SimulatedRouter::StartService(std::uint64_t number) {
   Active& active = active_.at(number);
-  if (active.request->key.empty() || world_.bugs.claims_are_skipped)
-    return DispatchService(number);
+  if (active.request->key.empty() || world_.bugs.claims_are_skipped) return DispatchService(number);
   active.claiming = true;
   claim_calls_[number] = number;
   // The holder is unique to this request at this daemon.
@@ -304,8 +312,8 @@
     if (!target) target = PickBackend(*route, "", NowMicroseconds());
   }
   if (!target)
-    return Finish(number, active.retry.may_have_run() ? RequestEnd::kUnknown
-                                                      : RequestEnd::kRefusedNotRun);
+    return Finish(number,
+                  active.retry.may_have_run() ? RequestEnd::kUnknown : RequestEnd::kRefusedNotRun);
   active.dispatched = true;
   const std::uint64_t attempt = ++active.attempt;
   target->load->in_flight.fetch_add(1);
@@ -318,8 +326,9 @@
   const ZoneName from = state.self.zone;
   const ZoneName to = found == backends_.services->end() ? from : found->second->machine().zone;
   if (found == backends_.services->end() || world_.Cut(from, to)) {
-    world_.queue.After(kConnectTimeout,
-                       [reply, request] { reply({BackendAnswer::kNotRun, request->id}); });
+    world_.queue.After(kConnectTimeout, [reply, request] {
+      reply({BackendAnswer::kNotRun, request->id});
+    });
     return;
   }
   const Duration there = world_.NetworkDelay(from, to);
@@ -359,8 +368,7 @@
   const auto found = active_.find(number);
   if (found == active_.end()) return;
   Active active = std::move(found->second);
-  const ModelRouteConstPtr route =
-      active.request->is_service ? nullptr : RouteFor(*active.request);
+  const ModelRouteConstPtr route = active.request->is_service ? nullptr : RouteFor(*active.request);
   LeaveQueue(active, route.get());
   active_.erase(found);
   const bool claimed = active.request->is_service && !active.request->key.empty() &&
--- a/src/simulation/simulation.cc
+++ b/src/simulation/simulation.cc
@@ -123,9 +123,8 @@
         world_.queue.After(delay, [done] { done(RequestEnd::kRefusedNotRun); });
         return;
       }
-      const auto deliver = daemon->process().Gate([target = daemon.get(), request, done] {
-        target->router().Submit(request, true, done);
-      });
+      const auto deliver = daemon->process().Gate(
+          [target = daemon.get(), request, done] { target->router().Submit(request, true, done); });
       world_.queue.After(delay, deliver);
       return;
     }
@@ -139,8 +138,8 @@
       machine.zone = zone;
       machine.kind = MachineKind::kDaemon;
       machines_.Put(machine, world_.queue.Now());
-      daemons_.push_back(std::make_unique<SimulatedDaemon>(
-          surroundings, name, zone, scenario_.core, SimulatedHostSettings()));
+      daemons_.push_back(std::make_unique<SimulatedDaemon>(surroundings, name, zone, scenario_.core,
+                                                           SimulatedHostSettings()));
       daemons_by_zone_[zone].push_back(daemons_.back().get());
     }
   }
@@ -194,9 +193,8 @@
     });
   });
   world_.queue.After(world_.NetworkDelay(request->zone, daemon->zone()), submit);
-  world_.queue.At(request->deadline + kClientPatience, [this, request, daemon, life] {
-    OnClientTimeout(request, daemon, life);
-  });
+  world_.queue.At(request->deadline + kClientPatience,
+                  [this, request, daemon, life] { OnClientTimeout(request, daemon, life); });
 }
 
 void Simulation::OnClientConnectionBroken(const SimulatedRequestPtr& request) {
@@ -310,8 +308,7 @@
     injector_->Repeat(mean, start_ + kSettleTime, end_, [this] { operators_->Change(); });
   }
   if (options_.faults == FaultMode::kScenario)
-    for (const PlannedFault& fault : scenario_.faults)
-      injector_->Plan(fault, measured_from_);
+    for (const PlannedFault& fault : scenario_.faults) injector_->Plan(fault, measured_from_);
   if (options_.faults == FaultMode::kChaos)
     for (const auto& [kind, per_day] : scenario_.chaos) {
       const auto& only = options_.only_faults;
--- a/src/simulation/world.cc
+++ b/src/simulation/world.cc
@@ -13,8 +13,7 @@
 }
 
 Duration World::NetworkDelay(const ZoneName& from, const ZoneName& to) {
-  const std::int64_t base =
-      kWithinZoneMicroseconds + (from == to ? 0 : zone_distance.count());
+  const std::int64_t base = kWithinZoneMicroseconds + (from == to ? 0 : zone_distance.count());
   return Duration(base + static_cast<std::int64_t>(Uniform() * static_cast<double>(base)));
 }
 
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -7,9 +7,9 @@
 #include <random>
 #include <string>
 
+#include "modelled/lagging_machine_list.h"
 #include "standin/engine_server.h"
 #include "standin/key_value_server.h"
-#include "modelled/lagging_machine_list.h"
 #include "standin/service_server.h"
 #include "standin/weight_store.h"
 
