--- a/src/api/operator_api.cc
+++ b/src/api/operator_api.cc
@@ -1,5 +1,6 @@
 #include "api/operator_api.h"
 
+#include <algorithm>
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
@@ -182,6 +183,15 @@
   co_return JsonAnswer(kOk, {{"outcome", CodeOf(result.outcome)}, {"revision", result.revision}});
 }
 
+/// Whether this daemon can get claims granted: it knows a view, and serves it if it is an owner.
+bool OperatorApi::ClaimsServed() const {
+  const ClaimView& view = host_.state().claim_views.view;
+  const bool owner = std::any_of(view.owners.begin(), view.owners.end(), [&](const ClaimOwner& o) {
+    return o.name == host_.state().self.name;
+  });
+  return view.number > 0 && (!owner || host_.claims().serving());
+}
+
 HttpResponse OperatorApi::Status() const {
   const State& state = host_.state();
   const Ledger& ledger = state.ledger.ledger;
@@ -195,6 +205,8 @@
                             {"configuration_revision", ledger.configuration_revision},
                             {"permits", ledger.permits.size()}}},
                           {"coordinator", CoordinatorOf(state)},
+                          {"claim_view", state.claim_views.view.number},
+                          {"claims_served", ClaimsServed()},
                           {"members", DescribeMembers(state)},
                           {"servers", DescribeServers(state)},
                           {"pending_orders", DescribePendingOrders(state)}});
--- a/src/api/operator_api.h
+++ b/src/api/operator_api.h
@@ -23,6 +23,7 @@
   Awaitable<HttpResponse> MakePlanFor(std::string intent_text);
   Awaitable<HttpResponse> Confirm(std::string body);
   HttpResponse Status() const;
+  bool ClaimsServed() const;
 
   CoreHost& host_;
 };
--- a/src/cli/operator_commands.cc
+++ b/src/cli/operator_commands.cc
@@ -1,5 +1,3 @@
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 #include <iomanip>
 #include <iostream>
@@ -7,7 +5,7 @@
 #include "cli/command_line.h"
 #include "config/intent_file.h"
 #include "config/strict_yaml.h"
-#include "http/http_client.h"
+#include "load/load_client.h"
 #include "platform/json_codec.h"
 
 namespace moorfold {
@@ -18,29 +16,13 @@
 
 constexpr unsigned kOk = 200;
 constexpr unsigned kFirstServerError = 500;
-constexpr std::chrono::seconds kTimeout{30};
 
-HttpResponse CallDaemon(const std::string& server, HttpRequest request) {
-  Endpoint endpoint;
+HttpResponse CallDaemon(const std::string& server, const HttpRequest& request) {
   try {
-    endpoint = ParseEndpoint(server);
+    return Call(ParseEndpoint(server), request);
   } catch (const std::invalid_argument& error) {
     throw UsageError(std::string("moorfold: --server: ") + error.what());
   }
-  boost::asio::io_context context(1);
-  HttpClient client(context);
-  HttpResponse response;
-  std::exception_ptr failure;
-  HttpSendOptions options;
-  options.deadline = std::chrono::steady_clock::now() + kTimeout;
-  boost::asio::co_spawn(context, client.Send(endpoint, std::move(request), options),
-                        [&](const std::exception_ptr& thrown, HttpResponse answer) {
-                          failure = thrown;
-                          response = std::move(answer);
-                        });
-  context.run();
-  if (failure) std::rethrow_exception(failure);
-  return response;
 }
 
 /// Prints a refusal. @return the exit code for it.
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -45,7 +46,13 @@
     try {
       SetDeadline(deadline);
       http::request<http::string_body> message = MakeMessage(request);
-      co_await http::async_write(stream_, message, use_awaitable);
+      boost::system::error_code sending;
+      co_await http::async_write(stream_, message,
+                                 asio::redirect_error(use_awaitable, sending));
+      // A server may refuse early and stop reading: its answer is there all the same.
+      const bool refused = sending == asio::error::broken_pipe ||
+                           sending == asio::error::connection_reset;
+      if (sending && !refused) throw system_error(sending);
       stage = HttpStage::kAwaitingAnswer;
       parser_.emplace();
       parser_->body_limit(kMaxAnswerBytes);
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -114,6 +114,7 @@
     --self->connections_;
   }
 
+  static Awaitable<void> RunHandler(Impl& server, Exchange& exchange);
   static Awaitable<bool> ServeOne(Impl& server, beast::tcp_stream& stream,
                                   beast::flat_buffer& buffer);
 
@@ -243,6 +244,54 @@
   std::shared_ptr<DisconnectWatch> watch_;
 };
 
+/// Cancels the reading of a request that takes too long. The stream's own expiry would close the
+/// connection, and the caller would never hear why.
+class ReadTimeout {
+ public:
+  ReadTimeout(beast::tcp_stream& stream, std::chrono::milliseconds length)
+      : state_(std::make_shared<State>(stream.get_executor(), length)) {
+    state_->timer.async_wait([state = state_, &stream](const error_code& error) {
+      if (error || state->ended) return;
+      state->passed = true;
+      error_code ignored;
+      stream.socket().cancel(ignored);
+    });
+  }
+  ~ReadTimeout() {
+    state_->ended = true;
+    state_->timer.cancel();
+  }
+  ReadTimeout(const ReadTimeout&) = delete;
+  ReadTimeout& operator=(const ReadTimeout&) = delete;
+  bool passed() const { return state_->passed; }
+
+ private:
+  struct State {
+    State(const asio::any_io_executor& executor, std::chrono::milliseconds length)
+        : timer(executor, length) {}
+    asio::steady_timer timer;
+    bool ended = false;
+    bool passed = false;
+  };
+  std::shared_ptr<State> state_;
+};
+
+/// Reads on for a moment after a refusal: closing with unread bytes would reset the connection,
+/// and the refusal might never arrive.
+Awaitable<void> Linger(beast::tcp_stream& stream) {
+  constexpr std::chrono::milliseconds kLingerTime{500};
+  constexpr std::size_t kChunk = 64 * 1024;
+  constexpr std::size_t kMostBytes = 64 * 1024 * 1024;
+  error_code error;
+  stream.socket().shutdown(tcp::socket::shutdown_send, error);
+  std::string discarded(kChunk, '\0');
+  std::size_t total = 0;
+  stream.expires_after(kLingerTime);
+  while (!error && total < kMostBytes)
+    total += co_await stream.async_read_some(asio::buffer(discarded),
+                                             asio::redirect_error(use_awaitable, error));
+}
+
 Awaitable<bool> HttpServer::Impl::ServeOne(Impl& server, beast::tcp_stream& stream,
                                            beast::flat_buffer& buffer) {
   http::request_parser<http::string_body> parser;
@@ -257,20 +306,30 @@
     buffer.commit(got);
     if (error) co_return false;
   }
-  stream.expires_after(server.limits_.request_timeout);
-  co_await http::async_read(stream, buffer, parser, asio::redirect_error(use_awaitable, error));
+  stream.expires_never();
+  {
+    const ReadTimeout timeout(stream, server.limits_.request_timeout);
+    co_await http::async_read(stream, buffer, parser, asio::redirect_error(use_awaitable, error));
+    if (timeout.passed()) error = beast::error::timeout;
+  }
   if (error == http::error::end_of_stream || error == asio::error::connection_reset)
     co_return false;
   const bool keep_alive = !error && parser.get().keep_alive();
   HttpRequest request;
   if (!error) request = TakeRequest(parser.release());
-  stream.expires_never();
   Exchange exchange(server, stream, std::move(request), keep_alive);
   if (error) {
     const unsigned status = RejectionStatus(error);
     co_await exchange.Respond(server.rejection_(status, error.message()));
+    co_await Linger(stream);
     co_return false;
   }
+  co_await RunHandler(server, exchange);
+  if (!exchange.complete()) stream.close();
+  co_return exchange.keep_alive() && exchange.complete() && !server.stopping_;
+}
+
+Awaitable<void> HttpServer::Impl::RunHandler(Impl& server, Exchange& exchange) {
   bool failed = false;
   std::string reason;
   try {
@@ -279,12 +338,9 @@
     failed = true;
     reason = thrown.what();
   }
-  if (failed && !exchange.started()) {
-    constexpr unsigned kInternalError = 500;
-    co_await exchange.Respond(server.rejection_(kInternalError, reason));
-  }
-  if (!exchange.complete()) stream.close();
-  co_return exchange.keep_alive() && exchange.complete() && !server.stopping_;
+  if (!failed || exchange.started()) co_return;
+  constexpr unsigned kInternalError = 500;
+  co_await exchange.Respond(server.rejection_(kInternalError, reason));
 }
 
 HttpServer::HttpServer(std::vector<asio::io_context*> contexts, const Endpoint& listen,
--- a/src/load/load_client.cc
+++ b/src/load/load_client.cc
@@ -160,27 +160,6 @@
   }
 }
 
-Awaitable<void> FetchInto(HttpClient& client, Endpoint server, HttpRequest request,
-                          std::string& body) {
-  HttpSendOptions options;
-  options.deadline = Clock::now() + kFetchTimeout;
-  const HttpResponse response =
-      co_await client.Send(std::move(server), std::move(request), options);
-  body = response.body;
-}
-
-std::string CallOnce(const Endpoint& server, HttpRequest request) {
-  boost::asio::io_context context(1);
-  HttpClient client(context);
-  std::string body;
-  std::exception_ptr failure;
-  boost::asio::co_spawn(context, FetchInto(client, server, std::move(request), body),
-                        [&](const std::exception_ptr& thrown) { failure = thrown; });
-  context.run();
-  if (failure) std::rethrow_exception(failure);
-  return body;
-}
-
 }  // namespace
 
 const char* ToString(LoadEnd end) {
@@ -214,12 +193,29 @@
   return outcomes;
 }
 
+HttpResponse Call(const Endpoint& server, const HttpRequest& request) {
+  boost::asio::io_context context(1);
+  HttpClient client(context);
+  HttpResponse response;
+  std::exception_ptr failure;
+  HttpSendOptions options;
+  options.deadline = Clock::now() + kFetchTimeout;
+  boost::asio::co_spawn(context, client.Send(server, request, options),
+                        [&](const std::exception_ptr& thrown, HttpResponse answer) {
+                          failure = thrown;
+                          response = std::move(answer);
+                        });
+  context.run();
+  if (failure) std::rethrow_exception(failure);
+  return response;
+}
+
 std::string Fetch(const Endpoint& server, const std::string& target) {
-  return CallOnce(server, {"GET", target, {}, ""});
+  return Call(server, {"GET", target, {}, ""}).body;
 }
 
 std::string Post(const Endpoint& server, const std::string& target, const std::string& body) {
-  return CallOnce(server, {"POST", target, {}, body});
+  return Call(server, {"POST", target, {}, body}).body;
 }
 
 }  // namespace moorfold
--- a/src/load/load_client.h
+++ b/src/load/load_client.h
@@ -50,6 +50,8 @@
 std::vector<LoadOutcome> RunLoad(const std::vector<LoadRequest>& requests,
                                  const std::function<void(std::size_t, std::size_t)>& progress);
 
+/// Sends one request and returns its answer, whatever its status. @throws HttpError.
+HttpResponse Call(const Endpoint& server, const HttpRequest& request);
 /// GET `target` at `server`, as JSON text. @throws HttpError.
 std::string Fetch(const Endpoint& server, const std::string& target);
 /// POST `body` to `target` at `server`. @throws HttpError.
