--- a/src/simulation/simulated_daemon.cc
+++ b/src/simulation/simulated_daemon.cc
@@ -13,10 +13,22 @@
 
 /// The names of the core's messages, in the order of PeerMessage.
 constexpr std::array<const char*, std::variant_size_v<PeerMessage>> kKinds = {
-    "probe",           "probe_ack",       "indirect_probe",         "leave",
-    "zone_digest",     "configuration_request", "configuration_delta", "configuration_snapshot",
-    "ledger_request",  "ledger_delta",    "ledger_snapshot",        "server_reports",
-    "server_reports_request", "server_loads", "demand",             "claim_view_request",
+    "probe",
+    "probe_ack",
+    "indirect_probe",
+    "leave",
+    "zone_digest",
+    "configuration_request",
+    "configuration_delta",
+    "configuration_snapshot",
+    "ledger_request",
+    "ledger_delta",
+    "ledger_snapshot",
+    "server_reports",
+    "server_reports_request",
+    "server_loads",
+    "demand",
+    "claim_view_request",
     "claim_view"};
 
 const char* KindOf(const PeerPayload& payload) {
