--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DEPLOYMENT ?= hrdlicka
 JOBS ?= $(shell nproc)
 
-.PHONY: demo test build packages bench lint format clean
+.PHONY: demo test build packages bench capacity experiments soak lint format clean
 
 packages:
 	@scripts/install_packages.sh
@@ -18,6 +18,20 @@
 test: build
 	@ctest --test-dir build/release --output-on-failure -j $(JOBS)
 
+bench: build
+	@build/release/bench/decision_bench --benchmark_min_time=0.1
+	@build/release/bench/request_path_bench
+
+capacity: build
+	@scripts/capacity.sh
+
+experiments: build
+	@scripts/experiments.sh
+
+soak: build
+	@scripts/soak.sh hrdlicka 150
+	@scripts/soak.sh carpatica 150
+
 lint: packages
 	@scripts/lint.sh
 
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -27,6 +27,8 @@
       {"status", "shows replicas, members and revisions of a zone", RunStatus},
       {"load", "sends a scenario's requests to real daemons and checks the answers",
        RunLoadCommand},
+      {"experiment", "runs a scenario over a grid of settings and seeds", RunExperiment},
+      {"capacity-table", "makes tables and fits from rows of 'hollow'", RunCapacityTable},
       {"hollow", "runs many daemons' cores in one process and measures their cost", RunHollow},
       {"simulate", "runs a scenario in virtual time with faults and checks", RunSimulate},
   };
@@ -37,7 +39,7 @@
   stream << "moorfold " << kVersion << ": serves rarely used language models\n\n"
          << "usage: moorfold COMMAND [flags]\n\n";
   for (const Command& command : Commands())
-    stream << "  " << command.name << std::string(12 - std::string(command.name).size(), ' ')
+    stream << "  " << command.name << std::string(16 - std::string(command.name).size(), ' ')
            << command.summary << "\n";
   stream << "\nmoorfold COMMAND --help explains one; moorfold --version prints the version.\n"
          << "Exit codes: 0 done, 1 failed, 2 bad usage or input.\n";
