Spread a new view of claim owners at once, and wait a moment for a majority

Ruled out: lost claims (0 keys run twice) and slow owners (refusals came at once). Change: watchers watch the view, too, and push it to their zone; a router tries for a majority for up to two seconds before it refuses.

--- a/src/cli/simulate.cc
+++ b/src/cli/simulate.cc
@@ -41,9 +41,9 @@
     const auto& names = FaultKindNames();
     const auto found = std::find(names.begin(), names.end(), name);
     if (found == names.end()) {
-      std::string valid;
-      for (const std::string& each : names) valid.append(" ").append(each);
-      throw UsageError("moorfold simulate: no fault kind '" + name + "'; the kinds are" + valid);
+      std::string message = "moorfold simulate: no fault kind '" + name + "'; the kinds are";
+      for (const std::string& each : names) message.append(" ").append(each);
+      throw UsageError(message);
     }
     options.only_faults.push_back(static_cast<FaultKind>(found - names.begin()));
     rest.erase(0, std::min(comma + 1, rest.size()));
--- a/src/config/strict_yaml.cc
+++ b/src/config/strict_yaml.cc
@@ -93,7 +93,7 @@
 }
 
 YamlMap::YamlMap(YAML::Node node, ConfigProblems& problems, std::string path)
-    : node_(std::move(node)), problems_(&problems), path_(std::move(path)) {
+    : node_(node), problems_(&problems), path_(std::move(path)) {
   CheckKeys();
 }
 
--- a/src/core/reducer.cc
+++ b/src/core/reducer.cc
@@ -100,13 +100,15 @@
     LedgerChanged();
   }
 
-  void On(const ClaimViewRead& event) { AdoptView(event.view.value_or(ClaimView{})); }
+  void On(const ClaimViewRead& event) {
+    if (AdoptView(event.view.value_or(ClaimView{}))) PushClaimView();
+  }
 
   void On(const ClaimViewSwapFinished& event) {
-    if (event.outcome == SwapOutcome::kCommitted)
-      AdoptView(event.proposed);
-    else
+    if (event.outcome != SwapOutcome::kCommitted)
       effects_.push_back(ReadClaimView{});
+    else if (AdoptView(event.proposed))
+      PushClaimView();
   }
 
   void On(const ServerReported& event) {
@@ -232,11 +234,20 @@
     effects_.push_back(SendMessage{from, ClaimViewRequest{}});
   }
 
-  void AdoptView(const ClaimView& view) {
-    if (!claim_views_.Adopt(view)) return;
+  /// Until all know a new view, claims that name another one are refused: it is spread at once.
+  void PushClaimView() {
+    for (const DaemonName& member : state_.membership.alive)
+      if (member != state_.self.name)
+        effects_.push_back(SendMessage{member, ClaimViewMessage{state_.claim_views.view}});
+  }
+
+  /// @return true when the view was newer.
+  bool AdoptView(const ClaimView& view) {
+    if (!claim_views_.Adopt(view)) return false;
     effects_.push_back(AdoptClaimView{view});
     Log(LogSeverity::kInfo, "claim_view_adopted",
         {{"number", std::to_string(view.number)}, {"owners", std::to_string(view.owners.size())}});
+    return true;
   }
 
   void RequestConfiguration(const DaemonName& from) {
--- a/src/host/core_host.cc
+++ b/src/host/core_host.cc
@@ -157,10 +157,14 @@
 
 void CoreHost::Carry(const WatchConfiguration& effect) {
   watch_.reset();
+  claim_watch_.reset();
   if (effect.enabled) StartWatch();
 }
 
 void CoreHost::StartWatch() {
+  // Both watches end together; the configuration's tells when to start them again.
+  claim_watch_ = ports_.documents->WatchClaimView(
+      WhileAlive([this](const ClaimView& view) { Dispatch(ClaimViewRead{view}); }));
   watch_ = ports_.documents->WatchConfiguration(
       WhileAlive(
           [this](const ConfigurationDelta& delta) { Dispatch(ConfigurationDeltaRead{delta}); }),
--- a/src/host/core_host.h
+++ b/src/host/core_host.h
@@ -123,6 +123,7 @@
   State state_;
   ClaimNode claims_;
   std::unique_ptr<WatchHandle> watch_;
+  std::unique_ptr<WatchHandle> claim_watch_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/platform/document_store.cc
+++ b/src/platform/document_store.cc
@@ -157,6 +157,15 @@
                       [ended = std::move(ended)](const PlatformFailure&) { ended(); });
 }
 
+std::unique_ptr<WatchHandle> DocumentStore::WatchClaimView(
+    std::function<void(const ClaimView&)> changed) {
+  const auto deliver = [changed = std::move(changed)](const WatchBatch& batch) {
+    for (const WatchEvent& event : batch.events)
+      if (!event.deleted) changed(FromJson<ClaimView>(event.entry.value));
+  };
+  return store_.Watch({kClaimViewKey, ""}, 0, deliver, [](const PlatformFailure&) {});
+}
+
 void DocumentStore::StorePlan(const Plan& plan,
                               std::function<void(std::optional<PlatformFailure>)> done) {
   const std::string key = PlanKey(plan.id);
--- a/src/platform/document_store.h
+++ b/src/platform/document_store.h
@@ -67,6 +67,10 @@
   [[nodiscard]] std::unique_ptr<WatchHandle> WatchConfiguration(ChangeCallback changed,
                                                                 std::function<void()> ended);
 
+  /// Delivers each later view of claim owners until the handle is destroyed.
+  [[nodiscard]] std::unique_ptr<WatchHandle> WatchClaimView(
+      std::function<void(const ClaimView&)> changed);
+
   void StorePlan(const Plan& plan, std::function<void(std::optional<PlatformFailure>)> done);
   void ConfirmPlan(const std::string& plan_id, std::function<void(ConfirmResult)> done);
 
--- a/src/request/service_router.cc
+++ b/src/request/service_router.cc
@@ -11,6 +11,7 @@
 constexpr std::size_t kMaxKeyLength = 256;
 constexpr std::size_t kKeptAnswerBytes = 64 * 1024;
 constexpr std::chrono::milliseconds kClaimPoll{50};
+constexpr std::chrono::seconds kMajorityPatience{2};
 
 std::int64_t NowMicroseconds() {
   return std::chrono::duration_cast<std::chrono::microseconds>(
@@ -163,7 +164,14 @@
   const std::string scoped_key = call.name + " " + key;
   ClaimResult claim = co_await claims_.Claim(scoped_key, call.id);
   // Another request with the key is running: its answer is this one's, too, once it is there.
-  while (claim.end == ClaimEnd::kInUse && std::chrono::steady_clock::now() < RefusalTime(call)) {
+  // Without a majority it is tried for a moment more: the owners may be changing their view.
+  const Deadline patience = std::min(RefusalTime(call), call.arrival + kMajorityPatience);
+  const auto undecided = [&] {
+    const auto now = std::chrono::steady_clock::now();
+    if (claim.end == ClaimEnd::kInUse) return now < RefusalTime(call);
+    return claim.end == ClaimEnd::kNoMajority && now < patience;
+  };
+  while (undecided()) {
     co_await Sleep(kClaimPoll);
     claim = co_await claims_.Claim(scoped_key, call.id);
   }
--- a/src/simulation/simulated_router.cc
+++ b/src/simulation/simulated_router.cc
@@ -8,6 +8,7 @@
 constexpr Duration kConnectTimeout = std::chrono::seconds(1);
 constexpr Duration kRefusedPause = std::chrono::milliseconds(5);
 constexpr Duration kClaimPoll = std::chrono::milliseconds(50);
+constexpr Duration kMajorityPatience = std::chrono::seconds(2);
 constexpr Duration kMostRefusalMargin = std::chrono::milliseconds(50);
 
 Timestamp RefusalTimeOf(const SimulatedRequest& request) {
@@ -296,7 +297,13 @@
         }));
       return;
     case ClaimEnd::kNoMajority:
-      if (waiting) Finish(number, RequestEnd::kRefusedNotRun);
+      if (!waiting) return;
+      if (world_.queue.Now() - active_.at(number).request->arrival >= kMajorityPatience)
+        return Finish(number, RequestEnd::kRefusedNotRun);
+      // The owners may be changing their view: tried for a moment more.
+      world_.queue.After(kClaimPoll, process_.Gate([this, number] {
+        if (active_.contains(number)) StartService(number);
+      }));
       return;
   }
 }
