--- a/src/simulation/socket_network.cc
+++ b/src/simulation/socket_network.cc
@@ -25,6 +25,7 @@
     transport->Start();
     zones_[name] = std::move(zone);
     transports_[name] = std::move(transport);
+    before_.erase(name);  // A new life counts from zero.
   }
 
   void Detach(const DaemonName& name) override { transports_.erase(name); }
