--- a/src/api/operator_api.cc
+++ b/src/api/operator_api.cc
@@ -9,6 +9,7 @@
 #include "config/intent_file.h"
 #include "config/strict_yaml.h"
 #include "core/configuration/plan.h"
+#include "http/http_status.h"
 #include "platform/json_codec.h"
 #include "request/api_error.h"
 
@@ -18,12 +19,6 @@
 
 namespace {
 
-constexpr unsigned kOk = 200;
-constexpr unsigned kNotFound = 404;
-constexpr unsigned kConflict = 409;
-constexpr unsigned kUnprocessable = 422;
-constexpr unsigned kUnavailable = 503;
-
 HttpResponse JsonAnswer(unsigned status, const json::value& body) {
   return {status, {{"Content-Type", "application/json"}}, json::serialize(body)};
 }
@@ -101,17 +96,17 @@
   switch (outcome) {
     case ConfirmOutcome::kConfirmed:
     case ConfirmOutcome::kAlreadyConfirmed:
-      return kOk;
+      return http_status::kOk;
     case ConfirmOutcome::kUnknownPlan:
-      return kNotFound;
+      return http_status::kNotFound;
     case ConfirmOutcome::kStaleBase:
-      return kConflict;
+      return http_status::kConflict;
     case ConfirmOutcome::kRefused:
-      return kUnprocessable;
+      return http_status::kUnprocessable;
     case ConfirmOutcome::kUnavailable:
-      return kUnavailable;
+      return http_status::kUnavailable;
   }
-  return kUnavailable;
+  return http_status::kUnavailable;
 }
 
 const char* CodeOf(ConfirmOutcome outcome) {
@@ -143,12 +138,13 @@
     mistakes = error.what();
   }
   if (!mistakes.empty())
-    co_return Refuse(kUnprocessable, "bad_intent", mistakes, "correct these and plan again");
+    co_return Refuse(http_status::kUnprocessable, "bad_intent", mistakes,
+                     "correct these and plan again");
   using Read = Outcome<std::optional<ConfigurationSnapshot>>;
   const Read read = co_await AwaitCallback<Read>(
       [this](auto done) { host_.documents().ReadConfiguration(0, std::move(done)); });
   if (!read.ok())
-    co_return Refuse(kUnavailable, "key_value_unavailable", read.failure().message,
+    co_return Refuse(http_status::kUnavailable, "key_value_unavailable", read.failure().message,
                      "plan again when the key-value service answers");
   const ConfigurationSnapshot in_force = read.value().value_or(ConfigurationSnapshot{});
   std::vector<Machine> machines;
@@ -159,11 +155,11 @@
   const Stored failure = co_await AwaitCallback<Stored>(
       [this, &plan](auto done) { host_.documents().StorePlan(plan, std::move(done)); });
   if (failure)
-    co_return Refuse(kUnavailable, "key_value_unavailable", failure->message,
+    co_return Refuse(http_status::kUnavailable, "key_value_unavailable", failure->message,
                      "plan again when the key-value service answers");
   json::value answer = json::value_from(plan);
   answer.as_object().erase("intent");
-  co_return JsonAnswer(kOk, answer);
+  co_return JsonAnswer(http_status::kOk, answer);
 }
 
 Awaitable<HttpResponse> OperatorApi::Confirm(std::string body) {
@@ -172,15 +168,16 @@
   const json::value* plan_id =
       !error && parsed.is_object() ? parsed.get_object().if_contains("plan_id") : nullptr;
   if (plan_id == nullptr || !plan_id->is_string())
-    co_return Refuse(kUnprocessable, "bad_request", "'plan_id' is missing",
+    co_return Refuse(http_status::kUnprocessable, "bad_request", "'plan_id' is missing",
                      "send {\"plan_id\": ID} with the id that 'plan' printed");
   const std::string id(plan_id->get_string());
   const ConfirmResult result = co_await AwaitCallback<ConfirmResult>(
       [this, &id](auto done) { host_.documents().ConfirmPlan(id, std::move(done)); });
   const unsigned status = StatusOf(result.outcome);
-  if (status != kOk)
+  if (status != http_status::kOk)
     co_return Refuse(status, CodeOf(result.outcome), result.message, "see the message");
-  co_return JsonAnswer(kOk, {{"outcome", CodeOf(result.outcome)}, {"revision", result.revision}});
+  co_return JsonAnswer(http_status::kOk,
+                       {{"outcome", CodeOf(result.outcome)}, {"revision", result.revision}});
 }
 
 /// Whether this daemon can get claims granted: it knows a view, and serves it if it is an owner.
@@ -195,21 +192,21 @@
 HttpResponse OperatorApi::Status() const {
   const State& state = host_.state();
   const Ledger& ledger = state.ledger.ledger;
-  return JsonAnswer(kOk, {{"daemon", state.self.name},
-                          {"zone", state.self.zone},
-                          {"configuration_revision", state.configuration.revision},
-                          {"ledger",
-                           {{"revision", ledger.revision},
-                            {"epoch", ledger.epoch},
-                            {"leader", ledger.leader},
-                            {"configuration_revision", ledger.configuration_revision},
-                            {"permits", ledger.permits.size()}}},
-                          {"coordinator", CoordinatorOf(state)},
-                          {"claim_view", state.claim_views.view.number},
-                          {"claims_served", ClaimsServed()},
-                          {"members", DescribeMembers(state)},
-                          {"servers", DescribeServers(state)},
-                          {"pending_orders", DescribePendingOrders(state)}});
+  return JsonAnswer(http_status::kOk, {{"daemon", state.self.name},
+                                       {"zone", state.self.zone},
+                                       {"configuration_revision", state.configuration.revision},
+                                       {"ledger",
+                                        {{"revision", ledger.revision},
+                                         {"epoch", ledger.epoch},
+                                         {"leader", ledger.leader},
+                                         {"configuration_revision", ledger.configuration_revision},
+                                         {"permits", ledger.permits.size()}}},
+                                       {"coordinator", CoordinatorOf(state)},
+                                       {"claim_view", state.claim_views.view.number},
+                                       {"claims_served", ClaimsServed()},
+                                       {"members", DescribeMembers(state)},
+                                       {"servers", DescribeServers(state)},
+                                       {"pending_orders", DescribePendingOrders(state)}});
 }
 
 Awaitable<HttpResponse> OperatorApi::Handle(HttpRequest request) {
@@ -217,7 +214,7 @@
   if (call == "GET /operator/status") co_return Status();
   if (call == "POST /operator/plan") co_return co_await MakePlanFor(std::move(request.body));
   if (call == "POST /operator/confirm") co_return co_await Confirm(std::move(request.body));
-  co_return Refuse(kNotFound, "not_found", "no such operators' call: " + call,
+  co_return Refuse(http_status::kNotFound, "not_found", "no such operators' call: " + call,
                    "use POST /operator/plan, POST /operator/confirm or GET /operator/status");
 }
 
--- a/src/cli/operator_commands.cc
+++ b/src/cli/operator_commands.cc
@@ -5,6 +5,7 @@
 #include "cli/command_line.h"
 #include "config/intent_file.h"
 #include "config/strict_yaml.h"
+#include "http/http_status.h"
 #include "load/load_client.h"
 #include "platform/json_codec.h"
 
@@ -14,9 +15,6 @@
 
 namespace {
 
-constexpr unsigned kOk = 200;
-constexpr unsigned kFirstServerError = 500;
-
 HttpResponse CallDaemon(const std::string& server, const HttpRequest& request) {
   try {
     return Call(ParseEndpoint(server), request);
@@ -30,7 +28,7 @@
   const json::value body = ParseJson(response.body);
   std::cerr << "moorfold: " << body.at("error").at("message").as_string().c_str() << "\n"
             << "remedy: " << body.at("remedy").as_string().c_str() << "\n";
-  return response.status < kFirstServerError ? kExitBadUsage : kExitFailed;
+  return response.status < http_status::kFirstServerError ? kExitBadUsage : kExitFailed;
 }
 
 void PrintTexts(const json::value& texts, const char* title) {
@@ -85,7 +83,7 @@
   const std::string text = ReadTextFile(intent.getValue());
   ParseIntent(text, intent.getValue());  // Mistakes are named with the operator's own file name.
   const HttpResponse response = CallDaemon(server.getValue(), {"POST", "/operator/plan", {}, text});
-  if (response.status != kOk) return ReportRefusal(response);
+  if (response.status != http_status::kOk) return ReportRefusal(response);
   const json::value plan = ParseJson(response.body);
   if (as_json.getValue())
     std::cout << response.body << "\n";
@@ -104,7 +102,7 @@
   const json::value body = {{"plan_id", plan_id.getValue()}};
   const HttpResponse response =
       CallDaemon(server.getValue(), {"POST", "/operator/confirm", {}, json::serialize(body)});
-  if (response.status != kOk) {
+  if (response.status != http_status::kOk) {
     ReportRefusal(response);
     return kExitFailed;
   }
@@ -120,7 +118,7 @@
   TCLAP::SwitchArg as_json("", "json", "Print JSON", line.tclap());
   if (!line.Parse(arguments)) return kExitDone;
   const HttpResponse response = CallDaemon(server.getValue(), {"GET", "/operator/status", {}, ""});
-  if (response.status != kOk) return ReportRefusal(response);
+  if (response.status != http_status::kOk) return ReportRefusal(response);
   if (as_json.getValue())
     std::cout << response.body << "\n";
   else
--- a/src/config/scenario_file.cc
+++ b/src/config/scenario_file.cc
@@ -16,8 +16,6 @@
 
 constexpr std::size_t kHoursPerDay = 24;
 constexpr double kMaxRate = 1e7;
-const std::vector<std::string> kPolicies = {"on_demand", "always_loaded", "fixed_keep_alive",
-                                            "histogram_keep_alive", "cost_aware"};
 
 HourWeights ReadHours(YamlMap& map) {
   HourWeights weights;
@@ -112,7 +110,7 @@
   scenario.first_weekday = static_cast<std::uint32_t>(root.Integer("first_weekday", 0, 6, 0));
   CoreSettings& core = scenario.core;
   core.policy = static_cast<PolicyKind>(
-      root.Choice("policy", kPolicies, static_cast<std::size_t>(core.policy)));
+      root.Choice("policy", PolicyNames(), static_cast<std::size_t>(core.policy)));
   core.keep_alive = root.Time("keep_alive", seconds(0), hours(24 * 30), core.keep_alive);
   core.assumed_load_time =
       root.Time("assumed_load_time", milliseconds(1), hours(1), core.assumed_load_time);
--- a/src/config/settings_file.cc
+++ b/src/config/settings_file.cc
@@ -16,8 +16,6 @@
 constexpr MebiBytes kMaxQueuedMemory = 64ULL * 1024;
 constexpr std::uint64_t kBytesPerMebi = 1024ULL * 1024;
 constexpr std::size_t kMinKeyLength = 16;
-const std::vector<std::string> kPolicies = {"on_demand", "always_loaded", "fixed_keep_alive",
-                                            "histogram_keep_alive", "cost_aware"};
 
 Endpoint ReadEndpoint(YamlMap& map, const std::string& key, const Endpoint& fallback) {
   if (!map.Has(key)) return fallback;
@@ -50,7 +48,7 @@
 
 void ReadResidency(YamlMap& map, CoreSettings& core) {
   core.policy = static_cast<PolicyKind>(
-      map.Choice("policy", kPolicies, static_cast<std::size_t>(core.policy)));
+      map.Choice("policy", PolicyNames(), static_cast<std::size_t>(core.policy)));
   core.keep_alive = map.Time("keep_alive", seconds(0), hours(24 * 30), core.keep_alive);
   core.assumed_load_time =
       map.Time("assumed_load_time", milliseconds(1), hours(1), core.assumed_load_time);
--- a/src/core/demand/residency_policy.cc
+++ b/src/core/demand/residency_policy.cc
@@ -163,13 +163,10 @@
   return "unknown";
 }
 
-PolicyKind ParsePolicyKind(const std::string& name) {
-  std::string valid;
-  for (const auto& [kind, candidate] : kPolicyNames) {
-    if (name == candidate) return kind;
-    valid += valid.empty() ? candidate : std::string(", ") + candidate;
-  }
-  throw std::invalid_argument("unknown policy '" + name + "'; use one of " + valid);
+std::vector<std::string> PolicyNames() {
+  std::vector<std::string> names;
+  for (const auto& [kind, name] : kPolicyNames) names.emplace_back(name);
+  return names;
 }
 
 }  // namespace moorfold
--- a/src/core/demand/residency_policy.h
+++ b/src/core/demand/residency_policy.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <memory>
+#include <string>
+#include <vector>
 
 #include "core/demand/demand.h"
 #include "core/intent.h"
@@ -29,7 +31,7 @@
 
 /// @return the name used in settings and reports.
 const char* ToString(PolicyKind kind);
-/// @throws std::invalid_argument naming the valid policies.
-PolicyKind ParsePolicyKind(const std::string& name);
+/// @return the names of all policies, in the order of PolicyKind.
+std::vector<std::string> PolicyNames();
 
 }  // namespace moorfold
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -9,15 +9,12 @@
 #include <boost/json.hpp>
 
 #include "common/log_line.h"
+#include "http/http_status.h"
 
 namespace moorfold {
 
 namespace {
 
-constexpr unsigned kOk = 200;
-constexpr unsigned kNotFound = 404;
-constexpr unsigned kMethodNotAllowed = 405;
-constexpr unsigned kUnavailable = 503;
 constexpr std::chrono::milliseconds kDrainCheck{20};
 
 Identity MakeIdentity(const DaemonSettings& settings) {
@@ -31,22 +28,21 @@
 }
 
 HttpResponse RejectUnread(unsigned status, const std::string& reason) {
-  constexpr unsigned kFirstServerError = 500;
-  const bool ours = status >= kFirstServerError;
+  const bool ours = status >= http_status::kFirstServerError;
   return ToResponse({status, ours ? "internal_error" : "unreadable_request", reason,
                      ours ? "report this" : "send a complete HTTP/1.1 request within the limits",
                      ours ? Executed::kUnknown : Executed::kNo, std::nullopt});
 }
 
 HttpResponse NoSuchPath(const std::string& call) {
-  return ToResponse({kNotFound, "not_found", "no such call: " + call,
+  return ToResponse({http_status::kNotFound, "not_found", "no such call: " + call,
                      "use /v1/chat/completions, /v1/completions, /v1/models or /services/NAME/...",
                      Executed::kNo, std::nullopt});
 }
 
 HttpResponse WrongMethod(const std::string& method) {
-  return ToResponse({kMethodNotAllowed, "method_not_allowed", "completions take no " + method,
-                     "use POST", Executed::kNo, std::nullopt});
+  return ToResponse({http_status::kMethodNotAllowed, "method_not_allowed",
+                     "completions take no " + method, "use POST", Executed::kNo, std::nullopt});
 }
 
 }  // namespace
@@ -122,12 +118,12 @@
                       {"loaded_replicas", route->local ? route->targets.size() : 0}});
   }
   const boost::json::value body = {{"object", "list"}, {"data", std::move(models)}};
-  return {kOk, {{"Content-Type", "application/json"}}, boost::json::serialize(body)};
+  return {http_status::kOk, {{"Content-Type", "application/json"}}, boost::json::serialize(body)};
 }
 
 HttpResponse Daemon::RenderMetrics() {
   const prometheus::TextSerializer serializer;
-  return PlainText(kOk, serializer.Serialize(registry_->Collect()));
+  return PlainText(http_status::kOk, serializer.Serialize(registry_->Collect()));
 }
 
 Awaitable<void> Daemon::Handle(HttpServerExchange& exchange) {
@@ -144,11 +140,11 @@
   } else if (target == "/v1/models") {
     co_await exchange.Respond(ListModels(worker));
   } else if (target == "/healthz") {
-    co_await exchange.Respond(PlainText(kOk, "ok\n"));
+    co_await exchange.Respond(PlainText(http_status::kOk, "ok\n"));
   } else if (target == "/readyz") {
     const bool ready = Ready(worker);
-    co_await exchange.Respond(
-        PlainText(ready ? kOk : kUnavailable, ready ? "ready\n" : "not ready\n"));
+    co_await exchange.Respond(PlainText(ready ? http_status::kOk : http_status::kUnavailable,
+                                        ready ? "ready\n" : "not ready\n"));
   } else if (target == "/metrics") {
     co_await exchange.Respond(RenderMetrics());
   } else if (target.starts_with("/operator/")) {
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -13,6 +13,8 @@
 #include <boost/beast/http.hpp>
 #include <optional>
 
+#include "http/http_status.h"
+
 namespace moorfold {
 
 namespace asio = boost::asio;
@@ -37,15 +39,11 @@
 }
 
 unsigned RejectionStatus(const error_code& code) {
-  constexpr unsigned kBadRequest = 400;
-  constexpr unsigned kTimeout = 408;
-  constexpr unsigned kTooLarge = 413;
-  constexpr unsigned kHeadersTooLarge = 431;
-  if (code == beast::error::timeout) return kTimeout;
-  if (code == http::error::body_limit) return kTooLarge;
+  if (code == beast::error::timeout) return http_status::kRequestTimeout;
+  if (code == http::error::body_limit) return http_status::kTooLarge;
   if (code == http::error::header_limit || code == http::error::buffer_overflow)
-    return kHeadersTooLarge;
-  return kBadRequest;
+    return http_status::kHeadersTooLarge;
+  return http_status::kBadRequest;
 }
 
 }  // namespace
@@ -338,8 +336,7 @@
     reason = thrown.what();
   }
   if (!failed || exchange.started()) co_return;
-  constexpr unsigned kInternalError = 500;
-  co_await exchange.Respond(server.rejection_(kInternalError, reason));
+  co_await exchange.Respond(server.rejection_(http_status::kInternalError, reason));
 }
 
 HttpServer::HttpServer(std::vector<asio::io_context*> contexts, const Endpoint& listen,
--- a/src/load/load_client.cc
+++ b/src/load/load_client.cc
@@ -7,6 +7,7 @@
 
 #include "common/async_signal.h"
 #include "http/http_client.h"
+#include "http/http_status.h"
 #include "modelled/expected_answer.h"
 
 namespace moorfold {
@@ -16,7 +17,6 @@
 namespace {
 
 using Clock = std::chrono::steady_clock;
-constexpr unsigned kOk = 200;
 constexpr std::chrono::seconds kPatience{5};
 constexpr std::chrono::seconds kFetchTimeout{30};
 
@@ -122,7 +122,7 @@
       body += chunk;
       if (load.stream) events.Feed(chunk);
     }
-    if (outcome.status != kOk)
+    if (outcome.status != http_status::kOk)
       ReadRefusal(body, outcome);
     else
       outcome.end = AnswerMatches(load, body, events) ? LoadEnd::kServed : LoadEnd::kMismatched;
--- a/src/platform/etcd_key_value_store.cc
+++ b/src/platform/etcd_key_value_store.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
+#include "http/http_status.h"
 #include "platform/etcd_json.h"
 
 namespace moorfold {
@@ -13,10 +14,7 @@
 
 namespace {
 
-constexpr unsigned kOk = 200;
 constexpr const char* kRangeTarget = "/v3/kv/range";
-constexpr unsigned kTooManyRequests = 429;
-constexpr unsigned kUnavailable = 503;
 
 /// One POST to the gateway, with the fate of a failure worked out.
 /// A write goes over a fresh connection: on a pooled one that breaks it might be sent twice, and
@@ -30,11 +28,11 @@
   options.fresh_connection = request.target != kRangeTarget;
   try {
     const HttpResponse response = co_await client->Send(endpoint, std::move(request), options);
-    if (response.status == kTooManyRequests)
+    if (response.status == http_status::kTooManyRequests)
       co_return PlatformFailure{PlatformFault::kRateLimited, "key-value service: rate limit"};
-    if (response.status == kUnavailable)
+    if (response.status == http_status::kUnavailable)
       co_return PlatformFailure{PlatformFault::kUnavailable, "key-value service: unavailable"};
-    if (response.status != kOk)
+    if (response.status != http_status::kOk)
       co_return PlatformFailure{PlatformFault::kRejected, "key-value service: " + response.body};
     co_return ParseJson(response.body);
   } catch (const HttpError& error) {
@@ -125,7 +123,7 @@
     HttpRequest request{
         "POST", "/v3/watch", {{"Content-Type", "application/json"}}, std::move(body)};
     state->exchange = co_await client->Open(endpoint, std::move(request), HttpSendOptions{});
-    if (state->exchange->status() == kOk) co_await ReadWatch(state);
+    if (state->exchange->status() == http_status::kOk) co_await ReadWatch(state);
   } catch (const std::exception& error) {
     failure.message = error.what();
   }
--- a/src/platform/http_machine_list.cc
+++ b/src/platform/http_machine_list.cc
@@ -3,12 +3,10 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "http/http_status.h"
 #include "platform/json_codec.h"
 
 namespace moorfold {
-namespace {
-constexpr unsigned kNotModified = 304;
-}  // namespace
 
 /// What was read last, for conditional requests.
 struct HttpMachineList::Known {
@@ -28,7 +26,7 @@
     request.target = "/machines";
     if (known->listing) request.headers.push_back({"If-None-Match", known->tag});
     const HttpResponse response = co_await client->Send(endpoint, std::move(request), options);
-    if (response.status != kNotModified) {
+    if (response.status != http_status::kNotModified) {
       known->listing = std::make_shared<const std::vector<Machine>>(
           FromJson<std::vector<Machine>>(response.body));
       known->tag = std::string(FindHeader(response.headers, "ETag"));
--- a/src/platform/http_model_engine.cc
+++ b/src/platform/http_model_engine.cc
@@ -3,13 +3,12 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "http/http_status.h"
 #include "platform/json_codec.h"
 
 namespace moorfold {
 namespace {
 
-constexpr unsigned kOk = 200;
-
 Awaitable<void> FetchReport(std::shared_ptr<HttpClient> client, Endpoint endpoint,
                             Deadline deadline, ModelEngine::ReportCallback done) {
   PlatformFailure failure{PlatformFault::kUnavailable, ""};
@@ -48,7 +47,7 @@
     HttpRequest request{
         "POST", "/admin/orders", {{"Content-Type", "application/json"}}, ToJson(order)};
     const HttpResponse response = co_await client->Send(endpoint, std::move(request), options);
-    if (response.status == kOk) result = DecodeResult(response.body);
+    if (response.status == http_status::kOk) result = DecodeResult(response.body);
   } catch (const HttpError& error) {
     const bool never_sent = error.stage() == HttpStage::kConnecting;
     result.outcome = never_sent ? OrderOutcome::kFailed : OrderOutcome::kUnknown;
--- a/src/request/api_error.cc
+++ b/src/request/api_error.cc
@@ -4,11 +4,13 @@
 #include <boost/json.hpp>
 #include <cmath>
 
+#include "http/http_status.h"
+
 namespace moorfold {
 
 HttpResponse ToResponse(const ApiError& error) {
-  constexpr unsigned kFirstServerError = 500;
-  const char* type = error.status >= kFirstServerError ? "server_error" : "invalid_request_error";
+  const char* type =
+      error.status >= http_status::kFirstServerError ? "server_error" : "invalid_request_error";
   const boost::json::value body = {
       {"error",
        {{"message", error.message}, {"type", type}, {"param", nullptr}, {"code", error.code}}},
@@ -24,21 +26,14 @@
 namespace errors {
 
 namespace {
-constexpr unsigned kBadRequest = 400;
-constexpr unsigned kNotFound = 404;
-constexpr unsigned kConflict = 409;
-constexpr unsigned kTooMany = 429;
-constexpr unsigned kBadGateway = 502;
-constexpr unsigned kUnavailable = 503;
-constexpr unsigned kGatewayTimeout = 504;
 constexpr std::chrono::seconds kSoon{1};
 }  // namespace
 
 ApiError BadRequest(const std::string& what, const std::string& remedy) {
-  return {kBadRequest, "bad_request", what, remedy, Executed::kNo, std::nullopt};
+  return {http_status::kBadRequest, "bad_request", what, remedy, Executed::kNo, std::nullopt};
 }
 ApiError UnknownModel(const std::string& model) {
-  return {kNotFound,
+  return {http_status::kNotFound,
           "model_not_found",
           "no model or adapter '" + model + "' is declared",
           "call GET /v1/models for the declared names, or plan an intent with it",
@@ -46,7 +41,7 @@
           std::nullopt};
 }
 ApiError UnknownService(const std::string& service) {
-  return {kNotFound,
+  return {http_status::kNotFound,
           "service_not_found",
           "no service '" + service + "' is declared",
           "declare it in the intent, under 'services'",
@@ -54,7 +49,7 @@
           std::nullopt};
 }
 ApiError NotReady() {
-  return {kUnavailable,
+  return {http_status::kUnavailable,
           "not_ready",
           "this daemon knows no configuration yet",
           "try another daemon, or confirm a plan",
@@ -63,7 +58,7 @@
 }
 ApiError CallerLimit(std::uint32_t limit) {
   return {
-      kTooMany,
+      http_status::kTooManyRequests,
       "caller_limit",
       "you have " + std::to_string(limit) + " requests in progress here, the most one caller may",
       "wait for answers before you send more",
@@ -71,7 +66,7 @@
       kSoon};
 }
 ApiError QueueFull(const std::string& model) {
-  return {kTooMany,
+  return {http_status::kTooManyRequests,
           "queue_full",
           "too many requests wait for '" + model + "'",
           "come back later, or declare more replicas",
@@ -81,7 +76,7 @@
 ApiError TooLate(const std::string& model, double predicted_seconds) {
   const auto seconds =
       std::chrono::seconds(static_cast<std::int64_t>(std::max(1.0, std::ceil(predicted_seconds))));
-  return {kUnavailable,
+  return {http_status::kUnavailable,
           "would_be_late",
           "'" + model + "' could not answer before the deadline: the wait is about " +
               std::to_string(seconds.count()) + " s",
@@ -90,7 +85,7 @@
           seconds};
 }
 ApiError StillLoading(const std::string& model) {
-  return {kGatewayTimeout,
+  return {http_status::kGatewayTimeout,
           "model_loading",
           "no replica of '" + model + "' was free before the deadline",
           "come back shortly, or allow a later deadline (x-deadline-ms)",
@@ -98,7 +93,7 @@
           kSoon};
 }
 ApiError NoBackend(const std::string& service) {
-  return {kUnavailable,
+  return {http_status::kUnavailable,
           "no_backend",
           "no live server of '" + service + "' is known",
           "come back shortly; operators: see the machine list",
@@ -107,12 +102,15 @@
 }
 ApiError BackendFailed(const std::string& what, Executed executed) {
   const bool not_run = executed == Executed::kNo;
-  return {kBadGateway, "backend_failed",
-          what,        not_run ? "send it again" : "it may have run: look before you send it again",
-          executed,    not_run ? std::optional(kSoon) : std::nullopt};
+  return {http_status::kBadGateway,
+          "backend_failed",
+          what,
+          not_run ? "send it again" : "it may have run: look before you send it again",
+          executed,
+          not_run ? std::optional(kSoon) : std::nullopt};
 }
 ApiError KeyInUse() {
-  return {kConflict,
+  return {http_status::kConflict,
           "idempotency_key_in_use",
           "a request with this Idempotency-Key is in progress, or ended without an answer",
           "ask again later with the same key for its answer",
@@ -120,7 +118,7 @@
           kSoon};
 }
 ApiError NoClaimMajority() {
-  return {kUnavailable,
+  return {http_status::kUnavailable,
           "no_claim_majority",
           "too few of the daemons that remember idempotency keys answered",
           "send it again with the same key",
--- a/src/request/call.cc
+++ b/src/request/call.cc
@@ -4,11 +4,11 @@
 #include <boost/json.hpp>
 #include <charconv>
 
+#include "http/http_status.h"
+
 namespace moorfold {
 namespace {
 
-constexpr unsigned kServiceUnavailable = 503;
-constexpr unsigned kFirstServerError = 500;
 constexpr std::int64_t kMaxDeadlineMilliseconds = 24LL * 3600 * 1000;
 
 /// What a back end's refusal says about the request and about the back end.
@@ -62,12 +62,12 @@
   const HttpHeaders headers = upstream.headers();
   response.headers = AnswerHeaders(headers, call);
   response.body = co_await ReadAll(upstream);
-  if (response.status == kServiceUnavailable) {
+  if (response.status == http_status::kUnavailable) {
     const Refusal refusal = ReadRefusal(response);
     if (refusal.not_run)
       co_return Attempt{AttemptEnd::kNotRun, "the back end did not take it", refusal.leaving};
   }
-  if (response.status >= kFirstServerError)
+  if (response.status >= http_status::kFirstServerError)
     co_return Attempt{AttemptEnd::kMayHaveRun,
                       "the back end answered status " + std::to_string(response.status), false};
   first_byte();
--- a/src/standin/engine_server.cc
+++ b/src/standin/engine_server.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "http/http_status.h"
 #include "modelled/expected_answer.h"
 #include "platform/json_codec.h"
 #include "standin/json_response.h"
@@ -16,10 +17,6 @@
 
 namespace {
 
-constexpr unsigned kOk = 200;
-constexpr unsigned kBadRequest = 400;
-constexpr unsigned kNotFound = 404;
-constexpr unsigned kUnavailable = 503;
 constexpr std::uint32_t kDefaultTokens = 16;
 constexpr std::uint32_t kMaxTokens = 100'000;
 constexpr std::size_t kCachedPrefixes = 32;
@@ -30,14 +27,14 @@
 
 /// A refusal that says that nothing was run.
 HttpResponse NotRun(const std::string& code, const std::string& message) {
-  return JsonResponse(kUnavailable,
+  return JsonResponse(http_status::kUnavailable,
                       {{"error", {{"message", message}, {"type", "unavailable"}, {"code", code}}},
                        {"executed", "no"}});
 }
 
 HttpResponse OrderAnswer(OrderOutcome outcome, const ServerReport& report) {
-  return JsonResponse(
-      kOk, {{"outcome", json::value_from(outcome)}, {"report", json::value_from(report)}});
+  return JsonResponse(http_status::kOk, {{"outcome", json::value_from(outcome)},
+                                         {"report", json::value_from(report)}});
 }
 
 int PriorityOf(const HttpHeaders& headers) {
@@ -79,7 +76,7 @@
     return {{"Content-Type", content_type}, {"x-request-id", id}};
   }
   HttpResponse WholeResponse(const std::string& text) const {
-    return {kOk, Headers("application/json"), json::serialize(Whole(text))};
+    return {http_status::kOk, Headers("application/json"), json::serialize(Whole(text))};
   }
 };
 
@@ -183,13 +180,13 @@
   }
   const std::string& target = exchange.request().target;
   if (target == "/admin/report") {
-    co_await exchange.Respond(JsonResponse(kOk, json::value_from(LaggingReport())));
+    co_await exchange.Respond(JsonResponse(http_status::kOk, json::value_from(LaggingReport())));
   } else if (target == "/admin/orders") {
     co_await HandleOrder(exchange);
   } else if (target == "/v1/chat/completions" || target == "/v1/completions") {
     co_await HandleCompletion(exchange);
   } else {
-    co_await exchange.Respond(ErrorResponse(kNotFound, "no such path"));
+    co_await exchange.Respond(ErrorResponse(http_status::kNotFound, "no such path"));
   }
 }
 
@@ -202,7 +199,7 @@
     problem = error.what();
   }
   if (!order) {
-    co_await exchange.Respond(ErrorResponse(kBadRequest, problem));
+    co_await exchange.Respond(ErrorResponse(http_status::kBadRequest, problem));
     co_return;
   }
   const std::uint64_t life = life_;
@@ -282,7 +279,7 @@
     problem = error.what();
   }
   if (!problem.empty()) {
-    co_await exchange.Respond(ErrorResponse(kBadRequest, problem));
+    co_await exchange.Respond(ErrorResponse(http_status::kBadRequest, problem));
     co_return;
   }
   const StartRefusal refusal =
@@ -352,7 +349,7 @@
   const bool cut = faults_.cut_streams > 0;
   if (cut) --faults_.cut_streams;
   if (completion.stream)
-    co_await exchange.BeginStream(kOk, completion.Headers("text/event-stream"));
+    co_await exchange.BeginStream(http_status::kOk, completion.Headers("text/event-stream"));
   std::string text;
   for (std::uint32_t position = 0; position < completion.tokens; ++position) {
     if (completion.life != life_ || completion.disconnected) co_return;
--- a/src/standin/key_value_server.cc
+++ b/src/standin/key_value_server.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "http/http_status.h"
 #include "platform/etcd_json.h"
 #include "standin/json_response.h"
 
@@ -11,11 +12,6 @@
 
 namespace {
 
-constexpr unsigned kOk = 200;
-constexpr unsigned kBadRequest = 400;
-constexpr unsigned kNotFound = 404;
-constexpr unsigned kTooManyRequests = 429;
-
 json::value Header(std::int64_t revision) { return {{"revision", std::to_string(revision)}}; }
 
 /// One line of a watch's answer.
@@ -69,22 +65,23 @@
     for (const KeyValue& entry : result.entries) entries.push_back(etcd::WriteKeyValue(entry));
     const std::string count = std::to_string(entries.size());
     return JsonResponse(
-        kOk, {{"header", Header(result.revision)}, {"kvs", std::move(entries)}, {"count", count}});
+        http_status::kOk,
+        {{"header", Header(result.revision)}, {"kvs", std::move(entries)}, {"count", count}});
   }
   ++writes_;
   if (request.target == "/v3/kv/txn") {
     const TransactionResult result = table_.Transact(etcd::ReadTransaction(body));
     changed_.NotifyAll();
-    return JsonResponse(kOk,
+    return JsonResponse(http_status::kOk,
                         {{"header", Header(result.revision)}, {"succeeded", result.succeeded}});
   }
   if (request.target == "/v3/lease/grant") {
     const std::chrono::seconds seconds(etcd::ReadInteger(object, "TTL"));
     if (seconds.count() < 1) throw DecodeError("TTL must be at least 1");
     const LeaseId lease = table_.GrantLease(seconds, now);
-    return JsonResponse(kOk, {{"header", Header(table_.revision())},
-                              {"ID", std::to_string(lease)},
-                              {"TTL", std::to_string(seconds.count())}});
+    return JsonResponse(http_status::kOk, {{"header", Header(table_.revision())},
+                                           {"ID", std::to_string(lease)},
+                                           {"TTL", std::to_string(seconds.count())}});
   }
   if (request.target == "/v3/lease/keepalive") {
     const LeaseId lease = etcd::ReadInteger(object, "ID");
@@ -92,15 +89,15 @@
     const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(granted);
     json::object result = {{"header", Header(table_.revision())}, {"ID", std::to_string(lease)}};
     if (seconds.count() > 0) result["TTL"] = std::to_string(seconds.count());
-    return JsonResponse(kOk, {{"result", std::move(result)}});
+    return JsonResponse(http_status::kOk, {{"result", std::move(result)}});
   }
   if (request.target == "/v3/lease/revoke") {
     if (!table_.RevokeLease(etcd::ReadInteger(object, "ID")))
-      return JsonResponse(kNotFound, {{"error", "requested lease not found"}});
+      return JsonResponse(http_status::kNotFound, {{"error", "requested lease not found"}});
     changed_.NotifyAll();
-    return JsonResponse(kOk, {{"header", Header(table_.revision())}});
+    return JsonResponse(http_status::kOk, {{"header", Header(table_.revision())}});
   }
-  return JsonResponse(kNotFound, {{"error", "no such method"}});
+  return JsonResponse(http_status::kNotFound, {{"error", "no such method"}});
 }
 
 Awaitable<void> KeyValueServer::Handle(HttpServerExchange& exchange) {
@@ -109,7 +106,7 @@
     co_return;
   }
   if (!TakeToken()) {
-    co_await exchange.Respond(ErrorResponse(kTooManyRequests, "too many requests"));
+    co_await exchange.Respond(ErrorResponse(http_status::kTooManyRequests, "too many requests"));
     co_return;
   }
   co_await Sleep(traits_.latency + faults_.delay);
@@ -125,7 +122,7 @@
   try {
     response = Answer(exchange.request());
   } catch (const std::exception& error) {
-    response = ErrorResponse(kBadRequest, error.what());
+    response = ErrorResponse(http_status::kBadRequest, error.what());
   }
   if (exchange.request().target == "/v3/kv/txn" && faults_.lost_answers > 0) {
     --faults_.lost_answers;
@@ -148,12 +145,12 @@
     problem = error.what();
   }
   if (!problem.empty()) {
-    co_await exchange.Respond(ErrorResponse(kBadRequest, problem));
+    co_await exchange.Respond(ErrorResponse(http_status::kBadRequest, problem));
     co_return;
   }
   if (next == 0) next = table_.revision() + 1;
   bool closed = false;
-  co_await exchange.BeginStream(kOk, ContentType("application/json"));
+  co_await exchange.BeginStream(http_status::kOk, ContentType("application/json"));
   exchange.OnDisconnect([&closed, this] {
     closed = true;
     changed_.NotifyAll();
--- a/src/standin/platform.cc
+++ b/src/standin/platform.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <stdexcept>
 
+#include "http/http_status.h"
 #include "platform/json_codec.h"
 #include "standin/json_response.h"
 
@@ -13,10 +14,6 @@
 
 namespace {
 
-constexpr unsigned kOk = 200;
-constexpr unsigned kNotModified = 304;
-constexpr unsigned kBadRequest = 400;
-
 Deployment SpeedUp(Deployment deployment, double factor) {
   deployment.engine.memory_tier_speed *= factor;
   deployment.engine.disk_tier_speed *= factor;
@@ -103,9 +100,9 @@
     if (exchange.request().target == "/machines")
       response = ListMachinesFor(exchange.request());
     else
-      response = JsonResponse(kOk, Administer(exchange.request()));
+      response = JsonResponse(http_status::kOk, Administer(exchange.request()));
   } catch (const std::exception& error) {
-    response = ErrorResponse(kBadRequest, error.what());
+    response = ErrorResponse(http_status::kBadRequest, error.what());
   }
   co_await exchange.Respond(std::move(response));
 }
@@ -114,8 +111,8 @@
   const MachineListing listing = machines_.Visible(clock_.Now());
   const std::string tag = "\"" + std::to_string(machines_.version()) + "\"";
   if (FindHeader(request.headers, "If-None-Match") == tag)
-    return {kNotModified, {{"ETag", tag}}, ""};
-  HttpResponse response = JsonResponse(kOk, json::value_from(*listing));
+    return {http_status::kNotModified, {{"ETag", tag}}, ""};
+  HttpResponse response = JsonResponse(http_status::kOk, json::value_from(*listing));
   response.headers.push_back({"ETag", tag});
   return response;
 }
--- a/src/standin/service_server.cc
+++ b/src/standin/service_server.cc
@@ -1,15 +1,14 @@
 #include "standin/service_server.h"
 
+#include "http/http_status.h"
 #include "platform/json_codec.h"
 #include "standin/json_response.h"
 
 namespace moorfold {
 namespace {
-constexpr unsigned kOk = 200;
-constexpr unsigned kUnavailable = 503;
 
 HttpResponse LeavingRefusal() {
-  return JsonResponse(kUnavailable,
+  return JsonResponse(http_status::kUnavailable,
                       {{"error", {{"code", "leaving"}, {"message", "this server is leaving"}}},
                        {"executed", "no"}});
 }
@@ -27,11 +26,11 @@
 void ServiceServer::Start() { server_.Start(); }
 
 HttpResponse ServiceServer::Echo(const HttpRequest& request, const std::string& id) const {
-  HttpResponse response = JsonResponse(kOk, {{"service", traits_.name},
-                                             {"server", name_},
-                                             {"id", id},
-                                             {"path", request.target},
-                                             {"echo", request.body}});
+  HttpResponse response = JsonResponse(http_status::kOk, {{"service", traits_.name},
+                                                          {"server", name_},
+                                                          {"id", id},
+                                                          {"path", request.target},
+                                                          {"echo", request.body}});
   response.headers.push_back({"x-request-id", id});
   return response;
 }
