Publish cache events from the stand-in engines, late and with gaps

Cause: the stand-in lacked what engines publish about their prefix caches. Change: GET /admin/cache-events?after=N, delayed by the report lag; every tenth event is lost, which the sequence numbers show. Measured: end_to_end_test 'The stand-in publishes cache events late and with gaps' passes. Conclusion: kept; the daemon does not use them yet (affinity goes by rendezvous of prefix and server).

--- a/src/standin/engine_server.cc
+++ b/src/standin/engine_server.cc
@@ -20,6 +20,9 @@
 constexpr std::uint32_t kDefaultTokens = 16;
 constexpr std::uint32_t kMaxTokens = 100'000;
 constexpr std::size_t kCachedPrefixes = 32;
+constexpr std::size_t kKeptCacheEvents = 1'000;
+constexpr std::uint64_t kLostCacheEventPeriod = 10;
+constexpr std::string_view kCacheEventsTarget = "/admin/cache-events?after=";
 constexpr std::size_t kPrefixBytes = 256;
 /// A cached prefix leaves this share of the prefill to do.
 constexpr double kCachedPrefillShare = 0.2;
@@ -181,6 +184,8 @@
   const std::string& target = exchange.request().target;
   if (target == "/admin/report") {
     co_await exchange.Respond(JsonResponse(http_status::kOk, json::value_from(LaggingReport())));
+  } else if (target.starts_with(kCacheEventsTarget)) {
+    co_await exchange.Respond(CacheEventsAfter(target));
   } else if (target == "/admin/orders") {
     co_await HandleOrder(exchange);
   } else if (target == "/v1/chat/completions" || target == "/v1/completions") {
@@ -331,18 +336,48 @@
   co_return !completion.disconnected;
 }
 
-bool EngineServer::TouchPrefix(Batch& batch, const std::string& prompt) {
+void EngineServer::PublishCacheEvent(const ModelVersion& servable, std::uint64_t prefix,
+                                     bool stored) {
+  const std::uint64_t sequence = next_cache_event_++;
+  // A gap: the sequence number is used up and the event is lost.
+  if (sequence % kLostCacheEventPeriod == 0) return;
+  cache_events_.push_back({sequence, clock_.Now(), servable, prefix, stored});
+  if (cache_events_.size() > kKeptCacheEvents) cache_events_.pop_front();
+}
+
+/// Answers "/admin/cache-events?after=N" with the events above N that are old enough to show.
+HttpResponse EngineServer::CacheEventsAfter(const std::string& target) const {
+  const std::uint64_t after =
+      std::strtoull(target.c_str() + kCacheEventsTarget.size(), nullptr, 10);
+  const Timestamp visible = clock_.Now() - traits_.report_lag;
+  json::array events;
+  for (const CacheEvent& event : cache_events_) {
+    if (event.sequence <= after || event.when > visible) continue;
+    events.push_back({{"sequence", event.sequence},
+                      {"servable", json::value_from(event.servable)},
+                      {"prefix", std::to_string(event.prefix)},
+                      {"kind", event.stored ? "stored" : "evicted"}});
+  }
+  return JsonResponse(http_status::kOk, events);
+}
+
+bool EngineServer::TouchPrefix(const ModelVersion& servable, const std::string& prompt) {
+  Batch& batch = batches_[servable];
   const std::uint64_t prefix = XXH3_64bits(prompt.data(), std::min(prompt.size(), kPrefixBytes));
   const bool cached =
       std::find(batch.prefixes.begin(), batch.prefixes.end(), prefix) != batch.prefixes.end();
   batch.prefixes.remove(prefix);
   batch.prefixes.push_back(prefix);
-  if (batch.prefixes.size() > kCachedPrefixes) batch.prefixes.pop_front();
+  if (!cached) PublishCacheEvent(servable, prefix, true);
+  if (batch.prefixes.size() > kCachedPrefixes) {
+    PublishCacheEvent(servable, batch.prefixes.front(), false);
+    batch.prefixes.pop_front();
+  }
   return cached;
 }
 
 Awaitable<void> EngineServer::Generate(HttpServerExchange& exchange, Completion& completion) {
-  const bool cached = TouchPrefix(batches_[completion.servable], completion.prompt);
+  const bool cached = TouchPrefix(completion.servable, completion.prompt);
   const double share = cached ? kCachedPrefillShare : 1.0;
   const auto prefill = FromSeconds(ToSeconds(traits_.first_token) * share) + faults_.delay;
   if (prefill > Duration{0}) co_await Sleep(prefill);
--- a/src/standin/engine_server.h
+++ b/src/standin/engine_server.h
@@ -45,6 +45,14 @@
 
  private:
   struct Completion;
+  /// A prefix entered or left a replica's cache. Published late, and some never are.
+  struct CacheEvent {
+    std::uint64_t sequence = 0;
+    Timestamp when{};
+    ModelVersion servable;
+    std::uint64_t prefix = 0;
+    bool stored = true;
+  };
   struct Batch {
     std::uint32_t running = 0;
     std::multiset<std::pair<int, std::uint64_t>> waiting;  ///< Priority, arrival.
@@ -63,7 +71,9 @@
   Awaitable<void> HandleCompletion(HttpServerExchange& exchange);
   Awaitable<bool> AwaitBatchSlot(Completion& completion);
   Awaitable<void> Generate(HttpServerExchange& exchange, Completion& completion);
-  bool TouchPrefix(Batch& batch, const std::string& prompt);
+  bool TouchPrefix(const ModelVersion& servable, const std::string& prompt);
+  void PublishCacheEvent(const ModelVersion& servable, std::uint64_t prefix, bool stored);
+  HttpResponse CacheEventsAfter(const std::string& target) const;
   ServerReport LaggingReport();
 
   WallClock clock_;
@@ -77,6 +87,8 @@
   std::map<ModelVersion, Batch> batches_;
   std::map<ModelVersion, std::shared_ptr<Load>> loads_;
   std::deque<std::pair<Timestamp, ServerReport>> reports_;
+  std::deque<CacheEvent> cache_events_;
+  std::uint64_t next_cache_event_ = 1;
   bool dead_ = false;
   std::uint64_t life_ = 0;  ///< Requests of an earlier life break.
   std::uint64_t next_arrival_ = 0;
--- a/test/e2e/cluster.h
+++ b/test/e2e/cluster.h
@@ -107,6 +107,12 @@
     return Post(platform_.admin(), target, body);
   }
   Endpoint platform_admin() const { return platform_.admin(); }
+  Endpoint EngineEndpoint(const ServerName& name) {
+    for (const Machine& machine :
+         FromJson<std::vector<Machine>>(Fetch(platform_.admin(), "/machines")))
+      if (machine.name == name) return {machine.address, machine.http_port};
+    throw std::runtime_error("no engine " + name);
+  }
   void Fault(const std::string& json) { Admin("/admin/faults", json); }
   /// How many requests the back ends have run in all.
   std::uint64_t RequestsRun() {
--- a/test/e2e/end_to_end_test.cc
+++ b/test/e2e/end_to_end_test.cc
@@ -244,6 +244,31 @@
   CHECK(SendOne(cluster.ModelRequest(2, "only-z")).end == LoadEnd::kServed);
 }
 
+TEST_CASE("The stand-in publishes cache events late and with gaps") {
+  Deployment deployment = Cluster::Small();
+  deployment.engine.report_lag = std::chrono::milliseconds(300);
+  Cluster cluster(deployment, 1);
+  cluster.Establish();
+  std::vector<LoadRequest> requests;
+  for (int index = 0; index < 25; ++index) {
+    requests.push_back(cluster.ModelRequest(0, "both"));
+    requests.back().prompt = "document " + std::to_string(index);
+  }
+  for (const LoadOutcome& outcome : SendAll(requests)) REQUIRE(outcome.end == LoadEnd::kServed);
+  const Endpoint engine = cluster.EngineEndpoint("y-engine-0");
+  const auto sequences = [&] {
+    std::vector<std::uint64_t> numbers;
+    const boost::json::value events = ParseJson(Fetch(engine, "/admin/cache-events?after=0"));
+    for (const boost::json::value& event : events.as_array())
+      numbers.push_back(event.at("sequence").to_number<std::uint64_t>());
+    return numbers;
+  };
+  Cluster::WaitFor([&] { return sequences().size() >= 23; });
+  const std::vector<std::uint64_t> seen = sequences();
+  CHECK(std::is_sorted(seen.begin(), seen.end()));
+  CHECK(std::find(seen.begin(), seen.end(), 10) == seen.end());
+}
+
 TEST_CASE("Operators race: one plan wins, the other is told to plan again") {
   Cluster cluster(Cluster::Small());
   cluster.Establish();
