Let waiting coroutines outlive the signal they wait for

Cause: under the address sanitizer, a transfer of the stand-in's weight store that was destroyed with its context unregistered from a signal that was gone (end_to_end_test, use after free).

--- a/src/common/async_signal.h
+++ b/src/common/async_signal.h
@@ -3,6 +3,8 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <memory>
+#include <vector>
 
 #include "http/http_types.h"
 
@@ -28,28 +30,31 @@
 
   void NotifyAll() {
     timer_.cancel();
-    for (boost::asio::steady_timer* limited : limited_) limited->cancel();
+    for (boost::asio::steady_timer* limited : *limited_) limited->cancel();
   }
 
  private:
-  /// Also undone when the waiting coroutine is destroyed instead of resumed.
+  using Timers = std::vector<boost::asio::steady_timer*>;
+
+  /// Also undone when the waiting coroutine is destroyed instead of resumed, which may happen after
+  /// the signal's own end: at the destruction of the context that runs both.
   class Registration {
    public:
-    Registration(std::vector<boost::asio::steady_timer*>& timers, boost::asio::steady_timer& timer)
-        : timers_(timers), timer_(&timer) {
-      timers_.push_back(timer_);
+    Registration(std::shared_ptr<Timers> timers, boost::asio::steady_timer& timer)
+        : timers_(std::move(timers)), timer_(&timer) {
+      timers_->push_back(timer_);
     }
-    ~Registration() { std::erase(timers_, timer_); }
+    ~Registration() { std::erase(*timers_, timer_); }
     Registration(const Registration&) = delete;
     Registration& operator=(const Registration&) = delete;
 
    private:
-    std::vector<boost::asio::steady_timer*>& timers_;
+    std::shared_ptr<Timers> timers_;
     boost::asio::steady_timer* timer_;
   };
 
   boost::asio::steady_timer timer_;
-  std::vector<boost::asio::steady_timer*> limited_;
+  std::shared_ptr<Timers> limited_ = std::make_shared<Timers>();
 };
 
 /// Suspends the calling coroutine.
