Destroy the acceptor before its context, and publish tables under a lock

Cause: the thread sanitizer, end_to_end_test: 14 warnings. A server kept alive by unfinished connections destroyed its acceptor after the context that it belonged to.

--- a/src/cli/experiment.cc
+++ b/src/cli/experiment.cc
@@ -141,7 +141,8 @@
 }  // namespace
 
 int RunExperiment(const std::vector<std::string>& arguments) {
-  CommandLine line("experiment", "Runs a scenario over a grid of settings and seeds; prints a table");
+  CommandLine line("experiment",
+                   "Runs a scenario over a grid of settings and seeds; prints a table");
   TCLAP::ValueArg<std::string> file("", "scenario", "Scenario file (YAML)", true, "", "FILE",
                                     line.tclap());
   TCLAP::MultiArg<std::string> vary("", "vary", "A setting and its values", true, "KEY=a,b,c",
@@ -161,8 +162,7 @@
   std::vector<Setting> fixed;
   for (const std::string& text : set.getValue()) {
     const std::size_t equals = std::min(text.find('='), text.size());
-    fixed.emplace_back(text.substr(0, equals),
-                       equals < text.size() ? text.substr(equals + 1) : "");
+    fixed.emplace_back(text.substr(0, equals), equals < text.size() ? text.substr(equals + 1) : "");
   }
   std::vector<Cell> grid = MakeGrid(vary.getValue());
   for (const Cell& cell : grid) {  // Mistakes show before the long work.
@@ -174,8 +174,8 @@
           faults.getValue() == "chaos" ? FaultMode::kChaos : FaultMode::kNone, fixed);
   PrintTable(grid);
   if (!csv.getValue().empty()) WriteCsv(csv.getValue(), grid);
-  const bool broken = std::any_of(grid.begin(), grid.end(),
-                                  [](const Cell& cell) { return cell.violations > 0; });
+  const bool broken =
+      std::any_of(grid.begin(), grid.end(), [](const Cell& cell) { return cell.violations > 0; });
   return broken ? kExitFailed : kExitDone;
 }
 
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -53,12 +53,12 @@
   Impl(std::vector<asio::io_context*> contexts, const Endpoint& listen, HttpServerLimits limits,
        HttpHandler handler, HttpRejection rejection)
       : contexts_(std::move(contexts)),
-        acceptor_(*contexts_.front(),
+        acceptor_(std::in_place, *contexts_.front(),
                   tcp::endpoint(asio::ip::make_address(listen.address), listen.port)),
         limits_(limits),
         handler_(std::move(handler)),
         rejection_(std::move(rejection)) {
-    const tcp::endpoint local = acceptor_.local_endpoint();
+    const tcp::endpoint local = acceptor_->local_endpoint();
     endpoint_ = {local.address().to_string(), local.port()};
   }
 
@@ -66,12 +66,19 @@
 
   void StopAccepting() {
     stopping_ = true;
-    asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+    asio::post(*contexts_.front(), [self = shared_from_this()] {
       error_code ignored;
-      self->acceptor_.close(ignored);
+      if (self->acceptor_) self->acceptor_->close(ignored);
     });
   }
 
+  /// Connections that never end keep this object alive until their own context is destroyed; the
+  /// acceptor must be gone before the context that it belongs to.
+  void DestroyAcceptor() {
+    stopping_ = true;
+    acceptor_.reset();
+  }
+
   const Endpoint& endpoint() const { return endpoint_; }
   std::size_t active_requests() const { return active_requests_; }
 
@@ -84,7 +91,7 @@
       asio::io_context& context = *self->contexts_[next++ % self->contexts_.size()];
       tcp::socket socket(context);
       error_code error;
-      co_await self->acceptor_.async_accept(socket, asio::redirect_error(use_awaitable, error));
+      co_await self->acceptor_->async_accept(socket, asio::redirect_error(use_awaitable, error));
       if (error == asio::error::operation_aborted) co_return;
       if (error) {  // Out of descriptors, say: wait a little instead of spinning.
         asio::steady_timer pause(*self->contexts_.front(), std::chrono::milliseconds(50));
@@ -116,7 +123,7 @@
                                   beast::flat_buffer& buffer);
 
   std::vector<asio::io_context*> contexts_;
-  tcp::acceptor acceptor_;
+  std::optional<tcp::acceptor> acceptor_;
   Endpoint endpoint_;
   HttpServerLimits limits_;
   HttpHandler handler_;
@@ -344,7 +351,7 @@
     : impl_(std::make_shared<Impl>(std::move(contexts), listen, limits, std::move(handler),
                                    std::move(rejection))) {}
 
-HttpServer::~HttpServer() { impl_->StopAccepting(); }
+HttpServer::~HttpServer() { impl_->DestroyAcceptor(); }
 
 void HttpServer::Start() { impl_->Start(); }
 Endpoint HttpServer::endpoint() const { return impl_->endpoint(); }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -52,6 +52,7 @@
   /// @throws boost::system::system_error when the address cannot be bound.
   HttpServer(std::vector<boost::asio::io_context*> contexts, const Endpoint& listen,
              HttpServerLimits limits, HttpHandler handler, HttpRejection rejection);
+  /// Only when no thread runs the contexts any more, or from the first one's own thread.
   ~HttpServer();
 
   void Start();
--- a/src/request/routing_table.h
+++ b/src/request/routing_table.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <set>
 #include <string>
@@ -133,11 +134,12 @@
 };
 
 /// Hands tables from the control thread to the workers by read-copy-update: a reader pays one
-/// atomic load, and takes the new pointer only when the version changed.
+/// atomic load, and takes the new pointer, under a lock, only when the version changed.
 class RoutingTablePublisher {
  public:
   void Publish(RoutingTableConstPtr table) {
-    table_.store(std::move(table));
+    const std::lock_guard lock(mutex_);
+    table_ = std::move(table);
     version_.fetch_add(1, std::memory_order_release);
   }
 
@@ -147,15 +149,17 @@
     explicit Reader(const RoutingTablePublisher& publisher) : publisher_(publisher) {}
     /// @return the newest table; never null. Valid while the pointer is held.
     const RoutingTableConstPtr& Get() {
-      const std::uint64_t version = publisher_.version_.load(std::memory_order_acquire);
-      if (version != version_) {
-        table_ = publisher_.table_.load();
-        version_ = version;
-      }
+      if (publisher_.version_.load(std::memory_order_acquire) != version_) Refresh();
       return table_;
     }
 
    private:
+    void Refresh() {
+      const std::lock_guard lock(publisher_.mutex_);
+      table_ = publisher_.table_;
+      version_ = publisher_.version_.load(std::memory_order_relaxed);
+    }
+
     const RoutingTablePublisher& publisher_;
     std::uint64_t version_ = 0;
     RoutingTableConstPtr table_ = std::make_shared<RoutingTable>();
@@ -163,7 +167,8 @@
 
  private:
   std::atomic<std::uint64_t> version_{0};
-  std::atomic<RoutingTableConstPtr> table_{std::make_shared<RoutingTable>()};
+  mutable std::mutex mutex_;
+  RoutingTableConstPtr table_ = std::make_shared<RoutingTable>();
 };
 
 }  // namespace moorfold
