Mend the linter's last finding

Cause: scripts/lint.sh, whole tree: one finding (string concatenation in simulated_daemon.cc). Change: append instead.

--- a/src/simulation/simulated_daemon.cc
+++ b/src/simulation/simulated_daemon.cc
@@ -98,7 +98,8 @@
   }
   void OnLog(const LogRecord& record) override {
     std::string line = daemon_.name_ + " " + record.name;
-    for (const auto& [key, value] : record.fields) line += " " + key + "=" + value;
+    for (const auto& [key, value] : record.fields)
+      line.append(" ").append(key).append("=").append(value);
     daemon_.surroundings_.checkers->Note(std::move(line));
   }
   std::vector<DemandSample> TakeDemand(bool waiting_only) override {
