--- a/src/api/operator_api.cc
+++ b/src/api/operator_api.cc
@@ -10,7 +10,7 @@
 #include "config/strict_yaml.h"
 #include "core/configuration/plan.h"
 #include "http/http_status.h"
-#include "platform/json_codec.h"
+#include "ports/json_codec.h"
 #include "request/api_error.h"
 
 namespace moorfold {
--- a/src/cli/capacity_table.cc
+++ b/src/cli/capacity_table.cc
@@ -6,7 +6,7 @@
 #include <map>
 
 #include "cli/command_line.h"
-#include "platform/json_codec.h"
+#include "ports/json_codec.h"
 
 namespace moorfold {
 
--- a/src/cli/load.cc
+++ b/src/cli/load.cc
@@ -7,7 +7,7 @@
 #include "cli/command_line.h"
 #include "config/intent_file.h"
 #include "load/load_plan.h"
-#include "platform/json_codec.h"
+#include "ports/json_codec.h"
 #include "simulation/result_report.h"
 
 namespace moorfold {
--- a/src/cli/operator_commands.cc
+++ b/src/cli/operator_commands.cc
@@ -7,7 +7,7 @@
 #include "config/strict_yaml.h"
 #include "http/http_status.h"
 #include "load/load_client.h"
-#include "platform/json_codec.h"
+#include "ports/json_codec.h"
 
 namespace moorfold {
 
--- a/src/cli/serve.cc
+++ b/src/cli/serve.cc
@@ -10,7 +10,7 @@
 #include "common/log_line.h"
 #include "config/settings_file.h"
 #include "daemon/daemon.h"
-#include "platform/json_codec.h"
+#include "ports/json_codec.h"
 
 namespace moorfold {
 namespace {
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -10,9 +10,9 @@
 #include "config/settings_file.h"
 #include "host/core_host.h"
 #include "peer/transport.h"
-#include "platform/etcd_key_value_store.h"
-#include "platform/http_machine_list.h"
-#include "platform/http_model_engine.h"
+#include "ports/etcd_key_value_store.h"
+#include "ports/http_machine_list.h"
+#include "ports/http_model_engine.h"
 #include "request/claims/claim_service.h"
 #include "request/routing_table.h"
 
--- a/src/host/core_host.h
+++ b/src/host/core_host.h
@@ -8,9 +8,9 @@
 
 #include "core/reducer.h"
 #include "core/state.h"
-#include "platform/document_store.h"
-#include "platform/machine_list.h"
-#include "platform/model_engine.h"
+#include "ports/document_store.h"
+#include "ports/machine_list.h"
+#include "ports/model_engine.h"
 #include "request/claims/claim_node.h"
 
 namespace moorfold {
--- a/src/modelled/key_value_table.h
+++ b/src/modelled/key_value_table.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "core/time.h"
-#include "platform/key_value_store.h"
+#include "ports/key_value_store.h"
 
 namespace moorfold {
 
--- a/src/peer/message_codec.cc
+++ b/src/peer/message_codec.cc
@@ -11,8 +11,8 @@
 #include <sstream>
 #include <streambuf>
 
-#include "platform/described_types.h"
-#include "platform/json_codec.h"
+#include "ports/described_types.h"
+#include "ports/json_codec.h"
 
 namespace moorfold {
 
--- a/src/peer/transport.cc
+++ b/src/peer/transport.cc
@@ -14,7 +14,7 @@
 #include <deque>
 #include <map>
 
-#include "platform/json_codec.h"
+#include "ports/json_codec.h"
 
 namespace moorfold {
 
--- a/src/platform/document_store.cc
+++ b/src/ports/document_store.cc
@@ -1,11 +1,11 @@
-#include "platform/document_store.h"
+#include "ports/document_store.h"
 
 #include <xxhash.h>
 
 #include <array>
 #include <cstdio>
 
-#include "platform/json_codec.h"
+#include "ports/json_codec.h"
 
 namespace moorfold {
 
--- a/src/platform/document_store.h
+++ b/src/ports/document_store.h
@@ -10,7 +10,7 @@
 #include "core/configuration/plan.h"
 #include "core/events.h"
 #include "core/ledger.h"
-#include "platform/key_value_store.h"
+#include "ports/key_value_store.h"
 
 namespace moorfold {
 
--- a/src/platform/etcd_json.cc
+++ b/src/ports/etcd_json.cc
@@ -1,4 +1,4 @@
-#include "platform/etcd_json.h"
+#include "ports/etcd_json.h"
 
 #include <openssl/evp.h>
 
--- a/src/platform/etcd_json.h
+++ b/src/ports/etcd_json.h
@@ -3,8 +3,8 @@
 #include <boost/json.hpp>
 #include <string>
 
-#include "platform/json_codec.h"
-#include "platform/key_value_store.h"
+#include "ports/json_codec.h"
+#include "ports/key_value_store.h"
 
 namespace moorfold::etcd {
 
--- a/src/platform/etcd_key_value_store.cc
+++ b/src/ports/etcd_key_value_store.cc
@@ -1,11 +1,11 @@
-#include "platform/etcd_key_value_store.h"
+#include "ports/etcd_key_value_store.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
 #include "http/http_status.h"
-#include "platform/etcd_json.h"
+#include "ports/etcd_json.h"
 
 namespace moorfold {
 
--- a/src/platform/etcd_key_value_store.h
+++ b/src/ports/etcd_key_value_store.h
@@ -4,7 +4,7 @@
 #include <memory>
 
 #include "http/http_client.h"
-#include "platform/key_value_store.h"
+#include "ports/key_value_store.h"
 
 namespace moorfold {
 
--- a/src/platform/http_machine_list.h
+++ b/src/ports/http_machine_list.h
@@ -4,7 +4,7 @@
 #include <memory>
 
 #include "http/http_client.h"
-#include "platform/machine_list.h"
+#include "ports/machine_list.h"
 
 namespace moorfold {
 
--- a/src/platform/http_model_engine.cc
+++ b/src/ports/http_model_engine.cc
@@ -1,10 +1,10 @@
-#include "platform/http_model_engine.h"
+#include "ports/http_model_engine.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
 #include "http/http_status.h"
-#include "platform/json_codec.h"
+#include "ports/json_codec.h"
 
 namespace moorfold {
 namespace {
--- a/src/platform/http_model_engine.h
+++ b/src/ports/http_model_engine.h
@@ -4,7 +4,7 @@
 #include <memory>
 
 #include "http/http_client.h"
-#include "platform/model_engine.h"
+#include "ports/model_engine.h"
 
 namespace moorfold {
 
--- a/src/platform/json_codec.cc
+++ b/src/ports/json_codec.cc
@@ -1,4 +1,4 @@
-#include "platform/json_codec.h"
+#include "ports/json_codec.h"
 
 namespace moorfold {
 
--- a/src/platform/json_codec.h
+++ b/src/ports/json_codec.h
@@ -4,7 +4,7 @@
 #include <stdexcept>
 #include <string>
 
-#include "platform/described_types.h"
+#include "ports/described_types.h"
 
 // Times travel as microseconds. The overloads stand in the tags' namespace, where they are found.
 namespace boost::json {
--- a/src/platform/model_engine.h
+++ b/src/ports/model_engine.h
@@ -4,7 +4,7 @@
 #include <optional>
 
 #include "core/types.h"
-#include "platform/key_value_store.h"
+#include "ports/key_value_store.h"
 
 namespace moorfold {
 
--- a/src/simulation/operators.h
+++ b/src/simulation/operators.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/intent.h"
-#include "platform/document_store.h"
+#include "ports/document_store.h"
 #include "simulation/simulated_key_value_store.h"
 
 namespace moorfold {
--- a/src/simulation/simulated_engine.cc
+++ b/src/simulation/simulated_engine.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "platform/json_codec.h"
+#include "ports/json_codec.h"
 
 namespace moorfold {
 namespace {
--- a/src/simulation/simulation.cc
+++ b/src/simulation/simulation.cc
@@ -4,7 +4,7 @@
 #include <chrono>
 #include <ctime>
 
-#include "platform/json_codec.h"
+#include "ports/json_codec.h"
 #include "simulation/fault_injector.h"
 #include "simulation/socket_network.h"
 
--- a/src/standin/engine_server.cc
+++ b/src/standin/engine_server.cc
@@ -8,7 +8,7 @@
 
 #include "http/http_status.h"
 #include "modelled/expected_answer.h"
-#include "platform/json_codec.h"
+#include "ports/json_codec.h"
 #include "standin/json_response.h"
 
 namespace moorfold {
--- a/src/standin/key_value_server.cc
+++ b/src/standin/key_value_server.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "http/http_status.h"
-#include "platform/etcd_json.h"
+#include "ports/etcd_json.h"
 #include "standin/json_response.h"
 
 namespace moorfold {
--- a/src/standin/platform.cc
+++ b/src/standin/platform.cc
@@ -5,7 +5,7 @@
 #include <stdexcept>
 
 #include "http/http_status.h"
-#include "platform/json_codec.h"
+#include "ports/json_codec.h"
 #include "standin/json_response.h"
 
 namespace moorfold {
--- a/src/standin/service_server.cc
+++ b/src/standin/service_server.cc
@@ -1,7 +1,7 @@
 #include "standin/service_server.h"
 
 #include "http/http_status.h"
-#include "platform/json_codec.h"
+#include "ports/json_codec.h"
 #include "standin/json_response.h"
 
 namespace moorfold {
--- a/test/e2e/cluster.h
+++ b/test/e2e/cluster.h
@@ -10,7 +10,7 @@
 #include "config/intent_file.h"
 #include "daemon/daemon.h"
 #include "load/load_client.h"
-#include "platform/json_codec.h"
+#include "ports/json_codec.h"
 #include "standin/platform.h"
 
 namespace moorfold {
--- a/test/peer/frame_test.cc
+++ b/test/peer/frame_test.cc
@@ -5,7 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include "peer/message_codec.h"
-#include "platform/json_codec.h"
+#include "ports/json_codec.h"
 
 namespace moorfold {
 namespace {
--- a/test/platform/contract_environment.h
+++ b/test/ports/contract_environment.h
@@ -4,9 +4,9 @@
 #include <functional>
 #include <memory>
 
-#include "platform/etcd_key_value_store.h"
-#include "platform/http_machine_list.h"
-#include "platform/http_model_engine.h"
+#include "ports/etcd_key_value_store.h"
+#include "ports/http_machine_list.h"
+#include "ports/http_model_engine.h"
 #include "simulation/simulated_engine.h"
 #include "simulation/simulated_key_value_store.h"
 #include "standin/platform.h"
--- a/test/platform/port_contract_test.cc
+++ b/test/ports/port_contract_test.cc
@@ -3,7 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "contract_environment.h"
-#include "platform/document_store.h"
+#include "ports/document_store.h"
 
 namespace moorfold {
 namespace {
