--- /dev/null
+++ b/src/common/event_log.cc
@@ -0,0 +1,64 @@
+#include "common/event_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace moorfold {
+
+namespace {
+constexpr std::size_t kMostPendingBytes = 64 * 1024;
+constexpr std::size_t kFlushBytes = 4 * 1024;
+
+std::int64_t MicrosecondsNow() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+}  // namespace
+
+EventLog::EventLog(int descriptor, Options options) : descriptor_(descriptor), options_(options) {
+  const int flags = fcntl(descriptor_, F_GETFL);
+  if (flags >= 0) fcntl(descriptor_, F_SETFL, flags | O_NONBLOCK);
+}
+
+bool EventLog::Admit(LogRank rank) {
+  constexpr std::int64_t kMicrosecondsPerSecond = 1'000'000;
+  const std::int64_t second = MicrosecondsNow() / kMicrosecondsPerSecond;
+  if (second != second_) {
+    second_ = second;
+    lines_this_second_ = 0;
+    routine_this_second_ = 0;
+    NoteLosses();
+  }
+  if (pending_.size() > kMostPendingBytes) return false;
+  if (rank == LogRank::kRoutine && ++routine_this_second_ > options_.routine_per_second)
+    return false;
+  const std::uint32_t bound =
+      rank == LogRank::kFailure ? options_.failures_per_second : options_.lines_per_second;
+  return ++lines_this_second_ <= bound;
+}
+
+void EventLog::NoteLosses() {
+  if (lost_ == lost_when_noted_) return;
+  pending_ += "event=log_lines_left_out total=" + std::to_string(lost_) + "\n";
+  lost_when_noted_ = lost_;
+}
+
+void EventLog::Write(LogRank rank, const LogLine& line) {
+  if (!Admit(rank)) {
+    ++lost_;
+    return;
+  }
+  pending_ += "t_us=" + std::to_string(MicrosecondsNow()) + " " + line.text() + "\n";
+  if (pending_.size() >= kFlushBytes) Flush();
+}
+
+void EventLog::Flush() {
+  while (!pending_.empty()) {
+    const ssize_t written = ::write(descriptor_, pending_.data(), pending_.size());
+    if (written <= 0) return;  // Full or closed: tried again with the next lines.
+    pending_.erase(0, static_cast<std::size_t>(written));
+  }
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/common/event_log.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "common/log_line.h"
+
+namespace moorfold {
+
+/// How long a line is kept when there are too many.
+enum class LogRank : std::uint8_t {
+  kRoutine,  ///< An ordinary request that was served: left out first.
+  kDecision,
+  kFailure  ///< Kept longest.
+};
+
+/// Lines of key=value pairs on standard output. Never blocks: when the output does not take them, or
+/// more than a number come in a second, lines are left out and counted. One thread.
+class EventLog {
+ public:
+  struct Options {
+    std::uint32_t routine_per_second = 20;
+    std::uint32_t lines_per_second = 200;
+    std::uint32_t failures_per_second = 400;
+  };
+
+  EventLog(int descriptor, Options options);
+
+  void Write(LogRank rank, const LogLine& line);
+  /// Hands the lines written so far to the output, as far as it takes them.
+  void Flush();
+  std::uint64_t lost() const { return lost_; }
+
+ private:
+  bool Admit(LogRank rank);
+  void NoteLosses();
+
+  int descriptor_;
+  Options options_;
+  std::string pending_;
+  std::int64_t second_ = 0;
+  std::uint32_t lines_this_second_ = 0;
+  std::uint32_t routine_this_second_ = 0;
+  std::uint64_t lost_ = 0;
+  std::uint64_t lost_when_noted_ = 0;
+};
+
+}  // namespace moorfold
--- a/src/common/log_line.h
+++ b/src/common/log_line.h
@@ -22,6 +22,8 @@
     return *this;
   }
 
+  const std::string& text() const { return text_; }
+
   friend std::ostream& operator<<(std::ostream& stream, const LogLine& line) {
     return stream << line.text_;
   }
--- /dev/null
+++ b/src/fleet/demand.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "gateway/prompt.h"
+
+namespace moorfold {
+
+/// What one daemon wants of one model or adapter.
+struct DemandEntry {
+  std::string service;
+  ModelReference name;
+  std::uint32_t waiting = 0;    ///< Requests that found no usable server holding it.
+  std::uint32_t in_flight = 0;  ///< Requests at servers now.
+  std::uint32_t arrivals = 0;   ///< Requests since the last report.
+  double tokens = 0;            ///< Prompt tokens of those arrivals.
+};
+
+/// Counts a daemon's demand between reports. One thread.
+class DemandBook {
+ public:
+  struct Key {
+    std::string service;
+    ModelReference name;
+    auto operator<=>(const Key&) const = default;
+  };
+  struct Count {
+    std::uint32_t waiting = 0;
+    std::uint32_t in_flight = 0;
+    std::uint32_t arrivals = 0;
+    double tokens = 0;
+  };
+
+  Count& At(const std::string& service, const ModelReference& name) { return counts_[{service, name}]; }
+  /// @return what has happened since the last call; entries with nothing in them are forgotten.
+  std::vector<DemandEntry> Take();
+  bool AnyWaiting() const;
+
+ private:
+  std::map<Key, Count> counts_;
+};
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/fleet/demand_channel.cc
@@ -0,0 +1,79 @@
+#include "fleet/demand_channel.h"
+
+#include <boost/asio/buffer.hpp>
+
+namespace moorfold {
+
+using boost::asio::ip::udp;
+using std::chrono::steady_clock;
+
+namespace {
+constexpr std::size_t kEntriesPerDatagram = 24;
+constexpr std::chrono::seconds kReporterLife{5};
+}  // namespace
+
+DemandChannel::DemandChannel(boost::asio::io_context& context, const Endpoint& listen,
+                             ReportHandler reported, NoticeHandler noticed)
+    : socket_(context, udp::endpoint(boost::asio::ip::make_address(listen.address), listen.port)),
+      reported_(std::move(reported)),
+      noticed_(std::move(noticed)) {
+  socket_.non_blocking(true);
+}
+
+void DemandChannel::Start() { Receive(); }
+
+Endpoint DemandChannel::endpoint() const {
+  const udp::endpoint local = socket_.local_endpoint();
+  return {local.address().to_string(), local.port()};
+}
+
+void DemandChannel::Receive() {
+  socket_.async_receive_from(boost::asio::buffer(buffer_), from_,
+                             [this](const boost::system::error_code& error, std::size_t length) {
+                               if (error == boost::asio::error::operation_aborted) return;
+                               if (!error) Take(length);
+                               Receive();
+                             });
+}
+
+void DemandChannel::Take(std::size_t length) {
+  try {
+    auto message = DecodeMessage<FleetMessage>(std::string(buffer_.data(), length));
+    if (auto* report = std::get_if<DemandReport>(&message)) {
+      reporters_[from_] = steady_clock::now();
+      reported_(std::move(*report));
+    } else {
+      noticed_(std::get<PlacementNotice>(message));
+    }
+  } catch (const std::exception&) {  // Of another version, or no message: left alone.
+  }
+}
+
+void DemandChannel::Send(const FleetMessage& message, const udp::endpoint& to) {
+  const std::string bytes = EncodeMessage(message);
+  boost::system::error_code ignored;  // A full buffer loses it, as the network may.
+  socket_.send_to(boost::asio::buffer(bytes), to, 0, ignored);
+}
+
+void DemandChannel::SendReport(const std::string& to, const DemandReport& report) {
+  const Endpoint endpoint = ParseEndpoint(to);
+  const udp::endpoint target(boost::asio::ip::make_address(endpoint.address), endpoint.port);
+  DemandReport part{report.sender, {}};
+  for (const DemandEntry& entry : report.entries) {
+    part.entries.push_back(entry);
+    if (part.entries.size() < kEntriesPerDatagram) continue;
+    Send(part, target);
+    part.entries.clear();
+  }
+  if (!part.entries.empty() || report.entries.empty()) Send(part, target);
+}
+
+void DemandChannel::Broadcast(const PlacementNotice& notice) {
+  const auto now = steady_clock::now();
+  std::erase_if(reporters_, [&](const auto& reporter) {
+    return now - reporter.second > kReporterLife;
+  });
+  for (const auto& [endpoint, seen] : reporters_) Send(notice, endpoint);
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/fleet/demand_channel.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fleet/fleet_messages.h"
+#include "http/http_types.h"
+
+namespace moorfold {
+
+/// Datagrams between daemons: demand to the leader, notices from it. Any datagram may be lost or
+/// come from a daemon that is gone; what matters is said again. One thread.
+class DemandChannel {
+ public:
+  using ReportHandler = std::function<void(DemandReport)>;
+  using NoticeHandler = std::function<void(const PlacementNotice&)>;
+
+  /// @throws boost::system::system_error when the address cannot be bound.
+  DemandChannel(boost::asio::io_context& context, const Endpoint& listen, ReportHandler reported,
+                NoticeHandler noticed);
+
+  void Start();
+  /// @param to "IP:PORT" of the leader.
+  void SendReport(const std::string& to, const DemandReport& report);
+  /// To every daemon that reported lately.
+  void Broadcast(const PlacementNotice& notice);
+  Endpoint endpoint() const;
+
+ private:
+  using Time = std::chrono::steady_clock::time_point;
+
+  void Receive();
+  void Take(std::size_t length);
+  void Send(const FleetMessage& message, const boost::asio::ip::udp::endpoint& to);
+
+  static constexpr std::size_t kLongestDatagram = 8 * 1024;
+
+  boost::asio::ip::udp::socket socket_;
+  ReportHandler reported_;
+  NoticeHandler noticed_;
+  std::array<char, kLongestDatagram> buffer_{};
+  boost::asio::ip::udp::endpoint from_;
+  std::map<boost::asio::ip::udp::endpoint, Time> reporters_;
+};
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/fleet/fleet_controller.cc
@@ -0,0 +1,303 @@
+#include "fleet/fleet_controller.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "http/http_status.h"
+
+namespace moorfold {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds kTick{100};
+/// An order is given up, with its connection, before an older leader's last moment; see
+/// docs/PLATFORM-DESIGN.md.
+constexpr milliseconds kOrderTimeout{600};
+constexpr milliseconds kReportTimeout{600};
+constexpr milliseconds kPollEvery{150};
+constexpr milliseconds kLongestOperation{8'000};
+constexpr milliseconds kAfterFailure{800};
+constexpr milliseconds kAdapterTime{15};
+
+const char* Name(ServerOrderOutcome outcome) {
+  switch (outcome) {
+    case ServerOrderOutcome::kUnderWay:
+      return "under_way";
+    case ServerOrderOutcome::kAlreadyDone:
+      return "already_done";
+    case ServerOrderOutcome::kConflict:
+      return "conflict";
+    case ServerOrderOutcome::kOtherServer:
+      return "other_server";
+    case ServerOrderOutcome::kRejected:
+      return "rejected";
+    case ServerOrderOutcome::kNoAnswer:
+      return "no_answer";
+  }
+  return "unknown";
+}
+
+HeldModel* FindModel(std::vector<HeldModel>& models, const std::string& name) {
+  for (HeldModel& held : models)
+    if (held.name == name) return &held;
+  return nullptr;
+}
+
+bool Shows(const std::vector<HeldModel>& models, const ModelReference& name) {
+  for (const HeldModel& held : models)
+    if (held.name == name.model) return name.adapter.empty() || held.HasAdapter(name.adapter);
+  return false;
+}
+
+}  // namespace
+
+FleetController::FleetController(boost::asio::io_context& context, const FleetProtocol& protocol,
+                                 FleetView& view, LeaderElection& election,
+                                 GatewayMetrics& metrics, EventLog& log,
+                                 ControllerSettings settings, NoticeHandler notice)
+    : context_(context),
+      protocol_(protocol),
+      view_(view),
+      election_(election),
+      metrics_(metrics),
+      log_(log),
+      settings_(std::move(settings)),
+      notice_(std::move(notice)),
+      client_(context),
+      timer_(context),
+      loads_(settings_.load_window) {}
+
+void FleetController::Start() { Tick(); }
+
+void FleetController::AddReport(const DemandReport& report) {
+  demand_.Add(report, steady_clock::now());
+  const bool waiting = std::any_of(report.entries.begin(), report.entries.end(),
+                                   [](const DemandEntry& entry) { return entry.waiting > 0; });
+  if (waiting) PlanAll();
+}
+
+void FleetController::Tick() {
+  metrics_.leading = election_.leading() ? 1 : 0;
+  PlanAll();
+  timer_.expires_after(kTick);
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error && !stopped_) Tick();
+  });
+}
+
+void FleetController::NoteTerm() {
+  if (term_ == election_.fencing_token()) return;
+  term_ = election_.fencing_token();
+  managed_.clear();
+  loads_ = LoadWindow(settings_.load_window);
+  constexpr double kShareAssumedUsed = 0.5;
+  for (const ServiceDescription& service : view_.routes->configuration().services)
+    if (service.engine)
+      loads_.AssumeUsed(service.engine->loads_per_second * kShareAssumedUsed *
+                            std::chrono::duration<double>(settings_.load_window).count(),
+                        steady_clock::now());
+}
+
+void FleetController::PlanAll() {
+  if (stopped_ || !view_.routes || !election_.MayOrder()) return;
+  NoteTerm();
+  Forget();
+  const RouteTableConstPtr table = view_.routes;
+  for (const ServiceDescription& service : table->configuration().services)
+    if (service.engine) PlanService(service);
+}
+
+void FleetController::Forget() {
+  std::erase_if(managed_, [&](const auto& entry) { return view_.servers.Find(entry.first) == nullptr; });
+}
+
+FleetController::ManagedPtr FleetController::Managed(const std::string& id) {
+  ManagedPtr& managed = managed_[id];
+  if (!managed) {
+    managed = std::make_shared<ManagedServer>();
+    managed->id = id;
+  }
+  return managed;
+}
+
+PlannedServer FleetController::Describe(const Server& server) {
+  const auto now = steady_clock::now();
+  const ManagedPtr managed = Managed(server.record().id);
+  PlannedServer planned;
+  planned.id = server.record().id;
+  planned.serving = server.Usable(now) && !server.Suspect(now);
+  planned.orderable = planned.serving && !managed->operating && now >= managed->not_before;
+  const bool own = managed->known;
+  planned.models = own ? managed->models : server.record().models;
+  planned.in_memory = own ? managed->in_memory : server.record().in_memory;
+  planned.on_disk = own ? managed->on_disk : server.record().on_disk;
+  planned.incoming = managed->incoming;
+  planned.intended = managed->intended;
+  return planned;
+}
+
+void FleetController::PlanService(const ServiceDescription& service) {
+  const auto now = steady_clock::now();
+  std::vector<PlannedServer> servers;
+  for (const ServerPtr& server : view_.servers.Of(service.name))
+    servers.push_back(Describe(*server));
+  const PlannerLimits limits{loads_.Free(service.engine->loads_per_second, now)};
+  PlacementPlanner planner(*service.engine, demand_.Of(service.name, now), std::move(servers),
+                           limits, now);
+  for (const PlacementStep& step : planner.Plan())
+    if (const ServerPtr server = view_.servers.Find(step.server_id)) Begin(step, *server);
+}
+
+void FleetController::Begin(const PlacementStep& step, const Server& server) {
+  const ManagedPtr managed = Managed(step.server_id);
+  managed->operating = true;
+  if (!managed->known) {
+    boost::asio::co_spawn(context_, AskState(managed, server.record().endpoint),
+                          boost::asio::detached);
+    return;
+  }
+  const ServerOrder order{step.kind,       step.name.model,      step.name.adapter,
+                          managed->id,     managed->order_count, settings_.holder,
+                          election_.fencing_token()};
+  managed->intended = step.intended;
+  if (step.kind == ServerOrderKind::kLoad && step.name.adapter.empty())
+    managed->incoming = step.name.model;
+  if (step.from_weight_store) loads_.Count(steady_clock::now());
+  if (step.kind == ServerOrderKind::kUnload) Notify(managed->id, step.name, false);
+  boost::asio::co_spawn(context_, CarryOut(managed, step, order, server.record().endpoint),
+                        boost::asio::detached);
+}
+
+Awaitable<std::optional<ServerStatus>> FleetController::ReadReport(const std::string& id,
+                                                                   Endpoint endpoint) {
+  HttpSendOptions options;
+  options.deadline = steady_clock::now() + kReportTimeout;
+  try {
+    HttpRequest request = protocol_.MakeReportQuery(id);
+    const HttpResponse response = co_await client_.Send(endpoint, std::move(request), options);
+    if (response.status != http_status::kOk) co_return std::nullopt;
+    co_return protocol_.ParseReport(response.body);
+  } catch (const std::exception& error) {
+    log_.Write(LogRank::kDecision,
+               LogLine("report_failed").Field("server", id).Field("problem", error.what()));
+  }
+  co_return std::nullopt;
+}
+
+void FleetController::TakeReport(ManagedServer& managed, const ServerStatus& report) {
+  managed.models = report.models;
+  for (const HeldModel& incoming : report.incoming)
+    if (HeldModel* held = FindModel(managed.models, incoming.name))
+      held->adapters.insert(held->adapters.end(), incoming.adapters.begin(),
+                            incoming.adapters.end());
+  managed.in_memory = report.in_memory;
+  managed.on_disk = report.on_disk;
+  managed.order_count = report.order_count;
+}
+
+Awaitable<void> FleetController::AskState(ManagedPtr managed, Endpoint endpoint) {
+  ++under_way_;
+  const std::optional<ServerStatus> report = co_await ReadReport(managed->id, endpoint);
+  --under_way_;
+  managed->operating = false;
+  managed->not_before = steady_clock::now() + (report && !report->busy ? milliseconds(0)
+                                               : report ? kPollEvery
+                                                        : kAfterFailure);
+  if (!report) co_return;
+  TakeReport(*managed, *report);
+  managed->known = !report->busy;
+  PlanAll();
+}
+
+Awaitable<ServerOrderOutcome> FleetController::SendOrder(const ServerOrder& order,
+                                                   const Endpoint& endpoint) {
+  HttpSendOptions options;
+  options.deadline = steady_clock::now() + kOrderTimeout;
+  options.fresh_connection = true;
+  try {
+    HttpRequest request = protocol_.MakeOrder(order);
+    const HttpResponse response = co_await client_.Send(endpoint, std::move(request), options);
+    co_return protocol_.ReadOrderAnswer(response.status);
+  } catch (const HttpError&) {
+    co_return ServerOrderOutcome::kNoAnswer;
+  }
+}
+
+void FleetController::NoteOrder(const ServerOrder& order, ServerOrderOutcome outcome) {
+  ++metrics_.orders_sent;
+  if (outcome == ServerOrderOutcome::kNoAnswer) ++metrics_.orders_unanswered;
+  if (outcome == ServerOrderOutcome::kConflict) ++metrics_.orders_conflicting;
+  log_.Write(LogRank::kDecision,
+             LogLine("order")
+                 .Field("kind", order.kind == ServerOrderKind::kLoad ? "load" : "unload")
+                 .Field("model", order.model)
+                 .Field("adapter", order.adapter)
+                 .Field("server", order.server_id)
+                 .Field("order_count", order.order_count)
+                 .Field("token", order.fencing_token)
+                 .Field("outcome", Name(outcome)));
+}
+
+void FleetController::TakeOutcome(ManagedServer& managed, const PlacementStep& step,
+                                  ServerOrderOutcome outcome) {
+  if (outcome == ServerOrderOutcome::kUnderWay) {
+    ++managed.order_count;
+    return;
+  }
+  managed.known = false;
+  managed.incoming.clear();
+  if (outcome == ServerOrderOutcome::kAlreadyDone) return;
+  if (outcome == ServerOrderOutcome::kNoAnswer && step.from_weight_store)
+    loads_.CountUnanswered(steady_clock::now());
+  managed.not_before = steady_clock::now() + kAfterFailure;
+}
+
+Awaitable<void> FleetController::CarryOut(ManagedPtr managed, PlacementStep step,
+                                          ServerOrder order, Endpoint endpoint) {
+  ++under_way_;
+  const ServerOrderOutcome outcome = co_await SendOrder(order, endpoint);
+  NoteOrder(order, outcome);
+  TakeOutcome(*managed, step, outcome);
+  if (outcome == ServerOrderOutcome::kUnderWay) co_await AwaitDone(managed, step, endpoint);
+  --under_way_;
+  managed->operating = false;
+  PlanAll();
+}
+
+/// Waits until the server shows the result, and tells the daemons.
+Awaitable<void> FleetController::AwaitDone(const ManagedPtr& managed, const PlacementStep& step,
+                                           const Endpoint& endpoint) {
+  const bool load = step.kind == ServerOrderKind::kLoad;
+  if (!step.name.adapter.empty()) {
+    HeldModel* held = FindModel(managed->models, step.name.model);
+    if (load) co_await Sleep(kAdapterTime);
+    if (held != nullptr && load) held->adapters.push_back(step.name.adapter);
+    if (held != nullptr && !load) std::erase(held->adapters, step.name.adapter);
+    if (load) Notify(managed->id, step.name, true);
+    co_return;
+  }
+  const SteadyTime give_up = steady_clock::now() + step.expected + kLongestOperation;
+  co_await Sleep(load ? step.expected : kPollEvery);
+  while (steady_clock::now() < give_up && view_.servers.Find(managed->id) != nullptr) {
+    const std::optional<ServerStatus> report = co_await ReadReport(managed->id, endpoint);
+    if (report && report->order_count >= managed->order_count && !report->busy) {
+      TakeReport(*managed, *report);
+      managed->incoming.clear();
+      if (load && Shows(report->models, step.name)) Notify(managed->id, step.name, true);
+      co_return;
+    }
+    co_await Sleep(kPollEvery);
+  }
+  managed->known = false;
+  managed->incoming.clear();
+}
+
+void FleetController::Notify(const std::string& server_id, const ModelReference& name, bool held) {
+  notice_({server_id, name, held});
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/fleet/fleet_controller.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "common/event_log.h"
+#include "fleet/fleet_demand.h"
+#include "fleet/leader_election.h"
+#include "fleet/load_window.h"
+#include "fleet/placement_planner.h"
+#include "gateway/fleet_view.h"
+#include "gateway/gateway_metrics.h"
+#include "http/http_client.h"
+#include "ports/fleet_protocol.h"
+
+namespace moorfold {
+
+/// What a leader knows of a model server beyond its record. It is asked for its state once before the
+/// first order; from then on the leader follows its own orders.
+struct ManagedServer {
+  std::string id;
+  bool known = false;  ///< Its state and order count were read and nothing is uncertain.
+  bool operating = false;  ///< An order or a question is under way.
+  std::int64_t order_count = 0;
+  std::vector<HeldModel> models;
+  std::vector<std::string> in_memory;
+  std::vector<std::string> on_disk;
+  std::string incoming;
+  std::string intended;
+  SteadyTime not_before{};  ///< After a failure: no order earlier than this.
+};
+
+struct ControllerSettings {
+  std::string holder;  ///< Name of this machine in orders.
+  std::chrono::milliseconds load_window{5'000};
+};
+
+/// Carries the planner's steps out while this daemon leads: one order to a server at a time, each
+/// with the fencing token, the incarnation and the server's order count. One thread.
+class FleetController {
+ public:
+  using NoticeHandler = std::function<void(const PlacementNotice&)>;
+
+  FleetController(boost::asio::io_context& context, const FleetProtocol& protocol, FleetView& view,
+                  LeaderElection& election, GatewayMetrics& metrics, EventLog& log,
+                  ControllerSettings settings, NoticeHandler notice);
+
+  void Start();
+  void AddReport(const DemandReport& report);
+  /// Begins no more orders.
+  void Stop() { stopped_ = true; }
+  /// @return orders and questions under way.
+  std::size_t under_way() const { return under_way_; }
+
+ private:
+  using ManagedPtr = std::shared_ptr<ManagedServer>;
+
+  void Tick();
+  void PlanAll();
+  void PlanService(const ServiceDescription& service);
+  PlannedServer Describe(const Server& server);
+  ManagedPtr Managed(const std::string& id);
+  void Forget();
+  void NoteTerm();
+  void Begin(const PlacementStep& step, const Server& server);
+  Awaitable<void> CarryOut(ManagedPtr managed, PlacementStep step, ServerOrder order,
+                           Endpoint endpoint);
+  Awaitable<void> AwaitDone(const ManagedPtr& managed, const PlacementStep& step,
+                            const Endpoint& endpoint);
+  Awaitable<void> AskState(ManagedPtr managed, Endpoint endpoint);
+  Awaitable<std::optional<ServerStatus>> ReadReport(const std::string& id, Endpoint endpoint);
+  Awaitable<ServerOrderOutcome> SendOrder(const ServerOrder& order, const Endpoint& endpoint);
+  void TakeOutcome(ManagedServer& managed, const PlacementStep& step, ServerOrderOutcome outcome);
+  void TakeReport(ManagedServer& managed, const ServerStatus& report);
+  void Notify(const std::string& server_id, const ModelReference& name, bool held);
+  void NoteOrder(const ServerOrder& order, ServerOrderOutcome outcome);
+
+  boost::asio::io_context& context_;
+  const FleetProtocol& protocol_;
+  FleetView& view_;
+  LeaderElection& election_;
+  GatewayMetrics& metrics_;
+  EventLog& log_;
+  ControllerSettings settings_;
+  NoticeHandler notice_;
+  HttpClient client_;
+  boost::asio::steady_timer timer_;
+  FleetDemand demand_;
+  LoadWindow loads_;
+  std::map<std::string, ManagedPtr> managed_;
+  std::int64_t term_ = 0;  ///< Fencing token of the term that `managed_` belongs to.
+  std::size_t under_way_ = 0;
+  bool stopped_ = false;
+};
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/fleet/fleet_demand.cc
@@ -0,0 +1,57 @@
+#include "fleet/fleet_demand.h"
+
+#include <cmath>
+
+namespace moorfold {
+
+namespace {
+constexpr double kAverageOverS = 4;  ///< Time constant of the rates.
+constexpr std::chrono::milliseconds kReportLife{1'500};
+constexpr std::chrono::seconds kForgetAfter{60};
+
+double Seconds(std::chrono::steady_clock::duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+}  // namespace
+
+void FleetDemand::Decay(Entry& entry, Time now) {
+  const double share = std::exp(-Seconds(now - entry.rated_at) / kAverageOverS);
+  entry.arrivals_per_second *= share;
+  entry.tokens_per_second *= share;
+  entry.rated_at = now;
+}
+
+void FleetDemand::Add(const DemandReport& report, Time now) {
+  for (const DemandEntry& reported : report.entries) {
+    Entry& entry = services_[reported.service][reported.name];
+    Decay(entry, now);
+    entry.arrivals_per_second += reported.arrivals / kAverageOverS;
+    entry.tokens_per_second += reported.tokens / kAverageOverS;
+    entry.senders[report.sender] = {reported.waiting, reported.in_flight, now};
+    if (reported.arrivals > 0 || reported.waiting > 0) entry.last_seen = now;
+  }
+}
+
+std::map<ModelReference, ModelDemand> FleetDemand::Of(const std::string& service, Time now) {
+  std::map<ModelReference, ModelDemand> demand;
+  std::map<ModelReference, Entry>& entries = services_[service];
+  std::erase_if(entries, [&](const auto& entry) {
+    return now - entry.second.last_seen > kForgetAfter && now - entry.second.rated_at > kForgetAfter;
+  });
+  for (auto& [name, entry] : entries) {
+    Decay(entry, now);
+    std::erase_if(entry.senders,
+                  [&](const auto& sender) { return now - sender.second.at > kReportLife; });
+    ModelDemand& sum = demand[name];
+    for (const auto& [sender, state] : entry.senders) {
+      sum.waiting += state.waiting;
+      sum.in_flight += state.in_flight;
+    }
+    sum.arrivals_per_second = entry.arrivals_per_second;
+    sum.tokens_per_second = entry.tokens_per_second;
+    sum.last_seen = entry.last_seen;
+  }
+  return demand;
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/fleet/fleet_demand.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <string>
+
+#include "fleet/fleet_messages.h"
+
+namespace moorfold {
+
+/// The demand of the whole fleet for one model or adapter, as the leader sees it.
+struct ModelDemand {
+  double waiting = 0;            ///< Requests that found no server.
+  double in_flight = 0;
+  double arrivals_per_second = 0;
+  double tokens_per_second = 0;  ///< Prompt tokens of arrivals.
+  std::chrono::steady_clock::time_point last_seen{};
+};
+
+/// Adds up the reports of all daemons. One thread.
+class FleetDemand {
+ public:
+  using Time = std::chrono::steady_clock::time_point;
+
+  void Add(const DemandReport& report, Time now);
+  /// @return demand by model and adapter of one service; what no daemon has named for long is left
+  /// out.
+  std::map<ModelReference, ModelDemand> Of(const std::string& service, Time now);
+
+ private:
+  struct FromSender {
+    std::uint32_t waiting = 0;
+    std::uint32_t in_flight = 0;
+    Time at{};
+  };
+  struct Entry {
+    std::map<std::string, FromSender> senders;
+    double arrivals_per_second = 0;  ///< Decays with kHalfLife.
+    double tokens_per_second = 0;
+    Time rated_at{};
+    Time last_seen{};
+  };
+
+  static void Decay(Entry& entry, Time now);
+
+  std::map<std::string, std::map<ModelReference, Entry>> services_;
+};
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/fleet/fleet_messages.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <sstream>
+#include <stdexcept>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "fleet/demand.h"
+
+namespace moorfold {
+
+/// What stands under the leader key. The key hangs on the leader's lease.
+struct LeaderRecord {
+  std::string name;     ///< Of the leader's machine.
+  std::string address;  ///< "IP:PORT" at which it hears of demand.
+  /// The time in which orders of an older leader may still arrive was waited out.
+  bool settled = false;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(name, address, settled);
+  }
+};
+
+/// From every daemon to the leader: part of its demand. Entries of one report come in several
+/// datagrams where they do not fit; any may be lost, the next report makes up for it.
+struct DemandReport {
+  std::string sender;
+  std::vector<DemandEntry> entries;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(sender, entries);
+  }
+};
+
+/// From the leader to every daemon: a model or adapter stands at a server now, or goes.
+struct PlacementNotice {
+  std::string server_id;
+  ModelReference name;
+  bool held = true;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(server_id, name, held);
+  }
+};
+
+using FleetMessage = std::variant<DemandReport, PlacementNotice>;
+
+template <typename Archive>
+void serialize(Archive& archive, ModelReference& name) {
+  archive(name.model, name.adapter);
+}
+
+template <typename Archive>
+void serialize(Archive& archive, DemandEntry& entry) {
+  archive(entry.service, entry.name, entry.waiting, entry.in_flight, entry.arrivals, entry.tokens);
+}
+
+/// @return the bytes of a message or record.
+template <typename Message>
+std::string EncodeMessage(const Message& message) {
+  std::ostringstream stream;
+  cereal::PortableBinaryOutputArchive archive(stream);
+  archive(message);
+  return std::move(stream).str();
+}
+
+/// @throws std::runtime_error when `bytes` is no such message.
+template <typename Message>
+Message DecodeMessage(const std::string& bytes) {
+  std::istringstream stream(bytes);
+  Message message;
+  try {
+    cereal::PortableBinaryInputArchive archive(stream);
+    archive(message);
+  } catch (const std::exception& error) {
+    throw std::runtime_error(std::string("not a message of this version: ") + error.what());
+  }
+  return message;
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/fleet/leader_election.cc
@@ -0,0 +1,198 @@
+#include "fleet/leader_election.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace moorfold {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds kTick{100};
+constexpr milliseconds kRenewEvery{500};
+/// Orders of this machine's process before a restart may still be on their way.
+constexpr milliseconds kOwnHandoverWait{400};
+constexpr milliseconds kLongestJitter{250};
+constexpr milliseconds kCampaignPause{700};
+
+}  // namespace
+
+LeaderElection::LeaderElection(boost::asio::io_context& context, KeyValueStore& store,
+                               EventLog& log, ElectionSettings settings)
+    : context_(context),
+      store_(store),
+      log_(log),
+      settings_(std::move(settings)),
+      window_(settings_.time_to_live),
+      timer_(context) {}
+
+void LeaderElection::Start() { Tick(); }
+
+bool LeaderElection::MayOrder() const {
+  return !resigned_ && !unsure_ && window_.MayOrder(steady_clock::now());
+}
+
+milliseconds LeaderElection::Jitter() const {
+  const auto hash = std::hash<std::string>{}(settings_.name + std::to_string(leader_revision_));
+  return milliseconds(hash % static_cast<std::size_t>(kLongestJitter.count()));
+}
+
+void LeaderElection::KeyChanged(const std::optional<KeyValue>& entry, std::int64_t revision) {
+  if (window_.leading() && revision < record_revision_) return;  // From before our own write.
+  const bool had_leader = leader_.has_value();
+  leader_.reset();
+  leader_lease_ = 0;
+  if (entry) {
+    try {
+      leader_ = DecodeMessage<LeaderRecord>(entry->value);
+      leader_revision_ = entry->mod_revision;
+      leader_lease_ = entry->lease;
+    } catch (const std::exception& error) {
+      log_.Write(LogRank::kFailure, LogLine("leader_record_skipped").Field("problem", error.what()));
+    }
+  }
+  if (!leader_ && (had_leader || !key_known_))
+    campaign_not_before_ = steady_clock::now() + Jitter();
+  key_known_ = true;
+  const bool ours = leader_ && lease_ != 0 && leader_lease_ == lease_;
+  if (ours && window_.leading()) record_revision_ = std::max(record_revision_, revision);
+  if (window_.leading() && !ours) Lose("the leader key is another's or gone");
+  if (ours && !window_.leading() && !campaigning_) Won(entry->mod_revision);
+  log_.Write(LogRank::kDecision,
+             LogLine("leader_seen")
+                 .Field("leader", leader_ ? leader_->name : std::string("none"))
+                 .Field("revision", revision));
+}
+
+bool LeaderElection::MayCampaign() const {
+  if (resigned_ || campaigning_ || window_.leading() || !key_known_) return false;
+  if (steady_clock::now() < campaign_not_before_) return false;
+  return !leader_ || leader_->name == settings_.name;
+}
+
+void LeaderElection::Tick() {
+  if (MayCampaign()) Campaign();
+  if (window_.leading()) RenewOrLose();
+  if (window_.Settled(steady_clock::now()) && !settling_) Settle();
+  timer_.expires_after(kTick);
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error && !resigned_) Tick();
+  });
+}
+
+void LeaderElection::Campaign() {
+  campaigning_ = true;
+  campaign_not_before_ = steady_clock::now() + kCampaignPause + Jitter();
+  const Time sent = steady_clock::now();
+  store_.GrantLease(settings_.time_to_live, [this, sent](const Outcome<LeaseId>& lease) {
+    campaigning_ = lease.ok();
+    if (lease.ok()) Claim(lease.value(), sent);
+  });
+}
+
+void LeaderElection::Claim(LeaseId lease, Time grant_sent) {
+  lease_ = lease;
+  grant_sent_ = grant_sent;
+  took_over_own_ = leader_ && leader_->name == settings_.name && leader_->settled;
+  const std::int64_t expected = leader_ ? leader_revision_ : 0;
+  const LeaderRecord record{settings_.name, settings_.address, false};
+  Transaction transaction;
+  transaction.comparisons.push_back({settings_.key, expected});
+  transaction.operations.emplace_back(
+      PutOperation{settings_.key, EncodeMessage(record), lease});
+  store_.Transact(std::move(transaction), [this](const Outcome<TransactionResult>& result) {
+    campaigning_ = false;
+    if (result.ok() && result.value().succeeded) Won(result.value().revision);
+    // Without an answer it may be done: the watch shows the key with our lease then.
+  });
+}
+
+void LeaderElection::Won(std::int64_t revision) {
+  if (window_.leading() || resigned_) return;
+  const auto now = steady_clock::now();
+  const milliseconds wait = took_over_own_ ? kOwnHandoverWait : settings_.handover_wait;
+  window_.Win(grant_sent_, now + wait);
+  token_ = revision;
+  record_revision_ = revision;
+  settling_ = false;
+  unsure_ = false;
+  log_.Write(LogRank::kDecision, LogLine("leadership_won")
+                                     .Field("token", token_)
+                                     .Field("lease", lease_)
+                                     .Field("orders_in_ms", wait.count()));
+}
+
+void LeaderElection::RenewOrLose() {
+  const Time now = steady_clock::now();
+  if (window_.Lapsed(now)) {
+    Lose("the lease was not renewed in time");
+    return;
+  }
+  if (renewing_ || now < grant_sent_ + kRenewEvery) return;
+  renewing_ = true;
+  grant_sent_ = now;
+  store_.KeepLeaseAlive(lease_, [this, now, lease = lease_](const Outcome<Duration>& left) {
+    renewing_ = false;
+    if (lease != lease_ || !window_.leading()) return;
+    if (!left.ok()) {
+      unsure_ = true;
+      if (left.failure().fault == PlatformFault::kRejected)
+        Lose("the store says that the lease is over");
+      return;
+    }
+    window_.Renew(now);
+    if (unsure_) Verify();
+  });
+}
+
+Transaction LeaderElection::RecordTransaction(bool settled) const {
+  const LeaderRecord record{settings_.name, settings_.address, settled};
+  Transaction transaction;
+  transaction.comparisons.push_back({settings_.key, record_revision_});
+  transaction.operations.emplace_back(PutOperation{settings_.key, EncodeMessage(record), lease_});
+  return transaction;
+}
+
+/// After a failed renewal: keys may have been taken away though their lease can be renewed.
+void LeaderElection::Verify() {
+  const bool settled = window_.Settled(steady_clock::now());
+  store_.Transact(RecordTransaction(settled), [this, lease = lease_](
+                                                  const Outcome<TransactionResult>& result) {
+    if (lease != lease_ || !window_.leading() || !result.ok()) return;
+    if (!result.value().succeeded) {
+      Lose("the leader key was taken away");
+      return;
+    }
+    record_revision_ = result.value().revision;
+    unsure_ = false;
+  });
+}
+
+/// Notes in the record that an older leader's orders were waited out: after a restart this machine
+/// need not wait for its own.
+void LeaderElection::Settle() {
+  settling_ = true;
+  store_.Transact(RecordTransaction(true), [this](const Outcome<TransactionResult>& result) {
+    if (result.ok() && result.value().succeeded) record_revision_ = result.value().revision;
+  });
+}
+
+void LeaderElection::Lose(const std::string& why) {
+  window_.Lose();
+  lease_ = 0;
+  campaign_not_before_ = steady_clock::now() + kCampaignPause;
+  log_.Write(LogRank::kFailure,
+             LogLine("leadership_lost").Field("token", token_).Field("reason", why));
+}
+
+void LeaderElection::Resign() {
+  resigned_ = true;
+  if (!window_.leading()) return;
+  window_.Lose();
+  log_.Write(LogRank::kDecision, LogLine("leadership_resigned").Field("token", token_));
+  store_.RevokeLease(lease_, [](const Outcome<bool>&) {});
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/fleet/leader_election.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "common/event_log.h"
+#include "fleet/fleet_messages.h"
+#include "ports/key_value_store.h"
+
+namespace moorfold {
+
+/// When a leader may give orders: pure arithmetic on the steady clock. See docs/PLATFORM-DESIGN.md.
+class OrderWindow {
+ public:
+  using Time = std::chrono::steady_clock::time_point;
+
+  /// @param time_to_live of the lease on which the leader key hangs.
+  explicit OrderWindow(std::chrono::milliseconds time_to_live) : time_to_live_(time_to_live) {}
+
+  /// Leadership was won by a lease whose grant was sent at `grant_sent`.
+  void Win(Time grant_sent, Time order_from) {
+    renewal_sent_ = grant_sent;
+    order_from_ = order_from;
+    leading_ = true;
+  }
+  /// A renewal that was sent at `sent` has been answered.
+  void Renew(Time sent) { renewal_sent_ = std::max(renewal_sent_, sent); }
+  void Lose() { leading_ = false; }
+
+  bool leading() const { return leading_; }
+  bool Settled(Time now) const { return leading_ && now >= order_from_; }
+  /// Half of the lease is left for orders that are under way when it cannot be renewed.
+  bool MayOrder(Time now) const {
+    return leading_ && now >= order_from_ && now < renewal_sent_ + time_to_live_ / 2;
+  }
+  /// Whether the lease may have lapsed.
+  bool Lapsed(Time now) const { return now >= renewal_sent_ + time_to_live_; }
+
+ private:
+  std::chrono::milliseconds time_to_live_;
+  Time renewal_sent_{};
+  Time order_from_{};
+  bool leading_ = false;
+};
+
+struct ElectionSettings {
+  std::string name;     ///< Of this machine.
+  std::string address;  ///< "IP:PORT" for demand.
+  std::string key;      ///< Of the leader record.
+  std::chrono::milliseconds time_to_live{2'000};
+  /// How long orders of different machines must lie apart.
+  std::chrono::milliseconds handover_wait{3'000};
+};
+
+/// Makes this daemon the fleet's leader when there is none. One thread.
+class LeaderElection {
+ public:
+  LeaderElection(boost::asio::io_context& context, KeyValueStore& store, EventLog& log,
+                 ElectionSettings settings);
+
+  void Start();
+  /// The store shows the leader key so since `revision`: `entry`, or gone. In the order of revisions.
+  void KeyChanged(const std::optional<KeyValue>& entry, std::int64_t revision);
+  /// Gives leadership up and takes part no more. Orders must have ended.
+  void Resign();
+
+  bool leading() const { return window_.leading(); }
+  /// @return whether an order may be sent now.
+  bool MayOrder() const;
+  std::int64_t fencing_token() const { return token_; }
+  /// @return the leader's record as far as known.
+  const std::optional<LeaderRecord>& leader() const { return leader_; }
+
+ private:
+  using Time = OrderWindow::Time;
+
+  void Tick();
+  void Campaign();
+  void Claim(LeaseId lease, Time grant_sent);
+  void Won(std::int64_t revision);
+  void RenewOrLose();
+  void Lose(const std::string& why);
+  void Settle();
+  void Verify();
+  Transaction RecordTransaction(bool settled) const;
+  bool MayCampaign() const;
+  std::chrono::milliseconds Jitter() const;
+
+  boost::asio::io_context& context_;
+  KeyValueStore& store_;
+  EventLog& log_;
+  ElectionSettings settings_;
+  OrderWindow window_;
+  boost::asio::steady_timer timer_;
+  std::optional<LeaderRecord> leader_;
+  std::int64_t leader_revision_ = 0;
+  LeaseId leader_lease_ = 0;
+  LeaseId lease_ = 0;
+  Time grant_sent_{};
+  std::int64_t token_ = 0;
+  std::int64_t record_revision_ = 0;
+  bool key_known_ = false;
+  bool campaigning_ = false;
+  bool renewing_ = false;
+  bool settling_ = false;
+  /// A renewal failed: whether the key is still ours has to be read before the next order.
+  bool unsure_ = false;
+  bool took_over_own_ = false;
+  bool resigned_ = false;
+  Time campaign_not_before_{};
+};
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/fleet/load_window.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <deque>
+
+namespace moorfold {
+
+/// Bounds how many loads from the weight store begin in any window of time. A load that got no
+/// answer may begin later, so it counts for longer. One thread.
+class LoadWindow {
+ public:
+  using Time = std::chrono::steady_clock::time_point;
+
+  explicit LoadWindow(std::chrono::milliseconds window) : window_(window) {}
+
+  void Count(Time now) { ends_.push_back(now + window_); }
+  /// A load whose order may be carried out up to kLatest later.
+  void CountUnanswered(Time now) { ends_.push_back(now + window_ + kLatest); }
+  /// Leaves room for loads that an older leader may have begun.
+  void AssumeUsed(double loads, Time now) {
+    for (double load = 0; load < loads; load += 1) Count(now);
+  }
+  /// @return loads that may begin now.
+  double Free(double per_second, Time now) {
+    std::erase_if(ends_, [&](Time end) { return end <= now; });
+    const double most = per_second * std::chrono::duration<double>(window_).count();
+    return std::max(0.0, most - static_cast<double>(ends_.size()));
+  }
+
+ private:
+  static constexpr std::chrono::seconds kLatest{13};
+  std::chrono::milliseconds window_;
+  std::deque<Time> ends_;
+};
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/fleet/placement_planner.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fleet/fleet_demand.h"
+#include "fleet/routing_configuration.h"
+#include "fleet/server_record.h"
+
+namespace moorfold {
+
+/// A model server as the planner sees it.
+struct PlannedServer {
+  std::string id;
+  bool orderable = false;  ///< Takes orders now: alive, not leaving, no order under way.
+  bool serving = false;    ///< Alive and not leaving.
+  std::vector<HeldModel> models;
+  std::vector<std::string> in_memory;
+  std::vector<std::string> on_disk;
+  std::string incoming;  ///< Model that was ordered and is not there yet.
+  std::string intended;  ///< Model for which room is being made.
+
+  const HeldModel* Find(const std::string& model) const {
+    for (const HeldModel& held : models)
+      if (held.name == model) return &held;
+    return nullptr;
+  }
+};
+
+/// One step towards a better placement.
+struct PlacementStep {
+  ServerOrderKind kind = ServerOrderKind::kLoad;
+  std::string server_id;
+  ModelReference name;
+  std::string intended;            ///< Of an unload: the model for which room is made.
+  bool from_weight_store = false;  ///< Of a load of a model.
+  std::chrono::milliseconds expected{0};
+};
+
+struct PlannerLimits {
+  double weight_store_loads = 0;  ///< Loads from the weight store that may begin now.
+};
+
+/// Decides which models and adapters go where. Pure: the same input gives the same steps. At most
+/// one step for each server; steps never exceed a server's memory or adapter slots.
+class PlacementPlanner {
+ public:
+  using Time = std::chrono::steady_clock::time_point;
+
+  PlacementPlanner(const EngineDescription& engine, std::map<ModelReference, ModelDemand> demand,
+                   std::vector<PlannedServer> servers, PlannerLimits limits, Time now);
+
+  std::vector<PlacementStep> Plan();
+
+ private:
+  /// A model that should stand on more servers than it does.
+  struct Want {
+    const ModelDescription* model = nullptr;
+    double urgency = 0;
+  };
+
+  void PlanAdapters();
+  void PlanAdapter(const ModelReference& name, const ModelDemand& demand);
+  void PlanModels();
+  std::vector<Want> Wants() const;
+  void PlaceModel(const ModelDescription& model);
+  bool ContinueIntention(PlannedServer& server);
+  /// @return the cost in seconds of taking the model there, or a negative number if impossible.
+  double PlacementCost(const PlannedServer& server, const ModelDescription& model,
+                       std::vector<std::string>& victims) const;
+  double LossOf(const HeldModel& held) const;
+  double LoadSeconds(const PlannedServer& server, const ModelDescription& model) const;
+  bool FromWeightStore(const PlannedServer& server, const std::string& model) const;
+  double FreeMegabytes(const PlannedServer& server) const;
+  std::size_t AdaptersOn(const PlannedServer& server) const;
+  double HeldMegabytes(const HeldModel& held) const;
+  std::size_t Copies(const std::string& model) const;
+  double CopiesWanted(const ModelDescription& model) const;
+  ModelDemand WholeDemand(const std::string& model) const;
+  double RateOf(const ModelReference& name) const;
+  const ModelDescription* Describe(const std::string& model) const;
+  void EmitLoad(PlannedServer& server, const ModelDescription& model);
+  void EmitUnload(PlannedServer& server, const std::string& model, const std::string& intended);
+
+  const EngineDescription& engine_;
+  std::map<ModelReference, ModelDemand> demand_;
+  std::vector<PlannedServer> servers_;
+  PlannerLimits limits_;
+  Time now_;
+  std::map<std::string, ModelDemand> by_model_;
+  std::vector<PlacementStep> steps_;
+};
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/fleet/server_record.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "http/http_types.h"
+
+namespace moorfold {
+
+/// A model on a server, with the adapters that stand beside it.
+struct HeldModel {
+  std::string name;
+  std::vector<std::string> adapters;
+
+  bool HasAdapter(const std::string& adapter) const {
+    for (const std::string& held : adapters)
+      if (held == adapter) return true;
+    return false;
+  }
+};
+
+/// What a server says of itself in the store. One record is one incarnation.
+struct ServerRecord {
+  std::string id;
+  std::string service;
+  Endpoint endpoint;
+  std::string zone;
+  std::uint32_t slots = 1;
+  bool draining = false;
+  std::vector<HeldModel> models;
+  std::vector<std::string> in_memory;  ///< Models whose weights lie in host memory.
+  std::vector<std::string> on_disk;    ///< Models whose weights lie on the server's disk.
+};
+
+/// What a server answers when asked for its state; some hundred milliseconds old.
+struct ServerStatus {
+  std::vector<HeldModel> models;
+  std::vector<std::string> in_memory;
+  std::vector<std::string> on_disk;
+  bool busy = false;  ///< An order is under way.
+  std::int64_t order_count = 0;
+  std::vector<HeldModel> incoming;  ///< Adapters on their way.
+};
+
+enum class ServerOrderKind : std::uint8_t { kLoad, kUnload };
+
+/// An instruction to one incarnation of a server.
+struct ServerOrder {
+  ServerOrderKind kind = ServerOrderKind::kLoad;
+  std::string model;
+  std::string adapter;             ///< Empty: the model itself.
+  std::string server_id;           ///< The incarnation it is meant for.
+  std::int64_t order_count = 0;    ///< Carried out only if the server has taken so many.
+  std::string holder;              ///< The machine that gives it.
+  std::int64_t fencing_token = 0;  ///< Rises with every change of leader.
+};
+
+/// How a server answered an order.
+enum class ServerOrderOutcome : std::uint8_t {
+  kUnderWay,
+  kAlreadyDone,
+  kConflict,       ///< Another is under way, or the order count does not match.
+  kOtherServer,    ///< Another incarnation has the address.
+  kRejected,       ///< No such order.
+  kNoAnswer        ///< It may have been taken, and may be carried out later.
+};
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/gateway/forwarder.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+
+#include "gateway/gateway_request.h"
+#include "http/http_server.h"
+#include "http/upstream_connection.h"
+#include "ports/fleet_protocol.h"
+
+namespace moorfold {
+
+/// Carries one request to one server and the answer back: connection, headers, checks on the answer,
+/// streams. Decides nothing about other servers. One thread.
+class Forwarder {
+ public:
+  Forwarder(boost::asio::io_context& context, const FleetProtocol& protocol);
+
+  /// @param attempt_end when to give the attempt up; no later than the request's end.
+  /// @param last_attempt whether a failure answer of the server is to be passed on.
+  Awaitable<ForwardResult> Forward(HttpServerExchange& exchange, GatewayRequest& request,
+                                   ServerPtr server, SteadyTime attempt_end, bool last_attempt);
+  void Sweep() { pool_.Sweep(); }
+  std::uint64_t connections_opened() const { return connections_opened_; }
+
+ private:
+  class AttemptGuard;
+
+  Awaitable<UpstreamConnectionPtr> Connect(const GatewayRequest& request, const Server& server);
+  HttpRequest MakeHead(const HttpRequest& original, const GatewayRequest& request,
+                       const Server& server, SteadyTime attempt_end) const;
+  Awaitable<ForwardResult> Exchange(HttpServerExchange& exchange, GatewayRequest& request,
+                                    Server& server, bool last_attempt);
+  Awaitable<void> ReadOwnHead(UpstreamConnection& upstream, const GatewayRequest& request);
+  Awaitable<ForwardResult> PassWhole(HttpServerExchange& exchange, GatewayRequest& request,
+                                     HttpHeaders headers);
+  Awaitable<ForwardResult> PassStream(HttpServerExchange& exchange, GatewayRequest& request,
+                                      HttpHeaders headers);
+  ForwardResult ReadRefusal(const HttpHeaders& headers, unsigned status,
+                            const GatewayRequest& request, Server& server) const;
+  void NoteLoad(const HttpHeaders& headers, Server& server) const;
+  void GiveBack(const GatewayRequest& request, const Server& server);
+
+  boost::asio::io_context& context_;
+  const FleetProtocol& protocol_;
+  UpstreamPool pool_;
+  std::uint64_t connections_opened_ = 0;
+};
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,208 @@
+#include "gateway/gateway.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "common/process_memory.h"
+#include "http/http_status.h"
+
+namespace moorfold {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr const char* kLeaderKey = "moorfold/leader";
+constexpr milliseconds kReportEvery{500};
+constexpr milliseconds kReportPause{60};
+constexpr milliseconds kHousekeeping{500};
+constexpr milliseconds kStopCheck{50};
+/// Until whoever deals connections has seen twice that this daemon is not ready.
+constexpr milliseconds kNotReadySeen{2'600};
+/// Before the end of the drain time, idle connections are closed and no new ones taken.
+constexpr milliseconds kLastCall{1'500};
+constexpr milliseconds kReserve{300};
+/// Clients may use a connection until shortly before the configured idle time has passed.
+constexpr double kIdleMargin = 1.2;
+
+HttpResponse Plain(unsigned status, std::string text) {
+  return {status, {{"Content-Type", "text/plain"}}, std::move(text)};
+}
+
+HttpResponse Reject(unsigned status, const std::string& reason) {
+  return Plain(status, "the request cannot be read: " + reason + "\n");
+}
+
+}  // namespace
+
+Gateway::Gateway(boost::asio::io_context& context, GatewaySettings settings, KeyValueStore& store,
+                 const FleetProtocol& protocol, EventLog& log)
+    : context_(context),
+      settings_(std::move(settings)),
+      log_(log),
+      protocol_(protocol),
+      view_(context.get_executor()),
+      store_view_(context, store, protocol, view_, metrics_, log),
+      election_(context, store, log,
+                {settings_.name, ToString(settings_.peer), kLeaderKey, milliseconds(2'000),
+                 settings_.order_handover}),
+      channel_(
+          context, settings_.peer,
+          [this](const DemandReport& report) { controller_.AddReport(report); },
+          [this](const PlacementNotice& notice) { TakeNotice(notice); }),
+      controller_(context, protocol, view_, election_, metrics_, log,
+                  {settings_.name, settings_.load_window},
+                  [this](const PlacementNotice& notice) {
+                    TakeNotice(notice);
+                    channel_.Broadcast(notice);
+                  }),
+      pipeline_(context, protocol, view_, metrics_, log,
+                {settings_.zone, settings_.retry_window, settings_.retry_ratio}) {
+  const std::vector<boost::asio::io_context*> contexts = {&context_};
+  front_ = std::make_unique<HttpServer>(
+      contexts, settings_.listen, HttpServerLimits{},
+      [this](HttpServerExchange& exchange) { return pipeline_.Handle(exchange); }, Reject);
+  readiness_ = std::make_unique<HttpServer>(
+      contexts, settings_.readiness, HttpServerLimits{},
+      [this](HttpServerExchange& exchange) { return AnswerReadiness(exchange); }, Reject);
+  if (!settings_.metrics) return;
+  figures_ = std::make_unique<HttpServer>(
+      contexts, Endpoint{settings_.listen.address, settings_.metrics->port}, HttpServerLimits{},
+      [this](HttpServerExchange& exchange) { return AnswerMetrics(exchange); }, Reject);
+}
+
+void Gateway::Start() {
+  log_.Write(LogRank::kFailure, LogLine("start")
+                                    .Field("name", settings_.name)
+                                    .Field("zone", settings_.zone)
+                                    .Field("listen", ToString(front_->endpoint()))
+                                    .Field("store", ToString(settings_.store))
+                                    .Field("peak_memory_kb", PeakMemoryKilobytes()));
+  front_->Start();
+  readiness_->Start();
+  if (figures_) figures_->Start();
+  channel_.Start();
+  store_view_.Start(
+      kLeaderKey,
+      [this](const std::optional<KeyValue>& entry, std::int64_t revision) {
+        election_.KeyChanged(entry, revision);
+      },
+      [this](const RoutingConfiguration& configuration) { Configure(configuration); });
+  election_.Start();
+  controller_.Start();
+  boost::asio::co_spawn(context_, ReportDemand(), boost::asio::detached);
+  boost::asio::co_spawn(context_, KeepHouse(), boost::asio::detached);
+}
+
+void Gateway::Configure(const RoutingConfiguration& configuration) {
+  const ClientLimits& wanted = configuration.limits;
+  longest_idle_ = std::max(longest_idle_, wanted.idle_timeout);
+  HttpServerLimits limits;
+  limits.header_bytes = wanted.header_bytes;
+  limits.body_bytes = wanted.body_bytes;
+  limits.header_timeout = wanted.header_timeout;
+  limits.idle_timeout = std::chrono::duration_cast<milliseconds>(longest_idle_ * kIdleMargin);
+  front_->UpdateLimits(limits);
+}
+
+Awaitable<void> Gateway::AnswerReadiness(HttpServerExchange& exchange) {
+  const bool ready = Ready();
+  co_await exchange.Respond(Plain(ready ? http_status::kOk : http_status::kUnavailable,
+                                  ready ? "ready\n" : "not ready\n"));
+}
+
+Awaitable<void> Gateway::AnswerMetrics(HttpServerExchange& exchange) {
+  if (exchange.request().target != settings_.metrics->path) {
+    co_await exchange.Respond(Plain(http_status::kNotFound, "figures are at another path\n"));
+    co_return;
+  }
+  metrics_.log_lines_lost = log_.lost();
+  metrics_.peak_memory_kb = PeakMemoryKilobytes();
+  metrics_.store_silence_ms =
+      std::chrono::duration_cast<milliseconds>(steady_clock::now() - view_.last_store_contact)
+          .count();
+  co_await exchange.Respond(Plain(http_status::kOk, metrics_.Render()));
+}
+
+void Gateway::TakeNotice(const PlacementNotice& notice) {
+  const ServerPtr server = view_.servers.Find(notice.server_id);
+  if (!server) return;
+  const auto now = steady_clock::now();
+  if (notice.held)
+    server->NoteHeld(notice.name, now);
+  else
+    server->NoteMissing(notice.name, now);
+  if (notice.held) view_.changed.NotifyAll();
+}
+
+Awaitable<void> Gateway::ReportDemand() {
+  while (true) {
+    co_await view_.demand_raised.Wait(steady_clock::now() + kReportEvery);
+    DemandReport report{settings_.name, view_.demand.Take()};
+    if (report.entries.empty()) continue;
+    if (election_.leading())
+      controller_.AddReport(report);
+    else if (election_.leader())
+      channel_.SendReport(election_.leader()->address, report);
+    co_await Sleep(kReportPause);
+  }
+}
+
+Awaitable<void> Gateway::KeepHouse() {
+  while (true) {
+    co_await Sleep(kHousekeeping);
+    pipeline_.Sweep();
+    log_.Flush();
+  }
+}
+
+void Gateway::Reload(const GatewaySettings& settings) {
+  settings_.drain_timeout = settings.drain_timeout;
+  log_.Write(LogRank::kFailure, LogLine("reload")
+                                    .Field("drain_timeout_ms", settings.drain_timeout.count())
+                                    .Field("others", "at the next start"));
+}
+
+void Gateway::BeginStop() {
+  if (stopping_) return;
+  stopping_ = true;
+  log_.Write(LogRank::kFailure, LogLine("stopping")
+                                    .Field("connections", front_->open_connections())
+                                    .Field("active_requests", front_->active_requests()));
+  front_->AnnounceClose();
+  controller_.Stop();
+  boost::asio::co_spawn(context_, Stop(), boost::asio::detached);
+}
+
+bool Gateway::Drained(std::chrono::steady_clock::duration elapsed) {
+  if (elapsed >= settings_.drain_timeout - kReserve) return true;
+  if (elapsed >= settings_.drain_timeout - kLastCall) {
+    front_->StopAccepting();
+    return front_->active_requests() == 0;
+  }
+  return elapsed >= kNotReadySeen && front_->open_connections() == 0;
+}
+
+Awaitable<void> Gateway::Stop() {
+  const auto began = steady_clock::now();
+  bool resigned = false;
+  while (!Drained(steady_clock::now() - began)) {
+    if (!resigned && controller_.under_way() == 0) {
+      resigned = true;
+      election_.Resign();
+    }
+    co_await Sleep(kStopCheck);
+  }
+  log_.Write(LogRank::kFailure, LogLine("stopped")
+                                    .Field("connections", front_->open_connections())
+                                    .Field("active_requests", front_->active_requests())
+                                    .Field("requests", metrics_.requests)
+                                    .Field("log_lines_lost", log_.lost())
+                                    .Field("peak_memory_kb", PeakMemoryKilobytes()));
+  log_.Flush();
+  context_.stop();
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+#include "common/event_log.h"
+#include "fleet/demand_channel.h"
+#include "fleet/fleet_controller.h"
+#include "fleet/leader_election.h"
+#include "gateway/fleet_view.h"
+#include "gateway/gateway_metrics.h"
+#include "gateway/gateway_settings.h"
+#include "gateway/request_pipeline.h"
+#include "gateway/store_view.h"
+#include "http/http_server.h"
+#include "ports/fleet_protocol.h"
+#include "ports/key_value_store.h"
+
+namespace moorfold {
+
+/// One gateway daemon on one thread. States: starting (not ready) -> ready (a configuration is in
+/// force) -> stopping (not ready, answers announce the end of their connections, requests run to
+/// their end) -> stopped.
+class Gateway {
+ public:
+  /// Binds all ports. @throws boost::system::system_error.
+  Gateway(boost::asio::io_context& context, GatewaySettings settings, KeyValueStore& store,
+          const FleetProtocol& protocol, EventLog& log);
+
+  void Start();
+  /// Begins a planned stop; a second call does nothing. The context is stopped at its end.
+  void BeginStop();
+  /// Reads the settings again: what cannot change while running is said in the log.
+  void Reload(const GatewaySettings& settings);
+  Endpoint listen() const { return front_->endpoint(); }
+  Endpoint readiness() const { return readiness_->endpoint(); }
+  const GatewayMetrics& metrics() const { return metrics_; }
+
+ private:
+  bool Ready() const { return !stopping_ && view_.routes != nullptr; }
+  void Configure(const RoutingConfiguration& configuration);
+  Awaitable<void> AnswerReadiness(HttpServerExchange& exchange);
+  Awaitable<void> AnswerMetrics(HttpServerExchange& exchange);
+  void TakeNotice(const PlacementNotice& notice);
+  Awaitable<void> ReportDemand();
+  Awaitable<void> KeepHouse();
+  Awaitable<void> Stop();
+  bool Drained(std::chrono::steady_clock::duration elapsed);
+
+  boost::asio::io_context& context_;
+  GatewaySettings settings_;
+  EventLog& log_;
+  const FleetProtocol& protocol_;
+  GatewayMetrics metrics_;
+  FleetView view_;
+  StoreView store_view_;
+  LeaderElection election_;
+  DemandChannel channel_;
+  FleetController controller_;
+  RequestPipeline pipeline_;
+  std::unique_ptr<HttpServer> front_;
+  std::unique_ptr<HttpServer> readiness_;
+  std::unique_ptr<HttpServer> figures_;  ///< Null where no address is given.
+  std::chrono::milliseconds longest_idle_{0};
+  bool stopping_ = false;
+};
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/gateway/gateway_metrics.cc
@@ -0,0 +1,74 @@
+#include "gateway/gateway_metrics.h"
+
+#include <cstdio>
+
+namespace moorfold {
+
+namespace {
+
+std::string Decimal(double number) {
+  constexpr std::size_t kLongest = 32;
+  std::array<char, kLongest> text{};
+  std::snprintf(text.data(), text.size(), "%g", number);
+  return text.data();
+}
+
+void Line(std::string& text, const std::string& name, const std::string& value) {
+  text += "moorfold_" + name + " " + value + "\n";
+}
+
+void Count(std::string& text, const char* name, std::uint64_t value) {
+  Line(text, std::string(name) + "_total", std::to_string(value));
+}
+
+void Gauge(std::string& text, const char* name, std::int64_t value) {
+  Line(text, name, std::to_string(value));
+}
+
+}  // namespace
+
+void LatencyHistogram::Observe(double milliseconds) {
+  ++count_;
+  sum_ms_ += milliseconds;
+  for (std::size_t bound = 0; bound < kBoundsMs.size(); ++bound)
+    if (milliseconds <= kBoundsMs[bound]) ++counts_[bound];
+}
+
+void LatencyHistogram::Render(const std::string& name, std::string& text) const {
+  for (std::size_t bound = 0; bound < kBoundsMs.size(); ++bound)
+    Line(text, name + "_bucket{le=\"" + Decimal(kBoundsMs[bound]) + "\"}",
+         std::to_string(counts_[bound]));
+  Line(text, name + "_bucket{le=\"+Inf\"}", std::to_string(count_));
+  Line(text, name + "_sum", Decimal(sum_ms_));
+  Line(text, name + "_count", std::to_string(count_));
+}
+
+std::string GatewayMetrics::Render() const {
+  std::string text;
+  Count(text, "requests", requests);
+  Count(text, "requests_answered", answered);
+  Count(text, "requests_refused_not_run", refused_not_run);
+  Count(text, "requests_failed_may_have_run", failed_may_have_run);
+  Count(text, "requests_broken_off", broken_off);
+  Count(text, "requests_client_left", client_left);
+  Count(text, "requests_no_route", no_route);
+  Count(text, "repeats", repeats);
+  Count(text, "repeats_denied", repeats_denied);
+  Count(text, "waits_for_server", waits_for_server);
+  Count(text, "store_failures", store_failures);
+  Count(text, "store_batches", store_batches);
+  Count(text, "orders_sent", orders_sent);
+  Count(text, "orders_unanswered", orders_unanswered);
+  Count(text, "orders_conflicting", orders_conflicting);
+  Count(text, "log_lines_lost", log_lines_lost);
+  Gauge(text, "configuration_version", configuration_version);
+  Gauge(text, "servers_known", servers_known);
+  Gauge(text, "leading", leading);
+  Gauge(text, "store_silence_ms", store_silence_ms);
+  Gauge(text, "peak_memory_kb", peak_memory_kb);
+  time_to_head.Render("time_to_answer_ms", text);
+  wait_for_server.Render("wait_for_server_ms", text);
+  return text;
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/gateway/gateway_request.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fleet/routing_configuration.h"
+#include "gateway/prompt.h"
+#include "gateway/route_table.h"
+#include "gateway/server_directory.h"
+#include "http/http_types.h"
+#include "http/upstream_connection.h"
+
+namespace moorfold {
+
+/// One client attempt on its way through the gateway. One thread.
+struct GatewayRequest {
+  std::string id;
+  RouteTableConstPtr table;  ///< Keeps `route` alive: the configuration at the request's arrival.
+  const Route* route = nullptr;
+  std::string service;
+  ModelReference model;  ///< Empty where the service holds no models.
+  std::vector<PromptPart> parts;
+  std::shared_ptr<const std::string> body;
+  SteadyTime arrival;
+  SteadyTime end;  ///< The earlier of the client's deadline and the route's time-out.
+  bool client_left = false;
+  bool head_sent = false;        ///< The client has the head of an answer.
+  std::string last_event;        ///< Last whole event that the client has.
+  std::uint32_t sends = 0;       ///< Servers that it was sent to.
+  std::uint32_t may_have_run = 0;  ///< Servers on which it may have run.
+  UpstreamConnectionPtr upstream;  ///< Of the attempt under way.
+  std::vector<std::string> failed_servers;
+
+  /// Whether it may run again after an attempt that may have run.
+  bool Repeatable() const {
+    return route->type == RouteType::kRepeatable ||
+           (route->type == RouteType::kStream && route->resumable);
+  }
+};
+
+/// How one attempt at a server ended.
+enum class ForwardEnd : std::uint8_t {
+  kAnswered,       ///< The client has a whole answer.
+  kNotRun,         ///< The server said so, or no connection came up.
+  kMayHaveRun,     ///< No usable answer came; nothing of one went to the client.
+  kBrokenOff,      ///< Part of an answer is with the client.
+  kClientLeft      ///< The client went away meanwhile.
+};
+
+/// Why an attempt did not answer. For logs.
+struct ForwardResult {
+  ForwardEnd end = ForwardEnd::kNotRun;
+  unsigned status = 0;  ///< Of the server's answer; 0: none.
+  std::string problem;
+};
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/gateway/gateway_settings.cc
@@ -0,0 +1,71 @@
+#include "gateway/gateway_settings.h"
+
+#include <charconv>
+
+#include "config/strict_yaml.h"
+
+namespace moorfold {
+
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+
+Endpoint ReadEndpoint(YamlMap& map, const std::string& key) {
+  const std::string text = map.RequiredString(key);
+  if (text.empty()) return {};
+  try {
+    return ParseEndpoint(text);
+  } catch (const std::invalid_argument&) {
+    map.Problem(key, "'" + key + "' is no address", "write IP:PORT, as 127.0.0.1:7400");
+    return {};
+  }
+}
+
+/// "PORT/PATH".
+std::optional<MetricsListen> ReadMetrics(YamlMap& map) {
+  const std::string text = map.String("metrics", "");
+  if (text.empty()) return std::nullopt;
+  MetricsListen metrics;
+  const std::size_t slash = text.find('/');
+  const std::string port = text.substr(0, slash);
+  const auto read = std::from_chars(port.data(), port.data() + port.size(), metrics.port);
+  if (read.ec != std::errc() || read.ptr != port.data() + port.size() || metrics.port == 0)
+    map.Problem("metrics", "'metrics' names no port", "write PORT/PATH, as 9100/metrics");
+  metrics.path = slash == std::string::npos ? "/" : text.substr(slash);
+  return metrics;
+}
+
+milliseconds ReadTime(YamlMap& map, const std::string& key, milliseconds fallback) {
+  const Duration read = map.Time(key, milliseconds(1), hours(1), Duration(fallback));
+  return std::chrono::duration_cast<milliseconds>(read);
+}
+
+}  // namespace
+
+GatewaySettings ParseGatewaySettings(const std::string& text, const std::string& file) {
+  ConfigProblems problems(file);
+  YamlMap root(ParseYaml(text, file), problems, "the settings");
+  GatewaySettings settings;
+  settings.name = root.RequiredString("name");
+  settings.zone = root.RequiredString("zone");
+  settings.listen = ReadEndpoint(root, "listen");
+  settings.readiness = ReadEndpoint(root, "readiness");
+  settings.peer = ReadEndpoint(root, "peer");
+  settings.store = ReadEndpoint(root, "store");
+  settings.metrics = ReadMetrics(root);
+  settings.retry_window = ReadTime(root, "retry_window", settings.retry_window);
+  settings.retry_ratio = root.Number("retry_ratio", 0, 1, settings.retry_ratio);
+  settings.order_handover = ReadTime(root, "order_handover", settings.order_handover);
+  settings.load_window = ReadTime(root, "load_window", settings.load_window);
+  settings.drain_timeout = ReadTime(root, "drain_timeout", settings.drain_timeout);
+  root.Finish();
+  problems.ThrowIfAny();
+  return settings;
+}
+
+GatewaySettings ReadGatewaySettings(const std::string& file) {
+  return ParseGatewaySettings(ReadTextFile(file), file);
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/gateway/gateway_settings.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include "http/http_types.h"
+
+namespace moorfold {
+
+/// Where a gateway tells its figures.
+struct MetricsListen {
+  std::uint16_t port = 0;
+  std::string path;  ///< Begins with a slash.
+};
+
+/// What one gateway is told at its start, by its settings file.
+struct GatewaySettings {
+  std::string name;
+  std::string zone;
+  Endpoint listen;     ///< Clients' requests.
+  Endpoint readiness;  ///< Whoever deals connections asks here whether this daemon is ready.
+  Endpoint peer;       ///< Datagrams of other daemons.
+  Endpoint store;      ///< The platform's metadata store.
+  std::optional<MetricsListen> metrics;
+  std::chrono::milliseconds retry_window{10'000};
+  double retry_ratio = 0.2;  ///< Most repeats for each request, over the whole fleet.
+  std::chrono::milliseconds order_handover{3'000};
+  std::chrono::milliseconds load_window{5'000};
+  std::chrono::milliseconds drain_timeout{8'000};
+};
+
+/// @throws ConfigError with all mistakes.
+GatewaySettings ParseGatewaySettings(const std::string& text, const std::string& file);
+GatewaySettings ReadGatewaySettings(const std::string& file);
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/gateway/request_pipeline.cc
@@ -0,0 +1,330 @@
+#include "gateway/request_pipeline.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "http/http_status.h"
+
+namespace moorfold {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/// Held no longer than this share of its time without a server: past half of it, holding costs more
+/// than an early refusal.
+constexpr double kHoldShare = 0.45;
+constexpr std::uint32_t kMostSends = 4;
+constexpr milliseconds kRetryPause{40};
+constexpr double kRetryAfterNotReadyS = 0.3;
+constexpr double kRetryAfterLoadingS = 0.5;
+constexpr double kRetryAfterFullS = 0.2;
+/// Below the fleet's ratio, so that the edges of sliding windows stay inside it.
+constexpr double kRatioUsed = 0.8;
+constexpr double kFreeRepeats = 2;
+
+std::optional<milliseconds> ParseMilliseconds(std::string_view text) {
+  std::int64_t number = 0;
+  const auto read = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (text.empty() || read.ec != std::errc() || number < 0) return std::nullopt;
+  return milliseconds(number);
+}
+
+std::int64_t MillisecondsSince(SteadyTime time) {
+  return std::chrono::duration_cast<milliseconds>(steady_clock::now() - time).count();
+}
+
+std::string SecondsText(double seconds) {
+  std::string text = std::to_string(seconds);
+  constexpr std::size_t kDigitsDropped = 3;
+  text.resize(text.size() - kDigitsDropped);
+  return text;
+}
+
+}  // namespace
+
+/// Counts a request among those that wait for a server, for as long as it does.
+class RequestPipeline::WaitingCount {
+ public:
+  WaitingCount(DemandBook& book, const GatewayRequest& request)
+      : book_(book), service_(request.service), model_(request.model) {
+    ++book_.At(service_, model_).waiting;
+  }
+  ~WaitingCount() { --book_.At(service_, model_).waiting; }
+  WaitingCount(const WaitingCount&) = delete;
+  WaitingCount& operator=(const WaitingCount&) = delete;
+
+ private:
+  DemandBook& book_;
+  std::string service_;
+  ModelReference model_;
+};
+
+/// Counts a request among those at servers.
+class RequestPipeline::FlightCount {
+ public:
+  FlightCount(DemandBook& book, const GatewayRequest& request)
+      : book_(book), service_(request.service), model_(request.model) {
+    ++book_.At(service_, model_).in_flight;
+  }
+  ~FlightCount() { --book_.At(service_, model_).in_flight; }
+  FlightCount(const FlightCount&) = delete;
+  FlightCount& operator=(const FlightCount&) = delete;
+
+ private:
+  DemandBook& book_;
+  std::string service_;
+  ModelReference model_;
+};
+
+RequestPipeline::RequestPipeline(boost::asio::io_context& context, const FleetProtocol& protocol,
+                                 FleetView& view, GatewayMetrics& metrics, EventLog& log,
+                                 PipelineSettings settings)
+    : context_(context),
+      protocol_(protocol),
+      view_(view),
+      metrics_(metrics),
+      log_(log),
+      settings_(std::move(settings)),
+      forwarder_(context, protocol) {}
+
+RetryAllowance& RequestPipeline::AllowanceOf(const std::string& service) {
+  return allowances_
+      .try_emplace(service, settings_.retry_window, settings_.retry_ratio * kRatioUsed,
+                   kFreeRepeats)
+      .first->second;
+}
+
+std::optional<RequestPipeline::Refusal> RequestPipeline::Resolve(const HttpRequest& http,
+                                                                 GatewayRequest& request) {
+  const HeaderNames& names = protocol_.headers();
+  request.arrival = steady_clock::now();
+  request.end = request.arrival;
+  request.id = std::string(FindHeader(http.headers, names.request_id));
+  request.table = view_.routes;
+  if (!request.table)
+    return Refusal{http_status::kUnavailable, "no_configuration",
+                   "this daemon has just started; come back", false, kRetryAfterNotReadyS};
+  request.route = request.table->Find(FindHeader(http.headers, "Host"), http.target);
+  if (request.route == nullptr) {
+    if (view_.Fresh(request.arrival))
+      return Refusal{http_status::kNotFound, "no_route",
+                     "no route of the configuration in force matches host and path", false, 0};
+    return Refusal{http_status::kUnavailable, "configuration_may_be_old",
+                   "this daemon cannot reach its store; come back", false, kRetryAfterNotReadyS};
+  }
+  const milliseconds forever = std::chrono::hours(1);
+  const milliseconds stated =
+      ParseMilliseconds(FindHeader(http.headers, names.deadline)).value_or(forever);
+  const milliseconds timeout = request.route->timeout.count() > 0 ? request.route->timeout : forever;
+  request.end = request.arrival + std::min(stated, timeout);
+  request.service = splits_.Next(*request.route);
+  request.model = ParseModelReference(FindHeader(http.headers, names.model));
+  request.parts = ParsePromptParts(FindHeader(http.headers, names.prompt_parts));
+  const ServiceDescription* service = request.table->configuration().FindService(request.service);
+  if (service == nullptr || !service->engine) request.model = {};
+  return std::nullopt;
+}
+
+ServerPtr RequestPipeline::ChooseOnce(const GatewayRequest& request, NoServerReason& reason) const {
+  ChoiceRequest wanted{request.service, request.model, request.parts, settings_.zone,
+                       request.failed_servers};
+  const auto now = steady_clock::now();
+  Choice choice = ChooseServer(view_.servers, wanted, now);
+  reason = choice.reason;
+  return choice.server;
+}
+
+Awaitable<ServerPtr> RequestPipeline::AwaitServer(GatewayRequest& request) {
+  NoServerReason reason = NoServerReason::kNone;
+  if (ServerPtr server = ChooseOnce(request, reason)) co_return server;
+  const WaitingCount waiting(view_.demand, request);
+  const auto began = steady_clock::now();
+  const SteadyTime hold_end =
+      request.arrival + std::chrono::duration_cast<steady_clock::duration>(
+                            (request.end - request.arrival) * kHoldShare);
+  ++metrics_.waits_for_server;
+  view_.demand_raised.NotifyAll();
+  while (!request.client_left && steady_clock::now() < hold_end) {
+    const SteadyTime look_again = steady_clock::now() + kRetryPause;
+    co_await view_.changed.Wait(std::min(hold_end, look_again));
+    request.failed_servers.clear();
+    ServerPtr server = ChooseOnce(request, reason);
+    if (!server) continue;
+    metrics_.wait_for_server.Observe(static_cast<double>(MillisecondsSince(began)));
+    co_return server;
+  }
+  co_return nullptr;
+}
+
+bool RequestPipeline::MayRunElsewhere(const GatewayRequest& request) const {
+  return request.Repeatable() && request.may_have_run + 1 < request.route->attempts;
+}
+
+SteadyTime RequestPipeline::AttemptEnd(const GatewayRequest& request) const {
+  constexpr int kTargetsPerAttempt = 2;
+  constexpr double kShareOfRest = 0.5;
+  const bool impatient =
+      request.route->type == RouteType::kRepeatable && MayRunElsewhere(request);
+  if (!impatient) return request.end;
+  const auto now = steady_clock::now();
+  const auto half = std::chrono::duration_cast<steady_clock::duration>((request.end - now) *
+                                                                       kShareOfRest);
+  return now + std::min<steady_clock::duration>(half, request.route->target * kTargetsPerAttempt);
+}
+
+RequestPipeline::Next RequestPipeline::Decide(const GatewayRequest& request,
+                                              const ForwardResult& result) {
+  const bool time_left = steady_clock::now() < request.end;
+  switch (result.end) {
+    case ForwardEnd::kAnswered:
+    case ForwardEnd::kClientLeft:
+      return Next::kDone;
+    case ForwardEnd::kNotRun:
+      if (request.head_sent) return Next::kBreakOff;
+      return time_left && request.sends < kMostSends ? Next::kTryAgain : Next::kGiveUp;
+    case ForwardEnd::kMayHaveRun:
+    case ForwardEnd::kBrokenOff:
+      if (time_left && request.Repeatable() && request.may_have_run < request.route->attempts)
+        return Next::kTryAgain;
+      return request.head_sent ? Next::kBreakOff : Next::kGiveUp;
+  }
+  return Next::kGiveUp;
+}
+
+RequestPipeline::Refusal RequestPipeline::ExplainFailure(const GatewayRequest& request,
+                                                         const ForwardResult& result) const {
+  if (request.may_have_run > 0) {
+    const bool late = steady_clock::now() >= request.end;
+    return {late ? http_status::kGatewayTimeout : http_status::kBadGateway,
+            late ? "out_of_time" : "server_failed",
+            "it may have run; repeat it only if that does no harm", true, 0};
+  }
+  if (result.status != 0)
+    return {http_status::kUnavailable, "servers_full", "come back after the stated time", false,
+            kRetryAfterFullS};
+  return {http_status::kUnavailable, "no_server", "come back after the stated time", false,
+          request.model.model.empty() ? kRetryAfterFullS : kRetryAfterLoadingS};
+}
+
+Awaitable<void> RequestPipeline::Answer(HttpServerExchange& exchange, const GatewayRequest& request,
+                                        const Refusal& refusal) {
+  HttpResponse response;
+  response.status = refusal.status;
+  response.headers.push_back({"Content-Type", "application/json"});
+  if (!request.id.empty()) response.headers.push_back({protocol_.headers().request_id, request.id});
+  if (refusal.retry_after_s > 0)
+    response.headers.push_back({"Retry-After", SecondsText(refusal.retry_after_s)});
+  response.body = R"({"error":{"code":")" + refusal.code + R"(","remedy":")" + refusal.remedy +
+                  R"("},"executed":")" + (refusal.may_have_run ? "unknown" : "no") + "\"}\n";
+  co_await exchange.Respond(std::move(response));
+}
+
+void RequestPipeline::LogEnd(const GatewayRequest& request, const std::string& outcome,
+                             unsigned status, const std::string& reason,
+                             const std::string& server_id) {
+  const bool fine = outcome == "answered" && status < http_status::kBadRequest;
+  LogLine line("request_end");
+  line.Field("id", request.id).Field("outcome", outcome).Field("status", status);
+  if (!reason.empty()) line.Field("reason", reason);
+  line.Field("ms", MillisecondsSince(request.arrival));
+  if (request.route != nullptr) {
+    line.Field("route", request.route->name)
+        .Field("service", request.service)
+        .Field("model", ToString(request.model))
+        .Field("sends", request.sends)
+        .Field("may_have_run", request.may_have_run)
+        .Field("configuration", request.table->configuration().version);
+  }
+  if (!server_id.empty()) line.Field("server", server_id);
+  log_.Write(fine ? LogRank::kRoutine : LogRank::kFailure, line);
+}
+
+void RequestPipeline::LogAttempt(const GatewayRequest& request, const Server& server,
+                                 const ForwardResult& result) {
+  log_.Write(LogRank::kDecision, LogLine("attempt_failed")
+                                     .Field("id", request.id)
+                                     .Field("server", server.record().id)
+                                     .Field("status", result.status)
+                                     .Field("ran", result.end == ForwardEnd::kNotRun ? "no" : "maybe")
+                                     .Field("problem", result.problem)
+                                     .Field("in_flight", server.in_flight()));
+}
+
+Awaitable<void> RequestPipeline::Serve(HttpServerExchange& exchange, GatewayRequest& request) {
+  ForwardResult result;
+  std::string server_id;
+  RetryAllowance& allowance = AllowanceOf(request.service);
+  while (true) {
+    const ServerPtr server = co_await AwaitServer(request);
+    if (request.client_left) result.end = ForwardEnd::kClientLeft;
+    if (!server || request.client_left) break;
+    if (request.sends == 0) {
+      allowance.CountFirst(steady_clock::now());
+    } else if (!allowance.TryRepeat(steady_clock::now())) {
+      ++metrics_.repeats_denied;
+      break;
+    } else {
+      ++metrics_.repeats;
+    }
+    ++request.sends;
+    server_id = server->record().id;
+    {
+      const FlightCount flight(view_.demand, request);
+      const bool last = !MayRunElsewhere(request);
+      result = co_await forwarder_.Forward(exchange, request, server, AttemptEnd(request), last);
+    }
+    if (result.end == ForwardEnd::kMayHaveRun || result.end == ForwardEnd::kBrokenOff)
+      ++request.may_have_run;
+    const Next next = Decide(request, result);
+    if (result.end != ForwardEnd::kAnswered && result.end != ForwardEnd::kClientLeft)
+      LogAttempt(request, *server, result);
+    if (next != Next::kTryAgain) break;
+    request.failed_servers.push_back(server_id);
+  }
+  if (result.end == ForwardEnd::kAnswered) {
+    ++metrics_.answered;
+    metrics_.time_to_head.Observe(static_cast<double>(MillisecondsSince(request.arrival)));
+    LogEnd(request, "answered", result.status, "", server_id);
+  } else if (result.end == ForwardEnd::kClientLeft) {
+    ++metrics_.client_left;
+    LogEnd(request, "client_left", 0, result.problem, server_id);
+    exchange.Abort();
+  } else if (request.head_sent) {
+    ++metrics_.broken_off;
+    LogEnd(request, "broken_off", result.status, result.problem, server_id);
+    exchange.Abort();
+  } else {
+    const Refusal refusal = ExplainFailure(request, result);
+    ++(refusal.may_have_run ? metrics_.failed_may_have_run : metrics_.refused_not_run);
+    LogEnd(request, refusal.may_have_run ? "failed" : "refused", refusal.status,
+           refusal.code + " " + result.problem, server_id);
+    co_await Answer(exchange, request, refusal);
+  }
+}
+
+Awaitable<void> RequestPipeline::Handle(HttpServerExchange& exchange) {
+  // The exchange's disconnect callback may outlive this coroutine's other locals: shared.
+  const auto request = std::make_shared<GatewayRequest>();
+  ++metrics_.requests;
+  const std::optional<Refusal> refusal = Resolve(exchange.request(), *request);
+  if (refusal) {
+    ++metrics_.no_route;
+    LogEnd(*request, "refused", refusal->status, refusal->code, "");
+    co_await Answer(exchange, *request, *refusal);
+    co_return;
+  }
+  request->body = std::make_shared<const std::string>(exchange.TakeBody());
+  DemandBook::Count& count = view_.demand.At(request->service, request->model);
+  ++count.arrivals;
+  for (const PromptPart& part : request->parts) count.tokens += part.tokens;
+  exchange.OnDisconnect([request, this] {
+    request->client_left = true;
+    if (request->upstream) request->upstream->Cancel(CancelReason::kCallerLeft);
+    view_.changed.NotifyAll();
+  });
+  co_await Serve(exchange, *request);
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/gateway/request_pipeline.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <string>
+
+#include "common/event_log.h"
+#include "gateway/fleet_view.h"
+#include "gateway/forwarder.h"
+#include "gateway/gateway_metrics.h"
+#include "gateway/retry_allowance.h"
+#include "gateway/server_choice.h"
+#include "http/http_server.h"
+#include "ports/fleet_protocol.h"
+
+namespace moorfold {
+
+/// Settings of one daemon that the path of a request needs.
+struct PipelineSettings {
+  std::string zone;
+  std::chrono::milliseconds retry_window{10'000};
+  double retry_ratio = 0.2;  ///< Of the whole fleet.
+};
+
+/// The path of a request: route, choose a server, attempt, decide what follows, answer. Whatever is
+/// given up gets its final answer at once. One thread.
+class RequestPipeline {
+ public:
+  RequestPipeline(boost::asio::io_context& context, const FleetProtocol& protocol, FleetView& view,
+                  GatewayMetrics& metrics, EventLog& log, PipelineSettings settings);
+
+  Awaitable<void> Handle(HttpServerExchange& exchange);
+  void Sweep() { forwarder_.Sweep(); }
+
+ private:
+  /// What follows an attempt.
+  enum class Next : std::uint8_t { kDone, kTryAgain, kGiveUp, kBreakOff };
+  class WaitingCount;
+  class FlightCount;
+
+  struct Refusal {
+    unsigned status = 503;
+    std::string code;
+    std::string remedy;
+    bool may_have_run = false;
+    double retry_after_s = 0;  ///< 0: none is stated.
+  };
+
+  std::optional<Refusal> Resolve(const HttpRequest& http, GatewayRequest& request);
+  Awaitable<void> Serve(HttpServerExchange& exchange, GatewayRequest& request);
+  Awaitable<ServerPtr> AwaitServer(GatewayRequest& request);
+  ServerPtr ChooseOnce(const GatewayRequest& request, NoServerReason& reason) const;
+  SteadyTime AttemptEnd(const GatewayRequest& request) const;
+  bool MayRunElsewhere(const GatewayRequest& request) const;
+  Next Decide(const GatewayRequest& request, const ForwardResult& result);
+  Refusal ExplainFailure(const GatewayRequest& request, const ForwardResult& result) const;
+  Awaitable<void> Answer(HttpServerExchange& exchange, const GatewayRequest& request,
+                         const Refusal& refusal);
+  void LogEnd(const GatewayRequest& request, const std::string& outcome, unsigned status,
+              const std::string& reason, const std::string& server_id);
+  void LogAttempt(const GatewayRequest& request, const Server& server, const ForwardResult& result);
+  RetryAllowance& AllowanceOf(const std::string& service);
+
+  boost::asio::io_context& context_;
+  const FleetProtocol& protocol_;
+  FleetView& view_;
+  GatewayMetrics& metrics_;
+  EventLog& log_;
+  PipelineSettings settings_;
+  Forwarder forwarder_;
+  SplitDealer splits_;
+  std::map<std::string, RetryAllowance> allowances_;
+};
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/gateway/server_choice.cc
@@ -0,0 +1,89 @@
+#include "gateway/server_choice.h"
+
+#include <algorithm>
+
+namespace moorfold {
+
+namespace {
+
+constexpr double kPrefillTokensPerMs = 38;
+constexpr double kOtherZoneMs = 3;
+constexpr double kSuspectMs = 2'000;
+constexpr double kErrorMs = 400;
+constexpr double kRunningModelRequestMs = 6;   ///< Each request in a batch slows the others.
+constexpr double kWaitingModelRequestMs = 60;  ///< Each waiting one is read before ours.
+constexpr double kPlainRequestMs = 20;         ///< Of a request at a full server without models.
+constexpr double kSpreadMs = 25;  ///< Daemons without knowledge of a prompt agree on a server.
+
+std::uint64_t Mix(std::uint64_t hash, const std::string& text) {
+  constexpr std::uint64_t kPrime = 1099511628211ULL;
+  for (const unsigned char character : text) hash = (hash ^ character) * kPrime;
+  return hash;
+}
+
+/// Between 0 and 1, the same at every daemon for one shared prompt and one server.
+double AgreedSpread(const ChoiceRequest& request, const std::string& server_id) {
+  constexpr std::uint64_t kBasis = 14695981039346656037ULL;
+  constexpr unsigned kTopBits = 40;
+  constexpr double kRange = 1 << 24;
+  std::uint64_t hash = Mix(Mix(kBasis, request.model.model), request.model.adapter);
+  for (std::size_t part = 0; part + 1 < request.parts.size(); ++part)
+    hash = Mix(hash, request.parts[part].id);
+  hash = Mix(hash, server_id);
+  return static_cast<double>(hash >> kTopBits) / kRange;
+}
+
+double TotalTokens(const std::vector<PromptPart>& parts) {
+  double tokens = 0;
+  for (const PromptPart& part : parts) tokens += part.tokens;
+  return tokens;
+}
+
+double QueueMs(const Server& server, const ChoiceRequest& request, SteadyTime now) {
+  const double requests = server.ExpectedRequests(now);
+  if (request.model.model.empty())
+    return kPlainRequestMs * requests / std::max(1U, server.record().slots);
+  return kRunningModelRequestMs * requests + kWaitingModelRequestMs * server.ExpectedWaiting(now);
+}
+
+double PromptMs(const Server& server, const ChoiceRequest& request) {
+  if (request.parts.empty()) return 0;
+  const double kept = server.prompts().KeptTokens(request.model, request.parts);
+  const double unread = TotalTokens(request.parts) - kept;
+  return unread / kPrefillTokensPerMs + kSpreadMs * AgreedSpread(request, server.record().id);
+}
+
+double CostMs(const Server& server, const ChoiceRequest& request, SteadyTime now) {
+  double cost = QueueMs(server, request, now) + PromptMs(server, request);
+  if (server.record().zone != request.zone) cost += kOtherZoneMs;
+  if (server.Suspect(now)) cost += kSuspectMs;
+  return cost + kErrorMs * server.error_share();
+}
+
+bool Contains(const std::vector<std::string>& names, const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+}  // namespace
+
+Choice ChooseServer(const ServerDirectory& directory, const ChoiceRequest& request,
+                    SteadyTime now) {
+  Choice best;
+  const std::vector<ServerPtr>& servers = directory.Of(request.service);
+  best.reason = servers.empty() ? NoServerReason::kUnknownService : NoServerReason::kModelNotHeld;
+  for (const ServerPtr& server : servers) {
+    if (!request.model.model.empty() && !server->Holds(request.model, now)) continue;
+    if (!server->Usable(now) || Contains(request.excluded, server->record().id)) {
+      best.reason = NoServerReason::kAllUnusable;
+      continue;
+    }
+    const double cost = CostMs(*server, request, now);
+    if (best.server && cost >= best.cost_ms) continue;
+    best.server = server;
+    best.cost_ms = cost;
+  }
+  if (best.server) best.reason = NoServerReason::kNone;
+  return best;
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/gateway/server_choice.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "gateway/server_directory.h"
+
+namespace moorfold {
+
+/// What is known of a request when a server is chosen for it.
+struct ChoiceRequest {
+  std::string service;
+  ModelReference model;  ///< Empty: the service has no models.
+  std::vector<PromptPart> parts;
+  std::string zone;                   ///< Of this daemon.
+  std::vector<std::string> excluded;  ///< Servers that have failed this request.
+};
+
+/// Why there is no server for a request.
+enum class NoServerReason : std::uint8_t { kNone, kUnknownService, kModelNotHeld, kAllUnusable };
+
+struct Choice {
+  ServerPtr server;
+  NoServerReason reason = NoServerReason::kNone;
+  double cost_ms = 0;
+};
+
+/// Picks the server with the least expected time to a first byte: its queue, the part of the prompt
+/// that it has not read yet, the way there, and what its failures cost. Pure.
+Choice ChooseServer(const ServerDirectory& directory, const ChoiceRequest& request, SteadyTime now);
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/gateway/server_directory.cc
@@ -0,0 +1,165 @@
+#include "gateway/server_directory.h"
+
+#include <algorithm>
+
+namespace moorfold {
+
+namespace {
+
+constexpr std::chrono::milliseconds kNoteLife{3'000};
+constexpr std::chrono::milliseconds kFullPause{100};
+constexpr std::chrono::milliseconds kShortestSuspicion{300};
+constexpr std::chrono::milliseconds kLongestSuspicion{3'000};
+constexpr std::chrono::milliseconds kStatedLoadLife{1'000};
+constexpr double kErrorWeight = 0.2;  ///< Of the newest answer in the share of failures.
+
+}  // namespace
+
+std::uint64_t RecentPrompts::Hash(std::uint64_t before, const std::string& part) {
+  constexpr std::uint64_t kMultiplier = 0x9e3779b97f4a7c15ULL;
+  constexpr unsigned kShift = 29;
+  std::uint64_t hash = before ^ std::hash<std::string>{}(part);
+  hash *= kMultiplier;
+  return hash ^ (hash >> kShift);
+}
+
+std::uint64_t RecentPrompts::Start(const ModelReference& model) {
+  return Hash(Hash(0, model.model), model.adapter);
+}
+
+void RecentPrompts::Remember(const ModelReference& model, const std::vector<PromptPart>& parts) {
+  std::uint64_t hash = Start(model);
+  for (const PromptPart& part : parts) {
+    hash = Hash(hash, part.id);
+    order_.push_back(hash);
+    ++counts_[hash];
+  }
+  while (order_.size() > kMostParts) {
+    const auto oldest = counts_.find(order_.front());
+    if (--oldest->second == 0) counts_.erase(oldest);
+    order_.pop_front();
+  }
+}
+
+double RecentPrompts::KeptTokens(const ModelReference& model,
+                                 const std::vector<PromptPart>& parts) const {
+  std::uint64_t hash = Start(model);
+  double tokens = 0;
+  for (const PromptPart& part : parts) {
+    hash = Hash(hash, part.id);
+    if (!counts_.contains(hash)) break;
+    tokens += part.tokens;
+  }
+  return tokens;
+}
+
+void Server::Update(ServerRecord record, SteadyTime now) {
+  std::erase_if(notes_, [&](const NotedModel& note) { return note.until <= now; });
+  record_ = std::move(record);
+}
+
+const Server::NotedModel* Server::FindNote(const ModelReference& model, SteadyTime now) const {
+  for (const NotedModel& note : notes_)
+    if (note.model == model && note.until > now) return &note;
+  return nullptr;
+}
+
+bool Server::Holds(const ModelReference& model, SteadyTime now) const {
+  if (const NotedModel* note = FindNote(model, now)) return note->held;
+  for (const HeldModel& held : record_.models)
+    if (held.name == model.model) return model.adapter.empty() || held.HasAdapter(model.adapter);
+  return false;
+}
+
+void Server::Note(const ModelReference& model, SteadyTime until, bool held, SteadyTime now) {
+  std::erase_if(notes_, [&](const NotedModel& note) {
+    return note.until <= now || note.model == model;
+  });
+  notes_.push_back({model, until, held});
+}
+
+void Server::NoteHeld(const ModelReference& model, SteadyTime now) {
+  Note(model, now + kNoteLife, true, now);
+}
+
+void Server::NoteMissing(const ModelReference& model, SteadyTime now) {
+  constexpr std::chrono::milliseconds kMissingLife{1'000};
+  Note(model, now + kMissingLife, false, now);
+}
+
+bool Server::Usable(SteadyTime now) const {
+  return !gone_ && !record_.draining && now >= full_until_;
+}
+
+void Server::NoteSuccess() {
+  failures_in_row_ = 0;
+  suspect_until_ = {};
+  error_share_ *= 1 - kErrorWeight;
+}
+
+void Server::NoteErrorAnswer() { error_share_ += (1 - error_share_) * kErrorWeight; }
+
+void Server::NoteFailure(SteadyTime now) {
+  constexpr std::uint32_t kMostDoublings = 4;
+  NoteErrorAnswer();
+  const auto length = kShortestSuspicion * (1U << std::min(failures_in_row_, kMostDoublings));
+  ++failures_in_row_;
+  suspect_until_ = now + std::min<std::chrono::milliseconds>(length, kLongestSuspicion);
+}
+
+void Server::NoteFull(SteadyTime now) { full_until_ = now + kFullPause; }
+
+void Server::NoteLoad(std::uint32_t running, std::uint32_t waiting, SteadyTime now) {
+  stated_running_ = running;
+  stated_waiting_ = waiting;
+  in_flight_when_stated_ = in_flight_;
+  stated_at_ = now;
+}
+
+double Server::ExpectedRequests(SteadyTime now) const {
+  const double own = in_flight_;
+  if (now - stated_at_ > kStatedLoadLife) return own;
+  const double since = own - in_flight_when_stated_;
+  return std::max(own, stated_running_ + stated_waiting_ + since);
+}
+
+double Server::ExpectedWaiting(SteadyTime now) const {
+  return now - stated_at_ > kStatedLoadLife ? 0 : stated_waiting_;
+}
+
+void ServerDirectory::Put(ServerRecord record, SteadyTime now) {
+  const auto found = by_id_.find(record.id);
+  if (found != by_id_.end() && found->second->record().service == record.service) {
+    found->second->Update(std::move(record), now);
+    return;
+  }
+  if (found != by_id_.end()) Remove(record.id);
+  auto server = std::make_shared<Server>(std::move(record));
+  by_id_[server->record().id] = server;
+  by_service_[server->record().service].push_back(server);
+}
+
+void ServerDirectory::Drop(const ServerPtr& server) {
+  server->NoteGone();
+  std::erase(by_service_[server->record().service], server);
+}
+
+void ServerDirectory::Remove(const std::string& id) {
+  const auto found = by_id_.find(id);
+  if (found == by_id_.end()) return;
+  Drop(found->second);
+  by_id_.erase(found);
+}
+
+ServerPtr ServerDirectory::Find(const std::string& id) const {
+  const auto found = by_id_.find(id);
+  return found == by_id_.end() ? nullptr : found->second;
+}
+
+const std::vector<ServerPtr>& ServerDirectory::Of(const std::string& service) const {
+  static const std::vector<ServerPtr> kNone;
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? kNone : found->second;
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/gateway/server_directory.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "fleet/server_record.h"
+#include "gateway/prompt.h"
+
+namespace moorfold {
+
+using SteadyTime = std::chrono::steady_clock::time_point;
+
+/// The prompt parts that this daemon lately sent to one server, oldest first.
+class RecentPrompts {
+ public:
+  void Remember(const ModelReference& model, const std::vector<PromptPart>& parts);
+  /// @return tokens of the longest run of leading parts that were sent for that model.
+  double KeptTokens(const ModelReference& model, const std::vector<PromptPart>& parts) const;
+
+ private:
+  static constexpr std::size_t kMostParts = 192;
+  static std::uint64_t Hash(std::uint64_t before, const std::string& part);
+  static std::uint64_t Start(const ModelReference& model);
+
+  std::deque<std::uint64_t> order_;
+  std::unordered_map<std::uint64_t, std::uint32_t> counts_;
+};
+
+/// What this daemon knows of one incarnation of a server: its record, and what its answers showed.
+/// One thread.
+class Server {
+ public:
+  explicit Server(ServerRecord record) : record_(std::move(record)) {}
+
+  const ServerRecord& record() const { return record_; }
+  void Update(ServerRecord record, SteadyTime now);
+
+  bool Holds(const ModelReference& model, SteadyTime now) const;
+  /// Notes that the model or adapter stands there now; the record follows later.
+  void NoteHeld(const ModelReference& model, SteadyTime now);
+  /// The server said that it does not hold the model: not to be tried until its record changes.
+  void NoteMissing(const ModelReference& model, SteadyTime now);
+
+  /// Whether requests may be sent at all: neither leaving nor proved gone.
+  bool Usable(SteadyTime now) const;
+  /// Whether it failed lately, so that others are to be preferred.
+  bool Suspect(SteadyTime now) const { return now < suspect_until_; }
+  /// The server said it leaves, or another incarnation answered at its address.
+  void NoteGone() { gone_ = true; }
+
+  void BeginRequest() { ++in_flight_; }
+  void EndRequest() { --in_flight_; }
+  std::uint32_t in_flight() const { return in_flight_; }
+
+  void NoteSuccess();
+  /// An answer that says the request failed, though the server is reachable.
+  void NoteErrorAnswer();
+  /// No answer, a reset, or no connection.
+  void NoteFailure(SteadyTime now);
+  /// It turned a request away because it is full.
+  void NoteFull(SteadyTime now);
+  /// @return share of lately failed answers, 0 to 1.
+  double error_share() const { return error_share_; }
+
+  /// Load as the server stated it.
+  void NoteLoad(std::uint32_t running, std::uint32_t waiting, SteadyTime now);
+  /// @return requests expected there: the stated ones while that is recent, else only our own.
+  double ExpectedRequests(SteadyTime now) const;
+  double ExpectedWaiting(SteadyTime now) const;
+
+  RecentPrompts& prompts() { return prompts_; }
+  const RecentPrompts& prompts() const { return prompts_; }
+
+ private:
+  struct NotedModel {
+    ModelReference model;
+    SteadyTime until;
+    bool held = true;
+  };
+  const NotedModel* FindNote(const ModelReference& model, SteadyTime now) const;
+  void Note(const ModelReference& model, SteadyTime until, bool held, SteadyTime now);
+
+  ServerRecord record_;
+  std::vector<NotedModel> notes_;
+  bool gone_ = false;
+  std::uint32_t in_flight_ = 0;
+  std::uint32_t failures_in_row_ = 0;
+  SteadyTime suspect_until_{};
+  SteadyTime full_until_{};
+  double error_share_ = 0;
+  double stated_running_ = 0;
+  double stated_waiting_ = 0;
+  std::uint32_t in_flight_when_stated_ = 0;
+  SteadyTime stated_at_{};
+  RecentPrompts prompts_;
+};
+using ServerPtr = std::shared_ptr<Server>;
+
+/// All servers that the store names. One thread.
+class ServerDirectory {
+ public:
+  void Put(ServerRecord record, SteadyTime now);
+  void Remove(const std::string& id);
+  ServerPtr Find(const std::string& id) const;
+  const std::vector<ServerPtr>& Of(const std::string& service) const;
+  const std::unordered_map<std::string, ServerPtr>& all() const { return by_id_; }
+
+ private:
+  void Drop(const ServerPtr& server);
+
+  std::unordered_map<std::string, ServerPtr> by_id_;
+  std::unordered_map<std::string, std::vector<ServerPtr>> by_service_;
+};
+
+}  // namespace moorfold
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -79,8 +79,12 @@
     acceptor_.reset();
   }
 
+  void UpdateLimits(const HttpServerLimits& limits) { limits_ = limits; }
+  void AnnounceClose() { closing_ = true; }
+
   const Endpoint& endpoint() const { return endpoint_; }
   std::size_t active_requests() const { return active_requests_; }
+  std::size_t open_connections() const { return connections_; }
 
  private:
   class Exchange;
@@ -129,6 +133,7 @@
   HttpHandler handler_;
   HttpRejection rejection_;
   std::atomic<bool> stopping_{false};
+  std::atomic<bool> closing_{false};  ///< Answers announce the end of their connection.
   std::atomic<std::size_t> active_requests_{0};
   std::atomic<std::size_t> connections_{0};
 };
@@ -149,6 +154,7 @@
   }
 
   const HttpRequest& request() const override { return request_; }
+  std::string TakeBody() override { return std::move(request_.body); }
   asio::any_io_executor executor() override { return stream_.get_executor(); }
   std::string remote_address() const override {
     error_code error;
@@ -156,7 +162,8 @@
     return error ? std::string() : remote.address().to_string();
   }
   bool started() const override { return started_; }
-  bool keep_alive() const { return keep_alive_ && !aborted_; }
+  /// @return whether the connection serves on after this answer; decided once, with its head.
+  bool keep_alive() const { return announced_open_ && !aborted_; }
   bool complete() const { return complete_; }
 
   Awaitable<void> Respond(HttpResponse answer) override {
@@ -209,15 +216,20 @@
   };
 
   template <typename Body>
-  http::response<Body> MakeHead(unsigned status, const HttpHeaders& headers) const {
+  http::response<Body> MakeHead(unsigned status, const HttpHeaders& headers) {
     http::response<Body> message;
     message.version(kHttp11);
     message.result(status);
     for (const HttpHeader& header : headers) message.insert(header.name, header.value);
-    message.keep_alive(keep_alive_ && !server_.stopping_);
+    message.keep_alive(StaysOpen());
     return message;
   }
 
+  bool StaysOpen() {
+    announced_open_ = keep_alive_ && !server_.stopping_ && !server_.closing_;
+    return announced_open_;
+  }
+
   void StopWatching() {
     if (!watch_->callback) return;
     watch_->callback = nullptr;
@@ -242,6 +254,7 @@
   beast::tcp_stream& stream_;
   HttpRequest request_;
   bool keep_alive_;
+  bool announced_open_ = false;
   bool started_ = false;
   bool complete_ = false;
   bool aborted_ = false;
@@ -312,10 +325,17 @@
   }
   stream.expires_never();
   {
+    const ReadTimeout timeout(stream, server.limits_.header_timeout);
+    co_await http::async_read_header(stream, buffer, parser,
+                                     asio::redirect_error(use_awaitable, error));
+    if (timeout.passed()) error = beast::error::timeout;
+  }
+  if (!error && !parser.is_done()) {
     const ReadTimeout timeout(stream, server.limits_.request_timeout);
     co_await http::async_read(stream, buffer, parser, asio::redirect_error(use_awaitable, error));
     if (timeout.passed()) error = beast::error::timeout;
   }
+  if (buffer.size() == 0) buffer.shrink_to_fit();  // Idle connections keep no large buffer.
   if (error == http::error::end_of_stream || error == asio::error::connection_reset)
     co_return false;
   const bool keep_alive = !error && parser.get().keep_alive();
@@ -330,7 +350,7 @@
   }
   co_await RunHandler(server, exchange);
   if (!exchange.complete()) stream.close();
-  co_return exchange.keep_alive() && exchange.complete() && !server.stopping_;
+  co_return exchange.keep_alive() && exchange.complete();
 }
 
 Awaitable<void> HttpServer::Impl::RunHandler(Impl& server, Exchange& exchange) {
@@ -356,6 +376,9 @@
 void HttpServer::Start() { impl_->Start(); }
 Endpoint HttpServer::endpoint() const { return impl_->endpoint(); }
 void HttpServer::StopAccepting() { impl_->StopAccepting(); }
+void HttpServer::UpdateLimits(const HttpServerLimits& limits) { impl_->UpdateLimits(limits); }
+void HttpServer::AnnounceClose() { impl_->AnnounceClose(); }
 std::size_t HttpServer::active_requests() const { return impl_->active_requests(); }
+std::size_t HttpServer::open_connections() const { return impl_->open_connections(); }
 
 }  // namespace moorfold
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -15,7 +15,8 @@
 struct HttpServerLimits {
   std::uint32_t header_bytes = 32 * 1024;
   std::uint64_t body_bytes = 8ULL * 1024 * 1024;
-  std::chrono::milliseconds request_timeout{15'000};  ///< From the first byte to the last.
+  std::chrono::milliseconds header_timeout{15'000};   ///< From the first byte to the header's end.
+  std::chrono::milliseconds request_timeout{15'000};  ///< From the header's end to the last byte.
   std::chrono::milliseconds idle_timeout{120'000};
   std::chrono::milliseconds write_timeout{30'000};  ///< A caller that stops reading is cut off.
   std::size_t connections = 10'000;
@@ -26,6 +27,8 @@
  public:
   virtual ~HttpServerExchange() = default;
   virtual const HttpRequest& request() const = 0;
+  /// @return the request's body, which request() no longer has afterwards.
+  virtual std::string TakeBody() = 0;
   virtual boost::asio::any_io_executor executor() = 0;
   /// @return the caller's IP number.
   virtual std::string remote_address() const = 0;
@@ -57,8 +60,14 @@
 
   void Start();
   Endpoint endpoint() const;
+  /// For connections and requests from now on. The contexts' thread, if there is only one.
+  void UpdateLimits(const HttpServerLimits& limits);
+  /// Answers say "connection: close" from now on; new connections are still taken. Any thread.
+  void AnnounceClose();
   /// Accepts no more; requests in progress go on and answers say "connection: close".
   void StopAccepting();
+  /// @return connections that are open now. Any thread.
+  std::size_t open_connections() const;
   /// @return requests being answered now. Any thread.
   std::size_t active_requests() const;
 
--- a/src/http/http_status.h
+++ b/src/http/http_status.h
@@ -4,6 +4,7 @@
 namespace moorfold::http_status {
 
 constexpr unsigned kOk = 200;
+constexpr unsigned kFirstRedirection = 300;
 constexpr unsigned kNotModified = 304;
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
--- /dev/null
+++ b/src/http/upstream_connection.cc
@@ -0,0 +1,215 @@
+#include "http/upstream_connection.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+
+namespace moorfold {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::use_awaitable;
+using asio::ip::tcp;
+using boost::system::error_code;
+using std::chrono::steady_clock;
+
+namespace {
+constexpr unsigned kHttp11 = 11;
+constexpr std::size_t kReadChunk = 8 * 1024;
+constexpr std::uint64_t kMostAnswerBytes = 256ULL * 1024 * 1024;
+using RequestMessage = http::request<http::span_body<char const>>;
+}  // namespace
+
+/// Outlives the connection while an operation on the socket still ends.
+struct UpstreamConnection::State {
+  State(asio::io_context& context, Endpoint to)
+      : socket(context), timer(context), endpoint(std::move(to)) {}
+
+  tcp::socket socket;
+  asio::steady_timer timer;
+  Endpoint endpoint;
+  beast::flat_buffer buffer;
+  std::optional<http::response_parser<http::buffer_body>> parser;
+  std::shared_ptr<RequestMessage> message;
+  std::shared_ptr<const std::string> body;
+  bool sending = false;
+  bool send_failed = false;
+  bool sent_everything_before_answer = true;
+  CancelReason cancelled = CancelReason::kNone;
+
+  HttpError Failure(HttpStage stage, const error_code& error) const {
+    const bool timed_out = cancelled == CancelReason::kTimeLimit;
+    return {stage, timed_out, ToString(endpoint) + ": " + error.message()};
+  }
+
+  /// Closing by a reset: nothing that still lies in buffers may arrive later.
+  void Reset() {
+    error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+  }
+};
+
+UpstreamConnection::UpstreamConnection(asio::io_context& context, Endpoint endpoint)
+    : state_(std::make_shared<State>(context, std::move(endpoint))) {}
+
+UpstreamConnection::~UpstreamConnection() {
+  if (state_->sending) {
+    state_->Reset();
+    return;
+  }
+  error_code ignored;
+  state_->socket.close(ignored);
+}
+
+Awaitable<void> UpstreamConnection::Connect(Deadline deadline) {
+  const std::shared_ptr<State> state = state_;
+  state->timer.expires_at(deadline);
+  state->timer.async_wait([state](const error_code& error) {
+    if (error) return;
+    state->cancelled = CancelReason::kTimeLimit;
+    state->Reset();
+  });
+  const tcp::endpoint target(asio::ip::make_address(state->endpoint.address),
+                             state->endpoint.port);
+  error_code error;
+  co_await state->socket.async_connect(target, asio::redirect_error(use_awaitable, error));
+  state->timer.cancel();
+  if (!error && state->cancelled != CancelReason::kNone) error = asio::error::operation_aborted;
+  if (error) throw state->Failure(HttpStage::kConnecting, error);
+  error_code ignored;
+  state->socket.set_option(tcp::no_delay(true), ignored);
+}
+
+void UpstreamConnection::BeginSend(const HttpRequest& head,
+                                   std::shared_ptr<const std::string> body) {
+  auto message = std::make_shared<RequestMessage>();
+  message->version(kHttp11);
+  message->method_string(head.method);
+  message->target(head.target);
+  for (const HttpHeader& header : head.headers) message->insert(header.name, header.value);
+  message->body() = beast::span<char const>(body->data(), body->size());
+  message->prepare_payload();
+  state_->message = message;
+  state_->body = std::move(body);
+  state_->sending = true;
+  state_->send_failed = false;
+  http::async_write(state_->socket, *message,
+                    [state = state_, message](const error_code& error, std::size_t) {
+                      state->sending = false;
+                      state->send_failed = static_cast<bool>(error);
+                      state->message.reset();
+                      state->body.reset();
+                    });
+}
+
+Awaitable<void> UpstreamConnection::ReadHead() {
+  const std::shared_ptr<State> state = state_;
+  state->parser.emplace();
+  state->parser->body_limit(kMostAnswerBytes);
+  error_code error;
+  co_await http::async_read_header(state->socket, state->buffer, *state->parser,
+                                   asio::redirect_error(use_awaitable, error));
+  state->sent_everything_before_answer = !state->sending && !state->send_failed;
+  if (!error && state->cancelled != CancelReason::kNone) error = asio::error::operation_aborted;
+  if (error) throw state->Failure(HttpStage::kAwaitingAnswer, error);
+}
+
+unsigned UpstreamConnection::status() const { return state_->parser->get().result_int(); }
+
+HttpHeaders UpstreamConnection::headers() const {
+  HttpHeaders headers;
+  for (const auto& field : state_->parser->get())
+    headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  return headers;
+}
+
+Awaitable<std::string> UpstreamConnection::ReadSome() {
+  const std::shared_ptr<State> state = state_;
+  std::string chunk(kReadChunk, '\0');
+  while (!state->parser->is_done()) {
+    state->parser->get().body().data = chunk.data();
+    state->parser->get().body().size = chunk.size();
+    error_code error;
+    co_await http::async_read_some(state->socket, state->buffer, *state->parser,
+                                   asio::redirect_error(use_awaitable, error));
+    if (state->cancelled != CancelReason::kNone) error = asio::error::operation_aborted;
+    if (error && error != http::error::need_buffer)
+      throw state->Failure(HttpStage::kReadingAnswer, error);
+    const std::size_t got = chunk.size() - state->parser->get().body().size;
+    if (got == 0) continue;
+    chunk.resize(got);
+    co_return chunk;
+  }
+  co_return std::string();
+}
+
+Awaitable<std::string> UpstreamConnection::ReadAll() {
+  std::string body;
+  while (true) {
+    const std::string chunk = co_await ReadSome();
+    if (chunk.empty()) co_return body;
+    body += chunk;
+  }
+}
+
+void UpstreamConnection::Cancel(CancelReason reason) {
+  if (state_->cancelled == CancelReason::kNone) state_->cancelled = reason;
+  state_->Reset();
+}
+
+CancelReason UpstreamConnection::cancelled() const { return state_->cancelled; }
+
+bool UpstreamConnection::Reusable() const {
+  return state_->cancelled == CancelReason::kNone && state_->socket.is_open() &&
+         state_->sent_everything_before_answer && !state_->sending && state_->parser &&
+         state_->parser->is_done() && state_->parser->keep_alive() &&
+         !state_->parser->need_eof() && state_->buffer.size() == 0;
+}
+
+bool UpstreamConnection::Idle() {
+  error_code error;
+  if (!state_->socket.is_open()) return false;
+  state_->socket.non_blocking(true, error);
+  char byte = 0;
+  state_->socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+const Endpoint& UpstreamConnection::endpoint() const { return state_->endpoint; }
+
+UpstreamConnectionPtr UpstreamPool::Take(const std::string& server_id,
+                                         std::chrono::milliseconds longest_rest) {
+  const auto found = idle_.find(server_id);
+  if (found == idle_.end()) return nullptr;
+  std::vector<Resting>& resting = found->second;
+  const auto now = steady_clock::now();
+  while (!resting.empty()) {
+    Resting last = std::move(resting.back());
+    resting.pop_back();
+    if (now < last.until && now - last.since <= longest_rest && last.connection->Idle())
+      return last.connection;
+  }
+  return nullptr;
+}
+
+void UpstreamPool::Give(const std::string& server_id, UpstreamConnectionPtr connection,
+                        std::chrono::milliseconds keep) {
+  const auto now = steady_clock::now();
+  idle_[server_id].push_back({std::move(connection), now, now + keep});
+}
+
+void UpstreamPool::Sweep() {
+  const auto now = steady_clock::now();
+  for (auto server = idle_.begin(); server != idle_.end();) {
+    std::erase_if(server->second, [&](const Resting& resting) { return resting.until <= now; });
+    server = server->second.empty() ? idle_.erase(server) : std::next(server);
+  }
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/http/upstream_connection.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "http/http_types.h"
+
+namespace moorfold {
+
+/// Why a connection to a server was given up from this side.
+enum class CancelReason : std::uint8_t { kNone, kTimeLimit, kCallerLeft };
+
+/// One connection to a server, used for one request at a time. A request's body is sent while the
+/// answer is read, since a server may answer before it has read everything. One thread.
+class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection> {
+ public:
+  UpstreamConnection(boost::asio::io_context& context, Endpoint endpoint);
+  ~UpstreamConnection();
+  UpstreamConnection(const UpstreamConnection&) = delete;
+  UpstreamConnection& operator=(const UpstreamConnection&) = delete;
+
+  /// @throws HttpError (kConnecting).
+  Awaitable<void> Connect(Deadline deadline);
+  /// Begins to send `request`; its framing headers are set here, all others are sent as given.
+  /// @param body stays valid until the connection is done with it: it is kept by the owner.
+  void BeginSend(const HttpRequest& head, std::shared_ptr<const std::string> body);
+  /// Reads the head of the next answer.
+  /// @throws HttpError (kSending when nothing can have been answered, else kAwaitingAnswer).
+  Awaitable<void> ReadHead();
+  unsigned status() const;
+  HttpHeaders headers() const;
+  /// @return the next bytes of the body; empty at its end.
+  /// @throws HttpError (kReadingAnswer) when the answer breaks off.
+  Awaitable<std::string> ReadSome();
+  /// Reads the rest of the body. @throws HttpError (kReadingAnswer).
+  Awaitable<std::string> ReadAll();
+
+  /// Ends whatever is under way with an error; any later call does the same.
+  void Cancel(CancelReason reason);
+  CancelReason cancelled() const;
+  /// @return whether another request may be sent: the answer was whole, nothing is left over, the
+  /// whole request was sent and neither side wants to close.
+  bool Reusable() const;
+  /// @return whether nothing has come and the peer has not closed, as far as can be seen.
+  bool Idle();
+  const Endpoint& endpoint() const;
+
+ private:
+  struct State;
+  std::shared_ptr<State> state_;
+};
+using UpstreamConnectionPtr = std::shared_ptr<UpstreamConnection>;
+
+/// Connections that rest between requests, by the server's id. One thread.
+class UpstreamPool {
+ public:
+  /// @return the connection to that server that was used last, if it rested no longer than
+  /// `longest_rest` and shows no sign of an end; or null.
+  UpstreamConnectionPtr Take(const std::string& server_id, std::chrono::milliseconds longest_rest);
+  void Give(const std::string& server_id, UpstreamConnectionPtr connection,
+            std::chrono::milliseconds keep);
+  void Drop(const std::string& server_id) { idle_.erase(server_id); }
+  /// Closes connections that have rested too long.
+  void Sweep();
+
+ private:
+  struct Resting {
+    UpstreamConnectionPtr connection;
+    std::chrono::steady_clock::time_point since;
+    std::chrono::steady_clock::time_point until;
+  };
+  std::map<std::string, std::vector<Resting>> idle_;
+};
+
+}  // namespace moorfold
--- a/src/request/service_router.cc
+++ b/src/request/service_router.cc
@@ -36,6 +36,7 @@
  public:
   explicit RecordingExchange(HttpServerExchange& inner) : inner_(inner) {}
   const HttpRequest& request() const override { return inner_.request(); }
+  std::string TakeBody() override { return inner_.TakeBody(); }
   boost::asio::any_io_executor executor() override { return inner_.executor(); }
   std::string remote_address() const override { return inner_.remote_address(); }
   Awaitable<void> Respond(HttpResponse response) override {
--- a/test/http/http_test.cc
+++ b/test/http/http_test.cc
@@ -40,6 +40,7 @@
     HttpServerLimits limits;
     limits.header_bytes = 2048;
     limits.body_bytes = 4096;
+    limits.header_timeout = std::chrono::milliseconds(400);
     limits.request_timeout = std::chrono::milliseconds(400);
     return limits;
   }
