Answer everything before a planned stop ends, and close idle connections in time

Ruled out: longer draining (graceS is the platform's). Change: 2.6 s after SIGTERM idle connections are closed and no new ones taken; what waits for a server is refused with a time to come back; 0.6 s before the end whatever has no answer gets one.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -21,9 +21,9 @@
 constexpr milliseconds kStopCheck{50};
 /// Until whoever deals connections has seen twice that this daemon is not ready.
 constexpr milliseconds kNotReadySeen{2'600};
-/// Before the end of the drain time, idle connections are closed and no new ones taken.
-constexpr milliseconds kLastCall{1'500};
 constexpr milliseconds kReserve{300};
+/// Before the end of the drain time, whatever has no answer yet gets one.
+constexpr milliseconds kLastAnswers{600};
 /// Clients may use a connection until shortly before the configured idle time has passed.
 constexpr double kIdleMargin = 1.2;
 
@@ -176,13 +176,16 @@
   boost::asio::co_spawn(context_, Stop(), boost::asio::detached);
 }
 
+/// New work is taken until those who deal connections have seen that this daemon is not ready; then
+/// only what was begun is brought to its end, since later work might not end in time.
 bool Gateway::Drained(std::chrono::steady_clock::duration elapsed) {
   if (elapsed >= settings_.drain_timeout - kReserve) return true;
-  if (elapsed >= settings_.drain_timeout - kLastCall) {
-    front_->StopAccepting();
-    return front_->active_requests() == 0;
-  }
-  return elapsed >= kNotReadySeen && front_->open_connections() == 0;
+  if (elapsed < kNotReadySeen) return false;
+  front_->StopAccepting();
+  front_->CloseIdle();
+  pipeline_.RefuseWaiting();
+  if (elapsed >= settings_.drain_timeout - kLastAnswers) pipeline_.AnswerAll();
+  return front_->open_connections() == 0;
 }
 
 Awaitable<void> Gateway::Stop() {
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -78,6 +78,22 @@
   ModelReference model_;
 };
 
+/// Lists a request among those that are being answered.
+class RequestPipeline::ActiveMark {
+ public:
+  ActiveMark(std::set<GatewayRequest*>& active, GatewayRequest& request)
+      : active_(active), request_(&request) {
+    active_.insert(request_);
+  }
+  ~ActiveMark() { active_.erase(request_); }
+  ActiveMark(const ActiveMark&) = delete;
+  ActiveMark& operator=(const ActiveMark&) = delete;
+
+ private:
+  std::set<GatewayRequest*>& active_;
+  GatewayRequest* request_;
+};
+
 RequestPipeline::RequestPipeline(boost::asio::io_context& context, const FleetProtocol& protocol,
                                  FleetView& view, GatewayMetrics& metrics, EventLog& log,
                                  PipelineSettings settings)
@@ -89,6 +105,21 @@
       settings_(std::move(settings)),
       forwarder_(context, protocol) {}
 
+void RequestPipeline::RefuseWaiting() {
+  refuse_waiting_ = true;
+  view_.changed.NotifyAll();
+}
+
+void RequestPipeline::AnswerAll() {
+  const auto now = steady_clock::now();
+  for (GatewayRequest* request : active_) {
+    request->end = std::min(request->end, now);
+    if (request->upstream && !request->head_sent)
+      request->upstream->Cancel(CancelReason::kTimeLimit);
+  }
+  view_.changed.NotifyAll();
+}
+
 RetryAllowance& RequestPipeline::AllowanceOf(const std::string& service) {
   return allowances_
       .try_emplace(service, settings_.retry_window, settings_.retry_ratio * kRatioUsed,
@@ -146,7 +177,7 @@
                             (request.end - request.arrival) * kHoldShare);
   ++metrics_.waits_for_server;
   view_.demand_raised.NotifyAll();
-  while (!request.client_left && steady_clock::now() < hold_end) {
+  while (!request.client_left && !refuse_waiting_ && steady_clock::now() < hold_end) {
     const SteadyTime look_again = steady_clock::now() + kRetryPause;
     co_await view_.changed.Wait(std::min(hold_end, look_again));
     request.failed_servers.clear();
@@ -324,6 +355,7 @@
     if (request->upstream) request->upstream->Cancel(CancelReason::kCallerLeft);
     view_.changed.NotifyAll();
   });
+  const ActiveMark active(active_, *request);
   co_await Serve(exchange, *request);
 }
 
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <map>
+#include <set>
 #include <string>
 
 #include "common/event_log.h"
@@ -31,12 +32,17 @@
 
   Awaitable<void> Handle(HttpServerExchange& exchange);
   void Sweep() { forwarder_.Sweep(); }
+  /// Requests that have no server are refused from now on: this daemon is about to stop.
+  void RefuseWaiting();
+  /// Requests without the head of an answer are answered now, whatever their servers do.
+  void AnswerAll();
 
  private:
   /// What follows an attempt.
   enum class Next : std::uint8_t { kDone, kTryAgain, kGiveUp, kBreakOff };
   class WaitingCount;
   class FlightCount;
+  class ActiveMark;
 
   struct Refusal {
     unsigned status = 503;
@@ -70,6 +76,8 @@
   Forwarder forwarder_;
   SplitDealer splits_;
   std::map<std::string, RetryAllowance> allowances_;
+  std::set<GatewayRequest*> active_;
+  bool refuse_waiting_ = false;
 };
 
 }  // namespace moorfold
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -11,7 +11,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <mutex>
 #include <optional>
+#include <set>
 
 #include "http/http_status.h"
 
@@ -82,6 +84,11 @@
   void UpdateLimits(const HttpServerLimits& limits) { limits_ = limits; }
   void AnnounceClose() { closing_ = true; }
 
+  void CloseIdle() {
+    error_code ignored;
+    for (beast::tcp_stream* stream : idle_) stream->socket().cancel(ignored);
+  }
+
   const Endpoint& endpoint() const { return endpoint_; }
   std::size_t active_requests() const { return active_requests_; }
   std::size_t open_connections() const { return connections_; }
@@ -89,6 +96,25 @@
  private:
   class Exchange;
 
+  /// Counts a connection among the idle ones while it waits for a request.
+  class IdleMark {
+   public:
+    IdleMark(Impl& server, beast::tcp_stream& stream) : server_(server), stream_(stream) {
+      const std::lock_guard lock(server_.idle_mutex_);
+      server_.idle_.insert(&stream_);
+    }
+    ~IdleMark() {
+      const std::lock_guard lock(server_.idle_mutex_);
+      server_.idle_.erase(&stream_);
+    }
+    IdleMark(const IdleMark&) = delete;
+    IdleMark& operator=(const IdleMark&) = delete;
+
+   private:
+    Impl& server_;
+    beast::tcp_stream& stream_;
+  };
+
   static Awaitable<void> Accept(std::shared_ptr<Impl> self) {
     std::size_t next = 0;
     while (!self->stopping_) {
@@ -133,6 +159,8 @@
   HttpHandler handler_;
   HttpRejection rejection_;
   std::atomic<bool> stopping_{false};
+  std::mutex idle_mutex_;
+  std::set<beast::tcp_stream*> idle_;
   std::atomic<bool> closing_{false};  ///< Answers announce the end of their connection.
   std::atomic<std::size_t> active_requests_{0};
   std::atomic<std::size_t> connections_{0};
@@ -316,6 +344,7 @@
   parser.body_limit(server.limits_.body_bytes);
   error_code error;
   if (buffer.size() == 0) {  // Idle between requests: the request's own time has not begun.
+    const IdleMark idle(server, stream);
     stream.expires_after(server.limits_.idle_timeout);
     constexpr std::size_t kFirstRead = 4096;
     const std::size_t got = co_await stream.async_read_some(
@@ -377,6 +406,7 @@
 Endpoint HttpServer::endpoint() const { return impl_->endpoint(); }
 void HttpServer::StopAccepting() { impl_->StopAccepting(); }
 void HttpServer::UpdateLimits(const HttpServerLimits& limits) { impl_->UpdateLimits(limits); }
+void HttpServer::CloseIdle() { impl_->CloseIdle(); }
 void HttpServer::AnnounceClose() { impl_->AnnounceClose(); }
 std::size_t HttpServer::active_requests() const { return impl_->active_requests(); }
 std::size_t HttpServer::open_connections() const { return impl_->open_connections(); }
