--- a/src/fleet/demand_channel.cc
+++ b/src/fleet/demand_channel.cc
@@ -58,7 +58,7 @@
 void DemandChannel::SendReport(const std::string& to, const DemandReport& report) {
   const Endpoint endpoint = ParseEndpoint(to);
   const udp::endpoint target(boost::asio::ip::make_address(endpoint.address), endpoint.port);
-  DemandReport part{report.sender, {}};
+  DemandReport part{report.sender, {}, report.unreachable};
   for (const DemandEntry& entry : report.entries) {
     part.entries.push_back(entry);
     if (part.entries.size() < kEntriesPerDatagram) continue;
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -129,7 +129,8 @@
   const ManagedPtr managed = Managed(server.record().id);
   PlannedServer planned;
   planned.id = server.record().id;
-  planned.serving = server.Usable(now) && !server.Suspect(now);
+  planned.serving = server.Usable(now) && !server.Suspect(now) &&
+                    !demand_.Unreachable(server.record().id, now);
   planned.orderable = planned.serving && !managed->operating && now >= managed->not_before;
   const bool own = managed->known;
   planned.models = own ? managed->models : server.record().models;
@@ -262,6 +263,9 @@
   const ServerOrderOutcome outcome = co_await SendOrder(order, endpoint);
   NoteOrder(order, outcome);
   TakeOutcome(*managed, step, outcome);
+  const bool refused = outcome != ServerOrderOutcome::kUnderWay &&
+                       outcome != ServerOrderOutcome::kNoAnswer;
+  if (step.kind == ServerOrderKind::kUnload && refused) Notify(managed->id, step.name, true);
   if (outcome == ServerOrderOutcome::kUnderWay) co_await AwaitDone(managed, step, endpoint);
   --under_way_;
   managed->operating = false;
--- a/src/fleet/fleet_demand.cc
+++ b/src/fleet/fleet_demand.cc
@@ -1,5 +1,6 @@
 #include "fleet/fleet_demand.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace moorfold {
@@ -21,7 +22,22 @@
   entry.rated_at = now;
 }
 
+bool FleetDemand::Unreachable(const std::string& server_id, Time now) const {
+  constexpr std::chrono::milliseconds kBelieved{1'500};
+  constexpr int kWitnesses = 2;
+  const auto found = unreachable_.find(server_id);
+  if (found == unreachable_.end()) return false;
+  int witnesses = 0;
+  for (const auto& [sender, at] : found->second) witnesses += now - at < kBelieved ? 1 : 0;
+  return witnesses >= kWitnesses;
+}
+
 void FleetDemand::Add(const DemandReport& report, Time now) {
+  std::erase_if(unreachable_, [&](const auto& server) {
+    return std::all_of(server.second.begin(), server.second.end(),
+                       [&](const auto& sender) { return now - sender.second > kForgetAfter; });
+  });
+  for (const std::string& server : report.unreachable) unreachable_[server][report.sender] = now;
   for (const DemandEntry& reported : report.entries) {
     Entry& entry = services_[reported.service][reported.name];
     Decay(entry, now);
--- a/src/fleet/fleet_demand.h
+++ b/src/fleet/fleet_demand.h
@@ -26,6 +26,9 @@
   /// @return demand by model and adapter of one service; what no daemon has named for long is left
   /// out.
   std::map<ModelReference, ModelDemand> Of(const std::string& service, Time now);
+  /// @return whether more than one daemon could not reach the server lately. One alone may itself be
+  /// cut off.
+  bool Unreachable(const std::string& server_id, Time now) const;
 
  private:
   struct FromSender {
@@ -44,6 +47,8 @@
   static void Decay(Entry& entry, Time now);
 
   std::map<std::string, std::map<ModelReference, Entry>> services_;
+  /// By server: when each daemon last said that it is out of reach.
+  std::map<std::string, std::map<std::string, Time>> unreachable_;
 };
 
 }  // namespace moorfold
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -32,10 +32,11 @@
 struct DemandReport {
   std::string sender;
   std::vector<DemandEntry> entries;
+  std::vector<std::string> unreachable;  ///< Servers to which no connection came up lately.
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(sender, entries);
+    archive(sender, entries, unreachable);
   }
 };
 
--- a/src/fleet/placement_planner.cc
+++ b/src/fleet/placement_planner.cc
@@ -14,8 +14,18 @@
 /// Above so much of its comfort, a model gets another server before requests queue.
 constexpr double kSpreadAt = 1.0;
 constexpr double kWaitingUrgency = 100;
-/// An idle model is worth this many requests a second, so that the least recently asked goes first.
-constexpr double kIdleWorth = 0.01;
+/// Fewer requests a second than that count as none.
+constexpr double kIdleRate = 0.03;
+/// Losses, in request-seconds: of an idle model, by when it was last asked for; of one of more copies
+/// than are needed, whose requests have to run to their end first; of one that is needed.
+constexpr double kIdleLoss = 0.4;
+constexpr double kIdleLossHalvesAfterS = 5;
+constexpr double kSurplusLoss = 0.5;
+constexpr double kBusyLoss = 5;
+constexpr double kRelaxedRequests = 6;
+constexpr double kRelaxedTokens = 40'000;
+/// Waiting requests are worth so many request-seconds each against what others lose.
+constexpr double kWaitingWorth = 3;
 constexpr double kRecentS = 6;
 constexpr double kImpossible = -1;
 
@@ -124,18 +134,25 @@
   return std::chrono::duration<double>(model.load_time).count();
 }
 
-/// What is lost, in request-seconds, when the model leaves that server.
+bool PlacementPlanner::Idle(const ModelDemand& demand) {
+  return demand.in_flight <= 0 && demand.waiting <= 0 && demand.arrivals_per_second < kIdleRate;
+}
+
+/// What is lost, in request-seconds, when the model leaves one of its servers.
 double PlacementPlanner::LossOf(const HeldModel& held) const {
-  const ModelDescription* model = Describe(held.name);
-  if (model == nullptr) return 0;
+  if (Describe(held.name) == nullptr) return 0;
   const ModelDemand demand = WholeDemand(held.name);
-  const double copies = static_cast<double>(Copies(held.name));
-  const double wanted = CopiesWanted(*model);
-  const double idle_s = std::max(1.0, Seconds(now_ - demand.last_seen));
-  const double worth = kIdleWorth / idle_s;
-  if (copies - 1 >= wanted && wanted > 0) return worth;
-  if (wanted <= 0) return copies > 1 ? worth / 2 : worth + kIdleWorth / idle_s;
-  return demand.arrivals_per_second + demand.in_flight + demand.waiting + 1;
+  const double copies = static_cast<double>(std::max<std::size_t>(1, Copies(held.name)));
+  const double idle_s = std::max(0.0, Seconds(now_ - demand.last_seen));
+  if (Idle(demand)) {
+    const double only_copy = copies > 1 ? 0.5 : 1;
+    return only_copy * kIdleLoss / (1 + idle_s / kIdleLossHalvesAfterS);
+  }
+  const double left = copies - 1;
+  const bool enough_left = left >= 1 && demand.in_flight <= kRelaxedRequests * left &&
+                           demand.tokens_per_second <= kRelaxedTokens * left;
+  if (enough_left) return kSurplusLoss + demand.in_flight / copies;
+  return kBusyLoss + demand.in_flight + demand.arrivals_per_second;
 }
 
 double PlacementPlanner::PlacementCost(const PlannedServer& server, const ModelDescription& model,
@@ -209,8 +226,9 @@
     best_victims = victims;
   }
   if (best == nullptr) return;
-  const double gain = WholeDemand(model.name).waiting + WholeDemand(model.name).in_flight +
-                      WholeDemand(model.name).arrivals_per_second;
+  const ModelDemand demand = WholeDemand(model.name);
+  const double gain = kWaitingWorth * demand.waiting +
+                      demand.in_flight / static_cast<double>(1 + Copies(model.name));
   const double loss = best_cost - LoadSeconds(*best, model);
   if (loss > gain) return;  // It would cost others more than it helps.
   if (best_victims.empty())
--- a/src/fleet/placement_planner.h
+++ b/src/fleet/placement_planner.h
@@ -69,6 +69,7 @@
   /// @return the cost in seconds of taking the model there, or a negative number if impossible.
   double PlacementCost(const PlannedServer& server, const ModelDescription& model,
                        std::vector<std::string>& victims) const;
+  static bool Idle(const ModelDemand& demand);
   double LossOf(const HeldModel& held) const;
   double LoadSeconds(const PlannedServer& server, const ModelDescription& model) const;
   bool FromWeightStore(const PlannedServer& server, const std::string& model) const;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -21,7 +21,12 @@
 /// A server may close a connection that rests; a request that must not run twice is not risked on
 /// one that has rested long.
 constexpr milliseconds kLongestRestAtMostOnce{700};
-constexpr milliseconds kLongestRest{4'000};
+constexpr milliseconds kLongestRestStream{4'000};
+constexpr milliseconds kLongestRest{9'000};
+constexpr milliseconds kShortestRestLimit{100};
+/// How long a server is not asked for a model on which an order seems to be under way.
+constexpr milliseconds kOrderUnderWay{400};
+constexpr milliseconds kModelMissing{1'500};
 constexpr int kMostForeignAnswers = 3;
 
 milliseconds Left(SteadyTime end) {
@@ -85,9 +90,20 @@
 Forwarder::Forwarder(boost::asio::io_context& context, const FleetProtocol& protocol)
     : context_(context), protocol_(protocol) {}
 
+milliseconds Forwarder::LongestRest(const GatewayRequest& request) {
+  if (request.Repeatable()) return kLongestRest;
+  return request.route->type == RouteType::kStream ? kLongestRestStream : kLongestRestAtMostOnce;
+}
+
+/// A kept connection that ends without any answer was forgotten by its server: shorter rests then.
+void Forwarder::NoteUnanswered(const UpstreamConnection& upstream) {
+  if (upstream.cancelled() != CancelReason::kNone || upstream.rested() == milliseconds(0)) return;
+  rest_limit_ = std::max(kShortestRestLimit, std::min(rest_limit_, upstream.rested() / 2));
+}
+
 Awaitable<UpstreamConnectionPtr> Forwarder::Connect(const GatewayRequest& request,
                                                     const Server& server) {
-  const milliseconds rest = request.Repeatable() ? kLongestRest : kLongestRestAtMostOnce;
+  const milliseconds rest = std::min(rest_limit_, LongestRest(request));
   if (UpstreamConnectionPtr resting = pool_.Take(server.record().id, rest)) co_return resting;
   auto fresh = std::make_shared<UpstreamConnection>(context_, server.record().endpoint);
   ++connections_opened_;
@@ -131,7 +147,14 @@
   const auto now = steady_clock::now();
   ForwardResult result{ForwardEnd::kNotRun, status, "the server did not run it"};
   if (status != kMisdirectedStatus) {
-    server.NoteFull(now);
+    const std::array<std::uint32_t, 3> load =
+        ParseLoad(FindHeader(headers, protocol_.headers().server_load));
+    const bool full = request.model.model.empty() || load[0] + load[1] >= server.record().slots;
+    result.problem = full ? "the server is full" : "an order on the model is under way";
+    if (full)
+      server.NoteFull(now);
+    else
+      server.NoteMissing(request.model, now, kOrderUnderWay);
     return result;
   }
   const std::string_view instance = FindHeader(headers, protocol_.headers().server_instance);
@@ -139,7 +162,7 @@
     server.NoteGone();
     result.problem = "another server has its address";
   } else {
-    server.NoteMissing(request.model, now);
+    server.NoteMissing(request.model, now, kModelMissing);
     result.problem = "the server does not hold the model";
   }
   return result;
@@ -254,7 +277,7 @@
   try {
     upstream = co_await Connect(request, *server);
   } catch (const HttpError& error) {
-    server->NoteFailure(steady_clock::now());
+    server->NoteUnreachable(steady_clock::now());
     co_return ForwardResult{ForwardEnd::kNotRun, 0, error.what()};
   }
   if (request.client_left) {
@@ -268,6 +291,7 @@
     result = co_await Exchange(exchange, request, *server, last_attempt);
   } catch (const HttpError& error) {
     result = {ForwardEnd::kMayHaveRun, 0, error.what()};
+    NoteUnanswered(*upstream);
   }
   if (upstream->cancelled() == CancelReason::kCallerLeft || request.client_left)
     result.end = result.end == ForwardEnd::kAnswered ? result.end : ForwardEnd::kClientLeft;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -39,12 +39,16 @@
   ForwardResult ReadRefusal(const HttpHeaders& headers, unsigned status,
                             const GatewayRequest& request, Server& server) const;
   void NoteLoad(const HttpHeaders& headers, Server& server) const;
+  static std::chrono::milliseconds LongestRest(const GatewayRequest& request);
+  void NoteUnanswered(const UpstreamConnection& upstream);
   void GiveBack(const GatewayRequest& request, const Server& server);
 
   boost::asio::io_context& context_;
   const FleetProtocol& protocol_;
   UpstreamPool pool_;
   std::uint64_t connections_opened_ = 0;
+  /// The longest that a connection may have rested; less where servers forget them sooner.
+  std::chrono::milliseconds rest_limit_{60'000};
 };
 
 }  // namespace moorfold
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -16,6 +16,8 @@
 
 constexpr const char* kLeaderKey = "moorfold/leader";
 constexpr milliseconds kReportEvery{500};
+/// By then the server's record shows that the model is gone, or that it stayed.
+constexpr milliseconds kUnloadSettles{5'000};
 constexpr milliseconds kReportPause{60};
 constexpr milliseconds kHousekeeping{500};
 constexpr milliseconds kStopCheck{50};
@@ -133,14 +135,22 @@
   if (notice.held)
     server->NoteHeld(notice.name, now);
   else
-    server->NoteMissing(notice.name, now);
+    server->NoteMissing(notice.name, now, kUnloadSettles);
   if (notice.held) view_.changed.NotifyAll();
 }
 
+std::vector<std::string> Gateway::UnreachableServers() const {
+  const auto now = steady_clock::now();
+  std::vector<std::string> servers;
+  for (const auto& [id, server] : view_.servers.all())
+    if (server->Unreachable(now)) servers.push_back(id);
+  return servers;
+}
+
 Awaitable<void> Gateway::ReportDemand() {
   while (true) {
     co_await view_.demand_raised.Wait(steady_clock::now() + kReportEvery);
-    DemandReport report{settings_.name, view_.demand.Take()};
+    DemandReport report{settings_.name, view_.demand.Take(), UnreachableServers()};
     if (report.entries.empty()) continue;
     if (election_.leading())
       controller_.AddReport(report);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -43,6 +43,7 @@
   Awaitable<void> AnswerReadiness(HttpServerExchange& exchange);
   Awaitable<void> AnswerMetrics(HttpServerExchange& exchange);
   void TakeNotice(const PlacementNotice& notice);
+  std::vector<std::string> UnreachableServers() const;
   Awaitable<void> ReportDemand();
   Awaitable<void> KeepHouse();
   Awaitable<void> Stop();
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -59,6 +59,7 @@
   settings.order_handover = ReadTime(root, "order_handover", settings.order_handover);
   settings.load_window = ReadTime(root, "load_window", settings.load_window);
   settings.drain_timeout = ReadTime(root, "drain_timeout", settings.drain_timeout);
+  settings.staleness_bound = ReadTime(root, "staleness_bound", settings.staleness_bound);
   root.Finish();
   problems.ThrowIfAny();
   return settings;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -28,6 +28,8 @@
   std::chrono::milliseconds order_handover{3'000};
   std::chrono::milliseconds load_window{5'000};
   std::chrono::milliseconds drain_timeout{8'000};
+  /// A configuration must be in force, and a leaving server unused, so soon after the store has it.
+  std::chrono::milliseconds staleness_bound{2'000};
 };
 
 /// @throws ConfigError with all mistakes.
--- a/src/gateway/server_directory.cc
+++ b/src/gateway/server_directory.cc
@@ -64,13 +64,19 @@
   return nullptr;
 }
 
-bool Server::Holds(const ModelReference& model, SteadyTime now) const {
-  if (const NotedModel* note = FindNote(model, now)) return note->held;
+bool Server::InRecord(const ModelReference& model) const {
   for (const HeldModel& held : record_.models)
     if (held.name == model.model) return model.adapter.empty() || held.HasAdapter(model.adapter);
   return false;
 }
 
+bool Server::Holds(const ModelReference& model, SteadyTime now) const {
+  const NotedModel* base = FindNote({model.model, ""}, now);
+  if (base != nullptr && !base->held) return false;
+  if (const NotedModel* note = FindNote(model, now)) return note->held;
+  return InRecord(model);
+}
+
 void Server::Note(const ModelReference& model, SteadyTime until, bool held, SteadyTime now) {
   std::erase_if(notes_, [&](const NotedModel& note) {
     return note.until <= now || note.model == model;
@@ -82,18 +88,19 @@
   Note(model, now + kNoteLife, true, now);
 }
 
-void Server::NoteMissing(const ModelReference& model, SteadyTime now) {
-  constexpr std::chrono::milliseconds kMissingLife{1'000};
-  Note(model, now + kMissingLife, false, now);
+void Server::NoteMissing(const ModelReference& model, SteadyTime now,
+                         std::chrono::milliseconds life) {
+  Note(model, now + life, false, now);
 }
 
 bool Server::Usable(SteadyTime now) const {
-  return !gone_ && !record_.draining && now >= full_until_;
+  return !gone_ && !record_.draining && now >= full_until_ && !Unreachable(now);
 }
 
 void Server::NoteSuccess() {
   failures_in_row_ = 0;
   suspect_until_ = {};
+  unreachable_until_ = {};
   error_share_ *= 1 - kErrorWeight;
 }
 
@@ -107,6 +114,11 @@
   suspect_until_ = now + std::min<std::chrono::milliseconds>(length, kLongestSuspicion);
 }
 
+void Server::NoteUnreachable(SteadyTime now) {
+  NoteFailure(now);
+  unreachable_until_ = suspect_until_;
+}
+
 void Server::NoteFull(SteadyTime now) { full_until_ = now + kFullPause; }
 
 void Server::NoteLoad(std::uint32_t running, std::uint32_t waiting, SteadyTime now) {
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -43,13 +43,16 @@
   bool Holds(const ModelReference& model, SteadyTime now) const;
   /// Notes that the model or adapter stands there now; the record follows later.
   void NoteHeld(const ModelReference& model, SteadyTime now);
-  /// The server said that it does not hold the model: not to be tried until its record changes.
-  void NoteMissing(const ModelReference& model, SteadyTime now);
+  /// The model cannot be asked for there, though the record may say so: an order on it is under way.
+  /// @param life how long to believe it over the record.
+  void NoteMissing(const ModelReference& model, SteadyTime now, std::chrono::milliseconds life);
 
-  /// Whether requests may be sent at all: neither leaving nor proved gone.
+  /// Whether requests may be sent at all: neither leaving, proved gone, full nor out of reach.
   bool Usable(SteadyTime now) const;
   /// Whether it failed lately, so that others are to be preferred.
   bool Suspect(SteadyTime now) const { return now < suspect_until_; }
+  /// Whether no connection to it came up lately.
+  bool Unreachable(SteadyTime now) const { return now < unreachable_until_; }
   /// The server said it leaves, or another incarnation answered at its address.
   void NoteGone() { gone_ = true; }
 
@@ -62,6 +65,8 @@
   void NoteErrorAnswer();
   /// No answer, a reset, or no connection.
   void NoteFailure(SteadyTime now);
+  /// No connection came up.
+  void NoteUnreachable(SteadyTime now);
   /// It turned a request away because it is full.
   void NoteFull(SteadyTime now);
   /// @return share of lately failed answers, 0 to 1.
@@ -83,6 +88,7 @@
     bool held = true;
   };
   const NotedModel* FindNote(const ModelReference& model, SteadyTime now) const;
+  bool InRecord(const ModelReference& model) const;
   void Note(const ModelReference& model, SteadyTime until, bool held, SteadyTime now);
 
   ServerRecord record_;
@@ -91,6 +97,7 @@
   std::uint32_t in_flight_ = 0;
   std::uint32_t failures_in_row_ = 0;
   SteadyTime suspect_until_{};
+  SteadyTime unreachable_until_{};
   SteadyTime full_until_{};
   double error_share_ = 0;
   double stated_running_ = 0;
--- a/src/http/upstream_connection.cc
+++ b/src/http/upstream_connection.cc
@@ -41,6 +41,7 @@
   bool send_failed = false;
   bool sent_everything_before_answer = true;
   CancelReason cancelled = CancelReason::kNone;
+  std::chrono::milliseconds rested{0};
 
   HttpError Failure(HttpStage stage, const error_code& error) const {
     const bool timed_out = cancelled == CancelReason::kTimeLimit;
@@ -183,6 +184,10 @@
 
 const Endpoint& UpstreamConnection::endpoint() const { return state_->endpoint; }
 
+std::chrono::milliseconds UpstreamConnection::rested() const { return state_->rested; }
+
+void UpstreamConnection::set_rested(std::chrono::milliseconds rested) { state_->rested = rested; }
+
 UpstreamConnectionPtr UpstreamPool::Take(const std::string& server_id,
                                          std::chrono::milliseconds longest_rest) {
   const auto found = idle_.find(server_id);
@@ -192,8 +197,10 @@
   while (!resting.empty()) {
     Resting last = std::move(resting.back());
     resting.pop_back();
-    if (now < last.until && now - last.since <= longest_rest && last.connection->Idle())
-      return last.connection;
+    const auto rested = std::chrono::duration_cast<std::chrono::milliseconds>(now - last.since);
+    if (now >= last.until || rested > longest_rest || !last.connection->Idle()) continue;
+    last.connection->set_rested(std::max(rested, std::chrono::milliseconds(1)));
+    return last.connection;
   }
   return nullptr;
 }
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -47,6 +47,9 @@
   /// @return whether nothing has come and the peer has not closed, as far as can be seen.
   bool Idle();
   const Endpoint& endpoint() const;
+  /// @return how long it rested before it was taken up again; 0 for a fresh one.
+  std::chrono::milliseconds rested() const;
+  void set_rested(std::chrono::milliseconds rested);
 
  private:
   struct State;
