--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -14,6 +14,8 @@
 using std::chrono::steady_clock;
 
 constexpr milliseconds kTick{100};
+constexpr milliseconds kShortestPlanPause{15};
+constexpr int kPauseByDuration = 9;
 /// An order is given up, with its connection, before an older leader's last moment; see
 /// docs/PLATFORM-DESIGN.md.
 constexpr milliseconds kOrderTimeout{600};
@@ -69,6 +71,7 @@
       notice_(std::move(notice)),
       client_(context),
       timer_(context),
+      plan_timer_(context),
       loads_(settings_.load_window) {}
 
 void FleetController::Start() { Tick(); }
@@ -77,12 +80,29 @@
   demand_.Add(report, steady_clock::now());
   const bool waiting = std::any_of(report.entries.begin(), report.entries.end(),
                                    [](const DemandEntry& entry) { return entry.waiting > 0; });
-  if (waiting) PlanAll();
+  if (waiting) PlanSoon();
+}
+
+/// At once, or when enough time has passed since the last plan: planning takes no more than a part of
+/// this machine's time.
+void FleetController::PlanSoon() {
+  if (plan_pending_) return;
+  const auto now = steady_clock::now();
+  if (now >= plan_not_before_) {
+    PlanAll();
+    return;
+  }
+  plan_pending_ = true;
+  plan_timer_.expires_at(plan_not_before_);
+  plan_timer_.async_wait([this](const boost::system::error_code& error) {
+    plan_pending_ = false;
+    if (!error) PlanAll();
+  });
 }
 
 void FleetController::Tick() {
   metrics_.leading = election_.leading() ? 1 : 0;
-  PlanAll();
+  PlanSoon();
   timer_.expires_after(kTick);
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error && !stopped_) Tick();
@@ -106,9 +126,13 @@
   if (stopped_ || !view_.routes || !election_.MayOrder()) return;
   NoteTerm();
   Forget();
+  const auto began = steady_clock::now();
   const RouteTableConstPtr table = view_.routes;
   for (const ServiceDescription& service : table->configuration().services)
     if (service.engine) PlanService(service);
+  const auto ended = steady_clock::now();
+  plan_not_before_ = ended + std::max<steady_clock::duration>(kShortestPlanPause,
+                                                              (ended - began) * kPauseByDuration);
 }
 
 void FleetController::Forget() {
@@ -211,7 +235,7 @@
   if (!report) co_return;
   TakeReport(*managed, *report);
   managed->known = !report->busy;
-  PlanAll();
+  PlanSoon();
 }
 
 Awaitable<ServerOrderOutcome> FleetController::SendOrder(const ServerOrder& order,
@@ -269,7 +293,7 @@
   if (outcome == ServerOrderOutcome::kUnderWay) co_await AwaitDone(managed, step, endpoint);
   --under_way_;
   managed->operating = false;
-  PlanAll();
+  PlanSoon();
 }
 
 /// Waits until the server shows the result, and tells the daemons.
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -60,6 +60,7 @@
   using ManagedPtr = std::shared_ptr<ManagedServer>;
 
   void Tick();
+  void PlanSoon();
   void PlanAll();
   void PlanService(const ServiceDescription& service);
   PlannedServer Describe(const Server& server);
@@ -89,6 +90,9 @@
   NoticeHandler notice_;
   HttpClient client_;
   boost::asio::steady_timer timer_;
+  boost::asio::steady_timer plan_timer_;
+  SteadyTime plan_not_before_{};
+  bool plan_pending_ = false;
   FleetDemand demand_;
   LoadWindow loads_;
   std::map<std::string, ManagedPtr> managed_;
--- a/src/fleet/leader_election.cc
+++ b/src/fleet/leader_election.cc
@@ -14,7 +14,7 @@
 constexpr milliseconds kRenewEvery{500};
 /// Orders of this machine's process before a restart may still be on their way.
 constexpr milliseconds kOwnHandoverWait{400};
-constexpr milliseconds kLongestJitter{250};
+constexpr milliseconds kLongestJitter{150};
 constexpr milliseconds kCampaignPause{700};
 
 }  // namespace
@@ -36,7 +36,8 @@
 
 milliseconds LeaderElection::Jitter() const {
   const auto hash = std::hash<std::string>{}(settings_.name + std::to_string(leader_revision_));
-  return milliseconds(hash % static_cast<std::size_t>(kLongestJitter.count()));
+  return settings_.candidacy_delay +
+         milliseconds(hash % static_cast<std::size_t>(kLongestJitter.count()));
 }
 
 void LeaderElection::KeyChanged(const std::optional<KeyValue>& entry, std::int64_t revision) {
--- a/src/fleet/leader_election.h
+++ b/src/fleet/leader_election.h
@@ -55,6 +55,8 @@
   std::chrono::milliseconds time_to_live{2'000};
   /// How long orders of different machines must lie apart.
   std::chrono::milliseconds handover_wait{3'000};
+  /// How long this machine leaves the office to others: the weaker it is, the longer.
+  std::chrono::milliseconds candidacy_delay{0};
 };
 
 /// Makes this daemon the fleet's leader when there is none. One thread.
--- a/src/fleet/placement_planner.cc
+++ b/src/fleet/placement_planner.cc
@@ -28,6 +28,8 @@
 constexpr double kWaitingWorth = 3;
 constexpr double kRecentS = 6;
 constexpr double kImpossible = -1;
+/// Models placed by one plan, the most urgent first; the next plan comes soon.
+constexpr std::size_t kMostWants = 16;
 
 double Seconds(std::chrono::steady_clock::duration duration) {
   return std::chrono::duration<double>(duration).count();
@@ -48,6 +50,8 @@
       servers_(std::move(servers)),
       limits_(limits),
       now_(now) {
+  for (const ModelDescription& model : engine_.models) descriptions_[model.name] = &model;
+  CountCopies();
   for (const auto& [name, demanded] : demand_) {
     ModelDemand& whole = by_model_[name.model];
     whole.in_flight += demanded.in_flight;
@@ -67,9 +71,8 @@
 }
 
 const ModelDescription* PlacementPlanner::Describe(const std::string& model) const {
-  for (const ModelDescription& described : engine_.models)
-    if (described.name == model) return &described;
-  return nullptr;
+  const auto found = descriptions_.find(model);
+  return found == descriptions_.end() ? nullptr : found->second;
 }
 
 ModelDemand PlacementPlanner::WholeDemand(const std::string& model) const {
@@ -103,12 +106,19 @@
   return count;
 }
 
+/// Copies that stand, are on their way or have room made for them.
+void PlacementPlanner::CountCopies() {
+  for (const PlannedServer& server : servers_) {
+    if (!server.serving) continue;
+    for (const HeldModel& held : server.models) ++copies_[held.name];
+    for (const std::string* expected : {&server.incoming, &server.intended})
+      if (!expected->empty() && server.Find(*expected) == nullptr) ++copies_[*expected];
+  }
+}
+
 std::size_t PlacementPlanner::Copies(const std::string& model) const {
-  return static_cast<std::size_t>(
-      std::count_if(servers_.begin(), servers_.end(), [&](const PlannedServer& server) {
-        return server.serving && (server.Find(model) != nullptr || server.incoming == model ||
-                                  server.intended == model);
-      }));
+  const auto found = copies_.find(model);
+  return found == copies_.end() ? 0 : found->second;
 }
 
 double PlacementPlanner::CopiesWanted(const ModelDescription& model) const {
@@ -139,10 +149,10 @@
 }
 
 /// What is lost, in request-seconds, when the model leaves one of its servers.
-double PlacementPlanner::LossOf(const HeldModel& held) const {
-  if (Describe(held.name) == nullptr) return 0;
-  const ModelDemand demand = WholeDemand(held.name);
-  const double copies = static_cast<double>(std::max<std::size_t>(1, Copies(held.name)));
+double PlacementPlanner::ComputeLoss(const std::string& model) const {
+  if (Describe(model) == nullptr) return 0;
+  const ModelDemand demand = WholeDemand(model);
+  const double copies = static_cast<double>(std::max<std::size_t>(1, Copies(model)));
   const double idle_s = std::max(0.0, Seconds(now_ - demand.last_seen));
   if (Idle(demand)) {
     const double only_copy = copies > 1 ? 0.5 : 1;
@@ -155,8 +165,14 @@
   return kBusyLoss + demand.in_flight + demand.arrivals_per_second;
 }
 
+double PlacementPlanner::LossOf(const std::string& model) {
+  const auto [loss, fresh] = losses_.try_emplace(model, 0);
+  if (fresh) loss->second = ComputeLoss(model);
+  return loss->second;
+}
+
 double PlacementPlanner::PlacementCost(const PlannedServer& server, const ModelDescription& model,
-                                       std::vector<std::string>& victims) const {
+                                       std::vector<std::string>& victims) {
   if (!server.orderable || !server.intended.empty() || !server.incoming.empty())
     return kImpossible;
   if (server.Find(model.name) != nullptr) return kImpossible;
@@ -166,12 +182,12 @@
   std::vector<const HeldModel*> held;
   for (const HeldModel& candidate : server.models) held.push_back(&candidate);
   std::sort(held.begin(), held.end(), [&](const HeldModel* left, const HeldModel* right) {
-    return LossOf(*left) < LossOf(*right);
+    return LossOf(left->name) < LossOf(right->name);
   });
   for (const HeldModel* candidate : held) {
     if (free >= model.weights_mb) break;
     free += HeldMegabytes(*candidate);
-    cost += LossOf(*candidate);
+    cost += LossOf(candidate->name);
     victims.push_back(candidate->name);
   }
   return free >= model.weights_mb ? cost : kImpossible;
@@ -183,6 +199,8 @@
   const auto expected = std::chrono::milliseconds(
       std::llround(LoadSeconds(server, model) * std::chrono::milliseconds(std::chrono::seconds(1)).count()));
   steps_.push_back({ServerOrderKind::kLoad, server.id, {model.name, ""}, "", from_store, expected});
+  ++copies_[model.name];
+  losses_.erase(model.name);
   server.incoming = model.name;
   server.intended.clear();
   server.orderable = false;
@@ -191,6 +209,9 @@
 void PlacementPlanner::EmitUnload(PlannedServer& server, const std::string& model,
                                   const std::string& intended) {
   steps_.push_back({ServerOrderKind::kUnload, server.id, {model, ""}, intended, false, {}});
+  ++copies_[intended];
+  --copies_[model];
+  losses_.erase(model);
   server.intended = intended;
   server.orderable = false;
   std::erase_if(server.models, [&](const HeldModel& held) { return held.name == model; });
@@ -204,6 +225,7 @@
     return false;
   }
   const std::string intended = std::exchange(server.intended, "");
+  --copies_[intended];
   std::vector<std::string> victims;
   if (PlacementCost(server, *model, victims) < 0) return false;
   if (victims.empty())
@@ -256,7 +278,11 @@
 void PlacementPlanner::PlanModels() {
   for (PlannedServer& server : servers_)
     if (server.orderable && !server.intended.empty()) ContinueIntention(server);
-  for (const Want& want : Wants()) PlaceModel(*want.model);
+  std::size_t placed = 0;
+  for (const Want& want : Wants()) {
+    if (placed++ >= kMostWants) break;
+    PlaceModel(*want.model);
+  }
 }
 
 void PlacementPlanner::PlanAdapter(const ModelReference& name, const ModelDemand& demand) {
--- a/src/fleet/placement_planner.h
+++ b/src/fleet/placement_planner.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "fleet/fleet_demand.h"
@@ -68,9 +69,11 @@
   bool ContinueIntention(PlannedServer& server);
   /// @return the cost in seconds of taking the model there, or a negative number if impossible.
   double PlacementCost(const PlannedServer& server, const ModelDescription& model,
-                       std::vector<std::string>& victims) const;
+                       std::vector<std::string>& victims);
   static bool Idle(const ModelDemand& demand);
-  double LossOf(const HeldModel& held) const;
+  double LossOf(const std::string& model);
+  double ComputeLoss(const std::string& model) const;
+  void CountCopies();
   double LoadSeconds(const PlannedServer& server, const ModelDescription& model) const;
   bool FromWeightStore(const PlannedServer& server, const std::string& model) const;
   double FreeMegabytes(const PlannedServer& server) const;
@@ -85,6 +88,9 @@
   void EmitUnload(PlannedServer& server, const std::string& model, const std::string& intended);
 
   const EngineDescription& engine_;
+  std::unordered_map<std::string, const ModelDescription*> descriptions_;
+  std::unordered_map<std::string, std::size_t> copies_;
+  std::unordered_map<std::string, double> losses_;  ///< Of models, as far as asked for.
   std::map<ModelReference, ModelDemand> demand_;
   std::vector<PlannedServer> servers_;
   PlannerLimits limits_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -29,6 +29,12 @@
 /// Clients may use a connection until shortly before the configured idle time has passed.
 constexpr double kIdleMargin = 1.2;
 
+milliseconds CandidacyDelay(const GatewaySettings& settings) {
+  constexpr double kLongestMs = 600;
+  const double share = std::clamp(settings.cpu_share, 0.0, 1.0);
+  return milliseconds(static_cast<std::int64_t>(kLongestMs * (1 - share)));
+}
+
 HttpResponse Plain(unsigned status, std::string text) {
   return {status, {{"Content-Type", "text/plain"}}, std::move(text)};
 }
@@ -49,7 +55,7 @@
       store_view_(context, store, protocol, view_, metrics_, log),
       election_(context, store, log,
                 {settings_.name, ToString(settings_.peer), kLeaderKey, milliseconds(2'000),
-                 settings_.order_handover}),
+                 settings_.order_handover, CandidacyDelay(settings_)}),
       channel_(
           context, settings_.peer,
           [this](const DemandReport& report) { controller_.AddReport(report); },
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -60,6 +60,7 @@
   settings.load_window = ReadTime(root, "load_window", settings.load_window);
   settings.drain_timeout = ReadTime(root, "drain_timeout", settings.drain_timeout);
   settings.staleness_bound = ReadTime(root, "staleness_bound", settings.staleness_bound);
+  settings.cpu_share = root.Number("cpu_share", 0, 4096, settings.cpu_share);
   root.Finish();
   problems.ThrowIfAny();
   return settings;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -30,6 +30,7 @@
   std::chrono::milliseconds drain_timeout{8'000};
   /// A configuration must be in force, and a leaving server unused, so soon after the store has it.
   std::chrono::milliseconds staleness_bound{2'000};
+  double cpu_share = 1;  ///< Of a core, that this machine gives; the strong lead before the weak.
 };
 
 /// @throws ConfigError with all mistakes.
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -85,6 +85,7 @@
   void AnnounceClose() { closing_ = true; }
 
   void CloseIdle() {
+    last_answers_ = true;
     error_code ignored;
     for (beast::tcp_stream* stream : idle_) stream->socket().cancel(ignored);
   }
@@ -141,7 +142,8 @@
       beast::tcp_stream stream(std::move(socket));
       beast::flat_buffer buffer;
       bool keep_alive = true;
-      while (keep_alive) keep_alive = co_await ServeOne(*self, stream, buffer);
+      while (keep_alive && !self->last_answers_)
+        keep_alive = co_await ServeOne(*self, stream, buffer);
       stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     } catch (const std::exception&) {  // The connection broke; its handler has been told.
     }
@@ -161,7 +163,8 @@
   std::atomic<bool> stopping_{false};
   std::mutex idle_mutex_;
   std::set<beast::tcp_stream*> idle_;
-  std::atomic<bool> closing_{false};  ///< Answers announce the end of their connection.
+  std::atomic<bool> last_answers_{false};  ///< No request is read after the one being answered.
+  std::atomic<bool> closing_{false};       ///< Answers announce the end of their connection.
   std::atomic<std::size_t> active_requests_{0};
   std::atomic<std::size_t> connections_{0};
 };
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -64,7 +64,8 @@
   void UpdateLimits(const HttpServerLimits& limits);
   /// Answers say "connection: close" from now on; new connections are still taken. Any thread.
   void AnnounceClose();
-  /// Closes connections on which no request has begun. Only where one thread runs all contexts.
+  /// Closes connections on which no request has begun, and from now on each other one after its
+  /// answer. Only where one thread runs all contexts.
   void CloseIdle();
   /// Accepts no more; requests in progress go on and answers say "connection: close".
   void StopAccepting();
