--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -53,13 +53,13 @@
       protocol_(protocol),
       view_(context.get_executor()),
       store_view_(context, store, protocol, view_, metrics_, log),
-      election_(context, store, log,
-                {settings_.name, ToString(settings_.peer), kLeaderKey, milliseconds(2'000),
-                 settings_.order_handover, CandidacyDelay(settings_)}),
       channel_(
           context, settings_.peer,
           [this](const DemandReport& report) { controller_.AddReport(report); },
           [this](const PlacementNotice& notice) { TakeNotice(notice); }),
+      election_(context, store, log,
+                {settings_.name, ToString(channel_.endpoint()), kLeaderKey, milliseconds(2'000),
+                 settings_.order_handover, CandidacyDelay(settings_)}),
       controller_(context, protocol, view_, election_, metrics_, log,
                   {settings_.name, settings_.load_window},
                   [this](const PlacementNotice& notice) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -56,8 +56,8 @@
   GatewayMetrics metrics_;
   FleetView view_;
   StoreView store_view_;
-  LeaderElection election_;
   DemandChannel channel_;
+  LeaderElection election_;
   FleetController controller_;
   RequestPipeline pipeline_;
   std::unique_ptr<HttpServer> front_;
--- /dev/null
+++ b/test/emulator/emulated_clients.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "emulated_platform.h"
+#include "http/http_client.h"
+
+namespace moorfold {
+
+/// Where a gateway is reached, and whether it may be used: the entry deals no connections to one that
+/// is not ready.
+struct GatewayAddress {
+  Endpoint front;
+  Endpoint readiness;
+  bool ready = false;
+  /// Until then the gateway, or its way to the store, is or was lately disturbed.
+  std::chrono::steady_clock::time_point disturbed_until{};
+};
+
+struct ClientCounts {
+  std::uint64_t sent = 0;
+  std::uint64_t served = 0;
+  std::uint64_t refused = 0;  ///< Answered as not run.
+  std::uint64_t unknown = 0;  ///< Neither served nor refused.
+};
+
+/// Clients of each kind of request, and the entry that deals them to gateways. One thread.
+class EmulatedClients {
+ public:
+  EmulatedClients(boost::asio::io_context& context, EmulatedPlatform& platform,
+                  std::vector<GatewayAddress>& gateways, std::uint64_t seed);
+
+  /// @param count clients that send one request after the other until Stop.
+  void Start(int count);
+  void Stop() { stopping_ = true; }
+  int running() const { return running_; }
+  const ClientCounts& counts() const { return counts_; }
+
+ private:
+  Awaitable<void> Probe();
+  Awaitable<void> RunClient(int number);
+  Awaitable<void> SendOne(const std::string& id);
+  Awaitable<void> SendProbe(GatewayAddress& gateway, const std::string& id);
+  Awaitable<ClientAnswer> Exchange(const Endpoint& gateway, const std::string& id,
+                                   RequestKind kind);
+  GatewayAddress* PickGateway();
+  int Draw(int most) { return std::uniform_int_distribution<int>(0, most)(random_); }
+
+  boost::asio::io_context& context_;
+  EmulatedPlatform& platform_;
+  std::vector<GatewayAddress>& gateways_;
+  std::mt19937_64 random_;
+  HttpClient client_;
+  ClientCounts counts_;
+  bool stopping_ = false;
+  int running_ = 0;
+  std::uint64_t next_id_ = 0;
+};
+
+}  // namespace moorfold
--- /dev/null
+++ b/test/emulator/emulated_platform.cc
@@ -0,0 +1,120 @@
+#include "emulated_platform.h"
+
+#include <boost/json.hpp>
+
+namespace moorfold {
+
+namespace json = boost::json;
+
+namespace {
+constexpr double kModelMb = 90;
+constexpr double kAdapterMb = 5;
+constexpr double kServerMb = 200;
+constexpr int kAdapterSlots = 4;
+constexpr int kLoadsPerSecond = 4;
+constexpr int kTimeoutMs = 4'000;
+
+json::object MakeRoute(const std::string& name, const std::string& prefix, const std::string& type,
+                       const std::string& service, int attempts) {
+  return {{"name", name},         {"host", EmulatedPlatform::kHost}, {"pathPrefix", prefix},
+          {"type", type},         {"timeoutMs", kTimeoutMs},         {"targetMs", 200},
+          {"priority", 1},        {"service", service},              {"attempts", attempts},
+          {"resumable", false},   {"gapTargetMs", 400}};
+}
+}  // namespace
+
+EmulatedPlatform::EmulatedPlatform(boost::asio::io_context& context, PlatformOptions options)
+    : context_(context),
+      options_(options),
+      checker_(PromiseChecker::Bounds{}),
+      store_(context, options.seed) {
+  for (int model = 0; model < options_.models; ++model)
+    models_.push_back("m" + std::to_string(model));
+}
+
+void EmulatedPlatform::Start() {
+  store_.Start();
+  for (int gateway = 0; gateway < options_.gateways; ++gateway) {
+    store_proxies_.push_back(std::make_unique<FaultProxy>(context_, store_.endpoint()));
+    store_proxies_.back()->Start();
+  }
+  for (int server = 0; server < options_.model_servers; ++server) {
+    std::vector<HeldModel> held;
+    if (server < options_.models) held.push_back({models_[static_cast<std::size_t>(server)], {}});
+    AddServer(true, held);
+  }
+  for (int server = 0; server < options_.plain_servers; ++server) AddServer(false, {});
+  Configure();
+}
+
+void EmulatedPlatform::AddServer(bool engine, std::vector<HeldModel> models) {
+  ServerOptions options;
+  options.id = "i-" + std::to_string(next_server_++);
+  options.service = engine ? "models" : "booking";
+  options.slots = engine ? 16 : 6;
+  options.engine = engine;
+  options.models = std::move(models);
+  options.weights_mb = kServerMb;
+  options.model_mb = kModelMb;
+  options.adapter_mb = kAdapterMb;
+  options.adapter_slots = kAdapterSlots;
+  options.load_time = options_.load_time;
+  auto server = std::make_unique<ServerEmulator>(
+      context_, store_, checker_, options,
+      options_.seed + static_cast<std::uint64_t>(next_server_));
+  auto proxy = std::make_unique<FaultProxy>(context_, server->endpoint());
+  proxy->Start();
+  server->Announce(proxy->endpoint());
+  server->Start();
+  servers_.push_back(std::move(server));
+  server_proxies_.push_back(std::move(proxy));
+}
+
+void EmulatedPlatform::ReplaceServer(std::size_t number) {
+  ServerEmulator& leaving = *servers_.at(number);
+  AddServer(leaving.options().engine, {});
+  leaving.Drain();
+  leaving.Vanish();
+}
+
+void EmulatedPlatform::Configure() {
+  ++version_;
+  store_.Put("op/config", ConfigurationText());
+  configured_at_ = std::chrono::steady_clock::now();
+}
+
+std::string EmulatedPlatform::ConfigurationText() const {
+  json::array routes = {MakeRoute("safe", "/safe/", "safe", "booking", 2),
+                        MakeRoute("once", "/once/", "unsafe", "booking", 1),
+                        MakeRoute("stream", "/stream/", "stream", "models", 1)};
+  for (const std::int64_t version : {version_, version_ - 1})
+    routes.push_back(MakeRoute("v" + std::to_string(version),
+                               "/v" + std::to_string(version) + "/", "safe", "booking", 2));
+  json::array models;
+  for (const std::string& model : models_)
+    models.push_back({{"name", model},
+                      {"weightsMb", kModelMb},
+                      {"adapterMb", kAdapterMb},
+                      {"adapters", 2},
+                      {"loadS", 0.3},
+                      {"diskLoadS", 0.15},
+                      {"warmS", 0.1}});
+  const json::object engine = {{"slots", 16},
+                               {"weightsMb", kServerMb},
+                               {"adapterSlots", kAdapterSlots},
+                               {"loadsPerS", kLoadsPerSecond},
+                               {"models", models}};
+  const json::array services = {
+      json::object{{"name", "models"}, {"maxConns", 300}, {"engine", engine}},
+      json::object{{"name", "booking"}, {"maxConns", 100}}};
+  return json::serialize(json::value{{"version", version_},
+                                     {"routes", routes},
+                                     {"services", services},
+                                     {"limits",
+                                      {{"maxHeaderBytes", 16384},
+                                       {"maxBodyBytes", 4194304},
+                                       {"headerTimeoutMs", 3000},
+                                       {"idleTimeoutMs", 15000}}}});
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/test/emulator/emulated_platform.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "fault_proxy.h"
+#include "promise_checker.h"
+#include "server_emulator.h"
+#include "store_emulator.h"
+
+namespace moorfold {
+
+struct PlatformOptions {
+  std::uint64_t seed = 1;
+  int model_servers = 4;
+  int plain_servers = 3;
+  int models = 6;  ///< The first ones stand on a server at the start, as far as room allows.
+  std::chrono::milliseconds load_time{300};
+  int gateways = 3;  ///< Each gets a way to the store of its own.
+};
+
+/// The emulated platform: a store, servers behind proxies, an operator. One thread.
+class EmulatedPlatform {
+ public:
+  static constexpr const char* kHost = "host.example";
+
+  EmulatedPlatform(boost::asio::io_context& context, PlatformOptions options);
+
+  void Start();
+  /// @return where gateway `number` finds the store: a proxy of its own.
+  Endpoint store_for(int number) const { return store_proxies_.at(number)->endpoint(); }
+  StoreEmulator& store() { return store_; }
+  PromiseChecker& checker() { return checker_; }
+  std::vector<std::unique_ptr<ServerEmulator>>& servers() { return servers_; }
+  FaultProxy& server_proxy(std::size_t number) { return *server_proxies_.at(number); }
+  FaultProxy& store_proxy(int number) { return *store_proxies_.at(number); }
+  const std::vector<std::string>& models() const { return models_; }
+
+  /// Writes a new configuration; its version names a route of its own, and the one of the version
+  /// before the last goes.
+  void Configure();
+  std::int64_t version() const { return version_; }
+  std::chrono::steady_clock::time_point configured_at() const { return configured_at_; }
+  /// One server leaves and another of its kind comes.
+  void ReplaceServer(std::size_t number);
+
+ private:
+  void AddServer(bool engine, std::vector<HeldModel> models);
+  std::string ConfigurationText() const;
+
+  boost::asio::io_context& context_;
+  PlatformOptions options_;
+  PromiseChecker checker_;
+  StoreEmulator store_;
+  std::vector<std::string> models_;
+  std::vector<std::unique_ptr<FaultProxy>> store_proxies_;
+  std::vector<std::unique_ptr<FaultProxy>> server_proxies_;
+  std::vector<std::unique_ptr<ServerEmulator>> servers_;
+  std::int64_t version_ = 0;
+  std::chrono::steady_clock::time_point configured_at_{};
+  int next_server_ = 0;
+};
+
+}  // namespace moorfold
--- /dev/null
+++ b/test/emulator/fault_proxy.cc
@@ -0,0 +1,107 @@
+#include "fault_proxy.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/write.hpp>
+
+namespace moorfold {
+
+namespace asio = boost::asio;
+using asio::use_awaitable;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+constexpr std::chrono::milliseconds kDelay{150};
+constexpr std::size_t kChunk = 16 * 1024;
+
+tcp::endpoint ToTcp(const Endpoint& endpoint) {
+  return {asio::ip::make_address(endpoint.address), endpoint.port};
+}
+}  // namespace
+
+struct FaultProxy::Pair {
+  explicit Pair(asio::io_context& context) : caller(context), target(context) {}
+  void Reset() {
+    error_code ignored;
+    for (tcp::socket* socket : {&caller, &target}) {
+      socket->set_option(asio::socket_base::linger(true, 0), ignored);
+      socket->close(ignored);
+    }
+  }
+  tcp::socket caller;
+  tcp::socket target;
+};
+
+FaultProxy::FaultProxy(asio::io_context& context, Endpoint target)
+    : context_(context),
+      target_(std::move(target)),
+      acceptor_(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+      mode_changed_(context.get_executor()) {}
+
+void FaultProxy::Start() { asio::co_spawn(context_, Accept(), asio::detached); }
+
+Endpoint FaultProxy::endpoint() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
+
+void FaultProxy::SetMode(ProxyMode mode) {
+  mode_ = mode;
+  if (mode == ProxyMode::kRefuse) ResetAll();
+  mode_changed_.NotifyAll();
+}
+
+void FaultProxy::ResetAll() {
+  for (const std::shared_ptr<Pair>& pair : pairs_) pair->Reset();
+}
+
+Awaitable<void> FaultProxy::Accept() {
+  while (true) {
+    auto pair = std::make_shared<Pair>(context_);
+    error_code error;
+    co_await acceptor_.async_accept(pair->caller, asio::redirect_error(use_awaitable, error));
+    if (error == asio::error::operation_aborted) co_return;
+    if (error) continue;
+    if (mode_ == ProxyMode::kRefuse)
+      pair->Reset();
+    else
+      asio::co_spawn(context_, Serve(pair), asio::detached);
+  }
+}
+
+Awaitable<void> FaultProxy::Serve(std::shared_ptr<Pair> pair) {
+  error_code error;
+  co_await pair->target.async_connect(ToTcp(target_), asio::redirect_error(use_awaitable, error));
+  if (error) {
+    pair->Reset();
+    co_return;
+  }
+  pairs_.insert(pair);
+  asio::co_spawn(context_, Pump(pair, true), asio::detached);
+  co_await Pump(pair, false);
+  pairs_.erase(pair);
+}
+
+Awaitable<void> FaultProxy::Pump(std::shared_ptr<Pair> pair, bool to_target) {
+  tcp::socket& from = to_target ? pair->caller : pair->target;
+  tcp::socket& to = to_target ? pair->target : pair->caller;
+  std::array<char, kChunk> chunk{};
+  error_code error;
+  while (!error) {
+    const std::size_t got =
+        co_await from.async_read_some(asio::buffer(chunk), asio::redirect_error(use_awaitable, error));
+    if (error) break;
+    while (mode_ == ProxyMode::kSilent || (mode_ == ProxyMode::kOneWay && !to_target))
+      co_await mode_changed_.Wait();
+    if (mode_ == ProxyMode::kDelay) co_await Sleep(kDelay);
+    co_await asio::async_write(to, asio::buffer(chunk.data(), got),
+                               asio::redirect_error(use_awaitable, error));
+  }
+  error_code ignored;
+  if (error == asio::error::eof)
+    to.shutdown(tcp::socket::shutdown_send, ignored);
+  else
+    pair->Reset();
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/test/emulator/main.cc
@@ -0,0 +1,269 @@
+// The emulated platform as a program of its own, for soaks: gateways are separate processes that the
+// caller starts with the settings files this program writes.
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <fstream>
+#include <iostream>
+
+#include "cli/command_line.h"
+#include "common/closable_context.h"
+#include "emulated_clients.h"
+#include "emulated_platform.h"
+
+namespace moorfold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds kSignalSettles{14'000};
+
+/// What the caller does to a gateway's process.
+enum class SignalKind : std::uint8_t { kTerminate, kKill, kPause };
+
+struct PlannedSignal {
+  milliseconds at;
+  SignalKind kind;
+  int gateway;
+  milliseconds length;
+};
+
+const char* Name(SignalKind kind) {
+  switch (kind) {
+    case SignalKind::kTerminate:
+      return "term";
+    case SignalKind::kKill:
+      return "kill";
+    case SignalKind::kPause:
+      return "pause";
+  }
+  return "none";
+}
+
+/// The same seed gives the same signals.
+std::vector<PlannedSignal> PlanSignals(std::uint64_t seed, milliseconds length, int gateways) {
+  std::mt19937_64 random(seed);
+  const auto draw = [&](int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(random);
+  };
+  std::vector<PlannedSignal> signals;
+  milliseconds at = seconds(10);
+  while (at + seconds(15) < length) {
+    signals.push_back({at, static_cast<SignalKind>(draw(0, 2)), draw(0, gateways - 1),
+                       milliseconds(draw(500, 4'000))});
+    at += milliseconds(draw(4'000, 14'000));
+  }
+  return signals;
+}
+
+std::uint16_t FreePort() {
+  boost::asio::io_context context;
+  boost::asio::ip::tcp::acceptor acceptor(
+      context, {boost::asio::ip::address_v4::loopback(), 0});
+  return acceptor.local_endpoint().port();
+}
+
+struct Gateways {
+  std::vector<GatewayAddress> addresses;
+
+  void WriteSettings(const std::string& folder, EmulatedPlatform& platform, int count) {
+    for (int number = 0; number < count; ++number) {
+      const std::string ip = "127.0.0.1:";
+      const Endpoint front{"127.0.0.1", FreePort()};
+      const Endpoint readiness{"127.0.0.1", FreePort()};
+      std::ofstream file(folder + "/gateway-" + std::to_string(number) + ".yaml");
+      file << "name: gateway-" << number << "\nzone: z\nlisten: " << ToString(front)
+           << "\nreadiness: " << ToString(readiness) << "\npeer: " << ip << FreePort()
+           << "\nstore: " << ToString(platform.store_for(number))
+           << "\ndrain_timeout: 8s\norder_handover: 3s\n";
+      addresses.push_back({front, readiness, false, {}});
+    }
+  }
+};
+
+/// Faults of the network, the store and the servers, drawn from a seed.
+class FaultPlan {
+ public:
+  FaultPlan(EmulatedPlatform& platform, std::vector<GatewayAddress>& gateways, std::uint64_t seed)
+      : platform_(platform), gateways_(gateways), random_(seed) {}
+
+  Awaitable<void> Run() {
+    while (!stopped_) {
+      co_await Sleep(milliseconds(Draw(1'500, 5'000)));
+      co_await Strike(Draw(0, 9));
+    }
+  }
+  void Stop() { stopped_ = true; }
+
+ private:
+  int Draw(int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(random_);
+  }
+  void Say(const std::string& what) {
+    std::cout << "event=fault what=" << what << std::endl;
+  }
+  /// Probes of configurations are not judged for gateways whose view may be old for a reason.
+  void Disturb(int gateway, milliseconds length) {
+    constexpr milliseconds kSettles{6'000};
+    for (std::size_t number = 0; number < gateways_.size(); ++number)
+      if (gateway < 0 || static_cast<int>(number) == gateway)
+        gateways_[number].disturbed_until = steady_clock::now() + length + kSettles;
+  }
+
+  Awaitable<void> Strike(int kind) {
+    StoreFaults& store = platform_.store().faults();
+    const milliseconds length(Draw(500, 4'000));
+    const auto server = static_cast<std::size_t>(
+        Draw(0, static_cast<int>(platform_.servers().size()) - 1));
+    const int gateway = Draw(0, static_cast<int>(gateways_.size()) - 1);
+    const ProxyMode mode = static_cast<ProxyMode>(Draw(1, 4));
+    switch (kind) {
+      case 0:
+        Say("store_down");
+        Disturb(-1, length);
+        (Draw(0, 1) == 0 ? store.unavailable : store.silent) = true;
+        co_await Sleep(length);
+        store.unavailable = store.silent = false;
+        break;
+      case 1:
+        Say("store_slow");
+        Disturb(-1, length);
+        store.delay = milliseconds(Draw(50, 400));
+        co_await Sleep(length);
+        store.delay = milliseconds(0);
+        break;
+      case 2:
+        Say("store_loses_answers");
+        Disturb(-1, length);
+        store.lose_share = 0.4;
+        store.lost_apply_late = milliseconds(Draw(0, 1) * 1'500);
+        co_await Sleep(length);
+        store.lose_share = 0;
+        break;
+      case 3:
+        Say("store_forgets");
+        Disturb(-1, length);
+        store.history_gone = true;
+        co_await Sleep(length);
+        store.history_gone = false;
+        break;
+      case 4:
+        Say("gateway_cut_from_store");
+        Disturb(gateway, length);
+        platform_.store_proxy(gateway).SetMode(mode);
+        co_await Sleep(length);
+        platform_.store_proxy(gateway).SetMode(ProxyMode::kPass);
+        break;
+      case 5:
+      case 6:
+        Say("server_link");
+        platform_.server_proxy(server).SetMode(mode);
+        co_await Sleep(length);
+        platform_.server_proxy(server).SetMode(ProxyMode::kPass);
+        break;
+      case 7:
+        Say("server_errors");
+        platform_.servers()[server]->faults().error_share = 0.3;
+        platform_.servers()[server]->faults().no_answer_share = 0.1;
+        co_await Sleep(length);
+        platform_.servers()[server]->faults() = {};
+        break;
+      case 8:
+        Say("orders_late");
+        for (const auto& each : platform_.servers()) each->faults().late_order_share = 0.4;
+        co_await Sleep(length);
+        for (const auto& each : platform_.servers()) each->faults().late_order_share = 0;
+        break;
+      default:
+        Say("configuration");
+        platform_.Configure();
+        break;
+    }
+  }
+
+  EmulatedPlatform& platform_;
+  std::vector<GatewayAddress>& gateways_;
+  std::mt19937_64 random_;
+  bool stopped_ = false;
+};
+
+int RunSoak(std::uint64_t seed, seconds length, int gateways, const std::string& folder) {
+  ClosableContext context(1);
+  PlatformOptions options;
+  options.seed = seed;
+  options.gateways = gateways;
+  EmulatedPlatform platform(context, options);
+  platform.Start();
+  Gateways processes;
+  processes.WriteSettings(folder, platform, gateways);
+  std::cout << "event=ready" << std::endl;
+  EmulatedClients clients(context, platform, processes.addresses, seed);
+  FaultPlan faults(platform, processes.addresses, seed);
+  // Signals are carried out by the caller; their gateways are disturbed from then on.
+  for (const PlannedSignal& signal : PlanSignals(seed, length, gateways))
+    boost::asio::co_spawn(
+        context,
+        [](PlannedSignal planned, std::vector<GatewayAddress>& addresses) -> Awaitable<void> {
+          co_await Sleep(planned.at - seconds(1));
+          addresses[static_cast<std::size_t>(planned.gateway)].disturbed_until =
+              steady_clock::now() + planned.length + kSignalSettles;
+        }(signal, processes.addresses),
+        boost::asio::detached);
+  clients.Start(10);
+  boost::asio::co_spawn(context, faults.Run(), boost::asio::detached);
+  context.run_for(length - seconds(12));
+  faults.Stop();
+  context.run_for(seconds(6));  // A calm end: what stands now has to be served.
+  clients.Stop();
+  context.run_for(seconds(6));
+  platform.checker().Finish();
+  for (const std::string& violation : platform.checker().violations())
+    std::cout << "event=violation seed=" << seed << " what=\"" << violation << "\"" << std::endl;
+  const ClientCounts& counts = clients.counts();
+  std::cout << "event=soak seed=" << seed << " sent=" << counts.sent << " served=" << counts.served
+            << " refused_not_run=" << counts.refused << " unknown=" << counts.unknown
+            << " violations=" << platform.checker().violations().size() << std::endl;
+  context.DestroyHandlers();
+  const bool served = counts.served * 2 > counts.sent;
+  return platform.checker().violations().empty() && served ? kExitDone : kExitFailed;
+}
+
+int Run(const std::vector<std::string>& arguments) {
+  CommandLine line("emulator", "Runs the emulated platform with clients, faults and checks");
+  TCLAP::ValueArg<std::uint64_t> seed("", "seed", "of all that is drawn", false, 1, "N",
+                                      line.tclap());
+  TCLAP::ValueArg<int> length("", "seconds", "how long", false, 60, "N", line.tclap());
+  TCLAP::ValueArg<int> gateways("", "gateways", "how many", false, 3, "N", line.tclap());
+  TCLAP::ValueArg<std::string> folder("", "folder", "for the gateways' settings files", false, ".",
+                                      "DIR", line.tclap());
+  TCLAP::SwitchArg signals("", "print-signals",
+                           "only prints the signals of that seed: seconds, kind, gateway, length",
+                           line.tclap());
+  if (!line.Parse(arguments)) return kExitDone;
+  if (!signals.getValue())
+    return RunSoak(seed.getValue(), seconds(length.getValue()), gateways.getValue(),
+                   folder.getValue());
+  constexpr double kMillisecondsPerSecond = 1000;
+  for (const PlannedSignal& signal :
+       PlanSignals(seed.getValue(), seconds(length.getValue()), gateways.getValue()))
+    std::cout << static_cast<double>(signal.at.count()) / kMillisecondsPerSecond << " "
+              << Name(signal.kind) << " " << signal.gateway << " "
+              << static_cast<double>(signal.length.count()) / kMillisecondsPerSecond << "\n";
+  return kExitDone;
+}
+
+}  // namespace
+}  // namespace moorfold
+
+int main(int argc, char** argv) {
+  try {
+    return moorfold::Run({argv + 1, argv + argc});
+  } catch (const moorfold::UsageError& error) {
+    std::cerr << error.what() << "\n";
+    return moorfold::kExitBadUsage;
+  }
+}
--- /dev/null
+++ b/test/emulator/server_emulator.cc
@@ -0,0 +1,262 @@
+#include "server_emulator.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace moorfold {
+
+namespace json = boost::json;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace {
+
+HttpResponse Refuse(unsigned status, const std::string& reason) { return {status, {}, reason}; }
+
+// Answers are made by a function: no braced temporaries stand in awaited calls (GCC 12).
+HttpResponse Bare(unsigned status, HttpHeaders headers, std::string body = "") {
+  return {status, std::move(headers), std::move(body)};
+}
+
+RequestKind KindOf(const std::string& target) {
+  if (target.find("/once/") != std::string::npos) return RequestKind::kAtMostOnce;
+  if (target.find("/stream/") != std::string::npos) return RequestKind::kStream;
+  return RequestKind::kRepeatable;
+}
+
+}  // namespace
+
+ServerEmulator::ServerEmulator(boost::asio::io_context& context, StoreEmulator& store,
+                               PromiseChecker& checker, ServerOptions options, std::uint64_t seed)
+    : context_(context),
+      store_(store),
+      checker_(checker),
+      options_(std::move(options)),
+      random_(seed),
+      server_({&context}, {"127.0.0.1", 0}, {},
+              [this](HttpServerExchange& exchange) { return Handle(exchange); }, Refuse) {
+  for (const HeldModel& held : options_.models) had_.insert(held.name);
+}
+
+void ServerEmulator::Start() {
+  server_.Start();
+  if (options_.announced.port == 0) options_.announced = server_.endpoint();
+  boost::asio::co_spawn(context_, Beat(), boost::asio::detached);
+}
+
+json::array ServerEmulator::ModelsJson() const {
+  json::array models;
+  for (const HeldModel& held : options_.models)
+    models.push_back({{"name", held.name},
+                      {"version", 1},
+                      {"adapters", json::array(held.adapters.begin(), held.adapters.end())}});
+  return models;
+}
+
+void ServerEmulator::WriteEntry() {
+  const json::value entry = {{"service", options_.service},
+                             {"address", ToString(options_.announced)},
+                             {"zone", options_.zone},
+                             {"version", "v1"},
+                             {"slots", options_.slots},
+                             {"state", draining_ ? "draining" : "ready"},
+                             {"coldLeftMs", 0},
+                             {"models", ModelsJson()},
+                             {"available", {{"onDisk", json::array(had_.begin(), had_.end())}}},
+                             {"seq", ++beats_}};
+  store_.Put("servers/" + options_.id, json::serialize(entry));
+}
+
+Awaitable<void> ServerEmulator::Beat() {
+  constexpr milliseconds kEvery{400};
+  while (!vanished_) {
+    WriteEntry();
+    co_await Sleep(kEvery);
+  }
+}
+
+void ServerEmulator::Drain() {
+  draining_ = true;
+  WriteEntry();
+  checker_.Draining(options_.id, steady_clock::now());
+}
+
+void ServerEmulator::Vanish() {
+  vanished_ = true;
+  store_.Remove("servers/" + options_.id);
+  checker_.Draining(options_.id, steady_clock::now());
+}
+
+bool ServerEmulator::Holds(const std::string& name) const {
+  const std::string model = name.substr(0, name.find('/'));
+  const std::string adapter = model.size() == name.size() ? "" : name.substr(model.size() + 1);
+  for (const HeldModel& held : options_.models)
+    if (held.name == model) return adapter.empty() || held.HasAdapter(adapter);
+  return false;
+}
+
+HttpHeaders ServerEmulator::Headers(const std::string& id) const {
+  return {{"X-Request-Id", id},
+          {"X-Server-Load", std::to_string(running_) + ",0," + std::to_string(options_.slots)},
+          {"Keep-Alive", "timeout=10"}};
+}
+
+Awaitable<void> ServerEmulator::Handle(HttpServerExchange& exchange) {
+  const HttpRequest& request = exchange.request();
+  const std::string_view expected = FindHeader(request.headers, "X-Expect-Instance");
+  const std::string id(FindHeader(request.headers, "X-Request-Id"));
+  HttpHeaders headers;
+  if (!expected.empty() && expected != options_.id) {
+    headers = {{"X-Instance-Id", options_.id}};
+    co_await exchange.Respond(Bare(421, std::move(headers)));
+    co_return;
+  }
+  if (request.target == "/report") {
+    co_await exchange.Respond(Report());
+    co_return;
+  }
+  if (request.target == "/order") {
+    co_await TakeOrder(exchange);
+    co_return;
+  }
+  if (!id.empty()) checker_.Arrived(id, options_.id, steady_clock::now());
+  headers = Headers(id);
+  const std::string model(FindHeader(request.headers, "X-Model"));
+  if (options_.engine && !Holds(model)) {
+    co_await exchange.Respond(Bare(421, std::move(headers)));
+    co_return;
+  }
+  const bool changing = options_.engine && model.substr(0, model.find('/')) == changing_;
+  if (running_ >= options_.slots || changing) {
+    headers.push_back({"X-Not-Executed", "1"});
+    co_await exchange.Respond(Bare(503, std::move(headers)));
+    co_return;
+  }
+  co_await Run(exchange, id, KindOf(request.target));
+}
+
+Awaitable<void> ServerEmulator::Run(HttpServerExchange& exchange, const std::string& id,
+                                    RequestKind kind) {
+  struct Running {
+    explicit Running(std::uint32_t& running) : count(running) { ++count; }
+    ~Running() { --count; }
+    std::uint32_t& count;
+  } running(running_);
+  ++runs_;
+  checker_.Ran(id, kind, options_.id, steady_clock::now());
+  co_await Sleep(options_.work);
+  if (Chance(faults_.no_answer_share)) {
+    exchange.Abort();
+    co_return;
+  }
+  HttpHeaders headers = Headers(id);
+  headers.push_back({"X-Response-Seal", SealOf(id)});
+  if (Chance(faults_.error_share)) {
+    co_await exchange.Respond(Bare(500, std::move(headers)));
+    co_return;
+  }
+  if (kind == RequestKind::kStream)
+    co_await Stream(exchange, id, std::move(headers));
+  else
+    co_await exchange.Respond(Bare(200, std::move(headers), BodyOf(id)));
+}
+
+Awaitable<void> ServerEmulator::Stream(HttpServerExchange& exchange, const std::string& id,
+                                       HttpHeaders headers) {
+  headers.push_back({"Content-Type", "text/event-stream"});
+  const std::string last(FindHeader(exchange.request().headers, "Last-Event-Id"));
+  int event = last.empty() ? 1 : std::stoi(last) + 1;
+  co_await exchange.BeginStream(200, std::move(headers));
+  for (; event <= options_.events; ++event) {
+    co_await exchange.Write("id: " + std::to_string(event) + "\ndata: " + id + "\n\n");
+    co_await Sleep(options_.event_gap);
+  }
+  co_await exchange.EndStream();
+}
+
+HttpResponse ServerEmulator::Report() const {
+  const json::value body = {{"stage", "both"},
+                            {"models", ModelsJson()},
+                            {"available", {{"onDisk", json::array(had_.begin(), had_.end())}}},
+                            {"busy", !changing_.empty()},
+                            {"seq", order_count_},
+                            {"running", running_},
+                            {"incoming", json::array()}};
+  return {200, {{"Content-Type", "application/json"}}, json::serialize(body)};
+}
+
+unsigned ServerEmulator::Judge(const ServerOrder& order, std::int64_t expected_count) {
+  if (!changing_.empty() || expected_count != order_count_) return 409;
+  const std::string name = order.adapter.empty() ? order.model : order.model + "/" + order.adapter;
+  const bool load = order.kind == ServerOrderKind::kLoad;
+  if (Holds(name) == load) return 200;
+  if (!load) return 202;
+  double used = order.adapter.empty() ? options_.model_mb : options_.adapter_mb;
+  std::size_t adapters = order.adapter.empty() ? 0 : 1;
+  for (const HeldModel& held : options_.models) {
+    used += options_.model_mb + options_.adapter_mb * static_cast<double>(held.adapters.size());
+    adapters += held.adapters.size();
+  }
+  if (used > options_.weights_mb || adapters > options_.adapter_slots)
+    checker_.Overfilled(options_.id);
+  return 202;
+}
+
+Awaitable<void> ServerEmulator::TakeOrder(HttpServerExchange& exchange) {
+  unsigned status = 400;
+  ServerOrder order;
+  bool taken = false;
+  bool late = false;
+  try {
+    const json::value body = json::parse(exchange.request().body);
+    order.kind = body.at("operation").as_string() == "load" ? ServerOrderKind::kLoad
+                                                            : ServerOrderKind::kUnload;
+    order.model = std::string(body.at("model").as_string());
+    if (const json::value* adapter = body.as_object().if_contains("adapter"))
+      order.adapter = std::string(adapter->as_string());
+    order.order_count = body.at("prevRevision").to_number<std::int64_t>();
+    order.holder = std::string(body.at("holder").as_string());
+    order.fencing_token = body.at("fencingToken").to_number<std::int64_t>();
+    checker_.Ordered({options_.id, order.holder, order.fencing_token, steady_clock::now()});
+    late = Chance(faults_.late_order_share);
+    taken = true;
+  } catch (const std::exception&) {
+    status = 400;
+  }
+  if (late) {
+    exchange.Abort();
+    co_await Sleep(faults_.order_lateness);
+  }
+  if (taken) status = Judge(order, order.order_count);
+  if (status == 202) boost::asio::co_spawn(context_, CarryOut(order), boost::asio::detached);
+  if (!late) co_await exchange.Respond(Bare(status, {}));
+}
+
+Awaitable<void> ServerEmulator::CarryOut(ServerOrder order) {
+  ++order_count_;
+  const bool load = order.kind == ServerOrderKind::kLoad;
+  if (order.adapter.empty()) {
+    changing_ = order.model;
+    if (load && !had_.contains(order.model)) checker_.LoadBegan(steady_clock::now());
+    if (load) co_await Sleep(had_.contains(order.model) ? options_.load_time / 2
+                                                        : options_.load_time);
+    changing_.clear();
+    if (load) {
+      options_.models.push_back({order.model, {}});
+      had_.insert(order.model);
+    } else {
+      std::erase_if(options_.models,
+                    [&](const HeldModel& held) { return held.name == order.model; });
+    }
+  }
+  for (HeldModel& held : options_.models) {
+    if (order.adapter.empty() || held.name != order.model) continue;
+    if (load)
+      held.adapters.push_back(order.adapter);
+    else
+      std::erase(held.adapters, order.adapter);
+  }
+  if (!vanished_) WriteEntry();
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/test/emulator/server_emulator.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+#include <random>
+#include <set>
+#include <string>
+
+#include "common/async_signal.h"
+#include "fleet/server_record.h"
+#include "http/http_server.h"
+#include "promise_checker.h"
+#include "store_emulator.h"
+
+namespace moorfold {
+
+struct ServerOptions {
+  std::string id;
+  std::string service;
+  std::string zone = "z";
+  std::uint32_t slots = 6;
+  bool engine = false;
+  std::vector<HeldModel> models;
+  double weights_mb = 200;
+  double model_mb = 90;
+  double adapter_mb = 5;
+  std::size_t adapter_slots = 8;
+  std::chrono::milliseconds load_time{300};
+  std::chrono::milliseconds work{15};
+  int events = 8;
+  std::chrono::milliseconds event_gap{15};
+  Endpoint announced;  ///< Where callers find it, if not at its own port.
+};
+
+struct ServerFaults {
+  double error_share = 0;    ///< Answers 500 after running.
+  double no_answer_share = 0;  ///< Runs, and closes the connection instead of answering.
+  double late_order_share = 0;  ///< Orders without an answer, carried out later.
+  std::chrono::milliseconds order_lateness{2'000};
+};
+
+/// A server of the platform: keeps its entry in the store, runs requests, carries out orders. What it
+/// sees is told to the checker. One thread.
+class ServerEmulator {
+ public:
+  ServerEmulator(boost::asio::io_context& context, StoreEmulator& store, PromiseChecker& checker,
+                 ServerOptions options, std::uint64_t seed);
+
+  void Start();
+  /// Callers are to find it at `address`, not at its own port. Before Start.
+  void Announce(const Endpoint& address) { options_.announced = address; }
+  /// Says that it leaves; requests in progress run to their end.
+  void Drain();
+  /// Its entry goes and comes no more.
+  void Vanish();
+  Endpoint endpoint() const { return server_.endpoint(); }
+  ServerFaults& faults() { return faults_; }
+  const ServerOptions& options() const { return options_; }
+  std::uint64_t runs() const { return runs_; }
+
+  /// The body and the seal that any server gives to a request.
+  static std::string BodyOf(const std::string& id) { return "answer to " + id + "\n"; }
+  static std::string SealOf(const std::string& id) { return "seal-" + id; }
+
+ private:
+  Awaitable<void> Handle(HttpServerExchange& exchange);
+  Awaitable<void> Run(HttpServerExchange& exchange, const std::string& id, RequestKind kind);
+  Awaitable<void> Stream(HttpServerExchange& exchange, const std::string& id, HttpHeaders headers);
+  Awaitable<void> TakeOrder(HttpServerExchange& exchange);
+  Awaitable<void> CarryOut(ServerOrder order);
+  unsigned Judge(const ServerOrder& order, std::int64_t expected_count);
+  HttpResponse Report() const;
+  HttpHeaders Headers(const std::string& id) const;
+  bool Holds(const std::string& name) const;
+  void WriteEntry();
+  Awaitable<void> Beat();
+  boost::json::array ModelsJson() const;
+  bool Chance(double share) { return std::bernoulli_distribution(share)(random_); }
+
+  boost::asio::io_context& context_;
+  StoreEmulator& store_;
+  PromiseChecker& checker_;
+  ServerOptions options_;
+  ServerFaults faults_;
+  std::mt19937_64 random_;
+  std::set<std::string> had_;  ///< Models whose weights lie on the disk.
+  std::string changing_;       ///< Model on which an order is under way.
+  std::int64_t order_count_ = 0;
+  std::uint32_t running_ = 0;
+  std::uint64_t runs_ = 0;
+  bool draining_ = false;
+  bool vanished_ = false;
+  std::int64_t beats_ = 0;
+  HttpServer server_;
+};
+
+}  // namespace moorfold
--- /dev/null
+++ b/test/emulator/store_emulator.cc
@@ -0,0 +1,246 @@
+#include "store_emulator.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/beast/core/detail/base64.hpp>
+#include <charconv>
+
+namespace moorfold {
+
+namespace json = boost::json;
+namespace base64 = boost::beast::detail::base64;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t kPageItems = 500;
+
+std::string Encode(const std::string& bytes) {
+  std::string text(base64::encoded_size(bytes.size()), '\0');
+  text.resize(base64::encode(text.data(), bytes.data(), bytes.size()));
+  return text;
+}
+
+std::string Decode(std::string_view text) {
+  std::string bytes(base64::decoded_size(text.size()), '\0');
+  bytes.resize(base64::decode(bytes.data(), text.data(), text.size()).first);
+  return bytes;
+}
+
+std::string Unescape(std::string_view text) {
+  constexpr int kHex = 16;
+  std::string plain;
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    if (text[at] != '%' || at + 2 >= text.size()) {
+      plain += text[at];
+      continue;
+    }
+    int code = 0;
+    std::from_chars(text.data() + at + 1, text.data() + at + 3, code, kHex);
+    plain += static_cast<char>(code);
+    at += 2;
+  }
+  return plain;
+}
+
+std::string Query(const std::string& target, const std::string& name) {
+  const std::size_t question = target.find('?');
+  if (question == std::string::npos) return {};
+  std::string_view rest = std::string_view(target).substr(question + 1);
+  while (!rest.empty()) {
+    const std::size_t end = rest.find('&');
+    const std::string_view pair = rest.substr(0, end);
+    const std::size_t equals = pair.find('=');
+    if (pair.substr(0, equals) == name) return Unescape(pair.substr(equals + 1));
+    rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
+  }
+  return {};
+}
+
+HttpResponse Reply(const json::value& body, unsigned status = 200) {
+  return {status, {{"Content-Type", "application/json"}}, json::serialize(body)};
+}
+
+json::object Item(const KeyValue& entry) {
+  return {{"keyFile", entry.key},
+          {"value", Encode(entry.value)},
+          {"revision", entry.mod_revision},
+          {"createdAt", entry.mod_revision},
+          {"lease", entry.lease}};
+}
+
+KeyRange Prefix(const std::string& prefix) {
+  return prefix.empty() ? KeyRange{"", "\xff"} : PrefixRange(prefix);
+}
+
+HttpResponse Refuse(unsigned status, const std::string& reason) { return {status, {}, reason}; }
+
+}  // namespace
+
+StoreEmulator::StoreEmulator(boost::asio::io_context& context, std::uint64_t seed)
+    : context_(context),
+      changed_(context.get_executor()),
+      random_(seed),
+      server_({&context}, {"127.0.0.1", 0}, {},
+              [this](HttpServerExchange& exchange) { return Handle(exchange); }, Refuse) {}
+
+void StoreEmulator::Start() {
+  server_.Start();
+  boost::asio::co_spawn(context_, ExpireLeases(), boost::asio::detached);
+}
+
+std::int64_t StoreEmulator::Put(const std::string& key, const std::string& value) {
+  Transaction transaction;
+  transaction.operations.emplace_back(PutOperation{key, value, 0});
+  const std::int64_t revision = table_.Transact(transaction).revision;
+  changed_.NotifyAll();
+  return revision;
+}
+
+void StoreEmulator::Remove(const std::string& key) {
+  Transaction transaction;
+  transaction.operations.emplace_back(DeleteOperation{key});
+  table_.Transact(transaction);
+  changed_.NotifyAll();
+}
+
+Awaitable<void> StoreEmulator::ExpireLeases() {
+  constexpr milliseconds kEvery{50};
+  while (true) {
+    co_await Sleep(kEvery);
+    const std::int64_t before = table_.revision();
+    table_.ExpireLeases(clock_.Now());
+    if (table_.revision() != before) changed_.NotifyAll();
+  }
+}
+
+bool StoreEmulator::LosesAnswer(const HttpRequest& request) {
+  const bool write = request.target == "/kv-txn" || request.target == "/kv-lease";
+  return write && std::bernoulli_distribution(faults_.lose_share)(random_);
+}
+
+Awaitable<void> StoreEmulator::Handle(HttpServerExchange& exchange) {
+  ++calls_;
+  const HttpRequest request = exchange.request();
+  if (faults_.delay.count() > 0) co_await Sleep(faults_.delay);
+  if (faults_.unavailable) {
+    co_await exchange.Respond(Refuse(503, "down"));
+    co_return;
+  }
+  if (faults_.silent) {
+    constexpr milliseconds kSilence{10'000};
+    co_await Sleep(kSilence);
+    exchange.Abort();
+    co_return;
+  }
+  const bool lost = LosesAnswer(request);
+  if (lost && faults_.lost_apply_late.count() > 0) co_await Sleep(faults_.lost_apply_late);
+  HttpResponse response = co_await Answer(request);
+  if (lost)
+    exchange.Abort();
+  else
+    co_await exchange.Respond(std::move(response));
+}
+
+Awaitable<HttpResponse> StoreEmulator::Answer(const HttpRequest& request) {
+  const std::string& target = request.target;
+  HttpResponse bad = Refuse(400, "");
+  try {
+    if (target.starts_with("/kv-watch")) co_return co_await Watch(target);
+    if (target.starts_with("/kv-range")) co_return Range(target);
+    if (target.starts_with("/kv-key")) co_return ReadKey(target);
+    if (target == "/kv-txn") co_return Transact(request.body);
+    if (target == "/kv-lease") co_return Lease(request.body);
+    const std::size_t slash = target.rfind('/');
+    const LeaseId lease = std::stoll(target.substr(slash + 1));
+    if (target.starts_with("/kv-keep/")) {
+      const auto left = table_.KeepLeaseAlive(lease, clock_.Now());
+      if (!left) co_return Refuse(404, "no such lease");
+      co_return Reply(json::value{
+          {"ttlMs", std::chrono::duration_cast<milliseconds>(*left).count()}});
+    }
+    if (target.starts_with("/kv-lease-end/")) {
+      const bool ended = table_.RevokeLease(lease);
+      changed_.NotifyAll();
+      co_return Refuse(ended ? 200 : 404, "");
+    }
+  } catch (const std::exception& error) {
+    bad.body = error.what();
+  }
+  co_return bad;
+}
+
+Awaitable<HttpResponse> StoreEmulator::Watch(const std::string& target) {
+  if (faults_.history_gone) co_return Refuse(410, "history is gone");
+  const KeyRange range = Prefix(Query(target, "pathPrefix"));
+  const std::int64_t after = std::stoll(Query(target, "after"));
+  const auto end = std::chrono::steady_clock::now() +
+                   milliseconds(std::stoll(Query(target, "waitMs")));
+  while (true) {
+    json::array events;
+    for (const WatchBatch& batch : table_.EventsSince(range, after + 1))
+      for (const WatchEvent& event : batch.events) {
+        if (event.deleted)
+          events.push_back({{"keyFile", event.entry.key},
+                            {"revision", event.entry.mod_revision},
+                            {"gone", true}});
+        else
+          events.emplace_back(Item(event.entry));
+      }
+    if (!events.empty() || std::chrono::steady_clock::now() >= end)
+      co_return Reply(json::value{{"events", events}, {"at", table_.revision()}});
+    co_await changed_.Wait(end);
+  }
+}
+
+HttpResponse StoreEmulator::Range(const std::string& target) {
+  const std::string after = Query(target, "after");
+  json::array items;
+  bool more = false;
+  for (const KeyValue& entry : table_.Range(Prefix(Query(target, "pathPrefix"))).entries) {
+    if (!after.empty() && entry.key <= after) continue;
+    more = items.size() >= kPageItems;
+    if (more) break;
+    items.emplace_back(Item(entry));
+  }
+  return Reply(json::value{{"items", items}, {"more", more}, {"at", table_.revision()}});
+}
+
+HttpResponse StoreEmulator::ReadKey(const std::string& target) {
+  const RangeResult found = table_.Range({Query(target, "keyFile"), ""});
+  if (found.entries.empty()) return Refuse(404, "no such key");
+  json::object item = Item(found.entries.front());
+  item["at"] = table_.revision();
+  return Reply(item);
+}
+
+HttpResponse StoreEmulator::Transact(const std::string& body) {
+  const json::value parsed = json::parse(body);
+  Transaction transaction;
+  for (const json::value& row : parsed.at("prevRevision").as_array())
+    transaction.comparisons.push_back({std::string(row.at("keyFile").as_string()),
+                                       row.at("revision").to_number<std::int64_t>()});
+  for (const json::value& put : parsed.at("put").as_array()) {
+    const std::string key(put.at("keyFile").as_string());
+    if (key.starts_with("op/") || key.starts_with("servers/")) return Refuse(403, "not yours");
+    const auto lease = put.at("lease").to_number<LeaseId>();
+    if (lease != 0 && !table_.KeepLeaseAlive(lease, clock_.Now()))
+      return Refuse(404, "no such lease");
+    transaction.operations.emplace_back(
+        PutOperation{key, Decode(put.at("value").as_string()), lease});
+  }
+  for (const json::value& key : parsed.at("remove").as_array())
+    transaction.operations.emplace_back(DeleteOperation{std::string(key.as_string())});
+  const TransactionResult result = table_.Transact(transaction);
+  if (!result.succeeded) return Reply(json::value{{"items", json::array()}}, 412);
+  changed_.NotifyAll();
+  return Reply(json::value{{"revision", result.revision}});
+}
+
+HttpResponse StoreEmulator::Lease(const std::string& body) {
+  const auto time_to_live = json::parse(body).at("ttlMs").to_number<std::int64_t>();
+  const LeaseId lease = table_.GrantLease(Duration(milliseconds(time_to_live)), clock_.Now());
+  return Reply(json::value{{"lease", lease}, {"ttlMs", time_to_live}});
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/test/emulator/store_emulator.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "common/async_signal.h"
+#include "common/wall_clock.h"
+#include "http/http_server.h"
+#include "modelled/key_value_table.h"
+
+namespace moorfold {
+
+/// What may be wrong with the emulated store.
+struct StoreFaults {
+  bool unavailable = false;  ///< 503, nothing is done.
+  bool silent = false;       ///< Calls are not answered, nothing is done.
+  std::chrono::milliseconds delay{0};
+  double lose_share = 0;          ///< Writes that are done and not answered.
+  std::chrono::milliseconds lost_apply_late{0};  ///< Lost writes are done so much later.
+  bool history_gone = false;      ///< Watches answer 410.
+};
+
+/// The platform's metadata store as its pages describe it, over HTTP. One thread.
+class StoreEmulator {
+ public:
+  StoreEmulator(boost::asio::io_context& context, std::uint64_t seed);
+
+  void Start();
+  Endpoint endpoint() const { return server_.endpoint(); }
+  StoreFaults& faults() { return faults_; }
+  /// What the operator and the servers write; faults do not concern them.
+  std::int64_t Put(const std::string& key, const std::string& value);
+  void Remove(const std::string& key);
+  std::uint64_t calls() const { return calls_; }
+  const KeyValueTable& table() const { return table_; }
+
+ private:
+  Awaitable<void> Handle(HttpServerExchange& exchange);
+  Awaitable<HttpResponse> Answer(const HttpRequest& request);
+  Awaitable<HttpResponse> Watch(const std::string& target);
+  HttpResponse Range(const std::string& target);
+  HttpResponse ReadKey(const std::string& target);
+  HttpResponse Transact(const std::string& body);
+  HttpResponse Lease(const std::string& body);
+  Awaitable<void> ExpireLeases();
+  bool LosesAnswer(const HttpRequest& request);
+
+  boost::asio::io_context& context_;
+  KeyValueTable table_;
+  WallClock clock_;
+  StoreFaults faults_;
+  AsyncSignal changed_;
+  std::mt19937_64 random_;
+  std::uint64_t calls_ = 0;
+  HttpServer server_;
+};
+
+}  // namespace moorfold
--- a/test/gateway/pipeline_fixture.h
+++ b/test/gateway/pipeline_fixture.h
@@ -9,6 +9,7 @@
 #include <future>
 #include <thread>
 
+#include "common/closable_context.h"
 #include "gateway/request_pipeline.h"
 #include "http/http_server.h"
 #include "protocol.h"
@@ -35,6 +36,7 @@
   ~PipelineFixture() {
     context_.stop();
     thread_.join();
+    context_.DestroyHandlers();
   }
   PipelineFixture(const PipelineFixture&) = delete;
   PipelineFixture& operator=(const PipelineFixture&) = delete;
@@ -118,7 +120,7 @@
   FleetView& view() { return view_; }
 
  private:
-  boost::asio::io_context context_{1};
+  ClosableContext context_{1};
   platform::Protocol protocol_;
   EventLog log_;
   GatewayMetrics metrics_;
--- /dev/null
+++ b/test/platform/gateway_end_to_end_test.cc
@@ -0,0 +1,210 @@
+// Whole gateways against the emulated platform, over loopback, on one thread.
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+
+#include "common/closable_context.h"
+#include "emulated_clients.h"
+#include "emulated_platform.h"
+#include "gateway/gateway.h"
+#include "protocol.h"
+#include "store_client.h"
+
+namespace moorfold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/// One gateway with its own way to the store.
+struct GatewayUnderTest {
+  GatewayUnderTest(boost::asio::io_context& context, const std::string& name, Endpoint store_address)
+      : log(-1, {}),
+        store(context, store_address, Options()),
+        gateway(context, Settings(name), store, protocol, log) {}
+
+  static platform::StoreClientOptions Options() {
+    platform::StoreClientOptions options;
+    options.watch_pause = milliseconds(50);
+    return options;
+  }
+  static GatewaySettings Settings(const std::string& name) {
+    GatewaySettings settings;
+    settings.name = name;
+    settings.zone = "z";
+    settings.listen = {"127.0.0.1", 0};
+    settings.readiness = {"127.0.0.1", 0};
+    settings.peer = {"127.0.0.1", 0};
+    return settings;
+  }
+
+  EventLog log;
+  platform::Protocol protocol;
+  platform::StoreClient store;
+  Gateway gateway;
+};
+
+struct Deployment {
+  explicit Deployment(int gateway_count, PlatformOptions options = {}) : platform(context, options) {
+    platform.Start();
+    for (int number = 0; number < gateway_count; ++number) {
+      gateways.push_back(std::make_unique<GatewayUnderTest>(
+          context, "gateway-" + std::to_string(number), platform.store_for(number)));
+      gateways.back()->gateway.Start();
+      addresses.push_back(
+          {gateways.back()->gateway.listen(), gateways.back()->gateway.readiness(), false, {}});
+    }
+    clients = std::make_unique<EmulatedClients>(context, platform, addresses, options.seed);
+  }
+  ~Deployment() { context.DestroyHandlers(); }
+  Deployment(const Deployment&) = delete;
+  Deployment& operator=(const Deployment&) = delete;
+
+  bool RunUntil(const std::function<bool()>& done, milliseconds patience = milliseconds(40'000)) {
+    const auto give_up = steady_clock::now() + patience;
+    while (!done() && steady_clock::now() < give_up) context.run_one_for(milliseconds(20));
+    return done();
+  }
+  void RunFor(milliseconds time) {
+    RunUntil([] { return false; }, time);
+  }
+  /// Sends one request through gateway `number` and waits for its answer.
+  HttpResponse Send(int number, HttpRequest request) {
+    std::optional<HttpResponse> response;
+    HttpClient client(context);
+    const Endpoint to = gateways.at(static_cast<std::size_t>(number))->gateway.listen();
+    boost::asio::co_spawn(
+        context,
+        [&client, &response, to, request]() -> Awaitable<void> {
+          HttpSendOptions options;
+          options.deadline = steady_clock::now() + std::chrono::seconds(20);
+          HttpRequest copy = request;
+          try {
+            response = co_await client.Send(to, std::move(copy), options);
+          } catch (const HttpError&) {
+            response = HttpResponse{0, {}, ""};
+          }
+        },
+        boost::asio::detached);
+    REQUIRE(RunUntil([&] { return response.has_value(); }));
+    return *response;
+  }
+  HttpRequest Stream(const std::string& id, const std::string& model) {
+    platform.checker().Sent(id, RequestKind::kStream);
+    return {"POST",
+            "/stream/x",
+            {{"Host", EmulatedPlatform::kHost},
+             {"X-Request-Id", id},
+             {"X-Deadline-Ms", "15000"},
+             {"X-Model", model}},
+            "body"};
+  }
+  bool AllReady() {
+    for (const auto& each : gateways)
+      if (each->gateway.metrics().configuration_version < 1) return false;
+    return true;
+  }
+  int Leaders() const {
+    int leaders = 0;
+    for (const auto& each : gateways)
+      leaders += each->gateway.metrics().leading > 0 ? 1 : 0;
+    return leaders;
+  }
+
+  ClosableContext context{1};
+  EmulatedPlatform platform;
+  std::vector<std::unique_ptr<GatewayUnderTest>> gateways;
+  std::vector<GatewayAddress> addresses;
+  std::unique_ptr<EmulatedClients> clients;
+};
+
+TEST_CASE("A model that stands nowhere is loaded once for requests at two gateways") {
+  Deployment deployment(2);
+  REQUIRE(deployment.RunUntil([&] { return deployment.AllReady() && deployment.Leaders() == 1; }));
+  deployment.RunFor(milliseconds(3'200));  // Until the leader may give orders.
+  const std::string cold = deployment.platform.models().back();
+  CHECK(deployment.Send(0, deployment.Stream("one", cold)).status == 200);
+  CHECK(deployment.Send(1, deployment.Stream("two", cold)).status == 200);
+  CHECK(deployment.Send(0, deployment.Stream("three", cold + "/a1")).status == 200);
+  int holders = 0;
+  for (const auto& server : deployment.platform.servers())
+    for (const HeldModel& held : server->options().models) holders += held.name == cold ? 1 : 0;
+  CHECK(holders == 1);
+  CHECK(deployment.platform.checker().violations().empty());
+}
+
+TEST_CASE("Every kind of request is served on a calm day, and no promise is broken") {
+  Deployment deployment(2);
+  REQUIRE(deployment.RunUntil([&] { return deployment.AllReady(); }));
+  deployment.clients->Start(6);
+  REQUIRE(deployment.RunUntil([&] { return deployment.clients->counts().served >= 200; }));
+  deployment.clients->Stop();
+  deployment.RunUntil([&] { return deployment.clients->running() == 0; });
+  deployment.platform.checker().Finish();
+  CHECK(deployment.platform.checker().violations() == std::vector<std::string>{});
+  CHECK(deployment.clients->counts().unknown == 0);
+}
+
+TEST_CASE("Requests go on while the store is down, and the newest configuration follows after") {
+  Deployment deployment(1);
+  REQUIRE(deployment.RunUntil([&] { return deployment.AllReady(); }));
+  deployment.platform.store().faults().unavailable = true;
+  deployment.RunFor(milliseconds(1'500));
+  HttpRequest request{"GET", "/safe/x", {{"Host", EmulatedPlatform::kHost}, {"X-Request-Id", "a"}}, ""};
+  deployment.platform.checker().Sent("a", RequestKind::kRepeatable);
+  CHECK(deployment.Send(0, request).status == 200);
+  deployment.platform.Configure();
+  deployment.platform.store().faults().unavailable = false;
+  REQUIRE(deployment.RunUntil([&] {
+    return deployment.gateways[0]->gateway.metrics().configuration_version == 2;
+  }));
+}
+
+TEST_CASE("A store that forgets its history is listed anew") {
+  Deployment deployment(1);
+  REQUIRE(deployment.RunUntil([&] { return deployment.AllReady(); }));
+  deployment.platform.store().faults().history_gone = true;
+  deployment.RunFor(milliseconds(300));
+  deployment.platform.Configure();
+  REQUIRE(deployment.RunUntil([&] {
+    return deployment.gateways[0]->gateway.metrics().configuration_version == 2;
+  }));
+}
+
+TEST_CASE("Another gateway leads after the leader is cut from the store, and orders lie apart") {
+  Deployment deployment(2);
+  REQUIRE(deployment.RunUntil([&] { return deployment.AllReady() && deployment.Leaders() == 1; }));
+  deployment.clients->Start(4);
+  REQUIRE(deployment.RunUntil([&] {
+    return deployment.gateways[0]->gateway.metrics().orders_sent +
+               deployment.gateways[1]->gateway.metrics().orders_sent > 0;
+  }));
+  const int first = deployment.gateways[0]->gateway.metrics().leading > 0 ? 0 : 1;
+  deployment.platform.store_proxy(first).SetMode(ProxyMode::kSilent);
+  const auto& second = deployment.gateways[static_cast<std::size_t>(1 - first)]->gateway;
+  REQUIRE(deployment.RunUntil([&] { return second.metrics().leading > 0; }));
+  const std::uint64_t before = second.metrics().orders_sent;
+  deployment.RunUntil([&] { return second.metrics().orders_sent > before; }, milliseconds(8'000));
+  deployment.clients->Stop();
+  deployment.RunUntil([&] { return deployment.clients->running() == 0; });
+  CHECK(deployment.platform.checker().violations() == std::vector<std::string>{});
+}
+
+TEST_CASE("Servers that leave are used no more, and a stop under load loses no request") {
+  Deployment deployment(2);
+  REQUIRE(deployment.RunUntil([&] { return deployment.AllReady(); }));
+  deployment.clients->Start(6);
+  REQUIRE(deployment.RunUntil([&] { return deployment.clients->counts().served >= 50; }));
+  deployment.platform.ReplaceServer(4);
+  REQUIRE(deployment.RunUntil([&] { return deployment.clients->counts().served >= 150; }));
+  const std::uint64_t unknown = deployment.clients->counts().unknown;
+  deployment.addresses[0].ready = false;
+  deployment.gateways[0]->gateway.BeginStop();
+  REQUIRE(deployment.RunUntil([&] { return deployment.context.stopped(); }));
+  CHECK(deployment.clients->counts().unknown == unknown);
+  CHECK(deployment.platform.checker().violations() == std::vector<std::string>{});
+}
+
+}  // namespace
+}  // namespace moorfold
--- a/test/ports/port_contract_test.cc
+++ b/test/ports/port_contract_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "../platform/users_platform_environment.h"
 #include "contract_environment.h"
 #include "ports/document_store.h"
 
@@ -41,7 +42,7 @@
 }
 
 TEMPLATE_TEST_CASE("KeyValueStore: compare-and-swap decides by the key's last change", "",
-                   NetworkEnvironment, SimulatedEnvironment) {
+                   NetworkEnvironment, SimulatedEnvironment, UsersPlatformEnvironment) {
   TestType environment;
   const auto created = Put(environment, "k", "one", 0);
   REQUIRE(created.ok());
@@ -68,7 +69,7 @@
 }
 
 TEMPLATE_TEST_CASE("KeyValueStore: a transaction takes effect whole or not at all", "",
-                   NetworkEnvironment, SimulatedEnvironment) {
+                   NetworkEnvironment, SimulatedEnvironment, UsersPlatformEnvironment) {
   TestType environment;
   REQUIRE(Put(environment, "p/a", "1", 0).value().succeeded);
   Transaction transaction;
@@ -84,7 +85,7 @@
 }
 
 TEMPLATE_TEST_CASE("KeyValueStore: faults are told apart", "", NetworkEnvironment,
-                   SimulatedEnvironment) {
+                   SimulatedEnvironment, UsersPlatformEnvironment) {
   TestType environment;
   SECTION("an outage") {
     environment.SetKeyValueDown(true);
@@ -103,7 +104,7 @@
 }
 
 TEMPLATE_TEST_CASE("KeyValueStore: a lapsed lease takes its keys along", "", NetworkEnvironment,
-                   SimulatedEnvironment) {
+                   SimulatedEnvironment, UsersPlatformEnvironment) {
   TestType environment;
   const auto lease = Await<Outcome<LeaseId>>(
       environment, [&](auto done) { environment.key_value().GrantLease(seconds(1), done); });
@@ -123,7 +124,7 @@
 }
 
 TEMPLATE_TEST_CASE("KeyValueStore: a watch delivers in order, from where it starts, until it ends",
-                   "", NetworkEnvironment, SimulatedEnvironment) {
+                   "", NetworkEnvironment, SimulatedEnvironment, UsersPlatformEnvironment) {
   TestType environment;
   const auto first = Put(environment, "w/1", "a", 0);
   std::vector<std::string> seen;
