Go on leading after an outage, hold for the share of repeats, scale free repeats by the fleet

Ruled out: placement (orders were given as soon as a leader might). Change: a leader that wins again before another could have won and waited goes on after 0.4 s, and goes first by 0.3 s; the wait after another counts from the lapse (2.4 s with a lease of 3 s); not-run requests wait for their share as long as they may be held; the leader tells the fleet's size, and each daemon uses half of its part of the fleet's free repeats. main's error handling stands once (RunGuarded).

--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include "config/nearest_name.h"
+#include "config/strict_yaml.h"
 
 namespace moorfold {
 
@@ -56,4 +57,19 @@
   return true;
 }
 
+int RunGuarded(const std::string& name, const std::function<int()>& program) {
+  try {
+    return program();
+  } catch (const UsageError& error) {
+    std::cerr << error.what() << "\n";
+    return kExitBadUsage;
+  } catch (const ConfigError& error) {
+    std::cerr << error.what() << "\n";
+    return kExitBadUsage;
+  } catch (const std::exception& error) {
+    std::cerr << name << ": " << error.what() << "\n";
+    return kExitFailed;
+  }
+}
+
 }  // namespace moorfold
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -2,6 +2,7 @@
 
 #include <tclap/CmdLine.h>
 
+#include <functional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -41,6 +42,9 @@
 /// A subcommand's entry. @return an exit code.
 using CommandMain = int (*)(const std::vector<std::string>& arguments);
 
+/// Runs `program` and turns what it throws into a message on standard error and an exit code.
+int RunGuarded(const std::string& name, const std::function<int()>& program);
+
 int RunServe(const std::vector<std::string>& arguments);
 int RunValidate(const std::vector<std::string>& arguments);
 int RunPlan(const std::vector<std::string>& arguments);
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -75,16 +75,5 @@
 int main(int argc, char** argv) {
   google::InitGoogleLogging(argv[0]);
   FLAGS_logtostderr = true;
-  try {
-    return moorfold::Run({argv + 1, argv + argc});
-  } catch (const moorfold::UsageError& error) {
-    std::cerr << error.what() << "\n";
-    return moorfold::kExitBadUsage;
-  } catch (const moorfold::ConfigError& error) {
-    std::cerr << error.what() << "\n";
-    return moorfold::kExitBadUsage;
-  } catch (const std::exception& error) {
-    std::cerr << "moorfold: " << error.what() << "\n";
-    return moorfold::kExitFailed;
-  }
+  return moorfold::RunGuarded("moorfold", [&] { return moorfold::Run({argv + 1, argv + argc}); });
 }
--- a/src/fleet/demand_channel.cc
+++ b/src/fleet/demand_channel.cc
@@ -9,14 +9,17 @@
 
 namespace {
 constexpr std::size_t kEntriesPerDatagram = 24;
-constexpr std::chrono::seconds kReporterLife{5};
+constexpr std::chrono::seconds kReporterLife{60};
+/// A daemon that has not reported for so long has no request that waits.
+constexpr std::chrono::seconds kListening{5};
 }  // namespace
 
 DemandChannel::DemandChannel(boost::asio::io_context& context, const Endpoint& listen,
-                             ReportHandler reported, NoticeHandler noticed)
+                             ReportHandler reported, NoticeHandler noticed, SizeHandler sized)
     : socket_(context, udp::endpoint(boost::asio::ip::make_address(listen.address), listen.port)),
       reported_(std::move(reported)),
-      noticed_(std::move(noticed)) {
+      noticed_(std::move(noticed)),
+      sized_(std::move(sized)) {
   socket_.non_blocking(true);
 }
 
@@ -42,8 +45,10 @@
     if (auto* report = std::get_if<DemandReport>(&message)) {
       reporters_[from_] = steady_clock::now();
       reported_(std::move(*report));
+    } else if (const auto* notice = std::get_if<PlacementNotice>(&message)) {
+      noticed_(*notice);
     } else {
-      noticed_(std::get<PlacementNotice>(message));
+      sized_(std::get<FleetSize>(message));
     }
   } catch (const std::exception&) {  // Of another version, or no message: left alone.
   }
@@ -68,11 +73,12 @@
   if (!part.entries.empty() || report.entries.empty()) Send(part, target);
 }
 
-void DemandChannel::Broadcast(const PlacementNotice& notice) {
+void DemandChannel::Broadcast(const FleetMessage& message) {
   const auto now = steady_clock::now();
   std::erase_if(reporters_,
                 [&](const auto& reporter) { return now - reporter.second > kReporterLife; });
-  for (const auto& [endpoint, seen] : reporters_) Send(notice, endpoint);
+  for (const auto& [endpoint, seen] : reporters_)
+    if (now - seen < kListening) Send(message, endpoint);
 }
 
 }  // namespace moorfold
--- a/src/fleet/demand_channel.h
+++ b/src/fleet/demand_channel.h
@@ -19,16 +19,19 @@
  public:
   using ReportHandler = std::function<void(DemandReport)>;
   using NoticeHandler = std::function<void(const PlacementNotice&)>;
+  using SizeHandler = std::function<void(const FleetSize&)>;
 
   /// @throws boost::system::system_error when the address cannot be bound.
   DemandChannel(boost::asio::io_context& context, const Endpoint& listen, ReportHandler reported,
-                NoticeHandler noticed);
+                NoticeHandler noticed, SizeHandler sized);
 
   void Start();
   /// @param to "IP:PORT" of the leader.
   void SendReport(const std::string& to, const DemandReport& report);
   /// To every daemon that reported lately.
-  void Broadcast(const PlacementNotice& notice);
+  void Broadcast(const FleetMessage& message);
+  /// @return how many daemons reported within the last minute.
+  std::size_t reporters() const { return reporters_.size(); }
   Endpoint endpoint() const;
 
  private:
@@ -43,6 +46,7 @@
   boost::asio::ip::udp::socket socket_;
   ReportHandler reported_;
   NoticeHandler noticed_;
+  SizeHandler sized_;
   std::array<char, kLongestDatagram> buffer_{};
   boost::asio::ip::udp::endpoint from_;
   std::map<boost::asio::ip::udp::endpoint, Time> reporters_;
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -16,9 +16,6 @@
 constexpr milliseconds kTick{100};
 constexpr milliseconds kShortestPlanPause{15};
 constexpr int kPauseByDuration = 9;
-/// An order is given up, with its connection, before an older leader's last moment; see
-/// docs/PLATFORM-DESIGN.md.
-constexpr milliseconds kOrderTimeout{600};
 constexpr milliseconds kReportTimeout{600};
 constexpr milliseconds kPollEvery{150};
 constexpr milliseconds kLongestOperation{8'000};
@@ -245,7 +242,7 @@
 Awaitable<ServerOrderOutcome> FleetController::SendOrder(const ServerOrder& order,
                                                          const Endpoint& endpoint) {
   HttpSendOptions options;
-  options.deadline = steady_clock::now() + kOrderTimeout;
+  options.deadline = steady_clock::now() + LeaderElection::kLongestOrder;
   options.fresh_connection = true;
   try {
     HttpRequest request = protocol_.MakeOrder(order);
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -52,7 +52,17 @@
   }
 };
 
-using FleetMessage = std::variant<DemandReport, PlacementNotice>;
+/// From the leader to every daemon, now and then: how many daemons report to it.
+struct FleetSize {
+  std::uint32_t daemons = 1;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(daemons);
+  }
+};
+
+using FleetMessage = std::variant<DemandReport, PlacementNotice, FleetSize>;
 
 template <typename Archive>
 void serialize(Archive& archive, ModelReference& name) {
--- a/src/fleet/leader_election.cc
+++ b/src/fleet/leader_election.cc
@@ -16,6 +16,10 @@
 constexpr milliseconds kOwnHandoverWait{400};
 constexpr milliseconds kLongestJitter{150};
 constexpr milliseconds kCampaignPause{700};
+constexpr milliseconds kWaitMargin{300};
+/// A leader that lost its lease in an outage of the store goes first: it need not wait for its own
+/// orders.
+constexpr milliseconds kPrecedence{300};
 
 }  // namespace
 
@@ -39,9 +43,18 @@
          milliseconds(hash % static_cast<std::size_t>(kLongestJitter.count()));
 }
 
+/// An older leader's last order arrives no later than half a lease and an order's length after its
+/// last renewal, and its key lapses a whole lease after it: what is left to wait from then on.
+milliseconds LeaderElection::WaitAfterOther() const {
+  const milliseconds wait =
+      settings_.orders_apart + kLongestOrder + kWaitMargin - settings_.time_to_live / 2;
+  return std::max(milliseconds(0), wait);
+}
+
 void LeaderElection::KeyChanged(const std::optional<KeyValue>& entry, std::int64_t revision) {
   if (window_.leading() && revision < record_revision_) return;  // From before our own write.
   const bool had_leader = leader_.has_value();
+  const bool was_other = leader_ && leader_->name != settings_.name;
   leader_.reset();
   leader_lease_ = 0;
   if (entry) {
@@ -54,8 +67,10 @@
                  LogLine("leader_record_skipped").Field("problem", error.what()));
     }
   }
-  if (!leader_ && (had_leader || !key_known_))
-    campaign_not_before_ = steady_clock::now() + Jitter();
+  if (!leader_ && (had_leader || !key_known_)) {
+    const milliseconds precedence = was_other ? kPrecedence : milliseconds(0);
+    campaign_not_before_ = steady_clock::now() + precedence + Jitter();
+  }
   key_known_ = true;
   const bool ours = leader_ && lease_ != 0 && leader_lease_ == lease_;
   if (ours && window_.leading()) record_revision_ = std::max(record_revision_, revision);
@@ -111,7 +126,8 @@
 void LeaderElection::Won(std::int64_t revision) {
   if (window_.leading() || resigned_) return;
   const auto now = steady_clock::now();
-  const milliseconds wait = took_over_own_ ? kOwnHandoverWait : settings_.handover_wait;
+  const bool follows_own = took_over_own_ || window_.FollowsOwn(now, WaitAfterOther());
+  const milliseconds wait = follows_own ? kOwnHandoverWait : WaitAfterOther();
   window_.Win(grant_sent_, now + wait);
   token_ = revision;
   record_revision_ = revision;
@@ -181,7 +197,6 @@
 void LeaderElection::Lose(const std::string& why) {
   window_.Lose();
   lease_ = 0;
-  campaign_not_before_ = steady_clock::now() + kCampaignPause;
   log_.Write(LogRank::kFailure,
              LogLine("leadership_lost").Field("token", token_).Field("reason", why));
 }
--- a/src/fleet/leader_election.h
+++ b/src/fleet/leader_election.h
@@ -38,6 +38,12 @@
   bool MayOrder(Time now) const {
     return leading_ && now >= order_from_ && now < renewal_sent_ + time_to_live_ / 2;
   }
+  /// Whether leadership that is won anew at `now` follows on this machine's own without a gap: any
+  /// other would first have had to win after this lease lapsed, and then to wait `handover`.
+  bool FollowsOwn(Time now, std::chrono::milliseconds handover) const {
+    constexpr std::chrono::milliseconds kMargin{200};
+    return renewal_sent_ != Time{} && now < renewal_sent_ + time_to_live_ + handover - kMargin;
+  }
   /// Whether the lease may have lapsed.
   bool Lapsed(Time now) const { return now >= renewal_sent_ + time_to_live_; }
 
@@ -52,9 +58,9 @@
   std::string name;     ///< Of this machine.
   std::string address;  ///< "IP:PORT" for demand.
   std::string key;      ///< Of the leader record.
-  std::chrono::milliseconds time_to_live{2'000};
+  std::chrono::milliseconds time_to_live{3'000};
   /// How long orders of different machines must lie apart.
-  std::chrono::milliseconds handover_wait{3'000};
+  std::chrono::milliseconds orders_apart{3'000};
   /// How long this machine leaves the office to others: the weaker it is, the longer.
   std::chrono::milliseconds candidacy_delay{0};
 };
@@ -62,6 +68,9 @@
 /// Makes this daemon the fleet's leader when there is none. One thread.
 class LeaderElection {
  public:
+  /// An order that has no answer by then is given up with its connection.
+  static constexpr std::chrono::milliseconds kLongestOrder{600};
+
   LeaderElection(boost::asio::io_context& context, KeyValueStore& store, EventLog& log,
                  ElectionSettings settings);
 
@@ -93,6 +102,7 @@
   Transaction RecordTransaction(bool settled) const;
   bool MayCampaign() const;
   std::chrono::milliseconds Jitter() const;
+  std::chrono::milliseconds WaitAfterOther() const;
 
   KeyValueStore& store_;
   EventLog& log_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -20,7 +20,13 @@
 constexpr milliseconds kUnloadSettles{5'000};
 constexpr milliseconds kReportPause{60};
 constexpr milliseconds kHousekeeping{500};
+constexpr milliseconds kLeaderLease{3'000};
 constexpr milliseconds kStopCheck{50};
+/// Of the fleet's free repeats, for daemons that reported to the leader; the rest is left to those
+/// that have not heard how large the fleet is.
+constexpr double kFreeRepeatsUsed = 0.5;
+constexpr double kSmallestFleet = 4;
+constexpr double kFreeRepeatsOfUnknownFleet = 2;
 /// Until whoever deals connections has seen twice that this daemon is not ready.
 constexpr milliseconds kNotReadySeen{2'600};
 constexpr milliseconds kReserve{300};
@@ -50,15 +56,15 @@
     : context_(context),
       settings_(std::move(settings)),
       log_(log),
-      protocol_(protocol),
       view_(context.get_executor()),
       store_view_(context, store, protocol, view_, metrics_, log),
       channel_(
           context, settings_.peer,
           [this](const DemandReport& report) { controller_.AddReport(report); },
-          [this](const PlacementNotice& notice) { TakeNotice(notice); }),
+          [this](const PlacementNotice& notice) { TakeNotice(notice); },
+          [this](const FleetSize& size) { TakeSize(size); }),
       election_(context, store, log,
-                {settings_.name, ToString(channel_.endpoint()), kLeaderKey, milliseconds(2'000),
+                {settings_.name, ToString(channel_.endpoint()), kLeaderKey, kLeaderLease,
                  settings_.order_handover, CandidacyDelay(settings_)}),
       controller_(context, protocol, view_, election_, metrics_, log,
                   {settings_.name, settings_.load_window},
@@ -166,9 +172,21 @@
   }
 }
 
+/// The part of the fleet's free repeats that this daemon may use on top of its share by requests.
+void Gateway::TakeSize(const FleetSize& size) {
+  const double daemons = std::max<double>(size.daemons, kSmallestFleet);
+  pipeline_.SetFreeRepeats(
+      std::max(kFreeRepeatsOfUnknownFleet, settings_.retry_minimum * kFreeRepeatsUsed / daemons));
+}
+
 Awaitable<void> Gateway::KeepHouse() {
   while (true) {
     co_await Sleep(kHousekeeping);
+    if (election_.leading()) {
+      const FleetSize size{static_cast<std::uint32_t>(channel_.reporters()) + 1};
+      TakeSize(size);
+      channel_.Broadcast(size);
+    }
     pipeline_.Sweep();
     log_.Flush();
   }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -43,6 +43,7 @@
   Awaitable<void> AnswerReadiness(HttpServerExchange& exchange);
   Awaitable<void> AnswerMetrics(HttpServerExchange& exchange);
   void TakeNotice(const PlacementNotice& notice);
+  void TakeSize(const FleetSize& size);
   std::vector<std::string> UnreachableServers() const;
   Awaitable<void> ReportDemand();
   Awaitable<void> KeepHouse();
@@ -52,7 +53,6 @@
   boost::asio::io_context& context_;
   GatewaySettings settings_;
   EventLog& log_;
-  const FleetProtocol& protocol_;
   GatewayMetrics metrics_;
   FleetView view_;
   StoreView store_view_;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -22,6 +22,8 @@
   }
 }
 
+constexpr double kMostRepeats = 1'000'000;
+
 /// "PORT/PATH".
 std::optional<MetricsListen> ReadMetrics(YamlMap& map) {
   const std::string text = map.String("metrics", "");
@@ -56,6 +58,7 @@
   settings.metrics = ReadMetrics(root);
   settings.retry_window = ReadTime(root, "retry_window", settings.retry_window);
   settings.retry_ratio = root.Number("retry_ratio", 0, 1, settings.retry_ratio);
+  settings.retry_minimum = root.Number("retry_minimum", 0, kMostRepeats, settings.retry_minimum);
   settings.order_handover = ReadTime(root, "order_handover", settings.order_handover);
   settings.load_window = ReadTime(root, "load_window", settings.load_window);
   settings.drain_timeout = ReadTime(root, "drain_timeout", settings.drain_timeout);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -25,6 +25,7 @@
   std::optional<MetricsListen> metrics;
   std::chrono::milliseconds retry_window{10'000};
   double retry_ratio = 0.2;  ///< Most repeats for each request, over the whole fleet.
+  double retry_minimum = 0;  ///< Repeats that the whole fleet may send in a window in any case.
   std::chrono::milliseconds order_handover{3'000};
   std::chrono::milliseconds load_window{5'000};
   std::chrono::milliseconds drain_timeout{8'000};
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -22,7 +22,6 @@
 constexpr double kRetryAfterFullS = 0.2;
 /// Below the fleet's ratio, so that the edges of sliding windows stay inside it.
 constexpr double kRatioUsed = 0.8;
-constexpr double kFreeRepeats = 2;
 
 std::optional<milliseconds> ParseMilliseconds(std::string_view text) {
   std::int64_t number = 0;
@@ -122,10 +121,37 @@
 RetryAllowance& RequestPipeline::AllowanceOf(const std::string& service) {
   return allowances_
       .try_emplace(service, settings_.retry_window, settings_.retry_ratio * kRatioUsed,
-                   kFreeRepeats)
+                   free_repeats_)
       .first->second;
 }
 
+void RequestPipeline::SetFreeRepeats(double free_repeats) {
+  free_repeats_ = free_repeats;
+  for (auto& [service, allowance] : allowances_) allowance.set_free_repeats(free_repeats);
+}
+
+SteadyTime RequestPipeline::HoldEnd(const GatewayRequest& request) const {
+  return request.arrival + std::chrono::duration_cast<steady_clock::duration>(
+                               (request.end - request.arrival) * kHoldShare);
+}
+
+/// Waits until one more repeat may be sent; one that has not run may be held as long as one that
+/// has no server. @return whether it may.
+Awaitable<bool> RequestPipeline::AwaitAllowance(GatewayRequest& request,
+                                                RetryAllowance& allowance) {
+  while (!allowance.TryRepeat(steady_clock::now())) {
+    const bool held = request.may_have_run == 0 && !refuse_waiting_ && !request.client_left &&
+                      steady_clock::now() < HoldEnd(request);
+    if (!held) {
+      ++metrics_.repeats_denied;
+      co_return false;
+    }
+    co_await view_.changed.Wait(steady_clock::now() + kRetryPause);
+  }
+  ++metrics_.repeats;
+  co_return true;
+}
+
 std::optional<RequestPipeline::Refusal> RequestPipeline::Resolve(const HttpRequest& http,
                                                                  GatewayRequest& request) {
   const HeaderNames& names = protocol_.headers();
@@ -287,17 +313,11 @@
   std::string server_id;
   RetryAllowance& allowance = AllowanceOf(request.service);
   while (true) {
+    if (request.sends > 0 && !co_await AwaitAllowance(request, allowance)) break;
     const ServerPtr server = co_await AwaitServer(request);
     if (request.client_left) result.end = ForwardEnd::kClientLeft;
     if (!server || request.client_left) break;
-    if (request.sends == 0) {
-      allowance.CountFirst(steady_clock::now());
-    } else if (!allowance.TryRepeat(steady_clock::now())) {
-      ++metrics_.repeats_denied;
-      break;
-    } else {
-      ++metrics_.repeats;
-    }
+    if (request.sends == 0) allowance.CountFirst(steady_clock::now());
     ++request.sends;
     server_id = server->record().id;
     {
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -32,6 +32,8 @@
 
   Awaitable<void> Handle(HttpServerExchange& exchange);
   void Sweep() { forwarder_.Sweep(); }
+  /// Repeats to each service in a window that need no first sends.
+  void SetFreeRepeats(double free_repeats);
   /// Requests that have no server are refused from now on: this daemon is about to stop.
   void RefuseWaiting();
   /// Requests without the head of an answer are answered now, whatever their servers do.
@@ -66,6 +68,8 @@
               const std::string& reason, const std::string& server_id);
   void LogAttempt(const GatewayRequest& request, const Server& server, const ForwardResult& result);
   RetryAllowance& AllowanceOf(const std::string& service);
+  Awaitable<bool> AwaitAllowance(GatewayRequest& request, RetryAllowance& allowance);
+  SteadyTime HoldEnd(const GatewayRequest& request) const;
 
   const FleetProtocol& protocol_;
   FleetView& view_;
@@ -77,6 +81,7 @@
   std::map<std::string, RetryAllowance> allowances_;
   std::set<GatewayRequest*> active_;
   bool refuse_waiting_ = false;
+  double free_repeats_ = 2;
 };
 
 }  // namespace moorfold
--- a/src/gateway/retry_allowance.h
+++ b/src/gateway/retry_allowance.h
@@ -19,6 +19,7 @@
   RetryAllowance(std::chrono::milliseconds window, double ratio, double free_repeats)
       : slice_(window / kSlices), ratio_(ratio), free_repeats_(free_repeats) {}
 
+  void set_free_repeats(double free_repeats) { free_repeats_ = free_repeats; }
   void CountFirst(Time now) { ++At(now).firsts; }
   /// @return whether one more repeat may be sent now; counts it if so.
   bool TryRepeat(Time now) {
--- a/test/gateway/request_pipeline_test.cc
+++ b/test/gateway/request_pipeline_test.cc
@@ -110,6 +110,7 @@
 
 TEST_CASE("Any request goes elsewhere after a server says that it has not run it") {
   PipelineFixture fixture;
+  fixture.OnThread([&] { fixture.pipeline().SetFreeRepeats(20); });
   std::atomic<int> refused{0};
   ScriptedServer full(
       Always("HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Server-Load: 4,9,4\r\n"
@@ -124,6 +125,30 @@
   CHECK(fixture.Exchange(PipelineFixture::Request()).ends_with("done"));
 }
 
+TEST_CASE(
+    "A request that was not run waits for its share of the repeats instead of being refused") {
+  // Found on the bench: after a restart the share was used up, and a request whose model had just
+  // been unloaded was refused with most of its time left.
+  PipelineFixture fixture;
+  fixture.OnThread([&] { fixture.pipeline().SetFreeRepeats(0); });
+  std::atomic<int> requests{0};
+  ScriptedServer server([&](ScriptedConnection& connection) {
+    while (!connection.ReadHead().empty())
+      connection.Write(requests++ == 0 ? "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n"
+                                         "X-Request-Id: one\r\nContent-Length: 0\r\n\r\n"
+                                       : Ok("done"));
+  });
+  fixture.SetRoutes({PipelineFixture::MakeRoute(RouteType::kAtMostOnce)});
+  fixture.AddServer("i-1", server.endpoint());
+  auto answer =
+      std::async(std::launch::async, [&] { return fixture.Exchange(PipelineFixture::Request()); });
+  while (requests == 0) std::this_thread::sleep_for(milliseconds(2));
+  std::this_thread::sleep_for(milliseconds(100));
+  CHECK(requests == 1);  // No share, no second send.
+  fixture.OnThread([&] { fixture.pipeline().SetFreeRepeats(5); });
+  CHECK(answer.get().ends_with("done"));
+}
+
 TEST_CASE("A refusal of a server that does not say 'not run' never reaches the client as one") {
   PipelineFixture fixture;
   ScriptedServer server(Always("HTTP/1.1 503 Odd\r\n" + kSealed + "Content-Length: 0\r\n\r\n"));
