--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -333,6 +333,12 @@
     if (next != Next::kTryAgain) break;
     request.failed_servers.push_back(server_id);
   }
+  co_await Finish(exchange, request, result, server_id);
+}
+
+/// Counts, logs and, where the client has no answer yet, answers.
+Awaitable<void> RequestPipeline::Finish(HttpServerExchange& exchange, const GatewayRequest& request,
+                                        const ForwardResult& result, const std::string& server_id) {
   if (result.end == ForwardEnd::kAnswered) {
     ++metrics_.answered;
     metrics_.time_to_head.Observe(static_cast<double>(MillisecondsSince(request.arrival)));
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -56,6 +56,8 @@
 
   std::optional<Refusal> Resolve(const HttpRequest& http, GatewayRequest& request);
   Awaitable<void> Serve(HttpServerExchange& exchange, GatewayRequest& request);
+  Awaitable<void> Finish(HttpServerExchange& exchange, const GatewayRequest& request,
+                         const ForwardResult& result, const std::string& server_id);
   Awaitable<ServerPtr> AwaitServer(GatewayRequest& request);
   ServerPtr ChooseOnce(const GatewayRequest& request, NoServerReason& reason) const;
   SteadyTime AttemptEnd(const GatewayRequest& request) const;
--- a/test/emulator/main.cc
+++ b/test/emulator/main.cc
@@ -60,10 +60,21 @@
   return signals;
 }
 
+/// A port that nobody listens on, below those that the kernel gives to outgoing connections: a
+/// gateway that is started anew must find it free again.
 std::uint16_t FreePort() {
+  constexpr int kLowest = 15'000;
+  constexpr int kHighest = 30'000;
+  static std::mt19937 random{std::random_device{}()};
   boost::asio::io_context context;
-  boost::asio::ip::tcp::acceptor acceptor(context, {boost::asio::ip::address_v4::loopback(), 0});
-  return acceptor.local_endpoint().port();
+  while (true) {
+    const auto port =
+        static_cast<std::uint16_t>(std::uniform_int_distribution<int>(kLowest, kHighest)(random));
+    boost::asio::ip::tcp::acceptor acceptor(context, boost::asio::ip::tcp::v4());
+    boost::system::error_code taken;
+    acceptor.bind({boost::asio::ip::address_v4::loopback(), port}, taken);
+    if (!taken) return port;
+  }
 }
 
 struct Gateways {
