Use the bound on silent streams where requests wait for a server

Ruled out: the bound itself (HoldEnd was right). Change: AwaitServer uses HoldEnd. Conclusion: kept, since a refused client can come back and a silent one is lost.

--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -215,8 +215,7 @@
   if (ServerPtr server = ChooseOnce(request, reason)) co_return server;
   const WaitingCount waiting(view_.demand, request);
   const auto began = steady_clock::now();
-  const SteadyTime hold_end = request.arrival + std::chrono::duration_cast<steady_clock::duration>(
-                                                    (request.end - request.arrival) * kHoldShare);
+  const SteadyTime hold_end = HoldEnd(request);
   ++metrics_.waits_for_server;
   view_.demand_raised.NotifyAll();
   while (!request.client_left && !refuse_waiting_ && steady_clock::now() < hold_end) {
