--- a/scripts/soak_faults.sh
+++ b/scripts/soak_faults.sh
@@ -7,12 +7,13 @@
 seed=${1:?SEED}
 length=${2:?SECONDS}
 gateways=3
-build=build/release
 folder=$(mktemp -d "${TMPDIR:-/tmp}/moorfold-soak-$seed.XXXX")
+# Copies: a build meanwhile must not change the programs, nor keep them from being started.
+cp build/release/platform/moorfold-gateway build/release/test/moorfold-emulator "$folder"
 declare -a pids
 
 start_gateway() {  # NUMBER
-  "$build/platform/moorfold-gateway" --settings "$folder/gateway-$1.yaml" \
+  "$folder/moorfold-gateway" --settings "$folder/gateway-$1.yaml" \
     >>"$folder/gateway-$1.log" 2>&1 &
   pids[$1]=$!
 }
@@ -22,7 +23,7 @@
   start_gateway "$1"
 }
 
-"$build/test/moorfold-emulator" --seed "$seed" --seconds "$length" --gateways $gateways \
+"$folder/moorfold-emulator" --seed "$seed" --seconds "$length" --gateways $gateways \
   --folder "$folder" >"$folder/emulator.log" 2>&1 &
 emulator=$!
 for _ in $(seq 100); do
@@ -32,7 +33,7 @@
 for number in $(seq 0 $((gateways - 1))); do start_gateway "$number"; done
 
 began=$(date +%s.%N)
-"$build/test/moorfold-emulator" --seed "$seed" --seconds "$length" --gateways $gateways \
+"$folder/moorfold-emulator" --seed "$seed" --seconds "$length" --gateways $gateways \
   --print-signals >"$folder/signals.txt"
 while read -r at kind number duration; do
   now=$(date +%s.%N)
--- a/src/common/event_log.cc
+++ b/src/common/event_log.cc
@@ -40,11 +40,11 @@
 
 void EventLog::NoteLosses() {
   if (lost_ == lost_when_noted_) return;
-  pending_ += "event=log_lines_left_out total=" + std::to_string(lost_) + "\n";
+  pending_ += EventLine(LogEvent::kLogLinesLeftOut).Field(LogField::kTotal, lost_).text() + "\n";
   lost_when_noted_ = lost_;
 }
 
-void EventLog::Write(LogRank rank, const LogLine& line) {
+void EventLog::Write(LogRank rank, const EventLine& line) {
   if (!Admit(rank)) {
     ++lost_;
     return;
--- a/src/common/event_log.h
+++ b/src/common/event_log.h
@@ -4,7 +4,7 @@
 #include <cstdint>
 #include <string>
 
-#include "common/log_line.h"
+#include "common/log_event.h"
 
 namespace moorfold {
 
@@ -20,6 +20,13 @@
 class EventLog {
  public:
   struct Options {
+    /// @return bounds of a log of that many lines a second: a tenth may be routine, and failures
+    /// get twice as many.
+    static Options For(std::uint32_t lines_per_second) {
+      constexpr std::uint32_t kRoutineShare = 10;
+      return {lines_per_second / kRoutineShare, lines_per_second, 2 * lines_per_second};
+    }
+
     std::uint32_t routine_per_second = 20;
     std::uint32_t lines_per_second = 200;
     std::uint32_t failures_per_second = 400;
@@ -27,7 +34,7 @@
 
   EventLog(int descriptor, Options options);
 
-  void Write(LogRank rank, const LogLine& line);
+  void Write(LogRank rank, const EventLine& line);
   /// Hands the lines written so far to the output, as far as it takes them.
   void Flush();
   std::uint64_t lost() const { return lost_; }
--- /dev/null
+++ b/src/common/log_event.h
@@ -0,0 +1,172 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <type_traits>
+
+#include "common/log_line.h"
+
+namespace moorfold {
+
+/// Every event that a gateway logs. docs/OPERATIONS.md explains each; a test compares the two.
+enum class LogEvent : std::uint8_t {
+  kStart,
+  kStopping,
+  kStopped,
+  kReload,
+  kReloadFailed,
+  kStoreInTouch,
+  kStoreLost,
+  kConfiguration,
+  kServer,
+  kServerGone,
+  kEntrySkipped,
+  kLeaderRecordSkipped,
+  kLeaderSeen,
+  kLeadershipWon,
+  kLeadershipLost,
+  kLeadershipResigned,
+  kOrder,
+  kReportFailed,
+  kAttemptFailed,
+  kRequestEnd,
+  kRequestsOpen,
+  kLogLinesLeftOut,
+};
+inline constexpr std::array kLogEventNames = {
+    "start",         "stopping",          "stopped",         "reload",
+    "reload_failed", "store_in_touch",    "store_lost",      "configuration",
+    "server",        "server_gone",       "entry_skipped",   "leader_record_skipped",
+    "leader_seen",   "leadership_won",    "leadership_lost", "leadership_resigned",
+    "order",         "report_failed",     "attempt_failed",  "request_end",
+    "requests_open", "log_lines_left_out"};
+
+/// Every field of those events, explained there, too.
+enum class LogField : std::uint8_t {
+  kId,
+  kIds,
+  kOutcome,
+  kStatus,
+  kReason,
+  kProblem,
+  kMs,
+  kRoute,
+  kService,
+  kModel,
+  kAdapter,
+  kServer,
+  kSends,
+  kMayHaveRun,
+  kConfiguration,
+  kStoreAgeMs,
+  kExpectedMs,
+  kInFlight,
+  kRan,
+  kName,
+  kZone,
+  kListen,
+  kStore,
+  kAddress,
+  kState,
+  kModels,
+  kRevision,
+  kVersion,
+  kBefore,
+  kRoutes,
+  kKey,
+  kLeader,
+  kToken,
+  kLease,
+  kOrdersInMs,
+  kKind,
+  kOrderCount,
+  kConnections,
+  kActiveRequests,
+  kRequests,
+  kLogLinesLost,
+  kPeakMemoryKb,
+  kDrainTimeoutMs,
+  kOthers,
+  kTotal,
+};
+inline constexpr std::array kLogFieldNames = {"id",
+                                              "ids",
+                                              "outcome",
+                                              "status",
+                                              "reason",
+                                              "problem",
+                                              "ms",
+                                              "route",
+                                              "service",
+                                              "model",
+                                              "adapter",
+                                              "server",
+                                              "sends",
+                                              "may_have_run",
+                                              "configuration",
+                                              "store_age_ms",
+                                              "expected_ms",
+                                              "in_flight",
+                                              "ran",
+                                              "name",
+                                              "zone",
+                                              "listen",
+                                              "store",
+                                              "address",
+                                              "state",
+                                              "models",
+                                              "revision",
+                                              "version",
+                                              "before",
+                                              "routes",
+                                              "key",
+                                              "leader",
+                                              "token",
+                                              "lease",
+                                              "orders_in_ms",
+                                              "kind",
+                                              "order_count",
+                                              "connections",
+                                              "active_requests",
+                                              "requests",
+                                              "log_lines_lost",
+                                              "peak_memory_kb",
+                                              "drain_timeout_ms",
+                                              "others",
+                                              "total"};
+
+/// @return the name as it stands in the log.
+constexpr const char* Name(LogEvent event) {
+  return kLogEventNames[static_cast<std::size_t>(event)];
+}
+constexpr const char* Name(LogField field) {
+  return kLogFieldNames[static_cast<std::size_t>(field)];
+}
+static_assert(kLogEventNames.size() == static_cast<std::size_t>(LogEvent::kLogLinesLeftOut) + 1);
+static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kTotal) + 1);
+
+/// One line of a gateway's log, made only of listed events and fields.
+class EventLine {
+ public:
+  explicit EventLine(LogEvent event) : line_(Name(event)) {}
+
+  EventLine& Field(LogField field, const std::string& value) {
+    line_.Field(Name(field), value);
+    return *this;
+  }
+  template <typename Number>
+    requires std::is_arithmetic_v<Number>
+  EventLine& Field(LogField field, Number value) {
+    line_.Field(Name(field), value);
+    return *this;
+  }
+
+  const std::string& text() const { return line_.text(); }
+
+ private:
+  LogLine line_;
+};
+
+}  // namespace moorfold
--- a/src/fleet/demand.cc
+++ b/src/fleet/demand.cc
@@ -20,10 +20,16 @@
   return entries;
 }
 
-bool DemandBook::AnyWaiting() const {
-  for (const auto& [key, count] : counts_)
-    if (count.waiting > 0) return true;
-  return false;
+std::int64_t DemandBook::Waiting() const {
+  std::int64_t waiting = 0;
+  for (const auto& [key, count] : counts_) waiting += count.waiting;
+  return waiting;
+}
+
+std::int64_t DemandBook::InFlight() const {
+  std::int64_t in_flight = 0;
+  for (const auto& [key, count] : counts_) in_flight += count.in_flight;
+  return in_flight;
 }
 
 }  // namespace moorfold
--- a/src/fleet/demand.h
+++ b/src/fleet/demand.h
@@ -39,7 +39,10 @@
   }
   /// @return what has happened since the last call; entries with nothing in them are forgotten.
   std::vector<DemandEntry> Take();
-  bool AnyWaiting() const;
+  /// @return requests that wait for a server now, over all models.
+  std::int64_t Waiting() const;
+  /// @return requests at servers now, over all models.
+  std::int64_t InFlight() const;
 
  private:
   std::map<Key, Count> counts_;
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -192,7 +192,10 @@
   managed->intended = step.intended;
   if (step.kind == ServerOrderKind::kLoad && step.name.adapter.empty())
     managed->incoming = step.name.model;
-  if (step.from_weight_store) loads_.Count(steady_clock::now());
+  if (step.from_weight_store) {
+    loads_.Count(steady_clock::now());
+    ++metrics_.loads_from_weight_store;
+  }
   if (step.kind == ServerOrderKind::kUnload) Notify(managed->id, step.name, false);
   boost::asio::co_spawn(context_, CarryOut(managed, step, order, server.record().endpoint),
                         boost::asio::detached);
@@ -208,8 +211,9 @@
     if (response.status != http_status::kOk) co_return std::nullopt;
     co_return protocol_.ParseReport(response.body);
   } catch (const std::exception& error) {
-    log_.Write(LogRank::kDecision,
-               LogLine("report_failed").Field("server", id).Field("problem", error.what()));
+    log_.Write(LogRank::kDecision, EventLine(LogEvent::kReportFailed)
+                                       .Field(LogField::kServer, id)
+                                       .Field(LogField::kProblem, error.what()));
   }
   co_return std::nullopt;
 }
@@ -254,18 +258,16 @@
 }
 
 void FleetController::NoteOrder(const ServerOrder& order, ServerOrderOutcome outcome) {
-  ++metrics_.orders_sent;
-  if (outcome == ServerOrderOutcome::kNoAnswer) ++metrics_.orders_unanswered;
-  if (outcome == ServerOrderOutcome::kConflict) ++metrics_.orders_conflicting;
-  log_.Write(LogRank::kDecision,
-             LogLine("order")
-                 .Field("kind", order.kind == ServerOrderKind::kLoad ? "load" : "unload")
-                 .Field("model", order.model)
-                 .Field("adapter", order.adapter)
-                 .Field("server", order.server_id)
-                 .Field("order_count", order.order_count)
-                 .Field("token", order.fencing_token)
-                 .Field("outcome", Name(outcome)));
+  const char* kind = order.kind == ServerOrderKind::kLoad ? "load" : "unload";
+  metrics_.orders.Add({{"kind", kind}, {"outcome", Name(outcome)}});
+  log_.Write(LogRank::kDecision, EventLine(LogEvent::kOrder)
+                                     .Field(LogField::kKind, kind)
+                                     .Field(LogField::kModel, order.model)
+                                     .Field(LogField::kAdapter, order.adapter)
+                                     .Field(LogField::kServer, order.server_id)
+                                     .Field(LogField::kOrderCount, order.order_count)
+                                     .Field(LogField::kToken, order.fencing_token)
+                                     .Field(LogField::kOutcome, Name(outcome)));
 }
 
 void FleetController::TakeOutcome(ManagedServer& managed, const PlacementStep& step,
--- a/src/fleet/leader_election.cc
+++ b/src/fleet/leader_election.cc
@@ -64,7 +64,7 @@
       leader_lease_ = entry->lease;
     } catch (const std::exception& error) {
       log_.Write(LogRank::kFailure,
-                 LogLine("leader_record_skipped").Field("problem", error.what()));
+                 EventLine(LogEvent::kLeaderRecordSkipped).Field(LogField::kProblem, error.what()));
     }
   }
   if (!leader_ && (had_leader || !key_known_)) {
@@ -76,9 +76,10 @@
   if (ours && window_.leading()) record_revision_ = std::max(record_revision_, revision);
   if (window_.leading() && !ours) Lose("the leader key is another's or gone");
   if (ours && !window_.leading() && !campaigning_) Won(entry->mod_revision);
-  log_.Write(LogRank::kDecision, LogLine("leader_seen")
-                                     .Field("leader", leader_ ? leader_->name : std::string("none"))
-                                     .Field("revision", revision));
+  log_.Write(LogRank::kDecision,
+             EventLine(LogEvent::kLeaderSeen)
+                 .Field(LogField::kLeader, leader_ ? leader_->name : std::string("none"))
+                 .Field(LogField::kRevision, revision));
 }
 
 bool LeaderElection::MayCampaign() const {
@@ -133,10 +134,10 @@
   record_revision_ = revision;
   settling_ = false;
   unsure_ = false;
-  log_.Write(LogRank::kDecision, LogLine("leadership_won")
-                                     .Field("token", token_)
-                                     .Field("lease", lease_)
-                                     .Field("orders_in_ms", wait.count()));
+  log_.Write(LogRank::kDecision, EventLine(LogEvent::kLeadershipWon)
+                                     .Field(LogField::kToken, token_)
+                                     .Field(LogField::kLease, lease_)
+                                     .Field(LogField::kOrdersInMs, wait.count()));
 }
 
 void LeaderElection::RenewOrLose() {
@@ -197,15 +198,17 @@
 void LeaderElection::Lose(const std::string& why) {
   window_.Lose();
   lease_ = 0;
-  log_.Write(LogRank::kFailure,
-             LogLine("leadership_lost").Field("token", token_).Field("reason", why));
+  log_.Write(LogRank::kFailure, EventLine(LogEvent::kLeadershipLost)
+                                    .Field(LogField::kToken, token_)
+                                    .Field(LogField::kReason, why));
 }
 
 void LeaderElection::Resign() {
   resigned_ = true;
   if (!window_.leading()) return;
   window_.Lose();
-  log_.Write(LogRank::kDecision, LogLine("leadership_resigned").Field("token", token_));
+  log_.Write(LogRank::kDecision,
+             EventLine(LogEvent::kLeadershipResigned).Field(LogField::kToken, token_));
   store_.RevokeLease(lease_, [](const Outcome<bool>&) {});
 }
 
--- /dev/null
+++ b/src/gateway/counting_store.cc
@@ -0,0 +1,69 @@
+#include "gateway/counting_store.h"
+
+namespace moorfold {
+
+namespace {
+
+const char* Name(PlatformFault fault) {
+  switch (fault) {
+    case PlatformFault::kUnavailable:
+      return "unavailable";
+    case PlatformFault::kRateLimited:
+      return "rate_limited";
+    case PlatformFault::kNoAnswer:
+      return "no_answer";
+    case PlatformFault::kRejected:
+      return "rejected";
+  }
+  return "unknown";
+}
+
+void Count(GatewayMetrics& metrics, const char* call, const char* outcome) {
+  metrics.store_calls.Add({{"call", call}, {"outcome", outcome}});
+}
+
+}  // namespace
+
+template <typename T>
+KeyValueStore::Callback<T> CountingStore::Counted(const char* call, Callback<T> done) {
+  return [this, call, done = std::move(done)](Outcome<T> result) {
+    Count(metrics_, call, result.ok() ? "ok" : Name(result.failure().fault));
+    done(std::move(result));
+  };
+}
+
+void CountingStore::Range(KeyRange range, Callback<RangeResult> done) {
+  store_.Range(std::move(range), Counted("range", std::move(done)));
+}
+
+void CountingStore::Transact(Transaction transaction, Callback<TransactionResult> done) {
+  store_.Transact(std::move(transaction), Counted("transact", std::move(done)));
+}
+
+void CountingStore::GrantLease(Duration time_to_live, Callback<LeaseId> done) {
+  store_.GrantLease(time_to_live, Counted("grant_lease", std::move(done)));
+}
+
+void CountingStore::KeepLeaseAlive(LeaseId lease, Callback<Duration> done) {
+  store_.KeepLeaseAlive(lease, Counted("keep_lease", std::move(done)));
+}
+
+void CountingStore::RevokeLease(LeaseId lease, Callback<bool> done) {
+  store_.RevokeLease(lease, Counted("revoke_lease", std::move(done)));
+}
+
+std::unique_ptr<WatchHandle> CountingStore::Watch(KeyRange range, std::int64_t start,
+                                                  WatchCallback changed, WatchEndCallback ended) {
+  return store_.Watch(
+      std::move(range), start,
+      [this, changed = std::move(changed)](const WatchBatch& batch) {
+        Count(metrics_, "watch", "ok");
+        changed(batch);
+      },
+      [this, ended = std::move(ended)](PlatformFailure failure) {
+        Count(metrics_, "watch", Name(failure.fault));
+        ended(std::move(failure));
+      });
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/gateway/counting_store.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <memory>
+
+#include "gateway/gateway_metrics.h"
+#include "ports/key_value_store.h"
+
+namespace moorfold {
+
+/// Counts the calls to a store by kind and outcome, and passes them on. One thread; the store and
+/// the metrics outlive it and every call under way.
+class CountingStore final : public KeyValueStore {
+ public:
+  CountingStore(KeyValueStore& store, GatewayMetrics& metrics) : store_(store), metrics_(metrics) {}
+
+  void Range(KeyRange range, Callback<RangeResult> done) override;
+  void Transact(Transaction transaction, Callback<TransactionResult> done) override;
+  void GrantLease(Duration time_to_live, Callback<LeaseId> done) override;
+  void KeepLeaseAlive(LeaseId lease, Callback<Duration> done) override;
+  void RevokeLease(LeaseId lease, Callback<bool> done) override;
+  /// Counts each batch and the end.
+  std::unique_ptr<WatchHandle> Watch(KeyRange range, std::int64_t start, WatchCallback changed,
+                                     WatchEndCallback ended) override;
+
+ private:
+  template <typename T>
+  Callback<T> Counted(const char* call, Callback<T> done);
+
+  KeyValueStore& store_;
+  GatewayMetrics& metrics_;
+};
+
+}  // namespace moorfold
--- a/src/gateway/explain.cc
+++ b/src/gateway/explain.cc
@@ -43,16 +43,40 @@
   return text.str();
 }
 
+/// Whether a line is about the request, by itself or in a list.
+bool Names(const LoggedEvent& line, const std::string& request_id) {
+  if (FieldOf(line.text, "id") == request_id) return true;
+  const std::string ids = "," + FieldOf(line.text, "ids") + ",";
+  return ids.find("," + request_id + ",") != std::string::npos;
+}
+
+/// What became of a daemon after its last line on a request that has no end: a start that no stop
+/// came before tells that the process was killed.
+std::string TellFate(const std::vector<const LoggedEvent*>& log, const LoggedEvent& last) {
+  bool stopped = false;
+  for (const LoggedEvent* line : log) {
+    if (line->time_us <= last.time_us) continue;
+    stopped = stopped || line->event == "stopped";
+    if (line->event != "start") continue;
+    return stopped ? "  then: the daemon stopped as planned"
+                   : "  then: the daemon ended without a word; it started again " +
+                         Milliseconds(line->time_us - last.time_us) + " later";
+  }
+  return "  then: nothing more; it is still under way, or the daemon has ended";
+}
+
 /// What one daemon's log says about the request.
 std::vector<std::string> ExplainAt(const std::vector<const LoggedEvent*>& log,
                                    const std::string& request_id) {
   std::set<std::string> servers;
   const LoggedEvent* first = nullptr;
   const LoggedEvent* last = nullptr;
+  bool ended = false;
   for (const LoggedEvent* line : log) {
-    if (FieldOf(line->text, "id") != request_id) continue;
+    if (!Names(*line, request_id)) continue;
     if (first == nullptr) first = line;
     last = line;
+    ended = ended || line->event == "request_end";
     const std::string server = FieldOf(line->text, "server");
     if (!server.empty()) servers.insert(server);
   }
@@ -74,7 +98,8 @@
     told.push_back("  believed, " + Milliseconds(last->time_us - line->time_us) +
                    " before its end: " + line->text);
   for (const LoggedEvent* line : log)
-    if (FieldOf(line->text, "id") == request_id) told.push_back("  request: " + line->text);
+    if (Names(*line, request_id)) told.push_back("  request: " + line->text);
+  if (!ended) told.push_back(TellFate(log, *last));
   return told;
 }
 
--- a/src/gateway/explain.h
+++ b/src/gateway/explain.h
@@ -19,6 +19,7 @@
 
 /// Tells what happened to one request: its own lines, and what each daemon that wrote one of them
 /// believed by then of the store, its configuration, the leader, and the servers that were tried.
+/// Where the request's end is missing, it tells what became of the daemon.
 /// @return lines for people, or an empty list when no log names the request.
 std::vector<std::string> ExplainRequest(const std::vector<LoggedEvent>& events,
                                         const std::string& request_id);
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -20,6 +20,7 @@
   RouteTableConstPtr routes;  ///< Null until a configuration is known.
   ServerDirectory servers;
   DemandBook demand;
+  SteadyTime configured_at{};  ///< When `routes` was taken over.
   SteadyTime last_store_contact{};
   AsyncSignal changed;        ///< Notified when a waiting request may find a server now.
   AsyncSignal demand_raised;  ///< Notified when a request begins to wait for a server.
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -33,6 +33,10 @@
   return std::chrono::duration_cast<milliseconds>(end - steady_clock::now());
 }
 
+double ElapsedMs(SteadyTime since) {
+  return std::chrono::duration<double, std::milli>(steady_clock::now() - since).count();
+}
+
 /// How long the server keeps a resting connection, less a second for the way there.
 milliseconds KeepTime(const HttpHeaders& headers) {
   const std::string_view keep_alive = FindHeader(headers, "Keep-Alive");
@@ -87,8 +91,14 @@
   boost::asio::steady_timer timer_;
 };
 
-Forwarder::Forwarder(boost::asio::io_context& context, const FleetProtocol& protocol)
-    : context_(context), protocol_(protocol) {}
+Forwarder::Forwarder(boost::asio::io_context& context, const FleetProtocol& protocol,
+                     GatewayMetrics& metrics)
+    : context_(context), protocol_(protocol), metrics_(metrics) {}
+
+void Forwarder::NoteHead(GatewayRequest& request) {
+  request.head_sent = true;
+  metrics_.time_to_head.Observe(ElapsedMs(request.arrival));
+}
 
 milliseconds Forwarder::LongestRest(const GatewayRequest& request) {
   if (request.Repeatable()) return kLongestRest;
@@ -197,7 +207,7 @@
   response.headers = EndToEndHeaders(headers);
   const unsigned status = response.status;
   if (request.client_left) co_return ForwardResult{ForwardEnd::kClientLeft, status, ""};
-  request.head_sent = true;
+  NoteHead(request);
   co_await exchange.Respond(std::move(response));
   co_return ForwardResult{ForwardEnd::kAnswered, status, ""};
 }
@@ -206,6 +216,7 @@
                                                GatewayRequest& request, HttpHeaders headers) {
   const unsigned status = request.upstream->status();
   EventSplitter splitter;
+  SteadyTime last_events = steady_clock::now();
   bool ended = false;
   try {
     while (!ended) {
@@ -215,8 +226,10 @@
       if (ended && !splitter.pending().empty())
         throw HttpError(HttpStage::kReadingAnswer, false, "the stream ended inside an event");
       if (events.empty()) continue;
+      if (request.head_sent) metrics_.event_gap.Observe(ElapsedMs(last_events));
+      last_events = steady_clock::now();
       if (!request.head_sent) {
-        request.head_sent = true;
+        NoteHead(request);
         co_await exchange.BeginStream(status, EndToEndHeaders(headers));
       }
       co_await exchange.Write(std::move(events));
@@ -228,7 +241,7 @@
     co_return ForwardResult{end, status, error.what()};
   }
   if (!request.head_sent) {
-    request.head_sent = true;
+    NoteHead(request);
     co_await exchange.BeginStream(status, EndToEndHeaders(headers));
   }
   co_await exchange.EndStream();
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <memory>
 
+#include "gateway/gateway_metrics.h"
 #include "gateway/gateway_request.h"
 #include "http/http_server.h"
 #include "http/upstream_connection.h"
@@ -14,7 +15,8 @@
 /// answer, streams. Decides nothing about other servers. One thread.
 class Forwarder {
  public:
-  Forwarder(boost::asio::io_context& context, const FleetProtocol& protocol);
+  Forwarder(boost::asio::io_context& context, const FleetProtocol& protocol,
+            GatewayMetrics& metrics);
 
   /// @param attempt_end when to give the attempt up; no later than the request's end.
   /// @param last_attempt whether a failure answer of the server is to be passed on.
@@ -42,9 +44,11 @@
   static std::chrono::milliseconds LongestRest(const GatewayRequest& request);
   void NoteUnanswered(const UpstreamConnection& upstream);
   void GiveBack(const GatewayRequest& request, const Server& server);
+  void NoteHead(GatewayRequest& request);
 
   boost::asio::io_context& context_;
   const FleetProtocol& protocol_;
+  GatewayMetrics& metrics_;
   UpstreamPool pool_;
   std::uint64_t connections_opened_ = 0;
   /// The longest that a connection may have rested; less where servers forget them sooner.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -57,13 +57,14 @@
       settings_(std::move(settings)),
       log_(log),
       view_(context.get_executor()),
-      store_view_(context, store, protocol, view_, metrics_, log),
+      store_(store, metrics_),
+      store_view_(context, store_, protocol, view_, metrics_, log),
       channel_(
           context, settings_.peer,
           [this](const DemandReport& report) { controller_.AddReport(report); },
           [this](const PlacementNotice& notice) { TakeNotice(notice); },
           [this](const FleetSize& size) { TakeSize(size); }),
-      election_(context, store, log,
+      election_(context, store_, log,
                 {settings_.name, ToString(channel_.endpoint()), kLeaderKey, kLeaderLease,
                  settings_.order_handover, CandidacyDelay(settings_)}),
       controller_(context, protocol, view_, election_, metrics_, log,
@@ -88,12 +89,12 @@
 }
 
 void Gateway::Start() {
-  log_.Write(LogRank::kFailure, LogLine("start")
-                                    .Field("name", settings_.name)
-                                    .Field("zone", settings_.zone)
-                                    .Field("listen", ToString(front_->endpoint()))
-                                    .Field("store", ToString(settings_.store))
-                                    .Field("peak_memory_kb", PeakMemoryKilobytes()));
+  log_.Write(LogRank::kFailure, EventLine(LogEvent::kStart)
+                                    .Field(LogField::kName, settings_.name)
+                                    .Field(LogField::kZone, settings_.zone)
+                                    .Field(LogField::kListen, ToString(front_->endpoint()))
+                                    .Field(LogField::kStore, ToString(settings_.store))
+                                    .Field(LogField::kPeakMemoryKb, PeakMemoryKilobytes()));
   front_->Start();
   readiness_->Start();
   if (figures_) figures_->Start();
@@ -134,6 +135,10 @@
   }
   metrics_.log_lines_lost = log_.lost();
   metrics_.peak_memory_kb = PeakMemoryKilobytes();
+  if (view_.routes)
+    metrics_.configuration_age_ms =
+        std::chrono::duration_cast<milliseconds>(steady_clock::now() - view_.configured_at).count();
+  pipeline_.DescribeLoad();
   metrics_.store_silence_ms =
       std::chrono::duration_cast<milliseconds>(steady_clock::now() - view_.last_store_contact)
           .count();
@@ -188,23 +193,25 @@
       channel_.Broadcast(size);
     }
     pipeline_.Sweep();
+    pipeline_.ListOpen();
     log_.Flush();
   }
 }
 
 void Gateway::Reload(const GatewaySettings& settings) {
   settings_.drain_timeout = settings.drain_timeout;
-  log_.Write(LogRank::kFailure, LogLine("reload")
-                                    .Field("drain_timeout_ms", settings.drain_timeout.count())
-                                    .Field("others", "at the next start"));
+  log_.Write(LogRank::kFailure,
+             EventLine(LogEvent::kReload)
+                 .Field(LogField::kDrainTimeoutMs, settings.drain_timeout.count())
+                 .Field(LogField::kOthers, "at the next start"));
 }
 
 void Gateway::BeginStop() {
   if (stopping_) return;
   stopping_ = true;
-  log_.Write(LogRank::kFailure, LogLine("stopping")
-                                    .Field("connections", front_->open_connections())
-                                    .Field("active_requests", front_->active_requests()));
+  log_.Write(LogRank::kFailure, EventLine(LogEvent::kStopping)
+                                    .Field(LogField::kConnections, front_->open_connections())
+                                    .Field(LogField::kActiveRequests, front_->active_requests()));
   front_->AnnounceClose();
   controller_.Stop();
   boost::asio::co_spawn(context_, Stop(), boost::asio::detached);
@@ -232,12 +239,13 @@
     }
     co_await Sleep(kStopCheck);
   }
-  log_.Write(LogRank::kFailure, LogLine("stopped")
-                                    .Field("connections", front_->open_connections())
-                                    .Field("active_requests", front_->active_requests())
-                                    .Field("requests", metrics_.requests)
-                                    .Field("log_lines_lost", log_.lost())
-                                    .Field("peak_memory_kb", PeakMemoryKilobytes()));
+  pipeline_.NoteCut();
+  log_.Write(LogRank::kFailure, EventLine(LogEvent::kStopped)
+                                    .Field(LogField::kConnections, front_->open_connections())
+                                    .Field(LogField::kActiveRequests, front_->active_requests())
+                                    .Field(LogField::kRequests, metrics_.requests)
+                                    .Field(LogField::kLogLinesLost, log_.lost())
+                                    .Field(LogField::kPeakMemoryKb, PeakMemoryKilobytes()));
   log_.Flush();
   context_.stop();
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include "fleet/demand_channel.h"
 #include "fleet/fleet_controller.h"
 #include "fleet/leader_election.h"
+#include "gateway/counting_store.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
@@ -55,6 +56,7 @@
   EventLog& log_;
   GatewayMetrics metrics_;
   FleetView view_;
+  CountingStore store_;
   StoreView store_view_;
   DemandChannel channel_;
   LeaderElection election_;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -55,18 +55,25 @@
   Count(text, "repeats", repeats);
   Count(text, "repeats_denied", repeats_denied);
   Count(text, "waits_for_server", waits_for_server);
-  Count(text, "store_failures", store_failures);
-  Count(text, "store_batches", store_batches);
-  Count(text, "orders_sent", orders_sent);
-  Count(text, "orders_unanswered", orders_unanswered);
-  Count(text, "orders_conflicting", orders_conflicting);
+  requests_ended.Render("requests_ended_total", text);
+  store_calls.Render("store_calls_total", text);
+  orders.Render("orders_total", text);
+  Count(text, "loads_from_weight_store", loads_from_weight_store);
   Count(text, "log_lines_lost", log_lines_lost);
   Gauge(text, "configuration_version", configuration_version);
   Gauge(text, "servers_known", servers_known);
   Gauge(text, "leading", leading);
   Gauge(text, "store_silence_ms", store_silence_ms);
+  Gauge(text, "configuration_age_ms", configuration_age_ms);
+  Gauge(text, "requests_open", requests_open);
+  Gauge(text, "requests_waiting", requests_waiting);
+  Gauge(text, "requests_at_servers", requests_at_servers);
+  for (const RepeatsLeft& left : repeats_left)
+    Line(text, "repeats_left{service=\"" + left.service + "\"}", Decimal(left.repeats));
   Gauge(text, "peak_memory_kb", peak_memory_kb);
   time_to_head.Render("time_to_answer_ms", text);
+  time_to_end.Render("time_to_end_ms", text);
+  event_gap.Render("event_gap_ms", text);
   wait_for_server.Render("wait_for_server_ms", text);
   return text;
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -3,6 +3,9 @@
 #include <array>
 #include <cstdint>
 #include <string>
+#include <vector>
+
+#include "gateway/labelled_counter.h"
 
 namespace moorfold {
 
@@ -21,6 +24,12 @@
   double sum_ms_ = 0;
 };
 
+/// Repeats that one service's requests may still send now.
+struct RepeatsLeft {
+  std::string service;
+  double repeats = 0;
+};
+
 /// What a gateway counts. One thread.
 struct GatewayMetrics {
   std::uint64_t requests = 0;
@@ -33,18 +42,24 @@
   std::uint64_t repeats = 0;
   std::uint64_t repeats_denied = 0;
   std::uint64_t waits_for_server = 0;
-  std::uint64_t store_failures = 0;
-  std::uint64_t store_batches = 0;
-  std::uint64_t orders_sent = 0;
-  std::uint64_t orders_unanswered = 0;
-  std::uint64_t orders_conflicting = 0;
+  LabelledCounter requests_ended;  ///< By route, kind, outcome and reason.
+  LabelledCounter store_calls;     ///< By call and outcome.
+  LabelledCounter orders;          ///< By kind and outcome.
+  std::uint64_t loads_from_weight_store = 0;
   std::uint64_t log_lines_lost = 0;
   std::int64_t configuration_version = 0;
   std::int64_t servers_known = 0;
   std::int64_t leading = 0;
-  std::int64_t store_silence_ms = 0;
+  std::int64_t store_silence_ms = 0;  ///< Age of the view of the servers.
+  std::int64_t configuration_age_ms = 0;
+  std::int64_t requests_open = 0;
+  std::int64_t requests_waiting = 0;  ///< For a server.
+  std::int64_t requests_at_servers = 0;
+  std::vector<RepeatsLeft> repeats_left;
   std::int64_t peak_memory_kb = 0;
-  LatencyHistogram time_to_head;
+  LatencyHistogram time_to_head;  ///< From a request's arrival to the head of its answer.
+  LatencyHistogram time_to_end;
+  LatencyHistogram event_gap;  ///< Between events of a stream, as they were passed on.
   LatencyHistogram wait_for_server;
 
   /// @return all figures in Prometheus' text format.
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -27,6 +27,8 @@
   SteadyTime end;  ///< The earlier of the client's deadline and the route's time-out.
   bool client_left = false;
   bool head_sent = false;          ///< The client has the head of an answer.
+  bool listed_open = false;        ///< The log has told that it is under way.
+  double expected_ms = 0;          ///< For which its server was chosen: time to a first byte.
   std::string last_event;          ///< Last whole event that the client has.
   std::uint32_t sends = 0;         ///< Servers that it was sent to.
   std::uint32_t may_have_run = 0;  ///< Servers on which it may have run.
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -23,6 +23,7 @@
 }
 
 constexpr double kMostRepeats = 1'000'000;
+constexpr std::int64_t kMostLogLines = 100'000;
 
 /// "PORT/PATH".
 std::optional<MetricsListen> ReadMetrics(YamlMap& map) {
@@ -63,6 +64,8 @@
   settings.load_window = ReadTime(root, "load_window", settings.load_window);
   settings.drain_timeout = ReadTime(root, "drain_timeout", settings.drain_timeout);
   settings.staleness_bound = ReadTime(root, "staleness_bound", settings.staleness_bound);
+  settings.log_lines_per_second = static_cast<std::uint32_t>(
+      root.Integer("log_lines_per_second", 0, kMostLogLines, settings.log_lines_per_second));
   settings.cpu_share = root.Number("cpu_share", 0, 4096, settings.cpu_share);
   root.Finish();
   problems.ThrowIfAny();
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -31,6 +31,9 @@
   std::chrono::milliseconds drain_timeout{8'000};
   /// A configuration must be in force, and a leaving server unused, so soon after the store has it.
   std::chrono::milliseconds staleness_bound{2'000};
+  /// Lines of the log in a second; a tenth of it for ordinary served requests, twice as many when
+  /// something fails. 0: no log.
+  std::uint32_t log_lines_per_second = 200;
   double cpu_share = 1;  ///< Of a core, that this machine gives; the strong lead before the weak.
 };
 
--- /dev/null
+++ b/src/gateway/labelled_counter.cc
@@ -0,0 +1,60 @@
+#include "gateway/labelled_counter.h"
+
+namespace moorfold {
+
+namespace {
+
+void AppendEscaped(std::string_view value, std::string& text) {
+  for (const char character : value) {
+    if (character == '"' || character == '\\') text += '\\';
+    if (character == '\n')
+      text += "\\n";
+    else
+      text += character;
+  }
+}
+
+std::string RenderLabels(std::initializer_list<MetricLabel> labels) {
+  std::string text;
+  for (const MetricLabel& label : labels) {
+    if (!text.empty()) text += ',';
+    text += label.name;
+    text += "=\"";
+    AppendEscaped(label.value, text);
+    text += '"';
+  }
+  return text;
+}
+
+}  // namespace
+
+void LabelledCounter::Add(std::initializer_list<MetricLabel> labels) {
+  const std::string key = RenderLabels(labels);
+  const auto found = series_.find(key);
+  if (found != series_.end())
+    ++found->second;
+  else if (series_.size() < kMostSeries)
+    series_.emplace(key, 1);
+  else
+    ++others_;
+}
+
+std::uint64_t LabelledCounter::Count(std::initializer_list<MetricLabel> labels) const {
+  const auto found = series_.find(RenderLabels(labels));
+  return found == series_.end() ? 0 : found->second;
+}
+
+std::uint64_t LabelledCounter::Total() const {
+  std::uint64_t total = others_;
+  for (const auto& [labels, count] : series_) total += count;
+  return total;
+}
+
+void LabelledCounter::Render(const std::string& name, std::string& text) const {
+  for (const auto& [labels, count] : series_)
+    text += "moorfold_" + name + "{" + labels + "} " + std::to_string(count) + "\n";
+  if (others_ > 0)
+    text += "moorfold_" + name + "{others=\"true\"} " + std::to_string(others_) + "\n";
+}
+
+}  // namespace moorfold
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -41,10 +41,6 @@
   return std::max({kLeast, route.target * kTargets, route.gap_target * kGaps});
 }
 
-std::int64_t MillisecondsSince(SteadyTime time) {
-  return std::chrono::duration_cast<milliseconds>(steady_clock::now() - time).count();
-}
-
 std::string SecondsText(double seconds) {
   std::string text = std::to_string(seconds);
   constexpr std::size_t kDigitsDropped = 3;
@@ -110,15 +106,36 @@
     : protocol_(protocol),
       view_(view),
       metrics_(metrics),
-      log_(log),
       settings_(std::move(settings)),
-      forwarder_(context, protocol) {}
+      forwarder_(context, protocol, metrics),
+      reporter_(view, metrics, log) {}
 
 void RequestPipeline::RefuseWaiting() {
   refuse_waiting_ = true;
   view_.changed.NotifyAll();
 }
 
+void RequestPipeline::NoteCut() {
+  for (const GatewayRequest* request : active_) {
+    RequestEnd end;
+    end.outcome = request->head_sent ? RequestOutcome::kBrokenOff : RequestOutcome::kFailed;
+    end.reason = EndReason::kDaemonStopped;
+    reporter_.NoteEnd(*request, end);
+  }
+}
+
+void RequestPipeline::ListOpen() { reporter_.ListOpen(active_, steady_clock::now()); }
+
+void RequestPipeline::DescribeLoad() {
+  const auto now = steady_clock::now();
+  metrics_.requests_open = static_cast<std::int64_t>(active_.size());
+  metrics_.requests_waiting = view_.demand.Waiting();
+  metrics_.requests_at_servers = view_.demand.InFlight();
+  metrics_.repeats_left.clear();
+  for (auto& [service, allowance] : allowances_)
+    metrics_.repeats_left.push_back({service, allowance.Left(now)});
+}
+
 void RequestPipeline::AnswerAll() {
   const auto now = steady_clock::now();
   for (GatewayRequest* request : active_) {
@@ -177,14 +194,14 @@
   request.id = std::string(FindHeader(http.headers, names.request_id));
   request.table = view_.routes;
   if (!request.table)
-    return Refusal{http_status::kUnavailable, "no_configuration",
+    return Refusal{http_status::kUnavailable, EndReason::kNoConfiguration,
                    "this daemon has just started; come back", false, kRetryAfterNotReadyS};
   request.route = request.table->Find(FindHeader(http.headers, "Host"), http.target);
   if (request.route == nullptr) {
     if (view_.Fresh(request.arrival))
-      return Refusal{http_status::kNotFound, "no_route",
+      return Refusal{http_status::kNotFound, EndReason::kNoRoute,
                      "no route of the configuration in force matches host and path", false, 0};
-    return Refusal{http_status::kUnavailable, "configuration_may_be_old",
+    return Refusal{http_status::kUnavailable, EndReason::kConfigurationMayBeOld,
                    "this daemon cannot reach its store; come back", false, kRetryAfterNotReadyS};
   }
   const milliseconds forever = std::chrono::hours(1);
@@ -201,12 +218,13 @@
   return std::nullopt;
 }
 
-ServerPtr RequestPipeline::ChooseOnce(const GatewayRequest& request, NoServerReason& reason) const {
+ServerPtr RequestPipeline::ChooseOnce(GatewayRequest& request, NoServerReason& reason) const {
   ChoiceRequest wanted{request.service, request.model, request.parts, settings_.zone,
                        request.failed_servers};
   const auto now = steady_clock::now();
   Choice choice = ChooseServer(view_.servers, wanted, now);
   reason = choice.reason;
+  request.expected_ms = choice.cost_ms;
   return choice.server;
 }
 
@@ -224,7 +242,8 @@
     request.failed_servers.clear();
     ServerPtr server = ChooseOnce(request, reason);
     if (!server) continue;
-    metrics_.wait_for_server.Observe(static_cast<double>(MillisecondsSince(began)));
+    metrics_.wait_for_server.Observe(
+        std::chrono::duration<double, std::milli>(steady_clock::now() - began).count());
     co_return server;
   }
   co_return nullptr;
@@ -269,13 +288,13 @@
   if (request.may_have_run > 0) {
     const bool late = steady_clock::now() >= request.end;
     return {late ? http_status::kGatewayTimeout : http_status::kBadGateway,
-            late ? "out_of_time" : "server_failed",
+            late ? EndReason::kOutOfTime : EndReason::kServerFailed,
             "it may have run; repeat it only if that does no harm", true, 0};
   }
   if (result.status != 0)
-    return {http_status::kUnavailable, "servers_full", "come back after the stated time", false,
-            kRetryAfterFullS};
-  return {http_status::kUnavailable, "no_server", "come back after the stated time", false,
+    return {http_status::kUnavailable, EndReason::kServersFull, "come back after the stated time",
+            false, kRetryAfterFullS};
+  return {http_status::kUnavailable, EndReason::kNoServer, "come back after the stated time", false,
           request.model.model.empty() ? kRetryAfterFullS : kRetryAfterLoadingS};
 }
 
@@ -287,43 +306,12 @@
   if (!request.id.empty()) response.headers.push_back({protocol_.headers().request_id, request.id});
   if (refusal.retry_after_s > 0)
     response.headers.push_back({"Retry-After", SecondsText(refusal.retry_after_s)});
-  response.body = R"({"error":{"code":")" + refusal.code + R"(","remedy":")" + refusal.remedy +
-                  R"("},"executed":")" + (refusal.may_have_run ? "unknown" : "no") + "\"}\n";
+  response.body = R"({"error":{"code":")" + std::string(Name(refusal.reason)) + R"(","remedy":")" +
+                  refusal.remedy + R"("},"executed":")" +
+                  (refusal.may_have_run ? "unknown" : "no") + "\"}\n";
   co_await exchange.Respond(std::move(response));
 }
 
-void RequestPipeline::LogEnd(const GatewayRequest& request, const std::string& outcome,
-                             unsigned status, const std::string& reason,
-                             const std::string& server_id) {
-  const bool fine = outcome == "answered" && status < http_status::kBadRequest;
-  LogLine line("request_end");
-  line.Field("id", request.id).Field("outcome", outcome).Field("status", status);
-  if (!reason.empty()) line.Field("reason", reason);
-  line.Field("ms", MillisecondsSince(request.arrival));
-  if (request.route != nullptr) {
-    line.Field("route", request.route->name)
-        .Field("service", request.service)
-        .Field("model", ToString(request.model))
-        .Field("sends", request.sends)
-        .Field("may_have_run", request.may_have_run)
-        .Field("configuration", request.table->configuration().version);
-  }
-  if (!server_id.empty()) line.Field("server", server_id);
-  log_.Write(fine ? LogRank::kRoutine : LogRank::kFailure, line);
-}
-
-void RequestPipeline::LogAttempt(const GatewayRequest& request, const Server& server,
-                                 const ForwardResult& result) {
-  log_.Write(LogRank::kDecision,
-             LogLine("attempt_failed")
-                 .Field("id", request.id)
-                 .Field("server", server.record().id)
-                 .Field("status", result.status)
-                 .Field("ran", result.end == ForwardEnd::kNotRun ? "no" : "maybe")
-                 .Field("problem", result.problem)
-                 .Field("in_flight", server.in_flight()));
-}
-
 Awaitable<void> RequestPipeline::Serve(HttpServerExchange& exchange, GatewayRequest& request) {
   ForwardResult result;
   std::string server_id;
@@ -345,35 +333,53 @@
       ++request.may_have_run;
     const Next next = Decide(request, result);
     if (result.end != ForwardEnd::kAnswered && result.end != ForwardEnd::kClientLeft)
-      LogAttempt(request, *server, result);
+      reporter_.NoteFailedAttempt(request, *server, result);
     if (next != Next::kTryAgain) break;
     request.failed_servers.push_back(server_id);
   }
   co_await Finish(exchange, request, result, server_id);
 }
 
-/// Counts, logs and, where the client has no answer yet, answers.
-Awaitable<void> RequestPipeline::Finish(HttpServerExchange& exchange, const GatewayRequest& request,
-                                        const ForwardResult& result, const std::string& server_id) {
+RequestEnd RequestPipeline::DescribeEnd(const GatewayRequest& request, const ForwardResult& result,
+                                        std::string server_id) {
+  RequestEnd end;
+  end.status = result.status;
+  end.problem = result.problem;
   if (result.end == ForwardEnd::kAnswered) {
-    ++metrics_.answered;
-    metrics_.time_to_head.Observe(static_cast<double>(MillisecondsSince(request.arrival)));
-    LogEnd(request, "answered", result.status, "", server_id);
+    end.outcome = RequestOutcome::kAnswered;
+    if (result.status >= http_status::kBadRequest) end.reason = EndReason::kServerError;
   } else if (result.end == ForwardEnd::kClientLeft) {
-    ++metrics_.client_left;
-    LogEnd(request, "client_left", 0, result.problem, server_id);
-    exchange.Abort();
-  } else if (request.head_sent) {
-    ++metrics_.broken_off;
-    LogEnd(request, "broken_off", result.status, result.problem, server_id);
-    exchange.Abort();
+    end.outcome = RequestOutcome::kClientLeft;
+    end.reason = request.head_sent   ? EndReason::kLeftInAnswer
+                 : request.sends > 0 ? EndReason::kLeftAtServer
+                                     : EndReason::kLeftWaiting;
   } else {
-    const Refusal refusal = ExplainFailure(request, result);
-    ++(refusal.may_have_run ? metrics_.failed_may_have_run : metrics_.refused_not_run);
-    LogEnd(request, refusal.may_have_run ? "failed" : "refused", refusal.status,
-           refusal.code + " " + result.problem, server_id);
-    co_await Answer(exchange, request, refusal);
+    end.outcome = RequestOutcome::kBrokenOff;
+    end.reason = EndReason::kStreamBroke;
+  }
+  end.server_id = std::move(server_id);
+  return end;
+}
+
+/// Counts, logs and, where the client has no answer yet, answers.
+Awaitable<void> RequestPipeline::Finish(HttpServerExchange& exchange, const GatewayRequest& request,
+                                        const ForwardResult& result, const std::string& server_id) {
+  const bool settled = result.end == ForwardEnd::kAnswered ||
+                       result.end == ForwardEnd::kClientLeft || request.head_sent;
+  if (settled) {
+    reporter_.NoteEnd(request, DescribeEnd(request, result, server_id));
+    if (result.end != ForwardEnd::kAnswered) exchange.Abort();
+    co_return;
   }
+  const Refusal refusal = ExplainFailure(request, result);
+  RequestEnd end;
+  end.outcome = refusal.may_have_run ? RequestOutcome::kFailed : RequestOutcome::kRefused;
+  end.reason = refusal.reason;
+  end.status = refusal.status;
+  end.problem = result.problem;
+  end.server_id = server_id;
+  reporter_.NoteEnd(request, end);
+  co_await Answer(exchange, request, refusal);
 }
 
 Awaitable<void> RequestPipeline::Handle(HttpServerExchange& exchange) {
@@ -382,8 +388,11 @@
   ++metrics_.requests;
   const std::optional<Refusal> refusal = Resolve(exchange.request(), *request);
   if (refusal) {
-    ++metrics_.no_route;
-    LogEnd(*request, "refused", refusal->status, refusal->code, "");
+    RequestEnd end;
+    end.outcome = RequestOutcome::kRefused;
+    end.reason = refusal->reason;
+    end.status = refusal->status;
+    reporter_.NoteEnd(*request, end);
     co_await Answer(exchange, *request, *refusal);
     co_return;
   }
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -9,6 +9,7 @@
 #include "gateway/fleet_view.h"
 #include "gateway/forwarder.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/request_reporter.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/server_choice.h"
 #include "http/http_server.h"
@@ -38,6 +39,12 @@
   void RefuseWaiting();
   /// Requests without the head of an answer are answered now, whatever their servers do.
   void AnswerAll();
+  /// This process is about to end: what is still under way is cut, and the log says so.
+  void NoteCut();
+  /// Lets the log name the requests that have been under way for a while.
+  void ListOpen();
+  /// Brings the figures of requests under way and of repeats left up to date.
+  void DescribeLoad();
 
  private:
   /// What follows an attempt.
@@ -48,7 +55,7 @@
 
   struct Refusal {
     unsigned status = 503;
-    std::string code;
+    EndReason reason = EndReason::kNone;
     std::string remedy;
     bool may_have_run = false;
     double retry_after_s = 0;  ///< 0: none is stated.
@@ -56,19 +63,18 @@
 
   std::optional<Refusal> Resolve(const HttpRequest& http, GatewayRequest& request);
   Awaitable<void> Serve(HttpServerExchange& exchange, GatewayRequest& request);
+  static RequestEnd DescribeEnd(const GatewayRequest& request, const ForwardResult& result,
+                                std::string server_id);
   Awaitable<void> Finish(HttpServerExchange& exchange, const GatewayRequest& request,
                          const ForwardResult& result, const std::string& server_id);
   Awaitable<ServerPtr> AwaitServer(GatewayRequest& request);
-  ServerPtr ChooseOnce(const GatewayRequest& request, NoServerReason& reason) const;
+  ServerPtr ChooseOnce(GatewayRequest& request, NoServerReason& reason) const;
   SteadyTime AttemptEnd(const GatewayRequest& request) const;
   bool MayRunElsewhere(const GatewayRequest& request) const;
   Next Decide(const GatewayRequest& request, const ForwardResult& result);
   Refusal ExplainFailure(const GatewayRequest& request, const ForwardResult& result) const;
   Awaitable<void> Answer(HttpServerExchange& exchange, const GatewayRequest& request,
                          const Refusal& refusal);
-  void LogEnd(const GatewayRequest& request, const std::string& outcome, unsigned status,
-              const std::string& reason, const std::string& server_id);
-  void LogAttempt(const GatewayRequest& request, const Server& server, const ForwardResult& result);
   RetryAllowance& AllowanceOf(const std::string& service);
   Awaitable<bool> AwaitAllowance(GatewayRequest& request, RetryAllowance& allowance);
   SteadyTime HoldEnd(const GatewayRequest& request) const;
@@ -76,9 +82,9 @@
   const FleetProtocol& protocol_;
   FleetView& view_;
   GatewayMetrics& metrics_;
-  EventLog& log_;
   PipelineSettings settings_;
   Forwarder forwarder_;
+  RequestReporter reporter_;
   SplitDealer splits_;
   std::map<std::string, RetryAllowance> allowances_;
   std::set<GatewayRequest*> active_;
--- /dev/null
+++ b/src/gateway/request_reporter.cc
@@ -0,0 +1,113 @@
+#include "gateway/request_reporter.h"
+
+#include "http/http_status.h"
+
+namespace moorfold {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr milliseconds kOpenLong{400};
+constexpr std::size_t kMostListed = 64;  ///< In one line; the rest waits for the next.
+
+std::int64_t MillisecondsSince(SteadyTime time) {
+  return std::chrono::duration_cast<milliseconds>(steady_clock::now() - time).count();
+}
+
+const char* KindOf(const GatewayRequest& request) {
+  if (request.route == nullptr) return "none";
+  switch (request.route->type) {
+    case RouteType::kRepeatable:
+      return "repeatable";
+    case RouteType::kAtMostOnce:
+      return "at_most_once";
+    case RouteType::kStream:
+      return "stream";
+  }
+  return "none";
+}
+
+}  // namespace
+
+void RequestReporter::Count(const GatewayRequest& request, const RequestEnd& end) {
+  switch (end.outcome) {
+    case RequestOutcome::kAnswered:
+      ++metrics_.answered;
+      metrics_.time_to_end.Observe(static_cast<double>(MillisecondsSince(request.arrival)));
+      break;
+    case RequestOutcome::kRefused:
+      ++(request.route == nullptr ? metrics_.no_route : metrics_.refused_not_run);
+      break;
+    case RequestOutcome::kFailed:
+      ++metrics_.failed_may_have_run;
+      break;
+    case RequestOutcome::kBrokenOff:
+      ++metrics_.broken_off;
+      break;
+    case RequestOutcome::kClientLeft:
+      ++metrics_.client_left;
+      break;
+  }
+  const std::string_view route =
+      request.route == nullptr ? "none" : std::string_view(request.route->name);
+  metrics_.requests_ended.Add({{"route", route},
+                               {"kind", KindOf(request)},
+                               {"outcome", Name(end.outcome)},
+                               {"reason", Name(end.reason)}});
+}
+
+void RequestReporter::NoteEnd(const GatewayRequest& request, const RequestEnd& end) {
+  Count(request, end);
+  const bool fine =
+      end.outcome == RequestOutcome::kAnswered && end.status < http_status::kBadRequest;
+  EventLine line(LogEvent::kRequestEnd);
+  line.Field(LogField::kId, request.id)
+      .Field(LogField::kOutcome, Name(end.outcome))
+      .Field(LogField::kStatus, end.status)
+      .Field(LogField::kReason, Name(end.reason));
+  if (!end.problem.empty()) line.Field(LogField::kProblem, end.problem);
+  line.Field(LogField::kMs, MillisecondsSince(request.arrival));
+  if (request.route != nullptr) {
+    line.Field(LogField::kRoute, request.route->name)
+        .Field(LogField::kService, request.service)
+        .Field(LogField::kModel, ToString(request.model))
+        .Field(LogField::kSends, request.sends)
+        .Field(LogField::kMayHaveRun, request.may_have_run)
+        .Field(LogField::kConfiguration, request.table->configuration().version);
+  }
+  if (!end.server_id.empty())
+    line.Field(LogField::kServer, end.server_id)
+        .Field(LogField::kExpectedMs, static_cast<std::int64_t>(request.expected_ms));
+  line.Field(LogField::kStoreAgeMs, MillisecondsSince(view_.last_store_contact));
+  log_.Write(fine ? LogRank::kRoutine : LogRank::kFailure, line);
+}
+
+void RequestReporter::NoteFailedAttempt(const GatewayRequest& request, const Server& server,
+                                        const ForwardResult& result) {
+  log_.Write(LogRank::kDecision,
+             EventLine(LogEvent::kAttemptFailed)
+                 .Field(LogField::kId, request.id)
+                 .Field(LogField::kServer, server.record().id)
+                 .Field(LogField::kStatus, result.status)
+                 .Field(LogField::kRan, result.end == ForwardEnd::kNotRun ? "no" : "maybe")
+                 .Field(LogField::kProblem, result.problem)
+                 .Field(LogField::kInFlight, server.in_flight())
+                 .Field(LogField::kExpectedMs, static_cast<std::int64_t>(request.expected_ms)));
+}
+
+void RequestReporter::ListOpen(const std::set<GatewayRequest*>& active, SteadyTime now) {
+  std::string ids;
+  std::size_t listed = 0;
+  for (GatewayRequest* request : active) {
+    if (request->listed_open || now - request->arrival < kOpenLong) continue;
+    if (listed++ == kMostListed) break;
+    request->listed_open = true;
+    ids += (ids.empty() ? "" : ",") + request->id;
+  }
+  if (ids.empty()) return;
+  log_.Write(LogRank::kDecision, EventLine(LogEvent::kRequestsOpen).Field(LogField::kIds, ids));
+}
+
+}  // namespace moorfold
--- a/src/gateway/retry_allowance.h
+++ b/src/gateway/retry_allowance.h
@@ -23,16 +23,20 @@
   void CountFirst(Time now) { ++At(now).firsts; }
   /// @return whether one more repeat may be sent now; counts it if so.
   bool TryRepeat(Time now) {
-    Slice& slice = At(now);
+    if (Left(now) < 1) return false;
+    ++At(now).repeats;
+    return true;
+  }
+  /// @return repeats that may still be sent now.
+  double Left(Time now) {
+    At(now);
     double firsts = 0;
     double repeats = 0;
     for (const Slice& counted : slices_) {
       firsts += counted.firsts;
       repeats += counted.repeats;
     }
-    if (repeats + 1 > firsts * ratio_ + free_repeats_) return false;
-    ++slice.repeats;
-    return true;
+    return firsts * ratio_ + free_repeats_ - repeats;
   }
 
  private:
--- a/src/gateway/store_view.cc
+++ b/src/gateway/store_view.cc
@@ -82,7 +82,6 @@
 
 void StoreView::TakeBatch(const WatchBatch& batch) {
   NoteContact();
-  ++metrics_.store_batches;
   for (const WatchEvent& event : batch.events) {
     if (event.deleted)
       TakeRemoval(event.entry.key, event.entry.mod_revision);
@@ -103,10 +102,10 @@
     else if (entry.key == own_key_)
       TakeOwnKey(entry);
   } catch (const std::exception& error) {
-    log_.Write(LogRank::kFailure, LogLine("entry_skipped")
-                                      .Field("key", entry.key)
-                                      .Field("revision", entry.mod_revision)
-                                      .Field("problem", error.what()));
+    log_.Write(LogRank::kFailure, EventLine(LogEvent::kEntrySkipped)
+                                      .Field(LogField::kKey, entry.key)
+                                      .Field(LogField::kRevision, entry.mod_revision)
+                                      .Field(LogField::kProblem, error.what()));
   }
 }
 
@@ -127,8 +126,9 @@
 void StoreView::RemoveServer(const std::string& id, std::int64_t revision) {
   removals_.erase(id);
   if (view_.servers.Find(id) == nullptr) return;
-  log_.Write(LogRank::kDecision,
-             LogLine("server_gone").Field("server", id).Field("revision", revision));
+  log_.Write(LogRank::kDecision, EventLine(LogEvent::kServerGone)
+                                     .Field(LogField::kServer, id)
+                                     .Field(LogField::kRevision, revision));
   view_.servers.Remove(id);
 }
 
@@ -154,12 +154,13 @@
   const std::int64_t held = view_.routes ? view_.routes->configuration().version : -1;
   if (configuration->version <= held) return;
   view_.routes = std::make_shared<const RouteTable>(configuration);
+  view_.configured_at = steady_clock::now();
   metrics_.configuration_version = configuration->version;
-  log_.Write(LogRank::kDecision, LogLine("configuration")
-                                     .Field("version", configuration->version)
-                                     .Field("before", held)
-                                     .Field("routes", configuration->routes.size())
-                                     .Field("revision", entry.mod_revision));
+  log_.Write(LogRank::kDecision, EventLine(LogEvent::kConfiguration)
+                                     .Field(LogField::kVersion, configuration->version)
+                                     .Field(LogField::kBefore, held)
+                                     .Field(LogField::kRoutes, configuration->routes.size())
+                                     .Field(LogField::kRevision, entry.mod_revision));
   configured_(*configuration);
 }
 
@@ -168,13 +169,14 @@
   ServerRecord record = protocol_.ParseServer(id, entry.value);
   const ServerPtr known = view_.servers.Find(id);
   if (known == nullptr || known->record().draining != record.draining)
-    log_.Write(LogRank::kDecision, LogLine("server")
-                                       .Field("server", id)
-                                       .Field("service", record.service)
-                                       .Field("address", ToString(record.endpoint))
-                                       .Field("state", record.draining ? "draining" : "ready")
-                                       .Field("models", record.models.size())
-                                       .Field("revision", entry.mod_revision));
+    log_.Write(LogRank::kDecision,
+               EventLine(LogEvent::kServer)
+                   .Field(LogField::kServer, id)
+                   .Field(LogField::kService, record.service)
+                   .Field(LogField::kAddress, ToString(record.endpoint))
+                   .Field(LogField::kState, record.draining ? "draining" : "ready")
+                   .Field(LogField::kModels, record.models.size())
+                   .Field(LogField::kRevision, entry.mod_revision));
   removals_.erase(id);
   view_.servers.Put(std::move(record), steady_clock::now());
 }
@@ -193,14 +195,14 @@
   retry_pause_ = kFirstRetryPause;
   if (in_touch_) return;
   in_touch_ = true;
-  log_.Write(LogRank::kDecision, LogLine("store_in_touch"));
+  log_.Write(LogRank::kDecision, EventLine(LogEvent::kStoreInTouch));
 }
 
 void StoreView::NoteFailure(const PlatformFailure& failure) {
-  ++metrics_.store_failures;
   if (!in_touch_) return;
   in_touch_ = false;
-  log_.Write(LogRank::kFailure, LogLine("store_lost").Field("problem", failure.message));
+  log_.Write(LogRank::kFailure,
+             EventLine(LogEvent::kStoreLost).Field(LogField::kProblem, failure.message));
 }
 
 void StoreView::ListLater() {
--- a/test/gateway/event_names_test.cc
+++ b/test/gateway/event_names_test.cc
@@ -1,5 +1,5 @@
-// docs/OPERATIONS.md lists every event that the gateway logs, and no other of that table is
-// unknown.
+// docs/OPERATIONS.md explains every event and field that the gateway logs, and no others; each that
+// is listed is used.
 
 #include <catch2/catch.hpp>
 #include <filesystem>
@@ -8,6 +8,8 @@
 #include <set>
 #include <sstream>
 
+#include "common/log_event.h"
+
 namespace moorfold {
 namespace {
 
@@ -18,42 +20,75 @@
   return text.str();
 }
 
-std::set<std::string> EventsInSources(const std::filesystem::path& root) {
-  const std::regex logged("LogLine(?: line)?\\(\"([a-z_]+)\"\\)");
-  std::set<std::string> events = {"log_lines_left_out"};  // Written without a LogLine.
+std::string GatewaySources() {
+  const std::filesystem::path root = MOORFOLD_SOURCE_DIR;
+  std::string text = ReadFile(root / "src/common/event_log.cc");
   for (const char* folder : {"src/gateway", "src/fleet", "platform"})
-    for (const auto& entry : std::filesystem::directory_iterator(root / folder)) {
-      if (entry.path().extension() != ".cc") continue;
-      const std::string text = ReadFile(entry.path());
-      for (std::sregex_iterator match(text.begin(), text.end(), logged), end; match != end; ++match)
-        events.insert((*match)[1]);
-    }
-  return events;
+    for (const auto& entry : std::filesystem::directory_iterator(root / folder))
+      if (entry.path().extension() == ".cc") text += ReadFile(entry.path());
+  return text;
 }
 
-/// The first column of the table under "## Logs"; a row may name several events.
-std::set<std::string> EventsInTable(const std::string& page) {
-  const std::size_t begin = page.find("| event | says |");
-  const std::size_t end = page.find("\n\n", begin);
-  std::istringstream rows(page.substr(begin, end - begin));
-  std::set<std::string> events;
+/// The names in the first column of the table that begins with `head`; a row may hold several.
+std::set<std::string> NamesInTable(const std::string& page, const std::string& head) {
+  const std::size_t begin = page.find(head);
+  REQUIRE(begin != std::string::npos);
+  std::istringstream rows(page.substr(begin, page.find("\n\n", begin) - begin));
+  std::set<std::string> names;
   std::string row;
+  std::getline(rows, row);  // The head.
   while (std::getline(rows, row)) {
     const std::string column = row.substr(1, row.find('|', 1) - 1);
     const std::regex name("[a-z_]{2,}");
     for (std::sregex_iterator match(column.begin(), column.end(), name), last; match != last;
          ++match)
-      events.insert(match->str());
+      names.insert(match->str());
+  }
+  return names;
+}
+
+/// "request_end" as "kRequestEnd".
+std::string EnumeratorOf(const std::string& name) {
+  std::string enumerator = "k";
+  bool upper = true;
+  for (const char character : name) {
+    if (character == '_') {
+      upper = true;
+      continue;
+    }
+    enumerator += upper ? static_cast<char>(std::toupper(character)) : character;
+    upper = false;
   }
-  events.erase("event");
-  return events;
+  return enumerator;
 }
 
-TEST_CASE("The operators' page lists just the events that are logged") {
+TEST_CASE("The operators' page explains just the events and fields that are logged") {
   const std::filesystem::path root = MOORFOLD_SOURCE_DIR;
-  const std::set<std::string> logged = EventsInSources(root);
-  REQUIRE(logged.size() > 10);
-  CHECK(EventsInTable(ReadFile(root / "docs/OPERATIONS.md")) == logged);
+  const std::string page = ReadFile(root / "docs/OPERATIONS.md");
+  const std::set<std::string> events(kLogEventNames.begin(), kLogEventNames.end());
+  const std::set<std::string> fields(kLogFieldNames.begin(), kLogFieldNames.end());
+  CHECK(NamesInTable(page, "| event | says |") == events);
+  CHECK(NamesInTable(page, "| field | says |") == fields);
+}
+
+TEST_CASE("Each listed event and field is logged somewhere, under its own name") {
+  const std::string sources = GatewaySources();
+  for (const char* event : kLogEventNames) {
+    CAPTURE(event);
+    CHECK(sources.find("LogEvent::" + EnumeratorOf(event)) != std::string::npos);
+  }
+  for (const char* field : kLogFieldNames) {
+    CAPTURE(field);
+    CHECK(sources.find("LogField::" + EnumeratorOf(field)) != std::string::npos);
+  }
+}
+
+TEST_CASE("Events and fields are written under the names that are listed") {
+  const std::string text = EventLine(LogEvent::kLeadershipResigned)
+                               .Field(LogField::kToken, 7)
+                               .Field(LogField::kTotal, 3)
+                               .text();
+  CHECK(text == "event=leadership_resigned token=7 total=3");
 }
 
 }  // namespace
--- a/test/gateway/explain_test.cc
+++ b/test/gateway/explain_test.cc
@@ -37,5 +37,20 @@
   CHECK(ExplainRequest(ParseLog("", "a.log"), "r1").empty());
 }
 
+TEST_CASE("A request under way when its daemon was killed is explained by that") {
+  const std::string log =
+      "t_us=1000 event=start name=n zone=z\n"
+      "t_us=2000 event=requests_open ids=r1,r2\n"
+      "t_us=3000 event=request_end id=r2 outcome=answered status=200\n"
+      "t_us=9000 event=start name=n zone=z\n";
+  const auto killed = ExplainRequest(ParseLog(log, "a.log"), "r1");
+  REQUIRE_FALSE(killed.empty());
+  CHECK(killed.back().find("ended without a word; it started again 7.0 ms later") !=
+        std::string::npos);
+  const auto served = ExplainRequest(ParseLog(log, "a.log"), "r2");
+  CHECK(served.back().find("event=request_end id=r2") != std::string::npos);
+  CHECK(ExplainRequest(ParseLog(log, "a.log"), "r").empty());
+}
+
 }  // namespace
 }  // namespace moorfold
--- a/test/gateway/gateway_parts_test.cc
+++ b/test/gateway/gateway_parts_test.cc
@@ -8,6 +8,8 @@
 
 #include "common/event_log.h"
 #include "config/strict_yaml.h"
+#include "fake_key_value_store.h"
+#include "gateway/counting_store.h"
 #include "gateway/event_splitter.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
@@ -181,7 +183,7 @@
                            .failures_per_second = 1'000'000});
     const std::string text(200, 'x');
     for (int line = 0; line < 5'000; ++line)  // A megabyte; nobody reads the pipe.
-      log.Write(LogRank::kFailure, LogLine("e").Field("text", text));
+      log.Write(LogRank::kFailure, EventLine(LogEvent::kServer).Field(LogField::kProblem, text));
     CHECK(log.lost() > 0);
   }
   close(ends[0]);
@@ -192,16 +194,18 @@
   std::array<int, 2> ends{};
   REQUIRE(pipe(ends.data()) == 0);
   EventLog log(ends[1], {.routine_per_second = 2, .lines_per_second = 5, .failures_per_second = 9});
-  for (int line = 0; line < 20; ++line) log.Write(LogRank::kRoutine, LogLine("routine"));
-  for (int line = 0; line < 4; ++line) log.Write(LogRank::kFailure, LogLine("failure"));
+  for (int line = 0; line < 20; ++line)
+    log.Write(LogRank::kRoutine, EventLine(LogEvent::kRequestEnd));
+  for (int line = 0; line < 4; ++line)
+    log.Write(LogRank::kFailure, EventLine(LogEvent::kStoreLost));
   log.Flush();
   std::string out(4096, '\0');
   const ssize_t got = read(ends[0], out.data(), out.size());
   REQUIRE(got > 0);
   out.resize(static_cast<std::size_t>(got));
   std::size_t failures = 0;
-  for (std::size_t at = out.find("failure"); at != std::string::npos;
-       at = out.find("failure", at + 1))
+  for (std::size_t at = out.find("store_lost"); at != std::string::npos;
+       at = out.find("store_lost", at + 1))
     ++failures;
   CHECK(failures == 4);
   CHECK(log.lost() >= 16);
@@ -213,11 +217,82 @@
   GatewayMetrics metrics;
   metrics.requests = 7;
   metrics.time_to_head.Observe(15);
+  metrics.requests_ended.Add({{"route", "a"}, {"reason", "no_server"}});
+  metrics.repeats_left.push_back({"s", 2.5});
   const std::string text = metrics.Render();
   CHECK(text.find("moorfold_requests_total 7\n") != std::string::npos);
   CHECK(text.find("moorfold_time_to_answer_ms_bucket{le=\"10\"} 0\n") != std::string::npos);
   CHECK(text.find("moorfold_time_to_answer_ms_bucket{le=\"20\"} 1\n") != std::string::npos);
   CHECK(text.find("moorfold_time_to_answer_ms_bucket{le=\"+Inf\"} 1\n") != std::string::npos);
+  CHECK(text.find("moorfold_requests_ended_total{route=\"a\",reason=\"no_server\"} 1\n") !=
+        std::string::npos);
+  CHECK(text.find("moorfold_repeats_left{service=\"s\"} 2.5\n") != std::string::npos);
+}
+
+TEST_CASE("Counts by labels are escaped and bounded") {
+  LabelledCounter counter;
+  counter.Add({{"route", "a\"b\\c\nd"}});
+  counter.Add({{"route", "a\"b\\c\nd"}});
+  std::string text;
+  counter.Render("r", text);
+  CHECK(text == "moorfold_r{route=\"a\\\"b\\\\c\\nd\"} 2\n");
+  for (std::size_t route = 0; route < 2 * LabelledCounter::kMostSeries; ++route)
+    counter.Add({{"route", std::to_string(route)}});
+  CHECK(counter.Total() == 2 + 2 * LabelledCounter::kMostSeries);
+  CHECK(counter.Count({{"route", "0"}}) == 1);
+  CHECK(counter.Count({{"route", "100000"}}) == 0);
+  std::string bounded;
+  counter.Render("r", bounded);
+  CHECK(bounded.find("others=\"true\"") != std::string::npos);
+  CHECK(static_cast<std::size_t>(std::count(bounded.begin(), bounded.end(), '\n')) ==
+        LabelledCounter::kMostSeries + 1);
+}
+
+TEST_CASE("Calls to the store are counted by kind and outcome") {
+  boost::asio::io_context context;
+  KeyValueTable table;
+  FakeKeyValueStore store(context, table);
+  GatewayMetrics metrics;
+  CountingStore counting(store, metrics);
+  int answers = 0;
+  counting.Range({"a", ""}, [&](const Outcome<RangeResult>& result) { answers += result.ok(); });
+  counting.GrantLease(std::chrono::seconds(3), [&](const Outcome<LeaseId>&) { ++answers; });
+  counting.KeepLeaseAlive(99, [&](const Outcome<Duration>&) { ++answers; });
+  counting.RevokeLease(99, [&](const Outcome<bool>&) { ++answers; });
+  store.lose_answers = true;
+  counting.Transact({}, [&](const Outcome<TransactionResult>&) { ++answers; });
+  store.unreachable = true;
+  counting.Range({"a", ""}, [&](const Outcome<RangeResult>&) { ++answers; });
+  bool ended = false;
+  const auto watch = counting.Watch(
+      {"a", ""}, 1, [](const WatchBatch&) {}, [&](const PlatformFailure&) { ended = true; });
+  store.EndWatch();
+  context.run();
+  CHECK(answers == 6);
+  CHECK(ended);
+  const auto count = [&](const char* call, const char* outcome) {
+    return metrics.store_calls.Count({{"call", call}, {"outcome", outcome}});
+  };
+  CHECK(count("range", "ok") == 1);
+  CHECK(count("range", "unavailable") == 1);
+  CHECK(count("grant_lease", "ok") == 1);
+  CHECK(count("keep_lease", "rejected") == 1);
+  CHECK(count("revoke_lease", "ok") == 1);
+  CHECK(count("transact", "no_answer") == 1);
+  CHECK(count("watch", "no_answer") == 1);
+}
+
+TEST_CASE("A log of no lines writes none, and counts them") {
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  EventLog log(ends[1], EventLog::Options::For(0));
+  log.Write(LogRank::kFailure, EventLine(LogEvent::kStoreLost));
+  log.Flush();
+  close(ends[1]);
+  char byte = 0;
+  CHECK(read(ends[0], &byte, 1) == 0);
+  CHECK(log.lost() == 1);
+  close(ends[0]);
 }
 
 }  // namespace
--- a/test/gateway/pipeline_fixture.h
+++ b/test/gateway/pipeline_fixture.h
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
+#include <functional>
 #include <future>
 #include <thread>
 
@@ -106,6 +107,14 @@
     closed_by_reset_ = error == boost::asio::error::connection_reset;
     return answer;
   }
+  /// Sends `request` and closes the connection as soon as `leave` holds.
+  void Abandon(const std::string& request, const std::function<bool()>& leave) {
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"), front_.endpoint().port});
+    boost::asio::write(socket, boost::asio::buffer(request));
+    while (!leave()) std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  }
   /// A request without a body that asks for the connection to be closed.
   static std::string Request(const std::string& path = "/p/x", const std::string& headers = "",
                              const std::string& deadline = "3000") {
--- a/test/gateway/request_pipeline_test.cc
+++ b/test/gateway/request_pipeline_test.cc
@@ -383,7 +383,7 @@
     return fixture.Exchange(PipelineFixture::Request("/p/x", "X-Model: m/a1\r\n"));
   });
   bool waiting = false;
-  while (!waiting) fixture.OnThread([&] { waiting = fixture.view().demand.AnyWaiting(); });
+  while (!waiting) fixture.OnThread([&] { waiting = fixture.view().demand.Waiting() > 0; });
   fixture.OnThread([&] {
     fixture.view().servers.Find("i-1")->NoteHeld({"m", "a1"}, std::chrono::steady_clock::now());
     fixture.view().changed.NotifyAll();
@@ -408,7 +408,7 @@
     return fixture.Exchange(PipelineFixture::Request("/p/x", "X-Model: nowhere\r\n"));
   });
   bool both = false;
-  while (!both) fixture.OnThread([&] { both = reached && fixture.view().demand.AnyWaiting(); });
+  while (!both) fixture.OnThread([&] { both = reached && fixture.view().demand.Waiting() > 0; });
   fixture.OnThread([&] { fixture.pipeline().RefuseWaiting(); });
   CHECK(PipelineFixture::Status(waiting.get()) == 503);
   fixture.OnThread([&] { fixture.pipeline().AnswerAll(); });
--- /dev/null
+++ b/test/gateway/request_reporter_test.cc
@@ -0,0 +1,171 @@
+// What is counted and logged of requests: by route, kind, outcome and reason.
+
+#include <catch2/catch.hpp>
+
+#include "pipeline_fixture.h"
+
+namespace moorfold {
+namespace {
+
+using std::chrono::milliseconds;
+
+const std::string kSealed = "X-Response-Seal: s1\r\nX-Request-Id: one\r\n";
+
+std::uint64_t Ended(PipelineFixture& fixture, const char* kind, RequestOutcome outcome,
+                    EndReason reason, const char* route = "r") {
+  std::uint64_t count = 0;
+  fixture.OnThread([&] {
+    count = fixture.metrics().requests_ended.Count(
+        {{"route", route}, {"kind", kind}, {"outcome", Name(outcome)}, {"reason", Name(reason)}});
+  });
+  return count;
+}
+
+ScriptedServer::Script AnswerWith(const std::string& answer) {
+  return [answer](ScriptedConnection& connection) {
+    while (!connection.ReadHead().empty()) connection.Write(answer);
+  };
+}
+
+/// Counts come after the client has its answer.
+bool Soon(const std::function<bool()>& condition) {
+  for (int attempt = 0; attempt < 1'000; ++attempt) {
+    if (condition()) return true;
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  return false;
+}
+
+TEST_CASE("Each end of a request is counted by route, kind, outcome and reason") {
+  PipelineFixture fixture;
+  ScriptedServer good(AnswerWith("HTTP/1.1 200 OK\r\n" + kSealed + "Content-Length: 0\r\n\r\n"));
+  ScriptedServer failing(
+      AnswerWith("HTTP/1.1 500 Bad\r\n" + kSealed + "Content-Length: 0\r\n\r\n"));
+  ScriptedServer resetting([](ScriptedConnection& connection) {
+    connection.ReadHead();
+    connection.Reset();
+  });
+  fixture.SetRoutes({PipelineFixture::MakeRoute(RouteType::kAtMostOnce)});
+  struct Case {
+    const char* id;
+    const ScriptedServer* server;
+    RequestOutcome outcome;
+    EndReason reason;
+  };
+  const std::vector<Case> cases = {
+      {"i-1", &good, RequestOutcome::kAnswered, EndReason::kNone},
+      {"i-2", &failing, RequestOutcome::kAnswered, EndReason::kServerError},
+      {"i-3", &resetting, RequestOutcome::kFailed, EndReason::kServerFailed},
+  };
+  for (const Case& each : cases) {
+    CAPTURE(Name(each.reason));
+    fixture.AddServer(each.id, each.server->endpoint());
+    fixture.Exchange(PipelineFixture::Request());
+    CHECK(Soon([&] { return Ended(fixture, "at_most_once", each.outcome, each.reason) == 1; }));
+    fixture.OnThread([&] { fixture.view().servers.Remove(each.id); });
+  }
+  fixture.Exchange(PipelineFixture::Request("/p/x", "", "40"));
+  CHECK(Ended(fixture, "at_most_once", RequestOutcome::kRefused, EndReason::kNoServer) == 1);
+  fixture.Exchange(PipelineFixture::Request("/other/"));
+  CHECK(Ended(fixture, "none", RequestOutcome::kRefused, EndReason::kNoRoute, "none") == 1);
+}
+
+TEST_CASE("The time to an answer's head and the gaps between events are observed apart") {
+  PipelineFixture fixture;
+  ScriptedServer server([](ScriptedConnection& connection) {
+    connection.ReadHead();
+    connection.Write("HTTP/1.1 200 OK\r\n" + kSealed + "Connection: close\r\n\r\n");
+    connection.Write("id: 1\ndata: a\n\n");
+    std::this_thread::sleep_for(milliseconds(30));
+    connection.Write("id: 2\ndata: b\n\n");
+  });
+  fixture.SetRoutes({PipelineFixture::MakeRoute(RouteType::kStream)});
+  fixture.AddServer("i-1", server.endpoint());
+  fixture.Exchange(PipelineFixture::Request());
+  std::string text;
+  REQUIRE(Soon([&] {
+    fixture.OnThread([&] { text = fixture.metrics().Render(); });
+    return text.find("moorfold_time_to_end_ms_count 1\n") != std::string::npos;
+  }));
+  CHECK(text.find("moorfold_time_to_answer_ms_count 1\n") != std::string::npos);
+  CHECK(text.find("moorfold_event_gap_ms_count 1\n") != std::string::npos);
+  CHECK(text.find("moorfold_event_gap_ms_bucket{le=\"20\"} 0\n") != std::string::npos);
+}
+
+TEST_CASE("A client that leaves is counted by how far its request had come") {
+  PipelineFixture fixture;
+  std::atomic<int> reached{0};
+  ScriptedServer silent([&](ScriptedConnection& connection) {
+    connection.ReadHead();
+    ++reached;
+    connection.AwaitClose(milliseconds(20'000));
+  });
+  fixture.SetRoutes({PipelineFixture::MakeRoute(RouteType::kAtMostOnce)});
+  fixture.AddServer("i-1", silent.endpoint());
+  fixture.Abandon(PipelineFixture::Request(), [&] { return reached > 0; });
+  CHECK(Soon([&] {
+    return Ended(fixture, "at_most_once", RequestOutcome::kClientLeft, EndReason::kLeftAtServer) ==
+           1;
+  }));
+  fixture.OnThread([&] { fixture.view().servers.Remove("i-1"); });
+  fixture.Abandon(PipelineFixture::Request(), [&] {
+    bool waiting = false;
+    fixture.OnThread([&] { waiting = fixture.view().demand.Waiting() > 0; });
+    return waiting;
+  });
+  CHECK(Soon([&] {
+    return Ended(fixture, "at_most_once", RequestOutcome::kClientLeft, EndReason::kLeftWaiting) ==
+           1;
+  }));
+}
+
+TEST_CASE("What a planned stop cuts is counted and named") {
+  PipelineFixture fixture;
+  std::atomic<int> reached{0};
+  ScriptedServer silent([&](ScriptedConnection& connection) {
+    connection.ReadHead();
+    ++reached;
+    connection.AwaitClose(milliseconds(20'000));
+  });
+  fixture.SetRoutes({PipelineFixture::MakeRoute(RouteType::kAtMostOnce)});
+  fixture.AddServer("i-1", silent.endpoint());
+  fixture.Abandon(PipelineFixture::Request(), [&] {
+    if (reached == 0) return false;
+    fixture.OnThread([&] { fixture.pipeline().NoteCut(); });
+    return true;
+  });
+  CHECK(Ended(fixture, "at_most_once", RequestOutcome::kFailed, EndReason::kDaemonStopped) == 1);
+}
+
+TEST_CASE("Requests under way for a while are listed once, so that a kill leaves their names") {
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  boost::asio::io_context context;
+  FleetView view(context.get_executor());
+  GatewayMetrics metrics;
+  EventLog log(ends[1], {});
+  RequestReporter reporter(view, metrics, log);
+  const auto now = std::chrono::steady_clock::now();
+  GatewayRequest old_one;
+  old_one.id = "old-one";
+  old_one.arrival = now - milliseconds(600);
+  GatewayRequest young;
+  young.id = "young";
+  young.arrival = now;
+  const std::set<GatewayRequest*> active = {&old_one, &young};
+  reporter.ListOpen(active, now);
+  reporter.ListOpen(active, now);
+  log.Flush();
+  close(ends[1]);
+  std::string out(4096, '\0');
+  const ssize_t got = read(ends[0], out.data(), out.size());
+  close(ends[0]);
+  REQUIRE(got > 0);
+  out.resize(static_cast<std::size_t>(got));
+  CHECK(out.find("event=requests_open ids=old-one\n") != std::string::npos);
+  CHECK(out.find("old-one", out.find("old-one") + 1) == std::string::npos);
+  CHECK(out.find("young") == std::string::npos);
+}
+
+}  // namespace
+}  // namespace moorfold
--- a/test/platform/gateway_end_to_end_test.cc
+++ b/test/platform/gateway_end_to_end_test.cc
@@ -177,16 +177,16 @@
   REQUIRE(deployment.RunUntil([&] { return deployment.AllReady() && deployment.Leaders() == 1; }));
   deployment.clients->Start(4);
   REQUIRE(deployment.RunUntil([&] {
-    return deployment.gateways[0]->gateway.metrics().orders_sent +
-               deployment.gateways[1]->gateway.metrics().orders_sent >
+    return deployment.gateways[0]->gateway.metrics().orders.Total() +
+               deployment.gateways[1]->gateway.metrics().orders.Total() >
            0;
   }));
   const int first = deployment.gateways[0]->gateway.metrics().leading > 0 ? 0 : 1;
   deployment.platform.store_proxy(first).SetMode(ProxyMode::kSilent);
   const auto& second = deployment.gateways[static_cast<std::size_t>(1 - first)]->gateway;
   REQUIRE(deployment.RunUntil([&] { return second.metrics().leading > 0; }));
-  const std::uint64_t before = second.metrics().orders_sent;
-  deployment.RunUntil([&] { return second.metrics().orders_sent > before; }, milliseconds(8'000));
+  const std::uint64_t before = second.metrics().orders.Total();
+  deployment.RunUntil([&] { return second.metrics().orders.Total() > before; }, milliseconds(8'000));
   deployment.clients->Stop();
   deployment.RunUntil([&] { return deployment.clients->running() == 0; });
   CHECK(deployment.platform.checker().violations() == std::vector<std::string>{});
