Announce orders in the store, so that a change of leader blocks only servers that may be under orders

The rolling restart stopped the leader three times, and each change cost 3 to 7 s without any order: up to 2.5 s until the old leader resigned (it waited for loads, not only for answers), 1 s until another saw it, then 2.4 s because orders of two machines must lie 3 s apart. That rule is about each server, but the new leader could not know which were ordered. Ruled out: keeping the old leader ordering while it drains (the gap stays); telling by datagrams what was ordered (a lost one breaks the rule). Change: OrderHistory: a leader announces servers in the store before ordering; the next reads that after its win and keeps away from those only. Resignation waits for answers, not for loads; leadership is offered to the daemon that was restarted last; followers that miss a leader's datagrams for 1.3 s read its key. The lease is 2 s and safety no longer rests on it: the half-lease window, the settled flag and the wait after a win are gone.

--- a/src/fleet/demand_channel.cc
+++ b/src/fleet/demand_channel.cc
@@ -12,14 +12,18 @@
 constexpr std::chrono::seconds kReporterLife{60};
 /// A daemon that has not reported for so long has no request that waits.
 constexpr std::chrono::seconds kListening{5};
+
+/// @param address "IP:PORT".
+udp::endpoint Resolve(const std::string& address) {
+  const Endpoint endpoint = ParseEndpoint(address);
+  return {boost::asio::ip::make_address(endpoint.address), endpoint.port};
+}
 }  // namespace
 
 DemandChannel::DemandChannel(boost::asio::io_context& context, const Endpoint& listen,
-                             ReportHandler reported, NoticeHandler noticed, SizeHandler sized)
+                             Handlers handlers)
     : socket_(context, udp::endpoint(boost::asio::ip::make_address(listen.address), listen.port)),
-      reported_(std::move(reported)),
-      noticed_(std::move(noticed)),
-      sized_(std::move(sized)) {
+      handlers_(std::move(handlers)) {
   socket_.non_blocking(true);
 }
 
@@ -44,11 +48,13 @@
     auto message = DecodeMessage<FleetMessage>(std::string(buffer_.data(), length));
     if (auto* report = std::get_if<DemandReport>(&message)) {
       reporters_[from_] = steady_clock::now();
-      reported_(std::move(*report));
+      handlers_.reported(std::move(*report));
     } else if (const auto* notice = std::get_if<PlacementNotice>(&message)) {
-      noticed_(*notice);
+      handlers_.noticed(*notice);
+    } else if (const auto* size = std::get_if<FleetSize>(&message)) {
+      handlers_.sized(*size);
     } else {
-      sized_(std::get<FleetSize>(message));
+      handlers_.offered(std::get<LeadershipOffer>(message));
     }
   } catch (const std::exception&) {  // Of another version, or no message: left alone.
   }
@@ -60,10 +66,14 @@
   socket_.send_to(boost::asio::buffer(bytes), to, 0, ignored);
 }
 
+void DemandChannel::SendOffer(const std::string& to, const LeadershipOffer& offer) {
+  Send(offer, Resolve(to));
+}
+
 void DemandChannel::SendReport(const std::string& to, const DemandReport& report) {
-  const Endpoint endpoint = ParseEndpoint(to);
-  const udp::endpoint target(boost::asio::ip::make_address(endpoint.address), endpoint.port);
-  DemandReport part{report.sender, {}, report.unreachable};
+  const udp::endpoint target = Resolve(to);
+  DemandReport part = report;
+  part.entries.clear();
   for (const DemandEntry& entry : report.entries) {
     part.entries.push_back(entry);
     if (part.entries.size() < kEntriesPerDatagram) continue;
--- a/src/fleet/demand_channel.h
+++ b/src/fleet/demand_channel.h
@@ -20,14 +20,24 @@
   using ReportHandler = std::function<void(DemandReport)>;
   using NoticeHandler = std::function<void(const PlacementNotice&)>;
   using SizeHandler = std::function<void(const FleetSize&)>;
+  using OfferHandler = std::function<void(const LeadershipOffer&)>;
+
+  /// What to do with each kind of message.
+  struct Handlers {
+    ReportHandler reported;
+    NoticeHandler noticed;
+    SizeHandler sized;
+    OfferHandler offered;
+  };
 
   /// @throws boost::system::system_error when the address cannot be bound.
-  DemandChannel(boost::asio::io_context& context, const Endpoint& listen, ReportHandler reported,
-                NoticeHandler noticed, SizeHandler sized);
+  DemandChannel(boost::asio::io_context& context, const Endpoint& listen, Handlers handlers);
 
   void Start();
   /// @param to "IP:PORT" of the leader.
   void SendReport(const std::string& to, const DemandReport& report);
+  /// @param to "IP:PORT" of another daemon.
+  void SendOffer(const std::string& to, const LeadershipOffer& offer);
   /// To every daemon that reported lately.
   void Broadcast(const FleetMessage& message);
   /// @return how many daemons reported within the last minute.
@@ -44,9 +54,7 @@
   static constexpr std::size_t kLongestDatagram = 8 * 1024;
 
   boost::asio::ip::udp::socket socket_;
-  ReportHandler reported_;
-  NoticeHandler noticed_;
-  SizeHandler sized_;
+  Handlers handlers_;
   std::array<char, kLongestDatagram> buffer_{};
   boost::asio::ip::udp::endpoint from_;
   std::map<boost::asio::ip::udp::endpoint, Time> reporters_;
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -67,8 +67,7 @@
       notice_(std::move(notice)),
       client_(context),
       timer_(context),
-      plan_timer_(context),
-      loads_(settings_.load_window) {}
+      plan_timer_(context) {}
 
 void FleetController::Start() { Tick(); }
 
@@ -109,13 +108,6 @@
   if (term_ == election_.fencing_token()) return;
   term_ = election_.fencing_token();
   managed_.clear();
-  loads_ = LoadWindow(settings_.load_window);
-  constexpr double kShareAssumedUsed = 0.5;
-  for (const ServiceDescription& service : view_.routes->configuration().services)
-    if (service.engine)
-      loads_.AssumeUsed(service.engine->loads_per_second * kShareAssumedUsed *
-                            std::chrono::duration<double>(settings_.load_window).count(),
-                        steady_clock::now());
 }
 
 void FleetController::PlanAll() {
@@ -152,7 +144,8 @@
   planned.id = server.record().id;
   planned.serving =
       server.Usable(now) && !server.Suspect(now) && !demand_.Unreachable(server.record().id, now);
-  planned.orderable = planned.serving && !managed->operating && now >= managed->not_before;
+  planned.orderable = planned.serving && !managed->operating && now >= managed->not_before &&
+                      election_.ServerFree(planned.id);
   const bool own = managed->known;
   planned.models = own ? managed->models : server.record().models;
   planned.in_memory = own ? managed->in_memory : server.record().in_memory;
@@ -167,7 +160,7 @@
   std::vector<PlannedServer> servers;
   for (const ServerPtr& server : view_.servers.Of(service.name))
     servers.push_back(Describe(*server));
-  const PlannerLimits limits{loads_.Free(service.engine->loads_per_second, now)};
+  const PlannerLimits limits{election_.loads().Free(service.engine->loads_per_second, now)};
   PlacementPlanner planner(*service.engine, demand_.Of(service.name, now), std::move(servers),
                            limits, now);
   for (const PlacementStep& step : planner.Plan())
@@ -193,7 +186,7 @@
   if (step.kind == ServerOrderKind::kLoad && step.name.adapter.empty())
     managed->incoming = step.name.model;
   if (step.from_weight_store) {
-    loads_.Count(steady_clock::now());
+    election_.loads().Count(steady_clock::now());
     ++metrics_.loads_from_weight_store;
   }
   if (step.kind == ServerOrderKind::kUnload) Notify(managed->id, step.name, false);
@@ -230,9 +223,7 @@
 }
 
 Awaitable<void> FleetController::AskState(ManagedPtr managed, Endpoint endpoint) {
-  ++under_way_;
   const std::optional<ServerStatus> report = co_await ReadReport(managed->id, endpoint);
-  --under_way_;
   managed->operating = false;
   managed->not_before = steady_clock::now() + (report && !report->busy ? milliseconds(0)
                                                : report                ? kPollEvery
@@ -246,7 +237,7 @@
 Awaitable<ServerOrderOutcome> FleetController::SendOrder(const ServerOrder& order,
                                                          const Endpoint& endpoint) {
   HttpSendOptions options;
-  options.deadline = steady_clock::now() + LeaderElection::kLongestOrder;
+  options.deadline = steady_clock::now() + OrderHistory::kLongestOrder;
   options.fresh_connection = true;
   try {
     HttpRequest request = protocol_.MakeOrder(order);
@@ -280,25 +271,37 @@
   managed.incoming.clear();
   if (outcome == ServerOrderOutcome::kAlreadyDone) return;
   if (outcome == ServerOrderOutcome::kNoAnswer && step.from_weight_store)
-    loads_.CountUnanswered(steady_clock::now());
+    election_.loads().CountUnanswered(steady_clock::now());
   managed.not_before = steady_clock::now() + kAfterFailure;
 }
 
 Awaitable<void> FleetController::CarryOut(ManagedPtr managed, PlacementStep step, ServerOrder order,
                                           Endpoint endpoint) {
-  ++under_way_;
+  ++sending_;
+  if (!co_await election_.Announce(managed->id)) {
+    --sending_;
+    TakeBack(*managed, step);
+    co_return;
+  }
   const ServerOrderOutcome outcome = co_await SendOrder(order, endpoint);
+  --sending_;
   NoteOrder(order, outcome);
   TakeOutcome(*managed, step, outcome);
   const bool refused =
       outcome != ServerOrderOutcome::kUnderWay && outcome != ServerOrderOutcome::kNoAnswer;
   if (step.kind == ServerOrderKind::kUnload && refused) Notify(managed->id, step.name, true);
   if (outcome == ServerOrderOutcome::kUnderWay) co_await AwaitDone(managed, step, endpoint);
-  --under_way_;
   managed->operating = false;
   PlanSoon();
 }
 
+void FleetController::TakeBack(ManagedServer& managed, const PlacementStep& step) {
+  managed.operating = false;
+  managed.incoming.clear();
+  managed.not_before = steady_clock::now() + kPollEvery;
+  if (step.kind == ServerOrderKind::kUnload) Notify(managed.id, step.name, true);
+}
+
 /// Waits until the server shows the result, and tells the daemons.
 Awaitable<void> FleetController::AwaitDone(const ManagedPtr& managed, const PlacementStep& step,
                                            const Endpoint& endpoint) {
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -10,7 +10,6 @@
 #include "common/event_log.h"
 #include "fleet/fleet_demand.h"
 #include "fleet/leader_election.h"
-#include "fleet/load_window.h"
 #include "fleet/placement_planner.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_metrics.h"
@@ -36,7 +35,6 @@
 
 struct ControllerSettings {
   std::string holder;  ///< Name of this machine in orders.
-  std::chrono::milliseconds load_window{5'000};
 };
 
 /// Carries the planner's steps out while this daemon leads: one order to a server at a time, each
@@ -53,8 +51,8 @@
   void AddReport(const DemandReport& report);
   /// Begins no more orders.
   void Stop() { stopped_ = true; }
-  /// @return orders and questions under way.
-  std::size_t under_way() const { return under_way_; }
+  /// @return orders that are being announced or sent: they have no answer yet.
+  std::size_t sending() const { return sending_; }
 
  private:
   using ManagedPtr = std::shared_ptr<ManagedServer>;
@@ -75,6 +73,9 @@
   Awaitable<void> AskState(ManagedPtr managed, Endpoint endpoint);
   Awaitable<std::optional<ServerStatus>> ReadReport(const std::string& id, Endpoint endpoint);
   Awaitable<ServerOrderOutcome> SendOrder(const ServerOrder& order, const Endpoint& endpoint);
+  /// The order was not sent: another leader's may still be on its way there, or the store is out
+  /// of reach.
+  void TakeBack(ManagedServer& managed, const PlacementStep& step);
   void TakeOutcome(ManagedServer& managed, const PlacementStep& step, ServerOrderOutcome outcome);
   void TakeReport(ManagedServer& managed, const ServerStatus& report);
   void Notify(const std::string& server_id, const ModelReference& name, bool held);
@@ -94,10 +95,9 @@
   SteadyTime plan_not_before_{};
   bool plan_pending_ = false;
   FleetDemand demand_;
-  LoadWindow loads_;
   std::map<std::string, ManagedPtr> managed_;
   std::int64_t term_ = 0;  ///< Fencing token of the term that `managed_` belongs to.
-  std::size_t under_way_ = 0;
+  std::size_t sending_ = 0;
   bool stopped_ = false;
 };
 
--- /dev/null
+++ b/src/fleet/fleet_members.cc
@@ -0,0 +1,33 @@
+#include "fleet/fleet_members.h"
+
+namespace moorfold {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Reports come twice a second; a daemon that missed three may be gone.
+constexpr milliseconds kHeardLately{1'600};
+/// Before that, a daemon may not know the servers yet.
+constexpr milliseconds kSettlingIn{300};
+
+}  // namespace
+
+void FleetMembers::Note(const DemandReport& report, Time now) {
+  members_[report.sender] = {report.address, milliseconds(report.uptime_ms), report.stopping, now};
+  std::erase_if(members_,
+                [&](const auto& member) { return now - member.second.seen > kHeardLately; });
+}
+
+std::optional<std::string> FleetMembers::Successor(Time now) const {
+  const Member* youngest = nullptr;
+  for (const auto& [name, member] : members_) {
+    if (member.stopping || now - member.seen > kHeardLately) continue;
+    if (member.uptime < kSettlingIn) continue;
+    if (youngest == nullptr || member.uptime < youngest->uptime) youngest = &member;
+  }
+  if (youngest == nullptr) return std::nullopt;
+  return youngest->address;
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/fleet/fleet_members.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "fleet/fleet_messages.h"
+
+namespace moorfold {
+
+/// The daemons that report to this one while it leads. Pure; one thread.
+class FleetMembers {
+ public:
+  using Time = std::chrono::steady_clock::time_point;
+
+  void Note(const DemandReport& report, Time now);
+  /// Whom to offer leadership at a planned stop. In a rolling restart whoever has just been
+  /// restarted is the least likely to be stopped next.
+  /// @return its "IP:PORT" for datagrams, or nothing when no daemon may be offered it.
+  std::optional<std::string> Successor(Time now) const;
+
+ private:
+  struct Member {
+    std::string address;
+    std::chrono::milliseconds uptime{0};  ///< At its last report.
+    bool stopping = false;
+    Time seen{};
+  };
+
+  std::map<std::string, Member> members_;  ///< By name.
+};
+
+}  // namespace moorfold
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -18,12 +18,10 @@
 struct LeaderRecord {
   std::string name;     ///< Of the leader's machine.
   std::string address;  ///< "IP:PORT" at which it hears of demand.
-  /// The time in which orders of an older leader may still arrive was waited out.
-  bool settled = false;
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(name, address, settled);
+    archive(name, address);
   }
 };
 
@@ -31,12 +29,15 @@
 /// datagrams where they do not fit; any may be lost, the next report makes up for it.
 struct DemandReport {
   std::string sender;
+  std::string address;         ///< "IP:PORT" at which the sender hears of notices.
+  std::int64_t uptime_ms = 0;  ///< Of the sender's process.
+  bool stopping = false;       ///< The sender is at a planned stop.
   std::vector<DemandEntry> entries;
   std::vector<std::string> unreachable;  ///< Servers to which no connection came up lately.
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(sender, entries, unreachable);
+    archive(sender, address, uptime_ms, stopping, entries, unreachable);
   }
 };
 
@@ -62,7 +63,17 @@
   }
 };
 
-using FleetMessage = std::variant<DemandReport, PlacementNotice, FleetSize>;
+/// From a leader that has given leadership up at a planned stop, to the daemon that should lead.
+struct LeadershipOffer {
+  std::string from;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(from);
+  }
+};
+
+using FleetMessage = std::variant<DemandReport, PlacementNotice, FleetSize, LeadershipOffer>;
 
 template <typename Archive>
 void serialize(Archive& archive, ModelReference& name) {
--- a/src/fleet/load_window.h
+++ b/src/fleet/load_window.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <deque>
+#include <vector>
 
 namespace moorfold {
 
@@ -17,9 +18,14 @@
   void Count(Time now) { ends_.push_back(now + window_); }
   /// A load whose order may be carried out up to kLatest later.
   void CountUnanswered(Time now) { ends_.push_back(now + window_ + kLatest); }
-  /// Leaves room for loads that an older leader may have begun.
-  void AssumeUsed(double loads, Time now) {
-    for (double load = 0; load < loads; load += 1) Count(now);
+  /// A load of an older leader, which counts until `end`.
+  void CountUntil(Time end) { ends_.push_back(end); }
+  /// @return for how long each load that counts now still does.
+  std::vector<std::chrono::milliseconds> Remaining(Time now) const {
+    std::vector<std::chrono::milliseconds> remaining;
+    for (const Time end : ends_)
+      if (end > now) remaining.push_back(std::chrono::ceil<std::chrono::milliseconds>(end - now));
+    return remaining;
   }
   /// @return loads that may begin now.
   double Free(double per_second, Time now) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -15,12 +15,13 @@
 using std::chrono::steady_clock;
 
 constexpr const char* kLeaderKey = "moorfold/leader";
+constexpr const char* kHistoryKey = "moorfold/orders";
 constexpr milliseconds kReportEvery{500};
 /// By then the server's record shows that the model is gone, or that it stayed.
 constexpr milliseconds kUnloadSettles{5'000};
 constexpr milliseconds kReportPause{60};
 constexpr milliseconds kHousekeeping{500};
-constexpr milliseconds kLeaderLease{3'000};
+constexpr milliseconds kLeaderLease{2'000};
 constexpr milliseconds kStopCheck{50};
 /// Of the fleet's free repeats, for daemons that reported to the leader; the rest is left to those
 /// that have not heard how large the fleet is.
@@ -36,7 +37,7 @@
 constexpr double kIdleMargin = 1.2;
 
 milliseconds CandidacyDelay(const GatewaySettings& settings) {
-  constexpr double kLongestMs = 600;
+  constexpr double kLongestMs = 300;
   const double share = std::clamp(settings.cpu_share, 0.0, 1.0);
   return milliseconds(static_cast<std::int64_t>(kLongestMs * (1 - share)));
 }
@@ -59,16 +60,19 @@
       view_(context.get_executor()),
       store_(store, metrics_),
       store_view_(context, store_, protocol, view_, metrics_, log),
-      channel_(
-          context, settings_.peer,
-          [this](const DemandReport& report) { controller_.AddReport(report); },
-          [this](const PlacementNotice& notice) { TakeNotice(notice); },
-          [this](const FleetSize& size) { TakeSize(size); }),
-      election_(context, store_, log,
-                {settings_.name, ToString(channel_.endpoint()), kLeaderKey, kLeaderLease,
-                 settings_.order_handover, CandidacyDelay(settings_)}),
-      controller_(context, protocol, view_, election_, metrics_, log,
-                  {settings_.name, settings_.load_window},
+      channel_(context, settings_.peer,
+               {[this](const DemandReport& report) { TakeReport(report); },
+                [this](const PlacementNotice& notice) { TakeNotice(notice); },
+                [this](const FleetSize& size) {
+                  election_.HeardLeader();
+                  TakeSize(size);
+                },
+                [this](const LeadershipOffer&) { election_.LookNow(true); }}),
+      election_(
+          context, store_, log,
+          {settings_.name, ToString(channel_.endpoint()), kLeaderKey, kHistoryKey, kLeaderLease,
+           settings_.order_handover, settings_.load_window, CandidacyDelay(settings_)}),
+      controller_(context, protocol, view_, election_, metrics_, log, {settings_.name},
                   [this](const PlacementNotice& notice) {
                     TakeNotice(notice);
                     channel_.Broadcast(notice);
@@ -100,9 +104,9 @@
   if (figures_) figures_->Start();
   channel_.Start();
   store_view_.Start(
-      kLeaderKey,
-      [this](const std::optional<KeyValue>& entry, std::int64_t revision) {
-        election_.KeyChanged(entry, revision);
+      {kLeaderKey, kHistoryKey},
+      [this](const std::string& key, const std::optional<KeyValue>& entry, std::int64_t revision) {
+        election_.KeyChanged(key, entry, revision);
       },
       [this](const RoutingConfiguration& configuration) { Configure(configuration); });
   election_.Start();
@@ -167,8 +171,14 @@
 Awaitable<void> Gateway::ReportDemand() {
   while (true) {
     co_await view_.demand_raised.Wait(steady_clock::now() + kReportEvery);
-    DemandReport report{settings_.name, view_.demand.Take(), UnreachableServers()};
-    if (report.entries.empty()) continue;
+    DemandReport report;
+    report.sender = settings_.name;
+    report.address = ToString(channel_.endpoint());
+    report.uptime_ms =
+        std::chrono::duration_cast<milliseconds>(steady_clock::now() - started_at_).count();
+    report.stopping = stopping_;
+    report.entries = view_.demand.Take();
+    report.unreachable = UnreachableServers();
     if (election_.leading())
       controller_.AddReport(report);
     else if (election_.leader())
@@ -177,6 +187,11 @@
   }
 }
 
+void Gateway::TakeReport(const DemandReport& report) {
+  members_.Note(report, steady_clock::now());
+  controller_.AddReport(report);
+}
+
 /// The part of the fleet's free repeats that this daemon may use on top of its share by requests.
 void Gateway::TakeSize(const FleetSize& size) {
   const double daemons = std::max<double>(size.daemons, kSmallestFleet);
@@ -214,6 +229,7 @@
                                     .Field(LogField::kActiveRequests, front_->active_requests()));
   front_->AnnounceClose();
   controller_.Stop();
+  election_.StopOrdering();
   boost::asio::co_spawn(context_, Stop(), boost::asio::detached);
 }
 
@@ -229,14 +245,25 @@
   return front_->open_connections() == 0;
 }
 
+/// Once no order is without its answer; the store has to know before the successor looks.
+void Gateway::HandLeadershipOn() {
+  if (resigning_ || controller_.sending() > 0) return;
+  resigning_ = true;
+  const bool led = election_.leading();
+  election_.Resign([this, led] {
+    resigned_ = true;
+    const std::optional<std::string> successor = members_.Successor(steady_clock::now());
+    if (led && successor) channel_.SendOffer(*successor, {settings_.name});
+  });
+}
+
 Awaitable<void> Gateway::Stop() {
   const auto began = steady_clock::now();
-  bool resigned = false;
-  while (!Drained(steady_clock::now() - began)) {
-    if (!resigned && controller_.under_way() == 0) {
-      resigned = true;
-      election_.Resign();
-    }
+  while (true) {
+    HandLeadershipOn();
+    const auto elapsed = steady_clock::now() - began;
+    const bool last_moment = elapsed >= settings_.drain_timeout - kReserve;
+    if (Drained(elapsed) && (resigned_ || last_moment)) break;
     co_await Sleep(kStopCheck);
   }
   pipeline_.NoteCut();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -7,6 +7,7 @@
 #include "common/event_log.h"
 #include "fleet/demand_channel.h"
 #include "fleet/fleet_controller.h"
+#include "fleet/fleet_members.h"
 #include "fleet/leader_election.h"
 #include "gateway/counting_store.h"
 #include "gateway/fleet_view.h"
@@ -45,6 +46,8 @@
   Awaitable<void> AnswerMetrics(HttpServerExchange& exchange);
   void TakeNotice(const PlacementNotice& notice);
   void TakeSize(const FleetSize& size);
+  void TakeReport(const DemandReport& report);
+  void HandLeadershipOn();
   std::vector<std::string> UnreachableServers() const;
   Awaitable<void> ReportDemand();
   Awaitable<void> KeepHouse();
@@ -59,6 +62,7 @@
   CountingStore store_;
   StoreView store_view_;
   DemandChannel channel_;
+  FleetMembers members_;
   LeaderElection election_;
   FleetController controller_;
   RequestPipeline pipeline_;
@@ -66,7 +70,10 @@
   std::unique_ptr<HttpServer> readiness_;
   std::unique_ptr<HttpServer> figures_;  ///< Null where no address is given.
   std::chrono::milliseconds longest_idle_{0};
+  std::chrono::steady_clock::time_point started_at_ = std::chrono::steady_clock::now();
   bool stopping_ = false;
+  bool resigning_ = false;
+  bool resigned_ = false;
 };
 
 }  // namespace moorfold
--- a/test/fleet/placement_test.cc
+++ b/test/fleet/placement_test.cc
@@ -208,10 +208,19 @@
   CHECK(window.Free(4, kNow + seconds(30)) == 20);
 }
 
+DemandReport MakeReport(const std::string& sender, std::vector<DemandEntry> entries,
+                        std::vector<std::string> unreachable = {}) {
+  DemandReport report;
+  report.sender = sender;
+  report.entries = std::move(entries);
+  report.unreachable = std::move(unreachable);
+  return report;
+}
+
 TEST_CASE("Demand adds up over daemons, and a silent daemon's share passes") {
   FleetDemand demand;
-  demand.Add({"one", {{"s", {"m", ""}, 1, 2, 3, 30}}, {}}, kNow);
-  demand.Add({"two", {{"s", {"m", ""}, 4, 0, 1, 10}}, {}}, kNow);
+  demand.Add(MakeReport("one", {{"s", {"m", ""}, 1, 2, 3, 30}}), kNow);
+  demand.Add(MakeReport("two", {{"s", {"m", ""}, 4, 0, 1, 10}}), kNow);
   const auto both = demand.Of("s", kNow);
   CHECK(both.at({"m", ""}).waiting == 5);
   CHECK(both.at({"m", ""}).in_flight == 2);
@@ -224,10 +233,10 @@
 
 TEST_CASE("A server is out of reach when two daemons say so, not one that may itself be cut off") {
   FleetDemand demand;
-  demand.Add({"one", {}, {"i"}}, kNow);
-  demand.Add({"one", {}, {"i"}}, kNow + milliseconds(100));
+  demand.Add(MakeReport("one", {}, {"i"}), kNow);
+  demand.Add(MakeReport("one", {}, {"i"}), kNow + milliseconds(100));
   CHECK_FALSE(demand.Unreachable("i", kNow + milliseconds(200)));
-  demand.Add({"two", {}, {"i"}}, kNow + milliseconds(200));
+  demand.Add(MakeReport("two", {}, {"i"}), kNow + milliseconds(200));
   CHECK(demand.Unreachable("i", kNow + milliseconds(300)));
   CHECK_FALSE(demand.Unreachable("i", kNow + seconds(3)));
 }
@@ -237,16 +246,21 @@
   std::vector<DemandReport> reports;
   std::vector<PlacementNotice> notices;
   std::vector<std::uint32_t> sizes;
-  DemandChannel leader(
-      context, {"127.0.0.1", 0}, [&](DemandReport report) { reports.push_back(report); },
-      [](const PlacementNotice&) {}, [](const FleetSize&) {});
-  DemandChannel daemon(
-      context, {"127.0.0.1", 0}, [](const DemandReport&) {},
-      [&](const PlacementNotice& notice) { notices.push_back(notice); },
-      [&](const FleetSize& size) { sizes.push_back(size.daemons); });
+  std::vector<std::string> offers;
+  DemandChannel::Handlers to_leader{[&](DemandReport report) { reports.push_back(report); },
+                                    [](const PlacementNotice&) {}, [](const FleetSize&) {},
+                                    [](const LeadershipOffer&) {}};
+  DemandChannel leader(context, {"127.0.0.1", 0}, to_leader);
+  DemandChannel::Handlers to_daemon{
+      [](const DemandReport&) {}, [&](const PlacementNotice& notice) { notices.push_back(notice); },
+      [&](const FleetSize& size) { sizes.push_back(size.daemons); },
+      [&](const LeadershipOffer& offer) { offers.push_back(offer.from); }};
+  DemandChannel daemon(context, {"127.0.0.1", 0}, to_daemon);
   leader.Start();
   daemon.Start();
-  DemandReport report{"one", {}, {"i-9"}};
+  DemandReport report = MakeReport("one", {}, {"i-9"});
+  report.address = ToString(daemon.endpoint());
+  report.uptime_ms = 1'234;
   for (int entry = 0; entry < 60; ++entry)
     report.entries.push_back({"s", {"m" + std::to_string(entry), ""}, 1, 2, 3, 4});
   daemon.SendReport(ToString(leader.endpoint()), report);
@@ -262,11 +276,14 @@
   }
   REQUIRE(entries == 60);
   CHECK(reports[0].unreachable == std::vector<std::string>{"i-9"});
+  CHECK(reports[0].uptime_ms == 1'234);
   CHECK(leader.reporters() == 1);
+  leader.SendOffer(reports[0].address, {"leader"});
   leader.Broadcast(FleetSize{7});
   leader.Broadcast(PlacementNotice{"i-1", {"m", "a"}, false});
-  while (notices.empty() && std::chrono::steady_clock::now() < give_up)
+  while ((notices.empty() || offers.empty()) && std::chrono::steady_clock::now() < give_up)
     context.run_one_for(milliseconds(50));
+  CHECK(offers == std::vector<std::string>{"leader"});
   REQUIRE(notices.size() == 1);
   CHECK(notices[0].name.adapter == "a");
   CHECK_FALSE(notices[0].held);
