Say what to do about an address in use; the soak waits for the end of what it restarts

The new process ended with 'bind: Address already in use'; the script went on with its id, and its next kill failed (exit 1, which make reports as 2). Brought about: a second process on the same addresses ends with exit 1 and that text; end_to_end_test starts a daemon on the addresses of one that drains a stream. Ruled out: retrying the bind in the daemon: whoever starts processes also starts them again, and a daemon that waits silently looks alive.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Runs a whole deployment on loopback under a scenario's load while faults come and go, then
-# compares every answer and the back ends' own record. Bounded in time.
+# compares every answer and the back ends' own record. Bounded in time. A failed run keeps its logs.
 # Usage: scripts/soak.sh DEPLOYMENT [SECONDS]
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -12,7 +12,7 @@
 stop() {
   kill "${pids[@]}" 2>/dev/null || true
   wait 2>/dev/null || true
-  rm -rf "$run"
+  if [ "${finished:-0}" = 1 ]; then rm -rf "$run"; else echo "soak: logs are kept in $run" >&2; fi
 }
 trap stop EXIT
 await() { for _ in $(seq 200); do [ -s "$1" ] && return; sleep 0.05; done; echo "soak: no $1" >&2; exit 1; }
@@ -34,6 +34,12 @@
     --machine-list "$MACHINE_LIST" "${ports[@]}" --ready-file "$run/$name.json" 2>>"$run/$name.log" &
   pids[$name]=$!
 }
+restart() { # zone index signal: only once the one before has ended are its addresses free.
+  local pid=${pids[$1-daemon-$2]}
+  kill "-$3" "$pid"
+  wait "$pid" 2>/dev/null || true
+  start "$1" "$2"
+}
 zones=()
 servers=()
 for settings in "settings/$deployment"/*.yaml; do zones+=("$(basename "$settings" .yaml)"); done
@@ -57,16 +63,17 @@
 end=$((SECONDS + seconds - 25))
 while [ $SECONDS -lt $end ] && kill -0 $load 2>/dev/null; do
   fault '{"component":"key_value","down":true}'; sleep 4
-  kill -9 "${pids[$zone-daemon-0]}"; sleep 1; start "$zone" 0; sleep 3
+  restart "$zone" 0 KILL; sleep 3
   fault '{"component":"key_value","down":false,"lost_answers":1}'; sleep 2
   fault "{\"component\":\"engine\",\"name\":\"$zone-engine-0\",\"action\":\"kill\"}"; sleep 1
   fault "{\"component\":\"engine\",\"name\":\"$zone-engine-0\",\"action\":\"restart\"}"
   fault "{\"component\":\"engine\",\"name\":\"$zone-engine-1\",\"cut_streams\":2,\"abort_loads\":1,\"lost_answers\":1}"
   kill -STOP "${pids[$zone-daemon-1]}"; sleep 3; kill -CONT "${pids[$zone-daemon-1]}"; sleep 2
   fault '{"component":"weight_store","slowdown":5}'; sleep 3; fault '{"component":"weight_store","slowdown":1}'
-  kill -TERM "${pids[${zones[1]}-daemon-1]}"; sleep 2; start "${zones[1]}" 1; sleep 2
+  restart "${zones[1]}" 1 TERM; sleep 2
 done
 code=0
 wait $load || code=$?
 cat "$run/result"
+[ "$code" = 0 ] && finished=1
 exit $code
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -23,7 +23,7 @@
 /// ready, no new connections, requests in progress run to their end) -> stopped.
 class Daemon {
  public:
-  /// Binds all ports. @throws boost::system::system_error.
+  /// Binds all ports. @throws ListenError.
   explicit Daemon(const DaemonSettings& settings);
   ~Daemon();
   Daemon(const Daemon&) = delete;
--- a/src/fleet/demand_channel.cc
+++ b/src/fleet/demand_channel.cc
@@ -2,6 +2,8 @@
 
 #include <boost/asio/buffer.hpp>
 
+#include "http/listen_error.h"
+
 namespace moorfold {
 
 using boost::asio::ip::udp;
@@ -22,8 +24,10 @@
 
 DemandChannel::DemandChannel(boost::asio::io_context& context, const Endpoint& listen,
                              Handlers handlers)
-    : socket_(context, udp::endpoint(boost::asio::ip::make_address(listen.address), listen.port)),
-      handlers_(std::move(handlers)) {
+    : socket_(context, udp::v4()), handlers_(std::move(handlers)) {
+  boost::system::error_code error;
+  socket_.bind({boost::asio::ip::make_address(listen.address), listen.port}, error);
+  if (error) throw ListenError(listen, error);
   socket_.non_blocking(true);
 }
 
--- a/src/fleet/demand_channel.h
+++ b/src/fleet/demand_channel.h
@@ -30,7 +30,7 @@
     OfferHandler offered;
   };
 
-  /// @throws boost::system::system_error when the address cannot be bound.
+  /// @throws ListenError when the address cannot be bound.
   DemandChannel(boost::asio::io_context& context, const Endpoint& listen, Handlers handlers);
 
   void Start();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -26,7 +26,7 @@
 /// their end) -> stopped.
 class Gateway {
  public:
-  /// Binds all ports. @throws boost::system::system_error.
+  /// Binds all ports. @throws ListenError.
   Gateway(boost::asio::io_context& context, GatewaySettings settings, KeyValueStore& store,
           const FleetProtocol& protocol, EventLog& log);
 
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -16,6 +16,7 @@
 #include <set>
 
 #include "http/http_status.h"
+#include "http/listen_error.h"
 
 namespace moorfold {
 
@@ -55,11 +56,15 @@
   Impl(std::vector<asio::io_context*> contexts, const Endpoint& listen, HttpServerLimits limits,
        HttpHandler handler, HttpRejection rejection)
       : contexts_(std::move(contexts)),
-        acceptor_(std::in_place, *contexts_.front(),
-                  tcp::endpoint(asio::ip::make_address(listen.address), listen.port)),
         limits_(limits),
         handler_(std::move(handler)),
         rejection_(std::move(rejection)) {
+    try {
+      acceptor_.emplace(*contexts_.front(),
+                        tcp::endpoint(asio::ip::make_address(listen.address), listen.port));
+    } catch (const boost::system::system_error& error) {
+      throw ListenError(listen, error.code());
+    }
     const tcp::endpoint local = acceptor_->local_endpoint();
     endpoint_ = {local.address().to_string(), local.port()};
   }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -52,7 +52,7 @@
 /// context is run by one thread. The handler is called on the connection's thread.
 class HttpServer {
  public:
-  /// @throws boost::system::system_error when the address cannot be bound.
+  /// @throws ListenError when the address cannot be bound.
   HttpServer(std::vector<boost::asio::io_context*> contexts, const Endpoint& listen,
              HttpServerLimits limits, HttpHandler handler, HttpRejection rejection);
   /// Only when no thread runs the contexts any more, or from the first one's own thread.
--- a/src/peer/transport.cc
+++ b/src/peer/transport.cc
@@ -14,6 +14,7 @@
 #include <deque>
 #include <map>
 
+#include "http/listen_error.h"
 #include "ports/json_codec.h"
 
 namespace moorfold {
@@ -90,7 +91,11 @@
     const asio::ip::address address = asio::ip::make_address(listen.address);
     for (int attempt = 1;; ++attempt) {
       error_code error;
-      acceptor_ = tcp::acceptor(context_, tcp::endpoint(address, listen.port));
+      try {
+        acceptor_ = tcp::acceptor(context_, tcp::endpoint(address, listen.port));
+      } catch (const boost::system::system_error& failed) {
+        throw ListenError(listen, failed.code());
+      }
       const std::uint16_t port = acceptor_.local_endpoint().port();
       datagrams_ = udp::socket(context_, udp::v4());
       datagrams_.bind(udp::endpoint(address, port), error);
@@ -98,7 +103,7 @@
         endpoint_ = {listen.address, port};
         return;
       }
-      if (listen.port != 0 || attempt == kBindAttempts) throw boost::system::system_error(error);
+      if (listen.port != 0 || attempt == kBindAttempts) throw ListenError(listen, error);
     }
   }
 
--- a/src/peer/transport.h
+++ b/src/peer/transport.h
@@ -31,7 +31,7 @@
   using Clock = std::function<Timestamp()>;
 
   /// Binds UDP and TCP to the same port; port 0 takes any that is free for both.
-  /// @throws boost::system::system_error when it cannot be bound.
+  /// @throws ListenError when it cannot be bound.
   PeerTransport(boost::asio::io_context& context, const Endpoint& listen, FrameCodec codec,
                 Clock clock, Handler handler);
   ~PeerTransport();
--- a/test/e2e/end_to_end_test.cc
+++ b/test/e2e/end_to_end_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "cluster.h"
+#include "http/listen_error.h"
 
 namespace moorfold {
 namespace {
@@ -228,6 +229,36 @@
   CHECK(SendOne(cluster.ModelRequest(1, "both")).end == LoadEnd::kServed);
 }
 
+TEST_CASE(
+    "A daemon's addresses are its own until it has drained; whoever comes sooner is told so") {
+  // Found by a soak: a daemon was started again while the one before drained, and ended unnoticed.
+  Deployment deployment = Cluster::Small();
+  deployment.engine.between_tokens = std::chrono::milliseconds(30);
+  Cluster cluster(deployment, 1);
+  cluster.Establish();
+  REQUIRE(SendOne(cluster.ModelRequest(0, "both")).end == LoadEnd::kServed);
+  LoadRequest long_request = cluster.ModelRequest(0, "both", true);
+  long_request.tokens = 60;
+  LoadOutcome outcome;
+  std::thread caller([&] { outcome = SendOne(long_request); });
+  Cluster::WaitFor([&] { return cluster.RequestsRun() >= 2; });
+  cluster.daemon(0).BeginStop();
+  DaemonSettings settings;
+  settings.name = "again";
+  settings.zone = "y";
+  settings.peer_key = "end-to-end-test-key";
+  settings.peer_listen = cluster.daemon(0).peer_endpoint();
+  try {
+    Daemon again(settings);
+    FAIL("two daemons at one address");
+  } catch (const ListenError& error) {
+    CHECK(std::string(error.what()).find("may still be draining") != std::string::npos);
+  }
+  CHECK(cluster.daemon(0).AwaitStopped());
+  caller.join();
+  CHECK(outcome.end == LoadEnd::kServed);
+}
+
 TEST_CASE("A leaving engine's models are served elsewhere") {
   Cluster cluster(Cluster::Small());
   cluster.Establish();
--- a/test/fleet/placement_test.cc
+++ b/test/fleet/placement_test.cc
@@ -8,6 +8,7 @@
 #include "fleet/fleet_demand.h"
 #include "fleet/load_window.h"
 #include "fleet/placement_planner.h"
+#include "http/listen_error.h"
 
 namespace moorfold {
 namespace {
@@ -241,6 +242,20 @@
   CHECK_FALSE(demand.Unreachable("i", kNow + seconds(3)));
 }
 
+TEST_CASE("An address for datagrams that is in use is named, with what to do") {
+  boost::asio::io_context context;
+  const DemandChannel::Handlers none{[](const DemandReport&) {}, [](const PlacementNotice&) {},
+                                     [](const FleetSize&) {}, [](const LeadershipOffer&) {}};
+  const DemandChannel first(context, {"127.0.0.1", 0}, none);
+  try {
+    const DemandChannel second(context, first.endpoint(), none);
+    FAIL("no error");
+  } catch (const ListenError& error) {
+    CHECK(std::string(error.what()).find(ToString(first.endpoint())) != std::string::npos);
+    CHECK(std::string(error.what()).find("draining") != std::string::npos);
+  }
+}
+
 TEST_CASE("Reports and notices pass between daemons; what is no message is left alone") {
   boost::asio::io_context context;
   std::vector<DemandReport> reports;
