Grow the emulator: a store with rates, batches and kept prompts, clients that leave or insist, judged stops and a final fault

Cause: the soak checked twelve promises of sixteen: nothing on requests denied, clients gone, losses at a planned stop, and recovery; its store had no rates, its servers no batch and no prompt cache, its clients always waited. Change: checkers denied, gone, lost and recover, each shown to bite by a planted fault; a call budget in the store (429); prompts read at a rate, kept parts not again, events slower in a full batch, a few long streams; clients that leave and clients that come back at once; around each planned stop of the soak nothing else strikes, so what is cut then is lost; the soak ends with all gateways killed at once and has to serve again; a stream that ends as whole without its last event breaks 'order'.

--- a/scripts/soak_faults.sh
+++ b/scripts/soak_faults.sh
@@ -42,6 +42,11 @@
   case $kind in
     term) kill -TERM "${pids[$number]}"; restart_gateway "$number" ;;
     kill) kill -KILL "${pids[$number]}"; sleep 0.5; restart_gateway "$number" ;;
+    kill_all)
+      for each in "${pids[@]}"; do kill -KILL "$each"; done
+      sleep "$duration"
+      for each in "${!pids[@]}"; do restart_gateway "$each"; done
+      ;;
     pause) kill -STOP "${pids[$number]}"; sleep "$duration"; kill -CONT "${pids[$number]}" ;;
   esac
 done <"$folder/signals.txt"
--- a/test/emulator/emulated_clients.cc
+++ b/test/emulator/emulated_clients.cc
@@ -39,6 +39,14 @@
   return events;
 }
 
+/// As ReadEvents; a stream that ends as whole without its last event has a foreign one more.
+std::vector<int> ReadStream(const std::string& body, const std::string& id, bool whole) {
+  std::vector<int> events = ReadEvents(body, id);
+  if (whole && static_cast<int>(events.size()) != ServerEmulator::EventsOf(id))
+    events.push_back(-1);
+  return events;
+}
+
 }  // namespace
 
 EmulatedClients::EmulatedClients(boost::asio::io_context& context, EmulatedPlatform& platform,
@@ -86,18 +94,21 @@
 }
 
 Awaitable<void> EmulatedClients::RunClient(int number) {
+  constexpr int kImpatientTries = 4;
   ++running_;
   while (!stopping_) {
     co_await Sleep(kPause + milliseconds(Draw(60)));
-    const std::string id = "c" + std::to_string(number) + "-" + std::to_string(next_id_);
-    ++next_id_;
-    co_await SendOne(id);
+    bool served = false;
+    for (int attempt = 0; attempt < (impatient_ ? kImpatientTries : 1) && !served; ++attempt) {
+      const std::string id = "c" + std::to_string(number) + "-" + std::to_string(next_id_);
+      ++next_id_;
+      served = co_await SendOne(id);
+    }
   }
   --running_;
 }
 
-Awaitable<ClientAnswer> EmulatedClients::Exchange(const Endpoint& gateway, const std::string& id,
-                                                  RequestKind kind) {
+HttpRequest EmulatedClients::MakeRequest(const std::string& id, RequestKind kind) {
   HttpRequest request;
   request.method = kind == RequestKind::kRepeatable ? "GET" : "POST";
   request.target = PathOf(kind);
@@ -112,6 +123,12 @@
     request.headers.push_back({"X-Prompt-Prefix", "5c1e:800," + id + ":20"});
   }
   if (kind != RequestKind::kRepeatable) request.body = "body of " + id;
+  return request;
+}
+
+Awaitable<ClientAnswer> EmulatedClients::Exchange(const Endpoint& gateway, const std::string& id,
+                                                  RequestKind kind) {
+  HttpRequest request = MakeRequest(id, kind);
   HttpSendOptions options;
   options.deadline = steady_clock::now() + kDeadline;
   options.fresh_connection = kind != RequestKind::kRepeatable;
@@ -132,7 +149,7 @@
     answer.whole = false;
   }
   if (kind == RequestKind::kStream && answer.status == 200)
-    answer.events = ReadEvents(body, id);
+    answer.events = ReadStream(body, id, answer.whole);
   else
     answer.matches = answer.matches && body == ServerEmulator::BodyOf(id);
   co_return answer;
@@ -157,27 +174,60 @@
   }
 }
 
-Awaitable<void> EmulatedClients::SendOne(const std::string& id) {
+Awaitable<void> EmulatedClients::SendAndLeave(const GatewayAddress& gateway,
+                                              const std::string& id) {
+  HttpRequest request = MakeRequest(id, RequestKind::kStream);
+  HttpSendOptions options;
+  options.deadline = steady_clock::now() + milliseconds(10 + Draw(300));
+  options.fresh_connection = true;
+  const Endpoint to = gateway.front;
+  try {
+    const auto exchange = co_await client_.Open(to, std::move(request), options);
+    while (!(co_await exchange->ReadSome()).empty()) {
+    }
+    co_return;  // It was answered sooner.
+  } catch (const HttpError&) {
+    ++counts_.left;
+  }
+  platform_.checker().Left(id, steady_clock::now());
+}
+
+Awaitable<bool> EmulatedClients::SendRequest(GatewayAddress& gateway, const std::string& id,
+                                             RequestKind kind) {
+  ++counts_.sent;
+  const auto sent = steady_clock::now();
+  ClientAnswer answer = co_await Exchange(gateway.front, id, kind);
+  answer.cut_at_stop =
+      !answer.whole && sent >= gateway.stop_from && steady_clock::now() <= gateway.stop_until;
+  platform_.checker().Answered(answer);
+  const bool served = answer.status == 200 && answer.whole;
+  if (served)
+    ++counts_.served;
+  else if (answer.status == 503 || answer.status == 429)
+    ++counts_.refused;
+  else
+    ++counts_.unknown;
+  co_return served;
+}
+
+Awaitable<bool> EmulatedClients::SendOne(const std::string& id) {
+  constexpr int kLeaversOf = 30;
   GatewayAddress* gateway = PickGateway();
-  if (gateway == nullptr) co_return;
+  if (gateway == nullptr) co_return false;
   const int drawn = Draw(9);
   if (drawn == 0) {
     co_await SendProbe(*gateway, id);
-    co_return;
+    co_return true;
   }
   const RequestKind kind = drawn < 4   ? RequestKind::kRepeatable
                            : drawn < 7 ? RequestKind::kAtMostOnce
                                        : RequestKind::kStream;
-  ++counts_.sent;
   platform_.checker().Sent(id, kind);
-  const ClientAnswer answer = co_await Exchange(gateway->front, id, kind);
-  platform_.checker().Answered(answer);
-  if (answer.status == 200 && answer.whole)
-    ++counts_.served;
-  else if (answer.status == 503 || answer.status == 429)
-    ++counts_.refused;
-  else
-    ++counts_.unknown;
+  if (kind == RequestKind::kStream && Draw(kLeaversOf) == 0) {
+    co_await SendAndLeave(*gateway, id);
+    co_return true;
+  }
+  co_return co_await SendRequest(*gateway, id, kind);
 }
 
 }  // namespace moorfold
--- a/test/emulator/emulated_clients.h
+++ b/test/emulator/emulated_clients.h
@@ -18,6 +18,9 @@
   bool ready = false;
   /// Until then the gateway, or its way to the store, is or was lately disturbed.
   std::chrono::steady_clock::time_point disturbed_until{};
+  /// Around a planned stop with no other trouble: what is cut then is lost.
+  std::chrono::steady_clock::time_point stop_from{};
+  std::chrono::steady_clock::time_point stop_until{};
 };
 
 struct ClientCounts {
@@ -25,6 +28,7 @@
   std::uint64_t served = 0;
   std::uint64_t refused = 0;  ///< Answered as not run.
   std::uint64_t unknown = 0;  ///< Neither served nor refused.
+  std::uint64_t left = 0;     ///< Given up by the client before its deadline.
 };
 
 /// Clients of each kind of request, and the entry that deals them to gateways. One thread.
@@ -36,13 +40,20 @@
   /// @param count clients that send one request after the other until Stop.
   void Start(int count);
   void Stop() { stopping_ = true; }
+  /// Whether clients that were refused come back at once, and more than once.
+  void SetImpatient(bool impatient) { impatient_ = impatient; }
   int running() const { return running_; }
   const ClientCounts& counts() const { return counts_; }
 
  private:
   Awaitable<void> Probe();
   Awaitable<void> RunClient(int number);
-  Awaitable<void> SendOne(const std::string& id);
+  /// @return whether the request was served.
+  Awaitable<bool> SendOne(const std::string& id);
+  Awaitable<bool> SendRequest(GatewayAddress& gateway, const std::string& id, RequestKind kind);
+  /// Sends a request and closes the connection after a moment.
+  Awaitable<void> SendAndLeave(const GatewayAddress& gateway, const std::string& id);
+  HttpRequest MakeRequest(const std::string& id, RequestKind kind);
   Awaitable<void> SendProbe(GatewayAddress& gateway, const std::string& id);
   Awaitable<ClientAnswer> Exchange(const Endpoint& gateway, const std::string& id,
                                    RequestKind kind);
@@ -56,6 +67,7 @@
   HttpClient client_;
   ClientCounts counts_;
   bool stopping_ = false;
+  bool impatient_ = false;
   int running_ = 0;
   std::uint64_t next_id_ = 0;
 };
--- a/test/emulator/main.cc
+++ b/test/emulator/main.cc
@@ -1,6 +1,7 @@
 // The emulated platform as a program of its own, for soaks: gateways are separate processes that
 // the caller starts with the settings files this program writes.
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -21,15 +22,23 @@
 using std::chrono::steady_clock;
 
 constexpr milliseconds kSignalSettles{14'000};
+/// Before and after a planned stop that is judged, nothing else goes wrong.
+constexpr milliseconds kCalmBefore{4'000};
+constexpr milliseconds kCalmAfter{10'000};
+/// The end of a soak: all gateways are killed, get some time to recover, and have to serve.
+constexpr milliseconds kFinalFault{26'000};
+constexpr milliseconds kServeAgain{6'000};
+constexpr milliseconds kLastAnswers{6'000};
 
 /// What the caller does to a gateway's process.
-enum class SignalKind : std::uint8_t { kTerminate, kKill, kPause };
+enum class SignalKind : std::uint8_t { kTerminate, kKill, kPause, kKillAll };
 
 struct PlannedSignal {
   milliseconds at;
   SignalKind kind;
   int gateway;
   milliseconds length;
+  bool judged_stop = false;  ///< A planned stop around which nothing else goes wrong.
 };
 
 const char* Name(SignalKind kind) {
@@ -40,6 +49,8 @@
       return "kill";
     case SignalKind::kPause:
       return "pause";
+    case SignalKind::kKillAll:
+      return "kill_all";
   }
   return "none";
 }
@@ -52,11 +63,16 @@
   };
   std::vector<PlannedSignal> signals;
   milliseconds at = seconds(10);
-  while (at + seconds(15) < length) {
-    signals.push_back({at, static_cast<SignalKind>(draw(0, 2)), draw(0, gateways - 1),
-                       milliseconds(draw(500, 4'000))});
-    at += milliseconds(draw(4'000, 14'000));
+  const milliseconds last = length - kFinalFault;
+  while (at + seconds(15) < last) {
+    PlannedSignal signal{at, static_cast<SignalKind>(draw(0, 2)), draw(0, gateways - 1),
+                         milliseconds(draw(500, 4'000))};
+    signal.judged_stop = signal.kind == SignalKind::kTerminate;
+    signals.push_back(signal);
+    const milliseconds least = signal.judged_stop ? kCalmAfter : seconds(4);
+    at += least + milliseconds(draw(0, 10'000));
   }
+  signals.push_back({last, SignalKind::kKillAll, 0, milliseconds(1'000)});
   return signals;
 }
 
@@ -98,18 +114,35 @@
 /// Faults of the network, the store and the servers, drawn from a seed.
 class FaultPlan {
  public:
-  FaultPlan(EmulatedPlatform& platform, std::vector<GatewayAddress>& gateways, std::uint64_t seed)
-      : platform_(platform), gateways_(gateways), random_(seed) {}
+  FaultPlan(EmulatedPlatform& platform, std::vector<GatewayAddress>& gateways,
+            EmulatedClients& clients, std::uint64_t seed)
+      : platform_(platform), gateways_(gateways), clients_(clients), random_(seed) {}
 
   Awaitable<void> Run() {
     while (!stopped_) {
       co_await Sleep(milliseconds(Draw(1'500, 5'000)));
-      co_await Strike(Draw(0, 9));
+      const int kind = Draw(0, 11);
+      if (!Calm()) co_await Strike(kind);
     }
   }
+  /// Nothing strikes in that time; what struck before has ended by its beginning.
+  void KeepCalm(steady_clock::time_point from, steady_clock::time_point until) {
+    calm_.push_back({from - kLongestFault, until});
+  }
   void Stop() { stopped_ = true; }
 
  private:
+  struct CalmTime {
+    steady_clock::time_point from;
+    steady_clock::time_point until;
+  };
+  static constexpr milliseconds kLongestFault{4'000};
+
+  bool Calm() const {
+    const auto now = steady_clock::now();
+    return std::any_of(calm_.begin(), calm_.end(),
+                       [&](const CalmTime& time) { return now >= time.from && now < time.until; });
+  }
   int Draw(int least, int most) { return std::uniform_int_distribution<int>(least, most)(random_); }
   void Say(const std::string& what) { std::cout << "event=fault what=" << what << std::endl; }
   /// Probes of configurations are not judged for gateways whose view may be old for a reason.
@@ -184,6 +217,20 @@
         co_await Sleep(length);
         for (const auto& each : platform_.servers()) each->faults().late_order_share = 0;
         break;
+      case 9:
+        Say("store_throttles");
+        Disturb(-1, length);
+        store.writes_per_second = store.reads_per_second = 4;
+        co_await Sleep(length);
+        store.writes_per_second = StoreFaults{}.writes_per_second;
+        store.reads_per_second = StoreFaults{}.reads_per_second;
+        break;
+      case 10:
+        Say("impatient_clients");
+        clients_.SetImpatient(true);
+        co_await Sleep(length);
+        clients_.SetImpatient(false);
+        break;
       default:
         Say("configuration");
         platform_.Configure();
@@ -193,10 +240,25 @@
 
   EmulatedPlatform& platform_;
   std::vector<GatewayAddress>& gateways_;
+  EmulatedClients& clients_;
   std::mt19937_64 random_;
+  std::vector<CalmTime> calm_;
   bool stopped_ = false;
 };
 
+/// What the soak has to know of a signal that the caller sends: its gateway is disturbed from then
+/// on, and around a planned stop nothing else may happen.
+Awaitable<void> Expect(PlannedSignal signal, std::vector<GatewayAddress>& addresses) {
+  co_await Sleep(signal.at - seconds(1));
+  GatewayAddress& gateway = addresses[static_cast<std::size_t>(signal.gateway)];
+  for (GatewayAddress& each : addresses)
+    if (&each == &gateway || signal.kind == SignalKind::kKillAll)
+      each.disturbed_until = steady_clock::now() + signal.length + kSignalSettles;
+  if (!signal.judged_stop) co_return;
+  gateway.stop_from = steady_clock::now();
+  gateway.stop_until = steady_clock::now() + kCalmAfter;
+}
+
 int RunSoak(std::uint64_t seed, seconds length, int gateways, const std::string& folder) {
   ClosableContext context(1);
   PlatformOptions options;
@@ -208,31 +270,31 @@
   processes.WriteSettings(folder, platform, gateways);
   std::cout << "event=ready" << std::endl;
   EmulatedClients clients(context, platform, processes.addresses, seed);
-  FaultPlan faults(platform, processes.addresses, seed);
-  // Signals are carried out by the caller; their gateways are disturbed from then on.
-  for (const PlannedSignal& signal : PlanSignals(seed, length, gateways))
-    boost::asio::co_spawn(
-        context,
-        [](PlannedSignal planned, std::vector<GatewayAddress>& addresses) -> Awaitable<void> {
-          co_await Sleep(planned.at - seconds(1));
-          addresses[static_cast<std::size_t>(planned.gateway)].disturbed_until =
-              steady_clock::now() + planned.length + kSignalSettles;
-        }(signal, processes.addresses),
-        boost::asio::detached);
+  FaultPlan faults(platform, processes.addresses, clients, seed);
+  const auto began = steady_clock::now();
+  for (const PlannedSignal& signal : PlanSignals(seed, length, gateways)) {
+    boost::asio::co_spawn(context, Expect(signal, processes.addresses), boost::asio::detached);
+    if (signal.judged_stop)
+      faults.KeepCalm(began + signal.at - kCalmBefore, began + signal.at + kCalmAfter);
+  }
   clients.Start(10);
   boost::asio::co_spawn(context, faults.Run(), boost::asio::detached);
-  context.run_for(length - seconds(12));
+  context.run_for(length - kFinalFault);
   faults.Stop();
-  context.run_for(seconds(6));  // A calm end: what stands now has to be served.
+  context.run_for(kFinalFault - kServeAgain - kLastAnswers);
+  const ClientCounts before = clients.counts();
+  context.run_for(kServeAgain);
+  const ClientCounts& counts = clients.counts();
+  platform.checker().Recovered(counts.sent - before.sent, counts.served - before.served);
   clients.Stop();
-  context.run_for(seconds(6));
+  context.run_for(kLastAnswers);
   platform.checker().Finish();
   for (const std::string& violation : platform.checker().violations())
     std::cout << "event=violation seed=" << seed << " what=\"" << violation << "\"" << std::endl;
-  const ClientCounts& counts = clients.counts();
   std::cout << "event=soak seed=" << seed << " sent=" << counts.sent << " served=" << counts.served
             << " refused_not_run=" << counts.refused << " unknown=" << counts.unknown
-            << " violations=" << platform.checker().violations().size() << std::endl;
+            << " left=" << counts.left << " violations=" << platform.checker().violations().size()
+            << std::endl;
   context.DestroyHandlers();
   const bool served = counts.served * 2 > counts.sent;
   return platform.checker().violations().empty() && served ? kExitDone : kExitFailed;
--- a/test/emulator/promise_checker.cc
+++ b/test/emulator/promise_checker.cc
@@ -11,6 +11,16 @@
 constexpr unsigned kTooMany = 429;
 constexpr unsigned kUnavailable = 503;
 constexpr unsigned kNotFound = 404;
+constexpr unsigned kFirstRedirection = 300;
+constexpr unsigned kFirstServerError = 500;
+/// How long after its client's leaving a request may still be on its way or worked on.
+constexpr std::chrono::milliseconds kLeavingSeen{500};
+constexpr std::uint64_t kFewLate = 3;
+constexpr std::uint64_t kFewLost = 3;
+constexpr std::uint64_t kFewDenied = 5;
+constexpr double kDeniedShare = 1.0 / 500;
+constexpr double kLateWorkShare = 0.25;
+constexpr double kRecoveredShare = 0.25;
 
 bool Promises(unsigned status) {
   return status == kTimeout || status == kMisdirected || status == kTooMany ||
@@ -26,6 +36,8 @@
 
 void PromiseChecker::Arrived(const std::string& id, const std::string& server, Time at) {
   ++arrivals_[id];
+  const auto left = left_.find(id);
+  if (left != left_.end() && at - left->second > kLeavingSeen) ++arrived_late_;
   const auto draining = draining_.find(server);
   if (draining != draining_.end() && at - draining->second > bounds_.drain)
     Violate("drain", "request " + id + " reached " + server + " late");
@@ -48,6 +60,12 @@
       Violate("order", "request " + answer.id);
       break;
     }
+  const bool own_refusal = answer.status >= kFirstRedirection &&
+                           answer.status < kFirstServerError && !Promises(answer.status) &&
+                           !answer.matches;
+  if (own_refusal) ++denied_;
+  // What was not passed on crossed the closing of its connection.
+  if (answer.cut_at_stop && arrivals_.contains(answer.id)) ++lost_;
   if (!Promises(answer.status)) return;
   promised_not_run_.insert(answer.id);
   if (answer.kind != RequestKind::kRepeatable && runs_.contains(answer.id))
@@ -89,7 +107,27 @@
     Violate("config", "version " + std::to_string(version) + " is not in force");
 }
 
+void PromiseChecker::Working(const std::string& id, Time at) {
+  const auto left = left_.find(id);
+  if (left != left_.end() && at - left->second > kLeavingSeen) worked_on_late_.insert(id);
+}
+
+void PromiseChecker::Recovered(std::uint64_t sent, std::uint64_t served) {
+  if (static_cast<double>(served) < kRecoveredShare * static_cast<double>(sent))
+    Violate("recover", std::to_string(served) + " of " + std::to_string(sent) + " served");
+}
+
 void PromiseChecker::Finish() {
+  if (denied_ >
+      kFewDenied + static_cast<std::uint64_t>(kDeniedShare * static_cast<double>(sent_.size())))
+    Violate("denied", std::to_string(denied_) + " proper requests");
+  if (arrived_late_ > kFewLate)
+    Violate("gone", std::to_string(arrived_late_) + " requests sent on after their clients left");
+  const auto leavers = static_cast<double>(left_.size());
+  if (worked_on_late_.size() > kFewLate &&
+      static_cast<double>(worked_on_late_.size()) > kLateWorkShare * leavers)
+    Violate("gone", std::to_string(worked_on_late_.size()) + " worked on after their clients left");
+  if (lost_ > kFewLost) Violate("lost", std::to_string(lost_) + " requests cut at a planned stop");
   double firsts = 0;
   double repeats = 0;
   for (const auto& [id, count] : arrivals_) {
--- a/test/emulator/promise_checker.h
+++ b/test/emulator/promise_checker.h
@@ -20,6 +20,7 @@
   bool whole = false;
   bool matches = false;  ///< Seal and body are those that a server gave to this id.
   std::vector<int> events;
+  bool cut_at_stop = false;  ///< Incomplete, around a planned stop and no other trouble.
 };
 
 /// An order as a server received it.
@@ -51,6 +52,12 @@
   void Ran(const std::string& id, RequestKind kind, const std::string& server, Time at);
   void Arrived(const std::string& id, const std::string& server, Time at);
   void Answered(const ClientAnswer& answer);
+  /// The client of a request has closed its connection.
+  void Left(const std::string& id, Time at) { left_[id] = at; }
+  /// A server still works on a request.
+  void Working(const std::string& id, Time at);
+  /// After the final fault and the time to recover from it.
+  void Recovered(std::uint64_t sent, std::uint64_t served);
   void Ordered(const ReceivedOrder& order);
   void LoadBegan(Time at);
   void Overfilled(const std::string& server);
@@ -73,6 +80,11 @@
   std::set<std::string> promised_not_run_;
   std::map<std::string, std::vector<ReceivedOrder>> orders_;
   std::map<std::string, Time> draining_;
+  std::map<std::string, Time> left_;
+  std::set<std::string> worked_on_late_;
+  std::uint64_t arrived_late_ = 0;  ///< Requests that reached a server after their clients left.
+  std::uint64_t denied_ = 0;
+  std::uint64_t lost_ = 0;
   std::vector<Time> loads_;
   std::vector<std::string> violations_;
   std::map<unsigned, std::uint64_t> statuses_;
--- a/test/emulator/promise_checker_test.cc
+++ b/test/emulator/promise_checker_test.cc
@@ -24,6 +24,15 @@
   checker.Ordered({"i", "one", 3, kNow});
   checker.Ordered({"i", "two", 4, kNow + seconds(4)});
   checker.Probed(4, 404, kNow, kNow + seconds(1), false);
+  checker.Sent("c", RequestKind::kStream);
+  checker.Left("c", kNow);
+  checker.Arrived("c", "i", kNow + milliseconds(400));
+  checker.Working("c", kNow + milliseconds(400));
+  checker.Answered({"d", RequestKind::kRepeatable, 404, true, true, {}});  // A server's own.
+  ClientAnswer crossed{"e", RequestKind::kStream, 0, false, false, {}};
+  crossed.cut_at_stop = true;  // Never passed on.
+  for (int request = 0; request < 9; ++request) checker.Answered(crossed);
+  checker.Recovered(100, 26);
   checker.Finish();
   CHECK(checker.violations().empty());
 }
@@ -93,6 +102,36 @@
        [](PromiseChecker& checker) {
          checker.Probed(4, 404, kNow, kNow + milliseconds(2'100), false);
        }},
+      {"denied",
+       [](PromiseChecker& checker) {
+         for (int request = 0; request < 6; ++request)
+           checker.Answered({"a", RequestKind::kRepeatable, 404, true, false, {}});
+         checker.Finish();
+       }},
+      {"gone",
+       [](PromiseChecker& checker) {
+         checker.Left("a", kNow);
+         for (int request = 0; request < 4; ++request)
+           checker.Arrived("a", "i", kNow + milliseconds(600));
+         checker.Finish();
+       }},
+      {"gone",
+       [](PromiseChecker& checker) {
+         for (const char* id : {"a", "b", "c", "d"}) {
+           checker.Left(id, kNow);
+           checker.Working(id, kNow + milliseconds(600));
+         }
+         checker.Finish();
+       }},
+      {"lost",
+       [](PromiseChecker& checker) {
+         checker.Arrived("a", "i", kNow);
+         ClientAnswer cut{"a", RequestKind::kStream, 0, false, false, {}};
+         cut.cut_at_stop = true;
+         for (int request = 0; request < 4; ++request) checker.Answered(cut);
+         checker.Finish();
+       }},
+      {"recover", [](PromiseChecker& checker) { checker.Recovered(100, 24); }},
       {"budget", [](PromiseChecker& checker) {
          for (int arrival = 0; arrival < 60; ++arrival) checker.Arrived("a", "i", kNow);
          checker.Finish();
--- a/test/emulator/server_emulator.cc
+++ b/test/emulator/server_emulator.cc
@@ -136,6 +136,23 @@
   co_await Run(exchange, id, KindOf(request.target));
 }
 
+int ServerEmulator::EventsOf(const std::string& id) {
+  constexpr int kShort = 8;
+  constexpr int kLong = 60;
+  constexpr std::size_t kOneOf = 12;
+  return std::hash<std::string>{}(id) % kOneOf == 0 ? kLong : kShort;
+}
+
+Awaitable<void> ServerEmulator::ReadPrompt(const HttpRequest& request) {
+  const ModelReference model = ParseModelReference(FindHeader(request.headers, "X-Model"));
+  const std::vector<PromptPart> parts =
+      ParsePromptParts(FindHeader(request.headers, "X-Prompt-Prefix"));
+  double tokens = -prompts_.KeptTokens(model, parts);
+  for (const PromptPart& part : parts) tokens += part.tokens;
+  prompts_.Remember(model, parts);
+  co_await Sleep(milliseconds(static_cast<int>(tokens / options_.prompt_tokens_per_ms)));
+}
+
 Awaitable<void> ServerEmulator::Run(HttpServerExchange& exchange, const std::string& id,
                                     RequestKind kind) {
   struct Running {
@@ -145,7 +162,9 @@
   } running(running_);
   ++runs_;
   checker_.Ran(id, kind, options_.id, steady_clock::now());
+  if (kind == RequestKind::kStream) co_await ReadPrompt(exchange.request());
   co_await Sleep(options_.work);
+  checker_.Working(id, steady_clock::now());
   if (Chance(faults_.no_answer_share)) {
     exchange.Abort();
     co_return;
@@ -168,9 +187,11 @@
   const std::string last(FindHeader(exchange.request().headers, "Last-Event-Id"));
   int event = last.empty() ? 1 : std::stoi(last) + 1;
   co_await exchange.BeginStream(200, std::move(headers));
-  for (; event <= options_.events; ++event) {
+  for (; event <= EventsOf(id); ++event) {
     co_await exchange.Write("id: " + std::to_string(event) + "\ndata: " + id + "\n\n");
-    co_await Sleep(options_.event_gap);
+    checker_.Working(id, steady_clock::now());
+    const double batch = static_cast<double>(running_) / static_cast<double>(options_.slots);
+    co_await Sleep(std::chrono::duration_cast<milliseconds>(options_.event_gap * (1 + batch)));
   }
   co_await exchange.EndStream();
 }
--- a/test/emulator/server_emulator.h
+++ b/test/emulator/server_emulator.h
@@ -8,6 +8,7 @@
 
 #include "common/async_signal.h"
 #include "fleet/server_record.h"
+#include "gateway/server_directory.h"
 #include "http/http_server.h"
 #include "promise_checker.h"
 #include "store_emulator.h"
@@ -27,8 +28,8 @@
   std::size_t adapter_slots = 8;
   std::chrono::milliseconds load_time{300};
   std::chrono::milliseconds work{15};
-  int events = 8;
-  std::chrono::milliseconds event_gap{15};
+  std::chrono::milliseconds event_gap{15};  ///< Of a stream that runs alone.
+  double prompt_tokens_per_ms = 38;
   Endpoint announced;  ///< Where callers find it, if not at its own port.
 };
 
@@ -60,11 +61,15 @@
 
   /// The body and the seal that any server gives to a request.
   static std::string BodyOf(const std::string& id) { return "answer to " + id + "\n"; }
+  /// @return events of the stream that any server gives to a request: a few are long.
+  static int EventsOf(const std::string& id);
   static std::string SealOf(const std::string& id) { return "seal-" + id; }
 
  private:
   Awaitable<void> Handle(HttpServerExchange& exchange);
   Awaitable<void> Run(HttpServerExchange& exchange, const std::string& id, RequestKind kind);
+  /// Reads what of the prompt is not kept from requests before.
+  Awaitable<void> ReadPrompt(const HttpRequest& request);
   Awaitable<void> Stream(HttpServerExchange& exchange, const std::string& id, HttpHeaders headers);
   Awaitable<void> TakeOrder(HttpServerExchange& exchange);
   Awaitable<void> CarryOut(ServerOrder order);
@@ -83,6 +88,7 @@
   ServerOptions options_;
   ServerFaults faults_;
   std::mt19937_64 random_;
+  RecentPrompts prompts_;
   std::set<std::string> had_;  ///< Models whose weights lie on the disk.
   std::string changing_;       ///< Model on which an order is under way.
   std::int64_t order_count_ = 0;
--- a/test/emulator/store_emulator.cc
+++ b/test/emulator/store_emulator.cc
@@ -120,6 +120,14 @@
   return write && std::bernoulli_distribution(faults_.lose_share)(random_);
 }
 
+bool StoreEmulator::WithinRate(const HttpRequest& request) {
+  const auto now = std::chrono::steady_clock::now();
+  const bool write = request.target == "/kv-txn" || request.target == "/kv-lease" ||
+                     request.target.starts_with("/kv-lease-end/");
+  return write ? writes_.Take(faults_.writes_per_second, now)
+               : reads_.Take(faults_.reads_per_second, now);
+}
+
 Awaitable<void> StoreEmulator::Handle(HttpServerExchange& exchange) {
   ++calls_;
   const HttpRequest request = exchange.request();
@@ -134,6 +142,10 @@
     exchange.Abort();
     co_return;
   }
+  if (!WithinRate(request)) {
+    co_await exchange.Respond(Refuse(429, "too many calls"));
+    co_return;
+  }
   const bool lost = LosesAnswer(request);
   if (lost && faults_.lost_apply_late.count() > 0) co_await Sleep(faults_.lost_apply_late);
   HttpResponse response = co_await Answer(request);
--- a/test/emulator/store_emulator.h
+++ b/test/emulator/store_emulator.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 #include <memory>
@@ -21,6 +22,26 @@
   double lose_share = 0;                         ///< Writes that are done and not answered.
   std::chrono::milliseconds lost_apply_late{0};  ///< Lost writes are done so much later.
   bool history_gone = false;                     ///< Watches answer 410.
+  double writes_per_second = 400;                ///< Of all callers together; more get 429.
+  double reads_per_second = 2'000;
+};
+
+/// Calls that are left in a second, filled up as time goes by.
+class CallBudget {
+ public:
+  /// @return whether one more call may be made now; counts it if so.
+  bool Take(double per_second, std::chrono::steady_clock::time_point now) {
+    const double passed = std::chrono::duration<double>(now - filled_).count();
+    left_ = std::min(per_second, left_ + passed * per_second);
+    filled_ = now;
+    if (left_ < 1) return false;
+    left_ -= 1;
+    return true;
+  }
+
+ private:
+  double left_ = 0;
+  std::chrono::steady_clock::time_point filled_{};
 };
 
 /// The platform's metadata store as its pages describe it, over HTTP. One thread.
@@ -47,6 +68,7 @@
   HttpResponse Lease(const std::string& body);
   Awaitable<void> ExpireLeases();
   bool LosesAnswer(const HttpRequest& request);
+  bool WithinRate(const HttpRequest& request);
 
   boost::asio::io_context& context_;
   KeyValueTable table_;
@@ -54,6 +76,8 @@
   StoreFaults faults_;
   AsyncSignal changed_;
   std::mt19937_64 random_;
+  CallBudget writes_;
+  CallBudget reads_;
   std::uint64_t calls_ = 0;
   HttpServer server_;
 };
--- a/test/platform/gateway_end_to_end_test.cc
+++ b/test/platform/gateway_end_to_end_test.cc
@@ -162,6 +162,59 @@
       [&] { return deployment.gateways[0]->gateway.metrics().configuration_version == 2; }));
 }
 
+TEST_CASE("Requests go on while the store takes few calls, and the configuration follows after") {
+  Deployment deployment(2);
+  REQUIRE(deployment.RunUntil([&] { return deployment.AllReady(); }));
+  StoreFaults& faults = deployment.platform.store().faults();
+  faults.reads_per_second = faults.writes_per_second = 2;
+  deployment.clients->Start(6);
+  const auto refused = [&](std::size_t number) {
+    return deployment.gateways[number]->gateway.metrics().store_calls.Count(
+        {{"call", "watch"}, {"outcome", "rate_limited"}});
+  };
+  REQUIRE(deployment.RunUntil([&] { return refused(0) + refused(1) > 0; }));
+  const std::uint64_t served = deployment.clients->counts().served;
+  REQUIRE(deployment.RunUntil([&] { return deployment.clients->counts().served > served + 50; }));
+  deployment.platform.Configure();
+  faults = {};
+  REQUIRE(deployment.RunUntil([&] {
+    return deployment.gateways[0]->gateway.metrics().configuration_version == 2 &&
+           deployment.gateways[1]->gateway.metrics().configuration_version == 2;
+  }));
+  deployment.clients->Stop();
+  deployment.RunUntil([&] { return deployment.clients->running() == 0; });
+  deployment.platform.checker().Finish();
+  CHECK(deployment.platform.checker().violations() == std::vector<std::string>{});
+}
+
+TEST_CASE("Impatient clients and servers that fail do not make gateways exceed the retry budget") {
+  Deployment deployment(2);
+  REQUIRE(deployment.RunUntil([&] { return deployment.AllReady(); }));
+  deployment.clients->SetImpatient(true);
+  for (const auto& server : deployment.platform.servers()) {
+    server->faults().error_share = 0.5;
+    server->faults().no_answer_share = 0.3;
+  }
+  deployment.clients->Start(8);
+  REQUIRE(deployment.RunUntil([&] { return deployment.clients->counts().sent > 400; }));
+  deployment.clients->Stop();
+  deployment.RunUntil([&] { return deployment.clients->running() == 0; });
+  deployment.platform.checker().Finish();
+  CHECK(deployment.platform.checker().violations() == std::vector<std::string>{});
+}
+
+TEST_CASE("What clients leave is neither sent on nor worked on") {
+  Deployment deployment(1);
+  REQUIRE(deployment.RunUntil([&] { return deployment.AllReady(); }));
+  deployment.clients->Start(12);
+  REQUIRE(deployment.RunUntil([&] { return deployment.clients->counts().left >= 6; }));
+  deployment.RunFor(milliseconds(1'500));
+  deployment.clients->Stop();
+  deployment.RunUntil([&] { return deployment.clients->running() == 0; });
+  deployment.platform.checker().Finish();
+  CHECK(deployment.platform.checker().violations() == std::vector<std::string>{});
+}
+
 TEST_CASE("A store that forgets its history is listed anew") {
   Deployment deployment(1);
   REQUIRE(deployment.RunUntil([&] { return deployment.AllReady(); }));
