--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DEPLOYMENT ?= hrdlicka
 JOBS ?= $(shell nproc)
 
-.PHONY: demo test build packages bench capacity experiments soak soak-faults lint format clean
+.PHONY: demo test build packages bench experiments soak soak-faults lint format clean
 
 packages:
 	@scripts/install_packages.sh
@@ -23,9 +23,6 @@
 	@build/release/bench/decision_bench --benchmark_min_time=0.1
 	@build/release/bench/request_path_bench
 
-capacity: build
-	@scripts/capacity.sh
-
 experiments: build
 	@scripts/experiments.sh
 
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -51,9 +51,7 @@
 int RunConfirm(const std::vector<std::string>& arguments);
 int RunStatus(const std::vector<std::string>& arguments);
 int RunSimulate(const std::vector<std::string>& arguments);
-int RunCapacityTable(const std::vector<std::string>& arguments);
 int RunExperiment(const std::vector<std::string>& arguments);
-int RunHollow(const std::vector<std::string>& arguments);
 int RunExplain(const std::vector<std::string>& arguments);
 int RunLoadCommand(const std::vector<std::string>& arguments);
 
--- a/src/cli/main.cc
+++ b/src/cli/main.cc
@@ -29,8 +29,6 @@
       {"load", "sends a scenario's requests to real daemons and checks the answers",
        RunLoadCommand},
       {"experiment", "runs a scenario over a grid of settings and seeds", RunExperiment},
-      {"capacity-table", "makes tables and fits from rows of 'hollow'", RunCapacityTable},
-      {"hollow", "runs many daemons' cores in one process and measures their cost", RunHollow},
       {"simulate", "runs a scenario in virtual time with faults and checks", RunSimulate},
   };
   return kCommands;
--- a/src/simulation/simulated_daemon.cc
+++ b/src/simulation/simulated_daemon.cc
@@ -1,40 +1,9 @@
 #include "simulation/simulated_daemon.h"
 
-#include <array>
-
-#include "peer/frame.h"
-
 namespace moorfold {
 namespace {
 
 constexpr Duration kDrainCheck = std::chrono::milliseconds(50);
-/// Version, tag, three numbers and the length of the name; see FrameCodec.
-constexpr std::size_t kFrameOverhead = 42;
-
-/// The names of the core's messages, in the order of PeerMessage.
-constexpr std::array<const char*, std::variant_size_v<PeerMessage>> kKinds = {
-    "probe",
-    "probe_ack",
-    "indirect_probe",
-    "leave",
-    "zone_digest",
-    "configuration_request",
-    "configuration_delta",
-    "configuration_snapshot",
-    "ledger_request",
-    "ledger_delta",
-    "ledger_snapshot",
-    "server_reports",
-    "server_reports_request",
-    "server_loads",
-    "demand",
-    "claim_view_request",
-    "claim_view"};
-
-const char* KindOf(const PeerPayload& payload) {
-  const auto* message = std::get_if<PeerMessage>(&payload);
-  return message == nullptr ? "claims" : kKinds.at(message->index());
-}
 
 bool IsConfiguration(const PeerPayload& payload) {
   const auto* message = std::get_if<PeerMessage>(&payload);
@@ -50,23 +19,14 @@
 
 void SimulatedNetwork::Send(const DaemonName& from, const ZoneName& from_zone, const DaemonName& to,
                             PeerPayload payload) {
-  const std::size_t size =
-      count_bytes_ ? EncodePayload(payload).size() + kFrameOverhead + from.size() : 0;
-  for (Traffic* sent : {&sent_[from], &by_kind_[KindOf(payload)]}) {
-    ++sent->messages;
-    sent->bytes += size;
-  }
   const auto target = daemons_.find(to);
   if (target == daemons_.end() || world_.Cut(from_zone, target->second.zone)) return;
   if (world_.Chance(world_.faults.message_loss)) return;
   if (world_.bugs.configuration_is_not_spread && IsConfiguration(payload)) return;
   const Duration delay = world_.NetworkDelay(from_zone, target->second.zone);
-  world_.queue.After(delay, [this, from, to, size, payload = std::move(payload)] {
+  world_.queue.After(delay, [this, from, to, payload = std::move(payload)] {
     const auto receiver = daemons_.find(to);
     if (receiver == daemons_.end()) return;
-    Traffic& received = received_[to];
-    ++received.messages;
-    received.bytes += size;
     receiver->second.deliver(from, payload);
   });
 }
@@ -141,7 +101,7 @@
   parts.documents = std::make_unique<DocumentStore>(*parts.key_value);
   parts.machine_list =
       std::make_unique<SimulatedMachineList>(world, process_, *surroundings_.machines);
-  parts.engines = std::make_unique<SimulatedModelEngine>(world, process_, name_, zone_,
+  parts.engines = std::make_unique<SimulatedModelEngine>(world, process_, zone_,
                                                          *surroundings_.backends.engines);
   parts.host = std::make_unique<CoreHost>(
       Identity{name_, zone_, boot}, core_, host_settings_,
--- a/src/simulation/simulated_daemon.h
+++ b/src/simulation/simulated_daemon.h
@@ -18,43 +18,19 @@
  public:
   using Deliver = std::function<void(const DaemonName& from, const PeerPayload& payload)>;
   explicit SimulatedNetwork(World& world) : world_(world) {}
-  virtual ~SimulatedNetwork() = default;
 
-  virtual void Attach(const DaemonName& name, ZoneName zone, Deliver deliver);
-  virtual void Detach(const DaemonName& name) { daemons_.erase(name); }
-  virtual void Send(const DaemonName& from, const ZoneName& from_zone, const DaemonName& to,
-                    PeerPayload payload);
-  /// Also adds up the encoded sizes. Costs time, so it is off by default.
-  void CountBytes() { count_bytes_ = true; }
-  /// Waits a little for arrivals, where they come from outside of virtual time.
-  virtual void Poll() {}
-  virtual void StartMeasuring() {
-    sent_.clear();
-    received_.clear();
-    by_kind_.clear();
-  }
-  struct Traffic {
-    std::uint64_t messages = 0;
-    std::uint64_t bytes = 0;
-  };
-  const std::map<DaemonName, Traffic>& sent() const { return sent_; }
-  const std::map<DaemonName, Traffic>& received() const { return received_; }
-  /// By kind of message, all daemons together.
-  const std::map<std::string, Traffic>& by_kind() const { return by_kind_; }
-
- protected:
-  World& world_;
-  std::map<DaemonName, Traffic> sent_;
-  std::map<DaemonName, Traffic> received_;
-  std::map<std::string, Traffic> by_kind_;
+  void Attach(const DaemonName& name, ZoneName zone, Deliver deliver);
+  void Detach(const DaemonName& name) { daemons_.erase(name); }
+  void Send(const DaemonName& from, const ZoneName& from_zone, const DaemonName& to,
+            PeerPayload payload);
 
  private:
   struct Attached {
     ZoneName zone;
     Deliver deliver;
   };
+  World& world_;
   std::map<DaemonName, Attached> daemons_;
-  bool count_bytes_ = false;
 };
 
 /// Everything outside one daemon.
--- a/src/simulation/simulated_engine.cc
+++ b/src/simulation/simulated_engine.cc
@@ -2,13 +2,9 @@
 
 #include <algorithm>
 
-#include "ports/json_codec.h"
-
 namespace moorfold {
 namespace {
 
-/// Heads of a request and its answer, as the stand-in sends them.
-constexpr std::size_t kHttpOverhead = 260;
 constexpr double kMebiPerGibi = 1024;
 constexpr double kCachedPrefillShare = 0.2;
 constexpr std::size_t kCachedPrefixes = 32;
@@ -295,18 +291,16 @@
   const Duration there = world_.NetworkDelay(zone_, zone);
   const Duration back = world_.NetworkDelay(zone, zone_);
   // From here on the daemon may be gone: nothing below touches this object.
-  world_.queue.After(there, [&world = world_, &engines = engines_, daemon = daemon_,
-                             name = server.name, reply, back] {
-    const auto engine = engines.find(name);
-    const bool answers = engine != engines.end() && engine->second->alive();
-    Outcome<ServerReport> outcome = answers
-                                        ? Outcome<ServerReport>(engine->second->Report())
-                                        : Outcome<ServerReport>(PlatformFailure{
-                                              PlatformFault::kUnavailable, "the engine is down"});
-    if (world.count_bytes && outcome.ok())
-      world.polled_bytes[daemon] += ToJson(outcome.value()).size() + kHttpOverhead;
-    world.queue.After(back, [reply, outcome = std::move(outcome)] { reply(outcome); });
-  });
+  world_.queue.After(
+      there, [&world = world_, &engines = engines_, name = server.name, reply, back] {
+        const auto engine = engines.find(name);
+        const bool answers = engine != engines.end() && engine->second->alive();
+        Outcome<ServerReport> outcome =
+            answers ? Outcome<ServerReport>(engine->second->Report())
+                    : Outcome<ServerReport>(
+                          PlatformFailure{PlatformFault::kUnavailable, "the engine is down"});
+        world.queue.After(back, [reply, outcome = std::move(outcome)] { reply(outcome); });
+      });
 }
 
 void SimulatedModelEngine::Misdirect(SimulatedEngines& engines, const ZoneName& zone,
--- a/src/simulation/simulated_engine.h
+++ b/src/simulation/simulated_engine.h
@@ -134,13 +134,9 @@
 /// The control side of all engines, as one daemon reaches them.
 class SimulatedModelEngine : public ModelEngine {
  public:
-  SimulatedModelEngine(World& world, const Process& process, DaemonName daemon, ZoneName zone,
+  SimulatedModelEngine(World& world, const Process& process, ZoneName zone,
                        SimulatedEngines& engines)
-      : world_(world),
-        process_(process),
-        daemon_(std::move(daemon)),
-        zone_(std::move(zone)),
-        engines_(engines) {}
+      : world_(world), process_(process), zone_(std::move(zone)), engines_(engines) {}
   void Report(const Machine& server, ReportCallback done) override;
   void Execute(const Machine& server, Order order, OrderCallback done) override;
 
@@ -149,7 +145,6 @@
 
   World& world_;
   const Process& process_;
-  DaemonName daemon_;
   ZoneName zone_;
   SimulatedEngines& engines_;
 };
--- a/src/simulation/simulation.cc
+++ b/src/simulation/simulation.cc
@@ -2,11 +2,9 @@
 
 #include <algorithm>
 #include <chrono>
-#include <ctime>
 
 #include "ports/json_codec.h"
 #include "simulation/fault_injector.h"
-#include "simulation/socket_network.h"
 
 namespace moorfold {
 namespace {
@@ -22,8 +20,6 @@
 constexpr const char* kHeadKey = "moorfold/configuration/head";
 constexpr std::string_view kLedgerPrefix = "moorfold/ledger/";
 
-double ProcessCpuSeconds() { return static_cast<double>(std::clock()) / CLOCKS_PER_SEC; }
-
 HostSettings SimulatedHostSettings() {
   HostSettings settings;
   settings.tick = std::chrono::milliseconds(500);
@@ -75,13 +71,10 @@
       key_value_(world_, scenario.deployment.key_value, scenario.deployment.zones.front()),
       machines_(scenario.deployment.machine_list_lag),
       store_(world_, scenario.deployment.weight_store),
-      network_(options.sockets ? MakeSocketNetwork(world_)
-                               : std::make_unique<SimulatedNetwork>(world_)),
+      network_(world_),
       demand_(scenario_, start_, options.seed * 7919 + 17) {
   world_.bugs = options.bugs;
   world_.zone_distance = scenario.deployment.zone_distance;
-  if (options.count_bytes) network_->CountBytes();
-  world_.count_bytes = options.count_bytes;
   key_value_.SetCommitObserver([this](const Transaction& each) { ObserveCommit(each); });
   BuildPlatform();
   BuildDaemons();
@@ -118,7 +111,7 @@
 }
 
 void Simulation::BuildDaemons() {
-  DaemonSurroundings surroundings{&world_,     &checkers_, network_.get(),
+  DaemonSurroundings surroundings{&world_,     &checkers_, &network_,
                                   &key_value_, &machines_, {&engines_, &services_, {}}};
   surroundings.backends.forward = [this](const DaemonName& name, const SimulatedRequestPtr& request,
                                          RequestDone done) {
@@ -299,22 +292,6 @@
 void Simulation::StartMeasuring() {
   for (auto& [name, engine] : engines_) engine->Account();
   usage_before_ = usage_;
-  network_->StartMeasuring();
-  world_.polled_bytes.clear();
-  cpu_before_ = ProcessCpuSeconds();
-}
-
-/// In virtual time all at once; with sockets, in step with the clock on the wall.
-void Simulation::Advance(Timestamp end) {
-  if (!options_.sockets) return world_.queue.RunUntil(end);
-  const auto wall_start = std::chrono::steady_clock::now();
-  const Timestamp virtual_start = world_.queue.Now();
-  while (world_.queue.Now() < end) {
-    const auto passed =
-        std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - wall_start);
-    world_.queue.RunUntil(std::min(end, virtual_start + passed));
-    network_->Poll();
-  }
 }
 
 SimulationResult Simulation::Run() {
@@ -337,12 +314,7 @@
       if (only.empty() || std::find(only.begin(), only.end(), kind) != only.end())
         injector_->StartChaos(kind, per_day, start_ + kSettleTime, end_);
     }
-  Advance(end_);
-  result_.measured_cpu_seconds = ProcessCpuSeconds() - cpu_before_;
-  result_.polled_bytes = world_.polled_bytes;
-  result_.sent = network_->sent();
-  result_.received = network_->received();
-  result_.by_kind = network_->by_kind();
+  world_.queue.RunUntil(end_);
   for (auto& [name, engine] : engines_) engine->Account();
   const EngineUsage at_end = usage_;
   injector_->Stop();
--- a/src/simulation/simulation.h
+++ b/src/simulation/simulation.h
@@ -20,9 +20,6 @@
   std::uint64_t seed = 1;
   FaultMode faults = FaultMode::kNone;
   PlantedBugs bugs;
-  bool count_bytes = false;
-  /// Real time, and real UDP and TCP sockets on loopback between the daemons.
-  bool sockets = false;
   /// Lets what is in progress come to its end before the verdict.
   bool settle = true;
   /// Chaos with just these kinds; empty: all of the scenario's.
@@ -50,11 +47,6 @@
   std::uint64_t suspicions = 0;
   std::uint64_t key_value_reads = 0;
   std::uint64_t key_value_writes = 0;
-  std::map<DaemonName, SimulatedNetwork::Traffic> sent;
-  std::map<DaemonName, SimulatedNetwork::Traffic> received;
-  std::map<std::string, SimulatedNetwork::Traffic> by_kind;
-  std::map<DaemonName, std::uint64_t> polled_bytes;  ///< From engines, by daemon.
-  double measured_cpu_seconds = 0;  ///< Of the whole process, over the measured time.
 };
 
 /// One run: everything is a function of the scenario and the options.
@@ -83,7 +75,6 @@
   void WatchRecovery(const ZoneName& zone, Timestamp died);
   void CheckRegularly();
   void StartMeasuring();
-  void Advance(Timestamp end);
   SimulationResult Collect();
 
   Scenario scenario_;
@@ -95,13 +86,12 @@
   Checkers checkers_;
   EngineUsage usage_;
   EngineUsage usage_before_;
-  double cpu_before_ = 0;
   SimulatedKeyValueService key_value_;
   LaggingMachineList machines_;
   SimulatedWeightStore store_;
   SimulatedEngines engines_;
   std::map<std::string, std::unique_ptr<SimulatedService>> services_;
-  std::unique_ptr<SimulatedNetwork> network_;
+  SimulatedNetwork network_;
   std::vector<std::unique_ptr<SimulatedDaemon>> daemons_;
   std::map<ZoneName, std::vector<SimulatedDaemon*>> daemons_by_zone_;
   DemandGenerator demand_;
--- a/src/simulation/world.h
+++ b/src/simulation/world.h
@@ -47,8 +47,6 @@
   ActiveFaults faults;
   PlantedBugs bugs;
   Duration zone_distance{0};
-  bool count_bytes = false;  ///< Adds up what polling engines costs on the wire.
-  std::map<DaemonName, std::uint64_t> polled_bytes;
 
   double Uniform() { return static_cast<double>(random() >> 11U) * 0x1.0p-53; }
   bool Chance(double probability) { return Uniform() < probability; }
--- a/test/ports/contract_environment.h
+++ b/test/ports/contract_environment.h
@@ -93,7 +93,7 @@
         list_(Duration{0}),
         machine_list_(world_, process_, list_),
         store_(world_, SmallDeployment().weight_store),
-        engines_port_(world_, process_, "d", "z", engines_) {
+        engines_port_(world_, process_, "z", engines_) {
     process_.Start();
     for (const Machine& machine : ListMachines(SmallDeployment())) {
       list_.Put(machine, world_.queue.Now());
