Take admission out of the pipeline, one mark for two counts; a resigning candidate ends its lease

Change: RequestAdmission resolves routes, models and times; DemandMark counts waiting and running requests; Resign ends the lease of a claim, too. Conclusion: no change of behaviour meant but the last.

--- a/src/common/log_event.h
+++ b/src/common/log_event.h
@@ -124,7 +124,7 @@
                                               "leader",
                                               "token",
                                               "lease",
-                                              
+
                                               "kind",
                                               "order_count",
                                               "connections",
--- a/src/fleet/demand.h
+++ b/src/fleet/demand.h
@@ -48,4 +48,24 @@
   std::map<Key, Count> counts_;
 };
 
+/// Counts one request in a book for as long as this lives. The book outlives it.
+class DemandMark {
+ public:
+  /// @param counted which count of the model's entry.
+  DemandMark(DemandBook& book, std::string service, ModelReference model,
+             std::uint32_t DemandBook::Count::*counted)
+      : book_(book), service_(std::move(service)), model_(std::move(model)), counted_(counted) {
+    ++(book_.At(service_, model_).*counted_);
+  }
+  ~DemandMark() { --(book_.At(service_, model_).*counted_); }
+  DemandMark(const DemandMark&) = delete;
+  DemandMark& operator=(const DemandMark&) = delete;
+
+ private:
+  DemandBook& book_;
+  std::string service_;
+  ModelReference model_;
+  std::uint32_t DemandBook::Count::*counted_;
+};
+
 }  // namespace moorfold
--- a/src/fleet/leader_election.cc
+++ b/src/fleet/leader_election.cc
@@ -304,13 +304,14 @@
 
 void LeaderElection::Resign(std::function<void()> done) {
   StopOrdering();
-  if (!leading_) {
+  if (lease_ == 0) {
     boost::asio::post(context_, std::move(done));
     return;
   }
-  leading_ = false;
-  log_.Write(LogRank::kDecision,
-             EventLine(LogEvent::kLeadershipResigned).Field(LogField::kToken, token_));
+  if (leading_)
+    log_.Write(LogRank::kDecision,
+               EventLine(LogEvent::kLeadershipResigned).Field(LogField::kToken, token_));
+  leading_ = false;  // A claim that is under way ends with its lease, too.
   store_.RevokeLease(lease_, [done = std::move(done)](const Outcome<bool>&) { done(); });
 }
 
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -1,7 +1,6 @@
 #include "gateway/request_pipeline.h"
 
 #include <algorithm>
-#include <charconv>
 
 #include "http/http_status.h"
 
@@ -19,19 +18,11 @@
 constexpr double kPatienceShare = 0.85;
 constexpr std::uint32_t kMostSends = 4;
 constexpr milliseconds kRetryPause{40};
-constexpr double kRetryAfterNotReadyS = 0.3;
 constexpr double kRetryAfterLoadingS = 0.5;
 constexpr double kRetryAfterFullS = 0.2;
 /// Below the fleet's ratio, so that the edges of sliding windows stay inside it.
 constexpr double kRatioUsed = 0.8;
 
-std::optional<milliseconds> ParseMilliseconds(std::string_view text) {
-  std::int64_t number = 0;
-  const auto read = std::from_chars(text.data(), text.data() + text.size(), number);
-  if (text.empty() || read.ec != std::errc() || number < 0) return std::nullopt;
-  return milliseconds(number);
-}
-
 /// How long a client waits for the next event of a stream, also for its first (from the users'
 /// pages).
 milliseconds StreamPatience(const Route& route) {
@@ -50,40 +41,6 @@
 
 }  // namespace
 
-/// Counts a request among those that wait for a server, for as long as it does.
-class RequestPipeline::WaitingCount {
- public:
-  WaitingCount(DemandBook& book, const GatewayRequest& request)
-      : book_(book), service_(request.service), model_(request.model) {
-    ++book_.At(service_, model_).waiting;
-  }
-  ~WaitingCount() { --book_.At(service_, model_).waiting; }
-  WaitingCount(const WaitingCount&) = delete;
-  WaitingCount& operator=(const WaitingCount&) = delete;
-
- private:
-  DemandBook& book_;
-  std::string service_;
-  ModelReference model_;
-};
-
-/// Counts a request among those at servers.
-class RequestPipeline::FlightCount {
- public:
-  FlightCount(DemandBook& book, const GatewayRequest& request)
-      : book_(book), service_(request.service), model_(request.model) {
-    ++book_.At(service_, model_).in_flight;
-  }
-  ~FlightCount() { --book_.At(service_, model_).in_flight; }
-  FlightCount(const FlightCount&) = delete;
-  FlightCount& operator=(const FlightCount&) = delete;
-
- private:
-  DemandBook& book_;
-  std::string service_;
-  ModelReference model_;
-};
-
 /// Lists a request among those that are being answered.
 class RequestPipeline::ActiveMark {
  public:
@@ -106,6 +63,7 @@
     : protocol_(protocol),
       view_(view),
       metrics_(metrics),
+      admission_(protocol, view),
       settings_(std::move(settings)),
       forwarder_(context, protocol, metrics),
       reporter_(view, metrics, log) {}
@@ -186,38 +144,6 @@
   co_return true;
 }
 
-std::optional<RequestPipeline::Refusal> RequestPipeline::Resolve(const HttpRequest& http,
-                                                                 GatewayRequest& request) {
-  const HeaderNames& names = protocol_.headers();
-  request.arrival = steady_clock::now();
-  request.end = request.arrival;
-  request.id = std::string(FindHeader(http.headers, names.request_id));
-  request.table = view_.routes;
-  if (!request.table)
-    return Refusal{http_status::kUnavailable, EndReason::kNoConfiguration,
-                   "this daemon has just started; come back", false, kRetryAfterNotReadyS};
-  request.route = request.table->Find(FindHeader(http.headers, "Host"), http.target);
-  if (request.route == nullptr) {
-    if (view_.Fresh(request.arrival))
-      return Refusal{http_status::kNotFound, EndReason::kNoRoute,
-                     "no route of the configuration in force matches host and path", false, 0};
-    return Refusal{http_status::kUnavailable, EndReason::kConfigurationMayBeOld,
-                   "this daemon cannot reach its store; come back", false, kRetryAfterNotReadyS};
-  }
-  const milliseconds forever = std::chrono::hours(1);
-  const milliseconds stated =
-      ParseMilliseconds(FindHeader(http.headers, names.deadline)).value_or(forever);
-  const milliseconds timeout =
-      request.route->timeout.count() > 0 ? request.route->timeout : forever;
-  request.end = request.arrival + std::min(stated, timeout);
-  request.service = splits_.Next(*request.route);
-  request.model = ParseModelReference(FindHeader(http.headers, names.model));
-  request.parts = ParsePromptParts(FindHeader(http.headers, names.prompt_parts));
-  const ServiceDescription* service = request.table->configuration().FindService(request.service);
-  if (service == nullptr || !service->engine) request.model = {};
-  return std::nullopt;
-}
-
 ServerPtr RequestPipeline::ChooseOnce(GatewayRequest& request, NoServerReason& reason) const {
   ChoiceRequest wanted{request.service, request.model, request.parts, settings_.zone,
                        request.failed_servers};
@@ -231,7 +157,8 @@
 Awaitable<ServerPtr> RequestPipeline::AwaitServer(GatewayRequest& request) {
   NoServerReason reason = NoServerReason::kNone;
   if (ServerPtr server = ChooseOnce(request, reason)) co_return server;
-  const WaitingCount waiting(view_.demand, request);
+  const DemandMark waiting(view_.demand, request.service, request.model,
+                           &DemandBook::Count::waiting);
   const auto began = steady_clock::now();
   const SteadyTime hold_end = HoldEnd(request);
   ++metrics_.waits_for_server;
@@ -283,8 +210,8 @@
   return Next::kGiveUp;
 }
 
-RequestPipeline::Refusal RequestPipeline::ExplainFailure(const GatewayRequest& request,
-                                                         const ForwardResult& result) const {
+Refusal RequestPipeline::ExplainFailure(const GatewayRequest& request,
+                                        const ForwardResult& result) const {
   if (request.may_have_run > 0) {
     const bool late = steady_clock::now() >= request.end;
     return {late ? http_status::kGatewayTimeout : http_status::kBadGateway,
@@ -325,7 +252,8 @@
     ++request.sends;
     server_id = server->record().id;
     {
-      const FlightCount flight(view_.demand, request);
+      const DemandMark flight(view_.demand, request.service, request.model,
+                              &DemandBook::Count::in_flight);
       const bool last = !MayRunElsewhere(request);
       result = co_await forwarder_.Forward(exchange, request, server, AttemptEnd(request), last);
     }
@@ -386,7 +314,7 @@
   // The exchange's disconnect callback may outlive this coroutine's other locals: shared.
   const auto request = std::make_shared<GatewayRequest>();
   ++metrics_.requests;
-  const std::optional<Refusal> refusal = Resolve(exchange.request(), *request);
+  const std::optional<Refusal> refusal = admission_.Resolve(exchange.request(), *request);
   if (refusal) {
     RequestEnd end;
     end.outcome = RequestOutcome::kRefused;
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -9,6 +9,7 @@
 #include "gateway/fleet_view.h"
 #include "gateway/forwarder.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/request_admission.h"
 #include "gateway/request_reporter.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/server_choice.h"
@@ -49,19 +50,8 @@
  private:
   /// What follows an attempt.
   enum class Next : std::uint8_t { kDone, kTryAgain, kGiveUp, kBreakOff };
-  class WaitingCount;
-  class FlightCount;
   class ActiveMark;
 
-  struct Refusal {
-    unsigned status = 503;
-    EndReason reason = EndReason::kNone;
-    std::string remedy;
-    bool may_have_run = false;
-    double retry_after_s = 0;  ///< 0: none is stated.
-  };
-
-  std::optional<Refusal> Resolve(const HttpRequest& http, GatewayRequest& request);
   Awaitable<void> Serve(HttpServerExchange& exchange, GatewayRequest& request);
   static RequestEnd DescribeEnd(const GatewayRequest& request, const ForwardResult& result,
                                 std::string server_id);
@@ -82,10 +72,10 @@
   const FleetProtocol& protocol_;
   FleetView& view_;
   GatewayMetrics& metrics_;
+  RequestAdmission admission_;
   PipelineSettings settings_;
   Forwarder forwarder_;
   RequestReporter reporter_;
-  SplitDealer splits_;
   std::map<std::string, RetryAllowance> allowances_;
   std::set<GatewayRequest*> active_;
   bool refuse_waiting_ = false;
--- a/test/platform/gateway_end_to_end_test.cc
+++ b/test/platform/gateway_end_to_end_test.cc
@@ -239,7 +239,8 @@
   const auto& second = deployment.gateways[static_cast<std::size_t>(1 - first)]->gateway;
   REQUIRE(deployment.RunUntil([&] { return second.metrics().leading > 0; }));
   const std::uint64_t before = second.metrics().orders.Total();
-  deployment.RunUntil([&] { return second.metrics().orders.Total() > before; }, milliseconds(8'000));
+  deployment.RunUntil([&] { return second.metrics().orders.Total() > before; },
+                      milliseconds(8'000));
   deployment.clients->Stop();
   deployment.RunUntil([&] { return deployment.clients->running() == 0; });
   CHECK(deployment.platform.checker().violations() == std::vector<std::string>{});
