Leave the history of orders at planned stops only; end no lease under its key

Every order needed the store, which is slow or down there for seconds. Change: leases as before (3 s, half of it for orders, the full wait where the key is gone); at a planned stop the leader takes its key off the lease and leaves in it what was ordered when, its own remaining wait and its loads; the successor it offers leadership to keeps away from those servers only.

--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -108,6 +108,13 @@
   if (term_ == election_.fencing_token()) return;
   term_ = election_.fencing_token();
   managed_.clear();
+  if (election_.knows_loads()) return;
+  constexpr double kShareAssumedUsed = 0.5;
+  const double window_s = std::chrono::duration<double>(settings_.load_window).count();
+  for (const ServiceDescription& service : view_.routes->configuration().services)
+    if (service.engine)
+      election_.loads().AssumeUsed(service.engine->loads_per_second * kShareAssumedUsed * window_s,
+                                   steady_clock::now());
 }
 
 void FleetController::PlanAll() {
@@ -237,7 +244,7 @@
 Awaitable<ServerOrderOutcome> FleetController::SendOrder(const ServerOrder& order,
                                                          const Endpoint& endpoint) {
   HttpSendOptions options;
-  options.deadline = steady_clock::now() + OrderHistory::kLongestOrder;
+  options.deadline = steady_clock::now() + LeaderElection::kLongestOrder;
   options.fresh_connection = true;
   try {
     HttpRequest request = protocol_.MakeOrder(order);
@@ -278,13 +285,9 @@
 Awaitable<void> FleetController::CarryOut(ManagedPtr managed, PlacementStep step, ServerOrder order,
                                           Endpoint endpoint) {
   ++sending_;
-  if (!co_await election_.Announce(managed->id)) {
-    --sending_;
-    TakeBack(*managed, step);
-    co_return;
-  }
   const ServerOrderOutcome outcome = co_await SendOrder(order, endpoint);
   --sending_;
+  election_.NoteOrder(managed->id);
   NoteOrder(order, outcome);
   TakeOutcome(*managed, step, outcome);
   const bool refused =
@@ -295,13 +298,6 @@
   PlanSoon();
 }
 
-void FleetController::TakeBack(ManagedServer& managed, const PlacementStep& step) {
-  managed.operating = false;
-  managed.incoming.clear();
-  managed.not_before = steady_clock::now() + kPollEvery;
-  if (step.kind == ServerOrderKind::kUnload) Notify(managed.id, step.name, true);
-}
-
 /// Waits until the server shows the result, and tells the daemons.
 Awaitable<void> FleetController::AwaitDone(const ManagedPtr& managed, const PlacementStep& step,
                                            const Endpoint& endpoint) {
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -35,6 +35,7 @@
 
 struct ControllerSettings {
   std::string holder;  ///< Name of this machine in orders.
+  std::chrono::milliseconds load_window{5'000};
 };
 
 /// Carries the planner's steps out while this daemon leads: one order to a server at a time, each
@@ -73,9 +74,6 @@
   Awaitable<void> AskState(ManagedPtr managed, Endpoint endpoint);
   Awaitable<std::optional<ServerStatus>> ReadReport(const std::string& id, Endpoint endpoint);
   Awaitable<ServerOrderOutcome> SendOrder(const ServerOrder& order, const Endpoint& endpoint);
-  /// The order was not sent: another leader's may still be on its way there, or the store is out
-  /// of reach.
-  void TakeBack(ManagedServer& managed, const PlacementStep& step);
   void TakeOutcome(ManagedServer& managed, const PlacementStep& step, ServerOrderOutcome outcome);
   void TakeReport(ManagedServer& managed, const ServerStatus& report);
   void Notify(const std::string& server_id, const ModelReference& name, bool held);
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "fleet/demand.h"
+#include "fleet/order_history.h"
 
 namespace moorfold {
 
@@ -18,10 +19,15 @@
 struct LeaderRecord {
   std::string name;     ///< Of the leader's machine.
   std::string address;  ///< "IP:PORT" at which it hears of demand.
+  /// The time in which orders of older leaders may still matter was waited out.
+  bool settled = false;
+  /// The leader gives no more orders; the key hangs on no lease any more.
+  bool released = false;
+  OrderHistoryRecord history;  ///< Where released.
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(name, address);
+    archive(name, address, settled, released, history);
   }
 };
 
--- a/src/fleet/leader_election.cc
+++ b/src/fleet/leader_election.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <functional>
 
 namespace moorfold {
 
@@ -12,35 +13,35 @@
 
 constexpr milliseconds kTick{100};
 constexpr milliseconds kRenewEvery{500};
+/// Orders of this machine's process before a restart may still be on their way.
+constexpr milliseconds kOwnHandoverWait{400};
 constexpr milliseconds kLongestJitter{150};
 constexpr milliseconds kCampaignPause{700};
+constexpr milliseconds kWaitMargin{300};
+/// A leader that lost its lease in an outage of the store goes first: it need not wait for its own
+/// orders.
+constexpr milliseconds kPrecedence{300};
+/// A daemon that is offered leadership goes first.
+constexpr milliseconds kOfferPrecedence{600};
 constexpr milliseconds kReadPause{300};
 /// Of a leader that speaks twice a second: its key is read until its lease has lapsed.
 constexpr milliseconds kLeaderSilence{1'300};
-/// An announcement that the store has not taken by then is given up.
-constexpr milliseconds kAnnounceTimeout{900};
-
-std::string CommonPrefix(const std::string& a, const std::string& b) {
-  const auto differ = std::mismatch(a.begin(), a.end(), b.begin(), b.end());
-  return {a.begin(), differ.first};
-}
 
 }  // namespace
 
 LeaderElection::LeaderElection(boost::asio::io_context& context, KeyValueStore& store,
                                EventLog& log, ElectionSettings settings)
-    : context_(context),
-      store_(store),
+    : store_(store),
       log_(log),
       settings_(std::move(settings)),
-      timer_(context),
-      written_(context.get_executor()),
-      history_(settings_.name, settings_.orders_apart, settings_.load_window) {}
+      window_(settings_.time_to_live),
+      history_(settings_.name, settings_.orders_apart, settings_.load_window),
+      timer_(context) {}
 
 void LeaderElection::Start() { Tick(); }
 
 bool LeaderElection::MayOrder() const {
-  return leading_ && taken_over_ && !in_doubt_ && !resigned_;
+  return !resigned_ && !unsure_ && window_.MayOrder(steady_clock::now());
 }
 
 bool LeaderElection::ServerFree(const std::string& server_id) const {
@@ -53,46 +54,45 @@
          milliseconds(hash % static_cast<std::size_t>(kLongestJitter.count()));
 }
 
-void LeaderElection::KeyChanged(const std::string& key, const std::optional<KeyValue>& entry,
-                                std::int64_t revision) {
-  if (key == settings_.leader_key)
-    LeaderKeyChanged(entry, revision);
-  else if (key == settings_.history_key)
-    HistoryKeyChanged(entry);
-}
-
-void LeaderElection::HistoryKeyChanged(const std::optional<KeyValue>& entry) {
-  if (!entry || entry->mod_revision <= history_revision_) return;
-  history_revision_ = entry->mod_revision;
-  history_seen_ = steady_clock::now();
+/// An older leader's last order arrives no later than half a lease and an order's length after its
+/// last renewal, and its key lapses a whole lease after it: what is left to wait from then on.
+milliseconds LeaderElection::WaitAfterOther() const {
+  const milliseconds wait =
+      settings_.orders_apart + kLongestOrder + kWaitMargin - settings_.time_to_live / 2;
+  return std::max(milliseconds(0), wait);
 }
 
-void LeaderElection::ReadLeader(const KeyValue& entry) {
-  try {
-    leader_ = DecodeMessage<LeaderRecord>(entry.value);
-  } catch (const std::exception& error) {
-    log_.Write(LogRank::kFailure,
-               EventLine(LogEvent::kLeaderRecordSkipped).Field(LogField::kProblem, error.what()));
-  }
-}
-
-void LeaderElection::LeaderKeyChanged(const std::optional<KeyValue>& entry, std::int64_t revision) {
-  if (revision < leader_revision_) return;    // Older than what was read directly.
-  if (leading_ && revision < token_) return;  // From before our own win.
+void LeaderElection::KeyChanged(const std::optional<KeyValue>& entry, std::int64_t revision) {
+  if (window_.leading() && revision < record_revision_) return;  // From before our own write.
+  if (revision <= seen_revision_) return;                        // Read directly before.
+  seen_revision_ = revision;
+  leader_seen_ = steady_clock::now();
+  const bool had_leader = leader_.has_value();
   const std::string before = leader_ ? leader_->name : "none";
-  const bool had_key = leader_lease_ != 0;
+  const bool was_other = leader_ && leader_->name != settings_.name;
   leader_.reset();
   leader_lease_ = 0;
-  leader_revision_ = revision;
   if (entry) {
-    ReadLeader(*entry);
-    leader_lease_ = entry->lease;
+    try {
+      leader_ = DecodeMessage<LeaderRecord>(entry->value);
+      leader_revision_ = entry->mod_revision;
+      leader_lease_ = entry->lease;
+    } catch (const std::exception& error) {
+      log_.Write(LogRank::kFailure,
+                 EventLine(LogEvent::kLeaderRecordSkipped).Field(LogField::kProblem, error.what()));
+    }
+  }
+  if (!leader_ && (had_leader || !key_known_)) {
+    const milliseconds precedence = was_other ? kPrecedence : milliseconds(0);
+    campaign_not_before_ = steady_clock::now() + precedence + Jitter();
   }
-  if (!entry && (had_key || !key_known_)) campaign_not_before_ = steady_clock::now() + Jitter();
+  if (leader_ && leader_->released)
+    campaign_not_before_ = steady_clock::now() + kOfferPrecedence + Jitter();
   key_known_ = true;
-  const bool ours = entry && lease_ != 0 && leader_lease_ == lease_;
-  if (leading_ && !ours) Lose("the leader key is another's or gone");
-  if (ours && !leading_ && !campaigning_) Won(entry->mod_revision);
+  const bool ours = leader_ && lease_ != 0 && leader_lease_ == lease_;
+  if (ours && window_.leading()) record_revision_ = std::max(record_revision_, revision);
+  if (window_.leading() && !ours) Lose("the leader key is another's or gone");
+  if (ours && !window_.leading() && !campaigning_) Won(entry->mod_revision);
   const std::string name = leader_ ? leader_->name : "none";
   if (name != before)
     log_.Write(LogRank::kDecision, EventLine(LogEvent::kLeaderSeen)
@@ -101,46 +101,46 @@
 }
 
 bool LeaderElection::MayCampaign() const {
-  if (resigned_ || campaigning_ || leading_ || !key_known_) return false;
+  if (resigned_ || campaigning_ || window_.leading() || !key_known_) return false;
   if (steady_clock::now() < campaign_not_before_) return false;
-  return leader_lease_ == 0 || (leader_ && leader_->name == settings_.name);
+  return !leader_ || leader_->released || leader_->name == settings_.name;
 }
 
 void LeaderElection::Tick() {
-  const Time now = steady_clock::now();
   if (MayCampaign()) Campaign();
-  if (leading_) RenewOrLose();
-  const bool must_read = leading_ ? !taken_over_ || in_doubt_ : LeaderSilent(now);
-  if (must_read && !reading_ && now >= read_not_before_) ReadKeys();
+  if (window_.leading()) RenewOrLose();
+  const Time now = steady_clock::now();
+  if (window_.Settled(now) && history_.Clear(now) && !settling_) Settle();
+  if (LeaderSilent(now) && now >= read_not_before_) ReadKey();
   timer_.expires_after(kTick);
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error && !resigned_) Tick();
   });
 }
 
-bool LeaderElection::LeaderSilent(Time now) const {
-  const bool other = leader_ && leader_->name != settings_.name;
-  return other && leader_heard_ != Time{} && now - leader_heard_ > kLeaderSilence;
-}
-
 void LeaderElection::Campaign() {
   campaigning_ = true;
   campaign_not_before_ = steady_clock::now() + kCampaignPause + Jitter();
   const Time sent = steady_clock::now();
   store_.GrantLease(settings_.time_to_live, [this, sent](const Outcome<LeaseId>& lease) {
-    campaigning_ = lease.ok() && !resigned_;
-    if (campaigning_) Claim(lease.value(), sent);
+    campaigning_ = lease.ok();
+    if (lease.ok()) Claim(lease.value(), sent);
   });
 }
 
 void LeaderElection::Claim(LeaseId lease, Time grant_sent) {
   lease_ = lease;
-  renewal_sent_ = grant_sent;
-  const std::int64_t expected = leader_lease_ == 0 ? 0 : leader_revision_;
+  grant_sent_ = grant_sent;
+  took_over_own_ = leader_ && leader_->name == settings_.name && leader_->settled;
+  taken_over_.reset();
+  claimed_own_ = leader_ && leader_->name == settings_.name && !leader_->released;
+  if (leader_ && leader_->released) taken_over_ = leader_->history;
+  taken_over_seen_ = leader_seen_;
+  const std::int64_t expected = leader_ ? leader_revision_ : 0;
+  const LeaderRecord record{settings_.name, settings_.address, false, false, {}};
   Transaction transaction;
-  transaction.comparisons.push_back({settings_.leader_key, expected});
-  transaction.operations.emplace_back(PutOperation{
-      settings_.leader_key, EncodeMessage(LeaderRecord{settings_.name, settings_.address}), lease});
+  transaction.comparisons.push_back({settings_.key, expected});
+  transaction.operations.emplace_back(PutOperation{settings_.key, EncodeMessage(record), lease});
   store_.Transact(std::move(transaction), [this](const Outcome<TransactionResult>& result) {
     campaigning_ = false;
     if (result.ok() && result.value().succeeded) Won(result.value().revision);
@@ -148,171 +148,159 @@
   });
 }
 
+/// @return how long to wait before the first order.
+milliseconds LeaderElection::BeginTerm(Time now) {
+  knows_loads_ = taken_over_.has_value();
+  // What this machine's earlier process ordered is not known: others wait it out.
+  others_from_ = claimed_own_ ? now + settings_.orders_apart + kLongestOrder + kWaitMargin : Time{};
+  if (taken_over_) {
+    history_.TakeOver(*taken_over_, taken_over_seen_);
+    const Time quiet_until = taken_over_seen_ + milliseconds(taken_over_->quiet_ms);
+    return std::chrono::ceil<milliseconds>(std::max(quiet_until, now) - now);
+  }
+  if (took_over_own_) {
+    history_.Begin();
+    return kOwnHandoverWait;
+  }
+  // What was inherited before an outage still holds after it.
+  if (window_.FollowsOwn(now, WaitAfterOther())) return kOwnHandoverWait;
+  history_.Begin();
+  return WaitAfterOther();
+}
+
 void LeaderElection::Won(std::int64_t revision) {
-  if (leading_ || resigned_) return;
-  leading_ = true;
-  taken_over_ = false;
-  in_doubt_ = false;
+  if (window_.leading() || resigned_) return;
+  const auto now = steady_clock::now();
+  const milliseconds wait = BeginTerm(now);
+  window_.Win(grant_sent_, now + wait);
   token_ = revision;
+  record_revision_ = revision;
+  settling_ = false;
+  unsure_ = false;
   log_.Write(LogRank::kDecision, EventLine(LogEvent::kLeadershipWon)
                                      .Field(LogField::kToken, token_)
                                      .Field(LogField::kLease, lease_));
-  ReadKeys();
 }
 
-void LeaderElection::LookNow(bool first) {
-  offered_ = offered_ || first;
-  ReadKeys();
-}
-
-void LeaderElection::ReadKeys() {
-  if (reading_) return;
-  reading_ = true;
-  read_not_before_ = steady_clock::now() + kReadPause;
-  const std::int64_t term = leading_ ? token_ : 0;
-  const KeyRange range = PrefixRange(CommonPrefix(settings_.leader_key, settings_.history_key));
-  store_.Range(range, [this, term](const Outcome<RangeResult>& keys) {
-    reading_ = false;
-    const bool same_term = term == (leading_ ? token_ : 0);
-    if (keys.ok() && same_term) TakeKeys(keys.value());
-  });
-}
-
-void LeaderElection::TakeKeys(const RangeResult& keys) {
-  const KeyValue* history = nullptr;
-  const KeyValue* leader = nullptr;
-  for (const KeyValue& entry : keys.entries) {
-    if (entry.key == settings_.leader_key) leader = &entry;
-    if (entry.key == settings_.history_key) history = &entry;
-  }
-  if (leader != nullptr)
-    LeaderKeyChanged(*leader, leader->mod_revision);
-  else
-    LeaderKeyChanged(std::nullopt, keys.revision);
-  if (history != nullptr) HistoryKeyChanged(*history);
-  if (!leading_) {
-    if (offered_) campaign_not_before_ = Time{};
-    offered_ = false;
-    if (MayCampaign()) Campaign();
+void LeaderElection::RenewOrLose() {
+  const Time now = steady_clock::now();
+  if (window_.Lapsed(now)) {
+    Lose("the lease was not renewed in time");
     return;
   }
-  in_doubt_ = false;
-  if (!taken_over_) {
-    TakeOverHistory(history);
-    taken_over_ = true;
-  }
-  if (history_.AnyWanted()) WriteSoon();
-  written_.NotifyAll();
-}
-
-void LeaderElection::TakeOverHistory(const KeyValue* history) {
-  try {
-    OrderHistoryRecord record;
-    if (history != nullptr) record = DecodeMessage<OrderHistoryRecord>(history->value);
-    history_.TakeOver(record, history_seen_);
-  } catch (const std::exception& error) {
-    history_.TakeOverUnknown(steady_clock::now());
-    log_.Write(LogRank::kFailure,
-               EventLine(LogEvent::kLeaderRecordSkipped).Field(LogField::kProblem, error.what()));
-  }
-}
-
-Awaitable<bool> LeaderElection::Announce(std::string server_id) {
-  const Time give_up = steady_clock::now() + kAnnounceTimeout;
-  const std::int64_t term = token_;
-  while (leading_ && !resigned_ && token_ == term && steady_clock::now() < give_up) {
-    if (MayOrder()) {
-      if (!ServerFree(server_id)) break;
-      if (history_.MaySend(server_id, steady_clock::now())) co_return true;
-      history_.Want(server_id);
-      WriteSoon();
+  if (renewing_ || now < grant_sent_ + kRenewEvery) return;
+  renewing_ = true;
+  grant_sent_ = now;
+  store_.KeepLeaseAlive(lease_, [this, now, lease = lease_](const Outcome<Duration>& left) {
+    renewing_ = false;
+    if (lease != lease_ || !window_.leading()) return;
+    if (!left.ok()) {
+      unsure_ = true;
+      if (left.failure().fault == PlatformFault::kRejected)
+        Lose("the store says that the lease is over");
+      return;
     }
-    co_await written_.Wait(give_up);
-  }
-  co_return false;
-}
-
-/// In a moment: orders that are prepared together are announced together.
-void LeaderElection::WriteSoon() {
-  if (write_posted_ || writing_) return;
-  write_posted_ = true;
-  boost::asio::post(context_, [this] {
-    write_posted_ = false;
-    WriteHistory();
+    window_.Renew(now);
+    if (unsure_) Verify();
   });
 }
 
-void LeaderElection::WriteHistory() {
-  if (writing_ || !MayOrder() || !history_.AnyWanted()) return;
-  writing_ = true;
-  const OrderHistoryRecord record = history_.BeginWrite(steady_clock::now());
+Transaction LeaderElection::RecordTransaction(bool settled) const {
+  const LeaderRecord record{settings_.name, settings_.address, settled, false, {}};
   Transaction transaction;
-  transaction.comparisons.push_back({settings_.leader_key, token_});
-  transaction.comparisons.push_back({settings_.history_key, history_revision_});
-  transaction.operations.emplace_back(
-      PutOperation{settings_.history_key, EncodeMessage(record), 0});
-  store_.Transact(std::move(transaction),
-                  [this, term = token_](const Outcome<TransactionResult>& result) {
-                    writing_ = false;
-                    if (term != token_ || !leading_) return;
-                    if (result.ok() && result.value().succeeded) {
-                      history_revision_ = std::max(history_revision_, result.value().revision);
-                      history_seen_ = steady_clock::now();
-                      history_.ConfirmWrite();
-                      if (history_.AnyWanted()) WriteSoon();
-                    } else {  // Not done, or not known: the keys tell.
-                      history_.AbandonWrite();
-                      in_doubt_ = true;
-                      ReadKeys();
+  transaction.comparisons.push_back({settings_.key, record_revision_});
+  transaction.operations.emplace_back(PutOperation{settings_.key, EncodeMessage(record), lease_});
+  return transaction;
+}
+
+/// After a failed renewal: keys may have been taken away though their lease can be renewed.
+void LeaderElection::Verify() {
+  const bool settled = window_.Settled(steady_clock::now());
+  store_.Transact(RecordTransaction(settled),
+                  [this, lease = lease_](const Outcome<TransactionResult>& result) {
+                    if (lease != lease_ || !window_.leading() || !result.ok()) return;
+                    if (!result.value().succeeded) {
+                      Lose("the leader key was taken away");
+                      return;
                     }
-                    written_.NotifyAll();
+                    record_revision_ = result.value().revision;
+                    unsure_ = false;
                   });
 }
 
-void LeaderElection::RenewOrLose() {
-  const Time now = steady_clock::now();
-  if (now >= renewal_sent_ + settings_.time_to_live) {
-    Lose("the lease was not renewed in time");
-    return;
-  }
-  if (renewing_ || now < renewal_sent_ + kRenewEvery) return;
-  renewing_ = true;
-  store_.KeepLeaseAlive(lease_, [this, now, lease = lease_](const Outcome<Duration>& left) {
-    renewing_ = false;
-    if (lease != lease_ || !leading_) return;
-    if (left.ok())
-      renewal_sent_ = std::max(renewal_sent_, now);
-    else if (left.failure().fault == PlatformFault::kRejected)
-      Lose("the store says that the lease is over");
+/// Notes in the record that an older leader's orders were waited out: after a restart this machine
+/// need not wait for its own.
+void LeaderElection::Settle() {
+  settling_ = true;
+  store_.Transact(RecordTransaction(true), [this](const Outcome<TransactionResult>& result) {
+    if (result.ok() && result.value().succeeded) record_revision_ = result.value().revision;
   });
 }
 
 void LeaderElection::Lose(const std::string& why) {
-  leading_ = false;
-  taken_over_ = false;
+  window_.Lose();
   lease_ = 0;
-  written_.NotifyAll();
   log_.Write(LogRank::kFailure, EventLine(LogEvent::kLeadershipLost)
                                     .Field(LogField::kToken, token_)
                                     .Field(LogField::kReason, why));
 }
 
-void LeaderElection::StopOrdering() {
-  resigned_ = true;
-  written_.NotifyAll();
-}
-
+/// A lease is ended only once its key hangs on it no more. Whoever finds the key gone counts on it
+/// that a whole lease has passed since the last renewal.
 void LeaderElection::Resign(std::function<void()> done) {
   StopOrdering();
-  if (lease_ == 0) {
-    boost::asio::post(context_, std::move(done));
+  if (!window_.leading()) {
+    boost::asio::post(timer_.get_executor(), std::move(done));
     return;
   }
-  if (leading_)
-    log_.Write(LogRank::kDecision,
-               EventLine(LogEvent::kLeadershipResigned).Field(LogField::kToken, token_));
-  leading_ = false;  // A claim that is under way ends with its lease, too.
-  store_.RevokeLease(lease_, [done = std::move(done)](const Outcome<bool>&) { done(); });
+  window_.Lose();
+  log_.Write(LogRank::kDecision,
+             EventLine(LogEvent::kLeadershipResigned).Field(LogField::kToken, token_));
+  Release(std::move(done));
+}
+
+/// Takes the key off the lease and leaves in it what the next leader has to keep away from. Where
+/// that does not come about the key goes with the lease, and the next leader waits in full.
+void LeaderElection::Release(std::function<void()> done) {
+  LeaderRecord record{settings_.name, settings_.address, false, true, {}};
+  record.history =
+      history_.Write(steady_clock::now(), std::max(window_.order_from(), others_from_));
+  Transaction transaction;
+  transaction.comparisons.push_back({settings_.key, record_revision_});
+  transaction.operations.emplace_back(PutOperation{settings_.key, EncodeMessage(record), 0});
+  store_.Transact(std::move(transaction),
+                  [this, done = std::move(done)](const Outcome<TransactionResult>& result) {
+                    if (result.ok() && result.value().succeeded)
+                      store_.RevokeLease(lease_, [](const Outcome<bool>&) {});
+                    done();
+                  });
+}
+
+bool LeaderElection::LeaderSilent(Time now) const {
+  const bool other = leader_ && leader_->name != settings_.name && !leader_->released;
+  return other && leader_heard_ != Time{} && now - leader_heard_ > kLeaderSilence;
+}
+
+void LeaderElection::LookNow(bool first) {
+  offered_ = offered_ || first;
+  ReadKey();
+}
+
+void LeaderElection::ReadKey() {
+  if (reading_) return;
+  reading_ = true;
+  read_not_before_ = steady_clock::now() + kReadPause;
+  store_.Range({settings_.key, ""}, [this](const Outcome<RangeResult>& read) {
+    reading_ = false;
+    if (!read.ok()) return;
+    if (read.value().entries.empty())
+      KeyChanged(std::nullopt, read.value().revision);
+    else
+      KeyChanged(read.value().entries.front(), read.value().entries.front().mod_revision);
+    if (offered_) campaign_not_before_ = Time{};
+    offered_ = false;
+    if (MayCampaign()) Campaign();
+  });
 }
 
 }  // namespace moorfold
--- a/src/fleet/leader_election.h
+++ b/src/fleet/leader_election.h
@@ -8,7 +8,6 @@
 #include <optional>
 #include <string>
 
-#include "common/async_signal.h"
 #include "common/event_log.h"
 #include "fleet/fleet_messages.h"
 #include "fleet/order_history.h"
@@ -16,117 +15,154 @@
 
 namespace moorfold {
 
+/// When a leader may give orders: pure arithmetic on the steady clock. See docs/PLATFORM-DESIGN.md.
+class OrderWindow {
+ public:
+  using Time = std::chrono::steady_clock::time_point;
+
+  /// @param time_to_live of the lease on which the leader key hangs.
+  explicit OrderWindow(std::chrono::milliseconds time_to_live) : time_to_live_(time_to_live) {}
+
+  /// Leadership was won by a lease whose grant was sent at `grant_sent`.
+  void Win(Time grant_sent, Time order_from) {
+    renewal_sent_ = grant_sent;
+    order_from_ = order_from;
+    leading_ = true;
+  }
+  /// A renewal that was sent at `sent` has been answered.
+  void Renew(Time sent) { renewal_sent_ = std::max(renewal_sent_, sent); }
+  void Lose() { leading_ = false; }
+
+  bool leading() const { return leading_; }
+  bool Settled(Time now) const { return leading_ && now >= order_from_; }
+  Time order_from() const { return order_from_; }
+  /// Half of the lease is left for orders that are under way when it cannot be renewed.
+  bool MayOrder(Time now) const {
+    return leading_ && now >= order_from_ && now < renewal_sent_ + time_to_live_ / 2;
+  }
+  /// Whether leadership that is won anew at `now` follows on this machine's own without a gap: any
+  /// other would first have had to win after this lease lapsed, and then to wait `handover`.
+  bool FollowsOwn(Time now, std::chrono::milliseconds handover) const {
+    constexpr std::chrono::milliseconds kMargin{200};
+    return renewal_sent_ != Time{} && now < renewal_sent_ + time_to_live_ + handover - kMargin;
+  }
+  /// Whether the lease may have lapsed.
+  bool Lapsed(Time now) const { return now >= renewal_sent_ + time_to_live_; }
+
+ private:
+  std::chrono::milliseconds time_to_live_;
+  Time renewal_sent_{};
+  Time order_from_{};
+  bool leading_ = false;
+};
+
 struct ElectionSettings {
-  std::string name;         ///< Of this machine.
-  std::string address;      ///< "IP:PORT" for demand.
-  std::string leader_key;   ///< Holds a LeaderRecord; hangs on the leader's lease.
-  std::string history_key;  ///< Holds an OrderHistoryRecord; stays.
-  std::chrono::milliseconds time_to_live{2'000};
-  /// How long orders of different machines to one server must lie apart.
+  std::string name;     ///< Of this machine.
+  std::string address;  ///< "IP:PORT" for demand.
+  std::string key;      ///< Of the leader record.
+  std::chrono::milliseconds time_to_live{3'000};
+  /// How long orders of different machines must lie apart.
   std::chrono::milliseconds orders_apart{3'000};
   std::chrono::milliseconds load_window{5'000};
   /// How long this machine leaves the office to others: the weaker it is, the longer.
   std::chrono::milliseconds candidacy_delay{0};
 };
 
-/// Makes this daemon the fleet's leader when there is none, and lets it order only what the store
-/// has taken notice of. States: follower -> candidate (a lease is granted, the key claimed) ->
-/// leader -> taking over (reads what the leaders before announced) -> ordering; back to follower
-/// when the key is lost; resigned at a planned stop, for good. One thread.
-///
-/// Safety rests on the store alone, not on leases or clocks: each announcement is a transaction
-/// that requires the leader key to be the one that was won, and a new leader reads the
-/// announcements after its own win. The lease only bounds how long a silent leader is waited for.
+/// Makes this daemon the fleet's leader when there is none. One thread.
 class LeaderElection {
  public:
+  /// An order that has no answer by then is given up with its connection.
+  static constexpr std::chrono::milliseconds kLongestOrder{600};
+
   LeaderElection(boost::asio::io_context& context, KeyValueStore& store, EventLog& log,
                  ElectionSettings settings);
 
   void Start();
-  /// The store shows one of the two keys so since `revision`: `entry`, or gone. In the order of
+  /// The store shows the leader key so since `revision`: `entry`, or gone. In the order of
   /// revisions.
-  void KeyChanged(const std::string& key, const std::optional<KeyValue>& entry,
-                  std::int64_t revision);
+  void KeyChanged(const std::optional<KeyValue>& entry, std::int64_t revision);
   /// The leader has been heard from, by another way than the store.
   void HeardLeader() { leader_heard_ = std::chrono::steady_clock::now(); }
-  /// Reads both keys now: another daemon has said that it leads no more.
+  /// Reads the leader key now: another daemon has said that it leads no more.
   /// @param first whether to stand for leader at once.
   void LookNow(bool first);
   /// Takes part no more; a lead is kept until Resign.
-  void StopOrdering();
-  /// Gives leadership up. No order may be under way.
+  void StopOrdering() { resigned_ = true; }
+  /// Gives leadership up, and leaves to the next leader what was ordered. Orders must have ended.
   /// @param done is called when the store has taken it, or does not answer.
   void Resign(std::function<void()> done);
 
-  bool leading() const { return leading_; }
-  /// @return whether orders may be prepared: this daemon leads and knows what was announced.
+  bool leading() const { return window_.leading(); }
+  /// @return whether an order may be sent now.
   bool MayOrder() const;
-  /// @return whether an order to the server would be in time now.
+  /// @return whether orders of other leaders to that server lie far enough back.
   bool ServerFree(const std::string& server_id) const;
-  /// Announces that orders to the server will be sent.
-  /// @return whether one may be sent now.
-  Awaitable<bool> Announce(std::string server_id);
-
+  /// An order to the server has been answered or given up.
+  void NoteOrder(const std::string& server_id) {
+    history_.NoteOrder(server_id, std::chrono::steady_clock::now());
+  }
   LoadWindow& loads() { return history_.loads(); }
+  /// @return whether the loads of the leader before are known and counted.
+  bool knows_loads() const { return knows_loads_; }
   std::int64_t fencing_token() const { return token_; }
   /// @return the leader's record as far as known.
   const std::optional<LeaderRecord>& leader() const { return leader_; }
 
  private:
-  using Time = std::chrono::steady_clock::time_point;
+  using Time = OrderWindow::Time;
 
   void Tick();
-  void LeaderKeyChanged(const std::optional<KeyValue>& entry, std::int64_t revision);
-  void ReadLeader(const KeyValue& entry);
-  void HistoryKeyChanged(const std::optional<KeyValue>& entry);
-  bool MayCampaign() const;
   void Campaign();
   void Claim(LeaseId lease, Time grant_sent);
   void Won(std::int64_t revision);
-  /// Reads both keys after a win, or after a write whose outcome is unknown.
-  void ReadKeys();
-  void TakeKeys(const RangeResult& keys);
-  /// @param history null: no leader has ever announced anything.
-  void TakeOverHistory(const KeyValue* history);
-  void WriteSoon();
-  void WriteHistory();
   void RenewOrLose();
+  void Lose(const std::string& why);
+  void Settle();
+  void Verify();
+  Transaction RecordTransaction(bool settled) const;
+  void Release(std::function<void()> done);
+  void ReadKey();
   /// @return whether another leads, as far as known, but says nothing.
   bool LeaderSilent(Time now) const;
-  void Lose(const std::string& why);
+  std::chrono::milliseconds BeginTerm(Time now);
+  bool MayCampaign() const;
   std::chrono::milliseconds Jitter() const;
+  std::chrono::milliseconds WaitAfterOther() const;
 
-  boost::asio::io_context& context_;
   KeyValueStore& store_;
   EventLog& log_;
   ElectionSettings settings_;
+  OrderWindow window_;
+  OrderHistory history_;
   boost::asio::steady_timer timer_;
-  AsyncSignal written_;  ///< Notified when a record was written, or cannot be.
-
   std::optional<LeaderRecord> leader_;
   std::int64_t leader_revision_ = 0;
+  std::int64_t seen_revision_ = 0;  ///< Of the key's newest state, also of its absence.
+  Time leader_seen_{};              ///< When that state was first seen.
   LeaseId leader_lease_ = 0;
-  std::int64_t history_revision_ = 0;  ///< 0: there is no record.
-  Time history_seen_{};
-
   LeaseId lease_ = 0;
-  Time renewal_sent_{};
-  std::int64_t token_ = 0;  ///< Revision at which the leader key was won.
-  OrderHistory history_;
-  bool leading_ = false;
-  bool taken_over_ = false;  ///< What leaders before announced in this term is known.
-  bool in_doubt_ = false;    ///< The outcome of a write is unknown: the keys are read first.
-  bool reading_ = false;
-  bool writing_ = false;
-  bool write_posted_ = false;
+  Time grant_sent_{};
+  std::int64_t token_ = 0;
+  std::int64_t record_revision_ = 0;
   bool key_known_ = false;
   bool campaigning_ = false;
   bool renewing_ = false;
-  bool resigned_ = false;
+  bool settling_ = false;
+  /// A renewal failed: whether the key is still ours has to be read before the next order.
+  bool unsure_ = false;
+  bool took_over_own_ = false;
+  /// The record that a claim takes over from a leader that released it.
+  std::optional<OrderHistoryRecord> taken_over_;
+  Time taken_over_seen_{};
+  bool claimed_own_ = false;  ///< The key was this machine's, from before a restart.
+  Time others_from_{};        ///< When others may order, whatever an earlier process here ordered.
+  bool knows_loads_ = false;
   bool offered_ = false;  ///< The leader before wants this daemon to lead next.
+  bool reading_ = false;
+  Time read_not_before_{};
   Time leader_heard_{};
+  bool resigned_ = false;
   Time campaign_not_before_{};
-  Time read_not_before_{};
 };
 
 }  // namespace moorfold
--- a/src/fleet/load_window.h
+++ b/src/fleet/load_window.h
@@ -18,6 +18,10 @@
   void Count(Time now) { ends_.push_back(now + window_); }
   /// A load whose order may be carried out up to kLatest later.
   void CountUnanswered(Time now) { ends_.push_back(now + window_ + kLatest); }
+  /// Leaves room for loads that an older leader may have begun.
+  void AssumeUsed(double loads, Time now) {
+    for (double load = 0; load < loads; load += 1) Count(now);
+  }
   /// A load of an older leader, which counts until `end`.
   void CountUntil(Time end) { ends_.push_back(end); }
   /// @return for how long each load that counts now still does.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -15,13 +15,12 @@
 using std::chrono::steady_clock;
 
 constexpr const char* kLeaderKey = "moorfold/leader";
-constexpr const char* kHistoryKey = "moorfold/orders";
 constexpr milliseconds kReportEvery{500};
 /// By then the server's record shows that the model is gone, or that it stayed.
 constexpr milliseconds kUnloadSettles{5'000};
 constexpr milliseconds kReportPause{60};
 constexpr milliseconds kHousekeeping{500};
-constexpr milliseconds kLeaderLease{2'000};
+constexpr milliseconds kLeaderLease{3'000};
 constexpr milliseconds kStopCheck{50};
 /// Of the fleet's free repeats, for daemons that reported to the leader; the rest is left to those
 /// that have not heard how large the fleet is.
@@ -68,11 +67,11 @@
                   TakeSize(size);
                 },
                 [this](const LeadershipOffer&) { election_.LookNow(true); }}),
-      election_(
-          context, store_, log,
-          {settings_.name, ToString(channel_.endpoint()), kLeaderKey, kHistoryKey, kLeaderLease,
-           settings_.order_handover, settings_.load_window, CandidacyDelay(settings_)}),
-      controller_(context, protocol, view_, election_, metrics_, log, {settings_.name},
+      election_(context, store_, log,
+                {settings_.name, ToString(channel_.endpoint()), kLeaderKey, kLeaderLease,
+                 settings_.order_handover, settings_.load_window, CandidacyDelay(settings_)}),
+      controller_(context, protocol, view_, election_, metrics_, log,
+                  {settings_.name, settings_.load_window},
                   [this](const PlacementNotice& notice) {
                     TakeNotice(notice);
                     channel_.Broadcast(notice);
@@ -104,9 +103,9 @@
   if (figures_) figures_->Start();
   channel_.Start();
   store_view_.Start(
-      {kLeaderKey, kHistoryKey},
-      [this](const std::string& key, const std::optional<KeyValue>& entry, std::int64_t revision) {
-        election_.KeyChanged(key, entry, revision);
+      kLeaderKey,
+      [this](const std::optional<KeyValue>& entry, std::int64_t revision) {
+        election_.KeyChanged(entry, revision);
       },
       [this](const RoutingConfiguration& configuration) { Configure(configuration); });
   election_.Start();
--- a/src/gateway/store_view.cc
+++ b/src/gateway/store_view.cc
@@ -1,7 +1,6 @@
 #include "gateway/store_view.h"
 
 #include <algorithm>
-#include <set>
 
 namespace moorfold {
 
@@ -35,9 +34,9 @@
       retry_pause_(kFirstRetryPause),
       removal_timer_(context) {}
 
-void StoreView::Start(const std::vector<std::string>& own_keys, OwnKeyHandler own_key_changed,
+void StoreView::Start(std::string own_key, OwnKeyHandler own_key_changed,
                       ConfigurationHandler configured) {
-  for (const std::string& key : own_keys) own_key_revisions_[key] = 0;
+  own_key_ = std::move(own_key);
   own_key_changed_ = std::move(own_key_changed);
   configured_ = std::move(configured);
   List();
@@ -58,17 +57,16 @@
 
 void StoreView::TakeListing(const RangeResult& listing) {
   std::vector<std::string> servers;
-  std::set<std::string> missing;
-  for (const auto& [key, revision] : own_key_revisions_) missing.insert(key);
+  bool own_key_listed = false;
   const std::string& prefix = protocol_.layout().server_prefix;
   for (const KeyValue& entry : listing.entries) {
     if (entry.key.starts_with(prefix)) servers.push_back(entry.key.substr(prefix.size()));
-    missing.erase(entry.key);
+    own_key_listed = own_key_listed || entry.key == own_key_;
     TakeEntry(entry);
   }
   for (const auto& [id, server] : view_.servers.all())
     if (std::find(servers.begin(), servers.end(), id) == servers.end()) RemoveLater(id);
-  for (const std::string& key : missing) TakeRemoval(key, listing.revision);
+  if (!own_key_listed) TakeRemoval(own_key_, listing.revision);
   metrics_.servers_known = static_cast<std::int64_t>(view_.servers.all().size());
   view_.changed.NotifyAll();
 }
@@ -101,7 +99,7 @@
       TakeConfiguration(entry);
     else if (entry.key.starts_with(protocol_.layout().server_prefix))
       TakeServer(entry);
-    else if (own_key_revisions_.contains(entry.key))
+    else if (entry.key == own_key_)
       TakeOwnKey(entry);
   } catch (const std::exception& error) {
     log_.Write(LogRank::kFailure, EventLine(LogEvent::kEntrySkipped)
@@ -119,12 +117,10 @@
       RemoveLater(id);
     else
       RemoveServer(id, revision);
-    return;
+  } else if (key == own_key_ && revision >= own_key_revision_) {
+    own_key_revision_ = revision;
+    own_key_changed_(std::nullopt, revision);
   }
-  const auto own = own_key_revisions_.find(key);
-  if (own == own_key_revisions_.end() || revision < own->second) return;
-  own->second = revision;
-  own_key_changed_(key, std::nullopt, revision);
 }
 
 void StoreView::RemoveServer(const std::string& id, std::int64_t revision) {
@@ -186,10 +182,9 @@
 }
 
 void StoreView::TakeOwnKey(const KeyValue& entry) {
-  std::int64_t& revision = own_key_revisions_[entry.key];
-  if (entry.mod_revision <= revision) return;
-  revision = entry.mod_revision;
-  own_key_changed_(entry.key, entry, entry.mod_revision);
+  if (entry.mod_revision <= own_key_revision_) return;
+  own_key_revision_ = entry.mod_revision;
+  own_key_changed_(entry, entry.mod_revision);
 }
 
 void StoreView::NoteContact() {
--- a/src/gateway/store_view.h
+++ b/src/gateway/store_view.h
@@ -6,7 +6,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include "common/event_log.h"
 #include "gateway/fleet_view.h"
@@ -23,17 +22,16 @@
 /// given a moment to come back. One thread.
 class StoreView {
  public:
-  /// Hears of moorfold's own keys: the newest state of one, or that it is gone.
-  using OwnKeyHandler = std::function<void(
-      const std::string& key, const std::optional<KeyValue>& entry, std::int64_t revision)>;
+  /// Hears of one of moorfold's own keys: its newest state, or that it is gone.
+  using OwnKeyHandler =
+      std::function<void(const std::optional<KeyValue>& entry, std::int64_t revision)>;
   using ConfigurationHandler = std::function<void(const RoutingConfiguration&)>;
 
   StoreView(boost::asio::io_context& context, KeyValueStore& store, const FleetProtocol& protocol,
             FleetView& view, GatewayMetrics& metrics, EventLog& log);
 
-  /// @param own_keys the keys of moorfold's own that `own_key_changed` hears of.
-  void Start(const std::vector<std::string>& own_keys, OwnKeyHandler own_key_changed,
-             ConfigurationHandler configured);
+  /// @param own_key the key of moorfold's own that `own_key_changed` hears of.
+  void Start(std::string own_key, OwnKeyHandler own_key_changed, ConfigurationHandler configured);
 
  private:
   void List();
@@ -57,9 +55,10 @@
   FleetView& view_;
   GatewayMetrics& metrics_;
   EventLog& log_;
+  std::string own_key_;
   OwnKeyHandler own_key_changed_;
   ConfigurationHandler configured_;
-  std::map<std::string, std::int64_t> own_key_revisions_;
+  std::int64_t own_key_revision_ = 0;
   std::unique_ptr<WatchHandle> watch_;
   boost::asio::steady_timer retry_;
   std::chrono::milliseconds retry_pause_;
