--- a/src/gateway/labelled_counter.cc
+++ b/src/gateway/labelled_counter.cc
@@ -51,10 +51,13 @@
 }
 
 void LabelledCounter::Render(const std::string& name, std::string& text) const {
-  for (const auto& [labels, count] : series_)
-    text += "moorfold_" + name + "{" + labels + "} " + std::to_string(count) + "\n";
-  if (others_ > 0)
-    text += "moorfold_" + name + "{others=\"true\"} " + std::to_string(others_) + "\n";
+  const auto line = [&](const std::string& labels, std::uint64_t count) {
+    for (const char* part : {"moorfold_", name.c_str(), "{", labels.c_str(), "} "}) text += part;
+    text += std::to_string(count);
+    text += '\n';
+  };
+  for (const auto& [labels, count] : series_) line(labels, count);
+  if (others_ > 0) line("others=\"true\"", others_);
 }
 
 }  // namespace moorfold
