--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -52,7 +52,7 @@
   void AddReport(const DemandReport& report);
   /// Begins no more orders.
   void Stop() { stopped_ = true; }
-  /// @return orders that are being announced or sent: they have no answer yet.
+  /// @return orders that have no answer yet.
   std::size_t sending() const { return sending_; }
 
  private:
