Drop a claim to leadership when the key changed while its lease was granted

A claim needs a lease first. While the grant was under way the watch showed that another had won; the claim then took its condition from the key as last seen, so "the key still has the winner's revision" held, and it replaced the winner's key. The winner's renewals went on succeeding for a lease without a key. It later did the same in return. Ruled out: a key that lapsed early (its lease had 1.4 s left and no removal was ever logged), a claim that the store carried out late (the claim was answered at once), a lease ended under its key (none was ended). Change: LeadershipClaim keeps the condition on which it was decided and is dropped when the key has changed; a machine that has seen another's record does not skip the wait; after a failed renewal the key is read, not written, so that a late write of its own costs no leadership. Claims and every change of the leader key are logged with lease and revision. The emulator's store grants leases with late answers, no longer renews a lease by a transaction, and the soak draws that fault; the exploration of hand-overs splits grant and claim.

--- a/src/common/log_event.h
+++ b/src/common/log_event.h
@@ -25,6 +25,8 @@
   kEntrySkipped,
   kLeaderRecordSkipped,
   kLeaderSeen,
+  kLeadershipClaim,
+  kLeadershipClaimFailed,
   kLeadershipWon,
   kLeadershipLost,
   kLeadershipResigned,
@@ -36,12 +38,14 @@
   kLogLinesLeftOut,
 };
 inline constexpr std::array kLogEventNames = {
-    "start",         "stopping",          "stopped",         "reload",
-    "reload_failed", "store_in_touch",    "store_lost",      "configuration",
-    "server",        "server_gone",       "entry_skipped",   "leader_record_skipped",
-    "leader_seen",   "leadership_won",    "leadership_lost", "leadership_resigned",
-    "order",         "report_failed",     "attempt_failed",  "request_end",
-    "requests_open", "log_lines_left_out"};
+    "start",          "stopping",         "stopped",
+    "reload",         "reload_failed",    "store_in_touch",
+    "store_lost",     "configuration",    "server",
+    "server_gone",    "entry_skipped",    "leader_record_skipped",
+    "leader_seen",    "leadership_claim", "leadership_claim_failed",
+    "leadership_won", "leadership_lost",  "leadership_resigned",
+    "order",          "report_failed",    "attempt_failed",
+    "request_end",    "requests_open",    "log_lines_left_out"};
 
 /// Every field of those events, explained there, too.
 enum class LogField : std::uint8_t {
--- a/src/fleet/leader_election.cc
+++ b/src/fleet/leader_election.cc
@@ -89,25 +89,28 @@
   if (leader_ && leader_->released)
     campaign_not_before_ = steady_clock::now() + kOfferPrecedence + Jitter();
   key_known_ = true;
+  const bool another = leader_ && leader_->name != settings_.name;
+  if (another && revision > token_) window_.NoteOtherTerm();
   const bool ours = leader_ && lease_ != 0 && leader_lease_ == lease_;
   if (ours && window_.leading()) record_revision_ = std::max(record_revision_, revision);
   if (window_.leading() && !ours) Lose("the leader key is another's or gone");
   if (ours && !window_.leading() && !campaigning_) Won(entry->mod_revision);
   const std::string name = leader_ ? leader_->name : "none";
-  if (name != before)
-    log_.Write(LogRank::kDecision, EventLine(LogEvent::kLeaderSeen)
-                                       .Field(LogField::kLeader, name)
-                                       .Field(LogField::kRevision, revision));
+  log_.Write(LogRank::kDecision, EventLine(LogEvent::kLeaderSeen)
+                                     .Field(LogField::kLeader, name)
+                                     .Field(LogField::kBefore, before)
+                                     .Field(LogField::kLease, leader_lease_)
+                                     .Field(LogField::kRevision, revision));
 }
 
-bool LeaderElection::MayCampaign() const {
-  if (resigned_ || campaigning_ || window_.leading() || !key_known_) return false;
-  if (steady_clock::now() < campaign_not_before_) return false;
-  return !leader_ || leader_->released || leader_->name == settings_.name;
+std::optional<std::int64_t> LeaderElection::MayCampaign() const {
+  if (resigned_ || campaigning_ || window_.leading() || !key_known_) return std::nullopt;
+  if (steady_clock::now() < campaign_not_before_) return std::nullopt;
+  return LeadershipClaim::Condition(Sight(), settings_.name);
 }
 
 void LeaderElection::Tick() {
-  if (MayCampaign()) Campaign();
+  if (const auto condition = MayCampaign()) Campaign(*condition);
   if (window_.leading()) RenewOrLose();
   const Time now = steady_clock::now();
   if (window_.Settled(now) && history_.Clear(now) && !settling_) Settle();
@@ -118,17 +121,24 @@
   });
 }
 
-void LeaderElection::Campaign() {
+void LeaderElection::Campaign(std::int64_t condition) {
   campaigning_ = true;
   campaign_not_before_ = steady_clock::now() + kCampaignPause + Jitter();
   const Time sent = steady_clock::now();
-  store_.GrantLease(settings_.time_to_live, [this, sent](const Outcome<LeaseId>& lease) {
+  const LeadershipClaim claim(condition);
+  store_.GrantLease(settings_.time_to_live, [this, sent, claim](const Outcome<LeaseId>& lease) {
     campaigning_ = lease.ok();
-    if (lease.ok()) Claim(lease.value(), sent);
+    if (lease.ok()) Claim(claim, lease.value(), sent);
   });
 }
 
-void LeaderElection::Claim(LeaseId lease, Time grant_sent) {
+void LeaderElection::Claim(const LeadershipClaim& claim, LeaseId lease, Time grant_sent) {
+  if (resigned_ || !claim.StillHolds(Sight(), settings_.name)) {
+    campaigning_ = false;
+    NoteClaim(LogEvent::kLeadershipClaimFailed, lease, claim, "the key changed before the claim");
+    store_.RevokeLease(lease, [](const Outcome<bool>&) {});  // No key hangs on it.
+    return;
+  }
   lease_ = lease;
   grant_sent_ = grant_sent;
   took_over_own_ = leader_ && leader_->name == settings_.name && leader_->settled;
@@ -136,16 +146,35 @@
   claimed_own_ = leader_ && leader_->name == settings_.name && !leader_->released;
   if (leader_ && leader_->released) taken_over_ = leader_->history;
   taken_over_seen_ = leader_seen_;
-  const std::int64_t expected = leader_ ? leader_revision_ : 0;
   const LeaderRecord record{settings_.name, settings_.address, false, false, {}};
   Transaction transaction;
-  transaction.comparisons.push_back({settings_.key, expected});
+  transaction.comparisons.push_back({settings_.key, claim.condition()});
   transaction.operations.emplace_back(PutOperation{settings_.key, EncodeMessage(record), lease});
-  store_.Transact(std::move(transaction), [this](const Outcome<TransactionResult>& result) {
-    campaigning_ = false;
-    if (result.ok() && result.value().succeeded) Won(result.value().revision);
-    // Without an answer it may be done: the watch shows the key with our lease then.
-  });
+  NoteClaim(LogEvent::kLeadershipClaim, lease, claim, "");
+  store_.Transact(std::move(transaction),
+                  [this, lease, claim](const Outcome<TransactionResult>& result) {
+                    campaigning_ = false;
+                    EndClaim(claim, lease, result);
+                  });
+}
+
+/// Without an answer the claim may be done, also seconds later: the watch shows the key with our
+/// lease then.
+void LeaderElection::EndClaim(const LeadershipClaim& claim, LeaseId lease,
+                              const Outcome<TransactionResult>& result) {
+  if (result.ok() && result.value().succeeded)
+    Won(result.value().revision);
+  else
+    NoteClaim(LogEvent::kLeadershipClaimFailed, lease, claim,
+              result.ok() ? "the key has another revision" : result.failure().message);
+}
+
+void LeaderElection::NoteClaim(LogEvent event, LeaseId lease, const LeadershipClaim& claim,
+                               const std::string& problem) {
+  EventLine line(event);
+  line.Field(LogField::kLease, lease).Field(LogField::kBefore, claim.condition());
+  if (!problem.empty()) line.Field(LogField::kProblem, problem);
+  log_.Write(LogRank::kDecision, line);
 }
 
 /// @return how long to wait before the first order.
@@ -213,19 +242,20 @@
   return transaction;
 }
 
-/// After a failed renewal: keys may have been taken away though their lease can be renewed.
+/// After a failed renewal: keys may have been taken away though their lease can be renewed. A read
+/// is enough: no machine claims a key that it sees as another's, so a key that still hangs on this
+/// lease was never lost. It is no write, whose answer could be lost and leave a revision unknown.
 void LeaderElection::Verify() {
-  const bool settled = window_.Settled(steady_clock::now());
-  store_.Transact(RecordTransaction(settled),
-                  [this, lease = lease_](const Outcome<TransactionResult>& result) {
-                    if (lease != lease_ || !window_.leading() || !result.ok()) return;
-                    if (!result.value().succeeded) {
-                      Lose("the leader key was taken away");
-                      return;
-                    }
-                    record_revision_ = result.value().revision;
-                    unsure_ = false;
-                  });
+  store_.Range({settings_.key, ""}, [this, lease = lease_](const Outcome<RangeResult>& read) {
+    if (lease != lease_ || !window_.leading() || !read.ok()) return;
+    const std::vector<KeyValue>& entries = read.value().entries;
+    if (entries.empty() || entries.front().lease != lease) {
+      Lose("the leader key was taken away");
+      return;
+    }
+    record_revision_ = std::max(record_revision_, entries.front().mod_revision);
+    unsure_ = false;
+  });
 }
 
 /// Notes in the record that an older leader's orders were waited out: after a restart this machine
@@ -299,7 +329,7 @@
       KeyChanged(read.value().entries.front(), read.value().entries.front().mod_revision);
     if (offered_) campaign_not_before_ = Time{};
     offered_ = false;
-    if (MayCampaign()) Campaign();
+    if (const auto condition = MayCampaign()) Campaign(*condition);
   });
 }
 
--- a/src/fleet/leader_election.h
+++ b/src/fleet/leader_election.h
@@ -28,7 +28,10 @@
     renewal_sent_ = grant_sent;
     order_from_ = order_from;
     leading_ = true;
+    succeeded_by_other_ = false;
   }
+  /// Another machine has held the key since this machine's last term.
+  void NoteOtherTerm() { succeeded_by_other_ = !leading_ || succeeded_by_other_; }
   /// A renewal that was sent at `sent` has been answered.
   void Renew(Time sent) { renewal_sent_ = std::max(renewal_sent_, sent); }
   void Lose() { leading_ = false; }
@@ -44,7 +47,8 @@
   /// other would first have had to win after this lease lapsed, and then to wait `handover`.
   bool FollowsOwn(Time now, std::chrono::milliseconds handover) const {
     constexpr std::chrono::milliseconds kMargin{200};
-    return renewal_sent_ != Time{} && now < renewal_sent_ + time_to_live_ + handover - kMargin;
+    const bool led = renewal_sent_ != Time{};
+    return led && !succeeded_by_other_ && now < renewal_sent_ + time_to_live_ + handover - kMargin;
   }
   /// Whether the lease may have lapsed.
   bool Lapsed(Time now) const { return now >= renewal_sent_ + time_to_live_; }
@@ -54,6 +58,39 @@
   Time renewal_sent_{};
   Time order_from_{};
   bool leading_ = false;
+  bool succeeded_by_other_ = false;
+};
+
+/// The leader key as this machine last saw it.
+struct LeaderKeySight {
+  std::optional<LeaderRecord> record;  ///< Nothing: the key does not exist.
+  std::int64_t revision = 0;           ///< Of the record.
+};
+
+/// A claim to the leader key, on the state of the key on which it was decided. The lease for it is
+/// granted first, and meanwhile another may win: the claim must then be dropped, not sent with the
+/// condition that the other's record is still there. Pure.
+class LeadershipClaim {
+ public:
+  /// @return the revision that the key must still have (0: no key) for `machine` to claim it, or
+  /// nothing when the key is another machine's.
+  static std::optional<std::int64_t> Condition(const LeaderKeySight& key,
+                                               const std::string& machine) {
+    if (!key.record) return 0;
+    const bool claimable = key.record->released || key.record->name == machine;
+    return claimable ? std::optional(key.revision) : std::nullopt;
+  }
+
+  explicit LeadershipClaim(std::int64_t condition) : condition_(condition) {}
+
+  std::int64_t condition() const { return condition_; }
+  /// @return whether the key, as it is seen now, is still as it was when the claim was decided.
+  bool StillHolds(const LeaderKeySight& key, const std::string& machine) const {
+    return Condition(key, machine) == condition_;
+  }
+
+ private:
+  std::int64_t condition_;
 };
 
 struct ElectionSettings {
@@ -112,8 +149,13 @@
   using Time = OrderWindow::Time;
 
   void Tick();
-  void Campaign();
-  void Claim(LeaseId lease, Time grant_sent);
+  void Campaign(std::int64_t condition);
+  void Claim(const LeadershipClaim& claim, LeaseId lease, Time grant_sent);
+  LeaderKeySight Sight() const { return {leader_, leader_ ? leader_revision_ : 0}; }
+  void EndClaim(const LeadershipClaim& claim, LeaseId lease,
+                const Outcome<TransactionResult>& result);
+  void NoteClaim(LogEvent event, LeaseId lease, const LeadershipClaim& claim,
+                 const std::string& problem);
   void Won(std::int64_t revision);
   void RenewOrLose();
   void Lose(const std::string& why);
@@ -125,7 +167,8 @@
   /// @return whether another leads, as far as known, but says nothing.
   bool LeaderSilent(Time now) const;
   std::chrono::milliseconds BeginTerm(Time now);
-  bool MayCampaign() const;
+  /// @return the condition of a claim that may be tried now, if any.
+  std::optional<std::int64_t> MayCampaign() const;
   std::chrono::milliseconds Jitter() const;
   std::chrono::milliseconds WaitAfterOther() const;
 
--- a/src/modelled/key_value_table.cc
+++ b/src/modelled/key_value_table.cc
@@ -64,6 +64,11 @@
   return found->second.time_to_live;
 }
 
+bool KeyValueTable::HasLease(LeaseId lease, Timestamp now) {
+  ExpireLeases(now);
+  return leases_.contains(lease);
+}
+
 void KeyValueTable::DeleteKeysOf(LeaseId lease) {
   std::vector<std::string> keys;
   for (const auto& [key, entry] : entries_)
--- a/src/modelled/key_value_table.h
+++ b/src/modelled/key_value_table.h
@@ -20,6 +20,8 @@
   LeaseId GrantLease(Duration time_to_live, Timestamp now);
   /// @return the time to live granted anew, or nothing when the lease has lapsed.
   std::optional<Duration> KeepLeaseAlive(LeaseId lease, Timestamp now);
+  /// @return whether the lease has not lapsed.
+  bool HasLease(LeaseId lease, Timestamp now);
   bool RevokeLease(LeaseId lease);
   /// Deletes the keys of lapsed leases.
   void ExpireLeases(Timestamp now);
--- a/test/emulator/main.cc
+++ b/test/emulator/main.cc
@@ -121,7 +121,7 @@
   Awaitable<void> Run() {
     while (!stopped_) {
       co_await Sleep(milliseconds(Draw(1'500, 5'000)));
-      const int kind = Draw(0, 11);
+      const int kind = Draw(0, 12);
       if (!Calm()) co_await Strike(kind);
     }
   }
@@ -226,6 +226,15 @@
         store.reads_per_second = StoreFaults{}.reads_per_second;
         break;
       case 10:
+        Say("store_grants_slowly");
+        Disturb(-1, length);
+        store.grant_answer_delay = milliseconds(Draw(200, 900));
+        platform_.store_proxy(gateway).SetMode(mode);
+        co_await Sleep(length);
+        store.grant_answer_delay = milliseconds(0);
+        platform_.store_proxy(gateway).SetMode(ProxyMode::kPass);
+        break;
+      case 11:
         Say("impatient_clients");
         clients_.SetImpatient(true);
         co_await Sleep(length);
--- a/test/emulator/store_emulator.cc
+++ b/test/emulator/store_emulator.cc
@@ -149,6 +149,8 @@
   const bool lost = LosesAnswer(request);
   if (lost && faults_.lost_apply_late.count() > 0) co_await Sleep(faults_.lost_apply_late);
   HttpResponse response = co_await Answer(request);
+  if (request.target == "/kv-lease" && faults_.grant_answer_delay.count() > 0)
+    co_await Sleep(faults_.grant_answer_delay);
   if (lost)
     exchange.Abort();
   else
@@ -237,8 +239,7 @@
     const std::string key(put.at("keyFile").as_string());
     if (key.starts_with("op/") || key.starts_with("servers/")) return Refuse(403, "not yours");
     const auto lease = put.at("lease").to_number<LeaseId>();
-    if (lease != 0 && !table_.KeepLeaseAlive(lease, clock_.Now()))
-      return Refuse(404, "no such lease");
+    if (lease != 0 && !table_.HasLease(lease, clock_.Now())) return Refuse(404, "no such lease");
     transaction.operations.emplace_back(
         PutOperation{key, Decode(put.at("value").as_string()), lease});
   }
--- a/test/emulator/store_emulator.h
+++ b/test/emulator/store_emulator.h
@@ -21,8 +21,10 @@
   std::chrono::milliseconds delay{0};
   double lose_share = 0;                         ///< Writes that are done and not answered.
   std::chrono::milliseconds lost_apply_late{0};  ///< Lost writes are done so much later.
-  bool history_gone = false;                     ///< Watches answer 410.
-  double writes_per_second = 400;                ///< Of all callers together; more get 429.
+  /// Leases run from their grant, whose answers come so much later: others win in between.
+  std::chrono::milliseconds grant_answer_delay{0};
+  bool history_gone = false;       ///< Watches answer 410.
+  double writes_per_second = 400;  ///< Of all callers together; more get 429.
   double reads_per_second = 2'000;
 };
 
--- a/test/fleet/leader_election_test.cc
+++ b/test/fleet/leader_election_test.cc
@@ -135,6 +135,42 @@
   CHECK(RunUntil(context, {}, [&] { return two.election.leading(); }));
 }
 
+TEST_CASE("A claim is dropped when another won while its lease was being granted") {
+  boost::asio::io_context context;
+  KeyValueTable table;
+  Candidate one(context, table, "one");
+  Candidate two(context, table, "two");
+  two.store.hold_grants = true;
+  REQUIRE(RunUntil(context, {&one, &two},
+                   [&] { return one.election.leading() && two.store.held_grants() > 0; }));
+  REQUIRE(RunUntil(context, {&one, &two}, [&] { return two.election.leader().has_value(); }));
+  const std::int64_t token = one.election.fencing_token();
+  two.store.ReleaseGrants();
+  RunUntil(
+      context, {&one, &two}, [&] { return two.election.leading(); }, milliseconds(500));
+  CHECK_FALSE(two.election.leading());
+  CHECK(one.election.leading());
+  CHECK(one.election.fencing_token() == token);
+}
+
+TEST_CASE("A leader whose renewal failed goes on when its key is untouched") {
+  boost::asio::io_context context;
+  KeyValueTable table;
+  Candidate one(context, table, "one");
+  REQUIRE(RunUntil(context, {&one}, [&] { return one.election.MayOrder(); }));
+  const std::int64_t token = one.election.fencing_token();
+  one.store.unreachable = true;
+  REQUIRE(RunUntil(context, {}, [&] { return !one.election.MayOrder(); }));
+  one.store.unreachable = false;
+  // A write of its own that was carried out late leaves the key at a revision it does not know.
+  Transaction late;
+  KeyValue key = table.Range({kKey, ""}).entries.front();
+  late.operations.emplace_back(PutOperation{kKey, key.value, key.lease});
+  table.Transact(late);
+  REQUIRE(RunUntil(context, {}, [&] { return one.election.MayOrder(); }));
+  CHECK(one.election.fencing_token() == token);
+}
+
 TEST_CASE("A leader without the store stops ordering before its lease lapses") {
   boost::asio::io_context context;
   KeyValueTable table;
@@ -209,6 +245,8 @@
   CHECK(window.FollowsOwn(start + milliseconds(5'200), milliseconds(3'000)));
   CHECK_FALSE(window.FollowsOwn(start + milliseconds(5'400), milliseconds(3'000)));
   CHECK_FALSE(window.FollowsOwn(start + milliseconds(60'000), milliseconds(3'000)));
+  window.NoteOtherTerm();  // Another has held the key between.
+  CHECK_FALSE(window.FollowsOwn(start + milliseconds(1'000), milliseconds(3'000)));
 }
 
 TEST_CASE("A leader record that cannot be read is skipped") {
--- a/test/fleet/order_handover_model_test.cc
+++ b/test/fleet/order_handover_model_test.cc
@@ -35,17 +35,26 @@
   bool own_process_unknown = true;       ///< Others wait for what an earlier process here ordered.
   bool hand_on_quiet = true;             ///< A leader that still waits hands its wait on.
   bool settle_when_clear = true;  ///< A restarted leader does without the wait only if all is past.
+  bool claim_as_decided = true;   ///< A claim is dropped when the key changed since it was decided.
 };
 
+/// A lease that was granted for a claim which the store carries out later, if at all.
+struct PendingClaim {
+  Time granted{};
+  LeadershipClaim claim{0};
+};
+
+std::string Name(int index) { return {static_cast<char>('a' + index)}; }
+
 struct Machine {
-  explicit Machine(int index)
-      : history(std::string(1, static_cast<char>('a' + index)), kApart, milliseconds(5'000)) {}
+  explicit Machine(int index) : history(Name(index), kApart, milliseconds(5'000)) {}
   OrderWindow window{kLease};
   OrderHistory history;
   std::int64_t token = 0;
   Time busy_until{};
   Time others_from{};
   bool resigned = false;
+  std::optional<PendingClaim> pending;
 };
 
 /// The leader key as the store has it.
@@ -56,6 +65,7 @@
   bool settled = false;
   std::optional<OrderHistoryRecord> released;
   Time written{};
+  std::int64_t revision = 0;  ///< Of its newest change.
 };
 
 struct Arrival {
@@ -92,6 +102,19 @@
   }
   std::uint64_t visited() const { return visited_; }
 
+  /// "a" led and lost its key after its lease; "a" and "b" have both been granted leases to claim
+  /// it, and the claim of "a" is done.
+  World TwoCandidates() {
+    World world = FirstOrder(milliseconds(0));
+    world.now += kLease;
+    world.key = Key{};
+    At(world, 0).window.Lose();
+    for (const int index : {0, 1})
+      At(world, index).pending = PendingClaim{world.now, *ConditionOf(world, index)};
+    CarryOutClaim(world, 0);
+    return world;
+  }
+
   /// "a" leads for long, and has just sent an order that arrives after `delay`.
   World FirstOrder(milliseconds delay) {
     World world;
@@ -130,9 +153,47 @@
         claimed_by_new = claimed_by_new || fresh;
         Claim(world, index, steps);
       }
+      ClaimLater(world, index, steps);
     }
   }
 
+  /// What the machine would see of the key now.
+  static LeaderKeySight SightOf(const World& world) {
+    if (world.key.owner < 0) return {};
+    LeaderRecord record;
+    record.name = Name(world.key.owner);
+    record.released = world.key.released.has_value();
+    return {record, world.key.revision};
+  }
+
+  static std::optional<LeadershipClaim> ConditionOf(const World& world, int index) {
+    const auto condition = LeadershipClaim::Condition(SightOf(world), Name(index));
+    if (!condition) return std::nullopt;
+    return LeadershipClaim(*condition);
+  }
+
+  /// The lease that was asked for earlier has come, or the claim was on its way for long.
+  void ClaimLater(const World& before, int index, int steps) {
+    const Machine& machine = before.machines[static_cast<std::size_t>(index)];
+    if (!machine.pending || machine.window.leading()) return;
+    if (before.now >= machine.pending->granted + kLease) return;  // No such lease.
+    World world = before;
+    PendingClaim& pending = *At(world, index).pending;
+    if (!rules_.claim_as_decided) pending.claim = LeadershipClaim(world.key.revision);
+    if (pending.claim.condition() != world.key.revision) return;
+    CarryOutClaim(world, index);
+    Explore(world, steps);
+  }
+
+  void CarryOutClaim(World& world, int index) {
+    Machine& machine = At(world, index);
+    const Time granted = machine.pending->granted;
+    machine.pending.reset();
+    BeginTerm(world, index);
+    machine.window.Win(granted, machine.window.order_from());
+    world.key.lease_ends = granted + kLease;
+  }
+
   std::vector<milliseconds> Delays() const {
     if (rules_.bound_orders) return {milliseconds(0), milliseconds(600)};
     return {milliseconds(0), milliseconds(5'000)};
@@ -154,10 +215,14 @@
     Arrive(world, {index, machine.token, arrives});
   }
 
+  /// The lease of a key that another has taken can be renewed as well as any.
   void Renew(const World& before, int index, int steps) {
-    if (before.key.owner != index || before.key.released) return;
+    const Machine& machine = before.machines[static_cast<std::size_t>(index)];
+    const bool ours = before.key.owner == index && before.key.token == machine.token;
+    const bool overwritten = before.key.owner >= 0 && !ours && !machine.window.Lapsed(before.now);
+    if (before.key.released || (!ours && !overwritten)) return;
     World answered = before;
-    answered.key.lease_ends = before.now + kLease;
+    if (ours) answered.key.lease_ends = before.now + kLease;
     World lost = answered;
     At(answered, index).window.Renew(before.now);
     Explore(answered, steps);
@@ -184,6 +249,7 @@
     Explore(not_written, steps);
     world.key.released = record;
     world.key.written = world.now;
+    world.key.revision = ++world.revision;
     Explore(world, steps);
   }
 
@@ -200,17 +266,23 @@
     if (!ours || before.key.settled || !machine.window.Settled(before.now) || !clear) return;
     World world = before;
     world.key.settled = true;
+    world.key.revision = ++world.revision;
     Explore(world, steps);
   }
 
   static bool MayClaim(const World& world, int index) {
     const Machine& machine = world.machines[static_cast<std::size_t>(index)];
     if (machine.window.leading() || machine.resigned) return false;
-    return world.key.owner < 0 || world.key.released || world.key.owner == index;
+    return ConditionOf(world, index).has_value();
   }
 
   void Claim(const World& before, int index, int steps) {
     World world = before;
+    BeginTerm(world, index);
+    Explore(world, steps);
+  }
+
+  void BeginTerm(World& world, int index) {
     Machine& machine = At(world, index);
     const bool own = world.key.owner == index && !world.key.released;
     const Time covered = world.now + kApart + milliseconds(900);
@@ -229,14 +301,16 @@
       machine.history.Begin();
     }
     Win(world, index, world.now + wait);
-    Explore(world, steps);
   }
 
   void Win(World& world, int index, Time order_from) {
     Machine& machine = At(world, index);
     machine.token = ++world.revision;
     machine.window.Win(world.now, order_from);
-    world.key = Key{index, machine.token, world.now + kLease, false, std::nullopt, world.now};
+    world.key = Key{index,        machine.token, world.now + kLease, false,
+                    std::nullopt, world.now,     machine.token};
+    for (int other = 0; other < kMachines; ++other)
+      if (other != index) At(world, other).window.NoteOtherTerm();
   }
 
   void Arrive(World& world, const Arrival& arrival) {
@@ -268,6 +342,19 @@
   CHECK(ExploreFromFirstOrder({}, milliseconds(600)) == std::nullopt);
 }
 
+std::optional<std::string> ExploreTwoCandidates(const Rules& rules, int steps) {
+  Explorer explorer(rules);
+  return explorer.Explore(explorer.TwoCandidates(), steps);
+}
+
+TEST_CASE("No schedule does harm after two machines were granted leases for one claim each") {
+  CHECK(ExploreTwoCandidates({}, kSteps) == std::nullopt);
+}
+
+TEST_CASE("A claim that is sent on a key which changed since it was decided does harm") {
+  CHECK(ExploreTwoCandidates({.claim_as_decided = false}, kSteps).has_value());
+}
+
 TEST_CASE("Without any one of the rules, some schedule does harm") {
   struct Case {
     const char* name;
--- a/test/support/fake_key_value_store.h
+++ b/test/support/fake_key_value_store.h
@@ -21,6 +21,7 @@
 
   bool unreachable = false;
   bool lose_answers = false;  ///< Calls are done, their answers do not come.
+  bool hold_grants = false;   ///< Leases are granted, their answers come with ReleaseGrants.
 
   void Range(KeyRange range, Callback<RangeResult> done) override {
     Answer<RangeResult>([this, range] { return table_.Range(range); }, std::move(done));
@@ -31,9 +32,19 @@
     Deliver();
   }
   void GrantLease(Duration time_to_live, Callback<LeaseId> done) override {
+    if (hold_grants) {
+      const LeaseId lease = table_.GrantLease(time_to_live, clock_.Now());
+      held_grants_.push_back([lease, done] { done(lease); });
+      return;
+    }
     Answer<LeaseId>([this, time_to_live] { return table_.GrantLease(time_to_live, clock_.Now()); },
                     std::move(done));
   }
+  std::size_t held_grants() const { return held_grants_.size(); }
+  void ReleaseGrants() {
+    hold_grants = false;
+    for (const auto& answer : std::exchange(held_grants_, {})) boost::asio::post(context_, answer);
+  }
   void KeepLeaseAlive(LeaseId lease, Callback<Duration> done) override {
     if (!unreachable && !table_.KeepLeaseAlive(lease, clock_.Now())) {
       Post<Duration>(PlatformFailure{PlatformFault::kRejected, "no such lease"}, std::move(done));
@@ -95,6 +106,7 @@
   KeyValueTable& table_;
   WallClock clock_;
   std::shared_ptr<Watcher> watch_;
+  std::vector<std::function<void()>> held_grants_;
 };
 
 }  // namespace moorfold
