Log how long each request waited, and whether its answer missed its target

Change: request_end carries waited_ms, first_ms, gap_ms and late; late answers rank above routine lines in the bounded log.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <charconv>
+#include <cmath>
 
 #include "gateway/event_splitter.h"
 #include "http/header_rules.h"
@@ -97,9 +98,16 @@
 
 void Forwarder::NoteHead(GatewayRequest& request) {
   request.head_sent = true;
+  request.head_at = steady_clock::now();
   metrics_.time_to_head.Observe(ElapsedMs(request.arrival));
 }
 
+void Forwarder::NoteGap(GatewayRequest& request, SteadyTime last_events) {
+  const double gap_ms = ElapsedMs(last_events);
+  metrics_.event_gap.Observe(gap_ms);
+  request.longest_gap = std::max(request.longest_gap, milliseconds(std::llround(gap_ms)));
+}
+
 milliseconds Forwarder::LongestRest(const GatewayRequest& request) {
   if (request.Repeatable()) return kLongestRest;
   return request.route->type == RouteType::kStream ? kLongestRestStream : kLongestRestAtMostOnce;
@@ -226,7 +234,7 @@
       if (ended && !splitter.pending().empty())
         throw HttpError(HttpStage::kReadingAnswer, false, "the stream ended inside an event");
       if (events.empty()) continue;
-      if (request.head_sent) metrics_.event_gap.Observe(ElapsedMs(last_events));
+      if (request.head_sent) NoteGap(request, last_events);
       last_events = steady_clock::now();
       if (!request.head_sent) {
         NoteHead(request);
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -45,6 +45,8 @@
   void NoteUnanswered(const UpstreamConnection& upstream);
   void GiveBack(const GatewayRequest& request, const Server& server);
   void NoteHead(GatewayRequest& request);
+  /// A stream's events have gone to the client; the ones before did at `last_events`.
+  void NoteGap(GatewayRequest& request, SteadyTime last_events);
 
   boost::asio::io_context& context_;
   const FleetProtocol& protocol_;
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -29,12 +29,22 @@
   bool head_sent = false;          ///< The client has the head of an answer.
   bool listed_open = false;        ///< The log has told that it is under way.
   double expected_ms = 0;          ///< For which its server was chosen: time to a first byte.
+  SteadyTime head_at{};            ///< When the client got the head of its answer.
+  std::chrono::milliseconds waited{0};       ///< Without a server that could be asked.
+  std::chrono::milliseconds longest_gap{0};  ///< Between two deliveries of a stream's events.
   std::string last_event;          ///< Last whole event that the client has.
   std::uint32_t sends = 0;         ///< Servers that it was sent to.
   std::uint32_t may_have_run = 0;  ///< Servers on which it may have run.
   UpstreamConnectionPtr upstream;  ///< Of the attempt under way.
   std::vector<std::string> failed_servers;
 
+  /// @return whether its answer missed what its route aims at: the first part late, or a pause in
+  /// the stream too long.
+  bool Late() const {
+    const bool first_late = route->target.count() > 0 && head_at - arrival > route->target;
+    const bool gap_late = route->gap_target.count() > 0 && longest_gap > route->gap_target;
+    return first_late || gap_late;
+  }
   /// Whether it may run again after an attempt that may have run.
   bool Repeatable() const {
     return route->type == RouteType::kRepeatable ||
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -168,9 +168,9 @@
     co_await view_.changed.Wait(std::min(hold_end, look_again));
     request.failed_servers.clear();
     ServerPtr server = ChooseOnce(request, reason);
+    request.waited = std::chrono::duration_cast<milliseconds>(steady_clock::now() - began);
     if (!server) continue;
-    metrics_.wait_for_server.Observe(
-        std::chrono::duration<double, std::milli>(steady_clock::now() - began).count());
+    metrics_.wait_for_server.Observe(static_cast<double>(request.waited.count()));
     co_return server;
   }
   co_return nullptr;
--- a/src/gateway/request_reporter.cc
+++ b/src/gateway/request_reporter.cc
@@ -12,8 +12,12 @@
 constexpr milliseconds kOpenLong{400};
 constexpr std::size_t kMostListed = 64;  ///< In one line; the rest waits for the next.
 
+std::int64_t CountMs(SteadyTime::duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration).count();
+}
+
 std::int64_t MillisecondsSince(SteadyTime time) {
-  return std::chrono::duration_cast<milliseconds>(steady_clock::now() - time).count();
+  return CountMs(steady_clock::now() - time);
 }
 
 const char* KindOf(const GatewayRequest& request) {
@@ -62,6 +66,7 @@
   Count(request, end);
   const bool fine =
       end.outcome == RequestOutcome::kAnswered && end.status < http_status::kBadRequest;
+  const bool routine = fine && !request.Late();
   EventLine line(LogEvent::kRequestEnd);
   line.Field(LogField::kId, request.id)
       .Field(LogField::kOutcome, Name(end.outcome))
@@ -75,13 +80,18 @@
         .Field(LogField::kModel, ToString(request.model))
         .Field(LogField::kSends, request.sends)
         .Field(LogField::kMayHaveRun, request.may_have_run)
-        .Field(LogField::kConfiguration, request.table->configuration().version);
+        .Field(LogField::kConfiguration, request.table->configuration().version)
+        .Field(LogField::kWaitedMs, request.waited.count());
   }
+  if (request.head_sent)
+    line.Field(LogField::kFirstMs, CountMs(request.head_at - request.arrival))
+        .Field(LogField::kGapMs, request.longest_gap.count())
+        .Field(LogField::kLate, request.Late() ? "yes" : "no");
   if (!end.server_id.empty())
     line.Field(LogField::kServer, end.server_id)
         .Field(LogField::kExpectedMs, static_cast<std::int64_t>(request.expected_ms));
   line.Field(LogField::kStoreAgeMs, MillisecondsSince(view_.last_store_contact));
-  log_.Write(fine ? LogRank::kRoutine : LogRank::kFailure, line);
+  log_.Write(routine ? LogRank::kRoutine : fine ? LogRank::kDecision : LogRank::kFailure, line);
 }
 
 void RequestReporter::NoteFailedAttempt(const GatewayRequest& request, const Server& server,
