Place models by expected losses, and bound loads from the store by their slowdown

Ruled out: an order that never showed (issue: "whose only copy is an order"): the load was under way all the time, slowed by the others.

--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -162,12 +162,29 @@
   return planned;
 }
 
+std::size_t FleetController::StoreLoadsUnderWay() const {
+  return static_cast<std::size_t>(
+      std::count_if(managed_.begin(), managed_.end(), [](const auto& entry) {
+        return !entry.second->incoming.empty() && entry.second->from_weight_store;
+      }));
+}
+
+ServingConditions FleetController::Conditions(const EngineDescription& engine) const {
+  constexpr double kSlotShare = 0.6;
+  constexpr double kTokens = 60'000;
+  constexpr double kFailures = 0.01;
+  return {kSlotShare * engine.slots, kTokens, kFailures};
+}
+
 void FleetController::PlanService(const ServiceDescription& service) {
   const auto now = steady_clock::now();
   std::vector<PlannedServer> servers;
   for (const ServerPtr& server : view_.servers.Of(service.name))
     servers.push_back(Describe(*server));
-  const PlannerLimits limits{election_.loads().Free(service.engine->loads_per_second, now)};
+  const double loads = std::min(election_.loads().Free(service.engine->loads_per_second, now),
+                                store_limit_.Free(StoreLoadsUnderWay()));
+  const PlannerLimits limits{loads,
+                             Conditions(*service.engine)};
   PlacementPlanner planner(*service.engine, demand_.Of(service.name, now), std::move(servers),
                            limits, now);
   for (const PlacementStep& step : planner.Plan())
@@ -190,8 +207,11 @@
                           settings_.holder,
                           election_.fencing_token()};
   managed->intended = step.intended;
-  if (step.kind == ServerOrderKind::kLoad && step.name.adapter.empty())
+  if (step.kind == ServerOrderKind::kLoad && step.name.adapter.empty()) {
     managed->incoming = step.name.model;
+    managed->from_weight_store = step.from_weight_store;
+    managed->ready_at = steady_clock::now() + step.expected;
+  }
   if (step.from_weight_store) {
     election_.loads().Count(steady_clock::now());
     ++metrics_.loads_from_weight_store;
@@ -274,6 +294,14 @@
     ++managed.order_count;
     return;
   }
+  const bool adapter_unload =
+      step.kind == ServerOrderKind::kUnload && !step.name.adapter.empty();
+  if (outcome == ServerOrderOutcome::kAlreadyDone && adapter_unload) {
+    // Done at once, and counted as an order.
+    ++managed.order_count;
+    TakeAdapterChange(managed, step);
+    return;
+  }
   managed.known = false;
   managed.incoming.clear();
   if (outcome == ServerOrderOutcome::kAlreadyDone) return;
@@ -298,25 +326,36 @@
   PlanSoon();
 }
 
+void FleetController::TakeAdapterChange(ManagedServer& managed, const PlacementStep& step) {
+  HeldModel* held = FindModel(managed.models, step.name.model);
+  if (held == nullptr) return;
+  std::erase(held->adapters, step.name.adapter);
+  if (step.kind == ServerOrderKind::kLoad) held->adapters.push_back(step.name.adapter);
+}
+
 /// Waits until the server shows the result, and tells the daemons.
 Awaitable<void> FleetController::AwaitDone(const ManagedPtr& managed, const PlacementStep& step,
                                            const Endpoint& endpoint) {
   const bool load = step.kind == ServerOrderKind::kLoad;
   if (!step.name.adapter.empty()) {
-    HeldModel* held = FindModel(managed->models, step.name.model);
     if (load) co_await Sleep(kAdapterTime);
-    if (held != nullptr && load) held->adapters.push_back(step.name.adapter);
-    if (held != nullptr && !load) std::erase(held->adapters, step.name.adapter);
+    TakeAdapterChange(*managed, step);
     if (load) Notify(managed->id, step.name, true);
     co_return;
   }
-  const SteadyTime give_up = steady_clock::now() + step.expected + kLongestOperation;
+  const SteadyTime began = steady_clock::now();
+  const std::size_t together = StoreLoadsUnderWay();
+  const SteadyTime give_up = began + step.expected + kLongestOperation;
   co_await Sleep(load ? step.expected : kPollEvery);
   while (steady_clock::now() < give_up && view_.servers.Find(managed->id) != nullptr) {
     const std::optional<ServerStatus> report = co_await ReadReport(managed->id, endpoint);
     if (report && report->order_count >= managed->order_count && !report->busy) {
       TakeReport(*managed, *report);
       managed->incoming.clear();
+      if (load && step.from_weight_store)
+        store_limit_.NoteLoad(
+            step.expected, std::chrono::duration_cast<milliseconds>(steady_clock::now() - began),
+            together);
       if (load && Shows(report->models, step.name)) Notify(managed->id, step.name, true);
       co_return;
     }
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -11,6 +11,7 @@
 #include "fleet/fleet_demand.h"
 #include "fleet/leader_election.h"
 #include "fleet/placement_planner.h"
+#include "fleet/store_load_limit.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_metrics.h"
 #include "http/http_client.h"
@@ -29,6 +30,8 @@
   std::vector<std::string> in_memory;
   std::vector<std::string> on_disk;
   std::string incoming;
+  bool from_weight_store = false;  ///< Of `incoming`.
+  SteadyTime ready_at{};           ///< When `incoming` is expected to be there.
   std::string intended;
   SteadyTime not_before{};  ///< After a failure: no order earlier than this.
 };
@@ -61,6 +64,7 @@
   void Tick();
   void PlanSoon();
   void PlanAll();
+  ServingConditions Conditions(const EngineDescription& engine) const;
   void PlanService(const ServiceDescription& service);
   PlannedServer Describe(const Server& server);
   ManagedPtr Managed(const std::string& id);
@@ -76,6 +80,9 @@
   Awaitable<ServerOrderOutcome> SendOrder(const ServerOrder& order, const Endpoint& endpoint);
   void TakeOutcome(ManagedServer& managed, const PlacementStep& step, ServerOrderOutcome outcome);
   void TakeReport(ManagedServer& managed, const ServerStatus& report);
+  std::size_t StoreLoadsUnderWay() const;
+  /// Counts the order that a server has taken, and what it did at once.
+  static void TakeAdapterChange(ManagedServer& managed, const PlacementStep& step);
   void Notify(const std::string& server_id, const ModelReference& name, bool held);
   void NoteOrder(const ServerOrder& order, ServerOrderOutcome outcome);
 
@@ -94,6 +101,7 @@
   bool plan_pending_ = false;
   FleetDemand demand_;
   std::map<std::string, ManagedPtr> managed_;
+  StoreLoadLimit store_limit_;
   std::int64_t term_ = 0;  ///< Fencing token of the term that `managed_` belongs to.
   std::size_t sending_ = 0;
   bool stopped_ = false;
--- a/src/fleet/fleet_demand.cc
+++ b/src/fleet/fleet_demand.cc
@@ -7,6 +7,8 @@
 
 namespace {
 constexpr double kAverageOverS = 4;  ///< Time constant of the rates.
+/// Time constant of the usual rate: a model asked for every few seconds shows in it.
+constexpr double kUsualOverS = 20;
 constexpr std::chrono::milliseconds kReportLife{1'500};
 constexpr std::chrono::seconds kForgetAfter{60};
 
@@ -16,7 +18,9 @@
 }  // namespace
 
 void FleetDemand::Decay(Entry& entry, Time now) {
-  const double share = std::exp(-Seconds(now - entry.rated_at) / kAverageOverS);
+  const double passed_s = Seconds(now - entry.rated_at);
+  const double share = std::exp(-passed_s / kAverageOverS);
+  entry.usual_arrivals_per_second *= std::exp(-passed_s / kUsualOverS);
   entry.arrivals_per_second *= share;
   entry.tokens_per_second *= share;
   entry.rated_at = now;
@@ -42,6 +46,7 @@
     Entry& entry = services_[reported.service][reported.name];
     Decay(entry, now);
     entry.arrivals_per_second += reported.arrivals / kAverageOverS;
+    entry.usual_arrivals_per_second += reported.arrivals / kUsualOverS;
     entry.tokens_per_second += reported.tokens / kAverageOverS;
     entry.senders[report.sender] = {reported.waiting, reported.in_flight, now};
     if (reported.arrivals > 0 || reported.waiting > 0) entry.last_seen = now;
@@ -65,6 +70,7 @@
       sum.in_flight += state.in_flight;
     }
     sum.arrivals_per_second = entry.arrivals_per_second;
+    sum.usual_arrivals_per_second = entry.usual_arrivals_per_second;
     sum.tokens_per_second = entry.tokens_per_second;
     sum.last_seen = entry.last_seen;
   }
--- a/src/fleet/fleet_demand.h
+++ b/src/fleet/fleet_demand.h
@@ -12,8 +12,9 @@
 struct ModelDemand {
   double waiting = 0;  ///< Requests that found no server.
   double in_flight = 0;
-  double arrivals_per_second = 0;
-  double tokens_per_second = 0;  ///< Prompt tokens of arrivals.
+  double arrivals_per_second = 0;        ///< Over the last seconds.
+  double usual_arrivals_per_second = 0;  ///< Over some tens of seconds, for rare models.
+  double tokens_per_second = 0;          ///< Prompt tokens of arrivals.
   std::chrono::steady_clock::time_point last_seen{};
 };
 
@@ -39,6 +40,7 @@
   struct Entry {
     std::map<std::string, FromSender> senders;
     double arrivals_per_second = 0;  ///< Decays with kHalfLife.
+    double usual_arrivals_per_second = 0;
     double tokens_per_second = 0;
     Time rated_at{};
     Time last_seen{};
--- a/src/fleet/placement_planner.cc
+++ b/src/fleet/placement_planner.cc
@@ -7,34 +7,20 @@
 
 namespace {
 
-/// Requests of one model that one server serves at once without slowing down much.
-constexpr double kComfortableRequests = 10;
-/// Prompt tokens a second that one server reads without a queue; most of a prompt is kept.
-constexpr double kComfortableTokens = 60'000;
-/// Above so much of its comfort, a model gets another server before requests queue.
-constexpr double kSpreadAt = 1.0;
-constexpr double kWaitingUrgency = 100;
-/// Fewer requests a second than that count as none.
-constexpr double kIdleRate = 0.03;
-/// Losses, in request-seconds: of an idle model, by when it was last asked for; of one of more
-/// copies than are needed, whose requests have to run to their end first; of one that is needed.
-constexpr double kIdleLoss = 0.4;
-constexpr double kIdleLossHalvesAfterS = 5;
-constexpr double kSurplusLoss = 0.5;
-constexpr double kBusyLoss = 5;
-constexpr double kRelaxedRequests = 6;
-constexpr double kRelaxedTokens = 40'000;
-/// Waiting requests are worth so many request-seconds each against what others lose.
+/// Over which a better placement has to pay for its loads and for what makes room for it: demand
+/// moves to other models within some tens of seconds, and is not foreseen beyond.
+constexpr double kHorizonS = 10;
+/// Request-seconds that a load from the weight store is worth: others wait for its place there.
+constexpr double kStoreLoadCost = 1;
+/// What a change must bring beyond its cost, in request-seconds: estimates are noisy.
+constexpr double kLeastBenefit = 0.5;
+/// A model that requests wait for comes before any that would only ease others.
 constexpr double kWaitingWorth = 3;
-constexpr double kRecentS = 6;
-constexpr double kImpossible = -1;
+/// Of an adapter: more requests than this share of what a server bears, and it gets another server.
+constexpr double kAdapterShare = 0.5;
 /// Models placed by one plan, the most urgent first; the next plan comes soon.
 constexpr std::size_t kMostWants = 16;
 
-double Seconds(std::chrono::steady_clock::duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 bool Contains(const std::vector<std::string>& names, const std::string& name) {
   return std::find(names.begin(), names.end(), name) != names.end();
 }
@@ -49,13 +35,14 @@
       demand_(std::move(demand)),
       servers_(std::move(servers)),
       limits_(limits),
-      now_(now) {
+      value_(limits.conditions, now) {
   for (const ModelDescription& model : engine_.models) descriptions_[model.name] = &model;
   CountCopies();
   for (const auto& [name, demanded] : demand_) {
     ModelDemand& whole = by_model_[name.model];
     whole.in_flight += demanded.in_flight;
     whole.arrivals_per_second += demanded.arrivals_per_second;
+    whole.usual_arrivals_per_second += demanded.usual_arrivals_per_second;
     whole.tokens_per_second += demanded.tokens_per_second;
     whole.last_seen = std::max(whole.last_seen, demanded.last_seen);
     // A request that waits for an adapter waits for its model only where the model is nowhere.
@@ -121,15 +108,6 @@
   return found == copies_.end() ? 0 : found->second;
 }
 
-double PlacementPlanner::CopiesWanted(const ModelDescription& model) const {
-  const ModelDemand demand = WholeDemand(model.name);
-  const double by_requests = demand.in_flight / kComfortableRequests;
-  const double by_tokens = demand.tokens_per_second / kComfortableTokens;
-  const bool recent = Seconds(now_ - demand.last_seen) < kRecentS;
-  const double least = demand.waiting > 0 || (recent && demand.arrivals_per_second > 0) ? 1 : 0;
-  return std::max(least, std::max(by_requests, by_tokens) / kSpreadAt);
-}
-
 bool PlacementPlanner::FromWeightStore(const PlannedServer& server,
                                        const std::string& model) const {
   return !Contains(server.in_memory, model) && !Contains(server.on_disk, model);
@@ -144,39 +122,24 @@
   return std::chrono::duration<double>(model.load_time).count();
 }
 
-bool PlacementPlanner::Idle(const ModelDemand& demand) {
-  return demand.in_flight <= 0 && demand.waiting <= 0 && demand.arrivals_per_second < kIdleRate;
-}
-
-/// What is lost, in request-seconds, when the model leaves one of its servers.
-double PlacementPlanner::ComputeLoss(const std::string& model) const {
-  if (Describe(model) == nullptr) return 0;
-  const ModelDemand demand = WholeDemand(model);
-  const double copies = static_cast<double>(std::max<std::size_t>(1, Copies(model)));
-  const double idle_s = std::max(0.0, Seconds(now_ - demand.last_seen));
-  if (Idle(demand)) {
-    const double only_copy = copies > 1 ? 0.5 : 1;
-    return only_copy * kIdleLoss / (1 + idle_s / kIdleLossHalvesAfterS);
-  }
-  const double left = copies - 1;
-  const bool enough_left = left >= 1 && demand.in_flight <= kRelaxedRequests * left &&
-                           demand.tokens_per_second <= kRelaxedTokens * left;
-  if (enough_left) return kSurplusLoss + demand.in_flight / copies;
-  return kBusyLoss + demand.in_flight + demand.arrivals_per_second;
-}
-
+/// @return what is lost a second when the model leaves one of its servers.
 double PlacementPlanner::LossOf(const std::string& model) {
   const auto [loss, fresh] = losses_.try_emplace(model, 0);
-  if (fresh) loss->second = ComputeLoss(model);
+  const ModelDescription* described = Describe(model);
+  if (fresh && described != nullptr)
+    loss->second = value_.Loss(*described, WholeDemand(model), std::max<std::size_t>(1, Copies(model)));
   return loss->second;
 }
 
-double PlacementPlanner::PlacementCost(const PlannedServer& server, const ModelDescription& model,
-                                       std::vector<std::string>& victims) {
-  if (!server.orderable || !server.intended.empty() || !server.incoming.empty()) return kImpossible;
-  if (server.Find(model.name) != nullptr) return kImpossible;
-  if (FromWeightStore(server, model.name) && limits_.weight_store_loads < 1) return kImpossible;
-  double cost = LoadSeconds(server, model);
+std::optional<PlacementPlanner::Placement> PlacementPlanner::PlaceAt(PlannedServer& server,
+                                                                     const ModelDescription& model,
+                                                                     double gain) {
+  if (!server.orderable || !server.intended.empty() || !server.incoming.empty()) return std::nullopt;
+  if (server.Find(model.name) != nullptr) return std::nullopt;
+  const bool from_store = FromWeightStore(server, model.name);
+  if (from_store && limits_.weight_store_loads < 1) return std::nullopt;
+  Placement placement{&server, gain * LoadSeconds(server, model), {}};
+  if (from_store) placement.cost += kStoreLoadCost;
   double free = FreeMegabytes(server);
   std::vector<const HeldModel*> held;
   for (const HeldModel& candidate : server.models) held.push_back(&candidate);
@@ -186,10 +149,11 @@
   for (const HeldModel* candidate : held) {
     if (free >= model.weights_mb) break;
     free += HeldMegabytes(*candidate);
-    cost += LossOf(candidate->name);
-    victims.push_back(candidate->name);
+    placement.cost += LossOf(candidate->name) * kHorizonS;
+    placement.victims.push_back(candidate->name);
   }
-  return free >= model.weights_mb ? cost : kImpossible;
+  if (free < model.weights_mb) return std::nullopt;
+  return placement;
 }
 
 void PlacementPlanner::EmitLoad(PlannedServer& server, const ModelDescription& model) {
@@ -225,37 +189,26 @@
   }
   const std::string intended = std::exchange(server.intended, "");
   --copies_[intended];
-  std::vector<std::string> victims;
-  if (PlacementCost(server, *model, victims) < 0) return false;
-  if (victims.empty())
+  const std::optional<Placement> placement = PlaceAt(server, *model, 0);
+  if (!placement) return false;
+  if (placement->victims.empty())
     EmitLoad(server, *model);
   else
-    EmitUnload(server, victims.front(), intended);
+    EmitUnload(server, placement->victims.front(), intended);
   return true;
 }
 
-void PlacementPlanner::PlaceModel(const ModelDescription& model) {
-  PlannedServer* best = nullptr;
-  double best_cost = 0;
-  std::vector<std::string> best_victims;
+void PlacementPlanner::PlaceModel(const Want& want) {
+  std::optional<Placement> best;
   for (PlannedServer& server : servers_) {
-    std::vector<std::string> victims;
-    const double cost = PlacementCost(server, model, victims);
-    if (cost < 0 || (best != nullptr && cost >= best_cost)) continue;
-    best = &server;
-    best_cost = cost;
-    best_victims = victims;
+    std::optional<Placement> placement = PlaceAt(server, *want.model, want.gain);
+    if (placement && (!best || placement->cost < best->cost)) best = std::move(placement);
   }
-  if (best == nullptr) return;
-  const ModelDemand demand = WholeDemand(model.name);
-  const double gain = kWaitingWorth * demand.waiting +
-                      demand.in_flight / static_cast<double>(1 + Copies(model.name));
-  const double loss = best_cost - LoadSeconds(*best, model);
-  if (loss > gain) return;  // It would cost others more than it helps.
-  if (best_victims.empty())
-    EmitLoad(*best, model);
+  if (!best || best->cost + kLeastBenefit > want.gain * kHorizonS) return;
+  if (best->victims.empty())
+    EmitLoad(*best->server, *want.model);
   else
-    EmitUnload(*best, best_victims.front(), model.name);
+    EmitUnload(*best->server, best->victims.front(), want.model->name);
 }
 
 std::vector<PlacementPlanner::Want> PlacementPlanner::Wants() const {
@@ -263,15 +216,13 @@
   for (const auto& [name, demand] : by_model_) {
     const ModelDescription* model = Describe(name);
     if (model == nullptr) continue;
-    const double copies = static_cast<double>(Copies(name));
-    const double wanted = CopiesWanted(*model);
-    if (copies >= wanted) continue;
-    const double urgency = copies == 0 ? kWaitingUrgency * (1 + demand.waiting) : wanted - copies;
-    wants.push_back({model, urgency});
+    const std::size_t copies = Copies(name);
+    double gain = value_.Gain(*model, demand, copies);
+    if (copies == 0) gain += kWaitingWorth * demand.waiting;
+    if (gain * kHorizonS > kLeastBenefit) wants.push_back({model, gain});
   }
-  std::stable_sort(wants.begin(), wants.end(), [](const Want& left, const Want& right) {
-    return left.urgency > right.urgency;
-  });
+  std::stable_sort(wants.begin(), wants.end(),
+                   [](const Want& left, const Want& right) { return left.gain > right.gain; });
   return wants;
 }
 
@@ -281,7 +232,7 @@
   std::size_t placed = 0;
   for (const Want& want : Wants()) {
     if (placed++ >= kMostWants) break;
-    PlaceModel(*want.model);
+    PlaceModel(want);
   }
 }
 
@@ -300,8 +251,8 @@
     if (!server.orderable) continue;
     if (best == nullptr || AdaptersOn(server) < AdaptersOn(*best)) best = &server;
   }
-  const bool enough =
-      holders > 0 && demand.in_flight <= kComfortableRequests * static_cast<double>(holders);
+  const double borne = kAdapterShare * limits_.conditions.requests_per_server;
+  const bool enough = holders > 0 && demand.in_flight <= borne * static_cast<double>(holders);
   if (best == nullptr || enough) return;
   const bool room =
       AdaptersOn(*best) < engine_.adapter_slots && FreeMegabytes(*best) >= model->adapter_mb;
--- a/src/fleet/placement_planner.h
+++ b/src/fleet/placement_planner.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "fleet/fleet_demand.h"
+#include "fleet/placement_value.h"
 #include "fleet/routing_configuration.h"
 #include "fleet/server_record.h"
 
@@ -41,6 +43,7 @@
 
 struct PlannerLimits {
   double weight_store_loads = 0;  ///< Loads from the weight store that may begin now.
+  ServingConditions conditions;
 };
 
 /// Decides which models and adapters go where. Pure: the same input gives the same steps. At most
@@ -55,24 +58,28 @@
   std::vector<PlacementStep> Plan();
 
  private:
-  /// A model that should stand on more servers than it does.
+  /// A model that would be worth one more server.
   struct Want {
     const ModelDescription* model = nullptr;
-    double urgency = 0;
+    double gain = 0;  ///< Request-seconds a second.
+  };
+  /// A way to take a model to a server.
+  struct Placement {
+    PlannedServer* server = nullptr;
+    double cost = 0;  ///< Request-seconds, over the horizon.
+    std::vector<std::string> victims;
   };
 
   void PlanAdapters();
   void PlanAdapter(const ModelReference& name, const ModelDemand& demand);
   void PlanModels();
   std::vector<Want> Wants() const;
-  void PlaceModel(const ModelDescription& model);
+  void PlaceModel(const Want& want);
   bool ContinueIntention(PlannedServer& server);
-  /// @return the cost in seconds of taking the model there, or a negative number if impossible.
-  double PlacementCost(const PlannedServer& server, const ModelDescription& model,
-                       std::vector<std::string>& victims);
-  static bool Idle(const ModelDemand& demand);
+  /// @return how to take the model there, or nothing if that cannot be done now.
+  std::optional<Placement> PlaceAt(PlannedServer& server, const ModelDescription& model,
+                                   double gain);
   double LossOf(const std::string& model);
-  double ComputeLoss(const std::string& model) const;
   void CountCopies();
   double LoadSeconds(const PlannedServer& server, const ModelDescription& model) const;
   bool FromWeightStore(const PlannedServer& server, const std::string& model) const;
@@ -80,7 +87,6 @@
   std::size_t AdaptersOn(const PlannedServer& server) const;
   double HeldMegabytes(const HeldModel& held) const;
   std::size_t Copies(const std::string& model) const;
-  double CopiesWanted(const ModelDescription& model) const;
   ModelDemand WholeDemand(const std::string& model) const;
   double RateOf(const ModelReference& name) const;
   const ModelDescription* Describe(const std::string& model) const;
@@ -94,7 +100,7 @@
   std::map<ModelReference, ModelDemand> demand_;
   std::vector<PlannedServer> servers_;
   PlannerLimits limits_;
-  Time now_;
+  PlacementValue value_;
   std::map<std::string, ModelDemand> by_model_;
   std::vector<PlacementStep> steps_;
 };
--- /dev/null
+++ b/src/fleet/placement_value.cc
@@ -0,0 +1,63 @@
+#include "fleet/placement_value.h"
+
+#include <algorithm>
+
+namespace moorfold {
+
+namespace {
+
+/// Seconds from the first request for an absent model to its load's beginning: its report, the end
+/// of an unload that makes room, the server's report of that (sums of the controller's own times).
+constexpr double kReactionS = 0.7;
+/// Seconds until a server's failure is noticed and its model is ordered elsewhere: two daemons have
+/// to find it out of reach.
+constexpr double kFailureNoticedS = 1.0;
+/// Share of a request's speed that each other one at its server takes: a step of an engine's batch
+/// grows by some thousandths for each request, and prompts are read between steps.
+constexpr double kCrowding = 0.002;
+/// A model whose last request lies so many of its mean intervals back is asked for less often than
+/// its rate says: after three, one request in twenty comes later by chance.
+constexpr double kIntervalsBelieved = 3;
+/// A model's last copy is not taken from requests that run on it without need: it would have to
+/// come back for the next of them.
+constexpr double kRunningShare = 0.1;
+
+double Seconds(std::chrono::steady_clock::duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+double PlacementValue::ExpectedRate(const ModelDemand& demand) const {
+  constexpr double kShortestIdleS = 0.01;
+  const double idle_s = std::max(kShortestIdleS, Seconds(now_ - demand.last_seen));
+  return std::min(demand.usual_arrivals_per_second, kIntervalsBelieved / idle_s);
+}
+
+/// @return how many servers' worth of work there is.
+double PlacementValue::Load(const ModelDemand& demand) const {
+  const double requests = demand.in_flight + demand.waiting;
+  return std::max(requests / conditions_.requests_per_server,
+                  demand.tokens_per_second / conditions_.prompt_tokens_per_second);
+}
+
+double PlacementValue::Cost(const ModelDescription& model, const ModelDemand& demand,
+                            std::size_t copies) const {
+  const double requests = demand.in_flight + demand.waiting;
+  const double rate = ExpectedRate(demand);
+  const double reload_s = Seconds(model.disk_load_time) + kReactionS;
+  if (copies == 0) return demand.waiting + rate * reload_s;
+  const double count = static_cast<double>(copies);
+  const double crowding = kCrowding * requests * requests / count;
+  const double beyond = std::max(0.0, Load(demand) - count) * conditions_.requests_per_server;
+  const double left_alone = copies == 1 ? rate * (reload_s + kFailureNoticedS) : 0;
+  return crowding + beyond + conditions_.failures_per_second * left_alone;
+}
+
+double PlacementValue::Loss(const ModelDescription& model, const ModelDemand& demand,
+                            std::size_t copies) const {
+  const double running = copies == 1 ? kRunningShare * demand.in_flight : 0;
+  return Cost(model, demand, copies - 1) - Cost(model, demand, copies) + running;
+}
+
+}  // namespace moorfold
