Order no second copy while the first is on its way; test values and the load limit

Cause: with gains in place of thresholds a model with a copy on its way was given another at once where that cost little (an old test found it). Change: a further copy waits until the first stands, unless there is more work than the copies bear. Properties of PlacementValue (gains fall, never negative; what demand has left is worth little) and of StoreLoadLimit (bounds, learning).

--- a/src/fleet/placement_planner.cc
+++ b/src/fleet/placement_planner.cc
@@ -103,7 +103,10 @@
     if (!server.serving) continue;
     for (const HeldModel& held : server.models) ++copies_[held.name];
     for (const std::string* expected : {&server.incoming, &server.intended})
-      if (!expected->empty() && server.Find(*expected) == nullptr) ++copies_[*expected];
+      if (!expected->empty() && server.Find(*expected) == nullptr) {
+        ++copies_[*expected];
+        on_their_way_.insert(*expected);
+      }
   }
 }
 
@@ -223,6 +226,7 @@
     const ModelDescription* model = Describe(name);
     if (model == nullptr) continue;
     const std::size_t copies = Copies(name);
+    if (OnItsWay(name) && !value_.Overloaded(demand, copies)) continue;
     double gain = value_.Gain(*model, demand, copies);
     if (copies == 0) gain += kWaitingWorth * demand.waiting;
     if (gain * kHorizonS > kLeastBenefit) wants.push_back({model, gain});
--- a/src/fleet/placement_planner.h
+++ b/src/fleet/placement_planner.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "fleet/fleet_demand.h"
@@ -87,6 +88,7 @@
   std::size_t AdaptersOn(const PlannedServer& server) const;
   double HeldMegabytes(const HeldModel& held) const;
   std::size_t Copies(const std::string& model) const;
+  bool OnItsWay(const std::string& model) const { return on_their_way_.contains(model); }
   ModelDemand WholeDemand(const std::string& model) const;
   double RateOf(const ModelReference& name) const;
   const ModelDescription* Describe(const std::string& model) const;
@@ -96,6 +98,7 @@
   const EngineDescription& engine_;
   std::unordered_map<std::string, const ModelDescription*> descriptions_;
   std::unordered_map<std::string, std::size_t> copies_;
+  std::unordered_set<std::string> on_their_way_;  ///< Models with a copy that does not stand yet.
   std::unordered_map<std::string, double> losses_;  ///< Of models, as far as asked for.
   std::map<ModelReference, ModelDemand> demand_;
   std::vector<PlannedServer> servers_;
--- a/src/fleet/placement_value.h
+++ b/src/fleet/placement_value.h
@@ -33,6 +33,10 @@
   double Gain(const ModelDescription& model, const ModelDemand& demand, std::size_t copies) const {
     return Cost(model, demand, copies) - Cost(model, demand, copies + 1);
   }
+  /// @return whether there is more work than that many servers do in time.
+  bool Overloaded(const ModelDemand& demand, std::size_t copies) const {
+    return Load(demand) > static_cast<double>(copies);
+  }
   /// @return what one copy fewer costs; `copies` is at least 1.
   double Loss(const ModelDescription& model, const ModelDemand& demand, std::size_t copies) const;
 
--- /dev/null
+++ b/test/fleet/placement_value_test.cc
@@ -0,0 +1,98 @@
+// What copies are worth, and how many loads from the weight store are worth having at once.
+
+#include "fleet/placement_value.h"
+
+#include <rapidcheck.h>
+
+#include <catch2/catch.hpp>
+
+#include "fleet/store_load_limit.h"
+
+namespace moorfold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const PlacementValue::Time kNow{seconds(1000)};
+constexpr ServingConditions kConditions{40, 60'000, 0.01};
+
+ModelDescription MakeModel() {
+  return {"m", 90, 5, milliseconds(6'000), milliseconds(800), milliseconds(400)};
+}
+
+ModelDemand MakeDemand(double in_flight, double usual_rate, seconds idle = seconds(0)) {
+  ModelDemand demand;
+  demand.in_flight = in_flight;
+  demand.usual_arrivals_per_second = usual_rate;
+  demand.last_seen = kNow - idle;
+  return demand;
+}
+
+TEST_CASE("The last copy is worth more the more often its model is asked for") {
+  const PlacementValue value(kConditions, kNow);
+  const double rare = value.Loss(MakeModel(), MakeDemand(0, 0.1), 1);
+  const double usual = value.Loss(MakeModel(), MakeDemand(0, 1), 1);
+  CHECK(rare > 0);
+  CHECK(usual > 5 * rare);
+  CHECK(value.Loss(MakeModel(), MakeDemand(0, 0.1), 2) < rare);
+}
+
+TEST_CASE("A model that demand has left is worth little, however busy it was") {
+  const PlacementValue value(kConditions, kNow);
+  CHECK(value.Loss(MakeModel(), MakeDemand(0, 15, seconds(10)), 1) <
+        value.Loss(MakeModel(), MakeDemand(0, 0.5), 1));
+}
+
+TEST_CASE("Work beyond what the servers bear counts in full") {
+  const PlacementValue value(kConditions, kNow);
+  const ModelDemand busy = MakeDemand(100, 20);
+  CHECK(value.Overloaded(busy, 2));
+  CHECK_FALSE(value.Overloaded(busy, 3));
+  CHECK(value.Gain(MakeModel(), busy, 1) > 35);
+  CHECK(value.Gain(MakeModel(), busy, 3) < 5);
+}
+
+TEST_CASE("One more copy never costs, and each is worth less than the one before") {
+  rc::check([] {
+    const PlacementValue value(kConditions, kNow);
+    const ModelDemand demand =
+        MakeDemand(*rc::gen::inRange(0, 300), *rc::gen::inRange(0, 400) / 10.0,
+                   seconds(*rc::gen::inRange(0, 60)));
+    double before = value.Gain(MakeModel(), demand, 1);
+    for (std::size_t copies = 2; copies < 8; ++copies) {
+      const double gain = value.Gain(MakeModel(), demand, copies);
+      RC_ASSERT(gain >= 0);
+      RC_ASSERT(gain <= before + 1e-9);
+      before = gain;
+    }
+  });
+}
+
+TEST_CASE("Loads at once follow the number from which on each takes longer") {
+  // Found on the bench: thirteen loads at once took 12 s each where four take 6 s.
+  StoreLoadLimit limit;
+  for (int load = 0; load < 20; ++load)
+    limit.NoteLoad(milliseconds(6'000), milliseconds(6'100), static_cast<std::size_t>(limit.limit()));
+  CHECK(limit.limit() > 10);
+  limit.NoteLoad(milliseconds(6'000), milliseconds(12'000), 10);
+  CHECK(limit.limit() == Approx(6));
+  CHECK(limit.Free(4) == Approx(2));
+  CHECK(limit.Free(9) == 0);
+}
+
+TEST_CASE("The bound on loads at once stays between its bounds, whatever loads take") {
+  rc::check([] {
+    StoreLoadLimit limit;
+    for (int load = 0; load < 50; ++load) {
+      limit.NoteLoad(milliseconds(*rc::gen::inRange(-5, 10'000)),
+                     milliseconds(*rc::gen::inRange(-5, 1'000'000)),
+                     static_cast<std::size_t>(*rc::gen::inRange(0, 2'000)));
+      RC_ASSERT(limit.limit() >= 2);
+      RC_ASSERT(limit.limit() <= 1'000);
+    }
+  });
+}
+
+}  // namespace
+}  // namespace moorfold
