Load from the store only where it is the only way; give every model its turn

With a longer horizon, store loads block a server for 6 s where a disk load on another would do in one. Change: a store load is weighed by the seconds that it blocks its server (4 request-seconds each), and its time counts against the gain only where some server has the weights at hand; what is waited for without being served gains by 0.5 a second, so its turn comes by construction.

--- a/src/fleet/demand.cc
+++ b/src/fleet/demand.cc
@@ -11,10 +11,9 @@
       at = counts_.erase(at);
       continue;
     }
-    entries.push_back({at->first.service, at->first.name, count.waiting, count.in_flight,
-                       count.arrivals, count.tokens});
+    entries.push_back(
+        {at->first.service, at->first.name, count.waiting, count.in_flight, count.arrivals});
     count.arrivals = 0;
-    count.tokens = 0;
     ++at;
   }
   return entries;
--- a/src/fleet/demand.h
+++ b/src/fleet/demand.h
@@ -16,7 +16,6 @@
   std::uint32_t waiting = 0;    ///< Requests that found no usable server holding it.
   std::uint32_t in_flight = 0;  ///< Requests at servers now.
   std::uint32_t arrivals = 0;   ///< Requests since the last report.
-  double tokens = 0;            ///< Prompt tokens of those arrivals.
 };
 
 /// Counts a daemon's demand between reports. One thread.
@@ -31,7 +30,6 @@
     std::uint32_t waiting = 0;
     std::uint32_t in_flight = 0;
     std::uint32_t arrivals = 0;
-    double tokens = 0;
   };
 
   Count& At(const std::string& service, const ModelReference& name) {
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -21,6 +21,9 @@
 constexpr milliseconds kLongestOperation{8'000};
 constexpr milliseconds kAfterFailure{800};
 constexpr milliseconds kAdapterTime{15};
+/// Of a server's slots: fuller servers let others wait and preempt them, emptier ones leave rare
+/// models without a place. 0.2 was worse by 0.04 on one deployment (docs/JAZDA.md, round 5).
+constexpr double kSlotShare = 0.6;
 
 const char* Name(ServerOrderOutcome outcome) {
   switch (outcome) {
@@ -169,13 +172,6 @@
       }));
 }
 
-ServingConditions FleetController::Conditions(const EngineDescription& engine) const {
-  constexpr double kSlotShare = 0.6;
-  constexpr double kTokens = 60'000;
-  constexpr double kFailures = 0.01;
-  return {kSlotShare * engine.slots, kTokens, kFailures};
-}
-
 void FleetController::PlanService(const ServiceDescription& service) {
   const auto now = steady_clock::now();
   std::vector<PlannedServer> servers;
@@ -183,7 +179,7 @@
     servers.push_back(Describe(*server));
   const double loads = std::min(election_.loads().Free(service.engine->loads_per_second, now),
                                 store_limit_.Free(StoreLoadsUnderWay()));
-  const PlannerLimits limits{loads, Conditions(*service.engine)};
+  const PlannerLimits limits{loads, kSlotShare * service.engine->slots};
   PlacementPlanner planner(*service.engine, demand_.Of(service.name, now), std::move(servers),
                            limits, now);
   for (const PlacementStep& step : planner.Plan())
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -64,7 +64,6 @@
   void Tick();
   void PlanSoon();
   void PlanAll();
-  ServingConditions Conditions(const EngineDescription& engine) const;
   void PlanService(const ServiceDescription& service);
   PlannedServer Describe(const Server& server);
   ManagedPtr Managed(const std::string& id);
--- a/src/fleet/fleet_demand.cc
+++ b/src/fleet/fleet_demand.cc
@@ -22,7 +22,6 @@
   const double share = std::exp(-passed_s / kAverageOverS);
   entry.usual_arrivals_per_second *= std::exp(-passed_s / kUsualOverS);
   entry.arrivals_per_second *= share;
-  entry.tokens_per_second *= share;
   entry.rated_at = now;
 }
 
@@ -47,9 +46,12 @@
     Decay(entry, now);
     entry.arrivals_per_second += reported.arrivals / kAverageOverS;
     entry.usual_arrivals_per_second += reported.arrivals / kUsualOverS;
-    entry.tokens_per_second += reported.tokens / kAverageOverS;
     entry.senders[report.sender] = {reported.waiting, reported.in_flight, now};
     if (reported.arrivals > 0 || reported.waiting > 0) entry.last_seen = now;
+    if (reported.in_flight > 0)
+      entry.unserved_since = Time{};
+    else if (reported.waiting > 0 && entry.unserved_since == Time{})
+      entry.unserved_since = now;
   }
 }
 
@@ -71,8 +73,8 @@
     }
     sum.arrivals_per_second = entry.arrivals_per_second;
     sum.usual_arrivals_per_second = entry.usual_arrivals_per_second;
-    sum.tokens_per_second = entry.tokens_per_second;
     sum.last_seen = entry.last_seen;
+    if (entry.unserved_since != Time{}) sum.unserved_s = Seconds(now - entry.unserved_since);
   }
   return demand;
 }
--- a/src/fleet/fleet_demand.h
+++ b/src/fleet/fleet_demand.h
@@ -14,8 +14,9 @@
   double in_flight = 0;
   double arrivals_per_second = 0;        ///< Over the last seconds.
   double usual_arrivals_per_second = 0;  ///< Over some tens of seconds, for rare models.
-  double tokens_per_second = 0;          ///< Prompt tokens of arrivals.
   std::chrono::steady_clock::time_point last_seen{};
+  /// For how long requests have waited for it, again and again, without one being served.
+  double unserved_s = 0;
 };
 
 /// Adds up the reports of all daemons. One thread.
@@ -41,9 +42,9 @@
     std::map<std::string, FromSender> senders;
     double arrivals_per_second = 0;  ///< Decays with kHalfLife.
     double usual_arrivals_per_second = 0;
-    double tokens_per_second = 0;
     Time rated_at{};
     Time last_seen{};
+    Time unserved_since{};  ///< Zero: served since it was last waited for.
   };
 
   static void Decay(Entry& entry, Time now);
--- a/src/fleet/placement_planner.cc
+++ b/src/fleet/placement_planner.cc
@@ -14,12 +14,16 @@
 /// other order meanwhile and forgets the victim's prompts, and the victim may be missed elsewhere.
 /// Between 2 and 6 did alike, 0 worse by 0.04 (docs/JAZDA.md, round 5).
 constexpr double kEvictionCost = 2.5;
-/// Request-seconds that a load from the weight store is worth: others wait for its place there.
-constexpr double kStoreLoadCost = 1;
+/// Request-seconds for each second of a load from the weight store: the server can make no other
+/// change meanwhile, and other loads wait for their place at the store.
+constexpr double kStoreLoadCost = 4;
 /// What a change must bring beyond its cost, in request-seconds: estimates are noisy.
 constexpr double kLeastBenefit = 0.5;
 /// A model that requests wait for comes before any that would only ease others.
 constexpr double kWaitingWorth = 3;
+/// What the gain of a model that is waited for grows by with each second in which none of its
+/// requests was served: whatever others are worth, its turn comes within some tens of seconds.
+constexpr double kUnservedWorth = 0.5;
 /// Of an adapter: more requests than this share of what a server bears, and it gets another server.
 constexpr double kAdapterShare = 0.5;
 /// Models placed by one plan, the most urgent first; the next plan comes soon.
@@ -39,7 +43,7 @@
       demand_(std::move(demand)),
       servers_(std::move(servers)),
       limits_(limits),
-      value_(limits.conditions, now) {
+      value_(limits.requests_per_server, now) {
   for (const ModelDescription& model : engine_.models) descriptions_[model.name] = &model;
   CountCopies();
   for (const auto& [name, demanded] : demand_) {
@@ -47,8 +51,8 @@
     whole.in_flight += demanded.in_flight;
     whole.arrivals_per_second += demanded.arrivals_per_second;
     whole.usual_arrivals_per_second += demanded.usual_arrivals_per_second;
-    whole.tokens_per_second += demanded.tokens_per_second;
     whole.last_seen = std::max(whole.last_seen, demanded.last_seen);
+    whole.unserved_s = std::max(whole.unserved_s, demanded.unserved_s);
     // A request that waits for an adapter waits for its model only where the model is nowhere.
     const bool adapter_only = !name.adapter.empty() && Copies(name.model) > 0;
     if (!adapter_only) whole.waiting += demanded.waiting;
@@ -120,6 +124,13 @@
   return !Contains(server.in_memory, model) && !Contains(server.on_disk, model);
 }
 
+/// @return whether a server that lacks the model could load it without the weight store.
+bool PlacementPlanner::NearCopyExists(const std::string& model) const {
+  return std::any_of(servers_.begin(), servers_.end(), [&](const PlannedServer& server) {
+    return server.serving && server.Find(model) == nullptr && !FromWeightStore(server, model);
+  });
+}
+
 double PlacementPlanner::LoadSeconds(const PlannedServer& server,
                                      const ModelDescription& model) const {
   if (Contains(server.in_memory, model.name))
@@ -147,8 +158,12 @@
   if (server.Find(model.name) != nullptr) return std::nullopt;
   const bool from_store = FromWeightStore(server, model.name);
   if (from_store && limits_.weight_store_loads < 1) return std::nullopt;
-  Placement placement{&server, gain * LoadSeconds(server, model), {}};
-  if (from_store) placement.cost += kStoreLoadCost;
+  Placement placement{&server, 0, {}};
+  const double load_s = LoadSeconds(server, model);
+  // Where some server has the weights at hand, it is better to wait for that server's next turn.
+  const bool only_way = from_store && !NearCopyExists(model.name);
+  if (!only_way) placement.cost += gain * load_s;
+  if (from_store) placement.cost += kStoreLoadCost * load_s;
   double free = FreeMegabytes(server);
   std::vector<const HeldModel*> held;
   for (const HeldModel& candidate : server.models) held.push_back(&candidate);
@@ -228,7 +243,8 @@
     const std::size_t copies = Copies(name);
     if (OnItsWay(name) && !value_.Overloaded(demand, copies)) continue;
     double gain = value_.Gain(*model, demand, copies);
-    if (copies == 0) gain += kWaitingWorth * demand.waiting;
+    if (copies == 0 && demand.waiting > 0)
+      gain += kWaitingWorth * demand.waiting + kUnservedWorth * demand.unserved_s;
     if (gain * kHorizonS > kLeastBenefit) wants.push_back({model, gain});
   }
   std::stable_sort(wants.begin(), wants.end(),
@@ -261,7 +277,7 @@
     if (!server.orderable) continue;
     if (best == nullptr || AdaptersOn(server) < AdaptersOn(*best)) best = &server;
   }
-  const double borne = kAdapterShare * limits_.conditions.requests_per_server;
+  const double borne = kAdapterShare * limits_.requests_per_server;
   const bool enough = holders > 0 && demand.in_flight <= borne * static_cast<double>(holders);
   if (best == nullptr || enough) return;
   const bool room =
--- a/src/fleet/placement_planner.h
+++ b/src/fleet/placement_planner.h
@@ -44,7 +44,8 @@
 
 struct PlannerLimits {
   double weight_store_loads = 0;  ///< Loads from the weight store that may begin now.
-  ServingConditions conditions;
+  /// Requests that one server runs at once and still answers in time.
+  double requests_per_server = 1;
 };
 
 /// Decides which models and adapters go where. Pure: the same input gives the same steps. At most
@@ -83,6 +84,7 @@
   double LossOf(const std::string& model);
   void CountCopies();
   double LoadSeconds(const PlannedServer& server, const ModelDescription& model) const;
+  bool NearCopyExists(const std::string& model) const;
   bool FromWeightStore(const PlannedServer& server, const std::string& model) const;
   double FreeMegabytes(const PlannedServer& server) const;
   std::size_t AdaptersOn(const PlannedServer& server) const;
@@ -98,7 +100,7 @@
   const EngineDescription& engine_;
   std::unordered_map<std::string, const ModelDescription*> descriptions_;
   std::unordered_map<std::string, std::size_t> copies_;
-  std::unordered_set<std::string> on_their_way_;  ///< Models with a copy that does not stand yet.
+  std::unordered_set<std::string> on_their_way_;    ///< Models with a copy that does not stand yet.
   std::unordered_map<std::string, double> losses_;  ///< Of models, as far as asked for.
   std::map<ModelReference, ModelDemand> demand_;
   std::vector<PlannedServer> servers_;
--- a/src/fleet/placement_value.cc
+++ b/src/fleet/placement_value.cc
@@ -9,9 +9,6 @@
 /// Seconds from the first request for an absent model to its load's beginning: its report, the end
 /// of an unload that makes room, the server's report of that (sums of the controller's own times).
 constexpr double kReactionS = 0.7;
-/// Seconds until a server's failure is noticed and its model is ordered elsewhere: two daemons have
-/// to find it out of reach.
-constexpr double kFailureNoticedS = 1.0;
 /// Share of a request's speed that each other one at its server takes: a step of an engine's batch
 /// grows by some thousandths for each request, and prompts are read between steps. 0.001 to 0.004
 /// did alike on three deployments, 0.01 worse by 0.03 on one (docs/JAZDA.md, round 5).
@@ -37,22 +34,18 @@
 
 /// @return how many servers' worth of work there is.
 double PlacementValue::Load(const ModelDemand& demand) const {
-  const double requests = demand.in_flight + demand.waiting;
-  return std::max(requests / conditions_.requests_per_server,
-                  demand.tokens_per_second / conditions_.prompt_tokens_per_second);
+  return (demand.in_flight + demand.waiting) / requests_per_server_;
 }
 
 double PlacementValue::Cost(const ModelDescription& model, const ModelDemand& demand,
                             std::size_t copies) const {
   const double requests = demand.in_flight + demand.waiting;
-  const double rate = ExpectedRate(demand);
-  const double reload_s = Seconds(model.disk_load_time) + kReactionS;
-  if (copies == 0) return demand.waiting + rate * reload_s;
+  if (copies == 0)
+    return demand.waiting + ExpectedRate(demand) * (Seconds(model.disk_load_time) + kReactionS);
   const double count = static_cast<double>(copies);
   const double crowding = kCrowding * requests * requests / count;
-  const double beyond = std::max(0.0, Load(demand) - count) * conditions_.requests_per_server;
-  const double left_alone = copies == 1 ? rate * (reload_s + kFailureNoticedS) : 0;
-  return crowding + beyond + conditions_.failures_per_second * left_alone;
+  const double beyond = std::max(0.0, Load(demand) - count) * requests_per_server_;
+  return crowding + beyond;
 }
 
 double PlacementValue::Loss(const ModelDescription& model, const ModelDemand& demand,
--- a/src/fleet/placement_value.h
+++ b/src/fleet/placement_value.h
@@ -8,24 +8,15 @@
 
 namespace moorfold {
 
-/// What servers bear and how often they fail, as observed; see ConditionsEstimator.
-struct ServingConditions {
-  /// Requests that one server runs at once and still answers in time.
-  double requests_per_server = 1;
-  /// Prompt tokens a second that one server reads without a queue, most of each prompt being kept.
-  double prompt_tokens_per_second = 1;
-  /// Of one server, without notice.
-  double failures_per_second = 0;
-};
-
 /// What it is worth to hold a model on one server more or fewer. All values are request-seconds
 /// lost per second: how many requests, on average, wait or run slower than they should. Pure.
 class PlacementValue {
  public:
   using Time = std::chrono::steady_clock::time_point;
 
-  PlacementValue(const ServingConditions& conditions, Time now)
-      : conditions_(conditions), now_(now) {}
+  /// @param requests_per_server that one server runs at once and still answers in time.
+  PlacementValue(double requests_per_server, Time now)
+      : requests_per_server_(requests_per_server), now_(now) {}
 
   /// @return what is lost while `copies` servers hold the model.
   double Cost(const ModelDescription& model, const ModelDemand& demand, std::size_t copies) const;
@@ -44,7 +35,7 @@
   double ExpectedRate(const ModelDemand& demand) const;
   double Load(const ModelDemand& demand) const;
 
-  ServingConditions conditions_;
+  double requests_per_server_;
   Time now_;
 };
 
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -325,9 +325,7 @@
     co_return;
   }
   request->body = std::make_shared<const std::string>(exchange.TakeBody());
-  DemandBook::Count& count = view_.demand.At(request->service, request->model);
-  ++count.arrivals;
-  for (const PromptPart& part : request->parts) count.tokens += part.tokens;
+  ++view_.demand.At(request->service, request->model).arrivals;
   exchange.OnDisconnect([request, this] {
     request->client_left = true;
     if (request->upstream) request->upstream->Cancel(CancelReason::kCallerLeft);
--- a/test/fleet/placement_test.cc
+++ b/test/fleet/placement_test.cc
@@ -18,7 +18,7 @@
 using Time = std::chrono::steady_clock::time_point;
 
 const Time kNow{seconds(1000)};
-constexpr ServingConditions kConditions{40, 60'000, 0.01};
+constexpr double kRequestsPerServer = 40;
 
 EngineDescription MakeEngine() {
   EngineDescription engine;
@@ -56,8 +56,8 @@
 std::vector<PlacementStep> Plan(std::map<ModelReference, ModelDemand> demand,
                                 std::vector<PlannedServer> servers, double loads = 10) {
   static const EngineDescription kEngine = MakeEngine();
-  PlacementPlanner planner(kEngine, std::move(demand), std::move(servers), {loads, kConditions},
-                           kNow);
+  PlacementPlanner planner(kEngine, std::move(demand), std::move(servers),
+                           {loads, kRequestsPerServer}, kNow);
   return planner.Plan();
 }
 
@@ -123,6 +123,41 @@
   CHECK(Plan(demand, servers, 10).size() == 4);
 }
 
+TEST_CASE("Long loads from the store are for what no server has at hand, or for too few servers") {
+  EngineDescription engine = MakeEngine();
+  for (ModelDescription& model : engine.models) model.load_time = milliseconds(6'000);
+  const auto plan = [&](std::map<ModelReference, ModelDemand> demand,
+                        std::vector<PlannedServer> servers) {
+    return PlacementPlanner(engine, std::move(demand), std::move(servers), {10, kRequestsPerServer},
+                            kNow)
+        .Plan();
+  };
+  PlannedServer busy = MakeServer("busy", {"b", "c"});
+  busy.on_disk = {"a"};
+  busy.orderable = false;  // It will take orders again within a second.
+  const PlannedServer empty = MakeServer("empty", {});
+  CHECK(plan({{{"a", ""}, Waiting(1)}}, {busy, empty}).empty());
+  busy.on_disk.clear();
+  const auto only_way = plan({{{"a", ""}, Waiting(20)}}, {busy, empty});
+  REQUIRE(only_way.size() == 1);
+  CHECK(only_way[0].from_weight_store);
+  busy.models = {{"a", {}}};
+  const auto overload = plan({{{"a", ""}, Busy(90)}}, {busy, empty});
+  REQUIRE(overload.size() == 1);
+  CHECK(overload[0].from_weight_store);
+}
+
+TEST_CASE("A model that is asked for again and again gets its turn, however busy the others are") {
+  std::map<ModelReference, ModelDemand> demand = {
+      {{"a", ""}, Waiting(1)}, {{"b", ""}, Busy(8)}, {{"c", ""}, Busy(8)}};
+  const std::vector<PlannedServer> servers = {MakeServer("i", {"b", "c"})};
+  CHECK(Plan(demand, servers).empty());
+  demand[{"a", ""}].unserved_s = 60;
+  const auto steps = Plan(demand, servers);
+  REQUIRE(steps.size() == 1);
+  CHECK(steps[0].intended == "a");
+}
+
 TEST_CASE("Adapters go beside their model, and the least asked one makes room") {
   PlannedServer holder = MakeServer("i", {"a"});
   const auto load = Plan({{{"a", "x"}, Waiting(1)}}, {holder, MakeServer("j", {"b"})});
@@ -162,7 +197,7 @@
       demand[{name, *rc::gen::elementOf(std::vector<std::string>{"x", "y", "z"})}] =
           Waiting(*rc::gen::inRange(0, 3));
     }
-    PlacementPlanner planner(engine, demand, servers, {10, kConditions}, kNow);
+    PlacementPlanner planner(engine, demand, servers, {10, kRequestsPerServer}, kNow);
     std::map<std::string, int> orders;
     for (const PlacementStep& step : planner.Plan()) {
       RC_ASSERT(++orders[step.server_id] == 1);
@@ -199,7 +234,7 @@
   std::vector<PlannedServer> servers;
   for (int server = 0; server < 140; ++server)
     servers.push_back(MakeServer(std::to_string(server), {}));
-  PlacementPlanner planner(engine, demand, servers, {1000, kConditions}, kNow);
+  PlacementPlanner planner(engine, demand, servers, {1000, kRequestsPerServer}, kNow);
   CHECK(planner.Plan().size() <= 16);
 }
 
@@ -225,8 +260,8 @@
 
 TEST_CASE("Demand adds up over daemons, and a silent daemon's share passes") {
   FleetDemand demand;
-  demand.Add(MakeReport("one", {{"s", {"m", ""}, 1, 2, 3, 30}}), kNow);
-  demand.Add(MakeReport("two", {{"s", {"m", ""}, 4, 0, 1, 10}}), kNow);
+  demand.Add(MakeReport("one", {{"s", {"m", ""}, 1, 2, 3}}), kNow);
+  demand.Add(MakeReport("two", {{"s", {"m", ""}, 4, 0, 1}}), kNow);
   const auto both = demand.Of("s", kNow);
   CHECK(both.at({"m", ""}).waiting == 5);
   CHECK(both.at({"m", ""}).in_flight == 2);
@@ -237,6 +272,16 @@
   CHECK(demand.Of("other", kNow).empty());
 }
 
+TEST_CASE("How long a model is unserved counts over repeated waits, and ends with a served one") {
+  FleetDemand demand;
+  demand.Add(MakeReport("one", {{"s", {"m", ""}, 1, 0, 1}}), kNow);
+  demand.Add(MakeReport("one", {{"s", {"m", ""}, 0, 0, 0}}), kNow + seconds(2));
+  demand.Add(MakeReport("one", {{"s", {"m", ""}, 1, 0, 1}}), kNow + seconds(5));
+  CHECK(demand.Of("s", kNow + seconds(6)).at({"m", ""}).unserved_s == Approx(6));
+  demand.Add(MakeReport("one", {{"s", {"m", ""}, 0, 1, 0}}), kNow + seconds(7));
+  CHECK(demand.Of("s", kNow + seconds(8)).at({"m", ""}).unserved_s == 0);
+}
+
 TEST_CASE("A server is out of reach when two daemons say so, not one that may itself be cut off") {
   FleetDemand demand;
   demand.Add(MakeReport("one", {}, {"i"}), kNow);
@@ -282,7 +327,7 @@
   report.address = ToString(daemon.endpoint());
   report.uptime_ms = 1'234;
   for (int entry = 0; entry < 60; ++entry)
-    report.entries.push_back({"s", {"m" + std::to_string(entry), ""}, 1, 2, 3, 4});
+    report.entries.push_back({"s", {"m" + std::to_string(entry), ""}, 1, 2, 3});
   daemon.SendReport(ToString(leader.endpoint()), report);
   boost::asio::ip::udp::socket stray(context, boost::asio::ip::udp::v4());
   stray.send_to(boost::asio::buffer(std::string("\xff\xff no message")),
--- a/test/fleet/placement_value_test.cc
+++ b/test/fleet/placement_value_test.cc
@@ -15,7 +15,7 @@
 using std::chrono::seconds;
 
 const PlacementValue::Time kNow{seconds(1000)};
-constexpr ServingConditions kConditions{40, 60'000, 0.01};
+constexpr double kRequestsPerServer = 40;
 
 ModelDescription MakeModel() {
   return {"m", 90, 5, milliseconds(6'000), milliseconds(800), milliseconds(400)};
@@ -30,7 +30,7 @@
 }
 
 TEST_CASE("The last copy is worth more the more often its model is asked for") {
-  const PlacementValue value(kConditions, kNow);
+  const PlacementValue value(kRequestsPerServer, kNow);
   const double rare = value.Loss(MakeModel(), MakeDemand(0, 0.1), 1);
   const double usual = value.Loss(MakeModel(), MakeDemand(0, 1), 1);
   CHECK(rare > 0);
@@ -39,13 +39,13 @@
 }
 
 TEST_CASE("A model that demand has left is worth little, however busy it was") {
-  const PlacementValue value(kConditions, kNow);
+  const PlacementValue value(kRequestsPerServer, kNow);
   CHECK(value.Loss(MakeModel(), MakeDemand(0, 15, seconds(10)), 1) <
         value.Loss(MakeModel(), MakeDemand(0, 0.5), 1));
 }
 
 TEST_CASE("Work beyond what the servers bear counts in full") {
-  const PlacementValue value(kConditions, kNow);
+  const PlacementValue value(kRequestsPerServer, kNow);
   const ModelDemand busy = MakeDemand(100, 20);
   CHECK(value.Overloaded(busy, 2));
   CHECK_FALSE(value.Overloaded(busy, 3));
@@ -55,7 +55,7 @@
 
 TEST_CASE("One more copy never costs, and each is worth less than the one before") {
   rc::check([] {
-    const PlacementValue value(kConditions, kNow);
+    const PlacementValue value(kRequestsPerServer, kNow);
     const ModelDemand demand =
         MakeDemand(*rc::gen::inRange(0, 300), *rc::gen::inRange(0, 400) / 10.0,
                    seconds(*rc::gen::inRange(0, 60)));
@@ -73,7 +73,8 @@
   // Found on the bench: thirteen loads at once took 12 s each where four take 6 s.
   StoreLoadLimit limit;
   for (int load = 0; load < 20; ++load)
-    limit.NoteLoad(milliseconds(6'000), milliseconds(6'100), static_cast<std::size_t>(limit.limit()));
+    limit.NoteLoad(milliseconds(6'000), milliseconds(6'100),
+                   static_cast<std::size_t>(limit.limit()));
   CHECK(limit.limit() > 10);
   limit.NoteLoad(milliseconds(6'000), milliseconds(12'000), 10);
   CHECK(limit.limit() == Approx(6));
