--- a/src/common/log_event.h
+++ b/src/common/log_event.h
@@ -35,17 +35,34 @@
   kAttemptFailed,
   kRequestEnd,
   kRequestsOpen,
+  kDatagramDropped,
   kLogLinesLeftOut,
 };
-inline constexpr std::array kLogEventNames = {
-    "start",          "stopping",         "stopped",
-    "reload",         "reload_failed",    "store_in_touch",
-    "store_lost",     "configuration",    "server",
-    "server_gone",    "entry_skipped",    "leader_record_skipped",
-    "leader_seen",    "leadership_claim", "leadership_claim_failed",
-    "leadership_won", "leadership_lost",  "leadership_resigned",
-    "order",          "report_failed",    "attempt_failed",
-    "request_end",    "requests_open",    "log_lines_left_out"};
+inline constexpr std::array kLogEventNames = {"start",
+                                              "stopping",
+                                              "stopped",
+                                              "reload",
+                                              "reload_failed",
+                                              "store_in_touch",
+                                              "store_lost",
+                                              "configuration",
+                                              "server",
+                                              "server_gone",
+                                              "entry_skipped",
+                                              "leader_record_skipped",
+                                              "leader_seen",
+                                              "leadership_claim",
+                                              "leadership_claim_failed",
+                                              "leadership_won",
+                                              "leadership_lost",
+                                              "leadership_resigned",
+                                              "order",
+                                              "report_failed",
+                                              "attempt_failed",
+                                              "request_end",
+                                              "requests_open",
+                                              "datagram_dropped",
+                                              "log_lines_left_out"};
 
 /// Every field of those events, explained there, too.
 enum class LogField : std::uint8_t {
--- a/src/fleet/demand_channel.cc
+++ b/src/fleet/demand_channel.cc
@@ -60,14 +60,16 @@
     } else {
       handlers_.offered(std::get<LeadershipOffer>(message));
     }
-  } catch (const std::exception&) {  // Of another version, or no message: left alone.
+  } catch (const std::exception& error) {  // Of another version, or no message: left alone.
+    handlers_.dropped(std::string("received: ") + error.what());
   }
 }
 
 void DemandChannel::Send(const FleetMessage& message, const udp::endpoint& to) {
   const std::string bytes = EncodeMessage(message);
-  boost::system::error_code ignored;  // A full buffer loses it, as the network may.
-  socket_.send_to(boost::asio::buffer(bytes), to, 0, ignored);
+  boost::system::error_code error;  // A full buffer loses it, as the network may.
+  socket_.send_to(boost::asio::buffer(bytes), to, 0, error);
+  if (error) handlers_.dropped("not sent: " + error.message());
 }
 
 void DemandChannel::SendOffer(const std::string& to, const LeadershipOffer& offer) {
--- a/src/fleet/demand_channel.h
+++ b/src/fleet/demand_channel.h
@@ -21,6 +21,8 @@
   using NoticeHandler = std::function<void(const PlacementNotice&)>;
   using SizeHandler = std::function<void(const FleetSize&)>;
   using OfferHandler = std::function<void(const LeadershipOffer&)>;
+  /// Hears why a datagram could not be sent or read.
+  using DropHandler = std::function<void(const std::string& problem)>;
 
   /// What to do with each kind of message.
   struct Handlers {
@@ -28,6 +30,7 @@
     NoticeHandler noticed;
     SizeHandler sized;
     OfferHandler offered;
+    DropHandler dropped;
   };
 
   /// @throws ListenError when the address cannot be bound.
--- a/src/gateway/explain_day.cc
+++ b/src/gateway/explain_day.cc
@@ -66,20 +66,17 @@
     told.push_back("  " + model + ": " + std::to_string(count));
 }
 
-void PrintLeadership(const std::vector<LoggedEvent>& events,
-                     const std::map<std::string, std::int64_t>& starts,
-                     std::vector<std::string>& told) {
-  told.push_back("leadership:");
-  for (const LoggedEvent& event : events) {
-    const bool told_of = event.event == "leadership_won" || event.event == "leadership_lost" ||
-                         event.event == "leadership_resigned";
-    if (!told_of) continue;
-    std::ostringstream text;
-    text << "  " << event.source << " at " << std::fixed << std::setprecision(1)
-         << static_cast<double>(event.time_us - starts.at(event.source)) / kMicrosecondsPerSecond
-         << " s: " << event.event << " " << EventField(event, "reason");
-    told.push_back(text.str());
-  }
+bool IsChangeOfLeader(const LoggedEvent& event) {
+  return event.event == "leadership_won" || event.event == "leadership_lost" ||
+         event.event == "leadership_resigned";
+}
+
+std::string TellChangeOfLeader(const LoggedEvent& event, std::int64_t since_start_us) {
+  std::ostringstream text;
+  text << "  " << event.source << " at " << std::fixed << std::setprecision(1)
+       << static_cast<double>(since_start_us) / kMicrosecondsPerSecond << " s: " << event.event
+       << " " << EventField(event, "reason");
+  return text.str();
 }
 
 }  // namespace
@@ -89,24 +86,30 @@
   LossTable by_time;
   std::map<std::string, std::uint64_t> refused;
   std::map<std::string, std::int64_t> starts;
+  std::vector<std::string> leaders;
   bool any_end = false;
   for (const LoggedEvent& event : events) {
-    starts.try_emplace(event.source, event.time_us);
+    // A restarted machine's clock begins anew.
+    if (event.event == "start" || !starts.contains(event.source))
+      starts[event.source] = event.time_us;
+    const std::int64_t since_start_us = event.time_us - starts[event.source];
+    if (IsChangeOfLeader(event)) leaders.push_back(TellChangeOfLeader(event, since_start_us));
     if (event.event != "request_end") continue;
     any_end = true;
     const std::optional<std::string> loss = LossOf(event);
     if (!loss) continue;
     const std::string route = EventField(event, "route");
     ++by_route[route.empty() ? "no route" : route][*loss];
-    ++by_time[Band(event.time_us - starts.at(event.source))][*loss];
+    ++by_time[Band(since_start_us)][*loss];
     if (EventField(event, "reason") == "no_server") ++refused[EventField(event, "model")];
   }
   std::vector<std::string> told;
   if (!any_end) return told;
   PrintTable("lost or late, by route and reason:", by_route, told);
-  PrintTable("lost or late, by time since each daemon's start:", by_time, told);
+  PrintTable("lost or late, by time since each daemon's last start:", by_time, told);
   PrintModels(refused, told);
-  PrintLeadership(events, starts, told);
+  told.push_back("leadership, by time since each daemon's last start:");
+  told.insert(told.end(), leaders.begin(), leaders.end());
   return told;
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -66,7 +66,12 @@
                   election_.HeardLeader();
                   TakeSize(size);
                 },
-                [this](const LeadershipOffer&) { election_.LookNow(true); }}),
+                [this](const LeadershipOffer&) { election_.LookNow(true); },
+                [this](const std::string& problem) {
+                  log_.Write(
+                      LogRank::kRoutine,
+                      EventLine(LogEvent::kDatagramDropped).Field(LogField::kProblem, problem));
+                }}),
       election_(context, store_, log,
                 {settings_.name, ToString(channel_.endpoint()), kLeaderKey, kLeaderLease,
                  settings_.order_handover, settings_.load_window, CandidacyDelay(settings_)}),
--- a/test/fleet/placement_test.cc
+++ b/test/fleet/placement_test.cc
@@ -295,7 +295,8 @@
 TEST_CASE("An address for datagrams that is in use is named, with what to do") {
   boost::asio::io_context context;
   const DemandChannel::Handlers none{[](const DemandReport&) {}, [](const PlacementNotice&) {},
-                                     [](const FleetSize&) {}, [](const LeadershipOffer&) {}};
+                                     [](const FleetSize&) {}, [](const LeadershipOffer&) {},
+                                     [](const std::string&) {}};
   const DemandChannel first(context, {"127.0.0.1", 0}, none);
   try {
     const DemandChannel second(context, first.endpoint(), none);
@@ -312,14 +313,17 @@
   std::vector<PlacementNotice> notices;
   std::vector<std::uint32_t> sizes;
   std::vector<std::string> offers;
-  DemandChannel::Handlers to_leader{[&](DemandReport report) { reports.push_back(report); },
-                                    [](const PlacementNotice&) {}, [](const FleetSize&) {},
-                                    [](const LeadershipOffer&) {}};
+  std::vector<std::string> dropped;
+  DemandChannel::Handlers to_leader{
+      [&](DemandReport report) { reports.push_back(report); }, [](const PlacementNotice&) {},
+      [](const FleetSize&) {}, [](const LeadershipOffer&) {},
+      [&](const std::string& problem) { dropped.push_back(problem); }};
   DemandChannel leader(context, {"127.0.0.1", 0}, to_leader);
   DemandChannel::Handlers to_daemon{
       [](const DemandReport&) {}, [&](const PlacementNotice& notice) { notices.push_back(notice); },
       [&](const FleetSize& size) { sizes.push_back(size.daemons); },
-      [&](const LeadershipOffer& offer) { offers.push_back(offer.from); }};
+      [&](const LeadershipOffer& offer) { offers.push_back(offer.from); },
+      [](const std::string&) {}};
   DemandChannel daemon(context, {"127.0.0.1", 0}, to_daemon);
   leader.Start();
   daemon.Start();
@@ -340,6 +344,10 @@
     for (const DemandReport& part : reports) entries += part.entries.size();
   }
   REQUIRE(entries == 60);
+  while (dropped.empty() && std::chrono::steady_clock::now() < give_up)
+    context.run_one_for(milliseconds(50));
+  REQUIRE(dropped.size() == 1);  // The stray datagram is told of.
+  CHECK(dropped[0].starts_with("received: "));
   CHECK(reports[0].unreachable == std::vector<std::string>{"i-9"});
   CHECK(reports[0].uptime_ms == 1'234);
   CHECK(leader.reporters() == 1);
--- a/test/gateway/explain_day_test.cc
+++ b/test/gateway/explain_day_test.cc
@@ -30,7 +30,7 @@
       "    late, pause in the stream: 1",
       "  draft: 1",
       "    refused, no_server: 1",
-      "lost or late, by time since each daemon's start:",
+      "lost or late, by time since each daemon's last start:",
       "  from     0 s: 2",
       "    late, no server at first: 1",
       "    late, pause in the stream: 1",
@@ -38,12 +38,22 @@
       "    refused, no_server: 1",
       "models without a server, requests refused:",
       "  rare: 1",
-      "leadership:",
+      "leadership, by time since each daemon's last start:",
       "  a.log at 1.0 s: leadership_won ",
       "  a.log at 15.0 s: leadership_lost the lease was not renewed in time"};
   CHECK(told == expected);
 }
 
+TEST_CASE("The time of a daemon that was restarted counts from its new start") {
+  const std::string log =
+      "t_us=90000000 event=start name=a\n"
+      "t_us=5000000 event=start name=a\n"
+      "t_us=17000000 event=request_end id=4 outcome=refused status=503 reason=no_server route=r "
+      "model=rare waited_ms=900\n";
+  const std::vector<std::string> told = ExplainDay(ParseLog(log, "a.log"));
+  CHECK(std::count(told.begin(), told.end(), "  from    10 s: 1") == 1);
+}
+
 TEST_CASE("Logs that tell of no request's end give no table") {
   CHECK(ExplainDay(ParseLog("t_us=1 event=start name=a\nnonsense\n", "a.log")).empty());
 }
