--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -26,16 +26,16 @@
   SteadyTime arrival;
   SteadyTime end;  ///< The earlier of the client's deadline and the route's time-out.
   bool client_left = false;
-  bool head_sent = false;          ///< The client has the head of an answer.
-  bool listed_open = false;        ///< The log has told that it is under way.
-  double expected_ms = 0;          ///< For which its server was chosen: time to a first byte.
-  SteadyTime head_at{};            ///< When the client got the head of its answer.
-  std::chrono::milliseconds waited{0};       ///< Without a server that could be asked.
+  bool head_sent = false;               ///< The client has the head of an answer.
+  bool listed_open = false;             ///< The log has told that it is under way.
+  double expected_ms = 0;               ///< For which its server was chosen: time to a first byte.
+  SteadyTime head_at{};                 ///< When the client got the head of its answer.
+  std::chrono::milliseconds waited{0};  ///< Without a server that could be asked.
   std::chrono::milliseconds longest_gap{0};  ///< Between two deliveries of a stream's events.
-  std::string last_event;          ///< Last whole event that the client has.
-  std::uint32_t sends = 0;         ///< Servers that it was sent to.
-  std::uint32_t may_have_run = 0;  ///< Servers on which it may have run.
-  UpstreamConnectionPtr upstream;  ///< Of the attempt under way.
+  std::string last_event;                    ///< Last whole event that the client has.
+  std::uint32_t sends = 0;                   ///< Servers that it was sent to.
+  std::uint32_t may_have_run = 0;            ///< Servers on which it may have run.
+  UpstreamConnectionPtr upstream;            ///< Of the attempt under way.
   std::vector<std::string> failed_servers;
 
   /// @return whether its answer missed what its route aims at: the first part late, or a pause in
--- a/src/gateway/request_reporter.cc
+++ b/src/gateway/request_reporter.cc
@@ -16,9 +16,7 @@
   return std::chrono::duration_cast<milliseconds>(duration).count();
 }
 
-std::int64_t MillisecondsSince(SteadyTime time) {
-  return CountMs(steady_clock::now() - time);
-}
+std::int64_t MillisecondsSince(SteadyTime time) { return CountMs(steady_clock::now() - time); }
 
 const char* KindOf(const GatewayRequest& request) {
   if (request.route == nullptr) return "none";
