--- a/src/common/log_event.h
+++ b/src/common/log_event.h
@@ -19,6 +19,7 @@
   kReloadFailed,
   kStoreInTouch,
   kStoreLost,
+  kStoreSource,
   kConfiguration,
   kServer,
   kServerGone,
@@ -45,6 +46,7 @@
                                               "reload_failed",
                                               "store_in_touch",
                                               "store_lost",
+                                              "store_source",
                                               "configuration",
                                               "server",
                                               "server_gone",
@@ -113,6 +115,7 @@
   kPeakMemoryKb,
   kDrainTimeoutMs,
   kOthers,
+  kSource,
   kTotal,
 };
 inline constexpr std::array kLogFieldNames = {"id",
@@ -163,6 +166,7 @@
                                               "peak_memory_kb",
                                               "drain_timeout_ms",
                                               "others",
+                                              "source",
                                               "total"};
 
 /// @return the name as it stands in the log.
--- a/src/fleet/demand_channel.cc
+++ b/src/fleet/demand_channel.cc
@@ -55,8 +55,8 @@
       handlers_.reported(std::move(*report));
     } else if (const auto* notice = std::get_if<PlacementNotice>(&message)) {
       handlers_.noticed(*notice);
-    } else if (const auto* size = std::get_if<FleetSize>(&message)) {
-      handlers_.sized(*size);
+    } else if (const auto* answer = std::get_if<ChangeAnswer>(&message)) {
+      handlers_.answered(*answer, ToString(Endpoint{from_.address().to_string(), from_.port()}));
     } else {
       handlers_.offered(std::get<LeadershipOffer>(message));
     }
@@ -72,6 +72,10 @@
   if (error) handlers_.dropped("not sent: " + error.message());
 }
 
+void DemandChannel::SendAnswer(const std::string& to, const ChangeAnswer& answer) {
+  Send(answer, Resolve(to));
+}
+
 void DemandChannel::SendOffer(const std::string& to, const LeadershipOffer& offer) {
   Send(offer, Resolve(to));
 }
@@ -80,13 +84,15 @@
   const udp::endpoint target = Resolve(to);
   DemandReport part = report;
   part.entries.clear();
+  part.question.reset();
   for (const DemandEntry& entry : report.entries) {
     part.entries.push_back(entry);
     if (part.entries.size() < kEntriesPerDatagram) continue;
     Send(part, target);
     part.entries.clear();
   }
-  if (!part.entries.empty() || report.entries.empty()) Send(part, target);
+  part.question = report.question;
+  if (!part.entries.empty() || report.entries.empty() || part.question) Send(part, target);
 }
 
 void DemandChannel::Broadcast(const FleetMessage& message) {
--- a/src/fleet/demand_channel.h
+++ b/src/fleet/demand_channel.h
@@ -13,13 +13,14 @@
 
 namespace moorfold {
 
-/// Datagrams between daemons: demand to the leader, notices from it. Any datagram may be lost or
-/// come from a daemon that is gone; what matters is said again. One thread.
+/// Datagrams between daemons: demand and questions to the leader, notices and answers from it. Any
+/// datagram may be lost or come from a daemon that is gone; what matters is said again. One thread.
 class DemandChannel {
  public:
   using ReportHandler = std::function<void(DemandReport)>;
   using NoticeHandler = std::function<void(const PlacementNotice&)>;
-  using SizeHandler = std::function<void(const FleetSize&)>;
+  /// @param from "IP:PORT" of the sender.
+  using AnswerHandler = std::function<void(const ChangeAnswer&, const std::string& from)>;
   using OfferHandler = std::function<void(const LeadershipOffer&)>;
   /// Hears why a datagram could not be sent or read.
   using DropHandler = std::function<void(const std::string& problem)>;
@@ -28,7 +29,7 @@
   struct Handlers {
     ReportHandler reported;
     NoticeHandler noticed;
-    SizeHandler sized;
+    AnswerHandler answered;
     OfferHandler offered;
     DropHandler dropped;
   };
@@ -39,6 +40,8 @@
   void Start();
   /// @param to "IP:PORT" of the leader.
   void SendReport(const std::string& to, const DemandReport& report);
+  /// @param to "IP:PORT" of the daemon that asked.
+  void SendAnswer(const std::string& to, const ChangeAnswer& answer);
   /// @param to "IP:PORT" of another daemon.
   void SendOffer(const std::string& to, const LeadershipOffer& offer);
   /// To every daemon that reported lately.
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
+#include <optional>
 #include <sstream>
 #include <stdexcept>
 #include <string>
@@ -12,6 +14,7 @@
 
 #include "fleet/demand.h"
 #include "fleet/order_history.h"
+#include "relay/relay_messages.h"
 
 namespace moorfold {
 
@@ -39,11 +42,12 @@
   std::int64_t uptime_ms = 0;  ///< Of the sender's process.
   bool stopping = false;       ///< The sender is at a planned stop.
   std::vector<DemandEntry> entries;
-  std::vector<std::string> unreachable;  ///< Servers to which no connection came up lately.
+  std::vector<std::string> unreachable;    ///< Servers to which no connection came up lately.
+  std::optional<ChangeQuestion> question;  ///< What has changed in the store; in the last part.
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(sender, address, uptime_ms, stopping, entries, unreachable);
+    archive(sender, address, uptime_ms, stopping, entries, unreachable, question);
   }
 };
 
@@ -59,16 +63,6 @@
   }
 };
 
-/// From the leader to every daemon, now and then: how many daemons report to it.
-struct FleetSize {
-  std::uint32_t daemons = 1;
-
-  template <typename Archive>
-  void serialize(Archive& archive) {
-    archive(daemons);
-  }
-};
-
 /// From a leader that has given leadership up at a planned stop, to the daemon that should lead.
 struct LeadershipOffer {
   std::string from;
@@ -79,7 +73,7 @@
   }
 };
 
-using FleetMessage = std::variant<DemandReport, PlacementNotice, FleetSize, LeadershipOffer>;
+using FleetMessage = std::variant<DemandReport, PlacementNotice, ChangeAnswer, LeadershipOffer>;
 
 template <typename Archive>
 void serialize(Archive& archive, ModelReference& name) {
--- a/src/fleet/leader_election.cc
+++ b/src/fleet/leader_election.cc
@@ -24,6 +24,13 @@
 /// A daemon that is offered leadership goes first.
 constexpr milliseconds kOfferPrecedence{600};
 constexpr milliseconds kReadPause{300};
+/// A claim costs the store a lease and a transaction: a key that was seen longer ago is read first.
+/// In a fleet that starts at once most daemons then find that one of them leads already.
+constexpr milliseconds kKeySeenLately{100};
+/// Of a fleet, so many reads of the key in each `kReadPause` find a leader that is gone soon
+/// enough; the others hear of the next one when they read the store anyway.
+constexpr std::uint32_t kLookouts = 8;
+constexpr std::uint32_t kPhases = 64;
 /// Of a leader that speaks twice a second: its key is read until its lease has lapsed.
 constexpr milliseconds kLeaderSilence{1'300};
 
@@ -67,6 +74,7 @@
   if (revision <= seen_revision_) return;                        // Read directly before.
   seen_revision_ = revision;
   leader_seen_ = steady_clock::now();
+  key_confirmed_ = leader_seen_;
   const bool had_leader = leader_.has_value();
   const std::string before = leader_ ? leader_->name : "none";
   const bool was_other = leader_ && leader_->name != settings_.name;
@@ -110,17 +118,34 @@
 }
 
 void LeaderElection::Tick() {
-  if (const auto condition = MayCampaign()) Campaign(*condition);
+  if (const auto condition = MayCampaign()) Stand(*condition);
   if (window_.leading()) RenewOrLose();
   const Time now = steady_clock::now();
   if (window_.Settled(now) && history_.Clear(now) && !settling_) Settle();
-  if (LeaderSilent(now) && now >= read_not_before_) ReadKey();
+  if (!LeaderSilent(now)) {
+    // Daemons of a large fleet begin to look one after the other.
+    const auto phase = std::hash<std::string>{}(settings_.name) % kPhases;
+    read_not_before_ = now + (ReadPause() - kReadPause) * phase / kPhases;
+  } else if (now >= read_not_before_) {
+    ReadKey();
+  }
   timer_.expires_after(kTick);
   timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error && !resigned_) Tick();
   });
 }
 
+void LeaderElection::Stand(std::int64_t condition) {
+  const Time now = steady_clock::now();
+  if (now - key_confirmed_ < kKeySeenLately) {
+    Campaign(condition);
+    return;
+  }
+  campaign_not_before_ = now + kCampaignPause + Jitter();
+  stands_ = true;
+  ReadKey();
+}
+
 void LeaderElection::Campaign(std::int64_t condition) {
   campaigning_ = true;
   campaign_not_before_ = steady_clock::now() + kCampaignPause + Jitter();
@@ -162,11 +187,18 @@
 /// lease then.
 void LeaderElection::EndClaim(const LeadershipClaim& claim, LeaseId lease,
                               const Outcome<TransactionResult>& result) {
-  if (result.ok() && result.value().succeeded)
+  if (result.ok() && result.value().succeeded) {
     Won(result.value().revision);
-  else
-    NoteClaim(LogEvent::kLeadershipClaimFailed, lease, claim,
-              result.ok() ? "the key has another revision" : result.failure().message);
+    return;
+  }
+  NoteClaim(LogEvent::kLeadershipClaimFailed, lease, claim,
+            result.ok() ? "the key has another revision" : result.failure().message);
+  if (result.ok()) ReadKey();  // Another has won: its record says who.
+}
+
+/// One daemon's part of the fleet's reads of the key.
+milliseconds LeaderElection::ReadPause() const {
+  return kReadPause * std::max(1U, daemons_ / kLookouts);
 }
 
 void LeaderElection::NoteClaim(LogEvent event, LeaseId lease, const LeadershipClaim& claim,
@@ -319,15 +351,20 @@
 void LeaderElection::ReadKey() {
   if (reading_) return;
   reading_ = true;
-  read_not_before_ = steady_clock::now() + kReadPause;
+  read_not_before_ = steady_clock::now() + ReadPause();
   store_.Range({settings_.key, ""}, [this](const Outcome<RangeResult>& read) {
     reading_ = false;
+    const bool stood = std::exchange(stands_, false);
     if (!read.ok()) return;
+    key_confirmed_ = steady_clock::now();
+    const bool was_led = leader_.has_value();
+    const std::int64_t led_since = leader_revision_;
     if (read.value().entries.empty())
       KeyChanged(std::nullopt, read.value().revision);
     else
       KeyChanged(read.value().entries.front(), read.value().entries.front().mod_revision);
-    if (offered_) campaign_not_before_ = Time{};
+    const bool as_before = leader_.has_value() == was_led && leader_revision_ == led_since;
+    if (offered_ || (stood && as_before)) campaign_not_before_ = Time{};
     offered_ = false;
     if (const auto condition = MayCampaign()) Campaign(*condition);
   });
--- a/src/fleet/leader_election.h
+++ b/src/fleet/leader_election.h
@@ -119,7 +119,12 @@
   /// revisions.
   void KeyChanged(const std::optional<KeyValue>& entry, std::int64_t revision);
   /// The leader has been heard from, by another way than the store.
-  void HeardLeader() { leader_heard_ = std::chrono::steady_clock::now(); }
+  /// @param daemons in the fleet, as the leader says: in a large one each looks for the next leader
+  /// more seldom.
+  void HeardLeader(std::uint32_t daemons) {
+    leader_heard_ = std::chrono::steady_clock::now();
+    daemons_ = daemons;
+  }
   /// Reads the leader key now: another daemon has said that it leads no more.
   /// @param first whether to stand for leader at once.
   void LookNow(bool first);
@@ -149,6 +154,8 @@
   using Time = OrderWindow::Time;
 
   void Tick();
+  /// Claims the key, or first reads it again where it was seen too long ago.
+  void Stand(std::int64_t condition);
   void Campaign(std::int64_t condition);
   void Claim(const LeadershipClaim& claim, LeaseId lease, Time grant_sent);
   LeaderKeySight Sight() const { return {leader_, leader_ ? leader_revision_ : 0}; }
@@ -170,6 +177,7 @@
   /// @return the condition of a claim that may be tried now, if any.
   std::optional<std::int64_t> MayCampaign() const;
   std::chrono::milliseconds Jitter() const;
+  std::chrono::milliseconds ReadPause() const;
   std::chrono::milliseconds WaitAfterOther() const;
 
   KeyValueStore& store_;
@@ -182,6 +190,7 @@
   std::int64_t leader_revision_ = 0;
   std::int64_t seen_revision_ = 0;  ///< Of the key's newest state, also of its absence.
   Time leader_seen_{};              ///< When that state was first seen.
+  Time key_confirmed_{};            ///< When it was last seen.
   LeaseId leader_lease_ = 0;
   LeaseId lease_ = 0;
   Time grant_sent_{};
@@ -201,6 +210,8 @@
   Time others_from_{};        ///< When others may order, whatever an earlier process here ordered.
   bool knows_loads_ = false;
   bool offered_ = false;  ///< The leader before wants this daemon to lead next.
+  bool stands_ = false;   ///< Claims the key if the read under way shows nothing new.
+  std::uint32_t daemons_ = 1;
   bool reading_ = false;
   Time read_not_before_{};
   Time leader_heard_{};
--- a/src/fleet/server_record.h
+++ b/src/fleet/server_record.h
@@ -18,6 +18,7 @@
       if (held == adapter) return true;
     return false;
   }
+  bool operator==(const HeldModel&) const = default;
 };
 
 /// What a server says of itself in the store. One record is one incarnation.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -19,6 +19,18 @@
 /// By then the server's record shows that the model is gone, or that it stayed.
 constexpr milliseconds kUnloadSettles{5'000};
 constexpr milliseconds kReportPause{60};
+/// Share of the staleness bound that passes between two reads of the store; the rest is for the
+/// calls, for requests on their way, and for a weak machine. 0.7 broke a drain on two days of six
+/// (docs/JAZDA.md, round 9).
+constexpr double kReadShare = 0.55;
+/// The same for a leader that others follow. What a follower knows is older by up to its question's
+/// interval, and must stay younger than `kReadShare` also when one datagram is lost.
+constexpr double kWatcherReadShare = 0.1;
+/// Two reads for which there is a reason, as a newer configuration, lie at least so far apart: with
+/// a question's interval that is still within `kReadShare` of a bound of 3 s or more.
+constexpr double kUrgentReadShare = 0.35;
+/// Answers to older questions are not waited for.
+constexpr std::size_t kQuestionsOpen = 4;
 constexpr milliseconds kHousekeeping{500};
 constexpr milliseconds kLeaderLease{3'000};
 constexpr milliseconds kStopCheck{50};
@@ -41,6 +53,13 @@
   return milliseconds(static_cast<std::int64_t>(kLongestMs * (1 - share)));
 }
 
+follow::Settings FollowSettings(const GatewaySettings& settings) {
+  const auto share = [&](double part) {
+    return std::chrono::duration_cast<milliseconds>(settings.staleness_bound * part);
+  };
+  return {share(kReadShare), share(kWatcherReadShare), share(kUrgentReadShare)};
+}
+
 HttpResponse Plain(unsigned status, std::string text) {
   return {status, {{"Content-Type", "text/plain"}}, std::move(text)};
 }
@@ -58,13 +77,12 @@
       log_(log),
       view_(context.get_executor()),
       store_(store, metrics_),
-      store_view_(context, store_, protocol, view_, metrics_, log),
+      store_view_(context, store_, protocol, view_, metrics_, log, FollowSettings(settings_)),
       channel_(context, settings_.peer,
                {[this](const DemandReport& report) { TakeReport(report); },
                 [this](const PlacementNotice& notice) { TakeNotice(notice); },
-                [this](const FleetSize& size) {
-                  election_.HeardLeader();
-                  TakeSize(size);
+                [this](const ChangeAnswer& answer, const std::string& from) {
+                  TakeAnswer(answer, from);
                 },
                 [this](const LeadershipOffer&) { election_.LookNow(true); },
                 [this](const std::string& problem) {
@@ -172,6 +190,13 @@
   return servers;
 }
 
+/// Reports come more often while requests wait; questions need not.
+bool Gateway::AskNow(steady_clock::time_point now) {
+  if (now - asked_ < kReportEvery - kReportPause) return false;
+  asked_ = now;
+  return true;
+}
+
 Awaitable<void> Gateway::ReportDemand() {
   while (true) {
     co_await view_.demand_raised.Wait(steady_clock::now() + kReportEvery);
@@ -183,10 +208,16 @@
     report.stopping = stopping_;
     report.entries = view_.demand.Take();
     report.unreachable = UnreachableServers();
-    if (election_.leading())
+    if (election_.leading()) {
       controller_.AddReport(report);
-    else if (election_.leader())
+    } else if (election_.leader()) {
+      if (AskNow(steady_clock::now())) report.question = store_view_.Question();
+      if (report.question) {
+        asked_at_us_.push_back(report.question->asked_at_us);
+        if (asked_at_us_.size() > kQuestionsOpen) asked_at_us_.pop_front();
+      }
       channel_.SendReport(election_.leader()->address, report);
+    }
     co_await Sleep(kReportPause);
   }
 }
@@ -194,23 +225,54 @@
 void Gateway::TakeReport(const DemandReport& report) {
   members_.Note(report, steady_clock::now());
   controller_.AddReport(report);
+  if (report.question) AnswerQuestion(report);
+}
+
+void Gateway::AnswerQuestion(const DemandReport& report) {
+  const ChangeQuestion& question = *report.question;
+  ChangeAnswer answer;
+  if (election_.leading()) {
+    answer = store_view_.Answer(question, Daemons());
+  } else {
+    answer.asked_at_us = question.asked_at_us;
+    answer.leads = false;
+  }
+  ++metrics_.relay_answers_sent;
+  channel_.SendAnswer(report.address, answer);
+}
+
+void Gateway::TakeAnswer(const ChangeAnswer& answer, const std::string& from) {
+  const bool asked =
+      std::find(asked_at_us_.begin(), asked_at_us_.end(), answer.asked_at_us) != asked_at_us_.end();
+  const bool from_leader = election_.leader() && election_.leader()->address == from;
+  if (!asked || !from_leader || election_.leading()) {
+    log_.Write(LogRank::kRoutine,
+               EventLine(LogEvent::kDatagramDropped)
+                   .Field(LogField::kProblem, "an answer that was not asked for, or not there")
+                   .Field(LogField::kAddress, from));
+    return;
+  }
+  if (answer.leads) {
+    election_.HeardLeader(answer.daemons);
+    TakeSize(answer.daemons);
+  }
+  store_view_.TakeAnswer(answer);
 }
 
 /// The part of the fleet's free repeats that this daemon may use on top of its share by requests.
-void Gateway::TakeSize(const FleetSize& size) {
-  const double daemons = std::max<double>(size.daemons, kSmallestFleet);
+void Gateway::TakeSize(std::uint32_t daemons) {
+  const double sharing = std::max<double>(daemons, kSmallestFleet);
   pipeline_.SetFreeRepeats(
-      std::max(kFreeRepeatsOfUnknownFleet, settings_.retry_minimum * kFreeRepeatsUsed / daemons));
+      std::max(kFreeRepeatsOfUnknownFleet, settings_.retry_minimum * kFreeRepeatsUsed / sharing));
 }
 
 Awaitable<void> Gateway::KeepHouse() {
   while (true) {
     co_await Sleep(kHousekeeping);
-    if (election_.leading()) {
-      const FleetSize size{static_cast<std::uint32_t>(channel_.reporters()) + 1};
-      TakeSize(size);
-      channel_.Broadcast(size);
-    }
+    if (election_.leading()) TakeSize(Daemons());
+    const bool large =
+        settings_.relay_from_daemons > 0 && Daemons() >= settings_.relay_from_daemons;
+    store_view_.SetWatching(election_.leading() && large);
     pipeline_.Sweep();
     pipeline_.ListOpen();
     log_.Flush();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <memory>
 
 #include "common/event_log.h"
@@ -45,7 +46,11 @@
   Awaitable<void> AnswerReadiness(HttpServerExchange& exchange);
   Awaitable<void> AnswerMetrics(HttpServerExchange& exchange);
   void TakeNotice(const PlacementNotice& notice);
-  void TakeSize(const FleetSize& size);
+  void TakeAnswer(const ChangeAnswer& answer, const std::string& from);
+  void AnswerQuestion(const DemandReport& report);
+  void TakeSize(std::uint32_t daemons);
+  std::uint32_t Daemons() const { return static_cast<std::uint32_t>(channel_.reporters()) + 1; }
+  bool AskNow(std::chrono::steady_clock::time_point now);
   void TakeReport(const DemandReport& report);
   void HandLeadershipOn();
   std::vector<std::string> UnreachableServers() const;
@@ -71,6 +76,9 @@
   std::unique_ptr<HttpServer> figures_;  ///< Null where no address is given.
   std::chrono::milliseconds longest_idle_{0};
   std::chrono::steady_clock::time_point started_at_ = std::chrono::steady_clock::now();
+  /// When the latest questions were asked: other answers are not believed.
+  std::deque<std::int64_t> asked_at_us_;
+  std::chrono::steady_clock::time_point asked_{};
   bool stopping_ = false;
   bool resigning_ = false;
   bool resigned_ = false;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -57,6 +57,9 @@
   Count(text, "waits_for_server", waits_for_server);
   requests_ended.Render("requests_ended_total", text);
   store_calls.Render("store_calls_total", text);
+  Count(text, "relay_answers_sent", relay_answers_sent);
+  Count(text, "relay_answers_taken", relay_answers_taken);
+  Count(text, "relayed_changes", relayed_changes);
   orders.Render("orders_total", text);
   Count(text, "loads_from_weight_store", loads_from_weight_store);
   Count(text, "log_lines_lost", log_lines_lost);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -42,9 +42,12 @@
   std::uint64_t repeats = 0;
   std::uint64_t repeats_denied = 0;
   std::uint64_t waits_for_server = 0;
-  LabelledCounter requests_ended;  ///< By route, kind, outcome and reason.
-  LabelledCounter store_calls;     ///< By call and outcome.
-  LabelledCounter orders;          ///< By kind and outcome.
+  LabelledCounter requests_ended;         ///< By route, kind, outcome and reason.
+  LabelledCounter store_calls;            ///< By call and outcome.
+  std::uint64_t relay_answers_sent = 0;   ///< To followers.
+  std::uint64_t relay_answers_taken = 0;  ///< That made this daemon's knowledge newer.
+  std::uint64_t relayed_changes = 0;      ///< Of servers, taken from such answers.
+  LabelledCounter orders;                 ///< By kind and outcome.
   std::uint64_t loads_from_weight_store = 0;
   std::uint64_t log_lines_lost = 0;
   std::int64_t configuration_version = 0;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -24,6 +24,7 @@
 
 constexpr double kMostRepeats = 1'000'000;
 constexpr std::int64_t kMostLogLines = 100'000;
+constexpr std::int64_t kMostDaemons = 1'000'000;
 
 /// "PORT/PATH".
 std::optional<MetricsListen> ReadMetrics(YamlMap& map) {
@@ -66,6 +67,8 @@
   settings.staleness_bound = ReadTime(root, "staleness_bound", settings.staleness_bound);
   settings.log_lines_per_second = static_cast<std::uint32_t>(
       root.Integer("log_lines_per_second", 0, kMostLogLines, settings.log_lines_per_second));
+  settings.relay_from_daemons = static_cast<std::uint32_t>(
+      root.Integer("relay_from_daemons", 0, kMostDaemons, settings.relay_from_daemons));
   settings.cpu_share = root.Number("cpu_share", 0, 4096, settings.cpu_share);
   root.Finish();
   problems.ThrowIfAny();
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -31,6 +31,10 @@
   std::chrono::milliseconds drain_timeout{8'000};
   /// A configuration must be in force, and a leaving server unused, so soon after the store has it.
   std::chrono::milliseconds staleness_bound{2'000};
+  /// In a fleet of at least so many daemons the others follow the leader's reads of the store; 0:
+  /// in none. A leader that is followed reads some three times as often, so that fewer daemons
+  /// together would save little (docs/LARGE.md).
+  std::uint32_t relay_from_daemons = 16;
   /// Lines of the log in a second; a tenth of it for ordinary served requests, twice as many when
   /// something fails. 0: no log.
   std::uint32_t log_lines_per_second = 200;
--- a/src/gateway/store_view.cc
+++ b/src/gateway/store_view.cc
@@ -17,6 +17,36 @@
 /// Longer than a heartbeat, well below the bound within which no more may be sent to a lost server.
 constexpr milliseconds kRemovalGrace{1'400};
 
+/// Of one answer to a follower: a datagram is lost whole when a part of it is lost, and the channel
+/// carries 8 kB.
+constexpr std::size_t kMostAnswerBytes = 7'000;
+
+std::int64_t Microseconds(std::chrono::steady_clock::duration duration) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
+}
+
+/// @return whether nothing that a request's path needs differs.
+bool SameForRequests(const ServerRecord& left, const ServerRecord& right) {
+  return left.service == right.service && left.endpoint == right.endpoint &&
+         left.zone == right.zone && left.slots == right.slots && left.draining == right.draining &&
+         left.models == right.models;
+}
+
+/// @return an upper bound of what a change takes in a message.
+std::size_t EncodedBytes(const ServerChange& change) {
+  constexpr std::size_t kFixedBytes = 32;  ///< Revision, slots, port, flags, counts.
+  constexpr std::size_t kLengthBytes = 8;  ///< Before each text and list.
+  const auto text = [](const std::string& value) { return kLengthBytes + value.size(); };
+  const ServerRecord& record = change.record;
+  std::size_t bytes = kFixedBytes + text(record.id) + text(record.service) +
+                      text(record.endpoint.address) + text(record.zone) + kLengthBytes;
+  for (const HeldModel& held : record.models) {
+    bytes += text(held.name) + kLengthBytes;
+    for (const std::string& adapter : held.adapters) bytes += text(adapter);
+  }
+  return bytes;
+}
+
 /// All keys: every key begins with the empty text.
 KeyRange AllKeys() { return {"", "\xff"}; }
 
@@ -24,13 +54,14 @@
 
 StoreView::StoreView(boost::asio::io_context& context, KeyValueStore& store,
                      const FleetProtocol& protocol, FleetView& view, GatewayMetrics& metrics,
-                     EventLog& log)
+                     EventLog& log, follow::Settings settings)
     : store_(store),
       protocol_(protocol),
       view_(view),
       metrics_(metrics),
       log_(log),
-      retry_(context),
+      settings_(settings),
+      read_timer_(context),
       retry_pause_(kFirstRetryPause),
       removal_timer_(context) {}
 
@@ -39,25 +70,67 @@
   own_key_ = std::move(own_key);
   own_key_changed_ = std::move(own_key_changed);
   configured_ = std::move(configured);
-  List();
+  Read();
+}
+
+bool StoreView::Decide(const follow::Event& event) {
+  const follow::Decision decision =
+      follow::Reduce(settings_, std::move(state_), event, steady_clock::now());
+  state_ = decision.state;
+  return decision.apply;
+}
+
+void StoreView::SetWatching(bool watches) {
+  if (watches == state_.watches) return;
+  Decide(follow::RoleTaken{watches});
+  ReadWhenDue();
+}
+
+void StoreView::HearNews() {
+  Decide(follow::NewsHeard{});
+  ReadWhenDue();
+}
+
+void StoreView::ReadWhenDue() {
+  const SteadyTime due = follow::NextRead(settings_, state_);
+  if (due == SteadyTime::max()) return;
+  read_timer_.expires_at(due);
+  read_timer_.async_wait([this](const boost::system::error_code& error) {
+    // What came in the meantime may have put it off.
+    if (!error && !state_.reading_since) Read();
+  });
+}
+
+void StoreView::Read() {
+  if (steady_clock::now() < follow::NextRead(settings_, state_)) {
+    ReadWhenDue();
+    return;
+  }
+  Decide(follow::ReadBegun{list_next_});
+  if (list_next_)
+    List();
+  else
+    ReadChanges();
 }
 
 void StoreView::List() {
   store_.Range(AllKeys(), [this](const Outcome<RangeResult>& listing) {
     if (!listing.ok()) {
-      NoteFailure(listing.failure());
-      ListLater();
+      NoteFailure(listing.failure(), true);
       return;
     }
-    NoteContact();
+    list_next_ = false;
+    NoteContact(steady_clock::now());
     TakeListing(listing.value());
-    StartWatch(listing.value().revision + 1);
+    NoteSource(false);
+    ReadWhenDue();
   });
 }
 
 void StoreView::TakeListing(const RangeResult& listing) {
   std::vector<std::string> servers;
   bool own_key_listed = false;
+  changes_.Restart(listing.revision);
   const std::string& prefix = protocol_.layout().server_prefix;
   for (const KeyValue& entry : listing.entries) {
     if (entry.key.starts_with(prefix)) servers.push_back(entry.key.substr(prefix.size()));
@@ -67,32 +140,131 @@
   for (const auto& [id, server] : view_.servers.all())
     if (std::find(servers.begin(), servers.end(), id) == servers.end()) RemoveLater(id);
   if (!own_key_listed) TakeRemoval(own_key_, listing.revision);
-  metrics_.servers_known = static_cast<std::int64_t>(view_.servers.all().size());
-  view_.changed.NotifyAll();
+  Decide(follow::ReadEnded{listing.revision});
+  NoteChanged();
 }
 
-void StoreView::StartWatch(std::int64_t from) {
+/// One watch call: what has changed since, or nothing new for a moment. A watch that went on would
+/// answer with each heartbeat of a server.
+void StoreView::ReadChanges() {
   watch_ = store_.Watch(
-      AllKeys(), from, [this](const WatchBatch& batch) { TakeBatch(batch); },
+      AllKeys(), state_.revision + 1, [this](const WatchBatch& batch) { TakeBatch(batch); },
       [this](const PlatformFailure& failure) {
-        NoteFailure(failure);
-        ListLater();
+        // Refused: the history since is gone.
+        NoteFailure(failure, failure.fault == PlatformFault::kRejected);
       });
 }
 
 void StoreView::TakeBatch(const WatchBatch& batch) {
-  NoteContact();
+  watch_.reset();
+  NoteContact(steady_clock::now());
+  const std::int64_t known = state_.revision;
+  const std::string& prefix = protocol_.layout().server_prefix;
   for (const WatchEvent& event : batch.events) {
+    // What a watcher relayed meanwhile is newer than what this read shows.
+    const bool older = event.entry.key.starts_with(prefix) && event.entry.mod_revision <= known;
+    if (older) continue;
     if (event.deleted)
       TakeRemoval(event.entry.key, event.entry.mod_revision);
     else
       TakeEntry(event.entry);
   }
-  if (batch.events.empty()) return;
+  changes_.Advance(batch.revision);
+  Decide(follow::ReadEnded{batch.revision});
+  NoteSource(false);
+  if (!batch.events.empty()) NoteChanged();
+  ReadWhenDue();
+}
+
+void StoreView::NoteChanged() {
   metrics_.servers_known = static_cast<std::int64_t>(view_.servers.all().size());
   view_.changed.NotifyAll();
 }
 
+std::optional<ChangeQuestion> StoreView::Question() const {
+  if (!state_.listed) return std::nullopt;
+  return ChangeQuestion{Microseconds(steady_clock::now().time_since_epoch()), state_.revision};
+}
+
+ChangeAnswer StoreView::Answer(const ChangeQuestion& question, std::uint32_t daemons) const {
+  ChangeAnswer answer;
+  answer.asked_at_us = question.asked_at_us;
+  answer.daemons = daemons;
+  answer.relays = state_.watches && state_.listed;
+  if (!answer.relays) return answer;
+  answer.age_us = Microseconds(steady_clock::now() - state_.current_at);
+  answer.configuration_version = view_.routes ? view_.routes->configuration().version : -1;
+  answer.from_revision = question.revision;
+  answer.to_revision = question.revision;
+  answer.gap = !changes_.Reaches(question.revision);
+  if (answer.gap) return answer;
+  std::size_t bytes = 0;
+  for (const ChangeLog::Change& change : changes_.Since(question.revision)) {
+    const ServerPtr server = view_.servers.Find(change.server_id);
+    ServerChange told{change.revision, change.gone || !server, {}};
+    if (told.gone)
+      told.record.id = change.server_id;
+    else
+      told.record = server->record();
+    bytes += EncodedBytes(told);
+    answer.servers.push_back(std::move(told));
+  }
+  answer.to_revision = changes_.newest();
+  answer.gap = bytes > kMostAnswerBytes;
+  if (answer.gap) answer.servers.clear();
+  return answer;
+}
+
+void StoreView::TakeAnswer(const ChangeAnswer& answer) {
+  const SteadyTime asked_at{std::chrono::microseconds(answer.asked_at_us)};
+  const std::int64_t configuration = view_.routes ? view_.routes->configuration().version : -1;
+  const std::int64_t known = state_.revision;
+  const std::chrono::microseconds age{std::max<std::int64_t>(0, answer.age_us)};
+  const follow::Relayed relayed{answer.gap,
+                                !answer.leads,
+                                answer.from_revision,
+                                answer.to_revision,
+                                answer.configuration_version > configuration,
+                                asked_at - age};
+  if (answer.leads && !answer.relays) return;
+  const SteadyTime current_before = state_.current_at;
+  const bool apply = Decide(relayed);
+  if (apply) {
+    for (const ServerChange& change : answer.servers)
+      if (change.revision > known) TakeChange(change);
+    changes_.Advance(answer.to_revision);
+    metrics_.relayed_changes += answer.servers.size();
+    if (!answer.servers.empty()) NoteChanged();
+  }
+  if (state_.current_at > current_before) {
+    NoteContact(state_.current_at);
+    NoteSource(true);
+    ++metrics_.relay_answers_taken;
+  }
+  ReadWhenDue();
+}
+
+void StoreView::TakeChange(const ServerChange& change) {
+  if (change.gone) {
+    TakeRemoval(protocol_.layout().server_prefix + change.record.id, change.revision);
+    return;
+  }
+  ServerRecord record = change.record;
+  if (const ServerPtr known = view_.servers.Find(record.id)) {
+    record.in_memory = known->record().in_memory;
+    record.on_disk = known->record().on_disk;
+  }
+  PutServer(std::move(record), change.revision);
+}
+
+void StoreView::NoteSource(bool relayed) {
+  if (relayed_ == relayed) return;
+  relayed_ = relayed;
+  log_.Write(LogRank::kRoutine, EventLine(LogEvent::kStoreSource)
+                                    .Field(LogField::kSource, relayed ? "leader" : "store")
+                                    .Field(LogField::kRevision, state_.revision));
+}
+
 void StoreView::TakeEntry(const KeyValue& entry) {
   try {
     if (entry.key == protocol_.layout().configuration_key)
@@ -113,6 +285,7 @@
   const std::string& prefix = protocol_.layout().server_prefix;
   if (key.starts_with(prefix)) {
     const std::string id = key.substr(prefix.size());
+    changes_.Note(id, revision, true);
     if (steady_clock::now() - outage_ended_ < kAfterOutage)
       RemoveLater(id);
     else
@@ -166,18 +339,23 @@
 
 void StoreView::TakeServer(const KeyValue& entry) {
   const std::string id = entry.key.substr(protocol_.layout().server_prefix.size());
-  ServerRecord record = protocol_.ParseServer(id, entry.value);
-  const ServerPtr known = view_.servers.Find(id);
+  PutServer(protocol_.ParseServer(id, entry.value), entry.mod_revision);
+}
+
+void StoreView::PutServer(ServerRecord record, std::int64_t revision) {
+  const ServerPtr known = view_.servers.Find(record.id);
   if (known == nullptr || known->record().draining != record.draining)
     log_.Write(LogRank::kDecision,
                EventLine(LogEvent::kServer)
-                   .Field(LogField::kServer, id)
+                   .Field(LogField::kServer, record.id)
                    .Field(LogField::kService, record.service)
                    .Field(LogField::kAddress, ToString(record.endpoint))
                    .Field(LogField::kState, record.draining ? "draining" : "ready")
                    .Field(LogField::kModels, record.models.size())
-                   .Field(LogField::kRevision, entry.mod_revision));
-  removals_.erase(id);
+                   .Field(LogField::kRevision, revision));
+  const bool back = removals_.erase(record.id) > 0;
+  if (known == nullptr || back || !SameForRequests(known->record(), record))
+    changes_.Note(record.id, revision, false);
   view_.servers.Put(std::move(record), steady_clock::now());
 }
 
@@ -187,30 +365,32 @@
   own_key_changed_(entry, entry.mod_revision);
 }
 
-void StoreView::NoteContact() {
-  const auto now = steady_clock::now();
-  if (contacted_ && now - view_.last_store_contact > kOutage) outage_ended_ = now;
+void StoreView::NoteContact(SteadyTime current_at) {
+  const auto silence = current_at - view_.last_store_contact;
+  // Without a failed read, the ordinary time between two reads is no sign of an outage.
+  const auto outage = failed_ ? kOutage : kOutage + settings_.longest_age;
+  if (contacted_ && silence > outage) outage_ended_ = steady_clock::now();
   contacted_ = true;
-  view_.last_store_contact = now;
+  failed_ = false;
+  view_.last_store_contact = std::max(view_.last_store_contact, current_at);
   retry_pause_ = kFirstRetryPause;
   if (in_touch_) return;
   in_touch_ = true;
   log_.Write(LogRank::kDecision, EventLine(LogEvent::kStoreInTouch));
 }
 
-void StoreView::NoteFailure(const PlatformFailure& failure) {
+/// @param list whether what changed since cannot be read: only a listing shows it.
+void StoreView::NoteFailure(const PlatformFailure& failure, bool list) {
+  watch_.reset();
+  failed_ = true;
+  list_next_ = list_next_ || list;
+  Decide(follow::ReadFailed{retry_pause_});
+  retry_pause_ = std::min(kLongestRetryPause, retry_pause_ * 2);
+  ReadWhenDue();
   if (!in_touch_) return;
   in_touch_ = false;
   log_.Write(LogRank::kFailure,
              EventLine(LogEvent::kStoreLost).Field(LogField::kProblem, failure.message));
 }
 
-void StoreView::ListLater() {
-  retry_.expires_after(retry_pause_);
-  retry_pause_ = std::min(kLongestRetryPause, retry_pause_ * 2);
-  retry_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) List();
-  });
-}
-
 }  // namespace moorfold
--- /dev/null
+++ b/src/relay/change_log.cc
@@ -0,0 +1,58 @@
+#include "relay/change_log.h"
+
+#include <algorithm>
+
+namespace moorfold {
+
+namespace {
+
+/// A follower that lacks more reads the store. Four changes of each of the 2,400 servers that this
+/// is designed for (CONTRIBUTING.md) would be more than a follower asks for at once; a change takes
+/// some 100 bytes here.
+constexpr std::size_t kMostChanges = 1'024;
+
+}  // namespace
+
+void ChangeLog::Restart(std::int64_t revision) {
+  changes_.clear();
+  revisions_.clear();
+  started_ = true;
+  oldest_ = revision;
+  newest_ = revision;
+}
+
+void ChangeLog::Note(const std::string& server_id, std::int64_t revision, bool gone) {
+  if (!started_ || revision <= oldest_) return;
+  if (const auto known = revisions_.find(server_id); known != revisions_.end()) {
+    if (known->second >= revision) return;
+    const auto [first, last] = changes_.equal_range(known->second);
+    const auto before = std::find_if(
+        first, last, [&](const auto& entry) { return entry.second.server_id == server_id; });
+    if (before != last) changes_.erase(before);
+  }
+  revisions_[server_id] = revision;
+  changes_.emplace(revision, Change{revision, server_id, gone});
+  ForgetOldest();
+}
+
+void ChangeLog::Advance(std::int64_t revision) {
+  if (started_) newest_ = std::max(newest_, revision);
+}
+
+void ChangeLog::ForgetOldest() {
+  while (changes_.size() > kMostChanges) {
+    const auto oldest = changes_.begin();
+    oldest_ = oldest->first;
+    revisions_.erase(oldest->second.server_id);
+    changes_.erase(oldest);
+  }
+}
+
+std::vector<ChangeLog::Change> ChangeLog::Since(std::int64_t revision) const {
+  std::vector<Change> since;
+  for (auto entry = changes_.upper_bound(revision); entry != changes_.end(); ++entry)
+    since.push_back(entry->second);
+  return since;
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/relay/relay_messages.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstdint>
+#include <vector>
+
+#include "fleet/server_record.h"
+
+namespace moorfold {
+
+/// From a follower to the watcher, beside its demand: what has changed in the store since?
+struct ChangeQuestion {
+  /// When it was asked, by the follower's steady clock in microseconds. The answer brings it back,
+  /// so that its age can be told without a clock that both share.
+  std::int64_t asked_at_us = 0;
+  std::int64_t revision = 0;  ///< The follower knows all changes up to this one.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(asked_at_us, revision);
+  }
+};
+
+/// A server's newest state. Weights in its memory and on its disk are left out: only a watcher
+/// needs them, and it reads the store itself.
+struct ServerChange {
+  std::int64_t revision = 0;  ///< Of the change in the store.
+  bool gone = false;          ///< Its entry is gone: only `record.id` counts.
+  ServerRecord record;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(revision, gone, record.id);
+    if (gone) return;
+    archive(record.service, record.endpoint.address, record.endpoint.port, record.zone,
+            record.slots, record.draining, record.models);
+  }
+};
+
+/// From the watcher to one follower: what it has asked for.
+struct ChangeAnswer {
+  std::int64_t asked_at_us = 0;  ///< Of the question.
+  /// Whether the sender relays changes. If not, nothing below counts but `daemons` and `leads`.
+  bool relays = false;
+  bool leads = true;  ///< False: the sender leads no more, whatever the store said last.
+  /// The sender cannot say what changed: its log does not reach back so far, or it is more than a
+  /// datagram carries. The follower has to read the store itself.
+  bool gap = false;
+  std::int64_t from_revision = 0;  ///< `servers` holds the changes after this one ..
+  std::int64_t to_revision = 0;    ///< .. up to this one, the newest that the sender knows.
+  /// How long before the question came the sender learnt from the store that nothing newer exists.
+  std::int64_t age_us = 0;
+  std::int64_t configuration_version =
+      0;                      ///< The newest that the sender knows; not relayed itself.
+  std::uint32_t daemons = 1;  ///< How many report to the sender, itself included.
+  std::vector<ServerChange> servers;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(asked_at_us, relays, leads, gap, from_revision, to_revision, age_us,
+            configuration_version, daemons, servers);
+  }
+};
+
+template <typename Archive>
+void serialize(Archive& archive, HeldModel& held) {
+  archive(held.name, held.adapters);
+}
+
+}  // namespace moorfold
--- a/test/fleet/leader_election_test.cc
+++ b/test/fleet/leader_election_test.cc
@@ -23,7 +23,7 @@
         election(context, store, log,
                  {name, "127.0.0.1:1", kKey, milliseconds(1'500), handover, milliseconds(5'000),
                   milliseconds(0)}) {
-    (void)store.Watch(
+    watch = store.Watch(
         {kKey, ""}, 1,
         [this](const WatchBatch& batch) {
           for (const WatchEvent& event : batch.events) {
@@ -40,6 +40,7 @@
   FakeKeyValueStore store;
   EventLog log;
   LeaderElection election;
+  std::unique_ptr<WatchHandle> watch;
 };
 
 /// Runs until `done`, letting changes reach all candidates.
@@ -129,7 +130,7 @@
   REQUIRE(RunUntil(context, {one.get()}, [&] { return one->election.MayOrder(); }));
   Candidate two(context, table, "two");
   REQUIRE(RunUntil(context, {one.get(), &two}, [&] { return two.election.leader().has_value(); }));
-  two.election.HeardLeader();
+  two.election.HeardLeader(2);
   one->store.unreachable = true;  // As if it were killed.
   // Without a watch: only reading shows that the key has gone.
   CHECK(RunUntil(context, {}, [&] { return two.election.leading(); }));
@@ -213,6 +214,23 @@
   }));
 }
 
+TEST_CASE("A key that was seen some time ago is read again before it is claimed") {
+  // 295 daemons that started together sent 590 claims in three seconds: each knew the key only from
+  // its listing.
+  boost::asio::io_context context;
+  KeyValueTable table;
+  Candidate one(context, table, "one");
+  REQUIRE(RunUntil(context, {&one}, [&] { return one.election.leading(); }));
+  Candidate two(context, table, "two");
+  two.store.hold_grants = true;  // A claim begins with a lease.
+  // Its watch shows nothing.
+  RunUntil(
+      context, {&one}, [] { return false; }, milliseconds(1'500));
+  CHECK(two.store.held_grants() == 0);
+  REQUIRE(two.election.leader());
+  CHECK(two.election.leader()->name == "one");
+}
+
 TEST_CASE("A restarted leader takes its own key over, with a higher token and a short wait") {
   boost::asio::io_context context;
   KeyValueTable table;
--- a/test/fleet/placement_test.cc
+++ b/test/fleet/placement_test.cc
@@ -295,8 +295,8 @@
 TEST_CASE("An address for datagrams that is in use is named, with what to do") {
   boost::asio::io_context context;
   const DemandChannel::Handlers none{[](const DemandReport&) {}, [](const PlacementNotice&) {},
-                                     [](const FleetSize&) {}, [](const LeadershipOffer&) {},
-                                     [](const std::string&) {}};
+                                     [](const ChangeAnswer&, const std::string&) {},
+                                     [](const LeadershipOffer&) {}, [](const std::string&) {}};
   const DemandChannel first(context, {"127.0.0.1", 0}, none);
   try {
     const DemandChannel second(context, first.endpoint(), none);
@@ -311,17 +311,21 @@
   boost::asio::io_context context;
   std::vector<DemandReport> reports;
   std::vector<PlacementNotice> notices;
-  std::vector<std::uint32_t> sizes;
+  std::vector<ChangeAnswer> answers;
+  std::string answered_from;
   std::vector<std::string> offers;
   std::vector<std::string> dropped;
   DemandChannel::Handlers to_leader{
       [&](DemandReport report) { reports.push_back(report); }, [](const PlacementNotice&) {},
-      [](const FleetSize&) {}, [](const LeadershipOffer&) {},
+      [](const ChangeAnswer&, const std::string&) {}, [](const LeadershipOffer&) {},
       [&](const std::string& problem) { dropped.push_back(problem); }};
   DemandChannel leader(context, {"127.0.0.1", 0}, to_leader);
   DemandChannel::Handlers to_daemon{
       [](const DemandReport&) {}, [&](const PlacementNotice& notice) { notices.push_back(notice); },
-      [&](const FleetSize& size) { sizes.push_back(size.daemons); },
+      [&](const ChangeAnswer& answer, const std::string& from) {
+        answers.push_back(answer);
+        answered_from = from;
+      },
       [&](const LeadershipOffer& offer) { offers.push_back(offer.from); },
       [](const std::string&) {}};
   DemandChannel daemon(context, {"127.0.0.1", 0}, to_daemon);
@@ -330,6 +334,7 @@
   DemandReport report = MakeReport("one", {}, {"i-9"});
   report.address = ToString(daemon.endpoint());
   report.uptime_ms = 1'234;
+  report.question = ChangeQuestion{77, 12};
   for (int entry = 0; entry < 60; ++entry)
     report.entries.push_back({"s", {"m" + std::to_string(entry), ""}, 1, 2, 3});
   daemon.SendReport(ToString(leader.endpoint()), report);
@@ -352,15 +357,36 @@
   CHECK(reports[0].uptime_ms == 1'234);
   CHECK(leader.reporters() == 1);
   leader.SendOffer(reports[0].address, {"leader"});
-  leader.Broadcast(FleetSize{7});
+  const auto questions = std::count_if(
+      reports.begin(), reports.end(),
+      [](const DemandReport& part) { return part.question && part.question->revision == 12; });
+  CHECK(questions == 1);  // However many datagrams a report takes.
+  ChangeAnswer answer;
+  answer.asked_at_us = 77;
+  answer.daemons = 7;
+  answer.servers.push_back(
+      {13, false, {"i-1", "s", {"127.0.0.1", 8}, "z", 4, true, {{"m", {"a"}}}}});
+  answer.servers.push_back({14, true, {"i-2"}});
+  leader.SendAnswer(reports[0].address, answer);
   leader.Broadcast(PlacementNotice{"i-1", {"m", "a"}, false});
-  while ((notices.empty() || offers.empty()) && std::chrono::steady_clock::now() < give_up)
+  while ((notices.empty() || offers.empty() || answers.empty()) &&
+         std::chrono::steady_clock::now() < give_up)
     context.run_one_for(milliseconds(50));
   CHECK(offers == std::vector<std::string>{"leader"});
   REQUIRE(notices.size() == 1);
   CHECK(notices[0].name.adapter == "a");
   CHECK_FALSE(notices[0].held);
-  CHECK(sizes == std::vector<std::uint32_t>{7});
+  REQUIRE(answers.size() == 1);
+  CHECK(answered_from == ToString(leader.endpoint()));
+  CHECK(answers[0].asked_at_us == 77);
+  CHECK(answers[0].daemons == 7);
+  REQUIRE(answers[0].servers.size() == 2);
+  const ServerRecord& record = answers[0].servers[0].record;
+  CHECK(record.draining);
+  CHECK(record.endpoint.port == 8);
+  CHECK(record.models == std::vector<HeldModel>{{"m", {"a"}}});
+  CHECK(answers[0].servers[1].gone);
+  CHECK(answers[0].servers[1].record.id == "i-2");
 }
 
 }  // namespace
--- a/test/gateway/store_view_test.cc
+++ b/test/gateway/store_view_test.cc
@@ -59,7 +59,9 @@
   platform::Protocol protocol;
   GatewayMetrics metrics;
   FleetView view;
-  StoreView store_view{context, store, protocol, view, metrics, log};
+  /// Reads follow each other quickly here.
+  static constexpr follow::Settings kSettings{milliseconds(20), milliseconds(10), milliseconds(10)};
+  StoreView store_view{context, store, protocol, view, metrics, log, kSettings};
   std::vector<std::string> own_key;
   int configurations = 0;
 };
--- a/test/platform/gateway_end_to_end_test.cc
+++ b/test/platform/gateway_end_to_end_test.cc
@@ -27,7 +27,6 @@
 
   static platform::StoreClientOptions Options() {
     platform::StoreClientOptions options;
-    options.watch_pause = milliseconds(50);
     return options;
   }
   static GatewaySettings Settings(const std::string& name) {
--- a/test/platform/users_platform_environment.h
+++ b/test/platform/users_platform_environment.h
@@ -35,7 +35,6 @@
  private:
   static platform::StoreClientOptions MakeOptions() {
     platform::StoreClientOptions options;
-    options.watch_pause = std::chrono::milliseconds(20);
     options.watch_wait = std::chrono::milliseconds(300);
     return options;
   }
--- /dev/null
+++ b/test/relay/follow_state_test.cc
@@ -0,0 +1,100 @@
+#include "relay/follow_state.h"
+
+#include <catch2/catch.hpp>
+
+namespace moorfold::follow {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Settings kSettings{milliseconds(2'200), milliseconds(400), milliseconds(500)};
+const Time kStart{std::chrono::hours(1)};
+
+State Listed(std::int64_t revision) {
+  State state = Reduce(kSettings, {}, ReadBegun{true}, kStart).state;
+  return Reduce(kSettings, state, ReadEnded{revision}, kStart + milliseconds(30)).state;
+}
+
+Relayed Answer(std::int64_t from, std::int64_t to, Time current_at) {
+  Relayed answer;
+  answer.from_revision = from;
+  answer.to_revision = to;
+  answer.current_at = current_at;
+  return answer;
+}
+
+TEST_CASE("Without a watcher the store is read again when knowledge grows old") {
+  State state;
+  CHECK(NextRead(kSettings, state) <= kStart);  // At once at the start.
+  state = Listed(7);
+  CHECK(state.revision == 7);
+  // Counted from when the read was sent, not from its answer.
+  CHECK(NextRead(kSettings, state) == kStart + milliseconds(2'200));
+  state = Reduce(kSettings, state, ReadBegun{}, kStart + milliseconds(2'200)).state;
+  CHECK(NextRead(kSettings, state) == Time::max());
+  state = Reduce(kSettings, state, RoleTaken{true}, kStart + milliseconds(2'300)).state;
+  state = Reduce(kSettings, state, ReadEnded{9}, kStart + milliseconds(2'300)).state;
+  CHECK(NextRead(kSettings, state) == kStart + milliseconds(2'600));  // A watcher reads more often.
+}
+
+TEST_CASE("While a watcher answers, a follower does not read the store") {
+  State state = Listed(7);
+  Time now = kStart;
+  for (int question = 0; question < 50; ++question) {
+    now += milliseconds(500);
+    const Decision decision = Reduce(
+        kSettings, state, Answer(state.revision, state.revision + 2, now - milliseconds(400)),
+        now + milliseconds(20));
+    CHECK(decision.apply);
+    state = decision.state;
+    CHECK(NextRead(kSettings, state) > now + milliseconds(500));
+  }
+  // The answers stop: no later than the bound after the last moment that was known.
+  CHECK(NextRead(kSettings, state) == now - milliseconds(400) + milliseconds(2'200));
+}
+
+TEST_CASE("What a watcher cannot relay is read soon, and not over and over") {
+  const Time now = kStart + milliseconds(1'000);
+  Relayed gap = Answer(9, 12, now);
+  Relayed too_short = Answer(7, 7, now);
+  too_short.gap = true;
+  Relayed configuration = Answer(7, 12, now);
+  configuration.newer_configuration = true;
+  Relayed retired = Answer(7, 7, now);
+  retired.retired = true;
+  for (const Relayed& answer : {gap, too_short, configuration, retired}) {
+    const Decision decision = Reduce(kSettings, Listed(7), answer, now);
+    CHECK_FALSE(decision.apply);
+    CHECK(decision.state.revision == 7);  // So that a read from there brings what is missing.
+    CHECK(NextRead(kSettings, decision.state) <= now);
+    State state = Reduce(kSettings, decision.state, ReadBegun{}, now).state;
+    state = Reduce(kSettings, state, ReadEnded{8}, now + milliseconds(10)).state;
+    state = Reduce(kSettings, state, answer, now + milliseconds(20)).state;
+    if (state.urgent) CHECK(NextRead(kSettings, state) == now + milliseconds(510));
+  }
+}
+
+TEST_CASE("Nothing is believed before the first listing, nor during one") {
+  const Relayed answer = Answer(0, 12, kStart);
+  CHECK_FALSE(Reduce(kSettings, {}, answer, kStart).apply);
+  const State listing = Reduce(kSettings, Listed(7), ReadBegun{true}, kStart).state;
+  const Decision decision = Reduce(kSettings, listing, Answer(7, 12, kStart), kStart);
+  CHECK_FALSE(decision.apply);
+  CHECK(decision.state.revision == 7);
+}
+
+TEST_CASE("A failed read is tried again after its pause, also while a watcher answers") {
+  State state = Reduce(kSettings, Listed(7), ReadBegun{}, kStart).state;
+  state = Reduce(kSettings, state, ReadFailed{milliseconds(100)}, kStart + milliseconds(900)).state;
+  CHECK(NextRead(kSettings, state) == kStart + milliseconds(1'000));
+}
+
+TEST_CASE("News that come while a read is under way lead to another") {
+  State state = Reduce(kSettings, Listed(7), ReadBegun{}, kStart).state;
+  state = Reduce(kSettings, state, NewsHeard{}, kStart + milliseconds(5)).state;
+  state = Reduce(kSettings, state, ReadEnded{8}, kStart + milliseconds(10)).state;
+  CHECK(NextRead(kSettings, state) == kStart + milliseconds(510));
+}
+
+}  // namespace
+}  // namespace moorfold::follow
--- a/test/support/fake_key_value_store.h
+++ b/test/support/fake_key_value_store.h
@@ -60,22 +60,30 @@
                                      WatchEndCallback ended) override {
     watch_ = std::make_shared<Watcher>(Watcher{range, start, std::move(changed), std::move(ended)});
     Deliver();
-    return std::make_unique<WatchHandle>();
+    return std::make_unique<Handle>(watch_);
   }
   /// Ends the watch as a cut connection does.
   void EndWatch() {
     if (!watch_) return;
     const std::shared_ptr<Watcher> ended = std::move(watch_);
+    if (!ended->running) return;
     ended->ended({PlatformFault::kNoAnswer, "cut"});
   }
   /// Changes made by others reach the watch.
   void Deliver() {
-    if (!watch_ || unreachable) return;
+    if (!watch_ || !watch_->running || unreachable) return;
     table_.ExpireLeases(clock_.Now());
+    // All that is new comes in one answer, as from the users' platform.
+    WatchBatch all;
     for (const WatchBatch& batch : table_.EventsSince(watch_->range, watch_->next)) {
-      watch_->next = batch.revision + 1;
-      boost::asio::post(context_, [watcher = watch_, batch] { watcher->changed(batch); });
+      all.revision = batch.revision;
+      all.events.insert(all.events.end(), batch.events.begin(), batch.events.end());
     }
+    if (all.events.empty()) return;
+    watch_->next = all.revision + 1;
+    boost::asio::post(context_, [watcher = watch_, all] {
+      if (watcher->running) watcher->changed(all);
+    });
   }
 
  private:
@@ -84,6 +92,16 @@
     std::int64_t next;
     WatchCallback changed;
     WatchEndCallback ended;
+    bool running = true;
+  };
+  /// Its end is the end of the watch.
+  class Handle final : public WatchHandle {
+   public:
+    explicit Handle(std::shared_ptr<Watcher> watcher) : watcher_(std::move(watcher)) {}
+    ~Handle() override { watcher_->running = false; }
+
+   private:
+    std::shared_ptr<Watcher> watcher_;
   };
 
   template <typename T>
