Take no last copy of a model for the sake of late answers

Change: the gain by late answers is apart from the others. It counts where room is free or a surplus copy makes it, and no more for what a copy is worth that another model wants.

--- a/src/fleet/placement_planner.cc
+++ b/src/fleet/placement_planner.cc
@@ -206,6 +206,7 @@
     free += HeldMegabytes(*candidate);
     placement.cost += LossOf(candidate->name) * kHorizonS + kEvictionCost;
     placement.victims.push_back(candidate->name);
+    placement.takes_last_copy = placement.takes_last_copy || Copies(candidate->name) <= 1;
   }
   if (free < model.weights_mb) return std::nullopt;
   return placement;
@@ -255,11 +256,17 @@
 
 void PlacementPlanner::PlaceModel(const Want& want) {
   std::optional<Placement> best;
+  double best_benefit = kLeastBenefit;
   for (PlannedServer& server : servers_) {
-    std::optional<Placement> placement = PlaceAt(server, *want.model, want.gain);
-    if (placement && (!best || placement->cost < best->cost)) best = std::move(placement);
+    std::optional<Placement> placement = PlaceAt(server, *want.model, want.gain + want.late_gain);
+    if (!placement) continue;
+    const double gain = want.gain + (placement->takes_last_copy ? 0 : want.late_gain);
+    const double benefit = gain * kHorizonS - placement->cost;
+    if (benefit < best_benefit) continue;
+    best_benefit = benefit;
+    best = std::move(placement);
   }
-  if (!best || best->cost + kLeastBenefit > want.gain * kHorizonS) return;
+  if (!best) return;
   if (best->victims.empty())
     EmitLoad(*best->server, *want.model);
   else
@@ -277,10 +284,12 @@
     double gain = value_.Gain(*model, demand, copies);
     if (copies == 0 && demand.waiting > 0)
       gain += kWaitingWorth * demand.waiting + kUnservedWorth * demand.unserved_s;
-    if (gain * kHorizonS > kLeastBenefit) wants.push_back({model, gain});
+    const double late_gain = value_.LateGain(demand, copies);
+    if ((gain + late_gain) * kHorizonS > kLeastBenefit) wants.push_back({model, gain, late_gain});
   }
-  std::stable_sort(wants.begin(), wants.end(),
-                   [](const Want& left, const Want& right) { return left.gain > right.gain; });
+  std::stable_sort(wants.begin(), wants.end(), [](const Want& left, const Want& right) {
+    return left.gain + left.late_gain > right.gain + right.late_gain;
+  });
   return wants;
 }
 
--- a/src/fleet/placement_planner.h
+++ b/src/fleet/placement_planner.h
@@ -63,13 +63,15 @@
   /// A model that would be worth one more server.
   struct Want {
     const ModelDescription* model = nullptr;
-    double gain = 0;  ///< Request-seconds a second.
+    double gain = 0;       ///< Request-seconds a second.
+    double late_gain = 0;  ///< The same, by answers that come late now.
   };
   /// A way to take a model to a server.
   struct Placement {
     PlannedServer* server = nullptr;
     double cost = 0;  ///< Request-seconds, over the horizon.
     std::vector<std::string> victims;
+    bool takes_last_copy = false;  ///< A victim would stand nowhere then.
   };
 
   void PlanAdapters();
--- a/src/fleet/placement_value.cc
+++ b/src/fleet/placement_value.cc
@@ -55,6 +55,12 @@
   return copies > 0 && LatePerSecond(demand, static_cast<double>(copies)) > kLateBorne;
 }
 
+double PlacementValue::LateGain(const ModelDemand& demand, std::size_t copies) const {
+  if (copies == 0) return 0;
+  const double count = static_cast<double>(copies);
+  return kLateAnswerS * (LatePerSecond(demand, count) - LatePerSecond(demand, count + 1));
+}
+
 double PlacementValue::Cost(const ModelDescription& model, const ModelDemand& demand,
                             std::size_t copies) const {
   const double requests = demand.in_flight + demand.waiting;
@@ -63,7 +69,7 @@
   const double count = static_cast<double>(copies);
   const double crowding = kCrowding * requests * requests / count;
   const double beyond = std::max(0.0, Load(demand) - count) * requests_per_server_;
-  return crowding + beyond + kLateAnswerS * LatePerSecond(demand, count);
+  return crowding + beyond;
 }
 
 double PlacementValue::Loss(const ModelDescription& model, const ModelDemand& demand,
--- a/src/fleet/placement_value.h
+++ b/src/fleet/placement_value.h
@@ -28,6 +28,9 @@
   bool Overloaded(const ModelDemand& demand, std::size_t copies) const {
     return Load(demand) > static_cast<double>(copies);
   }
+  /// @return what one more copy saves by answers that come in time. It is apart from `Gain` since
+  /// it weighs less than a model that stands nowhere: it is no reason to take a last copy away.
+  double LateGain(const ModelDemand& demand, std::size_t copies) const;
   /// @return whether answers would still come late with that many copies.
   bool Late(const ModelDemand& demand, std::size_t copies) const;
   /// @return what one copy fewer costs; `copies` is at least 1.
--- a/test/fleet/placement_test.cc
+++ b/test/fleet/placement_test.cc
@@ -315,6 +315,24 @@
   CHECK(PlanLongLoads({{{"a", ""}, demand}}, servers).empty());
 }
 
+TEST_CASE("A late answer is no reason to take a model's last copy, a surplus copy makes room") {
+  ModelDemand late = Busy(20);
+  late.late_per_second = 10;
+  ModelDemand rare = Busy(0);
+  rare.usual_arrivals_per_second = 0.05;
+  PlannedServer near = MakeServer("near", {"b", "c"});
+  near.in_memory = {"a"};
+  std::vector<PlannedServer> servers = {MakeServer("holder", {"a", "d"}), near};
+  servers[0].orderable = false;
+  CHECK(Plan({{{"a", ""}, late}, {{"b", ""}, rare}, {{"c", ""}, rare}}, servers).empty());
+  servers.push_back(MakeServer("other", {"b"}));
+  servers.back().orderable = false;
+  const auto steps = Plan({{{"a", ""}, late}, {{"b", ""}, rare}, {{"c", ""}, rare}}, servers);
+  REQUIRE(steps.size() == 1);
+  CHECK(steps[0].kind == ServerOrderKind::kUnload);
+  CHECK(steps[0].name.model == "b");
+}
+
 TEST_CASE("Copies on their way count against answers that still come late") {
   std::vector<PlannedServer> servers = {MakeServer("holder", {"a"})};
   for (int server = 0; server < 19; ++server)
