--- a/test/e2e/cluster.h
+++ b/test/e2e/cluster.h
@@ -133,26 +133,38 @@
         ParseJson(Post(daemon(0).http_endpoint(), "/operator/plan", kIntent));
     const boost::json::value body = {{"plan_id", plan.at("id")}};
     Post(daemon(0).http_endpoint(), "/operator/confirm", boost::json::serialize(body));
-    WaitFor([this] {
-      for (const auto& each : daemons_) {
-        const boost::json::value status = Status(*each);
-        if (status.at("configuration_revision").to_number<Revision>() == 0) return false;
-        if (status.at("ledger").at("permits").to_number<std::size_t>() == 0) return false;
-        if (!status.at("claims_served").as_bool()) return false;
-      }
-      return true;
-    });
+    WaitFor(
+        [this] {
+          for (const auto& each : daemons_) {
+            const boost::json::value status = Status(*each);
+            if (status.at("configuration_revision").to_number<Revision>() == 0) return false;
+            if (status.at("ledger").at("permits").to_number<std::size_t>() == 0) return false;
+            if (!status.at("claims_served").as_bool()) return false;
+          }
+          return true;
+        },
+        [this] { return DescribeAll(); });
+  }
+  /// @return what each daemon says of itself.
+  std::string DescribeAll() {
+    std::string text;
+    for (const auto& each : daemons_)
+      text += "\n" + boost::json::serialize(boost::json::value(Status(*each)));
+    return text;
   }
   boost::json::value Status(Daemon& each) {
     return ParseJson(Fetch(each.http_endpoint(), "/operator/status"));
   }
   /// Generous, since machines are slow now and then: it is a bound, not a measurement.
-  static void WaitFor(const std::function<bool()>& condition) {
+  /// @param describe what to say of the state in which the condition did not come about.
+  static void WaitFor(const std::function<bool()>& condition,
+                      const std::function<std::string()>& describe = {}) {
     for (int attempt = 0; attempt < 1200; ++attempt) {
       if (condition()) return;
       std::this_thread::sleep_for(std::chrono::milliseconds(50));
     }
-    throw std::runtime_error("the cluster did not get there in a minute");
+    throw std::runtime_error("the cluster did not get there in a minute" +
+                             (describe ? ": " + describe() : std::string()));
   }
 
   Daemon& daemon(std::size_t index) { return *daemons_.at(index); }
