Share servers' loads among daemons, and let each request compare two servers

Cause: each of 295 daemons hears a server's load only from its own answers, three a second over all servers, and forgets it after a second. Ruled out: failures by 500, which two servers give to the same request (55 of 64 are of one kind). Change: daemons report loads that servers stated, the leader's answers bring those of busy servers. All would then choose the server that was emptiest half a second ago, so a request compares two drawn by its id, and the one that has read most of its prompt. Two end-to-end tests play the relay over sockets, one with the leader cut off from the store.

--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -145,8 +145,9 @@
 }
 
 ServerPtr RequestPipeline::ChooseOnce(GatewayRequest& request, NoServerReason& reason) const {
-  ChoiceRequest wanted{request.service, request.model, request.parts, settings_.zone,
-                       request.failed_servers};
+  ChoiceRequest wanted{request.service, request.model,          request.parts,
+                       settings_.zone,  request.failed_servers, 0};
+  if (view_.loads_shared) wanted.draw = std::hash<std::string>{}(request.id);
   const auto now = steady_clock::now();
   Choice choice = ChooseServer(view_.servers, wanted, now);
   reason = choice.reason;
--- a/test/platform/gateway_end_to_end_test.cc
+++ b/test/platform/gateway_end_to_end_test.cc
@@ -20,18 +20,15 @@
 /// One gateway with its own way to the store.
 struct GatewayUnderTest {
   GatewayUnderTest(boost::asio::io_context& context, const std::string& name,
-                   Endpoint store_address)
+                   Endpoint store_address, std::uint32_t relay_from_daemons)
       : log(-1, {}),
-        store(context, store_address, Options()),
-        gateway(context, Settings(name), store, protocol, log) {}
+        store(context, store_address, {}),
+        gateway(context, Settings(name, relay_from_daemons), store, protocol, log) {}
 
-  static platform::StoreClientOptions Options() {
-    platform::StoreClientOptions options;
-    return options;
-  }
-  static GatewaySettings Settings(const std::string& name) {
+  static GatewaySettings Settings(const std::string& name, std::uint32_t relay_from_daemons) {
     GatewaySettings settings;
     settings.name = name;
+    settings.relay_from_daemons = relay_from_daemons;
     settings.zone = "z";
     settings.listen = {"127.0.0.1", 0};
     settings.readiness = {"127.0.0.1", 0};
@@ -46,12 +43,14 @@
 };
 
 struct Deployment {
-  explicit Deployment(int gateway_count, PlatformOptions options = {})
+  explicit Deployment(int gateway_count, PlatformOptions options = {},
+                      std::uint32_t relay_from_daemons = 0)
       : platform(context, options) {
     platform.Start();
     for (int number = 0; number < gateway_count; ++number) {
-      gateways.push_back(std::make_unique<GatewayUnderTest>(
-          context, "gateway-" + std::to_string(number), platform.store_for(number)));
+      gateways.push_back(
+          std::make_unique<GatewayUnderTest>(context, "gateway-" + std::to_string(number),
+                                             platform.store_for(number), relay_from_daemons));
       gateways.back()->gateway.Start();
       addresses.push_back(
           {gateways.back()->gateway.listen(), gateways.back()->gateway.readiness(), false, {}});
@@ -245,6 +244,87 @@
   CHECK(deployment.platform.checker().violations() == std::vector<std::string>{});
 }
 
+/// Gateways that relay changes however few they are.
+struct RelayingDeployment : Deployment {
+  explicit RelayingDeployment(int gateway_count) : Deployment(gateway_count, {}, 2) {
+    REQUIRE(RunUntil([&] { return AllReady() && Leaders() == 1; }));
+    REQUIRE(RunUntil([&] { return Following() == gateway_count - 1; }));
+  }
+  const GatewayMetrics& Metrics(int number) const {
+    return gateways[static_cast<std::size_t>(number)]->gateway.metrics();
+  }
+  int Leader() const {
+    int number = 0;
+    while (Metrics(number).leading == 0) ++number;
+    return number;
+  }
+  int Following() const {
+    int following = 0;
+    for (const auto& each : gateways)
+      following += each->gateway.metrics().relay_answers_taken > 0 ? 1 : 0;
+    return following;
+  }
+};
+
+TEST_CASE("Followers serve on what the leader tells them and leave the store alone") {
+  RelayingDeployment deployment(3);
+  const int leader = deployment.Leader();
+  deployment.clients->Start(4);
+  std::vector<std::uint64_t> calls;
+  for (int number = 0; number < 3; ++number)
+    calls.push_back(deployment.Metrics(number).store_calls.Total());
+  deployment.RunFor(milliseconds(5'000));
+  for (int number = 0; number < 3; ++number) {
+    const std::uint64_t made =
+        deployment.Metrics(number).store_calls.Total() - calls[static_cast<std::size_t>(number)];
+    CAPTURE(number, leader, made);
+    if (number == leader)
+      CHECK(made >= 5);
+    else
+      CHECK(made <= 2);  // One each 1.1 s without the leader.
+  }
+  deployment.platform.Configure();
+  const auto in_force = [&] {
+    for (int number = 0; number < 3; ++number)
+      if (deployment.Metrics(number).configuration_version != 2) return false;
+    return true;
+  };
+  CHECK(deployment.RunUntil(in_force));
+  deployment.platform.ReplaceServer(4);
+  REQUIRE(deployment.RunUntil([&] { return deployment.clients->counts().served >= 150; }));
+  deployment.clients->Stop();
+  deployment.RunUntil([&] { return deployment.clients->running() == 0; });
+  CHECK(deployment.platform.checker().violations() == std::vector<std::string>{});
+}
+
+TEST_CASE("Followers of a leader that is cut off from the store read for themselves") {
+  RelayingDeployment deployment(3);
+  const int leader = deployment.Leader();
+  deployment.platform.store_proxy(leader).SetMode(ProxyMode::kSilent);
+  deployment.platform.Configure();
+  const auto in_force = [&] {
+    for (int number = 0; number < 3; ++number)
+      if (number != leader && deployment.Metrics(number).configuration_version != 2) return false;
+    return true;
+  };
+  REQUIRE(deployment.RunUntil(in_force));
+  // Another leads then, and is followed.
+  REQUIRE(deployment.RunUntil([&] {
+    for (int number = 0; number < 3; ++number)
+      if (number != leader && deployment.Metrics(number).leading > 0) return true;
+    return false;
+  }));
+  std::uint64_t taken = 0;
+  for (int number = 0; number < 3; ++number)
+    if (number != leader) taken += deployment.Metrics(number).relay_answers_taken;
+  REQUIRE(deployment.RunUntil([&] {
+    std::uint64_t now_taken = 0;
+    for (int number = 0; number < 3; ++number)
+      if (number != leader) now_taken += deployment.Metrics(number).relay_answers_taken;
+    return now_taken > taken + 2;
+  }));
+}
+
 TEST_CASE("Servers that leave are used no more, and a stop under load loses no request") {
   Deployment deployment(2);
   REQUIRE(deployment.RunUntil([&] { return deployment.AllReady(); }));
