Revert: share servers' loads among daemons, and let each request compare two servers

Change: back to the choice among all servers on what each daemon hears itself; the end-to-end tests of the relay stay. Conclusion: reverted. Prompts lie where they were sent; drawing two servers reads them anew elsewhere.

--- a/src/fleet/demand_channel.cc
+++ b/src/fleet/demand_channel.cc
@@ -85,7 +85,6 @@
   DemandReport part = report;
   part.entries.clear();
   part.question.reset();
-  part.loads.clear();
   for (const DemandEntry& entry : report.entries) {
     part.entries.push_back(entry);
     if (part.entries.size() < kEntriesPerDatagram) continue;
@@ -93,9 +92,7 @@
     part.entries.clear();
   }
   part.question = report.question;
-  part.loads = report.loads;
-  const bool more = part.question || !part.loads.empty();
-  if (!part.entries.empty() || report.entries.empty() || more) Send(part, target);
+  if (!part.entries.empty() || report.entries.empty() || part.question) Send(part, target);
 }
 
 void DemandChannel::Broadcast(const FleetMessage& message) {
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -43,12 +43,11 @@
   bool stopping = false;       ///< The sender is at a planned stop.
   std::vector<DemandEntry> entries;
   std::vector<std::string> unreachable;    ///< Servers to which no connection came up lately.
-  std::vector<SharedLoad> loads;           ///< That servers stated since the last report.
   std::optional<ChangeQuestion> question;  ///< What has changed in the store; in the last part.
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(sender, address, uptime_ms, stopping, entries, unreachable, loads, question);
+    archive(sender, address, uptime_ms, stopping, entries, unreachable, question);
   }
 };
 
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -22,8 +22,6 @@
   DemandBook demand;
   SteadyTime configured_at{};  ///< When `routes` was taken over.
   SteadyTime last_store_contact{};
-  /// Servers' loads are known from other daemons too, through the leader.
-  bool loads_shared = false;
   AsyncSignal changed;        ///< Notified when a waiting request may find a server now.
   AsyncSignal demand_raised;  ///< Notified when a request begins to wait for a server.
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <unordered_map>
 
 #include "common/process_memory.h"
 #include "http/http_status.h"
@@ -30,11 +29,6 @@
 /// Two reads for which there is a reason, as a newer configuration, lie at least so far apart: with
 /// a question's interval that is still within `kReadShare` of a bound of 3 s or more.
 constexpr double kUrgentReadShare = 0.35;
-/// Of a server whose load is told to followers: with fewer, its place in a choice does not change.
-constexpr int kBusyRequests = 3;
-/// Loads in one answer, the busiest servers' first: 10 bytes each, beside the changes of servers
-/// that a datagram of 8 kB carries.
-constexpr std::size_t kMostLoadsTold = 200;
 /// Answers to older questions are not waited for.
 constexpr std::size_t kQuestionsOpen = 4;
 constexpr milliseconds kHousekeeping{500};
@@ -196,39 +190,6 @@
   return servers;
 }
 
-std::vector<SharedLoad> Gateway::LoadsStatedHere() {
-  std::vector<SharedLoad> loads;
-  for (const auto& [id, server] : view_.servers.all())
-    if (const std::optional<SharedLoad> load = server->TakeStatedLoad()) loads.push_back(*load);
-  return loads;
-}
-
-std::vector<SharedLoad> Gateway::LoadsOfBusyServers() const {
-  const auto now = steady_clock::now();
-  std::vector<SharedLoad> loads;
-  for (const auto& [id, server] : view_.servers.all()) {
-    const std::optional<SharedLoad> load = server->StatedLoad(now);
-    if (load && load->running + load->waiting >= kBusyRequests) loads.push_back(*load);
-  }
-  if (loads.size() > kMostLoadsTold) {
-    std::nth_element(loads.begin(), loads.begin() + kMostLoadsTold, loads.end(),
-                     [](const SharedLoad& left, const SharedLoad& right) {
-                       return left.running + left.waiting > right.running + right.waiting;
-                     });
-    loads.resize(kMostLoadsTold);
-  }
-  return loads;
-}
-
-void Gateway::TakeLoads(const std::vector<SharedLoad>& loads) {
-  std::unordered_map<std::uint32_t, const SharedLoad*> by_tag;
-  for (const SharedLoad& load : loads) by_tag[load.server_tag] = &load;
-  const auto now = steady_clock::now();
-  for (const auto& [id, server] : view_.servers.all())
-    if (const auto load = by_tag.find(server->tag()); load != by_tag.end())
-      server->NoteSharedLoad(*load->second, now);
-}
-
 /// Reports come more often while requests wait; questions need not.
 bool Gateway::AskNow(steady_clock::time_point now) {
   if (now - asked_ < kReportEvery - kReportPause) return false;
@@ -247,7 +208,6 @@
     report.stopping = stopping_;
     report.entries = view_.demand.Take();
     report.unreachable = UnreachableServers();
-    if (view_.loads_shared) report.loads = LoadsStatedHere();
     if (election_.leading()) {
       controller_.AddReport(report);
     } else if (election_.leader()) {
@@ -265,7 +225,6 @@
 void Gateway::TakeReport(const DemandReport& report) {
   members_.Note(report, steady_clock::now());
   controller_.AddReport(report);
-  if (view_.loads_shared) TakeLoads(report.loads);
   if (report.question) AnswerQuestion(report);
 }
 
@@ -274,7 +233,6 @@
   ChangeAnswer answer;
   if (election_.leading()) {
     answer = store_view_.Answer(question, Daemons());
-    if (answer.relays && !answer.gap) answer.loads = LoadsOfBusyServers();
   } else {
     answer.asked_at_us = question.asked_at_us;
     answer.leads = false;
@@ -297,8 +255,6 @@
   if (answer.leads) {
     election_.HeardLeader(answer.daemons);
     TakeSize(answer.daemons);
-    view_.loads_shared = answer.relays;
-    TakeLoads(answer.loads);
   }
   store_view_.TakeAnswer(answer);
 }
@@ -317,7 +273,6 @@
     const bool large =
         settings_.relay_from_daemons > 0 && Daemons() >= settings_.relay_from_daemons;
     store_view_.SetWatching(election_.leading() && large);
-    if (election_.leading()) view_.loads_shared = large;
     pipeline_.Sweep();
     pipeline_.ListOpen();
     log_.Flush();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -54,9 +54,6 @@
   void TakeReport(const DemandReport& report);
   void HandLeadershipOn();
   std::vector<std::string> UnreachableServers() const;
-  std::vector<SharedLoad> LoadsStatedHere();
-  std::vector<SharedLoad> LoadsOfBusyServers() const;
-  void TakeLoads(const std::vector<SharedLoad>& loads);
   Awaitable<void> ReportDemand();
   Awaitable<void> KeepHouse();
   Awaitable<void> Stop();
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -145,9 +145,8 @@
 }
 
 ServerPtr RequestPipeline::ChooseOnce(GatewayRequest& request, NoServerReason& reason) const {
-  ChoiceRequest wanted{request.service, request.model,          request.parts,
-                       settings_.zone,  request.failed_servers, 0};
-  if (view_.loads_shared) wanted.draw = std::hash<std::string>{}(request.id);
+  ChoiceRequest wanted{request.service, request.model, request.parts, settings_.zone,
+                       request.failed_servers};
   const auto now = steady_clock::now();
   Choice choice = ChooseServer(view_.servers, wanted, now);
   reason = choice.reason;
--- a/src/gateway/server_choice.cc
+++ b/src/gateway/server_choice.cc
@@ -64,23 +64,6 @@
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-/// @return two of the candidates, by the request's own number, and the one with the least of the
-/// prompt to read.
-std::vector<ServerPtr> Draw(const std::vector<ServerPtr>& candidates,
-                            const ChoiceRequest& request) {
-  constexpr std::size_t kDrawn = 3;
-  constexpr unsigned kHalfBits = 32;
-  const std::size_t count = candidates.size();
-  if (count <= kDrawn) return candidates;
-  const std::size_t first = request.draw % count;
-  const std::size_t second = (first + 1 + (request.draw >> kHalfBits) % (count - 1)) % count;
-  const auto nearest = std::min_element(
-      candidates.begin(), candidates.end(), [&](const ServerPtr& left, const ServerPtr& right) {
-        return PromptMs(*left, request) < PromptMs(*right, request);
-      });
-  return {candidates[first], candidates[second], *nearest};
-}
-
 }  // namespace
 
 Choice ChooseServer(const ServerDirectory& directory, const ChoiceRequest& request,
@@ -88,17 +71,12 @@
   Choice best;
   const std::vector<ServerPtr>& servers = directory.Of(request.service);
   best.reason = servers.empty() ? NoServerReason::kUnknownService : NoServerReason::kModelNotHeld;
-  std::vector<ServerPtr> candidates;
   for (const ServerPtr& server : servers) {
     if (!request.model.model.empty() && !server->Holds(request.model, now)) continue;
     if (!server->Usable(now) || Contains(request.excluded, server->record().id)) {
       best.reason = NoServerReason::kAllUnusable;
       continue;
     }
-    candidates.push_back(server);
-  }
-  if (request.draw != 0) candidates = Draw(candidates, request);
-  for (const ServerPtr& server : candidates) {
     const double cost = CostMs(*server, request, now);
     if (best.server && cost >= best.cost_ms) continue;
     best.server = server;
--- a/src/gateway/server_choice.h
+++ b/src/gateway/server_choice.h
@@ -14,10 +14,6 @@
   std::vector<PromptPart> parts;
   std::string zone;                   ///< Of this daemon.
   std::vector<std::string> excluded;  ///< Servers that have failed this request.
-  /// Where loads are known from other daemons, and half a second old, all would choose the server
-  /// that was emptiest then. A number of the request's own lets each compare only two servers and
-  /// the one that has read most of the prompt. 0: compare all.
-  std::uint64_t draw = 0;
 };
 
 /// Why there is no server for a request.
--- a/src/gateway/server_directory.cc
+++ b/src/gateway/server_directory.cc
@@ -1,8 +1,6 @@
 #include "gateway/server_directory.h"
 
 #include <algorithm>
-#include <limits>
-#include <utility>
 
 namespace moorfold {
 
@@ -13,16 +11,8 @@
 constexpr std::chrono::milliseconds kShortestSuspicion{300};
 constexpr std::chrono::milliseconds kLongestSuspicion{3'000};
 constexpr std::chrono::milliseconds kStatedLoadLife{1'000};
-/// A server's own word here is preferred for so long to what others heard: theirs is half a
-/// report's interval old on its way to the leader, and as much on its way from there.
-constexpr std::chrono::milliseconds kOwnWordPreferred{300};
 constexpr double kErrorWeight = 0.2;  ///< Of the newest answer in the share of failures.
 
-std::uint16_t Narrow(double count) {
-  return static_cast<std::uint16_t>(
-      std::min<double>(count, std::numeric_limits<std::uint16_t>::max()));
-}
-
 }  // namespace
 
 std::uint64_t RecentPrompts::Hash(std::uint64_t before, const std::string& part) {
@@ -135,31 +125,6 @@
   stated_waiting_ = waiting;
   in_flight_when_stated_ = in_flight_;
   stated_at_ = now;
-  stated_here_ = true;
-}
-
-std::uint32_t Server::TagOf(const std::string& id) {
-  constexpr std::uint32_t kBasis = 2166136261U;
-  constexpr std::uint32_t kPrime = 16777619U;
-  std::uint32_t tag = kBasis;
-  for (const unsigned char character : id) tag = (tag ^ character) * kPrime;
-  return tag;
-}
-
-void Server::NoteSharedLoad(const SharedLoad& load, SteadyTime now) {
-  if (stated_here_ && now - stated_at_ < kOwnWordPreferred) return;
-  NoteLoad(load.running, load.waiting, now);
-  stated_here_ = false;
-}
-
-std::optional<SharedLoad> Server::TakeStatedLoad() {
-  if (!std::exchange(stated_here_, false)) return std::nullopt;
-  return SharedLoad{tag_, Narrow(stated_running_), Narrow(stated_waiting_)};
-}
-
-std::optional<SharedLoad> Server::StatedLoad(SteadyTime now) const {
-  if (now - stated_at_ > kStatedLoadLife) return std::nullopt;
-  return SharedLoad{tag_, Narrow(stated_running_), Narrow(stated_waiting_)};
 }
 
 double Server::ExpectedRequests(SteadyTime now) const {
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -4,14 +4,12 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
-#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "fleet/server_record.h"
 #include "gateway/prompt.h"
-#include "relay/relay_messages.h"
 
 namespace moorfold {
 
@@ -37,11 +35,7 @@
 /// One thread.
 class Server {
  public:
-  explicit Server(ServerRecord record) : record_(std::move(record)), tag_(TagOf(record_.id)) {}
-  /// @return a short name of a server for messages. Two servers that share one, one pair in some
-  /// thousand fleets, are taken for equally busy.
-  static std::uint32_t TagOf(const std::string& id);
-  std::uint32_t tag() const { return tag_; }
+  explicit Server(ServerRecord record) : record_(std::move(record)) {}
 
   const ServerRecord& record() const { return record_; }
   void Update(ServerRecord record, SteadyTime now);
@@ -81,12 +75,6 @@
 
   /// Load as the server stated it.
   void NoteLoad(std::uint32_t running, std::uint32_t waiting, SteadyTime now);
-  /// Load as it stated it to another daemon a moment ago. What it said here just now is newer.
-  void NoteSharedLoad(const SharedLoad& load, SteadyTime now);
-  /// @return what it stated here and was not yet taken from here.
-  std::optional<SharedLoad> TakeStatedLoad();
-  /// @return what is known of its load, if it was stated lately.
-  std::optional<SharedLoad> StatedLoad(SteadyTime now) const;
   /// @return requests expected there: the stated ones while that is recent, else only our own.
   double ExpectedRequests(SteadyTime now) const;
   double ExpectedWaiting(SteadyTime now) const;
@@ -105,7 +93,6 @@
   void Note(const ModelReference& model, SteadyTime until, bool held, SteadyTime now);
 
   ServerRecord record_;
-  std::uint32_t tag_ = 0;
   std::vector<NotedModel> notes_;
   bool gone_ = false;
   std::uint32_t in_flight_ = 0;
@@ -118,7 +105,6 @@
   double stated_waiting_ = 0;
   std::uint32_t in_flight_when_stated_ = 0;
   SteadyTime stated_at_{};
-  bool stated_here_ = false;  ///< Not yet taken.
   RecentPrompts prompts_;
 };
 using ServerPtr = std::shared_ptr<Server>;
--- a/src/gateway/store_view.cc
+++ b/src/gateway/store_view.cc
@@ -19,7 +19,7 @@
 
 /// Of one answer to a follower: a datagram is lost whole when a part of it is lost, and the channel
 /// carries 8 kB.
-constexpr std::size_t kMostAnswerBytes = 5'500;
+constexpr std::size_t kMostAnswerBytes = 7'000;
 
 std::int64_t Microseconds(std::chrono::steady_clock::duration duration) {
   return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
--- a/src/relay/relay_messages.h
+++ b/src/relay/relay_messages.h
@@ -38,18 +38,6 @@
   }
 };
 
-/// What a server said of its load, as one daemon passes it on to another.
-struct SharedLoad {
-  std::uint32_t server_tag = 0;  ///< Of its id: Server::tag.
-  std::uint16_t running = 0;
-  std::uint16_t waiting = 0;
-
-  template <typename Archive>
-  void serialize(Archive& archive) {
-    archive(server_tag, running, waiting);
-  }
-};
-
 /// From the watcher to one follower: what it has asked for.
 struct ChangeAnswer {
   std::int64_t asked_at_us = 0;  ///< Of the question.
@@ -67,12 +55,11 @@
       0;                      ///< The newest that the sender knows; not relayed itself.
   std::uint32_t daemons = 1;  ///< How many report to the sender, itself included.
   std::vector<ServerChange> servers;
-  std::vector<SharedLoad> loads;  ///< Of busy servers, as daemons heard them lately.
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(asked_at_us, relays, leads, gap, from_revision, to_revision, age_us,
-            configuration_version, daemons, servers, loads);
+            configuration_version, daemons, servers);
   }
 };
 
--- a/test/gateway/server_choice_test.cc
+++ b/test/gateway/server_choice_test.cc
@@ -1,7 +1,6 @@
 #include "gateway/server_choice.h"
 
 #include <catch2/catch.hpp>
-#include <map>
 
 namespace moorfold {
 namespace {
@@ -57,70 +56,6 @@
   }
 }
 
-TEST_CASE(
-    "Where loads come from other daemons, requests spread over the servers that are not busy") {
-  ServerDirectory directory;
-  for (int server = 0; server < 12; ++server)
-    directory.Put(MakeRecord("i-" + std::to_string(server)), kNow);
-  // As all daemons heard half a second ago: one server is empty, one is full.
-  for (const auto& [id, server] : directory.all())
-    server->NoteSharedLoad({server->tag(),
-                            static_cast<std::uint16_t>(id == "i-3"   ? 0
-                                                       : id == "i-7" ? 40
-                                                                     : 8),
-                            0},
-                           kNow);
-  std::map<std::string, int> chosen;
-  for (int number = 0; number < 1'200; ++number) {
-    ChoiceRequest request = MakeRequest("m");
-    request.draw = std::hash<std::string>{}("request " + std::to_string(number));
-    ++chosen[Chosen(directory, request)];
-  }
-  CHECK(chosen["i-3"] > 100);
-  CHECK(chosen["i-3"] < 400);  // Not all of them at once.
-  CHECK(chosen["i-7"] < 40);
-  CHECK(chosen.size() >= 11);
-}
-
-TEST_CASE("A server that has read the prompt is compared with the two that a request draws") {
-  ServerDirectory directory;
-  for (int server = 0; server < 12; ++server)
-    directory.Put(MakeRecord("i-" + std::to_string(server)), kNow);
-  const std::vector<PromptPart> parts = {{"shared", 6'300}, {"own", 2'890}};
-  directory.Find("i-5")->prompts().Remember({"m", ""}, parts);
-  ChoiceRequest request = MakeRequest("m");
-  request.parts = parts;
-  for (std::uint64_t number = 1; number < 50; ++number) {
-    request.draw = std::hash<std::string>{}("request " + std::to_string(number));
-    CHECK(Chosen(directory, request) == "i-5");
-  }
-  directory.Find("i-5")->NoteLoad(60, 10, kNow);
-  request.draw = 12'345;
-  CHECK(Chosen(directory, request) != "i-5");
-}
-
-TEST_CASE(
-    "A load is passed on once, and a server's own word here is newer than what others heard") {
-  Server server(MakeRecord("i-1"));
-  CHECK_FALSE(server.TakeStatedLoad());
-  server.NoteLoad(7, 2, kNow);
-  server.NoteSharedLoad({server.tag(), 1, 0}, kNow + milliseconds(100));
-  CHECK(server.ExpectedRequests(kNow + milliseconds(100)) == 9);
-  const std::optional<SharedLoad> stated = server.TakeStatedLoad();
-  REQUIRE(stated);
-  CHECK(stated->running == 7);
-  CHECK(stated->waiting == 2);
-  CHECK(stated->server_tag == Server::TagOf("i-1"));
-  CHECK_FALSE(server.TakeStatedLoad());
-  server.NoteSharedLoad({server.tag(), 3, 0}, kNow + milliseconds(600));
-  CHECK(server.ExpectedRequests(kNow + milliseconds(600)) == 3);
-  CHECK_FALSE(server.TakeStatedLoad());  // It was another's news.
-  CHECK(server.StatedLoad(kNow + milliseconds(700)));
-  CHECK_FALSE(server.StatedLoad(kNow + seconds(3)));
-  server.NoteLoad(100'000, 0, kNow + seconds(4));  // An absurd word stays within bounds.
-  CHECK(server.TakeStatedLoad()->running == 65'535);
-}
-
 TEST_CASE("Servers that leave, are gone, full or out of reach are not used") {
   ServerDirectory directory;
   directory.Put(MakeRecord("only"), kNow);
