--- a/src/gateway/store_view.cc
+++ b/src/gateway/store_view.cc
@@ -74,8 +74,7 @@
 }
 
 bool StoreView::Decide(const follow::Event& event) {
-  const follow::Decision decision =
-      follow::Reduce(settings_, std::move(state_), event, steady_clock::now());
+  const follow::Decision decision = follow::Reduce(settings_, state_, event, steady_clock::now());
   state_ = decision.state;
   return decision.apply;
 }
--- a/test/relay/relayed_view_test.cc
+++ b/test/relay/relayed_view_test.cc
@@ -80,7 +80,7 @@
   ChangeAnswer Exchange() {
     const std::optional<ChangeQuestion> question = follower.store_view.Question();
     REQUIRE(question);
-    const ChangeAnswer answer = watcher.store_view.Answer(*question, 20);
+    ChangeAnswer answer = watcher.store_view.Answer(*question, 20);
     follower.store_view.TakeAnswer(answer);
     return answer;
   }
