Let the test of a late claim bring the fault about

Cause: with the rule switched off the test still passed: the candidate's watch showed it the leader before it would have claimed. Ruled out: nothing else in the test. Change: the candidate has seen that nobody leads, waits 0.6 s, and meets the other's win only if it reads the key again. As strict, and it bites. Conclusion: replaced.

--- a/test/fleet/leader_election_test.cc
+++ b/test/fleet/leader_election_test.cc
@@ -17,12 +17,13 @@
 /// One candidate with its own connection to a shared store.
 struct Candidate {
   Candidate(boost::asio::io_context& context, KeyValueTable& table, const std::string& name,
-            milliseconds handover = milliseconds(60))
+            milliseconds handover = milliseconds(60),
+            milliseconds candidacy_delay = milliseconds(0))
       : store(context, table),
         log(-1, {}),
         election(context, store, log,
                  {name, "127.0.0.1:1", kKey, milliseconds(1'500), handover, milliseconds(5'000),
-                  milliseconds(0)}) {
+                  candidacy_delay}) {
     watch = store.Watch(
         {kKey, ""}, 1,
         [this](const WatchBatch& batch) {
@@ -219,10 +220,11 @@
   // its listing.
   boost::asio::io_context context;
   KeyValueTable table;
+  // It has seen that there is no leader, and would claim the key 0.6 s later.
+  Candidate two(context, table, "two", milliseconds(60), milliseconds(600));
+  two.store.hold_grants = true;  // A claim begins with a lease.
   Candidate one(context, table, "one");
   REQUIRE(RunUntil(context, {&one}, [&] { return one.election.leading(); }));
-  Candidate two(context, table, "two");
-  two.store.hold_grants = true;  // A claim begins with a lease.
   // Its watch shows nothing.
   RunUntil(
       context, {&one}, [] { return false; }, milliseconds(1'500));
