Say of the relay's smallest fleet where its figure comes from

Cause: the comment said three times as often and named a page that does not tell it; it is 0.55 of the bound against 0.1. Change: a comment only. Conclusion: the figure is arithmetic and was not varied.

--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -32,8 +32,8 @@
   /// A configuration must be in force, and a leaving server unused, so soon after the store has it.
   std::chrono::milliseconds staleness_bound{2'000};
   /// In a fleet of at least so many daemons the others follow the leader's reads of the store; 0:
-  /// in none. A leader that is followed reads some three times as often, so that fewer daemons
-  /// together would save little (docs/LARGE.md).
+  /// in none. A leader that is followed reads five times as often, so that few daemons together
+  /// would save little. From that arithmetic; other sizes were not played.
   std::uint32_t relay_from_daemons = 16;
   /// Lines of the log in a second; a tenth of it for ordinary served requests, twice as many when
   /// something fails. 0: no log.
