--- a/test/emulator/fault_proxy.cc
+++ b/test/emulator/fault_proxy.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 namespace moorfold {
@@ -82,6 +83,15 @@
   pairs_.erase(pair);
 }
 
+Awaitable<void> FaultProxy::Carry(std::size_t bytes) {
+  using std::chrono::steady_clock;
+  const std::chrono::duration<double> taken(static_cast<double>(bytes) / bytes_per_second_);
+  link_free_at_ = std::max(link_free_at_, steady_clock::now()) +
+                  std::chrono::duration_cast<steady_clock::duration>(taken);
+  asio::steady_timer timer(context_, link_free_at_);
+  co_await timer.async_wait(use_awaitable);
+}
+
 Awaitable<void> FaultProxy::Pump(std::shared_ptr<Pair> pair, bool to_target) {
   tcp::socket& from = to_target ? pair->caller : pair->target;
   tcp::socket& to = to_target ? pair->target : pair->caller;
@@ -94,6 +104,7 @@
     while (mode_ == ProxyMode::kSilent || (mode_ == ProxyMode::kOneWay && !to_target))
       co_await mode_changed_.Wait();
     if (mode_ == ProxyMode::kDelay) co_await Sleep(kDelay);
+    if (!to_target && bytes_per_second_ > 0) co_await Carry(got);
     co_await asio::async_write(to, asio::buffer(chunk.data(), got),
                                asio::redirect_error(use_awaitable, error));
   }
--- a/test/emulator/fault_proxy.h
+++ b/test/emulator/fault_proxy.h
@@ -27,6 +27,8 @@
   void SetMode(ProxyMode mode);
   /// Resets the connections that stand; new ones pass.
   void ResetAll();
+  /// From now on all connections together bring callers so many bytes a second; 0: any number.
+  void SetBytesPerSecond(double bytes) { bytes_per_second_ = bytes; }
   Endpoint endpoint() const;
   void set_target(Endpoint target) { target_ = std::move(target); }
 
@@ -36,12 +38,16 @@
   Awaitable<void> Accept();
   Awaitable<void> Serve(std::shared_ptr<Pair> pair);
   Awaitable<void> Pump(std::shared_ptr<Pair> pair, bool to_target);
+  /// Waits until the link to the callers has carried all before and these bytes.
+  Awaitable<void> Carry(std::size_t bytes);
 
   boost::asio::io_context& context_;
   Endpoint target_;
   boost::asio::ip::tcp::acceptor acceptor_;
   ProxyMode mode_ = ProxyMode::kPass;
   AsyncSignal mode_changed_;
+  double bytes_per_second_ = 0;
+  std::chrono::steady_clock::time_point link_free_at_{};
   std::set<std::shared_ptr<Pair>> pairs_;
 };
 
--- /dev/null
+++ b/test/gateway/catching_up_test.cc
@@ -0,0 +1,138 @@
+// A daemon that has fallen behind the store, over sockets: the shipped view and store client, the
+// store's emulator, and a link of 10 Mbit/s. Configurations change all the while.
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+
+#include "fault_proxy.h"
+#include "gateway/store_view.h"
+#include "protocol.h"
+#include "store_client.h"
+#include "store_emulator.h"
+
+namespace moorfold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+/// Of the machine and the day on which this was seen (docs/incidents/jazda-inc1-drain.md).
+constexpr double kLinkBytesPerSecond = 1'250'000;
+constexpr milliseconds kConfigurationEvery{150};
+constexpr std::size_t kConfigurationBytes = 42'000;
+constexpr milliseconds kStalenessBound{3'000};
+constexpr follow::Settings kSettings{milliseconds(1'650), milliseconds(300), milliseconds(1'050)};
+
+std::string ConfigurationText(int version) {
+  std::string text = R"({"version":)" + std::to_string(version) + R"(,"services":[],"routes":[)";
+  for (int route = 0; text.size() < kConfigurationBytes; ++route) {
+    if (route > 0) text += ',';
+    text += R"({"name":"route-)" + std::to_string(route) +
+            R"(","host":"a.example","pathPrefix":"/)" + std::to_string(route) +
+            R"(/","type":"safe","timeoutMs":1000,"service":"s"})";
+  }
+  return text + "]}";
+}
+
+/// A daemon behind a link that can be cut or slow.
+struct DistantDaemon {
+  DistantDaemon(boost::asio::io_context& io, StoreEmulator& emulator)
+      : link(io, emulator.endpoint()),
+        client(io, link.endpoint(), {}),
+        log(-1, {}),
+        view(io.get_executor()),
+        store_view(io, client, protocol, view, metrics, log, kSettings) {
+    link.SetBytesPerSecond(kLinkBytesPerSecond);
+    link.Start();
+  }
+  void Start() {
+    store_view.Start(
+        "moorfold/leader", [](const std::optional<KeyValue>&, std::int64_t) {},
+        [](const RoutingConfiguration&) {});
+  }
+  std::int64_t Version() const { return view.routes ? view.routes->configuration().version : -1; }
+  bool KnowsDraining(const std::string& id) const {
+    const ServerPtr server = view.servers.Find(id);
+    return server == nullptr || server->record().draining;
+  }
+
+  FaultProxy link;
+  platform::StoreClient client;
+  EventLog log;
+  platform::Protocol protocol;
+  GatewayMetrics metrics;
+  FleetView view;
+  StoreView store_view;
+};
+
+struct CatchingUpFixture {
+  CatchingUpFixture() : store(context, 1), daemon(context, store) {
+    store.Start();
+    PutServer("i-1", "ready");
+    boost::asio::co_spawn(context, ChangeConfigurations(), boost::asio::detached);
+    daemon.Start();
+  }
+  void PutServer(const std::string& id, const std::string& state) {
+    store.Put("servers/" + id, R"({"service":"s","address":"127.0.0.1:1","zone":"z","state":")" +
+                                   state + R"(","slots":4})");
+  }
+  Awaitable<void> ChangeConfigurations() {
+    while (true) {
+      store.Put("op/config", ConfigurationText(++version));
+      co_await Sleep(kConfigurationEvery);
+    }
+  }
+  bool RunUntil(const std::function<bool()>& done, milliseconds patience) {
+    const auto give_up = steady_clock::now() + patience;
+    while (!done() && steady_clock::now() < give_up) context.run_one_for(milliseconds(5));
+    return done();
+  }
+  void RunFor(milliseconds time) {
+    RunUntil([] { return false; }, time);
+  }
+
+  boost::asio::io_context context{1};
+  StoreEmulator store;
+  int version = 0;
+  DistantDaemon daemon;
+};
+
+TEST_CASE("A daemon that was cut off catches up while configurations go on changing") {
+  CatchingUpFixture fixture;
+  REQUIRE(fixture.RunUntil([&] { return fixture.daemon.Version() > 0; }, milliseconds(5'000)));
+  fixture.RunFor(milliseconds(2'000));
+  CHECK(fixture.version - fixture.daemon.Version() <= kStalenessBound / kConfigurationEvery);
+  const milliseconds away = GENERATE(milliseconds(500), milliseconds(4'000), milliseconds(9'000));
+  INFO("cut off for " << away.count() << " ms");
+  fixture.daemon.link.SetMode(ProxyMode::kRefuse);
+  fixture.RunFor(away);
+  fixture.daemon.link.SetMode(ProxyMode::kPass);
+  fixture.PutServer("i-1", "draining");
+  const int leaving_with = fixture.version;
+  CHECK(fixture.RunUntil([&] { return fixture.daemon.KnowsDraining("i-1"); }, kStalenessBound));
+  CHECK(fixture.RunUntil([&] { return fixture.daemon.Version() >= leaving_with; },
+                         milliseconds(500)));
+}
+
+TEST_CASE("A newer configuration does not hold back what is relayed of servers") {
+  using namespace follow;
+  const Time start{std::chrono::hours(1)};
+  State state = Reduce(kSettings, {}, ReadBegun{true}, start).state;
+  state = Reduce(kSettings, state, ReadEnded{7}, start + milliseconds(30)).state;
+  Relayed answer;
+  answer.from_revision = 7;
+  answer.to_revision = 12;
+  answer.newer_configuration = true;
+  answer.current_at = start + milliseconds(900);
+  const Decision decision = Reduce(kSettings, state, answer, start + milliseconds(1'000));
+  CHECK(decision.apply);
+  CHECK(decision.state.revision == 12);
+  // The configuration is still to be read, soon.
+  CHECK(NextRead(kSettings, decision.state) <= start + milliseconds(1'100));
+}
+
+}  // namespace
+}  // namespace moorfold
