Bound what a read of the store asks for, and let servers be relayed past a configuration

Beside it: a relayed answer that told of a newer configuration was dropped with all that it said of servers, and a listing gave servers that were missing in it a grace meant for outages, each later listing anew. Ruled out: the storm alone (a daemon that was away for 0.5 s keeps up on the untouched code). Change: follow_state decides what a read asks for: changes, a listing as soon as it is expected to be the smaller answer or after changes that were not answered, servers alone and then the configuration after a listing that was not. Servers and configuration have a currency each; a newer configuration is read by itself. A pooled connection that stays silent takes the others with it. The change log knows spans that were listed over; a leader relays only when it knows both as of one revision. Failed reads are counted by kind and reason, the age of what is believed has two gauges, an outage's end is one line. 404 only while the configuration is known as of no longer ago than the platform's bound (was 4.5 s, of no source).

--- a/src/common/log_event.h
+++ b/src/common/log_event.h
@@ -117,6 +117,7 @@
   kOthers,
   kSource,
   kTotal,
+  kFailedReads,
 };
 inline constexpr std::array kLogFieldNames = {"id",
                                               "ids",
@@ -167,7 +168,8 @@
                                               "drain_timeout_ms",
                                               "others",
                                               "source",
-                                              "total"};
+                                              "total",
+                                              "failed_reads"};
 
 /// @return the name as it stands in the log.
 constexpr const char* Name(LogEvent event) {
@@ -177,7 +179,7 @@
   return kLogFieldNames[static_cast<std::size_t>(field)];
 }
 static_assert(kLogEventNames.size() == static_cast<std::size_t>(LogEvent::kLogLinesLeftOut) + 1);
-static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kTotal) + 1);
+static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kFailedReads) + 1);
 
 /// One line of a gateway's log, made only of listed events and fields.
 class EventLine {
--- a/src/gateway/counting_store.cc
+++ b/src/gateway/counting_store.cc
@@ -4,20 +4,6 @@
 
 namespace {
 
-const char* Name(PlatformFault fault) {
-  switch (fault) {
-    case PlatformFault::kUnavailable:
-      return "unavailable";
-    case PlatformFault::kRateLimited:
-      return "rate_limited";
-    case PlatformFault::kNoAnswer:
-      return "no_answer";
-    case PlatformFault::kRejected:
-      return "rejected";
-  }
-  return "unknown";
-}
-
 void Count(GatewayMetrics& metrics, const char* call, const char* outcome) {
   metrics.store_calls.Add({{"call", call}, {"outcome", outcome}});
 }
@@ -27,7 +13,7 @@
 template <typename T>
 KeyValueStore::Callback<T> CountingStore::Counted(const char* call, Callback<T> done) {
   return [this, call, done = std::move(done)](Outcome<T> result) {
-    Count(metrics_, call, result.ok() ? "ok" : Name(result.failure().fault));
+    Count(metrics_, call, result.ok() ? "ok" : ToString(result.failure().fault));
     done(std::move(result));
   };
 }
@@ -61,7 +47,7 @@
         changed(batch);
       },
       [this, ended = std::move(ended)](PlatformFailure failure) {
-        Count(metrics_, "watch", Name(failure.fault));
+        Count(metrics_, "watch", ToString(failure.fault));
         ended(std::move(failure));
       });
 }
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -20,15 +20,24 @@
   RouteTableConstPtr routes;  ///< Null until a configuration is known.
   ServerDirectory servers;
   DemandBook demand;
-  SteadyTime configured_at{};  ///< When `routes` was taken over.
-  SteadyTime last_store_contact{};
+  SteadyTime configured_at{};             ///< When `routes` was taken over.
+  SteadyTime servers_current_at{};        ///< At that time the store knew no more of servers.
+  SteadyTime configuration_current_at{};  ///< The same of the configuration.
+  /// A configuration must be in force so soon after the store has it. Source: the platform's bound.
+  std::chrono::milliseconds configuration_bound{2'000};
   AsyncSignal changed;        ///< Notified when a waiting request may find a server now.
   AsyncSignal demand_raised;  ///< Notified when a request begins to wait for a server.
 
-  /// @return whether the store was heard from so lately that its newest configuration is known.
-  bool Fresh(SteadyTime now) const {
-    constexpr std::chrono::milliseconds kFreshness{4'500};
-    return routes != nullptr && now - last_store_contact < kFreshness;
+  /// What a daemon does while it knows that it is behind:
+  /// - It goes on sending requests to servers as it knew them last. A server proves itself with
+  ///   each answer: one that is not the one expected, or is leaving, says so, and is not used
+  ///   again. Refusing instead would end the service of every daemon in an outage of the store.
+  /// - It goes on using the routes that it knows. A route that it does not know may have been added
+  ///   since: its requests are turned away at once as not run, with a time to come back, and never
+  ///   told that there is no such route, unless this holds.
+  /// @return whether no configuration can be in force by now that this daemon does not know.
+  bool ConfigurationCurrent(SteadyTime now) const {
+    return routes != nullptr && now - configuration_current_at < configuration_bound;
   }
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -19,9 +19,9 @@
 /// By then the server's record shows that the model is gone, or that it stayed.
 constexpr milliseconds kUnloadSettles{5'000};
 constexpr milliseconds kReportPause{60};
-/// Share of the staleness bound that passes between two reads of the store; the rest is for the
-/// calls, for requests on their way, and for a weak machine. 0.7 broke a drain on two days of six
-/// (docs/JAZDA.md, round 9).
+/// Share of the tighter staleness bound that passes between two reads of the store; the rest is for
+/// the calls, for requests on their way, and for a weak machine. 0.7 broke a drain on two days of
+/// six (docs/JAZDA.md, round 9).
 constexpr double kReadShare = 0.55;
 /// The same for a leader that others follow. What a follower knows is older by up to its question's
 /// interval, and must stay younger than `kReadShare` also when one datagram is lost.
@@ -54,12 +54,17 @@
 }
 
 follow::Settings FollowSettings(const GatewaySettings& settings) {
+  const milliseconds bound = std::min(settings.staleness_bound, settings.configuration_bound);
   const auto share = [&](double part) {
-    return std::chrono::duration_cast<milliseconds>(settings.staleness_bound * part);
+    return std::chrono::duration_cast<milliseconds>(bound * part);
   };
   return {share(kReadShare), share(kWatcherReadShare), share(kUrgentReadShare)};
 }
 
+std::int64_t MillisecondsSince(SteadyTime time) {
+  return std::chrono::duration_cast<milliseconds>(steady_clock::now() - time).count();
+}
+
 HttpResponse Plain(unsigned status, std::string text) {
   return {status, {{"Content-Type", "text/plain"}}, std::move(text)};
 }
@@ -101,6 +106,7 @@
                   }),
       pipeline_(context, protocol, view_, metrics_, log,
                 {settings_.zone, settings_.retry_window, settings_.retry_ratio}) {
+  view_.configuration_bound = settings_.configuration_bound;
   const std::vector<boost::asio::io_context*> contexts = {&context_};
   front_ = std::make_unique<HttpServer>(
       contexts, settings_.listen, HttpServerLimits{},
@@ -161,13 +167,10 @@
   }
   metrics_.log_lines_lost = log_.lost();
   metrics_.peak_memory_kb = PeakMemoryKilobytes();
-  if (view_.routes)
-    metrics_.configuration_age_ms =
-        std::chrono::duration_cast<milliseconds>(steady_clock::now() - view_.configured_at).count();
+  if (view_.routes) metrics_.configuration_age_ms = MillisecondsSince(view_.configured_at);
   pipeline_.DescribeLoad();
-  metrics_.store_silence_ms =
-      std::chrono::duration_cast<milliseconds>(steady_clock::now() - view_.last_store_contact)
-          .count();
+  metrics_.servers_known_age_ms = MillisecondsSince(view_.servers_current_at);
+  metrics_.configuration_known_age_ms = MillisecondsSince(view_.configuration_current_at);
   co_await exchange.Respond(Plain(http_status::kOk, metrics_.Render()));
 }
 
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -57,6 +57,7 @@
   Count(text, "waits_for_server", waits_for_server);
   requests_ended.Render("requests_ended_total", text);
   store_calls.Render("store_calls_total", text);
+  failed_reads.Render("store_reads_failed_total", text);
   Count(text, "relay_answers_sent", relay_answers_sent);
   Count(text, "relay_answers_taken", relay_answers_taken);
   Count(text, "relayed_changes", relayed_changes);
@@ -66,7 +67,8 @@
   Gauge(text, "configuration_version", configuration_version);
   Gauge(text, "servers_known", servers_known);
   Gauge(text, "leading", leading);
-  Gauge(text, "store_silence_ms", store_silence_ms);
+  Gauge(text, "servers_known_age_ms", servers_known_age_ms);
+  Gauge(text, "configuration_known_age_ms", configuration_known_age_ms);
   Gauge(text, "configuration_age_ms", configuration_age_ms);
   Gauge(text, "requests_open", requests_open);
   Gauge(text, "requests_waiting", requests_waiting);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -44,6 +44,7 @@
   std::uint64_t waits_for_server = 0;
   LabelledCounter requests_ended;         ///< By route, kind, outcome and reason.
   LabelledCounter store_calls;            ///< By call and outcome.
+  LabelledCounter failed_reads;           ///< Of the store, by what was read and the reason.
   std::uint64_t relay_answers_sent = 0;   ///< To followers.
   std::uint64_t relay_answers_taken = 0;  ///< That made this daemon's knowledge newer.
   std::uint64_t relayed_changes = 0;      ///< Of servers, taken from such answers.
@@ -53,7 +54,8 @@
   std::int64_t configuration_version = 0;
   std::int64_t servers_known = 0;
   std::int64_t leading = 0;
-  std::int64_t store_silence_ms = 0;  ///< Age of the view of the servers.
+  std::int64_t servers_known_age_ms = 0;        ///< Since nothing newer of servers existed.
+  std::int64_t configuration_known_age_ms = 0;  ///< Since no newer configuration existed.
   std::int64_t configuration_age_ms = 0;
   std::int64_t requests_open = 0;
   std::int64_t requests_waiting = 0;  ///< For a server.
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -65,6 +65,8 @@
   settings.load_window = ReadTime(root, "load_window", settings.load_window);
   settings.drain_timeout = ReadTime(root, "drain_timeout", settings.drain_timeout);
   settings.staleness_bound = ReadTime(root, "staleness_bound", settings.staleness_bound);
+  settings.configuration_bound =
+      ReadTime(root, "configuration_bound", settings.configuration_bound);
   settings.log_lines_per_second = static_cast<std::uint32_t>(
       root.Integer("log_lines_per_second", 0, kMostLogLines, settings.log_lines_per_second));
   settings.relay_from_daemons = static_cast<std::uint32_t>(
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -29,8 +29,10 @@
   std::chrono::milliseconds order_handover{3'000};
   std::chrono::milliseconds load_window{5'000};
   std::chrono::milliseconds drain_timeout{8'000};
-  /// A configuration must be in force, and a leaving server unused, so soon after the store has it.
+  /// A leaving server must be unused so soon after the store has it.
   std::chrono::milliseconds staleness_bound{2'000};
+  /// A configuration must be in force so soon after the store has it.
+  std::chrono::milliseconds configuration_bound{2'000};
   /// In a fleet of at least so many daemons the others follow the leader's reads of the store; 0:
   /// in none. A leader that is followed reads five times as often, so that few daemons together
   /// would save little. From that arithmetic; other sizes were not played.
--- a/src/gateway/request_admission.cc
+++ b/src/gateway/request_admission.cc
@@ -34,7 +34,7 @@
                    "this daemon has just started; come back", false, kRetryAfterNotReadyS};
   request.route = request.table->Find(FindHeader(http.headers, "Host"), http.target);
   if (request.route == nullptr) {
-    if (view_.Fresh(request.arrival))
+    if (view_.ConfigurationCurrent(request.arrival))
       return Refusal{http_status::kNotFound, EndReason::kNoRoute,
                      "no route of the configuration in force matches host and path", false, 0};
     return Refusal{http_status::kUnavailable, EndReason::kConfigurationMayBeOld,
--- a/src/gateway/request_reporter.cc
+++ b/src/gateway/request_reporter.cc
@@ -88,7 +88,7 @@
   if (!end.server_id.empty())
     line.Field(LogField::kServer, end.server_id)
         .Field(LogField::kExpectedMs, static_cast<std::int64_t>(request.expected_ms));
-  line.Field(LogField::kStoreAgeMs, MillisecondsSince(view_.last_store_contact));
+  line.Field(LogField::kStoreAgeMs, MillisecondsSince(view_.servers_current_at));
   log_.Write(routine ? LogRank::kRoutine : fine ? LogRank::kDecision : LogRank::kFailure, line);
 }
 
--- a/src/gateway/store_view.cc
+++ b/src/gateway/store_view.cc
@@ -1,6 +1,7 @@
 #include "gateway/store_view.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace moorfold {
 
@@ -50,6 +51,20 @@
 /// All keys: every key begins with the empty text.
 KeyRange AllKeys() { return {"", "\xff"}; }
 
+/// @return about how many bytes an entry takes in an answer.
+double BytesOf(const KeyValue& entry) {
+  constexpr double kNamesAndNumbers = 80;      ///< Of fields around key and value.
+  constexpr double kEncodedShare = 4.0 / 3.0;  ///< Values are bytes, sent as base64.
+  return kNamesAndNumbers + static_cast<double>(entry.key.size()) +
+         kEncodedShare * static_cast<double>(entry.value.size());
+}
+
+double BytesOf(const std::vector<KeyValue>& entries) {
+  double bytes = 0;
+  for (const KeyValue& entry : entries) bytes += BytesOf(entry);
+  return bytes;
+}
+
 }  // namespace
 
 StoreView::StoreView(boost::asio::io_context& context, KeyValueStore& store,
@@ -76,6 +91,8 @@
 bool StoreView::Decide(const follow::Event& event) {
   const follow::Decision decision = follow::Reduce(settings_, state_, event, steady_clock::now());
   state_ = decision.state;
+  view_.servers_current_at = state_.current_at;
+  view_.configuration_current_at = state_.configuration_at;
   return decision.apply;
 }
 
@@ -105,53 +122,105 @@
     ReadWhenDue();
     return;
   }
-  Decide(follow::ReadBegun{list_next_});
-  if (list_next_)
-    List();
-  else
-    ReadChanges();
+  const follow::ReadKind kind = follow::NextReadKind(settings_, state_, steady_clock::now());
+  Decide(follow::ReadBegun{kind});
+  switch (kind) {
+    case follow::ReadKind::kListing:
+      ReadRange(AllKeys(), &StoreView::TakeListing);
+      break;
+    case follow::ReadKind::kChanges:
+      ReadChanges();
+      break;
+    case follow::ReadKind::kServers:
+      ReadRange(PrefixRange(protocol_.layout().server_prefix), &StoreView::TakeServers);
+      break;
+    case follow::ReadKind::kConfiguration:
+      ReadRange({protocol_.layout().configuration_key, ""}, &StoreView::TakeConfigurationRead);
+      break;
+  }
 }
 
-void StoreView::List() {
-  store_.Range(AllKeys(), [this](const Outcome<RangeResult>& listing) {
+void StoreView::ReadRange(KeyRange range, void (StoreView::*take)(const RangeResult&)) {
+  store_.Range(std::move(range), [this, take](const Outcome<RangeResult>& listing) {
     if (!listing.ok()) {
-      NoteFailure(listing.failure(), true);
+      NoteFailure(listing.failure());
       return;
     }
-    list_next_ = false;
     NoteContact(steady_clock::now());
-    TakeListing(listing.value());
+    (this->*take)(listing.value());
     NoteSource(false);
     ReadWhenDue();
   });
 }
 
 void StoreView::TakeListing(const RangeResult& listing) {
-  std::vector<std::string> servers;
-  bool own_key_listed = false;
-  changes_.Restart(listing.revision);
+  const std::optional<double> change_bytes = ChangesReplacedBy(listing);
   const std::string& prefix = protocol_.layout().server_prefix;
+  TakeServerEntries(listing);
+  bool own_key_listed = false;
   for (const KeyValue& entry : listing.entries) {
-    if (entry.key.starts_with(prefix)) servers.push_back(entry.key.substr(prefix.size()));
+    if (entry.key.starts_with(prefix)) continue;
     own_key_listed = own_key_listed || entry.key == own_key_;
     TakeEntry(entry);
   }
-  for (const auto& [id, server] : view_.servers.all())
-    if (std::find(servers.begin(), servers.end(), id) == servers.end()) RemoveLater(id);
   if (!own_key_listed) TakeRemoval(own_key_, listing.revision);
-  Decide(follow::ReadEnded{listing.revision});
+  Decide(follow::ReadEnded{listing.revision, BytesOf(listing.entries), change_bytes});
+  NoteChanged();
+}
+
+void StoreView::TakeServers(const RangeResult& listing) {
+  TakeServerEntries(listing);
+  Decide(follow::ReadEnded{listing.revision, BytesOf(listing.entries), std::nullopt});
   NoteChanged();
 }
 
+void StoreView::TakeServerEntries(const RangeResult& listing) {
+  const std::string& prefix = protocol_.layout().server_prefix;
+  const std::int64_t known = state_.revision;
+  if (state_.listed)
+    changes_.NoteListing(known, listing.revision);
+  else
+    changes_.Restart(listing.revision);
+  std::unordered_set<std::string> listed;
+  for (const KeyValue& entry : listing.entries) {
+    if (!entry.key.starts_with(prefix)) continue;
+    listed.insert(entry.key.substr(prefix.size()));
+    // Changes up to the revision known were taken over before.
+    if (!state_.listed || entry.mod_revision > known) TakeEntry(entry);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, server] : view_.servers.all())
+    if (!listed.contains(id) && !removals_.contains(id)) missing.push_back(id);
+  for (const std::string& id : missing) TakeRemoval(prefix + id, listing.revision);
+}
+
+void StoreView::TakeConfigurationRead(const RangeResult& listing) {
+  for (const KeyValue& entry : listing.entries) TakeEntry(entry);
+  Decide(follow::ReadEnded{listing.revision, BytesOf(listing.entries), std::nullopt});
+}
+
+std::optional<double> StoreView::ChangesReplacedBy(const RangeResult& listing) const {
+  const std::string& configuration = protocol_.layout().configuration_key;
+  double bytes = 0;
+  double entries = 0;
+  for (const KeyValue& entry : listing.entries) {
+    // How many versions lie between is not told: the rate that was measured stands.
+    if (entry.key == configuration && entry.mod_revision != configuration_entry_revision_)
+      return std::nullopt;
+    if (entry.key == configuration) continue;
+    bytes += BytesOf(entry);
+    ++entries;
+  }
+  if (entries == 0) return 0;
+  return static_cast<double>(listing.revision - state_.revision) * bytes / entries;
+}
+
 /// One watch call: what has changed since, or nothing new for a moment. A watch that went on would
 /// answer with each heartbeat of a server.
 void StoreView::ReadChanges() {
   watch_ = store_.Watch(
       AllKeys(), state_.revision + 1, [this](const WatchBatch& batch) { TakeBatch(batch); },
-      [this](const PlatformFailure& failure) {
-        // Refused: the history since is gone.
-        NoteFailure(failure, failure.fault == PlatformFault::kRejected);
-      });
+      [this](const PlatformFailure& failure) { NoteFailure(failure); });
 }
 
 void StoreView::TakeBatch(const WatchBatch& batch) {
@@ -159,7 +228,9 @@
   NoteContact(steady_clock::now());
   const std::int64_t known = state_.revision;
   const std::string& prefix = protocol_.layout().server_prefix;
+  double bytes = 0;
   for (const WatchEvent& event : batch.events) {
+    bytes += BytesOf(event.entry);
     // What a watcher relayed meanwhile is newer than what this read shows.
     const bool older = event.entry.key.starts_with(prefix) && event.entry.mod_revision <= known;
     if (older) continue;
@@ -169,7 +240,7 @@
       TakeEntry(event.entry);
   }
   changes_.Advance(batch.revision);
-  Decide(follow::ReadEnded{batch.revision});
+  Decide(follow::ReadEnded{batch.revision, bytes, bytes});
   NoteSource(false);
   if (!batch.events.empty()) NoteChanged();
   ReadWhenDue();
@@ -189,9 +260,11 @@
   ChangeAnswer answer;
   answer.asked_at_us = question.asked_at_us;
   answer.daemons = daemons;
-  answer.relays = state_.watches && state_.listed;
+  // A follower takes the version stated here for the newest as of the revision stated here.
+  answer.relays = state_.watches && state_.listed && state_.ConfigurationKept();
   if (!answer.relays) return answer;
-  answer.age_us = Microseconds(steady_clock::now() - state_.current_at);
+  const SteadyTime current_at = std::min(state_.current_at, state_.configuration_at);
+  answer.age_us = Microseconds(steady_clock::now() - current_at);
   answer.configuration_version = view_.routes ? view_.routes->configuration().version : -1;
   answer.from_revision = question.revision;
   answer.to_revision = question.revision;
@@ -305,8 +378,15 @@
 }
 
 void StoreView::RemoveLater(const std::string& id) {
-  removals_.try_emplace(id, steady_clock::now() + kRemovalGrace);
-  removal_timer_.expires_after(kRemovalGrace);
+  if (removals_.try_emplace(id, steady_clock::now() + kRemovalGrace).second) RemoveWhenDue();
+}
+
+void StoreView::RemoveWhenDue() {
+  const auto earliest = std::min_element(
+      removals_.begin(), removals_.end(),
+      [](const auto& left, const auto& right) { return left.second < right.second; });
+  if (earliest == removals_.end()) return;
+  removal_timer_.expires_at(earliest->second);
   removal_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) RemoveDue();
   });
@@ -318,12 +398,14 @@
   for (const auto& [id, time] : removals_)
     if (time <= now) due.push_back(id);
   for (const std::string& id : due) RemoveServer(id, 0);
+  RemoveWhenDue();
 }
 
 void StoreView::TakeConfiguration(const KeyValue& entry) {
   auto configuration =
       std::make_shared<const RoutingConfiguration>(protocol_.ParseConfiguration(entry.value));
   const std::int64_t held = view_.routes ? view_.routes->configuration().version : -1;
+  configuration_entry_revision_ = entry.mod_revision;
   if (configuration->version <= held) return;
   view_.routes = std::make_shared<const RouteTable>(configuration);
   view_.configured_at = steady_clock::now();
@@ -365,25 +447,33 @@
 }
 
 void StoreView::NoteContact(SteadyTime current_at) {
-  const auto silence = current_at - view_.last_store_contact;
+  const auto silence = current_at - last_contact_;
   // Without a failed read, the ordinary time between two reads is no sign of an outage.
-  const auto outage = failed_ ? kOutage : kOutage + settings_.longest_age;
+  const auto outage = failed_reads_ > 0 ? kOutage : kOutage + settings_.longest_age;
   if (contacted_ && silence > outage) outage_ended_ = steady_clock::now();
+  if (!in_touch_)
+    log_.Write(LogRank::kDecision,
+               EventLine(LogEvent::kStoreInTouch)
+                   .Field(LogField::kFailedReads, failed_reads_)
+                   .Field(LogField::kMs, contacted_ ? Microseconds(silence) / 1'000 : 0)
+                   .Field(LogField::kProblem, last_problem_));
+  in_touch_ = true;
   contacted_ = true;
-  failed_ = false;
-  view_.last_store_contact = std::max(view_.last_store_contact, current_at);
+  failed_reads_ = 0;
+  last_problem_.clear();
+  last_contact_ = std::max(last_contact_, current_at);
   retry_pause_ = kFirstRetryPause;
-  if (in_touch_) return;
-  in_touch_ = true;
-  log_.Write(LogRank::kDecision, EventLine(LogEvent::kStoreInTouch));
 }
 
-/// @param list whether what changed since cannot be read: only a listing shows it.
-void StoreView::NoteFailure(const PlatformFailure& failure, bool list) {
+void StoreView::NoteFailure(const PlatformFailure& failure) {
   watch_.reset();
-  failed_ = true;
-  list_next_ = list_next_ || list;
-  Decide(follow::ReadFailed{retry_pause_});
+  ++failed_reads_;
+  last_problem_ = failure.message;
+  metrics_.failed_reads.Add(
+      {{"read", ToString(state_.reading)}, {"reason", ToString(failure.fault)}});
+  const bool unanswered = failure.fault == PlatformFault::kNoAnswer;
+  const bool history_gone = failure.fault == PlatformFault::kRejected;
+  Decide(follow::ReadFailed{retry_pause_, unanswered, history_gone});
   retry_pause_ = std::min(kLongestRetryPause, retry_pause_ * 2);
   ReadWhenDue();
   if (!in_touch_) return;
--- a/src/gateway/store_view.h
+++ b/src/gateway/store_view.h
@@ -18,8 +18,8 @@
 
 namespace moorfold {
 
-/// Keeps a FleetView up to date: from one listing of the store, then from short reads of what has
-/// changed, and from changes that the leader relays (see relay/follow_state.h for when which).
+/// Keeps a FleetView up to date: from listings of the store and short reads of what has changed in
+/// it, and from changes that the leader relays (see relay/follow_state.h for when which).
 /// While the store is out of reach, everything known stays known. A configuration is taken only
 /// with a higher version, and a key only with a higher revision, so nothing goes back. Entries may
 /// lapse while the store is down though their servers live: what is missing just after an outage is
@@ -55,10 +55,17 @@
   bool Decide(const follow::Event& event);
   void ReadWhenDue();
   void Read();
-  void List();
+  /// Reads what is now under `range`, and hands it to `take`.
+  void ReadRange(KeyRange range, void (StoreView::*take)(const RangeResult&));
   void TakeListing(const RangeResult& listing);
+  void TakeServers(const RangeResult& listing);
+  /// Takes the servers of a listing over: what has changed, and who is missing.
+  void TakeServerEntries(const RangeResult& listing);
+  void TakeConfigurationRead(const RangeResult& listing);
   void ReadChanges();
   void TakeBatch(const WatchBatch& batch);
+  /// @return about how many bytes the changes since the revision known would have been.
+  std::optional<double> ChangesReplacedBy(const RangeResult& listing) const;
   void TakeChange(const ServerChange& change);
   void NoteSource(bool relayed);
   void NoteChanged();
@@ -66,6 +73,7 @@
   void TakeRemoval(const std::string& key, std::int64_t revision);
   void RemoveServer(const std::string& id, std::int64_t revision);
   void RemoveLater(const std::string& id);
+  void RemoveWhenDue();
   void RemoveDue();
   void TakeConfiguration(const KeyValue& entry);
   void TakeServer(const KeyValue& entry);
@@ -73,7 +81,7 @@
   void PutServer(ServerRecord record, std::int64_t revision);
   /// @param current_at when the store had nothing newer than what is known now.
   void NoteContact(SteadyTime current_at);
-  void NoteFailure(const PlatformFailure& failure, bool list);
+  void NoteFailure(const PlatformFailure& failure);
 
   KeyValueStore& store_;
   const FleetProtocol& protocol_;
@@ -87,14 +95,16 @@
   follow::Settings settings_;
   follow::State state_;
   ChangeLog changes_;
-  bool list_next_ = true;
   std::unique_ptr<WatchHandle> watch_;
+  std::int64_t configuration_entry_revision_ = 0;  ///< Of the entry that was read last.
   boost::asio::steady_timer read_timer_;
   Milliseconds retry_pause_;
   std::optional<bool> relayed_;  ///< Whether the last news came from a watcher.
   bool in_touch_ = false;
-  bool contacted_ = false;  ///< At least once in this life.
-  bool failed_ = false;     ///< A read, since the last contact.
+  bool contacted_ = false;          ///< At least once in this life.
+  std::uint32_t failed_reads_ = 0;  ///< Since the last contact.
+  std::string last_problem_;        ///< Of the last failed read since then.
+  SteadyTime last_contact_{};       ///< The store was in touch then.
   SteadyTime outage_ended_{};
   /// Servers whose entries were missing just after an outage, with the time of their removal.
   std::map<std::string, SteadyTime> removals_;
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -1,5 +1,6 @@
 #include "http/http_client.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -20,7 +21,6 @@
 namespace {
 constexpr std::size_t kReadChunk = 16 * 1024;
 constexpr std::size_t kMaxIdlePerEndpoint = 64;
-constexpr std::uint64_t kMaxAnswerBytes = 256ULL * 1024 * 1024;
 }  // namespace
 
 /// One TCP connection with the state of the exchange that uses it.
@@ -41,10 +41,11 @@
     }
   }
 
-  Awaitable<void> SendAndReadHead(const HttpRequest& request, Deadline deadline) {
+  Awaitable<void> SendAndReadHead(const HttpRequest& request, const HttpSendOptions& options) {
     HttpStage stage = HttpStage::kSending;
+    progress_timeout_ = options.progress_timeout;
     try {
-      SetDeadline(deadline);
+      SetDeadline(options.deadline);
       http::request<http::string_body> message = MakeMessage(request);
       boost::system::error_code sending;
       co_await http::async_write(stream_, message, asio::redirect_error(use_awaitable, sending));
@@ -54,8 +55,9 @@
       if (sending && !refused) throw system_error(sending);
       stage = HttpStage::kAwaitingAnswer;
       parser_.emplace();
-      parser_->body_limit(kMaxAnswerBytes);
+      parser_->body_limit(options.most_body_bytes);
       co_await http::async_read_header(stream_, buffer_, *parser_, use_awaitable);
+      answer_end_ = std::chrono::steady_clock::now() + options.longest_answer;
     } catch (const system_error& error) {
       throw Failure(stage, error);
     }
@@ -66,6 +68,8 @@
     while (!parser_->is_done()) {
       parser_->get().body().data = chunk.data();
       parser_->get().body().size = chunk.size();
+      if (progress_timeout_.count() > 0)
+        SetDeadline(std::min(answer_end_, std::chrono::steady_clock::now() + progress_timeout_));
       try {
         co_await http::async_read_some(stream_, buffer_, *parser_, use_awaitable);
       } catch (const system_error& error) {
@@ -115,6 +119,8 @@
   Endpoint endpoint_;
   beast::flat_buffer buffer_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
+  std::chrono::milliseconds progress_timeout_{0};
+  Deadline answer_end_{};
 };
 
 class HttpConnectionPool {
@@ -126,6 +132,7 @@
     idle->second.pop_back();
     return connection;
   }
+  void Drop(const Endpoint& endpoint) { idle_.erase(endpoint); }
   void Give(std::unique_ptr<HttpConnection> connection) {
     auto& idle = idle_[connection->endpoint()];
     if (idle.size() < kMaxIdlePerEndpoint) idle.push_back(std::move(connection));
@@ -166,16 +173,20 @@
   if (connection) {
     bool stale = false;
     try {
-      co_await connection->SendAndReadHead(request, options.deadline);
+      co_await connection->SendAndReadHead(request, options);
     } catch (const HttpError& error) {
-      if (error.timed_out()) throw;
+      // The connection went silent, and those that rested beside it may have done so, too.
+      if (error.timed_out()) {
+        pool_->Drop(endpoint);
+        throw;
+      }
       stale = true;
     }
     if (!stale) co_return std::make_unique<HttpExchange>(std::move(connection), pool_);
   }
   connection = std::make_unique<HttpConnection>(context_, endpoint);
   co_await connection->Connect(options.deadline);
-  co_await connection->SendAndReadHead(request, options.deadline);
+  co_await connection->SendAndReadHead(request, options);
   co_return std::make_unique<HttpExchange>(std::move(connection), pool_);
 }
 
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -38,6 +38,11 @@
 
 struct HttpSendOptions {
   Deadline deadline = Deadline::max();
+  /// Once the head of the answer is there, `deadline` binds no more: each further piece has to come
+  /// within this time, and all of them within `longest_answer`. 0: `deadline` bounds the whole.
+  std::chrono::milliseconds progress_timeout{0};
+  std::chrono::milliseconds longest_answer{0};  ///< Of no meaning without `progress_timeout`.
+  std::uint64_t most_body_bytes = 256ULL * 1024 * 1024;  ///< A longer answer is given up.
   /// For requests that must not run twice: never reuses a connection that the peer may have
   /// closed meanwhile, so a failure before the answer is never caused by the pool.
   bool fresh_connection = false;
@@ -50,7 +55,8 @@
   explicit HttpClient(boost::asio::io_context& context);
 
   /// Sends `request` and waits for the head of the answer. A pooled connection that proves dead
-  /// before any byte of an answer is replaced once by a fresh one.
+  /// before any byte of an answer is replaced once by a fresh one. One that stays silent until the
+  /// deadline takes the other pooled ones of its endpoint with it: the next call uses a fresh one.
   /// @throws HttpError.
   Awaitable<std::unique_ptr<HttpExchange>> Open(Endpoint endpoint, HttpRequest request,
                                                 HttpSendOptions options);
--- a/src/ports/key_value_store.h
+++ b/src/ports/key_value_store.h
@@ -22,6 +22,21 @@
   kRejected,     ///< The service understood and refused; trying again is useless.
 };
 
+/// @return a word for metrics and logs.
+inline const char* ToString(PlatformFault fault) {
+  switch (fault) {
+    case PlatformFault::kUnavailable:
+      return "unavailable";
+    case PlatformFault::kRateLimited:
+      return "rate_limited";
+    case PlatformFault::kNoAnswer:
+      return "no_answer";
+    case PlatformFault::kRejected:
+      return "rejected";
+  }
+  return "unknown";
+}
+
 struct PlatformFailure {
   PlatformFault fault = PlatformFault::kUnavailable;
   std::string message;
--- a/src/relay/change_log.cc
+++ b/src/relay/change_log.cc
@@ -10,12 +10,16 @@
 /// is designed for (CONTRIBUTING.md) would be more than a follower asks for at once; a change takes
 /// some 100 bytes here.
 constexpr std::size_t kMostChanges = 1'024;
+/// Followers ask twice a second, and a watcher lists a few times a second at most: whoever has not
+/// asked for so many listings reads the store.
+constexpr std::size_t kMostBlindSpans = 64;
 
 }  // namespace
 
 void ChangeLog::Restart(std::int64_t revision) {
   changes_.clear();
   revisions_.clear();
+  blind_.clear();
   started_ = true;
   oldest_ = revision;
   newest_ = revision;
@@ -39,6 +43,22 @@
   if (started_) newest_ = std::max(newest_, revision);
 }
 
+void ChangeLog::NoteListing(std::int64_t from, std::int64_t to) {
+  Advance(to);
+  if (!started_ || to - from < 2) return;
+  blind_.push_back({from, to});
+  if (blind_.size() <= kMostBlindSpans) return;
+  oldest_ = std::max(oldest_, blind_.front().to);
+  blind_.pop_front();
+}
+
+bool ChangeLog::Reaches(std::int64_t revision) const {
+  if (!started_ || revision < oldest_) return false;
+  return std::none_of(blind_.begin(), blind_.end(), [&](const BlindSpan& span) {
+    return revision > span.from && revision < span.to;
+  });
+}
+
 void ChangeLog::ForgetOldest() {
   while (changes_.size() > kMostChanges) {
     const auto oldest = changes_.begin();
--- a/src/relay/change_log.h
+++ b/src/relay/change_log.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -23,17 +24,26 @@
 
   /// Everything up to `revision` was listed at once: changes before it are not told apart.
   void Restart(std::int64_t revision);
+  /// Everything up to `to` was listed at once, where everything up to `from` was known before. What
+  /// differs is noted, but a server that came and went in between was never seen: whoever knows
+  /// more than `from` and less than `to` may know it, and cannot be told that it is gone.
+  void NoteListing(std::int64_t from, std::int64_t to);
   void Note(const std::string& server_id, std::int64_t revision, bool gone);
   /// All changes up to `revision` have been noted.
   void Advance(std::int64_t revision);
 
   std::int64_t newest() const { return newest_; }
   /// @return whether the log holds every change after `revision`.
-  bool Reaches(std::int64_t revision) const { return started_ && revision >= oldest_; }
+  bool Reaches(std::int64_t revision) const;
   /// @return the changes after `revision`, oldest first. @pre Reaches(revision).
   std::vector<Change> Since(std::int64_t revision) const;
 
  private:
+  /// Between two revisions, without them, nothing is known to be complete.
+  struct BlindSpan {
+    std::int64_t from = 0;
+    std::int64_t to = 0;
+  };
   void ForgetOldest();
 
   bool started_ = false;
@@ -42,6 +52,7 @@
   std::multimap<std::int64_t, Change>
       changes_;  ///< By revision; one transaction may change several.
   std::unordered_map<std::string, std::int64_t> revisions_;  ///< Of each server's change.
+  std::deque<BlindSpan> blind_;                              ///< In the order of revisions.
 };
 
 }  // namespace moorfold
--- a/src/relay/follow_state.cc
+++ b/src/relay/follow_state.cc
@@ -6,45 +6,95 @@
 
 namespace {
 
+/// A rate of changes over less time says little: some few of them come together.
+constexpr std::chrono::duration<double> kShortestSpan{0.1};
+
+double SecondsBetween(Time from, Time to) {
+  return std::max(kShortestSpan, std::chrono::duration<double>(to - from)).count();
+}
+
+bool ShowsServers(ReadKind kind) { return kind != ReadKind::kConfiguration; }
+bool ShowsConfiguration(ReadKind kind) { return kind != ReadKind::kServers; }
+/// @return whether the answer is what is now, not what has changed.
+bool ListsServers(ReadKind kind) {
+  return kind == ReadKind::kListing || kind == ReadKind::kServers;
+}
+
 void Take(State& state, const ReadBegun& read, Time now) {
   state.reading_since = now;
-  state.listing = read.lists;
-  state.urgent = false;  // Whatever was heard before, this read will show.
+  state.reading = read.kind;
+  // Whatever was heard before, this read will show.
+  if (ShowsServers(read.kind)) state.urgent = false;
+  if (ShowsConfiguration(read.kind)) state.configuration_wanted = false;
 }
 
-void Take(const Settings& settings, State& state, const ReadEnded& read, Time now) {
+void TakeServers(State& state, const ReadEnded& read, Time since) {
+  const bool lists = ListsServers(state.reading);
+  if (read.change_bytes && state.listed)
+    state.change_bytes_per_s = *read.change_bytes / SecondsBetween(state.current_at, since);
   // A listing says all there is, whatever was known before.
-  state.revision = state.listing ? read.revision : std::max(state.revision, read.revision);
-  state.listed = state.listed || state.listing;
-  state.current_at = std::max(state.current_at, state.reading_since.value_or(now));
+  state.revision = lists ? read.revision : std::max(state.revision, read.revision);
+  state.listed = state.listed || lists;
+  state.current_at = std::max(state.current_at, since);
+  state.changes_unread = false;
+}
+
+void TakeConfiguration(State& state, const ReadEnded& read, Time since) {
+  state.configuration_revision = std::max(state.configuration_revision, read.revision);
+  state.configuration_at = std::max(state.configuration_at, since);
+  state.narrow = false;
+}
+
+void Take(const Settings& settings, State& state, const ReadEnded& read, Time now) {
+  const Time since = state.reading_since.value_or(now);
+  if (ShowsServers(state.reading)) TakeServers(state, read, since);
+  if (ShowsConfiguration(state.reading)) TakeConfiguration(state, read, since);
+  if (state.reading == ReadKind::kListing) state.listing_bytes = read.bytes;
   state.reading_since.reset();
-  state.listing = false;
   state.urgent_not_before = now + settings.between_urgent;
 }
 
 void Take(State& state, const ReadFailed& failure, Time now) {
   state.reading_since.reset();
-  state.listing = false;
-  state.urgent = true;
   state.not_before = now + failure.pause;
+  if (ShowsServers(state.reading)) state.urgent = true;
+  if (ShowsConfiguration(state.reading)) state.configuration_wanted = true;
+  const bool changes = state.reading == ReadKind::kChanges;
+  if (changes && (failure.unanswered || failure.history_gone)) state.changes_unread = true;
+  if (state.reading == ReadKind::kListing && failure.unanswered) state.narrow = true;
 }
 
 /// @return whether the changes are to be taken over.
 bool Take(State& state, const Relayed& answer) {
   // What a listing under way shows may be older than what is relayed meanwhile.
-  if (!state.listed || state.listing) return false;
+  const bool listing = state.reading_since && ListsServers(state.reading);
+  if (!state.listed || listing) return false;
   const bool gap = answer.gap || answer.from_revision > state.revision;
-  if (answer.retired || gap || answer.newer_configuration) {
-    // A read from the present revision brings what is missing, the configuration too.
-    state.urgent = true;
+  if (answer.retired || gap) {
+    state.urgent = true;  // A read from the present revision brings what is missing.
     return false;
   }
+  if (answer.newer_configuration) {
+    state.configuration_wanted = true;
+  } else {
+    state.configuration_revision = std::max(state.configuration_revision, answer.to_revision);
+    state.configuration_at = std::max(state.configuration_at, answer.current_at);
+  }
   const bool apply = answer.to_revision > state.revision;
   state.revision = std::max(state.revision, answer.to_revision);
   state.current_at = std::max(state.current_at, answer.current_at);
   return apply;
 }
 
+Milliseconds LongestAge(const Settings& settings, const State& state) {
+  return state.watches ? settings.watcher_age : settings.longest_age;
+}
+
+bool ListingIsSmaller(const State& state, Time now) {
+  const double seconds = SecondsBetween(state.current_at, now);
+  return state.change_bytes_per_s * seconds > state.listing_bytes;
+}
+
 }  // namespace
 
 Decision Reduce(const Settings& settings, State state, const Event& event, Time now) {
@@ -66,11 +116,26 @@
 
 Time NextRead(const Settings& settings, const State& state) {
   if (state.reading_since) return Time::max();
-  const Milliseconds age = state.watches ? settings.watcher_age : settings.longest_age;
   // A clock that began with the machine may show less than the age.
-  const Time due = state.listed ? state.current_at + age : Time::min();
-  const Time wanted = state.urgent ? std::min(due, state.urgent_not_before) : due;
+  if (!state.listed) return state.not_before;
+  const Time oldest = std::min(state.current_at, state.configuration_at);
+  const Time due = oldest + LongestAge(settings, state);
+  const bool other_half = state.narrow && state.configuration_wanted;
+  if (other_half) return state.not_before;
+  const bool reason = state.urgent || state.configuration_wanted;
+  const Time wanted = reason ? std::min(due, state.urgent_not_before) : due;
   return std::max(wanted, state.not_before);
 }
 
+ReadKind NextReadKind(const Settings& settings, const State& state, Time now) {
+  const bool old = now >= state.current_at + LongestAge(settings, state);
+  const bool servers = !state.listed || state.urgent || old;
+  if (!servers) return ReadKind::kConfiguration;
+  if (state.narrow) return ReadKind::kServers;
+  // Changes since a revision that was relayed leave out configurations before it.
+  const bool changes_show_all = state.listed && !state.changes_unread && state.ConfigurationKept();
+  if (!changes_show_all || ListingIsSmaller(state, now)) return ReadKind::kListing;
+  return ReadKind::kChanges;
+}
+
 }  // namespace moorfold::follow
--- a/src/relay/follow_state.h
+++ b/src/relay/follow_state.h
@@ -7,7 +7,8 @@
 
 namespace moorfold {
 
-/// Decides when a daemon reads the store itself, and which relayed changes it may believe.
+/// Decides when a daemon reads the store itself, what it asks for, and which relayed changes it may
+/// believe.
 ///
 /// One daemon, the leader, watches the store closely; the others follow it: each asks it with its
 /// demand what has changed, and reads the store itself only when the answers stop, leave a gap or
@@ -20,6 +21,15 @@
 /// own knowledge from the time at which it sent its read. Delays, frozen processes and late
 /// datagrams only make knowledge look older.
 ///
+/// Servers and the configuration are known as of different moments, since only servers are relayed:
+/// a configuration that is still to be read holds back nothing that is known of servers.
+///
+/// What a read asks for is bounded whatever the time away. Changes since a revision grow with that
+/// time, as each version of the configuration stands whole among them; a listing does not. So a
+/// daemon lists as soon as a listing is expected to be the smaller answer, after any read of
+/// changes that was not answered, and, after a listing that was not, the servers alone before the
+/// configuration.
+///
 /// Pure: state, event and time in, state out. test/relay explores it.
 namespace follow {
 
@@ -35,27 +45,66 @@
   Milliseconds between_urgent{500};
 };
 
+/// What one read of the store asks for.
+enum class ReadKind : std::uint8_t {
+  kListing,       ///< All entries as they are now.
+  kChanges,       ///< All changes since the revision known.
+  kServers,       ///< The servers' entries as they are now.
+  kConfiguration  ///< The newest configuration.
+};
+
+/// @return a word for metrics and logs.
+inline const char* ToString(ReadKind kind) {
+  switch (kind) {
+    case ReadKind::kListing:
+      return "listing";
+    case ReadKind::kChanges:
+      return "changes";
+    case ReadKind::kServers:
+      return "servers";
+    case ReadKind::kConfiguration:
+      return "configuration";
+  }
+  return "unknown";
+}
+
 struct State {
-  bool listed = false;        ///< All entries were read at once before.
-  std::int64_t revision = 0;  ///< All changes up to this one are known.
-  Time current_at{};          ///< At that time nothing newer existed than what is known.
+  bool listed = false;                      ///< All servers were read at once before.
+  std::int64_t revision = 0;                ///< All changes of servers up to this one are known.
+  std::int64_t configuration_revision = 0;  ///< The same of the configuration.
+  Time current_at{};                        ///< At that time the store knew no more of servers.
+  Time configuration_at{};                  ///< The same of the configuration.
   std::optional<Time> reading_since;
-  bool listing = false;      ///< The read under way lists all entries.
-  bool urgent = false;       ///< There is a reason to read before `current_at` is too old.
-  Time not_before{};         ///< No read earlier, after a failed one.
-  Time urgent_not_before{};  ///< No read earlier just because it is urgent.
-  bool watches = false;      ///< Others follow this daemon.
+  ReadKind reading = ReadKind::kListing;  ///< The read under way; of no meaning without one.
+  bool urgent = false;                ///< There is a reason to read before `current_at` is too old.
+  bool configuration_wanted = false;  ///< There is a configuration that is not known.
+  bool changes_unread = false;        ///< The changes since `revision` could not be read.
+  bool narrow = false;            ///< A listing was not answered: servers and configuration apart.
+  Time not_before{};              ///< No read earlier, after a failed one.
+  Time urgent_not_before{};       ///< No read earlier just because it is urgent.
+  bool watches = false;           ///< Others follow this daemon.
+  double listing_bytes = 0;       ///< Of the last listing.
+  double change_bytes_per_s = 0;  ///< Of changes, as measured or estimated last.
+
+  /// @return whether the configuration is known as of a revision no older than the servers'.
+  bool ConfigurationKept() const { return configuration_revision >= revision; }
 };
 
 struct ReadBegun {
-  bool lists = false;
+  ReadKind kind = ReadKind::kChanges;
 };
-/// All changes up to `revision` were read.
+/// What the read asked for is known up to `revision`.
 struct ReadEnded {
   std::int64_t revision = 0;
+  double bytes = 0;  ///< Of the answer, about.
+  /// Of the changes since the revision known before, as far as that can be told.
+  std::optional<double> change_bytes;
 };
 struct ReadFailed {
   Milliseconds pause{0};  ///< Before the next.
+  /// No whole answer came in its time: the next read asks for less.
+  bool unanswered = false;
+  bool history_gone = false;  ///< The changes are no longer to be had.
 };
 /// A watcher's answer, as far as it decides. It holds all changes after `from_revision`, up to
 /// `to_revision`. An answer that held only some could not be told from one that holds all: a log of
@@ -85,6 +134,8 @@
 
 /// @return when the store is to be read next; Time::max() while a read is under way.
 Time NextRead(const Settings& settings, const State& state);
+/// @return what a read that begins now asks for.
+ReadKind NextReadKind(const Settings& settings, const State& state, Time now);
 
 }  // namespace follow
 }  // namespace moorfold
--- a/test/emulator/fault_proxy.cc
+++ b/test/emulator/fault_proxy.cc
@@ -34,6 +34,7 @@
   }
   tcp::socket caller;
   tcp::socket target;
+  bool silent = false;
 };
 
 FaultProxy::FaultProxy(asio::io_context& context, Endpoint target)
@@ -56,6 +57,10 @@
   for (const std::shared_ptr<Pair>& pair : pairs_) pair->Reset();
 }
 
+void FaultProxy::SilenceStanding() {
+  for (const std::shared_ptr<Pair>& pair : pairs_) pair->silent = true;
+}
+
 Awaitable<void> FaultProxy::Accept() {
   while (true) {
     auto pair = std::make_shared<Pair>(context_);
@@ -101,6 +106,7 @@
     const std::size_t got = co_await from.async_read_some(
         asio::buffer(chunk), asio::redirect_error(use_awaitable, error));
     if (error) break;
+    if (pair->silent) continue;
     while (mode_ == ProxyMode::kSilent || (mode_ == ProxyMode::kOneWay && !to_target))
       co_await mode_changed_.Wait();
     if (mode_ == ProxyMode::kDelay) co_await Sleep(kDelay);
--- a/test/emulator/fault_proxy.h
+++ b/test/emulator/fault_proxy.h
@@ -27,6 +27,8 @@
   void SetMode(ProxyMode mode);
   /// Resets the connections that stand; new ones pass.
   void ResetAll();
+  /// The connections that stand stay open and carry nothing any more; new ones pass.
+  void SilenceStanding();
   /// From now on all connections together bring callers so many bytes a second; 0: any number.
   void SetBytesPerSecond(double bytes) { bytes_per_second_ = bytes; }
   Endpoint endpoint() const;
--- a/test/gateway/store_view_test.cc
+++ b/test/gateway/store_view_test.cc
@@ -149,5 +149,69 @@
   REQUIRE(fixture.RunUntil([&] { return fixture.Version() == 12; }));
 }
 
+/// Until the store has been listed once more: its history is gone.
+void ListAgain(ViewFixture& fixture) {
+  fixture.store.history_gone = true;
+  fixture.store.EndWatch();
+  const std::uint64_t before = fixture.store.listings();
+  REQUIRE(fixture.RunUntil([&] { return fixture.store.listings() > before; }));
+  fixture.store.history_gone = false;
+  fixture.RunUntil([] { return false; }, milliseconds(20));
+}
+
+TEST_CASE("A listing ends the use of servers that are missing in it, at once in ordinary times") {
+  ViewFixture fixture;
+  fixture.PutVersion(3);
+  fixture.PutServer("i-1");
+  fixture.PutServer("i-2");
+  fixture.Start();
+  REQUIRE(fixture.RunUntil([&] { return fixture.view.servers.all().size() == 2; }));
+  fixture.Remove("servers/i-1");
+  ListAgain(fixture);
+  CHECK(fixture.view.servers.Find("i-1") == nullptr);
+  CHECK(fixture.view.servers.Find("i-2") != nullptr);
+}
+
+TEST_CASE("Listings after an outage do not put off the removal of servers that stay missing") {
+  ViewFixture fixture;
+  fixture.PutVersion(3);
+  fixture.PutServer("i-1");
+  fixture.Start();
+  REQUIRE(fixture.RunUntil([&] { return fixture.view.servers.all().size() == 1; }));
+  fixture.store.unreachable = true;
+  fixture.store.EndWatch();
+  fixture.RunUntil([] { return false; }, milliseconds(2'200));
+  fixture.Remove("servers/i-1");
+  fixture.store.unreachable = false;
+  const auto back = steady_clock::now();
+  while (fixture.view.servers.Find("i-1") != nullptr &&
+         steady_clock::now() - back < milliseconds(4'000)) {
+    ListAgain(fixture);
+    fixture.PutServer("i-" + std::to_string(fixture.store.listings() + 10));
+    fixture.RunUntil([] { return false; }, milliseconds(200));
+  }
+  CHECK(steady_clock::now() - back < milliseconds(2'000));
+}
+
+TEST_CASE(
+    "Failed reads are counted by what was read and why, and each outage is told in two lines") {
+  ViewFixture fixture;
+  fixture.PutVersion(3);
+  fixture.Start();
+  REQUIRE(fixture.RunUntil([&] { return fixture.Version() == 3; }));
+  fixture.RunUntil([] { return false; }, milliseconds(100));  // A read of changes is under way.
+  fixture.store.unreachable = true;
+  fixture.store.EndWatch();
+  fixture.RunUntil([] { return false; }, milliseconds(700));
+  fixture.store.unreachable = false;
+  fixture.PutVersion(4);
+  REQUIRE(fixture.RunUntil([&] { return fixture.Version() == 4; }));
+  const std::string figures = fixture.metrics.Render();
+  CHECK(figures.find("store_reads_failed_total{read=\"changes\",reason=\"no_answer\"} 1") !=
+        std::string::npos);
+  CHECK(figures.find("store_reads_failed_total{read=\"listing\",reason=\"unavailable\"}") !=
+        std::string::npos);
+}
+
 }  // namespace
 }  // namespace moorfold
--- a/test/relay/change_log_test.cc
+++ b/test/relay/change_log_test.cc
@@ -50,5 +50,21 @@
   CHECK(log.Since(6'000).empty());
 }
 
+TEST_CASE("Whoever knows of a time that was listed over is told to read the store") {
+  ChangeLog log;
+  log.Restart(10);
+  log.Advance(20);
+  log.NoteListing(20, 40);
+  CHECK(log.newest() == 40);
+  for (const std::int64_t known : {10, 20, 40, 45}) CHECK(log.Reaches(known));
+  for (const std::int64_t known : {9, 21, 39}) CHECK_FALSE(log.Reaches(known));
+  // It does not grow without end: the oldest such times are forgotten with all before them.
+  for (std::int64_t at = 40; at < 40'000; at += 40) log.NoteListing(at, at + 40);
+  CHECK_FALSE(log.Reaches(40));
+  CHECK(log.Reaches(40'000));
+  CHECK(log.Reaches(39'960));
+  CHECK_FALSE(log.Reaches(39'961));
+}
+
 }  // namespace
 }  // namespace moorfold
--- a/test/support/fake_key_value_store.h
+++ b/test/support/fake_key_value_store.h
@@ -20,10 +20,14 @@
       : context_(context), table_(table) {}
 
   bool unreachable = false;
+  bool history_gone = false;  ///< Changes cannot be read, what is now can.
   bool lose_answers = false;  ///< Calls are done, their answers do not come.
   bool hold_grants = false;   ///< Leases are granted, their answers come with ReleaseGrants.
 
+  /// Of all keys, answered or not.
+  std::uint64_t listings() const { return listings_; }
   void Range(KeyRange range, Callback<RangeResult> done) override {
+    if (range.key.empty()) ++listings_;
     Answer<RangeResult>([this, range] { return table_.Range(range); }, std::move(done));
   }
   void Transact(Transaction transaction, Callback<TransactionResult> done) override {
@@ -59,7 +63,12 @@
   std::unique_ptr<WatchHandle> Watch(KeyRange range, std::int64_t start, WatchCallback changed,
                                      WatchEndCallback ended) override {
     watch_ = std::make_shared<Watcher>(Watcher{range, start, std::move(changed), std::move(ended)});
-    Deliver();
+    if (history_gone)
+      boost::asio::post(context_, [watcher = watch_] {
+        if (watcher->running) watcher->ended({PlatformFault::kRejected, "history is gone"});
+      });
+    else
+      Deliver();
     return std::make_unique<Handle>(watch_);
   }
   /// Ends the watch as a cut connection does.
@@ -124,6 +133,7 @@
   KeyValueTable& table_;
   WallClock clock_;
   std::shared_ptr<Watcher> watch_;
+  std::uint64_t listings_ = 0;
   std::vector<std::function<void()>> held_grants_;
 };
 
