Read a told configuration cheaply, and let followers wait with a watcher that is cut off, too

Ruled out: relaying configurations through the leader (295 copies from one link); longer pauses between reads. Change: a follower that was told a version reads the key at the store's cheap, possibly stale consistency: the version shows whether the answer is the one that was told, and an older one is read again for certain. Knowledge counts as of the watcher's answer, never as of such a read. Where the watcher is heard and cannot read the store either, the pause after a failed read grows to the longest age; a complete answer makes a read needless that a failure or gap had asked for. An event that nothing sent (NewsHeard) is gone. The port's Range has a choice of consistency.

--- a/src/gateway/counting_store.cc
+++ b/src/gateway/counting_store.cc
@@ -22,6 +22,11 @@
   store_.Range(std::move(range), Counted("range", std::move(done)));
 }
 
+void CountingStore::Range(KeyRange range, ReadConsistency consistency, Callback<RangeResult> done) {
+  const char* call = consistency == ReadConsistency::kPossiblyStale ? "stale_range" : "range";
+  store_.Range(std::move(range), consistency, Counted(call, std::move(done)));
+}
+
 void CountingStore::Transact(Transaction transaction, Callback<TransactionResult> done) {
   store_.Transact(std::move(transaction), Counted("transact", std::move(done)));
 }
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -58,6 +58,7 @@
   requests_ended.Render("requests_ended_total", text);
   store_calls.Render("store_calls_total", text);
   failed_reads.Render("store_reads_failed_total", text);
+  Count(text, "store_reads_outdated", outdated_reads);
   Count(text, "relay_answers_sent", relay_answers_sent);
   Count(text, "relay_answers_taken", relay_answers_taken);
   Count(text, "relayed_changes", relayed_changes);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -45,6 +45,7 @@
   LabelledCounter requests_ended;         ///< By route, kind, outcome and reason.
   LabelledCounter store_calls;            ///< By call and outcome.
   LabelledCounter failed_reads;           ///< Of the store, by what was read and the reason.
+  std::uint64_t outdated_reads = 0;       ///< Cheap ones of a configuration, read again.
   std::uint64_t relay_answers_sent = 0;   ///< To followers.
   std::uint64_t relay_answers_taken = 0;  ///< That made this daemon's knowledge newer.
   std::uint64_t relayed_changes = 0;      ///< Of servers, taken from such answers.
--- a/src/gateway/store_view.cc
+++ b/src/gateway/store_view.cc
@@ -11,7 +11,6 @@
 using std::chrono::steady_clock;
 
 constexpr milliseconds kFirstRetryPause{100};
-constexpr milliseconds kLongestRetryPause{500};
 /// Only a silence of that length can have let entries of living servers lapse.
 constexpr milliseconds kOutage{2'000};
 constexpr milliseconds kAfterOutage{2'000};
@@ -102,11 +101,6 @@
   ReadWhenDue();
 }
 
-void StoreView::HearNews() {
-  Decide(follow::NewsHeard{});
-  ReadWhenDue();
-}
-
 void StoreView::ReadWhenDue() {
   const SteadyTime due = follow::NextRead(settings_, state_);
   if (due == SteadyTime::max()) return;
@@ -137,20 +131,26 @@
     case follow::ReadKind::kConfiguration:
       ReadRange({protocol_.layout().configuration_key, ""}, &StoreView::TakeConfigurationRead);
       break;
+    case follow::ReadKind::kToldConfiguration:
+      reading_version_ = told_version_;
+      ReadRange({protocol_.layout().configuration_key, ""}, &StoreView::TakeConfigurationRead,
+                ReadConsistency::kPossiblyStale);
+      break;
   }
 }
 
-void StoreView::ReadRange(KeyRange range, void (StoreView::*take)(const RangeResult&)) {
-  store_.Range(std::move(range), [this, take](const Outcome<RangeResult>& listing) {
+void StoreView::ReadRange(KeyRange range, void (StoreView::*take)(const RangeResult&),
+                          ReadConsistency consistency) {
+  const auto done = [this, take](const Outcome<RangeResult>& listing) {
     if (!listing.ok()) {
       NoteFailure(listing.failure());
       return;
     }
     NoteContact(steady_clock::now());
     (this->*take)(listing.value());
-    NoteSource(false);
     ReadWhenDue();
-  });
+  };
+  store_.Range(std::move(range), consistency, done);
 }
 
 void StoreView::TakeListing(const RangeResult& listing) {
@@ -165,12 +165,14 @@
   }
   if (!own_key_listed) TakeRemoval(own_key_, listing.revision);
   Decide(follow::ReadEnded{listing.revision, BytesOf(listing.entries), change_bytes});
+  NoteSource(false);
   NoteChanged();
 }
 
 void StoreView::TakeServers(const RangeResult& listing) {
   TakeServerEntries(listing);
   Decide(follow::ReadEnded{listing.revision, BytesOf(listing.entries), std::nullopt});
+  NoteSource(false);
   NoteChanged();
 }
 
@@ -196,7 +198,15 @@
 
 void StoreView::TakeConfigurationRead(const RangeResult& listing) {
   for (const KeyValue& entry : listing.entries) TakeEntry(entry);
-  Decide(follow::ReadEnded{listing.revision, BytesOf(listing.entries), std::nullopt});
+  follow::ReadEnded ended{listing.revision, BytesOf(listing.entries), std::nullopt};
+  ended.outdated =
+      state_.reading == follow::ReadKind::kToldConfiguration && Version() < reading_version_;
+  if (ended.outdated) ++metrics_.outdated_reads;
+  Decide(ended);
+}
+
+std::int64_t StoreView::Version() const {
+  return view_.routes ? view_.routes->configuration().version : -1;
 }
 
 std::optional<double> StoreView::ChangesReplacedBy(const RangeResult& listing) const {
@@ -265,7 +275,7 @@
   if (!answer.relays) return answer;
   const SteadyTime current_at = std::min(state_.current_at, state_.configuration_at);
   answer.age_us = Microseconds(steady_clock::now() - current_at);
-  answer.configuration_version = view_.routes ? view_.routes->configuration().version : -1;
+  answer.configuration_version = Version();
   answer.from_revision = question.revision;
   answer.to_revision = question.revision;
   answer.gap = !changes_.Reaches(question.revision);
@@ -289,9 +299,10 @@
 
 void StoreView::TakeAnswer(const ChangeAnswer& answer) {
   const SteadyTime asked_at{std::chrono::microseconds(answer.asked_at_us)};
-  const std::int64_t configuration = view_.routes ? view_.routes->configuration().version : -1;
+  const std::int64_t configuration = Version();
   const std::int64_t known = state_.revision;
   const std::chrono::microseconds age{std::max<std::int64_t>(0, answer.age_us)};
+  if (answer.configuration_version > configuration) told_version_ = answer.configuration_version;
   const follow::Relayed relayed{answer.gap,
                                 !answer.leads,
                                 answer.from_revision,
@@ -404,7 +415,7 @@
 void StoreView::TakeConfiguration(const KeyValue& entry) {
   auto configuration =
       std::make_shared<const RoutingConfiguration>(protocol_.ParseConfiguration(entry.value));
-  const std::int64_t held = view_.routes ? view_.routes->configuration().version : -1;
+  const std::int64_t held = Version();
   configuration_entry_revision_ = entry.mod_revision;
   if (configuration->version <= held) return;
   view_.routes = std::make_shared<const RouteTable>(configuration);
@@ -474,7 +485,9 @@
   const bool unanswered = failure.fault == PlatformFault::kNoAnswer;
   const bool history_gone = failure.fault == PlatformFault::kRejected;
   Decide(follow::ReadFailed{retry_pause_, unanswered, history_gone});
-  retry_pause_ = std::min(kLongestRetryPause, retry_pause_ * 2);
+  const Milliseconds longest = follow::LongestPause(settings_, state_, steady_clock::now());
+  retry_pause_ =
+      retry_pause_ >= settings_.longest_pause ? longest : std::min(longest, retry_pause_ * 2);
   ReadWhenDue();
   if (!in_touch_) return;
   in_touch_ = false;
--- a/src/gateway/store_view.h
+++ b/src/gateway/store_view.h
@@ -39,8 +39,6 @@
 
   /// Whether other daemons follow this one: it reads the store more often then.
   void SetWatching(bool watches);
-  /// Something else says that the store has news: it is read soon.
-  void HearNews();
   /// @return what to ask the watcher, once the store was listed.
   std::optional<ChangeQuestion> Question() const;
   /// @param daemons in the fleet, as far as known. @pre this daemon watches.
@@ -56,12 +54,15 @@
   void ReadWhenDue();
   void Read();
   /// Reads what is now under `range`, and hands it to `take`.
-  void ReadRange(KeyRange range, void (StoreView::*take)(const RangeResult&));
+  void ReadRange(KeyRange range, void (StoreView::*take)(const RangeResult&),
+                 ReadConsistency consistency = ReadConsistency::kLinearizable);
   void TakeListing(const RangeResult& listing);
   void TakeServers(const RangeResult& listing);
   /// Takes the servers of a listing over: what has changed, and who is missing.
   void TakeServerEntries(const RangeResult& listing);
   void TakeConfigurationRead(const RangeResult& listing);
+  /// @return of the configuration held; -1 without one.
+  std::int64_t Version() const;
   void ReadChanges();
   void TakeBatch(const WatchBatch& batch);
   /// @return about how many bytes the changes since the revision known would have been.
@@ -96,6 +97,8 @@
   follow::State state_;
   ChangeLog changes_;
   std::unique_ptr<WatchHandle> watch_;
+  std::int64_t told_version_ = -1;     ///< Of the newest configuration that a watcher told of.
+  std::int64_t reading_version_ = -1;  ///< The same when the read under way began.
   std::int64_t configuration_entry_revision_ = 0;  ///< Of the entry that was read last.
   boost::asio::steady_timer read_timer_;
   Milliseconds retry_pause_;
--- a/src/ports/key_value_store.h
+++ b/src/ports/key_value_store.h
@@ -120,6 +120,12 @@
   std::vector<WatchEvent> events;
 };
 
+/// From which state of the service a read may be answered.
+enum class ReadConsistency : std::uint8_t {
+  kLinearizable,  ///< No older than any answer given before.
+  kPossiblyStale  ///< Possibly seconds old, where the service offers such reads at less cost.
+};
+
 /// A running watch; destroying it ends the watch without a further callback.
 class WatchHandle {
  public:
@@ -137,6 +143,11 @@
 
   virtual ~KeyValueStore() = default;
   virtual void Range(KeyRange range, Callback<RangeResult> done) = 0;
+  /// The same with a choice. A service that offers no stale reads answers with a linearizable one.
+  virtual void Range(KeyRange range, ReadConsistency consistency, Callback<RangeResult> done) {
+    static_cast<void>(consistency);
+    Range(std::move(range), std::move(done));
+  }
   virtual void Transact(Transaction transaction, Callback<TransactionResult> done) = 0;
   /// @param time_to_live whole seconds, at least one.
   virtual void GrantLease(Duration time_to_live, Callback<LeaseId> done) = 0;
--- a/src/relay/follow_state.cc
+++ b/src/relay/follow_state.cc
@@ -13,7 +13,9 @@
   return std::max(kShortestSpan, std::chrono::duration<double>(to - from)).count();
 }
 
-bool ShowsServers(ReadKind kind) { return kind != ReadKind::kConfiguration; }
+bool ShowsServers(ReadKind kind) {
+  return kind != ReadKind::kConfiguration && kind != ReadKind::kToldConfiguration;
+}
 bool ShowsConfiguration(ReadKind kind) { return kind != ReadKind::kServers; }
 /// @return whether the answer is what is now, not what has changed.
 bool ListsServers(ReadKind kind) {
@@ -26,6 +28,7 @@
   // Whatever was heard before, this read will show.
   if (ShowsServers(read.kind)) state.urgent = false;
   if (ShowsConfiguration(read.kind)) state.configuration_wanted = false;
+  if (read.kind == ReadKind::kToldConfiguration) state.reading_told = *state.told;
 }
 
 void TakeServers(State& state, const ReadEnded& read, Time since) {
@@ -39,7 +42,23 @@
   state.changes_unread = false;
 }
 
+void TakeTold(State& state, const ReadEnded& read) {
+  state.told_missed = read.outdated;
+  if (read.outdated) {
+    state.configuration_wanted = true;
+    return;
+  }
+  const ToldConfiguration& told = state.reading_told;
+  state.configuration_revision = std::max(state.configuration_revision, told.revision);
+  state.configuration_at = std::max(state.configuration_at, told.current_at);
+}
+
 void TakeConfiguration(State& state, const ReadEnded& read, Time since) {
+  if (state.reading == ReadKind::kToldConfiguration) {
+    TakeTold(state, read);
+    return;
+  }
+  state.told_missed = false;
   state.configuration_revision = std::max(state.configuration_revision, read.revision);
   state.configuration_at = std::max(state.configuration_at, since);
   state.narrow = false;
@@ -51,7 +70,8 @@
   if (ShowsConfiguration(state.reading)) TakeConfiguration(state, read, since);
   if (state.reading == ReadKind::kListing) state.listing_bytes = read.bytes;
   state.reading_since.reset();
-  state.urgent_not_before = now + settings.between_urgent;
+  // The read that follows an outdated answer belongs to it.
+  if (!read.outdated) state.urgent_not_before = now + settings.between_urgent;
 }
 
 void Take(State& state, const ReadFailed& failure, Time now) {
@@ -59,13 +79,18 @@
   state.not_before = now + failure.pause;
   if (ShowsServers(state.reading)) state.urgent = true;
   if (ShowsConfiguration(state.reading)) state.configuration_wanted = true;
+  if (state.reading == ReadKind::kToldConfiguration) state.told_missed = true;
   const bool changes = state.reading == ReadKind::kChanges;
   if (changes && (failure.unanswered || failure.history_gone)) state.changes_unread = true;
   if (state.reading == ReadKind::kListing && failure.unanswered) state.narrow = true;
 }
 
 /// @return whether the changes are to be taken over.
-bool Take(State& state, const Relayed& answer) {
+bool Take(State& state, const Relayed& answer, Time now) {
+  if (!answer.retired) {
+    state.watcher_heard_at = now;
+    state.watcher_current_at = answer.current_at;
+  }
   // What a listing under way shows may be older than what is relayed meanwhile.
   const bool listing = state.reading_since && ListsServers(state.reading);
   if (!state.listed || listing) return false;
@@ -76,10 +101,16 @@
   }
   if (answer.newer_configuration) {
     state.configuration_wanted = true;
+    state.told = ToldConfiguration{answer.to_revision, answer.current_at};
   } else {
+    // Unless a later answer, which overtook this one, told of a configuration.
+    const bool newest = !state.told || state.told->revision <= answer.to_revision;
+    if (newest && answer.current_at > state.configuration_at) state.configuration_wanted = false;
     state.configuration_revision = std::max(state.configuration_revision, answer.to_revision);
     state.configuration_at = std::max(state.configuration_at, answer.current_at);
   }
+  // Nothing is missing any more as of a later time than was known.
+  if (answer.current_at > state.current_at) state.urgent = false;
   const bool apply = answer.to_revision > state.revision;
   state.revision = std::max(state.revision, answer.to_revision);
   state.current_at = std::max(state.current_at, answer.current_at);
@@ -106,9 +137,7 @@
   else if (const auto* failed = std::get_if<ReadFailed>(&event))
     Take(decision.state, *failed, now);
   else if (const auto* relayed = std::get_if<Relayed>(&event))
-    decision.apply = Take(decision.state, *relayed);
-  else if (std::holds_alternative<NewsHeard>(event))
-    decision.state.urgent = true;
+    decision.apply = Take(decision.state, *relayed, now);
   else
     decision.state.watches = std::get<RoleTaken>(event).watches;
   return decision;
@@ -127,9 +156,18 @@
   return std::max(wanted, state.not_before);
 }
 
+Milliseconds LongestPause(const Settings& settings, const State& state, Time now) {
+  const bool heard = now - state.watcher_heard_at < settings.watcher_silence;
+  const bool watcher_behind = now - state.watcher_current_at > settings.longest_age;
+  const bool together = !state.watches && heard && watcher_behind;
+  return together ? std::max(settings.longest_pause, settings.longest_age) : settings.longest_pause;
+}
+
 ReadKind NextReadKind(const Settings& settings, const State& state, Time now) {
   const bool old = now >= state.current_at + LongestAge(settings, state);
   const bool servers = !state.listed || state.urgent || old;
+  const bool told = state.told && state.told->revision > state.configuration_revision;
+  if (!servers && told && !state.told_missed) return ReadKind::kToldConfiguration;
   if (!servers) return ReadKind::kConfiguration;
   if (state.narrow) return ReadKind::kServers;
   // Changes since a revision that was relayed leave out configurations before it.
--- a/src/relay/follow_state.h
+++ b/src/relay/follow_state.h
@@ -43,14 +43,21 @@
   Milliseconds watcher_age{300};
   /// Least time between two reads for which there was a reason.
   Milliseconds between_urgent{500};
+  /// Between two reads of which the first failed.
+  Milliseconds longest_pause{500};
+  /// A watcher is asked twice a second: without two answers it is not heard any more.
+  Milliseconds watcher_silence{1'200};
 };
 
 /// What one read of the store asks for.
 enum class ReadKind : std::uint8_t {
-  kListing,       ///< All entries as they are now.
-  kChanges,       ///< All changes since the revision known.
-  kServers,       ///< The servers' entries as they are now.
-  kConfiguration  ///< The newest configuration.
+  kListing,        ///< All entries as they are now.
+  kChanges,        ///< All changes since the revision known.
+  kServers,        ///< The servers' entries as they are now.
+  kConfiguration,  ///< The newest configuration.
+  /// The configuration whose version a watcher told: the store may answer from an older state, at
+  /// less cost, since the version shows whether it did.
+  kToldConfiguration
 };
 
 /// @return a word for metrics and logs.
@@ -64,10 +71,18 @@
       return "servers";
     case ReadKind::kConfiguration:
       return "configuration";
+    case ReadKind::kToldConfiguration:
+      return "told_configuration";
   }
   return "unknown";
 }
 
+/// A configuration that a watcher knows to be the newest of a moment.
+struct ToldConfiguration {
+  std::int64_t revision = 0;  ///< No newer one existed up to this revision of the store ..
+  Time current_at{};          ///< .. and at this time.
+};
+
 struct State {
   bool listed = false;                      ///< All servers were read at once before.
   std::int64_t revision = 0;                ///< All changes of servers up to this one are known.
@@ -78,7 +93,12 @@
   ReadKind reading = ReadKind::kListing;  ///< The read under way; of no meaning without one.
   bool urgent = false;                ///< There is a reason to read before `current_at` is too old.
   bool configuration_wanted = false;  ///< There is a configuration that is not known.
-  bool changes_unread = false;        ///< The changes since `revision` could not be read.
+  std::optional<ToldConfiguration> told;  ///< Which is wanted, if a watcher told of it.
+  ToldConfiguration reading_told;         ///< Of the read under way.
+  bool told_missed = false;               ///< The store answered with an older one than that.
+  Time watcher_heard_at{};
+  Time watcher_current_at{};      ///< The last answer's: at that time the watcher knew all.
+  bool changes_unread = false;    ///< The changes since `revision` could not be read.
   bool narrow = false;            ///< A listing was not answered: servers and configuration apart.
   Time not_before{};              ///< No read earlier, after a failed one.
   Time urgent_not_before{};       ///< No read earlier just because it is urgent.
@@ -99,9 +119,10 @@
   double bytes = 0;  ///< Of the answer, about.
   /// Of the changes since the revision known before, as far as that can be told.
   std::optional<double> change_bytes;
+  bool outdated = false;  ///< Not the configuration that was told, but an older one.
 };
 struct ReadFailed {
-  Milliseconds pause{0};  ///< Before the next.
+  Milliseconds pause{0};  ///< Before the next, see LongestPause.
   /// No whole answer came in its time: the next read asks for less.
   bool unanswered = false;
   bool history_gone = false;  ///< The changes are no longer to be had.
@@ -117,12 +138,10 @@
   bool newer_configuration = false;  ///< There is one that this daemon lacks; it is not relayed.
   Time current_at{};                 ///< Nothing newer existed then.
 };
-/// Something else says that the store has news.
-struct NewsHeard {};
 struct RoleTaken {
   bool watches = false;
 };
-using Event = std::variant<ReadBegun, ReadEnded, ReadFailed, Relayed, NewsHeard, RoleTaken>;
+using Event = std::variant<ReadBegun, ReadEnded, ReadFailed, Relayed, RoleTaken>;
 
 struct Decision {
   State state;
@@ -134,6 +153,10 @@
 
 /// @return when the store is to be read next; Time::max() while a read is under way.
 Time NextRead(const Settings& settings, const State& state);
+/// @return the most by which a read may follow one that failed. Where the watcher is heard and
+/// cannot read the store either, the store is out of reach for all: the watcher will tell when it
+/// is back, and its many followers do not all knock meanwhile.
+Milliseconds LongestPause(const Settings& settings, const State& state, Time now);
 /// @return what a read that begins now asks for.
 ReadKind NextReadKind(const Settings& settings, const State& state, Time now);
 
--- a/test/relay/follow_state_test.cc
+++ b/test/relay/follow_state_test.cc
@@ -81,7 +81,7 @@
   CHECK_FALSE(decision.state.ConfigurationKept());
   CHECK(decision.state.configuration_at == kStart);
   CHECK(NextRead(kSettings, decision.state) <= now);
-  CHECK(NextReadKind(kSettings, decision.state, now) == ReadKind::kConfiguration);
+  CHECK(NextReadKind(kSettings, decision.state, now) == ReadKind::kToldConfiguration);
   State state = Reduce(kSettings, decision.state, ReadBegun{ReadKind::kConfiguration}, now).state;
   // Servers are relayed on while the configuration is being read.
   const Decision later = Reduce(kSettings, state, Answer(12, 15, now), now + milliseconds(5));
@@ -173,12 +173,55 @@
   CHECK(NextRead(kSettings, state) == kStart + milliseconds(1'000));
 }
 
-TEST_CASE("News that come while a read is under way lead to another") {
+TEST_CASE("A reason that comes while a read is under way leads to another") {
   State state = Reduce(kSettings, Listed(7), ReadBegun{}, kStart).state;
-  state = Reduce(kSettings, state, NewsHeard{}, kStart + milliseconds(5)).state;
+  Relayed gap = Answer(9, 12, kStart);
+  state = Reduce(kSettings, state, gap, kStart + milliseconds(5)).state;
   state = Reduce(kSettings, state, ReadEnded{8}, kStart + milliseconds(10)).state;
   CHECK(NextRead(kSettings, state) == kStart + milliseconds(510));
 }
 
+TEST_CASE("A complete answer makes a read needless that a failure had asked for") {
+  State state = Reduce(kSettings, Listed(7), ReadBegun{}, kStart + milliseconds(2'200)).state;
+  state =
+      Reduce(kSettings, state, ReadFailed{milliseconds(500)}, kStart + milliseconds(2'210)).state;
+  const Time now = kStart + milliseconds(2'600);
+  state = Reduce(kSettings, state, Answer(7, 9, now - milliseconds(100)), now).state;
+  CHECK(NextRead(kSettings, state) == now - milliseconds(100) + milliseconds(2'200));
+}
+
+TEST_CASE("Followers of a watcher that cannot read the store either wait longer for the store") {
+  const Time now = kStart + milliseconds(3'000);
+  State state = Reduce(kSettings, Listed(7), Answer(7, 7, kStart), now).state;
+  CHECK(LongestPause(kSettings, state, now) == kSettings.longest_age);
+  CHECK(LongestPause(kSettings, state, now + milliseconds(1'300)) == kSettings.longest_pause);
+  const State leads = Reduce(kSettings, state, RoleTaken{true}, now).state;
+  CHECK(LongestPause(kSettings, leads, now) == kSettings.longest_pause);
+  // The watcher reads the store: only this daemon does not reach it.
+  state = Reduce(kSettings, state, Answer(7, 7, now - milliseconds(300)), now).state;
+  CHECK(LongestPause(kSettings, state, now) == kSettings.longest_pause);
+}
+
+TEST_CASE("A told configuration may be read from an older state, which its version shows") {
+  const Time now = kStart + milliseconds(1'000);
+  Relayed answer = Answer(7, 12, now - milliseconds(50));
+  answer.newer_configuration = true;
+  State told = Reduce(kSettings, Listed(7), answer, now).state;
+  CHECK(NextReadKind(kSettings, told, now) == ReadKind::kToldConfiguration);
+  told = Reduce(kSettings, told, ReadBegun{ReadKind::kToldConfiguration}, now).state;
+  // The right one: it is known as of what the watcher said, whatever the store's answer says.
+  const State read = Reduce(kSettings, told, ReadEnded{9}, now + milliseconds(10)).state;
+  CHECK(read.configuration_revision == 12);
+  CHECK(read.configuration_at == now - milliseconds(50));
+  CHECK(NextRead(kSettings, read) > now + milliseconds(500));
+  // An older one: it is read again, at once, and for certain.
+  ReadEnded outdated{9};
+  outdated.outdated = true;
+  State missed = Reduce(kSettings, told, outdated, now + milliseconds(10)).state;
+  CHECK(missed.configuration_at == kStart);
+  CHECK(NextRead(kSettings, missed) <= now + milliseconds(10));
+  CHECK(NextReadKind(kSettings, missed, now + milliseconds(10)) == ReadKind::kConfiguration);
+}
+
 }  // namespace
 }  // namespace moorfold::follow
--- a/test/relay/relay_model_test.cc
+++ b/test/relay/relay_model_test.cc
@@ -38,6 +38,7 @@
   bool older_reads_yield = true;      ///< A read's answer does not undo what was relayed meanwhile.
   bool listings_leave_gaps = true;    ///< What came and went before a listing was never seen.
   bool watcher_keeps_both = true;     ///< None relays that knows servers newer than the rest.
+  bool told_version_is_checked = true;  ///< A stale read is taken for what it is.
 };
 
 /// Revision of the newest change of each server that is there and of the configuration, as some
@@ -57,7 +58,9 @@
   follow::State state;
   Knowledge known;
   ChangeLog log;
-  bool cut_off = false;  ///< From the store.
+  std::int64_t told = 0;          ///< Of the configuration that the watcher told of last.
+  std::int64_t reading_told = 0;  ///< The same when the read under way began.
+  bool cut_off = false;           ///< From the store.
 };
 
 struct Harm {
@@ -135,6 +138,7 @@
   void Read(Daemon& daemon) {
     const ReadKind kind = follow::NextReadKind(kSettings, daemon.state, now);
     Reduce(daemon, follow::ReadBegun{kind});
+    daemon.reading_told = daemon.told;
     const std::int64_t after = daemon.state.revision;
     if (daemon.cut_off || Chance(0.02)) {
       const bool unanswered = Chance(0.7);
@@ -150,17 +154,27 @@
     const std::int64_t at = revision;
     At(now + (Chance(0.1) ? Between(0, 600) : Between(0, 60)), [this, &daemon, after, at, kind] {
       double bytes = 1;
+      bool outdated = false;
       if (kind == ReadKind::kChanges)
         bytes = TakeChanges(daemon, after, at);
       else if (kind == ReadKind::kConfiguration)
         Learn(daemon, kConfiguration, StoreAt(at).at(kConfiguration), false);
+      else if (kind == ReadKind::kToldConfiguration)
+        outdated = !ReadTold(daemon, at);
       else
         TakeListing(daemon, at, kind);
       // Now the changes and now a listing are expected to be the smaller answer.
-      Reduce(daemon, follow::ReadEnded{at, 1 + static_cast<double>(random() % kServers), bytes});
+      Reduce(daemon,
+             follow::ReadEnded{at, 1 + static_cast<double>(random() % kServers), bytes, outdated});
       ReadWhenDue(daemon);
     });
   }
+  /// From a state that may be older. @return whether it is the one that was told.
+  bool ReadTold(Daemon& daemon, std::int64_t at) {
+    const std::int64_t answered_at = Chance(0.5) ? at : std::max<std::int64_t>(1, at - 12);
+    Learn(daemon, kConfiguration, StoreAt(answered_at).at(kConfiguration), false);
+    return daemon.known[kConfiguration] >= daemon.reading_told || !rules.told_version_is_checked;
+  }
   double TakeChanges(Daemon& daemon, std::int64_t after, std::int64_t at) {
     const std::int64_t known = daemon.state.revision;
     double changes = 0;
@@ -226,6 +240,7 @@
                         (rules.watcher_states_age ? age : milliseconds(0));
     answer.newer_configuration =
         rules.configuration_is_read && configuration > follower.known[kConfiguration];
+    if (answer.newer_configuration) follower.told = configuration;
     const std::int64_t known = follower.state.revision;
     const follow::Decision decision = follow::Reduce(kSettings, follower.state, answer, now);
     follower.state = decision.state;
@@ -272,9 +287,11 @@
     if (!follower.cut_off && &daemon == &follower) reachable_since = now;
     At(now + Between(500, 6'000), [this] { Cut(); });
   }
-  /// Something else makes the follower read.
+  /// Something makes the follower read: an answer with a gap.
   void News() {
-    Reduce(follower, follow::NewsHeard{});
+    follow::Relayed gap;
+    gap.gap = true;
+    Reduce(follower, gap);
     ReadWhenDue(follower);
     At(now + Between(200, 3'000), [this] { News(); });
   }
@@ -360,10 +377,10 @@
 }
 
 TEST_CASE("Without any one of the relay's rules harm is done") {
-  const std::array<bool Rules::*, 7> rules = {
-      &Rules::age_from_question,   &Rules::watcher_states_age, &Rules::configuration_is_read,
-      &Rules::log_tells_its_reach, &Rules::older_reads_yield,  &Rules::listings_leave_gaps,
-      &Rules::watcher_keeps_both};
+  const std::array<bool Rules::*, 8> rules = {
+      &Rules::age_from_question,   &Rules::watcher_states_age,     &Rules::configuration_is_read,
+      &Rules::log_tells_its_reach, &Rules::older_reads_yield,      &Rules::listings_leave_gaps,
+      &Rules::watcher_keeps_both,  &Rules::told_version_is_checked};
   for (std::size_t rule = 0; rule < rules.size(); ++rule) {
     Rules without;
     without.*rules[rule] = false;
