Let the kernel end connections whose peers go silent

A request on such a connection to a server waited for its deadline; resting ones were used again. Ruled out: shorter limits of our own on a server's silence: one at work is silent, too, and its ready answer is delivered.

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -10,6 +10,8 @@
 #include <boost/beast/http.hpp>
 #include <optional>
 
+#include "http/connection_liveness.h"
+
 namespace moorfold {
 
 namespace asio = boost::asio;
@@ -36,6 +38,7 @@
                                            endpoint_.port);
       co_await stream_.async_connect(target, use_awaitable);
       stream_.socket().set_option(asio::ip::tcp::no_delay(true));
+      EndWhenPeerIsSilent(stream_.socket());
     } catch (const system_error& error) {
       throw Failure(HttpStage::kConnecting, error);
     }
--- a/src/http/upstream_connection.cc
+++ b/src/http/upstream_connection.cc
@@ -8,6 +8,8 @@
 #include <boost/beast/http.hpp>
 #include <optional>
 
+#include "http/connection_liveness.h"
+
 namespace moorfold {
 
 namespace asio = boost::asio;
@@ -84,6 +86,7 @@
   if (error) throw state->Failure(HttpStage::kConnecting, error);
   error_code ignored;
   state->socket.set_option(tcp::no_delay(true), ignored);
+  EndWhenPeerIsSilent(state->socket);
 }
 
 void UpstreamConnection::BeginSend(const HttpRequest& head,
--- a/test/http/http_test.cc
+++ b/test/http/http_test.cc
@@ -1,3 +1,5 @@
+#include <netinet/tcp.h>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -9,6 +11,7 @@
 #include <thread>
 
 #include "common/async_signal.h"
+#include "http/connection_liveness.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 
@@ -203,5 +206,24 @@
   CHECK(server.disconnects == 1);
 }
 
+TEST_CASE("The kernel is told to end connections whose peers go silent") {
+  asio::io_context context;
+  tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  tcp::socket socket(context);
+  socket.connect(acceptor.local_endpoint());
+  REQUIRE(EndWhenPeerIsSilent(socket));
+  const auto option = [&](int level, int name) {
+    int value = 0;
+    socklen_t size = sizeof(value);
+    REQUIRE(::getsockopt(socket.native_handle(), level, name, &value, &size) == 0);
+    return value;
+  };
+  CHECK(option(SOL_SOCKET, SO_KEEPALIVE) == 1);
+  const int probing_s = option(IPPROTO_TCP, TCP_KEEPIDLE) +
+                        option(IPPROTO_TCP, TCP_KEEPINTVL) * option(IPPROTO_TCP, TCP_KEEPCNT);
+  CHECK(probing_s == 3);
+  CHECK(option(IPPROTO_TCP, TCP_USER_TIMEOUT) == kUnacknowledgedLimit.count());
+}
+
 }  // namespace
 }  // namespace moorfold
