Hold a request only while something says that it will be served; the leader tells what it expects

Ruled out: holding as long as an answer would still be of use (waits that end unserved just before the deadline). Change: src/gateway/hold_policy, pure: a model on its way is waited for by the leader's time for it, which comes with its order; one that comes too late for the answer is refused at once, with that time; without a word, two reports and a load from disk are waited for; a place at a busy server as long as the answer should begin. Retry-After follows from the same, spread over who is refused. Constants 0.45, 0.5 s and 0.2 s are gone.

--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -340,6 +340,8 @@
   const SteadyTime began = steady_clock::now();
   const std::size_t together = StoreLoadsUnderWay();
   const SteadyTime give_up = began + step.expected + kLongestOperation;
+  if (load)
+    notice_({managed->id, step.name, false, std::max<std::int64_t>(1, step.expected.count())});
   co_await Sleep(load ? step.expected : kPollEvery);
   while (steady_clock::now() < give_up && view_.servers.Find(managed->id) != nullptr) {
     const std::optional<ServerStatus> report = co_await ReadReport(managed->id, endpoint);
@@ -360,7 +362,7 @@
 }
 
 void FleetController::Notify(const std::string& server_id, const ModelReference& name, bool held) {
-  notice_({server_id, name, held});
+  notice_({server_id, name, held, 0});
 }
 
 }  // namespace moorfold
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -51,15 +51,16 @@
   }
 };
 
-/// From the leader to every daemon: a model or adapter stands at a server now, or goes.
+/// From the leader to every daemon: a model or adapter stands at a server now, will, or goes.
 struct PlacementNotice {
   std::string server_id;
   ModelReference name;
   bool held = true;
+  std::int64_t expected_ms = 0;  ///< Above 0: it does not stand there yet, but should after that.
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(server_id, name, held);
+    archive(server_id, name, held, expected_ms);
   }
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -178,6 +178,10 @@
   const ServerPtr server = view_.servers.Find(notice.server_id);
   if (!server) return;
   const auto now = steady_clock::now();
+  if (notice.expected_ms > 0) {
+    view_.expected.Note(notice.name, {now, now + milliseconds(notice.expected_ms)});
+    return;
+  }
   if (notice.held)
     server->NoteHeld(notice.name, now);
   else
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -8,6 +8,7 @@
 #include "fleet/routing_configuration.h"
 #include "gateway/prompt.h"
 #include "gateway/route_table.h"
+#include "gateway/server_choice.h"
 #include "gateway/server_directory.h"
 #include "http/http_types.h"
 #include "http/upstream_connection.h"
@@ -34,8 +35,9 @@
   std::chrono::milliseconds longest_gap{0};  ///< Between two deliveries of a stream's events.
   std::string last_event;                    ///< Last whole event that the client has.
   std::uint32_t sends = 0;                   ///< Servers that it was sent to.
-  std::uint32_t may_have_run = 0;            ///< Servers on which it may have run.
-  UpstreamConnectionPtr upstream;            ///< Of the attempt under way.
+  NoServerReason no_server = NoServerReason::kNone;  ///< Why it found none, last.
+  std::uint32_t may_have_run = 0;                    ///< Servers on which it may have run.
+  UpstreamConnectionPtr upstream;                    ///< Of the attempt under way.
   std::vector<std::string> failed_servers;
 
   /// @return whether its answer missed what its route aims at: the first part late, or a pause in
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -11,15 +11,10 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-/// Held no longer than this share of its time without a server: past half of it, holding costs more
-/// than an early refusal.
-constexpr double kHoldShare = 0.45;
-/// Of the time after which a client gives a silent stream up: refused before, it can come back.
-constexpr double kPatienceShare = 0.85;
 constexpr std::uint32_t kMostSends = 4;
 constexpr milliseconds kRetryPause{40};
-constexpr double kRetryAfterLoadingS = 0.5;
-constexpr double kRetryAfterFullS = 0.2;
+/// Of the newest answer in the usual time to an answer's head.
+constexpr double kAnswerTimeWeight = 0.1;
 /// Below the fleet's ratio, so that the edges of sliding windows stay inside it.
 constexpr double kRatioUsed = 0.8;
 
@@ -32,6 +27,17 @@
   return std::max({kLeast, route.target * kTargets, route.gap_target * kGaps});
 }
 
+/// @return how long a load of the request's model takes from a server's disk; 0 where none is
+/// stated.
+milliseconds StatedLoad(const GatewayRequest& request) {
+  const ServiceDescription* service = request.table->configuration().FindService(request.service);
+  if (service == nullptr || !service->engine) return milliseconds(0);
+  for (const ModelDescription& model : service->engine->models)
+    if (model.name == request.model.model)
+      return std::chrono::duration_cast<milliseconds>(model.disk_load_time);
+  return milliseconds(0);
+}
+
 std::string SecondsText(double seconds) {
   std::string text = std::to_string(seconds);
   constexpr std::size_t kDigitsDropped = 3;
@@ -116,15 +122,28 @@
   for (auto& [service, allowance] : allowances_) allowance.set_free_repeats(free_repeats);
 }
 
-SteadyTime RequestPipeline::HoldEnd(const GatewayRequest& request) const {
-  auto hold = std::chrono::duration_cast<steady_clock::duration>((request.end - request.arrival) *
-                                                                 kHoldShare);
-  if (request.route->type == RouteType::kStream) {
-    const auto patience = std::chrono::duration_cast<steady_clock::duration>(
-        StreamPatience(*request.route) * kPatienceShare);
-    hold = std::min(hold, patience);
-  }
-  return request.arrival + hold;
+HeldRequest RequestPipeline::DescribeHeld(const GatewayRequest& request,
+                                          NoServerReason reason) const {
+  HeldRequest held{request.arrival, request.end, reason, request.route->target, {}, {}, {}, {}};
+  const auto usual = answer_ms_.find(request.service);
+  held.answer = usual == answer_ms_.end() ? request.route->target
+                                          : milliseconds(static_cast<std::int64_t>(usual->second));
+  if (request.route->type == RouteType::kStream) held.patience = StreamPatience(*request.route);
+  if (request.model.model.empty()) return held;
+  held.expected = view_.expected.Find(request.model);
+  held.load = StatedLoad(request);
+  return held;
+}
+
+SteadyTime RequestPipeline::HoldEnd(const GatewayRequest& request, NoServerReason reason) const {
+  return HoldUntil(DescribeHeld(request, reason));
+}
+
+void RequestPipeline::NoteAnswerTime(const GatewayRequest& request, SteadyTime sent_at) {
+  if (!request.head_sent || request.head_at < sent_at) return;
+  const double taken = std::chrono::duration<double, std::milli>(request.head_at - sent_at).count();
+  double& usual = answer_ms_.try_emplace(request.service, taken).first->second;
+  usual += kAnswerTimeWeight * (taken - usual);
 }
 
 /// Waits until one more repeat may be sent; one that has not run may be held as long as one that
@@ -133,7 +152,7 @@
                                                 RetryAllowance& allowance) {
   while (!allowance.TryRepeat(steady_clock::now())) {
     const bool held = request.may_have_run == 0 && !refuse_waiting_ && !request.client_left &&
-                      steady_clock::now() < HoldEnd(request);
+                      steady_clock::now() < HoldEnd(request, NoServerReason::kAllUnusable);
     if (!held) {
       ++metrics_.repeats_denied;
       co_return false;
@@ -160,14 +179,17 @@
   const DemandMark waiting(view_.demand, request.service, request.model,
                            &DemandBook::Count::waiting);
   const auto began = steady_clock::now();
-  const SteadyTime hold_end = HoldEnd(request);
   ++metrics_.waits_for_server;
   view_.demand_raised.NotifyAll();
-  while (!request.client_left && !refuse_waiting_ && steady_clock::now() < hold_end) {
+  request.no_server = reason;
+  // What is expected may change meanwhile.
+  while (!request.client_left && !refuse_waiting_ &&
+         steady_clock::now() < HoldEnd(request, reason)) {
     const SteadyTime look_again = steady_clock::now() + kRetryPause;
-    co_await view_.changed.Wait(std::min(hold_end, look_again));
+    co_await view_.changed.Wait(std::min(HoldEnd(request, reason), look_again));
     request.failed_servers.clear();
     ServerPtr server = ChooseOnce(request, reason);
+    request.no_server = reason;
     request.waited = std::chrono::duration_cast<milliseconds>(steady_clock::now() - began);
     if (!server) continue;
     metrics_.wait_for_server.Observe(static_cast<double>(request.waited.count()));
@@ -218,11 +240,13 @@
             late ? EndReason::kOutOfTime : EndReason::kServerFailed,
             "it may have run; repeat it only if that does no harm", true, 0};
   }
-  if (result.status != 0)
-    return {http_status::kUnavailable, EndReason::kServersFull, "come back after the stated time",
-            false, kRetryAfterFullS};
-  return {http_status::kUnavailable, EndReason::kNoServer, "come back after the stated time", false,
-          request.model.model.empty() ? kRetryAfterFullS : kRetryAfterLoadingS};
+  const bool full = result.status != 0;
+  const HeldRequest held =
+      DescribeHeld(request, full ? NoServerReason::kAllUnusable : request.no_server);
+  const milliseconds come_back = ComeBackAfter(held, steady_clock::now(), SpreadOf(request.id));
+  return {http_status::kUnavailable, full ? EndReason::kServersFull : EndReason::kNoServer,
+          "come back after the stated time", false,
+          std::chrono::duration<double>(come_back).count()};
 }
 
 Awaitable<void> RequestPipeline::Answer(HttpServerExchange& exchange, const GatewayRequest& request,
@@ -255,7 +279,9 @@
       const DemandMark flight(view_.demand, request.service, request.model,
                               &DemandBook::Count::in_flight);
       const bool last = !MayRunElsewhere(request);
+      const SteadyTime sent_at = steady_clock::now();
       result = co_await forwarder_.Forward(exchange, request, server, AttemptEnd(request), last);
+      NoteAnswerTime(request, sent_at);
     }
     if (result.end == ForwardEnd::kMayHaveRun || result.end == ForwardEnd::kBrokenOff)
       ++request.may_have_run;
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -9,6 +9,7 @@
 #include "gateway/fleet_view.h"
 #include "gateway/forwarder.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/hold_policy.h"
 #include "gateway/request_admission.h"
 #include "gateway/request_reporter.h"
 #include "gateway/retry_allowance.h"
@@ -67,7 +68,10 @@
                          const Refusal& refusal);
   RetryAllowance& AllowanceOf(const std::string& service);
   Awaitable<bool> AwaitAllowance(GatewayRequest& request, RetryAllowance& allowance);
-  SteadyTime HoldEnd(const GatewayRequest& request) const;
+  HeldRequest DescribeHeld(const GatewayRequest& request, NoServerReason reason) const;
+  SteadyTime HoldEnd(const GatewayRequest& request, NoServerReason reason) const;
+  /// Takes the time from a send to the head of its answer into what is usual for the service.
+  void NoteAnswerTime(const GatewayRequest& request, SteadyTime sent_at);
 
   const FleetProtocol& protocol_;
   FleetView& view_;
@@ -78,6 +82,7 @@
   RequestReporter reporter_;
   std::map<std::string, RetryAllowance> allowances_;
   std::set<GatewayRequest*> active_;
+  std::map<std::string, double> answer_ms_;  ///< Usual time to an answer's head, by service.
   bool refuse_waiting_ = false;
   double free_repeats_ = 2;
 };
