--- a/src/gateway/store_view.cc
+++ b/src/gateway/store_view.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <unordered_set>
 
+#include "relay/change_answer.h"
+
 namespace moorfold {
 
 namespace {
@@ -17,36 +19,10 @@
 /// Longer than a heartbeat, well below the bound within which no more may be sent to a lost server.
 constexpr milliseconds kRemovalGrace{1'400};
 
-/// Of one answer to a follower: a datagram is lost whole when a part of it is lost, and the channel
-/// carries 8 kB.
-constexpr std::size_t kMostAnswerBytes = 7'000;
-
 std::int64_t Microseconds(std::chrono::steady_clock::duration duration) {
   return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
 }
 
-/// @return whether nothing that a request's path needs differs.
-bool SameForRequests(const ServerRecord& left, const ServerRecord& right) {
-  return left.service == right.service && left.endpoint == right.endpoint &&
-         left.zone == right.zone && left.slots == right.slots && left.draining == right.draining &&
-         left.models == right.models;
-}
-
-/// @return an upper bound of what a change takes in a message.
-std::size_t EncodedBytes(const ServerChange& change) {
-  constexpr std::size_t kFixedBytes = 32;  ///< Revision, slots, port, flags, counts.
-  constexpr std::size_t kLengthBytes = 8;  ///< Before each text and list.
-  const auto text = [](const std::string& value) { return kLengthBytes + value.size(); };
-  const ServerRecord& record = change.record;
-  std::size_t bytes = kFixedBytes + text(record.id) + text(record.service) +
-                      text(record.endpoint.address) + text(record.zone) + kLengthBytes;
-  for (const HeldModel& held : record.models) {
-    bytes += text(held.name) + kLengthBytes;
-    for (const std::string& adapter : held.adapters) bytes += text(adapter);
-  }
-  return bytes;
-}
-
 /// All keys: every key begins with the empty text.
 KeyRange AllKeys() { return {"", "\xff"}; }
 
@@ -277,23 +253,10 @@
   answer.age_us = Microseconds(steady_clock::now() - current_at);
   answer.configuration_version = Version();
   answer.from_revision = question.revision;
-  answer.to_revision = question.revision;
-  answer.gap = !changes_.Reaches(question.revision);
-  if (answer.gap) return answer;
-  std::size_t bytes = 0;
-  for (const ChangeLog::Change& change : changes_.Since(question.revision)) {
-    const ServerPtr server = view_.servers.Find(change.server_id);
-    ServerChange told{change.revision, change.gone || !server, {}};
-    if (told.gone)
-      told.record.id = change.server_id;
-    else
-      told.record = server->record();
-    bytes += EncodedBytes(told);
-    answer.servers.push_back(std::move(told));
-  }
-  answer.to_revision = changes_.newest();
-  answer.gap = bytes > kMostAnswerBytes;
-  if (answer.gap) answer.servers.clear();
+  FillChanges(answer, changes_, [this](const std::string& id) -> const ServerRecord* {
+    const ServerPtr server = view_.servers.Find(id);
+    return server ? &server->record() : nullptr;
+  });
   return answer;
 }
 
