Let only the soak's clients stay with gateways that are not ready

Since every other client of the emulator keeps to its gateway, ready or not; in this test one met the closed listener of the stopped gateway, and its connection that never opened counted as an unknown outcome. Ruled out: a request cut at the stop (it would be a violation 'lost'; none). Change: clients stay only where the soak says so; the test's clients are again those for which its check was written. The check is unchanged.

--- a/test/emulator/emulated_clients.h
+++ b/test/emulator/emulated_clients.h
@@ -43,6 +43,9 @@
   void Stop() { stopping_ = true; }
   /// Whether clients that were refused come back at once, and more than once.
   void SetImpatient(bool impatient) { impatient_ = impatient; }
+  /// Whether every other client stays with its gateway, over its open connections, ready or not,
+  /// until the process there is gone. Such clients also meet listeners that are closed by then.
+  void SetStaying(bool staying) { staying_ = staying; }
   int running() const { return running_; }
   const ClientCounts& counts() const { return counts_; }
 
@@ -59,8 +62,6 @@
   Awaitable<ClientAnswer> Exchange(const Endpoint& gateway, const std::string& id,
                                    RequestKind kind);
   GatewayAddress* PickGateway();
-  /// Every other client stays with its gateway, over its open connections, ready or not, until the
-  /// process there is gone.
   GatewayAddress* GatewayOf(int client);
   int Draw(int most) { return std::uniform_int_distribution<int>(0, most)(random_); }
 
@@ -74,6 +75,7 @@
   std::map<std::string, const GatewayAddress*> taken_by_;  ///< Of each request.
   bool stopping_ = false;
   bool impatient_ = false;
+  bool staying_ = false;
   int running_ = 0;
   std::uint64_t next_id_ = 0;
 };
--- a/test/emulator/main.cc
+++ b/test/emulator/main.cc
@@ -363,6 +363,7 @@
     if (signal.judged_stop)
       faults.KeepCalm(began + signal.at - kCalmBefore, began + signal.at + kCalmAfter);
   }
+  clients.SetStaying(true);
   clients.Start(std::max(10, kClientsOfGateway * gateways));
   for (int series = 0; series < kFaultSeries; ++series)
     boost::asio::co_spawn(context, faults.Run(), boost::asio::detached);
