--- a/src/common/log_event.h
+++ b/src/common/log_event.h
@@ -118,6 +118,8 @@
   kSource,
   kTotal,
   kFailedReads,
+  kLink,
+  kFingerprint,
 };
 inline constexpr std::array kLogFieldNames = {"id",
                                               "ids",
@@ -169,7 +171,9 @@
                                               "others",
                                               "source",
                                               "total",
-                                              "failed_reads"};
+                                              "failed_reads",
+                                              "link",
+                                              "fingerprint"};
 
 /// @return the name as it stands in the log.
 constexpr const char* Name(LogEvent event) {
@@ -179,7 +183,7 @@
   return kLogFieldNames[static_cast<std::size_t>(field)];
 }
 static_assert(kLogEventNames.size() == static_cast<std::size_t>(LogEvent::kLogLinesLeftOut) + 1);
-static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kFailedReads) + 1);
+static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kFingerprint) + 1);
 
 /// One line of a gateway's log, made only of listed events and fields.
 class EventLine {
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -246,7 +246,7 @@
   } catch (const HttpError& error) {
     if (request.client_left) co_return ForwardResult{ForwardEnd::kClientLeft, status, ""};
     const ForwardEnd end = request.head_sent ? ForwardEnd::kBrokenOff : ForwardEnd::kMayHaveRun;
-    co_return ForwardResult{end, status, error.what()};
+    co_return ForwardResult{end, status, error.what(), error.peer_ended()};
   }
   if (!request.head_sent) {
     NoteHead(request);
@@ -311,7 +311,7 @@
     upstream->BeginSend(MakeHead(exchange.request(), request, *server, attempt_end), request.body);
     result = co_await Exchange(exchange, request, *server, last_attempt);
   } catch (const HttpError& error) {
-    result = {ForwardEnd::kMayHaveRun, 0, error.what()};
+    result = {ForwardEnd::kMayHaveRun, 0, error.what(), error.peer_ended()};
     NoteUnanswered(*upstream);
   }
   if (upstream->cancelled() == CancelReason::kCallerLeft || request.client_left)
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -12,6 +12,7 @@
 #include "gateway/server_directory.h"
 #include "http/http_types.h"
 #include "http/upstream_connection.h"
+#include "quarantine/fingerprint.h"
 
 namespace moorfold {
 
@@ -24,6 +25,7 @@
   ModelReference model;  ///< Empty where the service holds no models.
   std::vector<PromptPart> parts;
   std::shared_ptr<const std::string> body;
+  Fingerprint fingerprint;  ///< The same for each try of the same request.
   SteadyTime arrival;
   SteadyTime end;  ///< The earlier of the client's deadline and the route's time-out.
   bool client_left = false;
@@ -74,6 +76,7 @@
   ForwardEnd end = ForwardEnd::kNotRun;
   unsigned status = 0;  ///< Of the server's answer; 0: none.
   std::string problem;
+  bool link_ended = false;  ///< By the server's side, before the answer was whole.
 };
 
 }  // namespace moorfold
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -353,6 +353,9 @@
     co_return;
   }
   request->body = std::make_shared<const std::string>(exchange.TakeBody());
+  request->fingerprint =
+      FingerprintOf({exchange.remote_address(), FindHeader(exchange.request().headers, "Host"),
+                     exchange.request().target, *request->body});
   ++view_.demand.At(request->service, request->model).arrivals;
   exchange.OnDisconnect([request, this] {
     request->client_left = true;
--- a/src/gateway/request_reporter.cc
+++ b/src/gateway/request_reporter.cc
@@ -101,6 +101,8 @@
                  .Field(LogField::kStatus, result.status)
                  .Field(LogField::kRan, result.end == ForwardEnd::kNotRun ? "no" : "maybe")
                  .Field(LogField::kProblem, result.problem)
+                 .Field(LogField::kLink, result.link_ended ? "ended_by_server" : "open")
+                 .Field(LogField::kFingerprint, ToString(request.fingerprint))
                  .Field(LogField::kInFlight, server.in_flight())
                  .Field(LogField::kExpectedMs, static_cast<std::int64_t>(request.expected_ms)));
 }
--- a/src/http/http_types.h
+++ b/src/http/http_types.h
@@ -64,14 +64,17 @@
 
 class HttpError : public std::runtime_error {
  public:
-  HttpError(HttpStage stage, bool timed_out, const std::string& what)
-      : std::runtime_error(what), stage_(stage), timed_out_(timed_out) {}
+  HttpError(HttpStage stage, bool timed_out, const std::string& what, bool peer_ended = false)
+      : std::runtime_error(what), stage_(stage), timed_out_(timed_out), peer_ended_(peer_ended) {}
   HttpStage stage() const { return stage_; }
   bool timed_out() const { return timed_out_; }
+  /// @return whether the other side closed or reset the connection before its answer was whole.
+  bool peer_ended() const { return peer_ended_; }
 
  private:
   HttpStage stage_;
   bool timed_out_;
+  bool peer_ended_;
 };
 
 }  // namespace moorfold
--- a/src/http/upstream_connection.cc
+++ b/src/http/upstream_connection.cc
@@ -25,6 +25,14 @@
 constexpr std::size_t kReadChunk = 8 * 1024;
 constexpr std::uint64_t kMostAnswerBytes = 256ULL * 1024 * 1024;
 using RequestMessage = http::request<http::span_body<char const>>;
+
+/// @return whether the other side closed or reset the connection, or its machine said that nobody
+/// has it any more.
+bool PeerEnded(const error_code& error) {
+  return error == asio::error::eof || error == asio::error::connection_reset ||
+         error == asio::error::broken_pipe || error == asio::error::connection_aborted ||
+         error == http::error::end_of_stream || error == http::error::partial_message;
+}
 }  // namespace
 
 /// Outlives the connection while an operation on the socket still ends.
@@ -47,7 +55,8 @@
 
   HttpError Failure(HttpStage stage, const error_code& error) const {
     const bool timed_out = cancelled == CancelReason::kTimeLimit;
-    return {stage, timed_out, ToString(endpoint) + ": " + error.message()};
+    const bool peer_ended = cancelled == CancelReason::kNone && PeerEnded(error);
+    return {stage, timed_out, ToString(endpoint) + ": " + error.message(), peer_ended};
   }
 
   /// Closing by a reset: nothing that still lies in buffers may arrive later.
