--- a/test/emulator/emulated_clients.cc
+++ b/test/emulator/emulated_clients.cc
@@ -14,6 +14,10 @@
 constexpr milliseconds kProbeEvery{200};
 constexpr milliseconds kPause{30};
 
+constexpr unsigned kUnavailable = 503;
+/// By which a gateway says that servers end under a request.
+constexpr const char* kQuarantinedCode = "\"code\":\"quarantined\"";
+
 std::string PathOf(RequestKind kind) {
   switch (kind) {
     case RequestKind::kAtMostOnce:
@@ -109,6 +113,30 @@
   --running_;
 }
 
+void EmulatedClients::StartEnding(const std::string& name, RequestKind kind, milliseconds pause,
+                                  int copies) {
+  for (int copy = 0; copy < copies; ++copy)
+    boost::asio::co_spawn(context_, RunEnding(name, kind, pause), boost::asio::detached);
+}
+
+Awaitable<void> EmulatedClients::RunEnding(std::string name, RequestKind kind, milliseconds pause) {
+  ++running_;
+  while (!stopping_) {
+    co_await Sleep(pause);
+    GatewayAddress* gateway = PickGateway();
+    if (gateway == nullptr) continue;
+    const std::string id = "ending-" + name + "-" + std::to_string(next_id_++);
+    taken_by_[id] = gateway;
+    platform_.checker().Sent(id, kind);
+    HttpRequest request = MakeRequest(id, kind);
+    request.method = "POST";
+    request.body = ServerEmulator::EndingBody(name);
+    const Endpoint to = gateway->front;
+    co_await Exchange(to, std::move(request), id, kind);
+  }
+  --running_;
+}
+
 HttpRequest EmulatedClients::MakeRequest(const std::string& id, RequestKind kind) {
   HttpRequest request;
   request.method = kind == RequestKind::kRepeatable ? "GET" : "POST";
@@ -127,9 +155,9 @@
   return request;
 }
 
-Awaitable<ClientAnswer> EmulatedClients::Exchange(const Endpoint& gateway, const std::string& id,
-                                                  RequestKind kind) {
-  HttpRequest request = MakeRequest(id, kind);
+Awaitable<ClientAnswer> EmulatedClients::Exchange(const Endpoint& gateway, HttpRequest request,
+                                                  std::string id, RequestKind kind) {
+  const bool ends_servers = request.body.starts_with(ServerEmulator::EndingBody(""));
   HttpSendOptions options;
   options.deadline = steady_clock::now() + kDeadline;
   options.fresh_connection = kind != RequestKind::kRepeatable;
@@ -149,6 +177,8 @@
   } catch (const HttpError&) {
     answer.whole = false;
   }
+  if (answer.status == kUnavailable && body.find(kQuarantinedCode) != std::string::npos)
+    platform_.checker().Quarantined(id, ends_servers);
   if (kind == RequestKind::kStream && answer.status == 200)
     answer.events = ReadStream(body, id, answer.whole);
   else
@@ -197,7 +227,8 @@
                                              RequestKind kind) {
   ++counts_.sent;
   const auto sent = steady_clock::now();
-  ClientAnswer answer = co_await Exchange(gateway.front, id, kind);
+  HttpRequest request = MakeRequest(id, kind);
+  ClientAnswer answer = co_await Exchange(gateway.front, std::move(request), id, kind);
   answer.cut_at_stop =
       !answer.whole && sent >= gateway.stop_from && steady_clock::now() <= gateway.stop_until;
   platform_.checker().Answered(answer);
--- a/test/emulator/emulated_clients.h
+++ b/test/emulator/emulated_clients.h
@@ -41,6 +41,12 @@
   /// @param count clients that send one request after the other until Stop.
   void Start(int count);
   void Stop() { stopping_ = true; }
+  /// A client that sends one request under which servers end, over and over until Stop: the same
+  /// caller, path and body, another id each time, at any gateway.
+  /// @param name tells it from others.
+  /// @param copies tries under way at the same time.
+  void StartEnding(const std::string& name, RequestKind kind, std::chrono::milliseconds pause,
+                   int copies);
   /// Whether clients that were refused come back at once, and more than once.
   void SetImpatient(bool impatient) { impatient_ = impatient; }
   /// Whether every other client stays with its gateway, over its open connections, ready or not,
@@ -54,12 +60,13 @@
   Awaitable<void> RunClient(int number);
   /// @return whether the request was served.
   Awaitable<bool> SendOne(int client, const std::string& id);
+  Awaitable<void> RunEnding(std::string name, RequestKind kind, std::chrono::milliseconds pause);
   Awaitable<bool> SendRequest(GatewayAddress& gateway, const std::string& id, RequestKind kind);
   /// Sends a request and closes the connection after a moment.
   Awaitable<void> SendAndLeave(const GatewayAddress& gateway, const std::string& id);
   HttpRequest MakeRequest(const std::string& id, RequestKind kind);
   Awaitable<void> SendProbe(GatewayAddress& gateway, const std::string& id);
-  Awaitable<ClientAnswer> Exchange(const Endpoint& gateway, const std::string& id,
+  Awaitable<ClientAnswer> Exchange(const Endpoint& gateway, HttpRequest request, std::string id,
                                    RequestKind kind);
   GatewayAddress* PickGateway();
   GatewayAddress* GatewayOf(int client);
--- a/test/emulator/emulated_platform.cc
+++ b/test/emulator/emulated_platform.cc
@@ -1,5 +1,7 @@
 #include "emulated_platform.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 
 namespace moorfold {
@@ -54,7 +56,8 @@
   Configure();
 }
 
-void EmulatedPlatform::AddServer(bool engine, std::vector<HeldModel> models) {
+std::unique_ptr<ServerEmulator> EmulatedPlatform::MakeServer(bool engine,
+                                                             std::vector<HeldModel> models) {
   ServerOptions options;
   options.id = "i-" + std::to_string(next_server_++);
   options.service = engine ? "models" : "booking";
@@ -66,15 +69,35 @@
   options.adapter_mb = kAdapterMb;
   options.adapter_slots = kAdapterSlots;
   options.load_time = options_.load_time;
-  auto server =
-      std::make_unique<ServerEmulator>(context_, store_, checker_, options,
-                                       options_.seed + static_cast<std::uint64_t>(next_server_));
-  auto proxy = std::make_unique<FaultProxy>(context_, server->endpoint());
-  proxy->Start();
-  server->Announce(proxy->endpoint());
-  server->Start();
-  servers_.push_back(std::move(server));
-  server_proxies_.push_back(std::move(proxy));
+  options.version = server_version_;
+  return std::make_unique<ServerEmulator>(context_, store_, checker_, options,
+                                          options_.seed + static_cast<std::uint64_t>(next_server_));
+}
+
+void EmulatedPlatform::AddServer(bool engine, std::vector<HeldModel> models) {
+  servers_.push_back(MakeServer(engine, std::move(models)));
+  server_proxies_.push_back(std::make_unique<FaultProxy>(context_, servers_.back()->endpoint()));
+  server_proxies_.back()->Start();
+  Serve(servers_.size() - 1);
+}
+
+void EmulatedPlatform::Serve(std::size_t number) {
+  ServerEmulator& server = *servers_.at(number);
+  server.Announce(server_proxies_.at(number)->endpoint());
+  server.OnEnd([this, number] {
+    server_proxies_.at(number)->SetMode(ProxyMode::kGone);
+    boost::asio::co_spawn(context_, Restart(number), boost::asio::detached);
+  });
+  server.Start();
+}
+
+Awaitable<void> EmulatedPlatform::Restart(std::size_t number) {
+  co_await Sleep(options_.restart_after);
+  const bool engine = servers_.at(number)->options().engine;
+  ended_.push_back(std::exchange(servers_.at(number), MakeServer(engine, {})));
+  server_proxies_.at(number)->set_target(servers_.at(number)->endpoint());
+  server_proxies_.at(number)->SetMode(ProxyMode::kPass);
+  Serve(number);
 }
 
 void EmulatedPlatform::ReplaceServer(std::size_t number) {
--- a/test/emulator/emulated_platform.h
+++ b/test/emulator/emulated_platform.h
@@ -18,6 +18,7 @@
   std::uint64_t seed = 1;
   int model_servers = 4;
   int plain_servers = 3;
+  std::chrono::milliseconds restart_after{1'500};  ///< Of a server whose process ended.
   int models = 6;  ///< The first ones stand on a server at the start, as far as room allows.
   std::chrono::milliseconds load_time{300};
   int gateways = 3;      ///< Each gets a way to the store of its own.
@@ -46,6 +47,8 @@
   void Configure();
   std::int64_t version() const { return version_; }
   std::chrono::steady_clock::time_point configured_at() const { return configured_at_; }
+  /// Servers that start from now on run that version of their software.
+  void SetServerVersion(std::string version) { server_version_ = std::move(version); }
   /// One server leaves and another of its kind comes.
   void ReplaceServer(std::size_t number);
   /// As in a release: the new one comes first, the old one says that it leaves, serves on for that
@@ -54,6 +57,12 @@
 
  private:
   void AddServer(bool engine, std::vector<HeldModel> models);
+  /// Makes a server of the next id, for callers behind `proxy`.
+  std::unique_ptr<ServerEmulator> MakeServer(bool engine, std::vector<HeldModel> models);
+  void Serve(std::size_t number);
+  /// A server whose process has ended comes back at its address under a new id, with nothing
+  /// loaded.
+  Awaitable<void> Restart(std::size_t number);
   std::string ConfigurationText() const;
 
   boost::asio::io_context& context_;
@@ -64,6 +73,9 @@
   std::vector<std::unique_ptr<FaultProxy>> store_proxies_;
   std::vector<std::unique_ptr<FaultProxy>> server_proxies_;
   std::vector<std::unique_ptr<ServerEmulator>> servers_;
+  /// Servers whose processes have ended: their last handlers may still run.
+  std::vector<std::unique_ptr<ServerEmulator>> ended_;
+  std::string server_version_ = "v1";
   std::int64_t version_ = 0;
   std::chrono::steady_clock::time_point configured_at_{};
   int next_server_ = 0;
--- a/test/emulator/fault_proxy.cc
+++ b/test/emulator/fault_proxy.cc
@@ -41,18 +41,31 @@
     : context_(context),
       target_(std::move(target)),
       acceptor_(context, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+      address_(acceptor_.local_endpoint()),
       mode_changed_(context.get_executor()) {}
 
 void FaultProxy::Start() { asio::co_spawn(context_, Accept(), asio::detached); }
 
-Endpoint FaultProxy::endpoint() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
+Endpoint FaultProxy::endpoint() const { return {"127.0.0.1", address_.port()}; }
 
 void FaultProxy::SetMode(ProxyMode mode) {
+  SetListening(mode != ProxyMode::kGone);
   mode_ = mode;
-  if (mode == ProxyMode::kRefuse) ResetAll();
+  if (mode == ProxyMode::kRefuse || mode == ProxyMode::kGone) ResetAll();
   mode_changed_.NotifyAll();
 }
 
+void FaultProxy::SetListening(bool listens) {
+  if (listens == acceptor_.is_open()) return;
+  if (!listens) {
+    error_code ignored;
+    acceptor_.close(ignored);
+    return;
+  }
+  acceptor_ = tcp::acceptor(context_, address_);
+  Start();
+}
+
 void FaultProxy::ResetAll() {
   for (const std::shared_ptr<Pair>& pair : pairs_) pair->Reset();
 }
--- a/test/emulator/fault_proxy.h
+++ b/test/emulator/fault_proxy.h
@@ -15,7 +15,8 @@
   kDelay,   ///< Every piece of bytes waits.
   kSilent,  ///< Connections stand, nothing passes.
   kOneWay,  ///< Bytes pass to the target, not back.
-  kRefuse   ///< Connections are reset at once, also those that stand.
+  kRefuse,  ///< Connections are reset at once, also those that stand.
+  kGone     ///< As of a process that has ended: those that stand are reset, no new one comes up.
 };
 
 /// A loopback TCP proxy that does to connections what networks do. One thread.
@@ -38,6 +39,8 @@
   struct Pair;
 
   Awaitable<void> Accept();
+  /// Stops listening, or listens at the same address again.
+  void SetListening(bool listens);
   Awaitable<void> Serve(std::shared_ptr<Pair> pair);
   Awaitable<void> Pump(std::shared_ptr<Pair> pair, bool to_target);
   /// Waits until the link to the callers has carried all before and these bytes.
@@ -46,6 +49,7 @@
   boost::asio::io_context& context_;
   Endpoint target_;
   boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::ip::tcp::endpoint address_;  ///< Kept while nobody listens there.
   ProxyMode mode_ = ProxyMode::kPass;
   AsyncSignal mode_changed_;
   double bytes_per_second_ = 0;
--- a/test/emulator/promise_checker.cc
+++ b/test/emulator/promise_checker.cc
@@ -44,6 +44,34 @@
     Violate("drain", "request " + id + " reached " + server + " late");
 }
 
+void PromiseChecker::EndingArrived(const std::string& ending, const std::string& id, Time at) {
+  Ending& known = endings_[ending];
+  if (known.servers.size() < bounds_.ends_allowed || at - known.third <= bounds_.contact) return;
+  if (may_be_behind_ && may_be_behind_(id)) return;
+  ++ending_summary_.sent_when_known;
+  if (++known.late_sends == bounds_.sends_allowed + 1)
+    Violate("budget", "a request under which " + std::to_string(bounds_.ends_allowed) +
+                          " servers had ended was sent on: " + ending);
+}
+
+void PromiseChecker::EndedUnder(const std::string& ending, const std::string& server, Time at) {
+  Ending& known = endings_[ending];
+  if (!known.servers.insert(server).second) return;
+  if (known.servers.size() == bounds_.ends_allowed) known.third = at;
+  ending_summary_.requests = endings_.size();
+  ending_summary_.most_servers =
+      std::max<std::uint64_t>(ending_summary_.most_servers, known.servers.size());
+}
+
+void PromiseChecker::Quarantined(const std::string& id, bool ends_servers) {
+  if (ends_servers) {
+    ++ending_summary_.refused;
+    return;
+  }
+  ++ending_summary_.innocents_refused;
+  Violate("innocent", "request " + id + " was refused as one that ends servers");
+}
+
 void PromiseChecker::Ran(const std::string& id, RequestKind kind, const std::string& server, Time) {
   if (!sent_.contains(id)) Violate("unasked", "request " + id + " ran at " + server);
   const int runs = ++runs_[id];
--- a/test/emulator/promise_checker.h
+++ b/test/emulator/promise_checker.h
@@ -32,6 +32,17 @@
   std::chrono::steady_clock::time_point at;
 };
 
+/// What requests that end servers did, over a whole run.
+struct EndingSummary {
+  std::uint64_t requests = 0;      ///< Different ones.
+  std::uint64_t most_servers = 0;  ///< That ended under one of them.
+  std::uint64_t sent_when_known =
+      0;  ///< Later than the bound after the third end, by daemons in touch.
+  std::uint64_t innocents_refused =
+      0;                      ///< Other requests that were refused as ones that end servers.
+  std::uint64_t refused = 0;  ///< Tries of such requests that were refused as what they are.
+};
+
 /// Judges what callers and servers saw against the promises. Pure bookkeeping; one thread.
 class PromiseChecker {
  public:
@@ -45,6 +56,10 @@
     double free_repeats = 54;
     double loads_per_window = 20;
     std::chrono::milliseconds load_window{5'000};
+    /// Within that time every daemon in touch knows of a request under which so many servers ended.
+    std::chrono::milliseconds contact{3'000};
+    std::size_t ends_allowed = 3;
+    std::uint64_t sends_allowed = 3;  ///< Of one such request, after that time.
   };
 
   explicit PromiseChecker(Bounds bounds) : bounds_(bounds) {}
@@ -65,6 +80,13 @@
   void Ordered(const ReceivedOrder& order);
   void LoadBegan(Time at);
   void Overfilled(const std::string& server);
+  /// A request that ends servers has reached one, under that id of its try.
+  void EndingArrived(const std::string& ending, const std::string& id, Time at);
+  /// A server has ended under it.
+  void EndedUnder(const std::string& ending, const std::string& server, Time at);
+  /// A request was refused as one that ends servers.
+  void Quarantined(const std::string& id, bool ends_servers);
+  const EndingSummary& endings() const { return ending_summary_; }
   void Draining(const std::string& server, Time at) { draining_[server] = at; }
   /// A request for a route that has been in force since `since` was answered with `status`.
   void Probed(std::int64_t version, unsigned status, Time since, Time at, bool disturbed);
@@ -86,6 +108,14 @@
   std::map<std::string, std::vector<ReceivedOrder>> orders_;
   std::map<std::string, Time> draining_;
   std::map<std::string, Time> left_;
+  /// What one request that ends servers did.
+  struct Ending {
+    std::set<std::string> servers;
+    Time third{};  ///< When the last allowed server ended.
+    std::uint64_t late_sends = 0;
+  };
+  std::map<std::string, Ending> endings_;
+  EndingSummary ending_summary_;
   std::set<std::string> worked_on_late_;
   std::uint64_t arrived_late_ = 0;  ///< Requests that reached a server after their clients left.
   std::uint64_t denied_ = 0;
--- a/test/emulator/server_emulator.cc
+++ b/test/emulator/server_emulator.cc
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr milliseconds kHeartbeat{400};
+
 HttpResponse Refuse(unsigned status, const std::string& reason) { return {status, {}, reason}; }
 
 // Answers are made by a function: no braced temporaries stand in awaited calls (GCC 12).
@@ -58,7 +60,7 @@
   const json::value entry = {{"service", options_.service},
                              {"address", ToString(options_.announced)},
                              {"zone", options_.zone},
-                             {"version", "v1"},
+                             {"version", options_.version},
                              {"slots", options_.slots},
                              {"state", draining_ ? "draining" : "ready"},
                              {"coldLeftMs", 0},
@@ -69,13 +71,29 @@
 }
 
 Awaitable<void> ServerEmulator::Beat() {
-  constexpr milliseconds kEvery{400};
-  while (!vanished_) {
+  while (!vanished_ && !ended_) {
     WriteEntry();
-    co_await Sleep(kEvery);
+    co_await Sleep(kHeartbeat);
   }
 }
 
+void ServerEmulator::End() {
+  if (ended_) return;
+  ended_ = true;
+  if (on_end_) on_end_();
+  boost::asio::co_spawn(context_, LetEntryLapse(), boost::asio::detached);
+}
+
+Awaitable<void> ServerEmulator::LetEntryLapse() {
+  constexpr int kSilentBeats = 3;
+  co_await Sleep(kHeartbeat * kSilentBeats);
+  store_.Remove("servers/" + options_.id);
+}
+
+bool ServerEmulator::EndsUnder(const HttpRequest& request) const {
+  return request.body.starts_with(EndingBody("")) && options_.version == "v1";
+}
+
 void ServerEmulator::Drain() {
   draining_ = true;
   WriteEntry();
@@ -120,7 +138,13 @@
     co_await TakeOrder(exchange);
     co_return;
   }
+  if (ended_) {
+    exchange.Abort();
+    co_return;
+  }
   if (!id.empty()) checker_.Arrived(id, options_.id, steady_clock::now());
+  if (request.body.starts_with(EndingBody("")))
+    checker_.EndingArrived(request.body, id, steady_clock::now());
   headers = Headers(id);
   const std::string model(FindHeader(request.headers, "X-Model"));
   if (options_.engine && !Holds(model)) {
@@ -162,8 +186,19 @@
   } running(running_);
   ++runs_;
   checker_.Ran(id, kind, options_.id, steady_clock::now());
+  if (EndsUnder(exchange.request())) {
+    co_await Sleep(options_.work);
+    checker_.EndedUnder(exchange.request().body, options_.id, steady_clock::now());
+    End();
+    exchange.Abort();
+    co_return;
+  }
   if (kind == RequestKind::kStream) co_await ReadPrompt(exchange.request());
   co_await Sleep(options_.work);
+  if (ended_) {
+    exchange.Abort();
+    co_return;
+  }
   checker_.Working(id, steady_clock::now());
   if (Chance(faults_.no_answer_share)) {
     exchange.Abort();
@@ -187,13 +222,16 @@
   const std::string last(FindHeader(exchange.request().headers, "Last-Event-Id"));
   int event = last.empty() ? 1 : std::stoi(last) + 1;
   co_await exchange.BeginStream(200, std::move(headers));
-  for (; event <= EventsOf(id); ++event) {
+  for (; event <= EventsOf(id) && !ended_; ++event) {
     co_await exchange.Write("id: " + std::to_string(event) + "\ndata: " + id + "\n\n");
     checker_.Working(id, steady_clock::now());
     const double batch = static_cast<double>(running_) / static_cast<double>(options_.slots);
     co_await Sleep(std::chrono::duration_cast<milliseconds>(options_.event_gap * (1 + batch)));
   }
-  co_await exchange.EndStream();
+  if (ended_)
+    exchange.Abort();
+  else
+    co_await exchange.EndStream();
 }
 
 HttpResponse ServerEmulator::Report() const {
@@ -278,7 +316,7 @@
     else
       std::erase(held.adapters, order.adapter);
   }
-  if (!vanished_) WriteEntry();
+  if (!vanished_ && !ended_) WriteEntry();
 }
 
 }  // namespace moorfold
--- a/test/emulator/server_emulator.h
+++ b/test/emulator/server_emulator.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
+#include <functional>
 #include <random>
 #include <set>
 #include <string>
@@ -30,7 +31,8 @@
   std::chrono::milliseconds work{15};
   std::chrono::milliseconds event_gap{15};  ///< Of a stream that runs alone.
   double prompt_tokens_per_ms = 38;
-  Endpoint announced;  ///< Where callers find it, if not at its own port.
+  Endpoint announced;          ///< Where callers find it, if not at its own port.
+  std::string version = "v1";  ///< Of its software.
 };
 
 struct ServerFaults {
@@ -54,6 +56,12 @@
   void Drain();
   /// Its entry goes and comes no more.
   void Vanish();
+  /// The process ends without a word, under a request that ends servers or at the test's will; the
+  /// entry goes after three heartbeats of silence.
+  void End();
+  bool ended() const { return ended_; }
+  /// Hears of the end, to make what callers see of it.
+  void OnEnd(std::function<void()> handler) { on_end_ = std::move(handler); }
   Endpoint endpoint() const { return server_.endpoint(); }
   ServerFaults& faults() { return faults_; }
   const ServerOptions& options() const { return options_; }
@@ -64,6 +72,8 @@
   /// @return events of the stream that any server gives to a request: a few are long.
   static int EventsOf(const std::string& id);
   static std::string SealOf(const std::string& id) { return "seal-" + id; }
+  /// @return a body under which each server of version v1 ends that begins to run it.
+  static std::string EndingBody(const std::string& name) { return "ends servers: " + name; }
 
  private:
   Awaitable<void> Handle(HttpServerExchange& exchange);
@@ -79,6 +89,8 @@
   bool Holds(const std::string& name) const;
   void WriteEntry();
   Awaitable<void> Beat();
+  Awaitable<void> LetEntryLapse();
+  bool EndsUnder(const HttpRequest& request) const;
   boost::json::array ModelsJson() const;
   bool Chance(double share) { return std::bernoulli_distribution(share)(random_); }
 
@@ -96,6 +108,8 @@
   std::uint64_t runs_ = 0;
   bool draining_ = false;
   bool vanished_ = false;
+  bool ended_ = false;
+  std::function<void()> on_end_;
   std::int64_t beats_ = 0;
   HttpServer server_;
 };
