--- a/bench/gateway_path_bench.cc
+++ b/bench/gateway_path_bench.cc
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <thread>
 
+#include "common/boot_clock.h"
 #include "common/closable_context.h"
 #include "emulated_platform.h"
 #include "gateway/gateway.h"
@@ -19,7 +20,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 constexpr int kRequests = 400;
 constexpr int kWarmUp = 20;
@@ -29,8 +29,8 @@
   return times[times.size() / 2];
 }
 
-double ElapsedMs(steady_clock::time_point since) {
-  return std::chrono::duration<double, std::milli>(steady_clock::now() - since).count();
+double ElapsedMs(BootClock::time_point since) {
+  return std::chrono::duration<double, std::milli>(BootClock::now() - since).count();
 }
 
 /// Times of one way: to a server directly, or through the gateway.
@@ -71,8 +71,8 @@
   Awaitable<void> Plain(Endpoint to, Times& times) {
     HttpRequest request = Make("/safe/x", false);
     HttpSendOptions options;
-    options.deadline = steady_clock::now() + std::chrono::seconds(9);
-    const auto began = steady_clock::now();
+    options.deadline = BootClock::now() + std::chrono::seconds(9);
+    const auto began = BootClock::now();
     const HttpResponse response = co_await client_.Send(to, std::move(request), options);
     if (response.status == 200) times.whole_ms.push_back(ElapsedMs(began));
   }
@@ -80,13 +80,13 @@
   Awaitable<void> Stream(Endpoint to, Times& times) {
     HttpRequest request = Make("/stream/x", true);
     HttpSendOptions options;
-    options.deadline = steady_clock::now() + std::chrono::seconds(9);
+    options.deadline = BootClock::now() + std::chrono::seconds(9);
     const auto exchange = co_await client_.Open(to, std::move(request), options);
-    auto last = steady_clock::now();
+    auto last = BootClock::now();
     int chunks = 0;
     while (!(co_await exchange->ReadSome()).empty()) {
       if (chunks++ > 0) times.event_ms.push_back(ElapsedMs(last));
-      last = steady_clock::now();
+      last = BootClock::now();
     }
   }
 
--- a/src/common/async_signal.h
+++ b/src/common/async_signal.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <memory>
 #include <vector>
 
+#include "common/boot_clock.h"
 #include "http/http_types.h"
 
 namespace moorfold {
@@ -23,24 +23,24 @@
       co_return;
     }
     // Its own timer, ended by the first of deadline and notification.
-    boost::asio::steady_timer limited(timer_.get_executor(), deadline);
+    BootTimer limited(timer_.get_executor(), deadline);
     const Registration registration(limited_, limited);
     co_await limited.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
   }
 
   void NotifyAll() {
     timer_.cancel();
-    for (boost::asio::steady_timer* limited : *limited_) limited->cancel();
+    for (BootTimer* limited : *limited_) limited->cancel();
   }
 
  private:
-  using Timers = std::vector<boost::asio::steady_timer*>;
+  using Timers = std::vector<BootTimer*>;
 
   /// Also undone when the waiting coroutine is destroyed instead of resumed, which may happen after
   /// the signal's own end: at the destruction of the context that runs both.
   class Registration {
    public:
-    Registration(std::shared_ptr<Timers> timers, boost::asio::steady_timer& timer)
+    Registration(std::shared_ptr<Timers> timers, BootTimer& timer)
         : timers_(std::move(timers)), timer_(&timer) {
       timers_->push_back(timer_);
     }
@@ -50,16 +50,16 @@
 
    private:
     std::shared_ptr<Timers> timers_;
-    boost::asio::steady_timer* timer_;
+    BootTimer* timer_;
   };
 
-  boost::asio::steady_timer timer_;
+  BootTimer timer_;
   std::shared_ptr<Timers> limited_ = std::make_shared<Timers>();
 };
 
 /// Suspends the calling coroutine.
-inline Awaitable<void> Sleep(std::chrono::steady_clock::duration duration) {
-  boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, duration);
+inline Awaitable<void> Sleep(BootClock::duration duration) {
+  BootTimer timer(co_await boost::asio::this_coro::executor, duration);
   co_await timer.async_wait(boost::asio::use_awaitable);
 }
 
--- a/src/common/event_log.cc
+++ b/src/common/event_log.cc
@@ -3,6 +3,8 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include "common/boot_clock.h"
+
 namespace moorfold {
 
 namespace {
@@ -10,8 +12,7 @@
 constexpr std::size_t kFlushBytes = 4 * 1024;
 
 std::int64_t MicrosecondsNow() {
-  return std::chrono::duration_cast<std::chrono::microseconds>(
-             std::chrono::steady_clock::now().time_since_epoch())
+  return std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now().time_since_epoch())
       .count();
 }
 }  // namespace
--- a/src/common/log_event.h
+++ b/src/common/log_event.h
@@ -36,6 +36,8 @@
   kAttemptFailed,
   kRequestEnd,
   kRequestsOpen,
+  kQuarantine,
+  kQuarantineNotStored,
   kDatagramDropped,
   kLogLinesLeftOut,
 };
@@ -63,6 +65,8 @@
                                               "attempt_failed",
                                               "request_end",
                                               "requests_open",
+                                              "quarantine",
+                                              "quarantine_not_stored",
                                               "datagram_dropped",
                                               "log_lines_left_out"};
 
@@ -120,6 +124,7 @@
   kFailedReads,
   kLink,
   kFingerprint,
+  kServers,
 };
 inline constexpr std::array kLogFieldNames = {"id",
                                               "ids",
@@ -173,7 +178,8 @@
                                               "total",
                                               "failed_reads",
                                               "link",
-                                              "fingerprint"};
+                                              "fingerprint",
+                                              "servers"};
 
 /// @return the name as it stands in the log.
 constexpr const char* Name(LogEvent event) {
@@ -183,7 +189,7 @@
   return kLogFieldNames[static_cast<std::size_t>(field)];
 }
 static_assert(kLogEventNames.size() == static_cast<std::size_t>(LogEvent::kLogLinesLeftOut) + 1);
-static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kFingerprint) + 1);
+static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kServers) + 1);
 
 /// One line of a gateway's log, made only of listed events and fields.
 class EventLine {
--- a/src/common/wall_clock.h
+++ b/src/common/wall_clock.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 
+#include "common/boot_clock.h"
 #include "core/time.h"
 
 namespace moorfold {
@@ -13,16 +14,16 @@
   WallClock()
       : start_(std::chrono::duration_cast<Duration>(
             std::chrono::system_clock::now().time_since_epoch())),
-        steady_start_(std::chrono::steady_clock::now()) {}
+        steady_start_(BootClock::now()) {}
 
   Timestamp Now() const {
-    const auto elapsed = std::chrono::steady_clock::now() - steady_start_;
+    const auto elapsed = BootClock::now() - steady_start_;
     return Timestamp(start_ + std::chrono::duration_cast<Duration>(elapsed));
   }
 
  private:
   Duration start_;
-  std::chrono::steady_clock::time_point steady_start_;
+  BootClock::time_point steady_start_;
 };
 
 }  // namespace moorfold
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "common/boot_clock.h"
 #include "common/log_line.h"
 
 namespace moorfold {
@@ -32,7 +33,7 @@
       : context_(context), clock_(clock) {}
   Timestamp Now() const override { return clock_.Now(); }
   void After(Duration delay, std::function<void()> callback) override {
-    auto timer = std::make_shared<boost::asio::steady_timer>(context_, delay);
+    auto timer = std::make_shared<BootTimer>(context_, delay);
     timer->async_wait(
         [timer, callback = std::move(callback)](const boost::system::error_code& error) {
           if (!error) callback();
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
 
+#include "common/boot_clock.h"
 #include "common/wall_clock.h"
 #include "config/settings_file.h"
 #include "host/core_host.h"
@@ -56,7 +56,7 @@
   HttpMachineList machine_list_;
   HttpModelEngine engines_;
   RoutingTableBuilder table_builder_;
-  boost::asio::steady_timer publish_timer_;
+  BootTimer publish_timer_;
   bool publish_pending_ = false;
   std::map<std::uint64_t, ClaimCallback> claim_calls_;
   std::uint64_t next_claim_call_ = 1;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
+#include "common/boot_clock.h"
 #include "common/log_line.h"
 #include "http/http_status.h"
 
@@ -164,8 +165,8 @@
 }
 
 bool Daemon::AwaitStopped() {
-  const auto give_up = std::chrono::steady_clock::now() + settings_.drain_timeout;
-  while (http_->active_requests() > 0 && std::chrono::steady_clock::now() < give_up)
+  const auto give_up = BootClock::now() + settings_.drain_timeout;
+  while (http_->active_requests() > 0 && BootClock::now() < give_up)
     std::this_thread::sleep_for(kDrainCheck);
   const bool drained = http_->active_requests() == 0;
   LOG(INFO) << LogLine("stopped").Field("drained", drained ? "yes" : "no");
--- a/src/fleet/demand_channel.cc
+++ b/src/fleet/demand_channel.cc
@@ -2,12 +2,12 @@
 
 #include <boost/asio/buffer.hpp>
 
+#include "common/boot_clock.h"
 #include "http/listen_error.h"
 
 namespace moorfold {
 
 using boost::asio::ip::udp;
-using std::chrono::steady_clock;
 
 namespace {
 constexpr std::size_t kEntriesPerDatagram = 24;
@@ -51,12 +51,14 @@
   try {
     auto message = DecodeMessage<FleetMessage>(std::string(buffer_.data(), length));
     if (auto* report = std::get_if<DemandReport>(&message)) {
-      reporters_[from_] = steady_clock::now();
+      reporters_[from_] = BootClock::now();
       handlers_.reported(std::move(*report));
     } else if (const auto* notice = std::get_if<PlacementNotice>(&message)) {
       handlers_.noticed(*notice);
     } else if (const auto* answer = std::get_if<ChangeAnswer>(&message)) {
       handlers_.answered(*answer, ToString(Endpoint{from_.address().to_string(), from_.port()}));
+    } else if (const auto* cases = std::get_if<QuarantineNotice>(&message)) {
+      handlers_.quarantined(*cases, ToString(Endpoint{from_.address().to_string(), from_.port()}));
     } else {
       handlers_.offered(std::get<LeadershipOffer>(message));
     }
@@ -80,6 +82,14 @@
   Send(offer, Resolve(to));
 }
 
+void DemandChannel::SendQuarantine(const std::string& to, const QuarantineNotice& notice) {
+  try {
+    Send(notice, Resolve(to));
+  } catch (const std::exception& error) {  // Told by another daemon.
+    handlers_.dropped(std::string("not sent: ") + error.what());
+  }
+}
+
 void DemandChannel::SendReport(const std::string& to, const DemandReport& report) {
   const udp::endpoint target = Resolve(to);
   DemandReport part = report;
@@ -96,7 +106,7 @@
 }
 
 void DemandChannel::Broadcast(const FleetMessage& message) {
-  const auto now = steady_clock::now();
+  const auto now = BootClock::now();
   std::erase_if(reporters_,
                 [&](const auto& reporter) { return now - reporter.second > kReporterLife; });
   for (const auto& [endpoint, seen] : reporters_)
--- a/src/fleet/demand_channel.h
+++ b/src/fleet/demand_channel.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "common/boot_clock.h"
 #include "fleet/fleet_messages.h"
 #include "http/http_types.h"
 
@@ -21,6 +22,7 @@
   using NoticeHandler = std::function<void(const PlacementNotice&)>;
   /// @param from "IP:PORT" of the sender.
   using AnswerHandler = std::function<void(const ChangeAnswer&, const std::string& from)>;
+  using QuarantineHandler = std::function<void(const QuarantineNotice&, const std::string& from)>;
   using OfferHandler = std::function<void(const LeadershipOffer&)>;
   /// Hears why a datagram could not be sent or read.
   using DropHandler = std::function<void(const std::string& problem)>;
@@ -31,6 +33,7 @@
     NoticeHandler noticed;
     AnswerHandler answered;
     OfferHandler offered;
+    QuarantineHandler quarantined;
     DropHandler dropped;
   };
 
@@ -42,6 +45,8 @@
   void SendReport(const std::string& to, const DemandReport& report);
   /// @param to "IP:PORT" of the daemon that asked.
   void SendAnswer(const std::string& to, const ChangeAnswer& answer);
+  /// @param to "IP:PORT" of another daemon. An address that is none is left out.
+  void SendQuarantine(const std::string& to, const QuarantineNotice& notice);
   /// @param to "IP:PORT" of another daemon.
   void SendOffer(const std::string& to, const LeadershipOffer& offer);
   /// To every daemon that reported lately.
@@ -51,7 +56,7 @@
   Endpoint endpoint() const;
 
  private:
-  using Time = std::chrono::steady_clock::time_point;
+  using Time = BootClock::time_point;
 
   void Receive();
   void Take(std::size_t length);
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "common/boot_clock.h"
 #include "http/http_status.h"
 
 namespace moorfold {
@@ -11,7 +12,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 constexpr milliseconds kTick{100};
 constexpr milliseconds kShortestPlanPause{15};
@@ -75,7 +75,7 @@
 void FleetController::Start() { Tick(); }
 
 void FleetController::AddReport(const DemandReport& report) {
-  demand_.Add(report, steady_clock::now());
+  demand_.Add(report, BootClock::now());
   const bool waiting = std::any_of(report.entries.begin(), report.entries.end(),
                                    [](const DemandEntry& entry) { return entry.waiting > 0; });
   if (waiting) PlanSoon();
@@ -85,7 +85,7 @@
 /// of this machine's time.
 void FleetController::PlanSoon() {
   if (plan_pending_) return;
-  const auto now = steady_clock::now();
+  const auto now = BootClock::now();
   if (now >= plan_not_before_) {
     PlanAll();
     return;
@@ -117,20 +117,20 @@
   for (const ServiceDescription& service : view_.routes->configuration().services)
     if (service.engine)
       election_.loads().AssumeUsed(service.engine->loads_per_second * kShareAssumedUsed * window_s,
-                                   steady_clock::now());
+                                   BootClock::now());
 }
 
 void FleetController::PlanAll() {
   if (stopped_ || !view_.routes || !election_.MayOrder()) return;
   NoteTerm();
   Forget();
-  const auto began = steady_clock::now();
+  const auto began = BootClock::now();
   const RouteTableConstPtr table = view_.routes;
   for (const ServiceDescription& service : table->configuration().services)
     if (service.engine) PlanService(service);
-  const auto ended = steady_clock::now();
-  plan_not_before_ = ended + std::max<steady_clock::duration>(kShortestPlanPause,
-                                                              (ended - began) * kPauseByDuration);
+  const auto ended = BootClock::now();
+  plan_not_before_ =
+      ended + std::max<BootClock::duration>(kShortestPlanPause, (ended - began) * kPauseByDuration);
 }
 
 void FleetController::Forget() {
@@ -148,7 +148,7 @@
 }
 
 PlannedServer FleetController::Describe(const Server& server) {
-  const auto now = steady_clock::now();
+  const auto now = BootClock::now();
   const ManagedPtr managed = Managed(server.record().id);
   PlannedServer planned;
   planned.id = server.record().id;
@@ -173,7 +173,7 @@
 }
 
 void FleetController::PlanService(const ServiceDescription& service) {
-  const auto now = steady_clock::now();
+  const auto now = BootClock::now();
   std::vector<PlannedServer> servers;
   for (const ServerPtr& server : view_.servers.Of(service.name))
     servers.push_back(Describe(*server));
@@ -205,10 +205,10 @@
   if (step.kind == ServerOrderKind::kLoad && step.name.adapter.empty()) {
     managed->incoming = step.name.model;
     managed->from_weight_store = step.from_weight_store;
-    managed->ready_at = steady_clock::now() + step.expected;
+    managed->ready_at = BootClock::now() + step.expected;
   }
   if (step.from_weight_store) {
-    election_.loads().Count(steady_clock::now());
+    election_.loads().Count(BootClock::now());
     ++metrics_.loads_from_weight_store;
   }
   if (step.kind == ServerOrderKind::kUnload) Notify(managed->id, step.name, false);
@@ -219,7 +219,7 @@
 Awaitable<std::optional<ServerStatus>> FleetController::ReadReport(const std::string& id,
                                                                    Endpoint endpoint) {
   HttpSendOptions options;
-  options.deadline = steady_clock::now() + kReportTimeout;
+  options.deadline = BootClock::now() + kReportTimeout;
   try {
     HttpRequest request = protocol_.MakeReportQuery(id);
     const HttpResponse response = co_await client_.Send(endpoint, std::move(request), options);
@@ -247,9 +247,9 @@
 Awaitable<void> FleetController::AskState(ManagedPtr managed, Endpoint endpoint) {
   const std::optional<ServerStatus> report = co_await ReadReport(managed->id, endpoint);
   managed->operating = false;
-  managed->not_before = steady_clock::now() + (report && !report->busy ? milliseconds(0)
-                                               : report                ? kPollEvery
-                                                                       : kAfterFailure);
+  managed->not_before = BootClock::now() + (report && !report->busy ? milliseconds(0)
+                                            : report                ? kPollEvery
+                                                                    : kAfterFailure);
   if (!report) co_return;
   TakeReport(*managed, *report);
   managed->known = !report->busy;
@@ -259,7 +259,7 @@
 Awaitable<ServerOrderOutcome> FleetController::SendOrder(const ServerOrder& order,
                                                          const Endpoint& endpoint) {
   HttpSendOptions options;
-  options.deadline = steady_clock::now() + LeaderElection::kLongestOrder;
+  options.deadline = BootClock::now() + LeaderElection::kLongestOrder;
   options.fresh_connection = true;
   try {
     HttpRequest request = protocol_.MakeOrder(order);
@@ -300,8 +300,8 @@
   managed.incoming.clear();
   if (outcome == ServerOrderOutcome::kAlreadyDone) return;
   if (outcome == ServerOrderOutcome::kNoAnswer && step.from_weight_store)
-    election_.loads().CountUnanswered(steady_clock::now());
-  managed.not_before = steady_clock::now() + kAfterFailure;
+    election_.loads().CountUnanswered(BootClock::now());
+  managed.not_before = BootClock::now() + kAfterFailure;
 }
 
 Awaitable<void> FleetController::CarryOut(ManagedPtr managed, PlacementStep step, ServerOrder order,
@@ -337,20 +337,20 @@
     if (load) Notify(managed->id, step.name, true);
     co_return;
   }
-  const SteadyTime began = steady_clock::now();
+  const SteadyTime began = BootClock::now();
   const std::size_t together = StoreLoadsUnderWay();
   const SteadyTime give_up = began + step.expected + kLongestOperation;
   if (load)
     notice_({managed->id, step.name, false, std::max<std::int64_t>(1, step.expected.count())});
   co_await Sleep(load ? step.expected : kPollEvery);
-  while (steady_clock::now() < give_up && view_.servers.Find(managed->id) != nullptr) {
+  while (BootClock::now() < give_up && view_.servers.Find(managed->id) != nullptr) {
     const std::optional<ServerStatus> report = co_await ReadReport(managed->id, endpoint);
     if (report && report->order_count >= managed->order_count && !report->busy) {
       TakeReport(*managed, *report);
       managed->incoming.clear();
       if (load && step.from_weight_store)
         store_limit_.NoteLoad(step.expected,
-                              std::chrono::duration_cast<milliseconds>(steady_clock::now() - began),
+                              std::chrono::duration_cast<milliseconds>(BootClock::now() - began),
                               together);
       if (load && Shows(report->models, step.name)) Notify(managed->id, step.name, true);
       co_return;
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
 
+#include "common/boot_clock.h"
 #include "common/event_log.h"
 #include "fleet/fleet_demand.h"
 #include "fleet/leader_election.h"
@@ -94,8 +94,8 @@
   ControllerSettings settings_;
   NoticeHandler notice_;
   HttpClient client_;
-  boost::asio::steady_timer timer_;
-  boost::asio::steady_timer plan_timer_;
+  BootTimer timer_;
+  BootTimer plan_timer_;
   SteadyTime plan_not_before_{};
   bool plan_pending_ = false;
   FleetDemand demand_;
--- a/src/fleet/fleet_demand.cc
+++ b/src/fleet/fleet_demand.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "common/boot_clock.h"
+
 namespace moorfold {
 
 namespace {
@@ -10,7 +12,7 @@
 constexpr std::chrono::milliseconds kReportLife{1'500};
 constexpr std::chrono::seconds kForgetAfter{60};
 
-double Seconds(std::chrono::steady_clock::duration duration) {
+double Seconds(BootClock::duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
 }  // namespace
--- a/src/fleet/fleet_demand.h
+++ b/src/fleet/fleet_demand.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 
+#include "common/boot_clock.h"
 #include "fleet/fleet_messages.h"
 
 namespace moorfold {
@@ -17,7 +18,7 @@
   /// Answers that came late by what their servers did, over the last seconds: first parts or pauses
   /// between parts that took longer than the route aims at.
   double late_per_second = 0;
-  std::chrono::steady_clock::time_point last_seen{};
+  BootClock::time_point last_seen{};
   /// For how long requests have waited for it, again and again, without one being served.
   double unserved_s = 0;
   /// Servers on which it stood while that was seen. Set by the planner.
@@ -27,7 +28,7 @@
 /// Adds up the reports of all daemons. One thread.
 class FleetDemand {
  public:
-  using Time = std::chrono::steady_clock::time_point;
+  using Time = BootClock::time_point;
   /// Time constant of the usual rate, in seconds: a model asked for every few seconds shows in it.
   static constexpr double kUsualOverS = 20;
 
--- a/src/fleet/fleet_members.cc
+++ b/src/fleet/fleet_members.cc
@@ -1,5 +1,7 @@
 #include "fleet/fleet_members.h"
 
+#include <algorithm>
+
 namespace moorfold {
 
 namespace {
@@ -30,4 +32,16 @@
   return youngest->address;
 }
 
+std::vector<std::string> FleetMembers::Some(std::size_t most) {
+  std::vector<std::string> addresses;
+  auto next = members_.upper_bound(told_last_);
+  while (addresses.size() < std::min(most, members_.size())) {
+    if (next == members_.end()) next = members_.begin();
+    addresses.push_back(next->second.address);
+    told_last_ = next->first;
+    ++next;
+  }
+  return addresses;
+}
+
 }  // namespace moorfold
--- a/src/fleet/fleet_members.h
+++ b/src/fleet/fleet_members.h
@@ -4,7 +4,9 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
+#include "common/boot_clock.h"
 #include "fleet/fleet_messages.h"
 
 namespace moorfold {
@@ -12,13 +14,15 @@
 /// The daemons that report to this one while it leads. Pure; one thread.
 class FleetMembers {
  public:
-  using Time = std::chrono::steady_clock::time_point;
+  using Time = BootClock::time_point;
 
   void Note(const DemandReport& report, Time now);
   /// Whom to offer leadership at a planned stop. In a rolling restart whoever has just been
   /// restarted is the least likely to be stopped next.
   /// @return its "IP:PORT" for datagrams, or nothing when no daemon may be offered it.
   std::optional<std::string> Successor(Time now) const;
+  /// @return addresses of up to `most` daemons, going round with each call.
+  std::vector<std::string> Some(std::size_t most);
 
  private:
   struct Member {
@@ -29,6 +33,7 @@
   };
 
   std::map<std::string, Member> members_;  ///< By name.
+  std::string told_last_;                  ///< Name of the last that Some returned.
 };
 
 }  // namespace moorfold
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/array.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
@@ -14,6 +15,7 @@
 
 #include "fleet/demand.h"
 #include "fleet/order_history.h"
+#include "quarantine/quarantine_messages.h"
 #include "relay/relay_messages.h"
 
 namespace moorfold {
@@ -44,10 +46,12 @@
   std::vector<DemandEntry> entries;
   std::vector<std::string> unreachable;    ///< Servers to which no connection came up lately.
   std::optional<ChangeQuestion> question;  ///< What has changed in the store; in the last part.
+  std::uint64_t quarantine_digest = 0;     ///< Of the sender's case book.
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(sender, address, uptime_ms, stopping, entries, unreachable, question);
+    archive(sender, address, uptime_ms, stopping, entries, unreachable, question,
+            quarantine_digest);
   }
 };
 
@@ -74,7 +78,8 @@
   }
 };
 
-using FleetMessage = std::variant<DemandReport, PlacementNotice, ChangeAnswer, LeadershipOffer>;
+using FleetMessage =
+    std::variant<DemandReport, PlacementNotice, ChangeAnswer, LeadershipOffer, QuarantineNotice>;
 
 template <typename Archive>
 void serialize(Archive& archive, ModelReference& name) {
--- a/src/fleet/leader_election.cc
+++ b/src/fleet/leader_election.cc
@@ -4,12 +4,13 @@
 #include <boost/asio/post.hpp>
 #include <functional>
 
+#include "common/boot_clock.h"
+
 namespace moorfold {
 
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 constexpr milliseconds kTick{100};
 constexpr milliseconds kRenewEvery{500};
@@ -48,11 +49,11 @@
 void LeaderElection::Start() { Tick(); }
 
 bool LeaderElection::MayOrder() const {
-  return !resigned_ && !unsure_ && window_.MayOrder(steady_clock::now());
+  return !resigned_ && !unsure_ && window_.MayOrder(BootClock::now());
 }
 
 bool LeaderElection::ServerFree(const std::string& server_id) const {
-  return steady_clock::now() >= history_.FreeAt(server_id);
+  return BootClock::now() >= history_.FreeAt(server_id);
 }
 
 milliseconds LeaderElection::Jitter() const {
@@ -73,7 +74,7 @@
   if (window_.leading() && revision < record_revision_) return;  // From before our own write.
   if (revision <= seen_revision_) return;                        // Read directly before.
   seen_revision_ = revision;
-  leader_seen_ = steady_clock::now();
+  leader_seen_ = BootClock::now();
   key_confirmed_ = leader_seen_;
   const bool had_leader = leader_.has_value();
   const std::string before = leader_ ? leader_->name : "none";
@@ -92,10 +93,10 @@
   }
   if (!leader_ && (had_leader || !key_known_)) {
     const milliseconds precedence = was_other ? kPrecedence : milliseconds(0);
-    campaign_not_before_ = steady_clock::now() + precedence + Jitter();
+    campaign_not_before_ = BootClock::now() + precedence + Jitter();
   }
   if (leader_ && leader_->released)
-    campaign_not_before_ = steady_clock::now() + kOfferPrecedence + Jitter();
+    campaign_not_before_ = BootClock::now() + kOfferPrecedence + Jitter();
   key_known_ = true;
   const bool another = leader_ && leader_->name != settings_.name;
   if (another && revision > token_) window_.NoteOtherTerm();
@@ -113,14 +114,14 @@
 
 std::optional<std::int64_t> LeaderElection::MayCampaign() const {
   if (resigned_ || campaigning_ || window_.leading() || !key_known_) return std::nullopt;
-  if (steady_clock::now() < campaign_not_before_) return std::nullopt;
+  if (BootClock::now() < campaign_not_before_) return std::nullopt;
   return LeadershipClaim::Condition(Sight(), settings_.name);
 }
 
 void LeaderElection::Tick() {
   if (const auto condition = MayCampaign()) Stand(*condition);
   if (window_.leading()) RenewOrLose();
-  const Time now = steady_clock::now();
+  const Time now = BootClock::now();
   if (window_.Settled(now) && history_.Clear(now) && !settling_) Settle();
   if (!LeaderSilent(now)) {
     // Daemons of a large fleet begin to look one after the other.
@@ -136,7 +137,7 @@
 }
 
 void LeaderElection::Stand(std::int64_t condition) {
-  const Time now = steady_clock::now();
+  const Time now = BootClock::now();
   if (now - key_confirmed_ < kKeySeenLately) {
     Campaign(condition);
     return;
@@ -148,8 +149,8 @@
 
 void LeaderElection::Campaign(std::int64_t condition) {
   campaigning_ = true;
-  campaign_not_before_ = steady_clock::now() + kCampaignPause + Jitter();
-  const Time sent = steady_clock::now();
+  campaign_not_before_ = BootClock::now() + kCampaignPause + Jitter();
+  const Time sent = BootClock::now();
   const LeadershipClaim claim(condition);
   store_.GrantLease(settings_.time_to_live, [this, sent, claim](const Outcome<LeaseId>& lease) {
     campaigning_ = lease.ok();
@@ -231,7 +232,7 @@
 
 void LeaderElection::Won(std::int64_t revision) {
   if (window_.leading() || resigned_) return;
-  const auto now = steady_clock::now();
+  const auto now = BootClock::now();
   const milliseconds wait = BeginTerm(now);
   window_.Win(grant_sent_, now + wait);
   token_ = revision;
@@ -244,7 +245,7 @@
 }
 
 void LeaderElection::RenewOrLose() {
-  const Time now = steady_clock::now();
+  const Time now = BootClock::now();
   if (window_.Lapsed(now)) {
     Lose("the lease was not renewed in time");
     return;
@@ -325,8 +326,7 @@
 /// that does not come about the key goes with the lease, and the next leader waits in full.
 void LeaderElection::Release(std::function<void()> done) {
   LeaderRecord record{settings_.name, settings_.address, false, true, {}};
-  record.history =
-      history_.Write(steady_clock::now(), std::max(window_.order_from(), others_from_));
+  record.history = history_.Write(BootClock::now(), std::max(window_.order_from(), others_from_));
   Transaction transaction;
   transaction.comparisons.push_back({settings_.key, record_revision_});
   transaction.operations.emplace_back(PutOperation{settings_.key, EncodeMessage(record), 0});
@@ -351,12 +351,12 @@
 void LeaderElection::ReadKey() {
   if (reading_) return;
   reading_ = true;
-  read_not_before_ = steady_clock::now() + ReadPause();
+  read_not_before_ = BootClock::now() + ReadPause();
   store_.Range({settings_.key, ""}, [this](const Outcome<RangeResult>& read) {
     reading_ = false;
     const bool stood = std::exchange(stands_, false);
     if (!read.ok()) return;
-    key_confirmed_ = steady_clock::now();
+    key_confirmed_ = BootClock::now();
     const bool was_led = leader_.has_value();
     const std::int64_t led_since = leader_revision_;
     if (read.value().entries.empty())
--- a/src/fleet/leader_election.h
+++ b/src/fleet/leader_election.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
 
+#include "common/boot_clock.h"
 #include "common/event_log.h"
 #include "fleet/fleet_messages.h"
 #include "fleet/order_history.h"
@@ -18,7 +18,7 @@
 /// When a leader may give orders: pure arithmetic on the steady clock. See docs/PLATFORM-DESIGN.md.
 class OrderWindow {
  public:
-  using Time = std::chrono::steady_clock::time_point;
+  using Time = BootClock::time_point;
 
   /// @param time_to_live of the lease on which the leader key hangs.
   explicit OrderWindow(std::chrono::milliseconds time_to_live) : time_to_live_(time_to_live) {}
@@ -122,7 +122,7 @@
   /// @param daemons in the fleet, as the leader says: in a large one each looks for the next leader
   /// more seldom.
   void HeardLeader(std::uint32_t daemons) {
-    leader_heard_ = std::chrono::steady_clock::now();
+    leader_heard_ = BootClock::now();
     daemons_ = daemons;
   }
   /// Reads the leader key now: another daemon has said that it leads no more.
@@ -140,9 +140,7 @@
   /// @return whether orders of other leaders to that server lie far enough back.
   bool ServerFree(const std::string& server_id) const;
   /// An order to the server has been answered or given up.
-  void NoteOrder(const std::string& server_id) {
-    history_.NoteOrder(server_id, std::chrono::steady_clock::now());
-  }
+  void NoteOrder(const std::string& server_id) { history_.NoteOrder(server_id, BootClock::now()); }
   LoadWindow& loads() { return history_.loads(); }
   /// @return whether the loads of the leader before are known and counted.
   bool knows_loads() const { return knows_loads_; }
@@ -185,7 +183,7 @@
   ElectionSettings settings_;
   OrderWindow window_;
   OrderHistory history_;
-  boost::asio::steady_timer timer_;
+  BootTimer timer_;
   std::optional<LeaderRecord> leader_;
   std::int64_t leader_revision_ = 0;
   std::int64_t seen_revision_ = 0;  ///< Of the key's newest state, also of its absence.
--- a/src/fleet/load_window.h
+++ b/src/fleet/load_window.h
@@ -5,13 +5,15 @@
 #include <deque>
 #include <vector>
 
+#include "common/boot_clock.h"
+
 namespace moorfold {
 
 /// Bounds how many loads from the weight store begin in any window of time. A load that got no
 /// answer may begin later, so it counts for longer. One thread.
 class LoadWindow {
  public:
-  using Time = std::chrono::steady_clock::time_point;
+  using Time = BootClock::time_point;
 
   explicit LoadWindow(std::chrono::milliseconds window) : window_(window) {}
 
--- a/src/fleet/order_history.h
+++ b/src/fleet/order_history.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "common/boot_clock.h"
 #include "fleet/load_window.h"
 
 namespace moorfold {
@@ -45,7 +46,7 @@
 /// away only from those. Pure; one thread; times are of this machine's steady clock.
 class OrderHistory {
  public:
-  using Time = std::chrono::steady_clock::time_point;
+  using Time = BootClock::time_point;
   using Milliseconds = std::chrono::milliseconds;
 
   /// @param holder this machine's name in orders.
--- a/src/fleet/placement_planner.h
+++ b/src/fleet/placement_planner.h
@@ -7,6 +7,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "common/boot_clock.h"
 #include "fleet/fleet_demand.h"
 #include "fleet/placement_value.h"
 #include "fleet/routing_configuration.h"
@@ -52,7 +53,7 @@
 /// one step for each server; steps never exceed a server's memory or adapter slots.
 class PlacementPlanner {
  public:
-  using Time = std::chrono::steady_clock::time_point;
+  using Time = BootClock::time_point;
 
   PlacementPlanner(const EngineDescription& engine, std::map<ModelReference, ModelDemand> demand,
                    std::vector<PlannedServer> servers, PlannerLimits limits, Time now);
--- a/src/fleet/placement_value.cc
+++ b/src/fleet/placement_value.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "common/boot_clock.h"
+
 namespace moorfold {
 
 namespace {
@@ -21,7 +23,7 @@
 /// come back for the next of them.
 constexpr double kRunningShare = 0.1;
 
-double Seconds(std::chrono::steady_clock::duration duration) {
+double Seconds(BootClock::duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
 
--- a/src/fleet/placement_value.h
+++ b/src/fleet/placement_value.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstddef>
 
+#include "common/boot_clock.h"
 #include "fleet/fleet_demand.h"
 #include "fleet/routing_configuration.h"
 
@@ -12,7 +13,7 @@
 /// lost per second: how many requests, on average, wait or run slower than they should. Pure.
 class PlacementValue {
  public:
-  using Time = std::chrono::steady_clock::time_point;
+  using Time = BootClock::time_point;
 
   /// @param requests_per_server that one server runs at once and still answers in time.
   PlacementValue(double requests_per_server, Time now)
--- a/src/fleet/server_record.h
+++ b/src/fleet/server_record.h
@@ -27,6 +27,7 @@
   std::string service;
   Endpoint endpoint;
   std::string zone;
+  std::string software_version;
   std::uint32_t slots = 1;
   bool draining = false;
   std::vector<HeldModel> models;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <charconv>
 #include <cmath>
 
+#include "common/boot_clock.h"
 #include "gateway/event_splitter.h"
 #include "http/header_rules.h"
 #include "http/http_status.h"
@@ -16,7 +16,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 constexpr milliseconds kConnectTimeout{300};
 /// A server may close a connection that rests; a request that must not run twice is not risked on
@@ -31,11 +30,11 @@
 constexpr int kMostForeignAnswers = 3;
 
 milliseconds Left(SteadyTime end) {
-  return std::chrono::duration_cast<milliseconds>(end - steady_clock::now());
+  return std::chrono::duration_cast<milliseconds>(end - BootClock::now());
 }
 
 double ElapsedMs(SteadyTime since) {
-  return std::chrono::duration<double, std::milli>(steady_clock::now() - since).count();
+  return std::chrono::duration<double, std::milli>(BootClock::now() - since).count();
 }
 
 /// How long the server keeps a resting connection, less a second for the way there.
@@ -89,7 +88,7 @@
  private:
   GatewayRequest& request_;
   Server& server_;
-  boost::asio::steady_timer timer_;
+  BootTimer timer_;
 };
 
 Forwarder::Forwarder(boost::asio::io_context& context, const FleetProtocol& protocol,
@@ -98,7 +97,7 @@
 
 void Forwarder::NoteHead(GatewayRequest& request) {
   request.head_sent = true;
-  request.head_at = steady_clock::now();
+  request.head_at = BootClock::now();
   metrics_.time_to_head.Observe(ElapsedMs(request.arrival));
 }
 
@@ -125,7 +124,7 @@
   if (UpstreamConnectionPtr resting = pool_.Take(server.record().id, rest)) co_return resting;
   auto fresh = std::make_shared<UpstreamConnection>(context_, server.record().endpoint);
   ++connections_opened_;
-  co_await fresh->Connect(std::min(request.end, steady_clock::now() + kConnectTimeout));
+  co_await fresh->Connect(std::min(request.end, BootClock::now() + kConnectTimeout));
   co_return fresh;
 }
 
@@ -157,12 +156,12 @@
   const std::string_view text = FindHeader(headers, protocol_.headers().server_load);
   if (text.empty()) return;
   const std::array<std::uint32_t, 3> load = ParseLoad(text);
-  server.NoteLoad(load[0], load[1], steady_clock::now());
+  server.NoteLoad(load[0], load[1], BootClock::now());
 }
 
 ForwardResult Forwarder::ReadRefusal(const HttpHeaders& headers, unsigned status,
                                      const GatewayRequest& request, Server& server) const {
-  const auto now = steady_clock::now();
+  const auto now = BootClock::now();
   ForwardResult result{ForwardEnd::kNotRun, status, "the server did not run it"};
   if (status != kMisdirectedStatus) {
     const std::array<std::uint32_t, 3> load =
@@ -224,7 +223,7 @@
                                                GatewayRequest& request, HttpHeaders headers) {
   const unsigned status = request.upstream->status();
   EventSplitter splitter;
-  SteadyTime last_events = steady_clock::now();
+  SteadyTime last_events = BootClock::now();
   bool ended = false;
   try {
     while (!ended) {
@@ -235,7 +234,7 @@
         throw HttpError(HttpStage::kReadingAnswer, false, "the stream ended inside an event");
       if (events.empty()) continue;
       if (request.head_sent) NoteGap(request, last_events);
-      last_events = steady_clock::now();
+      last_events = BootClock::now();
       if (!request.head_sent) {
         NoteHead(request);
         co_await exchange.BeginStream(status, EndToEndHeaders(headers));
@@ -298,8 +297,8 @@
   try {
     upstream = co_await Connect(request, *server);
   } catch (const HttpError& error) {
-    server->NoteUnreachable(steady_clock::now());
-    co_return ForwardResult{ForwardEnd::kNotRun, 0, error.what()};
+    server->NoteUnreachable(BootClock::now());
+    co_return ForwardResult{ForwardEnd::kNotRun, 0, error.what(), error.peer_ended()};
   }
   if (request.client_left) {
     if (upstream->Reusable()) pool_.Give(server->record().id, upstream, kLongestRest);
@@ -319,7 +318,7 @@
   const bool unanswered =
       result.end == ForwardEnd::kMayHaveRun || result.end == ForwardEnd::kBrokenOff;
   if (unanswered && result.status < http_status::kBadRequest)
-    server->NoteFailure(steady_clock::now());
+    server->NoteFailure(BootClock::now());
   else if (result.end == ForwardEnd::kAnswered && result.status < http_status::kFirstServerError)
     server->NoteSuccess();
   co_return result;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "common/boot_clock.h"
 #include "common/process_memory.h"
 #include "http/http_status.h"
 
@@ -12,9 +13,12 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 constexpr const char* kLeaderKey = "moorfold/leader";
+constexpr const char* kQuarantineKey = "moorfold/quarantine";
+/// Addresses in one answer of the leader: a fleet of seven knows all after two answers, one of 295
+/// knows as many as it keeps within half a minute.
+constexpr std::size_t kPeersTold = 4;
 constexpr milliseconds kReportEvery{500};
 /// By then the server's record shows that the model is gone, or that it stayed.
 constexpr milliseconds kUnloadSettles{5'000};
@@ -61,8 +65,15 @@
   return {share(kReadShare), share(kWatcherReadShare), share(kUrgentReadShare)};
 }
 
+quarantine::Settings QuarantineSettings(const GatewaySettings& settings) {
+  quarantine::Settings wanted;
+  wanted.servers = settings.quarantine_servers;
+  wanted.life = settings.quarantine_time;
+  return wanted;
+}
+
 std::int64_t MillisecondsSince(SteadyTime time) {
-  return std::chrono::duration_cast<milliseconds>(steady_clock::now() - time).count();
+  return std::chrono::duration_cast<milliseconds>(BootClock::now() - time).count();
 }
 
 HttpResponse Plain(unsigned status, std::string text) {
@@ -90,6 +101,10 @@
                   TakeAnswer(answer, from);
                 },
                 [this](const LeadershipOffer&) { election_.LookNow(true); },
+                [this](const QuarantineNotice& notice, const std::string& from) {
+                  peers_.Note(from, BootClock::now());
+                  quarantine_.Hear(notice);
+                },
                 [this](const std::string& problem) {
                   log_.Write(
                       LogRank::kRoutine,
@@ -104,7 +119,10 @@
                     TakeNotice(notice);
                     channel_.Broadcast(notice);
                   }),
-      pipeline_(context, protocol, view_, metrics_, log,
+      quarantine_(context, QuarantineSettings(settings_), log, metrics_.quarantine,
+                  QuarantinePorts()),
+      quarantine_record_(store_, log, kQuarantineKey),
+      pipeline_(context, protocol, view_, quarantine_, metrics_, log,
                 {settings_.zone, settings_.retry_window, settings_.retry_ratio}) {
   view_.configuration_bound = settings_.configuration_bound;
   const std::vector<boost::asio::io_context*> contexts = {&context_};
@@ -131,6 +149,10 @@
   readiness_->Start();
   if (figures_) figures_->Start();
   channel_.Start();
+  store_view_.Follow(quarantine_record_.key(),
+                     [this](const std::optional<KeyValue>& entry, std::int64_t revision) {
+                       TakeQuarantineRecord(entry, revision);
+                     });
   store_view_.Start(
       kLeaderKey,
       [this](const std::optional<KeyValue>& entry, std::int64_t revision) {
@@ -174,10 +196,52 @@
   co_await exchange.Respond(Plain(http_status::kOk, metrics_.Render()));
 }
 
+QuarantineService::Ports Gateway::QuarantinePorts() {
+  QuarantineService::Ports ports;
+  ports.send = [this](const std::string& to, const QuarantineNotice& notice) {
+    channel_.SendQuarantine(to, notice);
+  };
+  ports.broadcast = [this](const QuarantineNotice& notice) {
+    if (election_.leading()) channel_.Broadcast(notice);
+  };
+  ports.leader = [this]() -> std::optional<std::string> {
+    if (election_.leading() || !election_.leader()) return std::nullopt;
+    return election_.leader()->address;
+  };
+  ports.peers = [this] { return Peers(); };
+  ports.server = [this](const std::string& server_id) -> std::optional<Endpoint> {
+    const ServerPtr server = view_.servers.Find(server_id);
+    return server ? std::optional(server->record().endpoint) : std::nullopt;
+  };
+  ports.service_exists = [this](const std::string& service) { return ServiceExists(service); };
+  ports.changed = [this] { view_.changed.NotifyAll(); };
+  return ports;
+}
+
+std::vector<std::string> Gateway::Peers() {
+  std::vector<std::string> peers = peers_.Addresses(BootClock::now());
+  std::erase(peers, ToString(channel_.endpoint()));
+  return peers;
+}
+
+bool Gateway::ServiceExists(const std::string& service) const {
+  return view_.routes && view_.routes->configuration().FindService(service) != nullptr;
+}
+
+void Gateway::TakeQuarantineRecord(const std::optional<KeyValue>& entry, std::int64_t revision) {
+  quarantine_record_.Seen(entry ? entry->value : "", revision);
+  if (entry) quarantine_.Hear(DecodeMessage<QuarantineNotice>(entry->value));
+}
+
+void Gateway::KeepQuarantine() {
+  quarantine_.Tick();
+  if (election_.leading()) quarantine_record_.Write(quarantine_.Record());
+}
+
 void Gateway::TakeNotice(const PlacementNotice& notice) {
   const ServerPtr server = view_.servers.Find(notice.server_id);
   if (!server) return;
-  const auto now = steady_clock::now();
+  const auto now = BootClock::now();
   if (notice.expected_ms > 0) {
     view_.expected.Note(notice.name, {now, now + milliseconds(notice.expected_ms)});
     return;
@@ -190,7 +254,7 @@
 }
 
 std::vector<std::string> Gateway::UnreachableServers() const {
-  const auto now = steady_clock::now();
+  const auto now = BootClock::now();
   std::vector<std::string> servers;
   for (const auto& [id, server] : view_.servers.all())
     if (server->Unreachable(now)) servers.push_back(id);
@@ -198,7 +262,7 @@
 }
 
 /// Reports come more often while requests wait; questions need not.
-bool Gateway::AskNow(steady_clock::time_point now) {
+bool Gateway::AskNow(BootClock::time_point now) {
   if (now - asked_ < kReportEvery - kReportPause) return false;
   asked_ = now;
   return true;
@@ -206,19 +270,20 @@
 
 Awaitable<void> Gateway::ReportDemand() {
   while (true) {
-    co_await view_.demand_raised.Wait(steady_clock::now() + kReportEvery);
+    co_await view_.demand_raised.Wait(BootClock::now() + kReportEvery);
     DemandReport report;
     report.sender = settings_.name;
     report.address = ToString(channel_.endpoint());
     report.uptime_ms =
-        std::chrono::duration_cast<milliseconds>(steady_clock::now() - started_at_).count();
+        std::chrono::duration_cast<milliseconds>(BootClock::now() - started_at_).count();
     report.stopping = stopping_;
     report.entries = view_.demand.Take();
     report.unreachable = UnreachableServers();
+    report.quarantine_digest = quarantine_.book().Digest();
     if (election_.leading()) {
       controller_.AddReport(report);
     } else if (election_.leader()) {
-      if (AskNow(steady_clock::now())) report.question = store_view_.Question();
+      if (AskNow(BootClock::now())) report.question = store_view_.Question();
       if (report.question) {
         asked_at_us_.push_back(report.question->asked_at_us);
         if (asked_at_us_.size() > kQuestionsOpen) asked_at_us_.pop_front();
@@ -230,7 +295,9 @@
 }
 
 void Gateway::TakeReport(const DemandReport& report) {
-  members_.Note(report, steady_clock::now());
+  members_.Note(report, BootClock::now());
+  peers_.Note(report.address, BootClock::now());
+  if (report.question) quarantine_.Compare(report.quarantine_digest, report.address);
   controller_.AddReport(report);
   if (report.question) AnswerQuestion(report);
 }
@@ -244,6 +311,8 @@
     answer.asked_at_us = question.asked_at_us;
     answer.leads = false;
   }
+  answer.peers = members_.Some(kPeersTold);
+  answer.quarantine_digest = quarantine_.book().Digest();
   ++metrics_.relay_answers_sent;
   channel_.SendAnswer(report.address, answer);
 }
@@ -263,6 +332,8 @@
     election_.HeardLeader(answer.daemons);
     TakeSize(answer.daemons);
   }
+  for (const std::string& peer : answer.peers) peers_.Note(peer, BootClock::now());
+  quarantine_.Compare(answer.quarantine_digest, from);
   store_view_.TakeAnswer(answer);
 }
 
@@ -280,6 +351,7 @@
     const bool large =
         settings_.relay_from_daemons > 0 && Daemons() >= settings_.relay_from_daemons;
     store_view_.SetWatching(election_.leading() && large);
+    KeepQuarantine();
     pipeline_.Sweep();
     pipeline_.ListOpen();
     log_.Flush();
@@ -308,7 +380,7 @@
 
 /// New work is taken until those who deal connections have seen that this daemon is not ready; then
 /// only what was begun is brought to its end, since later work might not end in time.
-bool Gateway::Drained(std::chrono::steady_clock::duration elapsed) {
+bool Gateway::Drained(BootClock::duration elapsed) {
   if (elapsed >= settings_.drain_timeout - kReserve) return true;
   if (elapsed < kNotReadySeen) return false;
   front_->StopAccepting();
@@ -325,16 +397,16 @@
   const bool led = election_.leading();
   election_.Resign([this, led] {
     resigned_ = true;
-    const std::optional<std::string> successor = members_.Successor(steady_clock::now());
+    const std::optional<std::string> successor = members_.Successor(BootClock::now());
     if (led && successor) channel_.SendOffer(*successor, {settings_.name});
   });
 }
 
 Awaitable<void> Gateway::Stop() {
-  const auto began = steady_clock::now();
+  const auto began = BootClock::now();
   while (true) {
     HandLeadershipOn();
-    const auto elapsed = steady_clock::now() - began;
+    const auto elapsed = BootClock::now() - began;
     const bool last_moment = elapsed >= settings_.drain_timeout - kReserve;
     if (Drained(elapsed) && (resigned_ || last_moment)) break;
     co_await Sleep(kStopCheck);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -1,15 +1,16 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <memory>
 
+#include "common/boot_clock.h"
 #include "common/event_log.h"
 #include "fleet/demand_channel.h"
 #include "fleet/fleet_controller.h"
 #include "fleet/fleet_members.h"
 #include "fleet/leader_election.h"
+#include "fleet/peer_list.h"
 #include "gateway/counting_store.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_metrics.h"
@@ -19,6 +20,8 @@
 #include "http/http_server.h"
 #include "ports/fleet_protocol.h"
 #include "ports/key_value_store.h"
+#include "quarantine/quarantine_record.h"
+#include "quarantine/quarantine_service.h"
 
 namespace moorfold {
 
@@ -49,15 +52,20 @@
   void TakeAnswer(const ChangeAnswer& answer, const std::string& from);
   void AnswerQuestion(const DemandReport& report);
   void TakeSize(std::uint32_t daemons);
+  QuarantineService::Ports QuarantinePorts();
+  std::vector<std::string> Peers();
+  bool ServiceExists(const std::string& service) const;
+  void TakeQuarantineRecord(const std::optional<KeyValue>& entry, std::int64_t revision);
+  void KeepQuarantine();
   std::uint32_t Daemons() const { return static_cast<std::uint32_t>(channel_.reporters()) + 1; }
-  bool AskNow(std::chrono::steady_clock::time_point now);
+  bool AskNow(BootClock::time_point now);
   void TakeReport(const DemandReport& report);
   void HandLeadershipOn();
   std::vector<std::string> UnreachableServers() const;
   Awaitable<void> ReportDemand();
   Awaitable<void> KeepHouse();
   Awaitable<void> Stop();
-  bool Drained(std::chrono::steady_clock::duration elapsed);
+  bool Drained(BootClock::duration elapsed);
 
   boost::asio::io_context& context_;
   GatewaySettings settings_;
@@ -70,15 +78,18 @@
   FleetMembers members_;
   LeaderElection election_;
   FleetController controller_;
+  PeerList peers_;
+  QuarantineService quarantine_;
+  QuarantineRecord quarantine_record_;
   RequestPipeline pipeline_;
   std::unique_ptr<HttpServer> front_;
   std::unique_ptr<HttpServer> readiness_;
   std::unique_ptr<HttpServer> figures_;  ///< Null where no address is given.
   std::chrono::milliseconds longest_idle_{0};
-  std::chrono::steady_clock::time_point started_at_ = std::chrono::steady_clock::now();
+  BootClock::time_point started_at_ = BootClock::now();
   /// When the latest questions were asked: other answers are not believed.
   std::deque<std::int64_t> asked_at_us_;
-  std::chrono::steady_clock::time_point asked_{};
+  BootClock::time_point asked_{};
   bool stopping_ = false;
   bool resigning_ = false;
   bool resigned_ = false;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -55,6 +55,11 @@
   Count(text, "repeats", repeats);
   Count(text, "repeats_denied", repeats_denied);
   Count(text, "waits_for_server", waits_for_server);
+  Count(text, "servers_ended_under_requests", quarantine.servers_ended);
+  Count(text, "requests_quarantined", quarantine.refused);
+  Count(text, "quarantine_cases_dropped", quarantine.cases_dropped);
+  Gauge(text, "quarantine_cases", quarantine.cases);
+  Gauge(text, "quarantine_entries", quarantine.quarantined);
   requests_ended.Render("requests_ended_total", text);
   store_calls.Render("store_calls_total", text);
   failed_reads.Render("store_reads_failed_total", text);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "gateway/labelled_counter.h"
+#include "quarantine/quarantine_service.h"
 
 namespace moorfold {
 
@@ -63,6 +64,7 @@
   std::int64_t requests_at_servers = 0;
   std::vector<RepeatsLeft> repeats_left;
   std::int64_t peak_memory_kb = 0;
+  QuarantineFigures quarantine;
   LatencyHistogram time_to_head;  ///< From a request's arrival to the head of its answer.
   LatencyHistogram time_to_end;
   LatencyHistogram event_gap;  ///< Between events of a stream, as they were passed on.
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -76,7 +76,8 @@
   ForwardEnd end = ForwardEnd::kNotRun;
   unsigned status = 0;  ///< Of the server's answer; 0: none.
   std::string problem;
-  bool link_ended = false;  ///< By the server's side, before the answer was whole.
+  /// By the server's side, before the answer was whole; or nobody listens there.
+  bool link_ended = false;
 };
 
 }  // namespace moorfold
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -25,6 +25,7 @@
 constexpr double kMostRepeats = 1'000'000;
 constexpr std::int64_t kMostLogLines = 100'000;
 constexpr std::int64_t kMostDaemons = 1'000'000;
+constexpr std::int64_t kMostQuarantineServers = 3;
 
 /// "PORT/PATH".
 std::optional<MetricsListen> ReadMetrics(YamlMap& map) {
@@ -71,6 +72,9 @@
       root.Integer("log_lines_per_second", 0, kMostLogLines, settings.log_lines_per_second));
   settings.relay_from_daemons = static_cast<std::uint32_t>(
       root.Integer("relay_from_daemons", 0, kMostDaemons, settings.relay_from_daemons));
+  settings.quarantine_servers = static_cast<std::uint32_t>(
+      root.Integer("quarantine_servers", 0, kMostQuarantineServers, settings.quarantine_servers));
+  settings.quarantine_time = ReadTime(root, "quarantine_time", settings.quarantine_time);
   settings.cpu_share = root.Number("cpu_share", 0, 4096, settings.cpu_share);
   root.Finish();
   problems.ThrowIfAny();
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -37,6 +37,13 @@
   /// in none. A leader that is followed reads five times as often, so that few daemons together
   /// would save little. From that arithmetic; other sizes were not played.
   std::uint32_t relay_from_daemons = 16;
+  /// Servers that may end under one request before it is sent to none; 0: it is never kept from
+  /// them. The platform's pages bound it by three.
+  std::uint32_t quarantine_servers = 3;
+  /// How long such a request stays out after the last server that ended under it. Long enough that
+  /// a caller that repeats it each minute does not end servers at that pace, short enough that a
+  /// repaired server is used again the same hour without an operator.
+  std::chrono::milliseconds quarantine_time{600'000};
   /// Lines of the log in a second; a tenth of it for ordinary served requests, twice as many when
   /// something fails. 0: no log.
   std::uint32_t log_lines_per_second = 200;
--- a/src/gateway/hold_policy.cc
+++ b/src/gateway/hold_policy.cc
@@ -54,6 +54,7 @@
 }
 
 SteadyTime HoldUntil(const HeldRequest& request) {
+  if (request.reason == NoServerReason::kQuarantined) return request.arrival;
   const SteadyTime last_useful = LastUseful(request);
   if (request.reason != NoServerReason::kModelNotHeld)
     return std::min(last_useful, request.arrival + request.target);
--- a/src/gateway/hold_policy.h
+++ b/src/gateway/hold_policy.h
@@ -51,6 +51,7 @@
 ///   soon.
 /// - A place at a busy server is waited for as long as the answer is wanted within. Past that, a
 ///   place serves more with a request that can still be in time.
+/// - A request under which servers end is not held at all.
 /// - Nobody is held when the rest of the time is shorter than an answer usually takes, nor for
 /// longer
 ///   than clients bear a silent stream.
--- a/src/gateway/request_admission.cc
+++ b/src/gateway/request_admission.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "common/boot_clock.h"
 #include "http/http_status.h"
 
 namespace moorfold {
@@ -10,7 +11,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 constexpr double kRetryAfterNotReadyS = 0.3;
 
@@ -25,7 +25,7 @@
 
 std::optional<Refusal> RequestAdmission::Resolve(const HttpRequest& http, GatewayRequest& request) {
   const HeaderNames& names = protocol_.headers();
-  request.arrival = steady_clock::now();
+  request.arrival = BootClock::now();
   request.end = request.arrival;
   request.id = std::string(FindHeader(http.headers, names.request_id));
   request.table = view_.routes;
--- a/src/gateway/request_outcome.h
+++ b/src/gateway/request_outcome.h
@@ -22,6 +22,7 @@
   kConfigurationMayBeOld,  ///< No route matches, but the store was not heard from lately.
   kNoServer,               ///< No server that may be used holds what is asked for.
   kServersFull,            ///< All that could serve it turned it away.
+  kQuarantined,            ///< Servers end under it.
   kOutOfTime,              ///< Its time ended while a server had it.
   kServerFailed,           ///< A server had it and gave no usable answer.
   kStreamBroke,            ///< The server's stream ended early.
@@ -65,6 +66,8 @@
       return "no_server";
     case EndReason::kServersFull:
       return "servers_full";
+    case EndReason::kQuarantined:
+      return "quarantined";
     case EndReason::kOutOfTime:
       return "out_of_time";
     case EndReason::kServerFailed:
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "common/boot_clock.h"
 #include "http/http_status.h"
 
 namespace moorfold {
@@ -9,7 +10,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 constexpr std::uint32_t kMostSends = 4;
 constexpr milliseconds kRetryPause{40};
@@ -38,6 +38,13 @@
   return milliseconds(0);
 }
 
+/// Without a time to come back: a later try of the same request would be refused as well.
+Refusal QuarantineRefusal() {
+  return {http_status::kUnavailable, EndReason::kQuarantined,
+          "servers ended under this request; do not repeat it, change it or ask the operator",
+          false, 0};
+}
+
 std::string SecondsText(double seconds) {
   std::string text = std::to_string(seconds);
   constexpr std::size_t kDigitsDropped = 3;
@@ -64,10 +71,11 @@
 };
 
 RequestPipeline::RequestPipeline(boost::asio::io_context& context, const FleetProtocol& protocol,
-                                 FleetView& view, GatewayMetrics& metrics, EventLog& log,
-                                 PipelineSettings settings)
+                                 FleetView& view, QuarantineService& quarantine,
+                                 GatewayMetrics& metrics, EventLog& log, PipelineSettings settings)
     : protocol_(protocol),
       view_(view),
+      quarantine_(quarantine),
       metrics_(metrics),
       admission_(protocol, view),
       settings_(std::move(settings)),
@@ -88,10 +96,10 @@
   }
 }
 
-void RequestPipeline::ListOpen() { reporter_.ListOpen(active_, steady_clock::now()); }
+void RequestPipeline::ListOpen() { reporter_.ListOpen(active_, BootClock::now()); }
 
 void RequestPipeline::DescribeLoad() {
-  const auto now = steady_clock::now();
+  const auto now = BootClock::now();
   metrics_.requests_open = static_cast<std::int64_t>(active_.size());
   metrics_.requests_waiting = view_.demand.Waiting();
   metrics_.requests_at_servers = view_.demand.InFlight();
@@ -101,7 +109,7 @@
 }
 
 void RequestPipeline::AnswerAll() {
-  const auto now = steady_clock::now();
+  const auto now = BootClock::now();
   for (GatewayRequest* request : active_) {
     request->end = std::min(request->end, now);
     if (request->upstream && !request->head_sent)
@@ -150,23 +158,84 @@
 /// has no server. @return whether it may.
 Awaitable<bool> RequestPipeline::AwaitAllowance(GatewayRequest& request,
                                                 RetryAllowance& allowance) {
-  while (!allowance.TryRepeat(steady_clock::now())) {
+  while (!allowance.TryRepeat(BootClock::now())) {
     const bool held = request.may_have_run == 0 && !refuse_waiting_ && !request.client_left &&
-                      steady_clock::now() < HoldEnd(request, NoServerReason::kAllUnusable);
+                      BootClock::now() < HoldEnd(request, NoServerReason::kAllUnusable);
     if (!held) {
       ++metrics_.repeats_denied;
       co_return false;
     }
-    co_await view_.changed.Wait(steady_clock::now() + kRetryPause);
+    co_await view_.changed.Wait(BootClock::now() + kRetryPause);
   }
   ++metrics_.repeats;
   co_return true;
 }
 
+bool RequestPipeline::Quarantined(const GatewayRequest& request) const {
+  if (!quarantine_.book().Known(request.fingerprint)) return false;
+  const std::vector<ServerPtr>& servers = view_.servers.Of(request.service);
+  return !servers.empty() &&
+         std::all_of(servers.begin(), servers.end(), [&](const ServerPtr& server) {
+           return quarantine_.At(request.fingerprint, server->record().software_version) ==
+                  quarantine::Standing::kQuarantined;
+         });
+}
+
+/// A suspected request is tried at one server at a time, and not where another suspect is: if the
+/// server ends, its cause is known, and if not, the request is cleared.
+bool RequestPipeline::LimitSuspect(const GatewayRequest& request, ChoiceRequest& wanted) const {
+  if (quarantine_.OnTrial(request.fingerprint)) return false;
+  bool suspected = false;
+  for (const ServerPtr& server : view_.servers.Of(request.service)) {
+    const std::string& version = server->record().software_version;
+    switch (quarantine_.At(request.fingerprint, version)) {
+      case quarantine::Standing::kQuarantined:
+        wanted.excluded_versions.push_back(version);
+        break;
+      case quarantine::Standing::kUndecided:
+        wanted.excluded.push_back(server->record().id);
+        break;
+      case quarantine::Standing::kSuspect:
+        suspected = true;
+        break;
+      case quarantine::Standing::kClear:
+        break;
+    }
+  }
+  if (!suspected) return true;
+  for (std::string& server : quarantine_.ServersOnTrial())
+    wanted.excluded.push_back(std::move(server));
+  return true;
+}
+
+void RequestPipeline::NoteEvidence(const GatewayRequest& request, const Server& server,
+                                   const ForwardResult& result, SteadyTime sent_at) {
+  const ServerRecord& record = server.record();
+  const bool sent = result.end != ForwardEnd::kNotRun && result.end != ForwardEnd::kClientLeft;
+  if (result.link_ended && sent) {
+    quarantine_.Note(quarantine::LinkEnded{request.fingerprint, request.service, record.id,
+                                           record.software_version});
+    return;
+  }
+  const bool other_there = result.status == kMisdirectedStatus && server.gone();
+  if (result.link_ended || other_there) {
+    if (quarantine_.book().Waiting(record.id)) quarantine_.Note(quarantine::ServerEnded{record.id});
+    return;
+  }
+  if (result.status == 0) return;
+  if (quarantine_.book().Waiting(record.id))
+    quarantine_.Note(quarantine::ServerAnswered{record.id, sent_at});
+  if (sent) quarantine_.Note(quarantine::Served{request.fingerprint, record.software_version});
+}
+
 ServerPtr RequestPipeline::ChooseOnce(GatewayRequest& request, NoServerReason& reason) const {
   ChoiceRequest wanted{request.service, request.model, request.parts, settings_.zone,
                        request.failed_servers};
-  const auto now = steady_clock::now();
+  if (quarantine_.book().Known(request.fingerprint) && !LimitSuspect(request, wanted)) {
+    reason = NoServerReason::kAllUnusable;
+    return nullptr;
+  }
+  const auto now = BootClock::now();
   Choice choice = ChooseServer(view_.servers, wanted, now);
   reason = choice.reason;
   request.expected_ms = choice.cost_ms;
@@ -178,19 +247,18 @@
   if (ServerPtr server = ChooseOnce(request, reason)) co_return server;
   const DemandMark waiting(view_.demand, request.service, request.model,
                            &DemandBook::Count::waiting);
-  const auto began = steady_clock::now();
+  const auto began = BootClock::now();
   ++metrics_.waits_for_server;
   view_.demand_raised.NotifyAll();
   request.no_server = reason;
   // What is expected may change meanwhile.
-  while (!request.client_left && !refuse_waiting_ &&
-         steady_clock::now() < HoldEnd(request, reason)) {
-    const SteadyTime look_again = steady_clock::now() + kRetryPause;
+  while (!request.client_left && !refuse_waiting_ && BootClock::now() < HoldEnd(request, reason)) {
+    const SteadyTime look_again = BootClock::now() + kRetryPause;
     co_await view_.changed.Wait(std::min(HoldEnd(request, reason), look_again));
     request.failed_servers.clear();
     ServerPtr server = ChooseOnce(request, reason);
     request.no_server = reason;
-    request.waited = std::chrono::duration_cast<milliseconds>(steady_clock::now() - began);
+    request.waited = std::chrono::duration_cast<milliseconds>(BootClock::now() - began);
     if (!server) continue;
     metrics_.wait_for_server.Observe(static_cast<double>(request.waited.count()));
     co_return server;
@@ -207,15 +275,15 @@
   constexpr double kShareOfRest = 0.5;
   const bool impatient = request.route->type == RouteType::kRepeatable && MayRunElsewhere(request);
   if (!impatient) return request.end;
-  const auto now = steady_clock::now();
+  const auto now = BootClock::now();
   const auto half =
-      std::chrono::duration_cast<steady_clock::duration>((request.end - now) * kShareOfRest);
-  return now + std::min<steady_clock::duration>(half, request.route->target * kTargetsPerAttempt);
+      std::chrono::duration_cast<BootClock::duration>((request.end - now) * kShareOfRest);
+  return now + std::min<BootClock::duration>(half, request.route->target * kTargetsPerAttempt);
 }
 
 RequestPipeline::Next RequestPipeline::Decide(const GatewayRequest& request,
                                               const ForwardResult& result) {
-  const bool time_left = steady_clock::now() < request.end;
+  const bool time_left = BootClock::now() < request.end;
   switch (result.end) {
     case ForwardEnd::kAnswered:
     case ForwardEnd::kClientLeft:
@@ -235,15 +303,16 @@
 Refusal RequestPipeline::ExplainFailure(const GatewayRequest& request,
                                         const ForwardResult& result) const {
   if (request.may_have_run > 0) {
-    const bool late = steady_clock::now() >= request.end;
+    const bool late = BootClock::now() >= request.end;
     return {late ? http_status::kGatewayTimeout : http_status::kBadGateway,
             late ? EndReason::kOutOfTime : EndReason::kServerFailed,
             "it may have run; repeat it only if that does no harm", true, 0};
   }
+  if (request.no_server == NoServerReason::kQuarantined) return QuarantineRefusal();
   const bool full = result.status != 0;
   const HeldRequest held =
       DescribeHeld(request, full ? NoServerReason::kAllUnusable : request.no_server);
-  const milliseconds come_back = ComeBackAfter(held, steady_clock::now(), SpreadOf(request.id));
+  const milliseconds come_back = ComeBackAfter(held, BootClock::now(), SpreadOf(request.id));
   return {http_status::kUnavailable, full ? EndReason::kServersFull : EndReason::kNoServer,
           "come back after the stated time", false,
           std::chrono::duration<double>(come_back).count()};
@@ -263,6 +332,23 @@
   co_await exchange.Respond(std::move(response));
 }
 
+Awaitable<ForwardResult> RequestPipeline::Attempt(HttpServerExchange& exchange,
+                                                  GatewayRequest& request,
+                                                  const ServerPtr& server) {
+  const DemandMark flight(view_.demand, request.service, request.model,
+                          &DemandBook::Count::in_flight);
+  std::optional<QuarantineService::Trial> trial;
+  if (quarantine_.book().Known(request.fingerprint))
+    trial.emplace(quarantine_, request.fingerprint, server->record().id);
+  const bool last = !MayRunElsewhere(request);
+  const SteadyTime sent_at = BootClock::now();
+  ForwardResult result =
+      co_await forwarder_.Forward(exchange, request, server, AttemptEnd(request), last);
+  NoteAnswerTime(request, sent_at);
+  NoteEvidence(request, *server, result, sent_at);
+  co_return result;
+}
+
 Awaitable<void> RequestPipeline::Serve(HttpServerExchange& exchange, GatewayRequest& request) {
   ForwardResult result;
   std::string server_id;
@@ -272,17 +358,10 @@
     const ServerPtr server = co_await AwaitServer(request);
     if (request.client_left) result.end = ForwardEnd::kClientLeft;
     if (!server || request.client_left) break;
-    if (request.sends == 0) allowance.CountFirst(steady_clock::now());
+    if (request.sends == 0) allowance.CountFirst(BootClock::now());
     ++request.sends;
     server_id = server->record().id;
-    {
-      const DemandMark flight(view_.demand, request.service, request.model,
-                              &DemandBook::Count::in_flight);
-      const bool last = !MayRunElsewhere(request);
-      const SteadyTime sent_at = steady_clock::now();
-      result = co_await forwarder_.Forward(exchange, request, server, AttemptEnd(request), last);
-      NoteAnswerTime(request, sent_at);
-    }
+    result = co_await Attempt(exchange, request, server);
     if (result.end == ForwardEnd::kMayHaveRun || result.end == ForwardEnd::kBrokenOff)
       ++request.may_have_run;
     const Next next = Decide(request, result);
@@ -290,6 +369,7 @@
       reporter_.NoteFailedAttempt(request, *server, result);
     if (next != Next::kTryAgain) break;
     request.failed_servers.push_back(server_id);
+    if (result.link_ended) co_await quarantine_.AwaitSign(server_id);
   }
   if (!request.model.model.empty() && request.head_sent && request.LateAtServer())
     ++view_.demand.At(request.service, request.model).late;
@@ -338,24 +418,35 @@
   co_await Answer(exchange, request, refusal);
 }
 
+Awaitable<void> RequestPipeline::Refuse(HttpServerExchange& exchange, const GatewayRequest& request,
+                                        const Refusal& refusal) {
+  RequestEnd end;
+  end.outcome = RequestOutcome::kRefused;
+  end.reason = refusal.reason;
+  end.status = refusal.status;
+  reporter_.NoteEnd(request, end);
+  co_await Answer(exchange, request, refusal);
+}
+
 Awaitable<void> RequestPipeline::Handle(HttpServerExchange& exchange) {
   // The exchange's disconnect callback may outlive this coroutine's other locals: shared.
   const auto request = std::make_shared<GatewayRequest>();
   ++metrics_.requests;
   const std::optional<Refusal> refusal = admission_.Resolve(exchange.request(), *request);
   if (refusal) {
-    RequestEnd end;
-    end.outcome = RequestOutcome::kRefused;
-    end.reason = refusal->reason;
-    end.status = refusal->status;
-    reporter_.NoteEnd(*request, end);
-    co_await Answer(exchange, *request, *refusal);
+    co_await Refuse(exchange, *request, *refusal);
     co_return;
   }
   request->body = std::make_shared<const std::string>(exchange.TakeBody());
   request->fingerprint =
       FingerprintOf({exchange.remote_address(), FindHeader(exchange.request().headers, "Host"),
                      exchange.request().target, *request->body});
+  if (Quarantined(*request)) {
+    ++metrics_.quarantine.refused;
+    const Refusal quarantined = QuarantineRefusal();
+    co_await Refuse(exchange, *request, quarantined);
+    co_return;
+  }
   ++view_.demand.At(request->service, request->model).arrivals;
   exchange.OnDisconnect([request, this] {
     request->client_left = true;
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -16,6 +16,7 @@
 #include "gateway/server_choice.h"
 #include "http/http_server.h"
 #include "ports/fleet_protocol.h"
+#include "quarantine/quarantine_service.h"
 
 namespace moorfold {
 
@@ -31,7 +32,8 @@
 class RequestPipeline {
  public:
   RequestPipeline(boost::asio::io_context& context, const FleetProtocol& protocol, FleetView& view,
-                  GatewayMetrics& metrics, EventLog& log, PipelineSettings settings);
+                  QuarantineService& quarantine, GatewayMetrics& metrics, EventLog& log,
+                  PipelineSettings settings);
 
   Awaitable<void> Handle(HttpServerExchange& exchange);
   void Sweep() { forwarder_.Sweep(); }
@@ -53,6 +55,18 @@
   enum class Next : std::uint8_t { kDone, kTryAgain, kGiveUp, kBreakOff };
   class ActiveMark;
 
+  /// @return whether servers of every version that runs would end under the request.
+  bool Quarantined(const GatewayRequest& request) const;
+  /// Leaves out servers to which a suspected request is not to be sent now. @return whether any are
+  /// left to be looked at.
+  bool LimitSuspect(const GatewayRequest& request, ChoiceRequest& wanted) const;
+  /// Tells the case book what an attempt has shown of its server and its request.
+  void NoteEvidence(const GatewayRequest& request, const Server& server,
+                    const ForwardResult& result, SteadyTime sent_at);
+  Awaitable<ForwardResult> Attempt(HttpServerExchange& exchange, GatewayRequest& request,
+                                   const ServerPtr& server);
+  Awaitable<void> Refuse(HttpServerExchange& exchange, const GatewayRequest& request,
+                         const Refusal& refusal);
   Awaitable<void> Serve(HttpServerExchange& exchange, GatewayRequest& request);
   static RequestEnd DescribeEnd(const GatewayRequest& request, const ForwardResult& result,
                                 std::string server_id);
@@ -75,6 +89,7 @@
 
   const FleetProtocol& protocol_;
   FleetView& view_;
+  QuarantineService& quarantine_;
   GatewayMetrics& metrics_;
   RequestAdmission admission_;
   PipelineSettings settings_;
--- a/src/gateway/request_reporter.cc
+++ b/src/gateway/request_reporter.cc
@@ -1,5 +1,6 @@
 #include "gateway/request_reporter.h"
 
+#include "common/boot_clock.h"
 #include "http/http_status.h"
 
 namespace moorfold {
@@ -7,7 +8,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 constexpr milliseconds kOpenLong{400};
 constexpr std::size_t kMostListed = 64;  ///< In one line; the rest waits for the next.
@@ -16,7 +16,7 @@
   return std::chrono::duration_cast<milliseconds>(duration).count();
 }
 
-std::int64_t MillisecondsSince(SteadyTime time) { return CountMs(steady_clock::now() - time); }
+std::int64_t MillisecondsSince(SteadyTime time) { return CountMs(BootClock::now() - time); }
 
 const char* KindOf(const GatewayRequest& request) {
   if (request.route == nullptr) return "none";
--- a/src/gateway/retry_allowance.h
+++ b/src/gateway/retry_allowance.h
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <cstdint>
 
+#include "common/boot_clock.h"
+
 namespace moorfold {
 
 /// This daemon's share of the fleet's retry budget: in any window, no more repeats than a share of
@@ -11,7 +13,7 @@
 /// over the fleet without messages. One per service; one thread.
 class RetryAllowance {
  public:
-  using Time = std::chrono::steady_clock::time_point;
+  using Time = BootClock::time_point;
 
   /// @param window length of the sliding window.
   /// @param ratio repeats for each first send; below the fleet's, to leave room at its edges.
@@ -57,7 +59,7 @@
     return current;
   }
 
-  std::chrono::steady_clock::duration slice_;
+  BootClock::duration slice_;
   double ratio_;
   double free_repeats_;
   std::array<Slice, kSlices> slices_{};
--- a/src/gateway/server_choice.cc
+++ b/src/gateway/server_choice.cc
@@ -73,6 +73,10 @@
   best.reason = servers.empty() ? NoServerReason::kUnknownService : NoServerReason::kModelNotHeld;
   for (const ServerPtr& server : servers) {
     if (!request.model.model.empty() && !server->Holds(request.model, now)) continue;
+    if (Contains(request.excluded_versions, server->record().software_version)) {
+      if (best.reason != NoServerReason::kAllUnusable) best.reason = NoServerReason::kQuarantined;
+      continue;
+    }
     if (!server->Usable(now) || Contains(request.excluded, server->record().id)) {
       best.reason = NoServerReason::kAllUnusable;
       continue;
--- a/src/gateway/server_choice.h
+++ b/src/gateway/server_choice.h
@@ -14,10 +14,18 @@
   std::vector<PromptPart> parts;
   std::string zone;                   ///< Of this daemon.
   std::vector<std::string> excluded;  ///< Servers that have failed this request.
+  /// Of the servers' software: such servers end under this request.
+  std::vector<std::string> excluded_versions = {};
 };
 
 /// Why there is no server for a request.
-enum class NoServerReason : std::uint8_t { kNone, kUnknownService, kModelNotHeld, kAllUnusable };
+enum class NoServerReason : std::uint8_t {
+  kNone,
+  kUnknownService,
+  kModelNotHeld,
+  kAllUnusable,
+  kQuarantined  ///< Whichever holds the model would end under it.
+};
 
 struct Choice {
   ServerPtr server;
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -8,12 +8,13 @@
 #include <unordered_map>
 #include <vector>
 
+#include "common/boot_clock.h"
 #include "fleet/server_record.h"
 #include "gateway/prompt.h"
 
 namespace moorfold {
 
-using SteadyTime = std::chrono::steady_clock::time_point;
+using SteadyTime = BootClock::time_point;
 
 /// The prompt parts that this daemon lately sent to one server, oldest first.
 class RecentPrompts {
@@ -56,6 +57,7 @@
   bool Unreachable(SteadyTime now) const { return now < unreachable_until_; }
   /// The server said it leaves, or another incarnation answered at its address.
   void NoteGone() { gone_ = true; }
+  bool gone() const { return gone_; }
 
   void BeginRequest() { ++in_flight_; }
   void EndRequest() { --in_flight_; }
--- a/src/gateway/store_view.cc
+++ b/src/gateway/store_view.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <unordered_set>
 
+#include "common/boot_clock.h"
 #include "relay/change_answer.h"
 
 namespace moorfold {
@@ -10,7 +11,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 constexpr milliseconds kFirstRetryPause{100};
 /// Only a silence of that length can have let entries of living servers lapse.
@@ -19,7 +19,7 @@
 /// Longer than a heartbeat, well below the bound within which no more may be sent to a lost server.
 constexpr milliseconds kRemovalGrace{1'400};
 
-std::int64_t Microseconds(std::chrono::steady_clock::duration duration) {
+std::int64_t Microseconds(BootClock::duration duration) {
   return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
 }
 
@@ -57,14 +57,13 @@
 
 void StoreView::Start(std::string own_key, OwnKeyHandler own_key_changed,
                       ConfigurationHandler configured) {
-  own_key_ = std::move(own_key);
-  own_key_changed_ = std::move(own_key_changed);
+  Follow(std::move(own_key), std::move(own_key_changed));
   configured_ = std::move(configured);
   Read();
 }
 
 bool StoreView::Decide(const follow::Event& event) {
-  const follow::Decision decision = follow::Reduce(settings_, state_, event, steady_clock::now());
+  const follow::Decision decision = follow::Reduce(settings_, state_, event, BootClock::now());
   state_ = decision.state;
   view_.servers_current_at = state_.current_at;
   view_.configuration_current_at = state_.configuration_at;
@@ -88,11 +87,11 @@
 }
 
 void StoreView::Read() {
-  if (steady_clock::now() < follow::NextRead(settings_, state_)) {
+  if (BootClock::now() < follow::NextRead(settings_, state_)) {
     ReadWhenDue();
     return;
   }
-  const follow::ReadKind kind = follow::NextReadKind(settings_, state_, steady_clock::now());
+  const follow::ReadKind kind = follow::NextReadKind(settings_, state_, BootClock::now());
   Decide(follow::ReadBegun{kind});
   switch (kind) {
     case follow::ReadKind::kListing:
@@ -122,7 +121,7 @@
       NoteFailure(listing.failure());
       return;
     }
-    NoteContact(steady_clock::now());
+    NoteContact(BootClock::now());
     (this->*take)(listing.value());
     ReadWhenDue();
   };
@@ -133,13 +132,14 @@
   const std::optional<double> change_bytes = ChangesReplacedBy(listing);
   const std::string& prefix = protocol_.layout().server_prefix;
   TakeServerEntries(listing);
-  bool own_key_listed = false;
+  std::unordered_set<std::string> listed;
   for (const KeyValue& entry : listing.entries) {
     if (entry.key.starts_with(prefix)) continue;
-    own_key_listed = own_key_listed || entry.key == own_key_;
+    listed.insert(entry.key);
     TakeEntry(entry);
   }
-  if (!own_key_listed) TakeRemoval(own_key_, listing.revision);
+  for (const OwnKey& own : own_keys_)
+    if (!listed.contains(own.key)) TakeRemoval(own.key, listing.revision);
   Decide(follow::ReadEnded{listing.revision, BytesOf(listing.entries), change_bytes});
   NoteSource(false);
   NoteChanged();
@@ -211,7 +211,7 @@
 
 void StoreView::TakeBatch(const WatchBatch& batch) {
   watch_.reset();
-  NoteContact(steady_clock::now());
+  NoteContact(BootClock::now());
   const std::int64_t known = state_.revision;
   const std::string& prefix = protocol_.layout().server_prefix;
   double bytes = 0;
@@ -239,7 +239,7 @@
 
 std::optional<ChangeQuestion> StoreView::Question() const {
   if (!state_.listed) return std::nullopt;
-  return ChangeQuestion{Microseconds(steady_clock::now().time_since_epoch()), state_.revision};
+  return ChangeQuestion{Microseconds(BootClock::now().time_since_epoch()), state_.revision};
 }
 
 ChangeAnswer StoreView::Answer(const ChangeQuestion& question, std::uint32_t daemons) const {
@@ -250,7 +250,7 @@
   answer.relays = state_.watches && state_.listed && state_.ConfigurationKept();
   if (!answer.relays) return answer;
   const SteadyTime current_at = std::min(state_.current_at, state_.configuration_at);
-  answer.age_us = Microseconds(steady_clock::now() - current_at);
+  answer.age_us = Microseconds(BootClock::now() - current_at);
   answer.configuration_version = Version();
   answer.from_revision = question.revision;
   FillChanges(answer, changes_, [this](const std::string& id) -> const ServerRecord* {
@@ -317,8 +317,8 @@
       TakeConfiguration(entry);
     else if (entry.key.starts_with(protocol_.layout().server_prefix))
       TakeServer(entry);
-    else if (entry.key == own_key_)
-      TakeOwnKey(entry);
+    else if (OwnKey* own = FindOwnKey(entry.key))
+      TakeOwnKey(*own, entry);
   } catch (const std::exception& error) {
     log_.Write(LogRank::kFailure, EventLine(LogEvent::kEntrySkipped)
                                       .Field(LogField::kKey, entry.key)
@@ -329,19 +329,26 @@
 
 void StoreView::TakeRemoval(const std::string& key, std::int64_t revision) {
   const std::string& prefix = protocol_.layout().server_prefix;
+  OwnKey* own = FindOwnKey(key);
   if (key.starts_with(prefix)) {
     const std::string id = key.substr(prefix.size());
     changes_.Note(id, revision, true);
-    if (steady_clock::now() - outage_ended_ < kAfterOutage)
+    if (BootClock::now() - outage_ended_ < kAfterOutage)
       RemoveLater(id);
     else
       RemoveServer(id, revision);
-  } else if (key == own_key_ && revision >= own_key_revision_) {
-    own_key_revision_ = revision;
-    own_key_changed_(std::nullopt, revision);
+  } else if (own != nullptr && revision >= own->revision) {
+    own->revision = revision;
+    own->changed(std::nullopt, revision);
   }
 }
 
+StoreView::OwnKey* StoreView::FindOwnKey(const std::string& key) {
+  const auto own = std::find_if(own_keys_.begin(), own_keys_.end(),
+                                [&](const OwnKey& each) { return each.key == key; });
+  return own == own_keys_.end() ? nullptr : &*own;
+}
+
 void StoreView::RemoveServer(const std::string& id, std::int64_t revision) {
   removals_.erase(id);
   if (view_.servers.Find(id) == nullptr) return;
@@ -352,7 +359,7 @@
 }
 
 void StoreView::RemoveLater(const std::string& id) {
-  if (removals_.try_emplace(id, steady_clock::now() + kRemovalGrace).second) RemoveWhenDue();
+  if (removals_.try_emplace(id, BootClock::now() + kRemovalGrace).second) RemoveWhenDue();
 }
 
 void StoreView::RemoveWhenDue() {
@@ -367,7 +374,7 @@
 }
 
 void StoreView::RemoveDue() {
-  const auto now = steady_clock::now();
+  const auto now = BootClock::now();
   std::vector<std::string> due;
   for (const auto& [id, time] : removals_)
     if (time <= now) due.push_back(id);
@@ -382,7 +389,7 @@
   configuration_entry_revision_ = entry.mod_revision;
   if (configuration->version <= held) return;
   view_.routes = std::make_shared<const RouteTable>(configuration);
-  view_.configured_at = steady_clock::now();
+  view_.configured_at = BootClock::now();
   metrics_.configuration_version = configuration->version;
   log_.Write(LogRank::kDecision, EventLine(LogEvent::kConfiguration)
                                      .Field(LogField::kVersion, configuration->version)
@@ -411,20 +418,20 @@
   const bool back = removals_.erase(record.id) > 0;
   if (known == nullptr || back || !SameForRequests(known->record(), record))
     changes_.Note(record.id, revision, false);
-  view_.servers.Put(std::move(record), steady_clock::now());
+  view_.servers.Put(std::move(record), BootClock::now());
 }
 
-void StoreView::TakeOwnKey(const KeyValue& entry) {
-  if (entry.mod_revision <= own_key_revision_) return;
-  own_key_revision_ = entry.mod_revision;
-  own_key_changed_(entry, entry.mod_revision);
+void StoreView::TakeOwnKey(OwnKey& own, const KeyValue& entry) {
+  if (entry.mod_revision <= own.revision) return;
+  own.revision = entry.mod_revision;
+  own.changed(entry, entry.mod_revision);
 }
 
 void StoreView::NoteContact(SteadyTime current_at) {
   const auto silence = current_at - last_contact_;
   // Without a failed read, the ordinary time between two reads is no sign of an outage.
   const auto outage = failed_reads_ > 0 ? kOutage : kOutage + settings_.longest_age;
-  if (contacted_ && silence > outage) outage_ended_ = steady_clock::now();
+  if (contacted_ && silence > outage) outage_ended_ = BootClock::now();
   if (!in_touch_)
     log_.Write(LogRank::kDecision,
                EventLine(LogEvent::kStoreInTouch)
@@ -448,7 +455,7 @@
   const bool unanswered = failure.fault == PlatformFault::kNoAnswer;
   const bool history_gone = failure.fault == PlatformFault::kRejected;
   Decide(follow::ReadFailed{retry_pause_, unanswered, history_gone});
-  const Milliseconds longest = follow::LongestPause(settings_, state_, steady_clock::now());
+  const Milliseconds longest = follow::LongestPause(settings_, state_, BootClock::now());
   retry_pause_ =
       retry_pause_ >= settings_.longest_pause ? longest : std::min(longest, retry_pause_ * 2);
   ReadWhenDue();
--- a/src/gateway/store_view.h
+++ b/src/gateway/store_view.h
@@ -6,7 +6,9 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
+#include "common/boot_clock.h"
 #include "common/event_log.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_metrics.h"
@@ -37,6 +39,11 @@
   /// @param own_key the key of moorfold's own that `own_key_changed` hears of.
   void Start(std::string own_key, OwnKeyHandler own_key_changed, ConfigurationHandler configured);
 
+  /// One more of moorfold's own keys. Before Start.
+  void Follow(std::string own_key, OwnKeyHandler changed) {
+    own_keys_.push_back({std::move(own_key), std::move(changed), 0});
+  }
+
   /// Whether other daemons follow this one: it reads the store more often then.
   void SetWatching(bool watches);
   /// @return what to ask the watcher, once the store was listed.
@@ -78,7 +85,13 @@
   void RemoveDue();
   void TakeConfiguration(const KeyValue& entry);
   void TakeServer(const KeyValue& entry);
-  void TakeOwnKey(const KeyValue& entry);
+  struct OwnKey {
+    std::string key;
+    OwnKeyHandler changed;
+    std::int64_t revision = 0;
+  };
+  OwnKey* FindOwnKey(const std::string& key);
+  static void TakeOwnKey(OwnKey& own, const KeyValue& entry);
   void PutServer(ServerRecord record, std::int64_t revision);
   /// @param current_at when the store had nothing newer than what is known now.
   void NoteContact(SteadyTime current_at);
@@ -89,10 +102,8 @@
   FleetView& view_;
   GatewayMetrics& metrics_;
   EventLog& log_;
-  std::string own_key_;
-  OwnKeyHandler own_key_changed_;
+  std::vector<OwnKey> own_keys_;
   ConfigurationHandler configured_;
-  std::int64_t own_key_revision_ = 0;
   follow::Settings settings_;
   follow::State state_;
   ChangeLog changes_;
@@ -100,7 +111,7 @@
   std::int64_t told_version_ = -1;     ///< Of the newest configuration that a watcher told of.
   std::int64_t reading_version_ = -1;  ///< The same when the read under way began.
   std::int64_t configuration_entry_revision_ = 0;  ///< Of the entry that was read last.
-  boost::asio::steady_timer read_timer_;
+  BootTimer read_timer_;
   Milliseconds retry_pause_;
   std::optional<bool> relayed_;  ///< Whether the last news came from a watcher.
   bool in_touch_ = false;
@@ -111,7 +122,7 @@
   SteadyTime outage_ended_{};
   /// Servers whose entries were missing just after an outage, with the time of their removal.
   std::map<std::string, SteadyTime> removals_;
-  boost::asio::steady_timer removal_timer_;
+  BootTimer removal_timer_;
 };
 
 }  // namespace moorfold
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -10,6 +10,7 @@
 #include <boost/beast/http.hpp>
 #include <optional>
 
+#include "common/boot_clock.h"
 #include "http/connection_liveness.h"
 
 namespace moorfold {
@@ -60,7 +61,7 @@
       parser_.emplace();
       parser_->body_limit(options.most_body_bytes);
       co_await http::async_read_header(stream_, buffer_, *parser_, use_awaitable);
-      answer_end_ = std::chrono::steady_clock::now() + options.longest_answer;
+      answer_end_ = BootClock::now() + options.longest_answer;
     } catch (const system_error& error) {
       throw Failure(stage, error);
     }
@@ -72,7 +73,7 @@
       parser_->get().body().data = chunk.data();
       parser_->get().body().size = chunk.size();
       if (progress_timeout_.count() > 0)
-        SetDeadline(std::min(answer_end_, std::chrono::steady_clock::now() + progress_timeout_));
+        SetDeadline(std::min(answer_end_, BootClock::now() + progress_timeout_));
       try {
         co_await http::async_read_some(stream_, buffer_, *parser_, use_awaitable);
       } catch (const system_error& error) {
@@ -110,7 +111,8 @@
     if (deadline == Deadline::max())
       stream_.expires_never();
     else
-      stream_.expires_at(deadline);
+      // The stream counts on the standard library's clock, whose readings are others.
+      stream_.expires_after(std::max(BootClock::duration::zero(), deadline - BootClock::now()));
   }
 
   HttpError Failure(HttpStage stage, const system_error& error) const {
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -5,7 +5,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -15,6 +14,7 @@
 #include <optional>
 #include <set>
 
+#include "common/boot_clock.h"
 #include "http/http_status.h"
 #include "http/listen_error.h"
 
@@ -130,7 +130,7 @@
       co_await self->acceptor_->async_accept(socket, asio::redirect_error(use_awaitable, error));
       if (error == asio::error::operation_aborted) co_return;
       if (error) {  // Out of descriptors, say: wait a little instead of spinning.
-        asio::steady_timer pause(*self->contexts_.front(), std::chrono::milliseconds(50));
+        BootTimer pause(*self->contexts_.front(), std::chrono::milliseconds(50));
         co_await pause.async_wait(use_awaitable);
         continue;
       }
@@ -322,7 +322,7 @@
   struct State {
     State(const asio::any_io_executor& executor, std::chrono::milliseconds length)
         : timer(executor, length) {}
-    asio::steady_timer timer;
+    BootTimer timer;
     bool ended = false;
     bool passed = false;
   };
--- a/src/http/http_types.h
+++ b/src/http/http_types.h
@@ -9,12 +9,14 @@
 #include <utility>
 #include <vector>
 
+#include "common/boot_clock.h"
+
 namespace moorfold {
 
 template <typename T>
 using Awaitable = boost::asio::awaitable<T>;
 
-using Deadline = std::chrono::steady_clock::time_point;
+using Deadline = BootClock::time_point;
 
 /// An IP number and a port. No host names: nothing here resolves them.
 struct Endpoint {
@@ -68,7 +70,8 @@
       : std::runtime_error(what), stage_(stage), timed_out_(timed_out), peer_ended_(peer_ended) {}
   HttpStage stage() const { return stage_; }
   bool timed_out() const { return timed_out_; }
-  /// @return whether the other side closed or reset the connection before its answer was whole.
+  /// @return whether the other side closed or reset the connection before its answer was whole, or
+  /// (kConnecting) nobody listens there.
   bool peer_ended() const { return peer_ended_; }
 
  private:
--- a/src/http/upstream_connection.cc
+++ b/src/http/upstream_connection.cc
@@ -2,12 +2,12 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
 
+#include "common/boot_clock.h"
 #include "http/connection_liveness.h"
 
 namespace moorfold {
@@ -18,7 +18,6 @@
 using asio::use_awaitable;
 using asio::ip::tcp;
 using boost::system::error_code;
-using std::chrono::steady_clock;
 
 namespace {
 constexpr unsigned kHttp11 = 11;
@@ -26,12 +25,12 @@
 constexpr std::uint64_t kMostAnswerBytes = 256ULL * 1024 * 1024;
 using RequestMessage = http::request<http::span_body<char const>>;
 
-/// @return whether the other side closed or reset the connection, or its machine said that nobody
-/// has it any more.
+/// @return whether the other side closed, reset or refused the connection.
 bool PeerEnded(const error_code& error) {
   return error == asio::error::eof || error == asio::error::connection_reset ||
          error == asio::error::broken_pipe || error == asio::error::connection_aborted ||
-         error == http::error::end_of_stream || error == http::error::partial_message;
+         error == asio::error::connection_refused || error == http::error::end_of_stream ||
+         error == http::error::partial_message;
 }
 }  // namespace
 
@@ -41,7 +40,7 @@
       : socket(context), timer(context), endpoint(std::move(to)) {}
 
   tcp::socket socket;
-  asio::steady_timer timer;
+  BootTimer timer;
   Endpoint endpoint;
   beast::flat_buffer buffer;
   std::optional<http::response_parser<http::buffer_body>> parser;
@@ -204,7 +203,7 @@
   const auto found = idle_.find(server_id);
   if (found == idle_.end()) return nullptr;
   std::vector<Resting>& resting = found->second;
-  const auto now = steady_clock::now();
+  const auto now = BootClock::now();
   while (!resting.empty()) {
     Resting last = std::move(resting.back());
     resting.pop_back();
@@ -218,12 +217,12 @@
 
 void UpstreamPool::Give(const std::string& server_id, UpstreamConnectionPtr connection,
                         std::chrono::milliseconds keep) {
-  const auto now = steady_clock::now();
+  const auto now = BootClock::now();
   idle_[server_id].push_back({std::move(connection), now, now + keep});
 }
 
 void UpstreamPool::Sweep() {
-  const auto now = steady_clock::now();
+  const auto now = BootClock::now();
   for (auto server = idle_.begin(); server != idle_.end();) {
     std::erase_if(server->second, [&](const Resting& resting) { return resting.until <= now; });
     server = server->second.empty() ? idle_.erase(server) : std::next(server);
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "common/boot_clock.h"
 #include "http/http_types.h"
 
 namespace moorfold {
@@ -72,8 +73,8 @@
  private:
   struct Resting {
     UpstreamConnectionPtr connection;
-    std::chrono::steady_clock::time_point since;
-    std::chrono::steady_clock::time_point until;
+    BootClock::time_point since;
+    BootClock::time_point until;
   };
   std::map<std::string, std::vector<Resting>> idle_;
 };
--- a/src/load/load_client.cc
+++ b/src/load/load_client.cc
@@ -6,6 +6,7 @@
 #include <boost/json.hpp>
 
 #include "common/async_signal.h"
+#include "common/boot_clock.h"
 #include "http/http_client.h"
 #include "http/http_status.h"
 #include "modelled/expected_answer.h"
@@ -16,7 +17,7 @@
 
 namespace {
 
-using Clock = std::chrono::steady_clock;
+using Clock = BootClock;
 constexpr std::chrono::seconds kPatience{5};
 constexpr std::chrono::seconds kFetchTimeout{30};
 
--- a/src/peer/transport.cc
+++ b/src/peer/transport.cc
@@ -7,13 +7,13 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/endian/conversion.hpp>
 #include <deque>
 #include <map>
 
+#include "common/boot_clock.h"
 #include "http/listen_error.h"
 #include "ports/json_codec.h"
 
@@ -84,7 +84,7 @@
   struct Peer {
     explicit Peer(asio::io_context& context) : wake(context, Deadline::max()) {}
     std::deque<std::string> queue;
-    asio::steady_timer wake;
+    BootTimer wake;
   };
 
   void Bind(const Endpoint& listen) {
--- a/src/ports/etcd_key_value_store.cc
+++ b/src/ports/etcd_key_value_store.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
+#include "common/boot_clock.h"
 #include "http/http_status.h"
 #include "ports/etcd_json.h"
 
@@ -149,9 +150,9 @@
     return result;
   };
   asio::co_spawn(context_,
-                 CallAndDecode<RangeResult>(
-                     client_, endpoint_, kRangeTarget, json::serialize(etcd::WriteRange(range)),
-                     std::chrono::steady_clock::now() + timeout_, decode, std::move(done)),
+                 CallAndDecode<RangeResult>(client_, endpoint_, kRangeTarget,
+                                            json::serialize(etcd::WriteRange(range)),
+                                            BootClock::now() + timeout_, decode, std::move(done)),
                  asio::detached);
 }
 
@@ -162,9 +163,9 @@
   };
   asio::co_spawn(
       context_,
-      CallAndDecode<TransactionResult>(
-          client_, endpoint_, "/v3/kv/txn", json::serialize(etcd::WriteTransaction(transaction)),
-          std::chrono::steady_clock::now() + timeout_, decode, std::move(done)),
+      CallAndDecode<TransactionResult>(client_, endpoint_, "/v3/kv/txn",
+                                       json::serialize(etcd::WriteTransaction(transaction)),
+                                       BootClock::now() + timeout_, decode, std::move(done)),
       asio::detached);
 }
 
@@ -175,7 +176,7 @@
   asio::co_spawn(
       context_,
       CallAndDecode<LeaseId>(client_, endpoint_, "/v3/lease/grant", json::serialize(body),
-                             std::chrono::steady_clock::now() + timeout_, decode, std::move(done)),
+                             BootClock::now() + timeout_, decode, std::move(done)),
       asio::detached);
 }
 
@@ -193,18 +194,17 @@
   asio::co_spawn(
       context_,
       CallAndDecode<Duration>(client_, endpoint_, "/v3/lease/keepalive", json::serialize(body),
-                              std::chrono::steady_clock::now() + timeout_, decode, reject_lapsed),
+                              BootClock::now() + timeout_, decode, reject_lapsed),
       asio::detached);
 }
 
 void EtcdKeyValueStore::RevokeLease(LeaseId lease, Callback<bool> done) {
   const json::value body = {{"ID", std::to_string(lease)}};
   const auto decode = [](const json::object&) { return true; };
-  asio::co_spawn(
-      context_,
-      CallAndDecode<bool>(client_, endpoint_, "/v3/lease/revoke", json::serialize(body),
-                          std::chrono::steady_clock::now() + timeout_, decode, std::move(done)),
-      asio::detached);
+  asio::co_spawn(context_,
+                 CallAndDecode<bool>(client_, endpoint_, "/v3/lease/revoke", json::serialize(body),
+                                     BootClock::now() + timeout_, decode, std::move(done)),
+                 asio::detached);
 }
 
 std::unique_ptr<WatchHandle> EtcdKeyValueStore::Watch(KeyRange range, std::int64_t start,
--- a/src/ports/http_machine_list.cc
+++ b/src/ports/http_machine_list.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "common/boot_clock.h"
 #include "http/http_status.h"
 #include "ports/json_codec.h"
 
@@ -50,10 +51,9 @@
       known_(std::make_shared<Known>()) {}
 
 void HttpMachineList::List(ListCallback done) {
-  boost::asio::co_spawn(context_,
-                        Fetch(client_, known_, endpoint_,
-                              std::chrono::steady_clock::now() + timeout_, std::move(done)),
-                        boost::asio::detached);
+  boost::asio::co_spawn(
+      context_, Fetch(client_, known_, endpoint_, BootClock::now() + timeout_, std::move(done)),
+      boost::asio::detached);
 }
 
 }  // namespace moorfold
--- a/src/ports/http_model_engine.cc
+++ b/src/ports/http_model_engine.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "common/boot_clock.h"
 #include "http/http_status.h"
 #include "ports/json_codec.h"
 
@@ -68,19 +69,17 @@
       client_(std::make_shared<HttpClient>(context)) {}
 
 void HttpModelEngine::Report(const Machine& server, ReportCallback done) {
-  boost::asio::co_spawn(
-      context_,
-      FetchReport(client_, {server.address, server.http_port},
-                  std::chrono::steady_clock::now() + report_timeout_, std::move(done)),
-      boost::asio::detached);
+  boost::asio::co_spawn(context_,
+                        FetchReport(client_, {server.address, server.http_port},
+                                    BootClock::now() + report_timeout_, std::move(done)),
+                        boost::asio::detached);
 }
 
 void HttpModelEngine::Execute(const Machine& server, Order order, OrderCallback done) {
-  boost::asio::co_spawn(
-      context_,
-      SendOrderTo(client_, {server.address, server.http_port}, std::move(order),
-                  std::chrono::steady_clock::now() + order_timeout_, std::move(done)),
-      boost::asio::detached);
+  boost::asio::co_spawn(context_,
+                        SendOrderTo(client_, {server.address, server.http_port}, std::move(order),
+                                    BootClock::now() + order_timeout_, std::move(done)),
+                        boost::asio::detached);
 }
 
 }  // namespace moorfold
--- /dev/null
+++ b/src/quarantine/quarantine_record.cc
@@ -0,0 +1,67 @@
+#include "quarantine/quarantine_record.h"
+
+#include <algorithm>
+
+#include "fleet/fleet_messages.h"
+
+namespace moorfold {
+
+namespace {
+
+/// Between two writes; also after one that failed.
+constexpr std::chrono::milliseconds kBetweenWrites{1'000};
+
+}  // namespace
+
+std::string QuarantineRecord::Summary(const QuarantineNotice& notice) {
+  std::vector<std::string> rows;
+  for (const CaseNews& news : notice.cases) {
+    std::string row = ToString(news.fingerprint);
+    for (const std::string& version : news.quarantined_versions) row += " " + version;
+    rows.push_back(row);
+  }
+  std::sort(rows.begin(), rows.end());
+  std::string summary;
+  for (const std::string& row : rows) summary += row + "\n";
+  return summary;
+}
+
+void QuarantineRecord::Seen(const std::string& value, std::int64_t revision) {
+  if (revision < revision_) return;
+  revision_ = value.empty() ? 0 : revision;
+  held_ = value.empty() ? "" : Summary(DecodeMessage<QuarantineNotice>(value));
+}
+
+void QuarantineRecord::Write(const QuarantineNotice& wanted) {
+  const std::string summary = Summary(wanted);
+  if (writing_ || summary == held_ || BootClock::now() < not_before_) return;
+  Transaction transaction;
+  transaction.comparisons.push_back({key_, revision_});
+  if (wanted.cases.empty())
+    transaction.operations.emplace_back(DeleteOperation{key_});
+  else
+    transaction.operations.emplace_back(PutOperation{key_, EncodeMessage(wanted), 0});
+  writing_ = true;
+  store_.Transact(
+      std::move(transaction),
+      [this, summary](const Outcome<TransactionResult>& result) { EndWrite(result, summary); });
+}
+
+void QuarantineRecord::EndWrite(const Outcome<TransactionResult>& result,
+                                const std::string& summary) {
+  writing_ = false;
+  not_before_ = BootClock::now() + kBetweenWrites;
+  if (result.ok() && result.value().succeeded) {
+    held_ = summary;
+    revision_ = summary.empty() ? 0 : std::max(revision_, result.value().revision);
+    return;
+  }
+  // Another leader wrote meanwhile, or the answer was lost: the next reading of the store shows it.
+  const std::string problem =
+      result.ok() ? "the entry has changed meanwhile" : result.failure().message;
+  log_.Write(LogRank::kDecision, EventLine(LogEvent::kQuarantineNotStored)
+                                     .Field(LogField::kKey, key_)
+                                     .Field(LogField::kProblem, problem));
+}
+
+}  // namespace moorfold
--- a/src/relay/change_answer.cc
+++ b/src/relay/change_answer.cc
@@ -15,7 +15,8 @@
   const auto text = [](const std::string& value) { return kLengthBytes + value.size(); };
   const ServerRecord& record = change.record;
   std::size_t bytes = kFixedBytes + text(record.id) + text(record.service) +
-                      text(record.endpoint.address) + text(record.zone) + kLengthBytes;
+                      text(record.endpoint.address) + text(record.zone) +
+                      text(record.software_version) + kLengthBytes;
   for (const HeldModel& held : record.models) {
     bytes += text(held.name) + kLengthBytes;
     for (const std::string& adapter : held.adapters) bytes += text(adapter);
@@ -27,7 +28,8 @@
 
 bool SameForRequests(const ServerRecord& left, const ServerRecord& right) {
   return left.service == right.service && left.endpoint == right.endpoint &&
-         left.zone == right.zone && left.slots == right.slots && left.draining == right.draining &&
+         left.zone == right.zone && left.software_version == right.software_version &&
+         left.slots == right.slots && left.draining == right.draining &&
          left.models == right.models;
 }
 
--- a/src/relay/follow_state.h
+++ b/src/relay/follow_state.h
@@ -5,6 +5,8 @@
 #include <optional>
 #include <variant>
 
+#include "common/boot_clock.h"
+
 namespace moorfold {
 
 /// Decides when a daemon reads the store itself, what it asks for, and which relayed changes it may
@@ -33,7 +35,7 @@
 /// Pure: state, event and time in, state out. test/relay explores it.
 namespace follow {
 
-using Time = std::chrono::steady_clock::time_point;
+using Time = BootClock::time_point;
 using Milliseconds = std::chrono::milliseconds;
 
 struct Settings {
--- a/src/relay/relay_messages.h
+++ b/src/relay/relay_messages.h
@@ -34,7 +34,7 @@
     archive(revision, gone, record.id);
     if (gone) return;
     archive(record.service, record.endpoint.address, record.endpoint.port, record.zone,
-            record.slots, record.draining, record.models);
+            record.software_version, record.slots, record.draining, record.models);
   }
 };
 
@@ -55,11 +55,15 @@
       0;                      ///< The newest that the sender knows; not relayed itself.
   std::uint32_t daemons = 1;  ///< How many report to the sender, itself included.
   std::vector<ServerChange> servers;
+  /// "IP:PORT" of some daemons that report to the sender, others each time: daemons must reach each
+  /// other while nobody leads.
+  std::vector<std::string> peers;
+  std::uint64_t quarantine_digest = 0;  ///< Of the sender's case book.
 
   template <typename Archive>
   void serialize(Archive& archive) {
     archive(asked_at_us, relays, leads, gap, from_revision, to_revision, age_us,
-            configuration_version, daemons, servers);
+            configuration_version, daemons, servers, peers, quarantine_digest);
   }
 };
 
--- a/src/request/call.cc
+++ b/src/request/call.cc
@@ -4,6 +4,7 @@
 #include <boost/json.hpp>
 #include <charconv>
 
+#include "common/boot_clock.h"
 #include "http/http_status.h"
 
 namespace moorfold {
@@ -132,7 +133,7 @@
 
 std::optional<ApiError> ReadCallHeaders(const HttpHeaders& headers, Duration default_deadline,
                                         Priority default_priority, Call& call) {
-  call.arrival = std::chrono::steady_clock::now();
+  call.arrival = BootClock::now();
   call.deadline = call.arrival + default_deadline;
   call.priority = default_priority;
   const std::string_view deadline = FindHeader(headers, "x-deadline-ms");
@@ -163,7 +164,7 @@
 Deadline RefusalTime(const Call& call) {
   constexpr std::chrono::milliseconds kMostMargin{50};
   const auto whole = call.deadline - call.arrival;
-  const auto margin = std::min<std::chrono::steady_clock::duration>(whole / 20, kMostMargin);
+  const auto margin = std::min<BootClock::duration>(whole / 20, kMostMargin);
   return call.deadline - margin;
 }
 
--- a/src/request/model_router.cc
+++ b/src/request/model_router.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <boost/json.hpp>
 
+#include "common/boot_clock.h"
+
 namespace moorfold {
 
 namespace json = boost::json;
@@ -149,7 +151,7 @@
 
 std::optional<ApiError> ModelRouter::RefuseEarly(const ModelRoute& route, const Call& call,
                                                  std::size_t position) const {
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = BootClock::now();
   const double left = std::chrono::duration<double>(call.deadline - now).count();
   const double waited = std::chrono::duration<double>(now - call.arrival).count();
   const double predicted = PredictAnswerSeconds(route, position * shared_.worker_count, waited);
@@ -166,8 +168,8 @@
   }
   const std::shared_ptr<Waiting> waiting = WaitingFor(route->called_as);
   if (waiting->queue.size() == 0) {
-    std::optional<Target> target = AcquireReplica(*route, call.prefix_hash, excluded,
-                                                  Microseconds(std::chrono::steady_clock::now()));
+    std::optional<Target> target =
+        AcquireReplica(*route, call.prefix_hash, excluded, Microseconds(BootClock::now()));
     if (target) co_return target;
   }
   QueuedRequest queued(shared_, waiting, route->counters, call, body_bytes);
@@ -184,21 +186,20 @@
       co_return std::nullopt;
     }
     if (queued.first()) {
-      std::optional<Target> target = AcquireReplica(*route, call.prefix_hash, excluded,
-                                                    Microseconds(std::chrono::steady_clock::now()));
+      std::optional<Target> target =
+          AcquireReplica(*route, call.prefix_hash, excluded, Microseconds(BootClock::now()));
       if (target) co_return target;
     }
     if (route->targets.empty()) call.was_cold = true;
     if (!judged) call.refusal = RefuseEarly(*route, call, queued.position());
     judged = true;
     if (call.refusal) co_return std::nullopt;
-    if (std::chrono::steady_clock::now() >= refusal_time) {
+    if (BootClock::now() >= refusal_time) {
       call.refusal = errors::StillLoading(call.name);
       co_return std::nullopt;
     }
     if (!route->counters->nudged.exchange(true)) shared_.nudge_core();
-    co_await waiting->signal.Wait(
-        std::min(refusal_time, std::chrono::steady_clock::now() + kRecheck));
+    co_await waiting->signal.Wait(std::min(refusal_time, BootClock::now() + kRecheck));
   }
   co_return std::nullopt;
 }
@@ -209,8 +210,8 @@
   const char* priority = call.priority == Priority::kCritical ? "critical"
                          : call.priority == Priority::kBatch  ? "batch"
                                                               : "interactive";
-  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-      call.deadline - std::chrono::steady_clock::now());
+  const auto left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(call.deadline - BootClock::now());
   request.headers = {{"Content-Type", "application/json"},
                      {"x-request-id", call.id},
                      {"x-priority", priority},
@@ -226,7 +227,7 @@
 }
 
 void ModelRouter::ObserveFirstByte(const Call& call) {
-  const std::chrono::duration<double> passed = std::chrono::steady_clock::now() - call.arrival;
+  const std::chrono::duration<double> passed = BootClock::now() - call.arrival;
   (call.was_cold ? shared_.metrics->first_byte_cold : shared_.metrics->first_byte_warm)
       .Observe(passed.count());
 }
@@ -235,11 +236,11 @@
                                           const ModelRoute& route, const Target& target) {
   const DemandCountersPtr counters = route.counters;
   counters->in_flight.fetch_add(1, std::memory_order_relaxed);
-  const auto started = std::chrono::steady_clock::now();
+  const auto started = BootClock::now();
   Attempt attempt = co_await ForwardOnce(client_, exchange, call, target.endpoint,
                                          MakeRequest(exchange.request(), route, call),
                                          [this, &call] { ObserveFirstByte(call); });
-  const auto ended = std::chrono::steady_clock::now();
+  const auto ended = BootClock::now();
   counters->in_flight.fetch_sub(1, std::memory_order_relaxed);
   target.load->Release();
   if (counters->waiting.load(std::memory_order_relaxed) > 0) shared_.wake_waiting();
@@ -275,7 +276,7 @@
     }
     const Attempt attempt = co_await TryTarget(exchange, call, *route, *target);
     if (call.disconnected) co_return std::nullopt;
-    const bool late = std::chrono::steady_clock::now() >= RefusalTime(call);
+    const bool late = BootClock::now() >= RefusalTime(call);
     switch (retry.Decide(attempt.end, late)) {
       case AfterAttempt::kDone:
         co_return std::nullopt;
--- a/src/request/routing_table.h
+++ b/src/request/routing_table.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "common/boot_clock.h"
 #include "core/state.h"
 #include "http/http_types.h"
 
@@ -19,7 +20,7 @@
   std::atomic<std::uint32_t> in_flight{0};
   std::atomic<std::uint32_t> reported{0};
   std::atomic<std::uint32_t> failures{0};        ///< In a row.
-  std::atomic<std::int64_t> set_aside_until{0};  ///< steady_clock microseconds.
+  std::atomic<std::int64_t> set_aside_until{0};  ///< BootClock microseconds.
 
   /// @return false when `limit` requests are in flight already.
   bool TryAcquire(std::uint32_t limit);
--- a/src/request/service_router.cc
+++ b/src/request/service_router.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "common/async_signal.h"
+#include "common/boot_clock.h"
 
 namespace moorfold {
 namespace {
@@ -14,8 +15,7 @@
 constexpr std::chrono::seconds kMajorityPatience{2};
 
 std::int64_t NowMicroseconds() {
-  return std::chrono::duration_cast<std::chrono::microseconds>(
-             std::chrono::steady_clock::now().time_since_epoch())
+  return std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now().time_since_epoch())
       .count();
 }
 
@@ -142,7 +142,7 @@
     }
     const Attempt attempt = co_await TryTarget(exchange, call, destination, *target);
     if (call.disconnected) co_return errors::BackendFailed("the caller left", Executed::kUnknown);
-    const bool late = std::chrono::steady_clock::now() >= RefusalTime(call);
+    const bool late = BootClock::now() >= RefusalTime(call);
     switch (retry.Decide(attempt.end, late)) {
       case AfterAttempt::kDone:
         co_return std::nullopt;
@@ -168,7 +168,7 @@
   // Without a majority it is tried for a moment more: the owners may be changing their view.
   const Deadline patience = std::min(RefusalTime(call), call.arrival + kMajorityPatience);
   const auto undecided = [&] {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = BootClock::now();
     if (claim.end == ClaimEnd::kInUse) return now < RefusalTime(call);
     return claim.end == ClaimEnd::kNoMajority && now < patience;
   };
--- a/src/simulation/simulation.cc
+++ b/src/simulation/simulation.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 
+#include "common/boot_clock.h"
 #include "ports/json_codec.h"
 #include "simulation/fault_injector.h"
 
@@ -295,7 +296,7 @@
 }
 
 SimulationResult Simulation::Run() {
-  const auto wall_start = std::chrono::steady_clock::now();
+  const auto wall_start = BootClock::now();
   world_.queue.After(std::chrono::seconds(2), [this] { operators_->ConfirmFirst(); });
   world_.queue.At(measured_from_, [this] { StartMeasuring(); });
   // The first requests come when the first configuration is in force.
@@ -321,8 +322,7 @@
   // What is in progress comes to its end before the verdict.
   if (options_.settle) world_.queue.RunUntil(end_ + std::chrono::minutes(11));
   usage_ = at_end;
-  result_.wall_seconds =
-      std::chrono::duration<double>(std::chrono::steady_clock::now() - wall_start).count();
+  result_.wall_seconds = std::chrono::duration<double>(BootClock::now() - wall_start).count();
   return Collect();
 }
 
--- a/src/standin/weight_store.cc
+++ b/src/standin/weight_store.cc
@@ -1,5 +1,7 @@
 #include "standin/weight_store.h"
 
+#include "common/boot_clock.h"
+
 namespace moorfold {
 namespace {
 /// How soon an abandoned transfer gives its slot back.
@@ -20,7 +22,7 @@
       continue;
     }
     const Duration left = std::max(Duration{0}, *next - clock_.Now());
-    co_await changed_.Wait(std::chrono::steady_clock::now() + left);
+    co_await changed_.Wait(BootClock::now() + left);
   }
 }
 
@@ -33,7 +35,7 @@
       changed_.NotifyAll();
       co_return false;
     }
-    co_await finished_.Wait(std::chrono::steady_clock::now() + kAbandonCheck);
+    co_await finished_.Wait(BootClock::now() + kAbandonCheck);
   }
   done_.erase(transfer);
   co_return true;
--- a/test/emulator/emulated_clients.cc
+++ b/test/emulator/emulated_clients.cc
@@ -3,10 +3,11 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "common/boot_clock.h"
+
 namespace moorfold {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 namespace {
 
@@ -58,7 +59,7 @@
     : context_(context), platform_(platform), gateways_(gateways), random_(seed), client_(context) {
   platform_.checker().SetMayBeBehind([this](const std::string& id) {
     const auto taken_by = taken_by_.find(id);
-    return taken_by == taken_by_.end() || taken_by->second->disturbed_until > steady_clock::now();
+    return taken_by == taken_by_.end() || taken_by->second->disturbed_until > BootClock::now();
   });
 }
 
@@ -73,7 +74,7 @@
   while (!stopping_) {
     for (GatewayAddress& gateway : gateways_) {
       HttpSendOptions options;
-      options.deadline = steady_clock::now() + milliseconds(500);
+      options.deadline = BootClock::now() + milliseconds(500);
       options.fresh_connection = true;
       HttpRequest request;
       request.target = "/readyz";
@@ -159,7 +160,7 @@
                                                   std::string id, RequestKind kind) {
   const bool ends_servers = request.body.starts_with(ServerEmulator::EndingBody(""));
   HttpSendOptions options;
-  options.deadline = steady_clock::now() + kDeadline;
+  options.deadline = BootClock::now() + kDeadline;
   options.fresh_connection = kind != RequestKind::kRepeatable;
   ClientAnswer answer{id, kind, 0, false, false, {}};
   std::string body;
@@ -193,8 +194,8 @@
   request.target = "/v" + std::to_string(version) + "/x";
   request.headers = {{"Host", EmulatedPlatform::kHost}, {"X-Request-Id", id}};
   HttpSendOptions options;
-  options.deadline = steady_clock::now() + kDeadline;
-  const auto sent = steady_clock::now();
+  options.deadline = BootClock::now() + kDeadline;
+  const auto sent = BootClock::now();
   platform_.checker().Sent(id, RequestKind::kRepeatable);
   try {
     const Endpoint to = gateway.front;
@@ -209,7 +210,7 @@
                                               const std::string& id) {
   HttpRequest request = MakeRequest(id, RequestKind::kStream);
   HttpSendOptions options;
-  options.deadline = steady_clock::now() + milliseconds(10 + Draw(300));
+  options.deadline = BootClock::now() + milliseconds(10 + Draw(300));
   options.fresh_connection = true;
   const Endpoint to = gateway.front;
   try {
@@ -220,17 +221,17 @@
   } catch (const HttpError&) {
     ++counts_.left;
   }
-  platform_.checker().Left(id, steady_clock::now());
+  platform_.checker().Left(id, BootClock::now());
 }
 
 Awaitable<bool> EmulatedClients::SendRequest(GatewayAddress& gateway, const std::string& id,
                                              RequestKind kind) {
   ++counts_.sent;
-  const auto sent = steady_clock::now();
+  const auto sent = BootClock::now();
   HttpRequest request = MakeRequest(id, kind);
   ClientAnswer answer = co_await Exchange(gateway.front, std::move(request), id, kind);
   answer.cut_at_stop =
-      !answer.whole && sent >= gateway.stop_from && steady_clock::now() <= gateway.stop_until;
+      !answer.whole && sent >= gateway.stop_from && BootClock::now() <= gateway.stop_until;
   platform_.checker().Answered(answer);
   const bool served = answer.status == 200 && answer.whole;
   if (served)
--- a/test/emulator/emulated_clients.h
+++ b/test/emulator/emulated_clients.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "common/boot_clock.h"
 #include "emulated_platform.h"
 #include "http/http_client.h"
 
@@ -18,10 +19,10 @@
   Endpoint readiness;
   bool ready = false;
   /// Until then the gateway, or its way to the store, is or was lately disturbed.
-  std::chrono::steady_clock::time_point disturbed_until{};
+  BootClock::time_point disturbed_until{};
   /// Around a planned stop with no other trouble: what is cut then is lost.
-  std::chrono::steady_clock::time_point stop_from{};
-  std::chrono::steady_clock::time_point stop_until{};
+  BootClock::time_point stop_from{};
+  BootClock::time_point stop_until{};
 };
 
 struct ClientCounts {
--- a/test/emulator/emulated_platform.cc
+++ b/test/emulator/emulated_platform.cc
@@ -4,6 +4,8 @@
 #include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
 
+#include "common/boot_clock.h"
+
 namespace moorfold {
 
 namespace json = boost::json;
@@ -121,7 +123,7 @@
 void EmulatedPlatform::Configure() {
   ++version_;
   store_.Put("op/config", ConfigurationText());
-  configured_at_ = std::chrono::steady_clock::now();
+  configured_at_ = BootClock::now();
 }
 
 std::string EmulatedPlatform::ConfigurationText() const {
--- a/test/emulator/emulated_platform.h
+++ b/test/emulator/emulated_platform.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "common/boot_clock.h"
 #include "fault_proxy.h"
 #include "promise_checker.h"
 #include "server_emulator.h"
@@ -46,7 +47,7 @@
   /// before the last goes.
   void Configure();
   std::int64_t version() const { return version_; }
-  std::chrono::steady_clock::time_point configured_at() const { return configured_at_; }
+  BootClock::time_point configured_at() const { return configured_at_; }
   /// Servers that start from now on run that version of their software.
   void SetServerVersion(std::string version) { server_version_ = std::move(version); }
   /// One server leaves and another of its kind comes.
@@ -77,7 +78,7 @@
   std::vector<std::unique_ptr<ServerEmulator>> ended_;
   std::string server_version_ = "v1";
   std::int64_t version_ = 0;
-  std::chrono::steady_clock::time_point configured_at_{};
+  BootClock::time_point configured_at_{};
   int next_server_ = 0;
 };
 
--- a/test/emulator/fault_proxy.cc
+++ b/test/emulator/fault_proxy.cc
@@ -4,9 +4,10 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include "common/boot_clock.h"
+
 namespace moorfold {
 
 namespace asio = boost::asio;
@@ -102,11 +103,10 @@
 }
 
 Awaitable<void> FaultProxy::Carry(std::size_t bytes) {
-  using std::chrono::steady_clock;
   const std::chrono::duration<double> taken(static_cast<double>(bytes) / bytes_per_second_);
-  link_free_at_ = std::max(link_free_at_, steady_clock::now()) +
-                  std::chrono::duration_cast<steady_clock::duration>(taken);
-  asio::steady_timer timer(context_, link_free_at_);
+  link_free_at_ = std::max(link_free_at_, BootClock::now()) +
+                  std::chrono::duration_cast<BootClock::duration>(taken);
+  BootTimer timer(context_, link_free_at_);
   co_await timer.async_wait(use_awaitable);
 }
 
--- a/test/emulator/fault_proxy.h
+++ b/test/emulator/fault_proxy.h
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "common/async_signal.h"
+#include "common/boot_clock.h"
 #include "http/http_types.h"
 
 namespace moorfold {
@@ -53,7 +54,7 @@
   ProxyMode mode_ = ProxyMode::kPass;
   AsyncSignal mode_changed_;
   double bytes_per_second_ = 0;
-  std::chrono::steady_clock::time_point link_free_at_{};
+  BootClock::time_point link_free_at_{};
   std::set<std::shared_ptr<Pair>> pairs_;
 };
 
--- a/test/emulator/main.cc
+++ b/test/emulator/main.cc
@@ -10,6 +10,7 @@
 #include <iostream>
 
 #include "cli/command_line.h"
+#include "common/boot_clock.h"
 #include "common/closable_context.h"
 #include "emulated_clients.h"
 #include "emulated_platform.h"
@@ -19,7 +20,6 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using std::chrono::steady_clock;
 
 constexpr milliseconds kSignalSettles{14'000};
 /// Before and after a planned stop that is judged, nothing else goes wrong.
@@ -153,22 +153,22 @@
     }
   }
   /// Nothing strikes in that time; what struck before has ended by its beginning.
-  void KeepCalm(steady_clock::time_point from, steady_clock::time_point until) {
+  void KeepCalm(BootClock::time_point from, BootClock::time_point until) {
     calm_.push_back({from - kLongestFault, until});
   }
   void Stop() { stopped_ = true; }
 
  private:
   struct CalmTime {
-    steady_clock::time_point from;
-    steady_clock::time_point until;
+    BootClock::time_point from;
+    BootClock::time_point until;
   };
   static constexpr milliseconds kLongestFault{4'000};
   /// Bytes a second: one configuration takes most of a second.
   static constexpr double kNarrowLink = 40'000;
 
   bool Calm() const {
-    const auto now = steady_clock::now();
+    const auto now = BootClock::now();
     return std::any_of(calm_.begin(), calm_.end(),
                        [&](const CalmTime& time) { return now >= time.from && now < time.until; });
   }
@@ -179,7 +179,7 @@
     constexpr milliseconds kSettles{6'000};
     for (std::size_t number = 0; number < gateways_.size(); ++number)
       if (gateway < 0 || static_cast<int>(number) == gateway)
-        gateways_[number].disturbed_until = steady_clock::now() + length + kSettles;
+        gateways_[number].disturbed_until = BootClock::now() + length + kSettles;
   }
 
   Awaitable<void> Strike(int kind) {
@@ -302,8 +302,8 @@
 
   Awaitable<void> ChangeConfigurations(milliseconds length) {
     constexpr milliseconds kEvery{150};
-    const auto end = steady_clock::now() + length;
-    while (steady_clock::now() < end) {
+    const auto end = BootClock::now() + length;
+    while (BootClock::now() < end) {
       platform_.Configure();
       co_await Sleep(kEvery);
     }
@@ -337,10 +337,10 @@
   GatewayAddress& gateway = addresses[static_cast<std::size_t>(signal.gateway)];
   for (GatewayAddress& each : addresses)
     if (&each == &gateway || signal.kind == SignalKind::kKillAll)
-      each.disturbed_until = steady_clock::now() + signal.length + kSignalSettles;
+      each.disturbed_until = BootClock::now() + signal.length + kSignalSettles;
   if (!signal.judged_stop) co_return;
-  gateway.stop_from = steady_clock::now();
-  gateway.stop_until = steady_clock::now() + kCalmAfter;
+  gateway.stop_from = BootClock::now();
+  gateway.stop_until = BootClock::now() + kCalmAfter;
 }
 
 int RunSoak(std::uint64_t seed, seconds length, int gateways, const std::string& folder) {
@@ -357,7 +357,7 @@
   std::cout << "event=ready" << std::endl;
   EmulatedClients clients(context, platform, processes.addresses, seed);
   FaultPlan faults(platform, processes.addresses, clients, seed);
-  const auto began = steady_clock::now();
+  const auto began = BootClock::now();
   for (const PlannedSignal& signal : PlanSignals(seed, length, gateways)) {
     boost::asio::co_spawn(context, Expect(signal, processes.addresses), boost::asio::detached);
     if (signal.judged_stop)
--- a/test/emulator/promise_checker.h
+++ b/test/emulator/promise_checker.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "common/boot_clock.h"
+
 namespace moorfold {
 
 /// Kinds of requests that the emulated clients send, by the first part of their path.
@@ -29,7 +31,7 @@
   std::string server;
   std::string holder;
   std::int64_t token = 0;
-  std::chrono::steady_clock::time_point at;
+  BootClock::time_point at;
 };
 
 /// What requests that end servers did, over a whole run.
@@ -46,7 +48,7 @@
 /// Judges what callers and servers saw against the promises. Pure bookkeeping; one thread.
 class PromiseChecker {
  public:
-  using Time = std::chrono::steady_clock::time_point;
+  using Time = BootClock::time_point;
 
   struct Bounds {
     std::chrono::milliseconds handover{3'000};
--- a/test/emulator/promise_checker_test.cc
+++ b/test/emulator/promise_checker_test.cc
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "common/boot_clock.h"
+
 namespace moorfold {
 namespace {
 
@@ -146,7 +148,7 @@
 }
 
 TEST_CASE("A late request to a leaving server is judged unless its gateway may be behind") {
-  const auto start = std::chrono::steady_clock::now();
+  const auto start = BootClock::now();
   for (const bool behind : {false, true}) {
     PromiseChecker checker{PromiseChecker::Bounds{}};
     checker.SetMayBeBehind([behind](const std::string&) { return behind; });
--- a/test/emulator/server_emulator.cc
+++ b/test/emulator/server_emulator.cc
@@ -3,11 +3,12 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "common/boot_clock.h"
+
 namespace moorfold {
 
 namespace json = boost::json;
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 namespace {
 
@@ -97,13 +98,13 @@
 void ServerEmulator::Drain() {
   draining_ = true;
   WriteEntry();
-  checker_.Draining(options_.id, steady_clock::now());
+  checker_.Draining(options_.id, BootClock::now());
 }
 
 void ServerEmulator::Vanish() {
   vanished_ = true;
   store_.Remove("servers/" + options_.id);
-  checker_.Draining(options_.id, steady_clock::now());
+  checker_.Draining(options_.id, BootClock::now());
 }
 
 bool ServerEmulator::Holds(const std::string& name) const {
@@ -142,9 +143,9 @@
     exchange.Abort();
     co_return;
   }
-  if (!id.empty()) checker_.Arrived(id, options_.id, steady_clock::now());
+  if (!id.empty()) checker_.Arrived(id, options_.id, BootClock::now());
   if (request.body.starts_with(EndingBody("")))
-    checker_.EndingArrived(request.body, id, steady_clock::now());
+    checker_.EndingArrived(request.body, id, BootClock::now());
   headers = Headers(id);
   const std::string model(FindHeader(request.headers, "X-Model"));
   if (options_.engine && !Holds(model)) {
@@ -185,10 +186,10 @@
     std::uint32_t& count;
   } running(running_);
   ++runs_;
-  checker_.Ran(id, kind, options_.id, steady_clock::now());
+  checker_.Ran(id, kind, options_.id, BootClock::now());
   if (EndsUnder(exchange.request())) {
     co_await Sleep(options_.work);
-    checker_.EndedUnder(exchange.request().body, options_.id, steady_clock::now());
+    checker_.EndedUnder(exchange.request().body, options_.id, BootClock::now());
     End();
     exchange.Abort();
     co_return;
@@ -199,7 +200,7 @@
     exchange.Abort();
     co_return;
   }
-  checker_.Working(id, steady_clock::now());
+  checker_.Working(id, BootClock::now());
   if (Chance(faults_.no_answer_share)) {
     exchange.Abort();
     co_return;
@@ -224,7 +225,7 @@
   co_await exchange.BeginStream(200, std::move(headers));
   for (; event <= EventsOf(id) && !ended_; ++event) {
     co_await exchange.Write("id: " + std::to_string(event) + "\ndata: " + id + "\n\n");
-    checker_.Working(id, steady_clock::now());
+    checker_.Working(id, BootClock::now());
     const double batch = static_cast<double>(running_) / static_cast<double>(options_.slots);
     co_await Sleep(std::chrono::duration_cast<milliseconds>(options_.event_gap * (1 + batch)));
   }
@@ -277,7 +278,7 @@
     order.order_count = body.at("prevRevision").to_number<std::int64_t>();
     order.holder = std::string(body.at("holder").as_string());
     order.fencing_token = body.at("fencingToken").to_number<std::int64_t>();
-    checker_.Ordered({options_.id, order.holder, order.fencing_token, steady_clock::now()});
+    checker_.Ordered({options_.id, order.holder, order.fencing_token, BootClock::now()});
     late = Chance(faults_.late_order_share);
     taken = true;
   } catch (const std::exception&) {
@@ -297,7 +298,7 @@
   const bool load = order.kind == ServerOrderKind::kLoad;
   if (order.adapter.empty()) {
     changing_ = order.model;
-    if (load && !had_.contains(order.model)) checker_.LoadBegan(steady_clock::now());
+    if (load && !had_.contains(order.model)) checker_.LoadBegan(BootClock::now());
     if (load)
       co_await Sleep(had_.contains(order.model) ? options_.load_time / 2 : options_.load_time);
     changing_.clear();
--- a/test/emulator/store_emulator.cc
+++ b/test/emulator/store_emulator.cc
@@ -5,6 +5,8 @@
 #include <boost/beast/core/detail/base64.hpp>
 #include <charconv>
 
+#include "common/boot_clock.h"
+
 namespace moorfold {
 
 namespace json = boost::json;
@@ -121,7 +123,7 @@
 }
 
 bool StoreEmulator::WithinRate(const HttpRequest& request) {
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = BootClock::now();
   const bool write = request.target == "/kv-txn" || request.target == "/kv-lease" ||
                      request.target.starts_with("/kv-lease-end/");
   return write ? writes_.Take(faults_.writes_per_second, now)
@@ -189,8 +191,7 @@
   if (faults_.history_gone) co_return Refuse(410, "history is gone");
   const KeyRange range = Prefix(Query(target, "pathPrefix"));
   const std::int64_t after = std::stoll(Query(target, "after"));
-  const auto end =
-      std::chrono::steady_clock::now() + milliseconds(std::stoll(Query(target, "waitMs")));
+  const auto end = BootClock::now() + milliseconds(std::stoll(Query(target, "waitMs")));
   while (true) {
     json::array events;
     for (const WatchBatch& batch : table_.EventsSince(range, after + 1))
@@ -202,7 +203,7 @@
         else
           events.emplace_back(Item(event.entry));
       }
-    if (!events.empty() || std::chrono::steady_clock::now() >= end)
+    if (!events.empty() || BootClock::now() >= end)
       co_return Reply(json::value{{"events", events}, {"at", table_.revision()}});
     co_await changed_.Wait(end);
   }
--- a/test/emulator/store_emulator.h
+++ b/test/emulator/store_emulator.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "common/async_signal.h"
+#include "common/boot_clock.h"
 #include "common/wall_clock.h"
 #include "http/http_server.h"
 #include "modelled/key_value_table.h"
@@ -32,7 +33,7 @@
 class CallBudget {
  public:
   /// @return whether one more call may be made now; counts it if so.
-  bool Take(double per_second, std::chrono::steady_clock::time_point now) {
+  bool Take(double per_second, BootClock::time_point now) {
     const double passed = std::chrono::duration<double>(now - filled_).count();
     left_ = std::min(per_second, left_ + passed * per_second);
     filled_ = now;
@@ -43,7 +44,7 @@
 
  private:
   double left_ = 0;
-  std::chrono::steady_clock::time_point filled_{};
+  BootClock::time_point filled_{};
 };
 
 /// The platform's metadata store as its pages describe it, over HTTP. One thread.
--- a/test/fleet/leader_election_test.cc
+++ b/test/fleet/leader_election_test.cc
@@ -4,13 +4,13 @@
 
 #include <catch2/catch.hpp>
 
+#include "common/boot_clock.h"
 #include "fake_key_value_store.h"
 
 namespace moorfold {
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 constexpr const char* kKey = "moorfold/leader";
 
@@ -47,8 +47,8 @@
 /// Runs until `done`, letting changes reach all candidates.
 bool RunUntil(boost::asio::io_context& context, std::vector<Candidate*> candidates,
               const std::function<bool()>& done, milliseconds patience = milliseconds(20'000)) {
-  const auto give_up = steady_clock::now() + patience;
-  while (!done() && steady_clock::now() < give_up) {
+  const auto give_up = BootClock::now() + patience;
+  while (!done() && BootClock::now() < give_up) {
     for (Candidate* candidate : candidates) candidate->store.Deliver();
     context.run_one_for(milliseconds(10));
   }
@@ -82,7 +82,7 @@
   REQUIRE(RunUntil(context, {&one}, [&] { return one.election.MayOrder(); }));
   Candidate two(context, table, "two", apart);
   one.election.NoteOrder("i-1");
-  for (int load = 0; load < 4; ++load) one.election.loads().Count(steady_clock::now());
+  for (int load = 0; load < 4; ++load) one.election.loads().Count(BootClock::now());
   bool resigned = false;
   one.election.Resign([&] { resigned = true; });
   REQUIRE(RunUntil(context, {&one, &two}, [&] { return two.election.MayOrder(); }));
@@ -90,7 +90,7 @@
   CHECK_FALSE(two.election.ServerFree("i-1"));
   CHECK(two.election.ServerFree("i-2"));
   CHECK(two.election.knows_loads());
-  CHECK(two.election.loads().Free(1, steady_clock::now()) == 1);
+  CHECK(two.election.loads().Free(1, BootClock::now()) == 1);
 }
 
 TEST_CASE("A leader that cannot release its key leaves it to its lease") {
@@ -179,9 +179,9 @@
   Candidate one(context, table, "one");
   REQUIRE(RunUntil(context, {&one}, [&] { return one.election.MayOrder(); }));
   one.store.unreachable = true;
-  const auto cut = steady_clock::now();
+  const auto cut = BootClock::now();
   REQUIRE(RunUntil(context, {&one}, [&] { return !one.election.MayOrder(); }));
-  CHECK(steady_clock::now() - cut < milliseconds(1'500));
+  CHECK(BootClock::now() - cut < milliseconds(1'500));
 }
 
 TEST_CASE(
@@ -280,7 +280,7 @@
 
 TEST_CASE("The order window closes by the time of sending, not of the answer") {
   rc::check([] {
-    const auto start = steady_clock::time_point(std::chrono::seconds(1000));
+    const auto start = BootClock::time_point(std::chrono::seconds(1000));
     OrderWindow window(milliseconds(2'000));
     window.Win(start, start + milliseconds(3'000));
     auto last_sent = start;
--- a/test/fleet/placement_test.cc
+++ b/test/fleet/placement_test.cc
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "common/boot_clock.h"
 #include "fleet/demand_channel.h"
 #include "fleet/fleet_demand.h"
 #include "fleet/load_window.h"
@@ -15,7 +16,7 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using Time = std::chrono::steady_clock::time_point;
+using Time = BootClock::time_point;
 
 const Time kNow{seconds(1000)};
 constexpr double kRequestsPerServer = 40;
@@ -377,9 +378,12 @@
 
 TEST_CASE("An address for datagrams that is in use is named, with what to do") {
   boost::asio::io_context context;
-  const DemandChannel::Handlers none{[](const DemandReport&) {}, [](const PlacementNotice&) {},
+  const DemandChannel::Handlers none{[](const DemandReport&) {},
+                                     [](const PlacementNotice&) {},
                                      [](const ChangeAnswer&, const std::string&) {},
-                                     [](const LeadershipOffer&) {}, [](const std::string&) {}};
+                                     [](const LeadershipOffer&) {},
+                                     [](const QuarantineNotice&, const std::string&) {},
+                                     [](const std::string&) {}};
   const DemandChannel first(context, {"127.0.0.1", 0}, none);
   try {
     const DemandChannel second(context, first.endpoint(), none);
@@ -399,17 +403,22 @@
   std::vector<std::string> offers;
   std::vector<std::string> dropped;
   DemandChannel::Handlers to_leader{
-      [&](DemandReport report) { reports.push_back(report); }, [](const PlacementNotice&) {},
-      [](const ChangeAnswer&, const std::string&) {}, [](const LeadershipOffer&) {},
+      [&](DemandReport report) { reports.push_back(report); },
+      [](const PlacementNotice&) {},
+      [](const ChangeAnswer&, const std::string&) {},
+      [](const LeadershipOffer&) {},
+      [](const QuarantineNotice&, const std::string&) {},
       [&](const std::string& problem) { dropped.push_back(problem); }};
   DemandChannel leader(context, {"127.0.0.1", 0}, to_leader);
   DemandChannel::Handlers to_daemon{
-      [](const DemandReport&) {}, [&](const PlacementNotice& notice) { notices.push_back(notice); },
+      [](const DemandReport&) {},
+      [&](const PlacementNotice& notice) { notices.push_back(notice); },
       [&](const ChangeAnswer& answer, const std::string& from) {
         answers.push_back(answer);
         answered_from = from;
       },
       [&](const LeadershipOffer& offer) { offers.push_back(offer.from); },
+      [](const QuarantineNotice&, const std::string&) {},
       [](const std::string&) {}};
   DemandChannel daemon(context, {"127.0.0.1", 0}, to_daemon);
   leader.Start();
@@ -425,15 +434,14 @@
   stray.send_to(boost::asio::buffer(std::string("\xff\xff no message")),
                 {boost::asio::ip::make_address("127.0.0.1"), leader.endpoint().port});
   std::size_t entries = 0;
-  const auto give_up = std::chrono::steady_clock::now() + seconds(20);
-  while (entries < 60 && std::chrono::steady_clock::now() < give_up) {
+  const auto give_up = BootClock::now() + seconds(20);
+  while (entries < 60 && BootClock::now() < give_up) {
     context.run_one_for(milliseconds(50));
     entries = 0;
     for (const DemandReport& part : reports) entries += part.entries.size();
   }
   REQUIRE(entries == 60);
-  while (dropped.empty() && std::chrono::steady_clock::now() < give_up)
-    context.run_one_for(milliseconds(50));
+  while (dropped.empty() && BootClock::now() < give_up) context.run_one_for(milliseconds(50));
   REQUIRE(dropped.size() == 1);  // The stray datagram is told of.
   CHECK(dropped[0].starts_with("received: "));
   CHECK(reports[0].unreachable == std::vector<std::string>{"i-9"});
@@ -448,12 +456,11 @@
   answer.asked_at_us = 77;
   answer.daemons = 7;
   answer.servers.push_back(
-      {13, false, {"i-1", "s", {"127.0.0.1", 8}, "z", 4, true, {{"m", {"a"}}}}});
+      {13, false, {"i-1", "s", {"127.0.0.1", 8}, "z", "v1", 4, true, {{"m", {"a"}}}}});
   answer.servers.push_back({14, true, {"i-2"}});
   leader.SendAnswer(reports[0].address, answer);
   leader.Broadcast(PlacementNotice{"i-1", {"m", "a"}, false});
-  while ((notices.empty() || offers.empty() || answers.empty()) &&
-         std::chrono::steady_clock::now() < give_up)
+  while ((notices.empty() || offers.empty() || answers.empty()) && BootClock::now() < give_up)
     context.run_one_for(milliseconds(50));
   CHECK(offers == std::vector<std::string>{"leader"});
   REQUIRE(notices.size() == 1);
--- a/test/gateway/catching_up_test.cc
+++ b/test/gateway/catching_up_test.cc
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <functional>
 
+#include "common/boot_clock.h"
 #include "fault_proxy.h"
 #include "gateway/store_view.h"
 #include "protocol.h"
@@ -17,7 +18,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 /// Of the machine and the day on which this was seen (docs/incidents/jazda-inc1-drain.md).
 constexpr double kLinkBytesPerSecond = 1'250'000;
@@ -86,8 +86,8 @@
     }
   }
   bool RunUntil(const std::function<bool()>& done, milliseconds patience) {
-    const auto give_up = steady_clock::now() + patience;
-    while (!done() && steady_clock::now() < give_up) context.run_one_for(milliseconds(5));
+    const auto give_up = BootClock::now() + patience;
+    while (!done() && BootClock::now() < give_up) context.run_one_for(milliseconds(5));
     return done();
   }
   void RunFor(milliseconds time) {
--- a/test/gateway/gateway_parts_test.cc
+++ b/test/gateway/gateway_parts_test.cc
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "common/boot_clock.h"
 #include "common/event_log.h"
 #include "config/strict_yaml.h"
 #include "fake_key_value_store.h"
@@ -23,7 +24,6 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using std::chrono::steady_clock;
 
 RouteTable MakeTable(const std::vector<std::pair<std::string, std::string>>& routes) {
   auto configuration = std::make_shared<RoutingConfiguration>();
@@ -77,8 +77,8 @@
 TEST_CASE("Repeats stay within their share in every sliding window") {
   rc::check([] {
     RetryAllowance allowance(seconds(10), 0.2, 2);
-    auto now = steady_clock::time_point(seconds(1000));
-    std::vector<std::pair<steady_clock::time_point, bool>> sends;  // true: a repeat.
+    auto now = BootClock::time_point(seconds(1000));
+    std::vector<std::pair<BootClock::time_point, bool>> sends;  // true: a repeat.
     for (int step = 0; step < 400; ++step) {
       now += milliseconds(*rc::gen::inRange(0, 200));
       if (*rc::gen::inRange(0, 2) == 0) {
--- a/test/gateway/pipeline_fixture.h
+++ b/test/gateway/pipeline_fixture.h
@@ -10,6 +10,7 @@
 #include <future>
 #include <thread>
 
+#include "common/boot_clock.h"
 #include "common/closable_context.h"
 #include "gateway/request_pipeline.h"
 #include "http/http_server.h"
@@ -24,7 +25,9 @@
   PipelineFixture()
       : log_(-1, {}),
         view_(context_.get_executor()),
-        pipeline_(context_, protocol_, view_, metrics_, log_, {"z", std::chrono::seconds(10), 0.2}),
+        quarantine_(context_, {}, log_, metrics_.quarantine, AlonePorts()),
+        pipeline_(context_, protocol_, view_, quarantine_, metrics_, log_,
+                  {"z", std::chrono::seconds(10), 0.2}),
         front_(
             {&context_}, {"127.0.0.1", 0}, {},
             [this](HttpServerExchange& exchange) { return pipeline_.Handle(exchange); },
@@ -76,7 +79,7 @@
     configuration->services.push_back(service);
     OnThread([&] {
       view_.routes = std::make_shared<const RouteTable>(configuration);
-      view_.configuration_current_at = std::chrono::steady_clock::now();
+      view_.configuration_current_at = BootClock::now();
     });
   }
   void AddServer(const std::string& id, const Endpoint& endpoint,
@@ -88,7 +91,7 @@
     record.zone = "z";
     record.slots = 4;
     record.models = std::move(models);
-    OnThread([&] { view_.servers.Put(record, std::chrono::steady_clock::now()); });
+    OnThread([&] { view_.servers.Put(record, BootClock::now()); });
   }
 
   /// Sends `request` as it is and reads until the connection closes or `stop` has come.
@@ -131,11 +134,28 @@
   FleetView& view() { return view_; }
 
  private:
+  /// Of a daemon without others.
+  QuarantineService::Ports AlonePorts() {
+    QuarantineService::Ports ports;
+    ports.send = [](const std::string&, const QuarantineNotice&) {};
+    ports.broadcast = [](const QuarantineNotice&) {};
+    ports.leader = [] { return std::nullopt; };
+    ports.peers = [] { return std::vector<std::string>(); };
+    ports.server = [this](const std::string& id) -> std::optional<Endpoint> {
+      const ServerPtr server = view_.servers.Find(id);
+      return server ? std::optional(server->record().endpoint) : std::nullopt;
+    };
+    ports.service_exists = [](const std::string&) { return true; };
+    ports.changed = [this] { view_.changed.NotifyAll(); };
+    return ports;
+  }
+
   ClosableContext context_{1};
   platform::Protocol protocol_;
   EventLog log_;
   GatewayMetrics metrics_;
   FleetView view_;
+  QuarantineService quarantine_;
   RequestPipeline pipeline_;
   HttpServer front_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard_;
--- a/test/gateway/request_pipeline_test.cc
+++ b/test/gateway/request_pipeline_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "common/boot_clock.h"
 #include "pipeline_fixture.h"
 
 namespace moorfold {
@@ -173,12 +174,12 @@
   Route route = PipelineFixture::MakeRoute(RouteType::kStream);
   route.timeout = std::chrono::minutes(10);
   fixture.SetRoutes({route}, true);
-  const auto began = std::chrono::steady_clock::now();
+  const auto began = BootClock::now();
   const std::string answer =
       fixture.Exchange(PipelineFixture::Request("/p/x", "X-Model: nowhere\r\n", "600000"));
   CHECK(PipelineFixture::Status(answer) == 503);
   CHECK(answer.find("Retry-After: ") != std::string::npos);
-  CHECK(std::chrono::steady_clock::now() - began < std::chrono::minutes(1));
+  CHECK(BootClock::now() - began < std::chrono::minutes(1));
 }
 
 TEST_CASE("An unknown route is 404 only while the store was heard from lately") {
@@ -385,7 +386,7 @@
   bool waiting = false;
   while (!waiting) fixture.OnThread([&] { waiting = fixture.view().demand.Waiting() > 0; });
   fixture.OnThread([&] {
-    fixture.view().servers.Find("i-1")->NoteHeld({"m", "a1"}, std::chrono::steady_clock::now());
+    fixture.view().servers.Find("i-1")->NoteHeld({"m", "a1"}, BootClock::now());
     fixture.view().changed.NotifyAll();
   });
   CHECK(answer.get().ends_with("loaded"));
--- a/test/gateway/request_reporter_test.cc
+++ b/test/gateway/request_reporter_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "common/boot_clock.h"
 #include "pipeline_fixture.h"
 
 namespace moorfold {
@@ -145,7 +146,7 @@
   GatewayMetrics metrics;
   EventLog log(ends[1], {});
   RequestReporter reporter(view, metrics, log);
-  const auto now = std::chrono::steady_clock::now();
+  const auto now = BootClock::now();
   GatewayRequest old_one;
   old_one.id = "old-one";
   old_one.arrival = now - milliseconds(600);
--- a/test/gateway/store_view_test.cc
+++ b/test/gateway/store_view_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <thread>
 
+#include "common/boot_clock.h"
 #include "fake_key_value_store.h"
 #include "protocol.h"
 
@@ -10,7 +11,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 /// A view on a store that the test writes to as the operator and the servers do.
 struct ViewFixture {
@@ -43,8 +43,8 @@
   }
   std::int64_t Version() const { return view.routes ? view.routes->configuration().version : -1; }
   bool RunUntil(const std::function<bool()>& done, milliseconds patience = milliseconds(20'000)) {
-    const auto give_up = steady_clock::now() + patience;
-    while (!done() && steady_clock::now() < give_up) {
+    const auto give_up = BootClock::now() + patience;
+    while (!done() && BootClock::now() < give_up) {
       store.Deliver();
       if (context.stopped()) context.restart();
       if (context.run_one_for(milliseconds(5)) == 0) std::this_thread::sleep_for(milliseconds(1));
@@ -183,14 +183,14 @@
   fixture.RunUntil([] { return false; }, milliseconds(2'200));
   fixture.Remove("servers/i-1");
   fixture.store.unreachable = false;
-  const auto back = steady_clock::now();
+  const auto back = BootClock::now();
   while (fixture.view.servers.Find("i-1") != nullptr &&
-         steady_clock::now() - back < milliseconds(4'000)) {
+         BootClock::now() - back < milliseconds(4'000)) {
     ListAgain(fixture);
     fixture.PutServer("i-" + std::to_string(fixture.store.listings() + 10));
     fixture.RunUntil([] { return false; }, milliseconds(200));
   }
-  CHECK(steady_clock::now() - back < milliseconds(2'000));
+  CHECK(BootClock::now() - back < milliseconds(2'000));
 }
 
 TEST_CASE(
--- a/test/http/http_test.cc
+++ b/test/http/http_test.cc
@@ -11,6 +11,7 @@
 #include <thread>
 
 #include "common/async_signal.h"
+#include "common/boot_clock.h"
 #include "http/connection_liveness.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
@@ -168,7 +169,7 @@
         Case{"/echo", enough, std::nullopt}}) {
     CAPTURE(each.target);
     HttpSendOptions options;
-    options.deadline = std::chrono::steady_clock::now() + each.deadline;
+    options.deadline = BootClock::now() + each.deadline;
     options.fresh_connection = true;
     const ClientEnd end =
         SendWith(client, context, server.endpoint(), {"POST", each.target, {}, "body"}, options);
@@ -199,7 +200,7 @@
   asio::io_context context(1);
   HttpClient client(context);
   HttpSendOptions options;
-  options.deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(100);
+  options.deadline = BootClock::now() + std::chrono::milliseconds(100);
   CHECK(SendWith(client, context, server.endpoint(), {"POST", "/slow", {}, ""}, options).timed_out);
   for (int step = 0; step < 500 && server.disconnects == 0; ++step)
     std::this_thread::sleep_for(std::chrono::milliseconds(10));
--- a/test/platform/store_client_test.cc
+++ b/test/platform/store_client_test.cc
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <optional>
 
+#include "common/boot_clock.h"
 #include "scripted_server.h"
 
 namespace moorfold {
@@ -44,8 +45,8 @@
     watch = client.Watch(
         {"", "\xff"}, 1, [this](const WatchBatch&) { ++batches; },
         [this](const PlatformFailure& failure) { watch_failure = failure; });
-    const auto give_up = std::chrono::steady_clock::now() + std::chrono::seconds(60);
-    while ((!listing || !watch_failure) && std::chrono::steady_clock::now() < give_up)
+    const auto give_up = BootClock::now() + std::chrono::seconds(60);
+    while ((!listing || !watch_failure) && BootClock::now() < give_up)
       context.run_one_for(milliseconds(20));
   }
 
--- a/test/platform/users_platform_environment.h
+++ b/test/platform/users_platform_environment.h
@@ -4,6 +4,7 @@
 
 #include "../emulator/store_emulator.h"
 #include "../ports/contract_environment.h"
+#include "common/boot_clock.h"
 #include "store_client.h"
 
 namespace moorfold {
@@ -20,8 +21,8 @@
   MachineList& machine_list() override { throw std::logic_error("no machine list here"); }
   ModelEngine& engines() override { throw std::logic_error("no engines here"); }
   bool RunUntil(const std::function<bool()>& done) override {
-    const auto give_up = std::chrono::steady_clock::now() + std::chrono::seconds(30);
-    while (!done() && std::chrono::steady_clock::now() < give_up)
+    const auto give_up = BootClock::now() + std::chrono::seconds(30);
+    while (!done() && BootClock::now() < give_up)
       context_.run_one_for(std::chrono::milliseconds(50));
     return done();
   }
--- a/test/ports/contract_environment.h
+++ b/test/ports/contract_environment.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 
+#include "common/boot_clock.h"
 #include "ports/etcd_key_value_store.h"
 #include "ports/http_machine_list.h"
 #include "ports/http_model_engine.h"
@@ -57,8 +58,8 @@
   MachineList& machine_list() override { return machine_list_; }
   ModelEngine& engines() override { return engines_; }
   bool RunUntil(const std::function<bool()>& done) override {
-    const auto give_up = std::chrono::steady_clock::now() + std::chrono::seconds(30);
-    while (!done() && std::chrono::steady_clock::now() < give_up)
+    const auto give_up = BootClock::now() + std::chrono::seconds(30);
+    while (!done() && BootClock::now() < give_up)
       context_.run_one_for(std::chrono::milliseconds(50));
     return done();
   }
--- a/test/relay/relayed_view_test.cc
+++ b/test/relay/relayed_view_test.cc
@@ -2,6 +2,7 @@
 #include <functional>
 #include <thread>
 
+#include "common/boot_clock.h"
 #include "fake_key_value_store.h"
 #include "fleet/fleet_messages.h"
 #include "gateway/store_view.h"
@@ -11,7 +12,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 /// A daemon's view of a shared store.
 struct Member {
@@ -85,8 +85,8 @@
     return answer;
   }
   bool RunUntil(const std::function<bool()>& done, milliseconds patience = milliseconds(20'000)) {
-    const auto give_up = steady_clock::now() + patience;
-    while (!done() && steady_clock::now() < give_up) {
+    const auto give_up = BootClock::now() + patience;
+    while (!done() && BootClock::now() < give_up) {
       watcher.store.Deliver();
       follower.store.Deliver();
       if (context.stopped()) context.restart();
@@ -128,7 +128,7 @@
   fixture.Exchange();
   CHECK(fixture.follower.Record("i-2") == nullptr);
   CHECK(fixture.follower.metrics.relay_answers_taken == 2);
-  CHECK(fixture.follower.view.ConfigurationCurrent(steady_clock::now()));
+  CHECK(fixture.follower.view.ConfigurationCurrent(BootClock::now()));
 }
 
 TEST_CASE("A heartbeat that changes nothing for requests is not relayed") {
--- a/test/support/gateway_deployment.h
+++ b/test/support/gateway_deployment.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "common/boot_clock.h"
 #include "common/closable_context.h"
 #include "emulated_clients.h"
 #include "emulated_platform.h"
@@ -65,8 +66,8 @@
 
   bool RunUntil(const std::function<bool()>& done,
                 std::chrono::milliseconds patience = std::chrono::milliseconds(40'000)) {
-    const auto give_up = std::chrono::steady_clock::now() + patience;
-    while (!done() && std::chrono::steady_clock::now() < give_up)
+    const auto give_up = BootClock::now() + patience;
+    while (!done() && BootClock::now() < give_up)
       context.run_one_for(std::chrono::milliseconds(20));
     return done();
   }
@@ -82,7 +83,7 @@
         context,
         [&client, &response, to, request]() -> Awaitable<void> {
           HttpSendOptions options;
-          options.deadline = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+          options.deadline = BootClock::now() + std::chrono::seconds(20);
           HttpRequest copy = request;
           try {
             response = co_await client.Send(to, std::move(copy), options);
--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -14,6 +14,7 @@
 #include <thread>
 #include <vector>
 
+#include "common/boot_clock.h"
 #include "http/http_types.h"
 
 namespace moorfold {
@@ -57,11 +58,11 @@
   }
   /// Waits until the caller closes. @return whether it did within `patience`.
   bool AwaitClose(std::chrono::milliseconds patience) {
-    const auto give_up = std::chrono::steady_clock::now() + patience;
+    const auto give_up = BootClock::now() + patience;
     boost::system::error_code error;
     socket_.non_blocking(true);
     char byte = 0;
-    while (std::chrono::steady_clock::now() < give_up) {
+    while (BootClock::now() < give_up) {
       socket_.receive(boost::asio::buffer(&byte, 1), 0, error);
       if (error && error != boost::asio::error::would_block) return true;
       std::this_thread::sleep_for(std::chrono::milliseconds(5));
