Know a request by what servers work on, not by its caller's address; only a success clears it

Ruled out: refused connections that do not show (they do, within 70 ms), lost datagrams, servers of several versions. Change: the fingerprint is over host, path, model and body. Also, a failure that a server answers (500, or 504 at the deadline, which may come before the run) clears nothing; only a whole success does.

--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -225,7 +225,9 @@
   if (result.status == 0) return;
   if (quarantine_.book().Waiting(record.id))
     quarantine_.Note(quarantine::ServerAnswered{record.id, sent_at});
-  if (sent) quarantine_.Note(quarantine::Served{request.fingerprint, record.software_version});
+  // A failure that a server answers may come before it has begun the request: no proof.
+  if (result.end == ForwardEnd::kAnswered && result.status < http_status::kBadRequest)
+    quarantine_.Note(quarantine::Served{request.fingerprint, record.software_version});
 }
 
 ServerPtr RequestPipeline::ChooseOnce(GatewayRequest& request, NoServerReason& reason) const {
@@ -438,9 +440,9 @@
     co_return;
   }
   request->body = std::make_shared<const std::string>(exchange.TakeBody());
-  request->fingerprint =
-      FingerprintOf({exchange.remote_address(), FindHeader(exchange.request().headers, "Host"),
-                     exchange.request().target, *request->body});
+  request->fingerprint = FingerprintOf(
+      {FindHeader(exchange.request().headers, "Host"), exchange.request().target,
+       FindHeader(exchange.request().headers, protocol_.headers().model), *request->body});
   if (Quarantined(*request)) {
     ++metrics_.quarantine.refused;
     const Refusal quarantined = QuarantineRefusal();
--- a/src/quarantine/fingerprint.h
+++ b/src/quarantine/fingerprint.h
@@ -13,9 +13,12 @@
 
 /// Tells tries of the same request from other requests, without telling what they hold.
 ///
-/// A client's tries carry another id each and come at any daemon; what stays is who asks, for which
-/// path, with which body. The digest is cryptographic (BLAKE2b): nobody can make a request of their
-/// own that shares the fingerprint of somebody else's, also since the caller is part of it.
+/// A client's tries carry another id each and come at any daemon of any zone; what stays is what
+/// servers get to work on: host, path, model and body. The caller's address is no part of it: one
+/// caller is seen under another address at each entrance, and a request that ends servers does so
+/// whoever sends it. The digest is cryptographic (BLAKE2b): only the same content shares a
+/// fingerprint, so nobody can aim at a request whose content they cannot send themselves and end
+/// servers with.
 struct Fingerprint {
   static constexpr std::size_t kBytes = 16;
 
@@ -26,9 +29,9 @@
 
 /// What makes two tries the same request.
 struct RequestIdentity {
-  std::string_view caller;  ///< IP number of the client.
   std::string_view host;
   std::string_view target;  ///< Path and query.
+  std::string_view model;   ///< As the caller names it; empty without one.
   std::string_view body;
 };
 
--- a/test/emulator/emulated_clients.cc
+++ b/test/emulator/emulated_clients.cc
@@ -132,6 +132,8 @@
     HttpRequest request = MakeRequest(id, kind);
     request.method = "POST";
     request.body = ServerEmulator::EndingBody(name);
+    for (HttpHeader& header : request.headers)
+      if (header.name == "X-Model") header.value = platform_.models().front();
     const Endpoint to = gateway->front;
     co_await Exchange(to, std::move(request), id, kind);
   }
--- a/test/gateway/pipeline_fixture.h
+++ b/test/gateway/pipeline_fixture.h
@@ -95,9 +95,12 @@
   }
 
   /// Sends `request` as it is and reads until the connection closes or `stop` has come.
-  std::string Exchange(const std::string& request, const std::string& stop = "") {
+  /// @param from the caller's own address.
+  std::string Exchange(const std::string& request, const std::string& stop = "",
+                       const std::string& from = "127.0.0.1") {
     boost::asio::io_context context;
-    boost::asio::ip::tcp::socket socket(context);
+    boost::asio::ip::tcp::socket socket(
+        context, boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address(from), 0));
     socket.connect({boost::asio::ip::make_address("127.0.0.1"), front_.endpoint().port});
     boost::asio::write(socket, boost::asio::buffer(request));
     std::string answer;
@@ -132,6 +135,7 @@
   HttpServer& front() { return front_; }
   RequestPipeline& pipeline() { return pipeline_; }
   FleetView& view() { return view_; }
+  QuarantineService& quarantine() { return quarantine_; }
 
  private:
   /// Of a daemon without others.
--- a/test/quarantine/case_book_test.cc
+++ b/test/quarantine/case_book_test.cc
@@ -24,7 +24,7 @@
 
 constexpr const char* kV1 = "v1";
 
-Fingerprint Print(const std::string& body) { return FingerprintOf({"caller", "host", "/p", body}); }
+Fingerprint Print(const std::string& body) { return FingerprintOf({"host", "/p", "", body}); }
 
 /// A book and a clock that the test moves.
 struct BookFixture {
--- a/test/quarantine/fingerprint_test.cc
+++ b/test/quarantine/fingerprint_test.cc
@@ -6,22 +6,21 @@
 namespace moorfold {
 namespace {
 
-TEST_CASE("Caller, host, path and body make a fingerprint, and nothing else does") {
-  const RequestIdentity asked{"10.0.0.1", "host", "/p/x?q=1", "body"};
+TEST_CASE("Host, path, model and body make a fingerprint, and nothing else does") {
+  const RequestIdentity asked{"host", "/p/x?q=1", "m", "body"};
   CHECK(FingerprintOf(asked) == FingerprintOf(asked));
-  const std::set<Fingerprint> different = {FingerprintOf(asked),
-                                           FingerprintOf({"10.0.0.2", "host", "/p/x?q=1", "body"}),
-                                           FingerprintOf({"10.0.0.1", "hos", "/p/x?q=1", "body"}),
-                                           FingerprintOf({"10.0.0.1", "host", "/p/x", "body"}),
-                                           FingerprintOf({"10.0.0.1", "host", "/p/x?q=1", ""}),
-                                           // The same characters, cut elsewhere.
-                                           FingerprintOf({"10.0.0.1", "host/", "p/x?q=1", "body"}),
-                                           FingerprintOf({"10.0.0.1", "host", "/p/x?q=1b", "ody"})};
+  const std::set<Fingerprint> different = {
+      FingerprintOf(asked), FingerprintOf({"hos", "/p/x?q=1", "m", "body"}),
+      FingerprintOf({"host", "/p/x", "m", "body"}), FingerprintOf({"host", "/p/x?q=1", "", "body"}),
+      FingerprintOf({"host", "/p/x?q=1", "m", ""}),
+      // The same characters, cut elsewhere.
+      FingerprintOf({"host/", "p/x?q=1", "m", "body"}),
+      FingerprintOf({"host", "/p/x?q=1", "mb", "ody"})};
   CHECK(different.size() == 7);
 }
 
 TEST_CASE("A fingerprint is written as text and read again, and nothing else is read") {
-  const Fingerprint fingerprint = FingerprintOf({"10.0.0.1", "host", "/p", "body"});
+  const Fingerprint fingerprint = FingerprintOf({"host", "/p", "m", "body"});
   CHECK(ToString(fingerprint).size() == 32);
   CHECK(ParseFingerprint(ToString(fingerprint)) == fingerprint);
   for (const char* wrong :
--- /dev/null
+++ b/test/quarantine/quarantined_request_test.cc
@@ -0,0 +1,100 @@
+// What callers get for a request under which servers end, and what is sent on of it.
+
+#include <catch2/catch.hpp>
+
+#include "../gateway/pipeline_fixture.h"
+
+namespace moorfold {
+namespace {
+
+using std::chrono::milliseconds;
+
+std::string Post(const std::string& body) {
+  return "POST /p/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: one\r\nX-Deadline-Ms: 3000\r\n"
+         "Connection: close\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Servers that end under whatever they are sent.
+struct EndingServers {
+  EndingServers(PipelineFixture& fixture, int count) : fixture_(fixture) {
+    for (int number = 0; number < count; ++number) {
+      const auto index = static_cast<std::size_t>(number);
+      ending.push_back(std::make_unique<ScriptedServer>([this, index](ScriptedConnection& caller) {
+        if (caller.ReadHead().empty()) return;
+        ending[index]->StopListening();
+        caller.Reset();
+      }));
+      fixture_.AddServer("i-" + std::to_string(number), ending.back()->endpoint());
+    }
+  }
+  /// Each try comes later than what the one before has shown.
+  unsigned Try(const std::string& request, const std::string& from, std::string* answer = nullptr) {
+    const std::string got = fixture_.Exchange(request, "", from);
+    std::this_thread::sleep_for(milliseconds(100));
+    if (answer != nullptr) *answer = got;
+    return PipelineFixture::Status(got);
+  }
+
+  std::vector<std::unique_ptr<ScriptedServer>> ending;
+
+ private:
+  PipelineFixture& fixture_;
+};
+
+bool Suspected(PipelineFixture& fixture, const std::string& body) {
+  quarantine::Standing standing{};
+  const Fingerprint fingerprint = FingerprintOf({"h", "/p/x", "", body});
+  fixture.OnThread([&] { standing = fixture.quarantine().At(fingerprint, ""); });
+  return standing != quarantine::Standing::kClear;
+}
+
+TEST_CASE("Tries of one request are known as such from whatever address they come") {
+  PipelineFixture fixture;
+  fixture.SetRoutes({PipelineFixture::MakeRoute(RouteType::kAtMostOnce)});
+  EndingServers servers(fixture, 2);
+  const std::string request = Post("the same each time");
+  for (const char* from : {"127.0.0.1", "127.0.0.2"}) CHECK(servers.Try(request, from) == 502);
+  std::atomic<int> reached{0};
+  ScriptedServer sound([&](ScriptedConnection& caller) {
+    while (!caller.ReadHead().empty()) {
+      ++reached;
+      caller.Write(
+          "HTTP/1.1 200 OK\r\nX-Response-Seal: s1\r\nX-Request-Id: one\r\nContent-Length: 0\r\n"
+          "Connection: close\r\n\r\n");
+    }
+  });
+  fixture.AddServer("i-9", sound.endpoint());
+  std::string answer;
+  CHECK(servers.Try(request, "127.0.0.4", &answer) == 503);
+  CHECK(answer.find("\"code\":\"quarantined\"") != std::string::npos);
+  CHECK(answer.find("\"executed\":\"no\"") != std::string::npos);
+  CHECK(answer.find("Retry-After") == std::string::npos);
+  CHECK(reached == 0);
+  CHECK(servers.Try(Post("another body"), "127.0.0.1") == 200);
+  CHECK(reached == 1);
+}
+
+TEST_CASE("Only a whole success shows that a request does not end servers") {
+  PipelineFixture fixture;
+  fixture.SetRoutes({PipelineFixture::MakeRoute(RouteType::kAtMostOnce)});
+  const std::string request = Post("the same each time");
+  std::atomic<int> status{504};
+  ScriptedServer sound([&](ScriptedConnection& caller) {
+    while (!caller.ReadHead().empty())
+      caller.Write("HTTP/1.1 " + std::to_string(status) +
+                   " x\r\nX-Response-Seal: s1\r\nX-Request-Id: one\r\nContent-Length: 0\r\n"
+                   "Connection: close\r\n\r\n");
+  });
+  EndingServers servers(fixture, 1);
+  CHECK(servers.Try(request, "127.0.0.1") == 502);
+  fixture.AddServer("i-9", sound.endpoint());
+  CHECK(servers.Try(request, "127.0.0.1") == 504);
+  CHECK(Suspected(fixture, "the same each time"));
+  status = 200;
+  CHECK(servers.Try(request, "127.0.0.1") == 200);
+  CHECK_FALSE(Suspected(fixture, "the same each time"));
+}
+
+}  // namespace
+}  // namespace moorfold
--- a/test/quarantine/spreading_model_test.cc
+++ b/test/quarantine/spreading_model_test.cc
@@ -177,14 +177,14 @@
       Apply(each, daemons_[each].book.Reduce(quarantine::ServerEnded{server}, now_), true);
   }
   static Fingerprint Innocent(int number) {
-    return FingerprintOf({"caller", "host", "/p", "innocent " + std::to_string(number)});
+    return FingerprintOf({"host", "/p", "", "innocent " + std::to_string(number)});
   }
 
   ModelSettings settings_;
   std::mt19937_64 random_;
   std::vector<Daemon> daemons_;
   std::vector<Datagram> under_way_;
-  Fingerprint guilty_ = FingerprintOf({"caller", "host", "/p", "guilty"});
+  Fingerprint guilty_ = FingerprintOf({"host", "/p", "", "guilty"});
   Time now_ = Time(std::chrono::hours(1));
   Time third_{};
   int ended_ = 0;
--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -103,6 +103,11 @@
   ScriptedServer& operator=(const ScriptedServer&) = delete;
 
   const Endpoint& endpoint() const { return endpoint_; }
+  /// Takes no more connections, as of a process that has ended. Any thread.
+  void StopListening() {
+    stopping_ = true;
+    ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
+  }
   int connections() const { return connections_; }
 
  private:
