Read the list of quarantined requests before it is written anew; send nothing whose time has passed

Beside it, found by a clock that jumps: a request that waited over a suspension was sent to a server after its time (with a deadline of 1 ms). Ruled out: the list's size; the store's faults alone (one write in 3 s got through to the store). Change: after a write that failed or conflicted the key is read first, and what it holds is heard. A request is sent only while its time lasts. Tests let the clock jump: a leader that wakes gives no order though its timers have not run.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -121,7 +121,8 @@
                   }),
       quarantine_(context, QuarantineSettings(settings_), log, metrics_.quarantine,
                   QuarantinePorts()),
-      quarantine_record_(store_, log, kQuarantineKey),
+      quarantine_record_(store_, log, kQuarantineKey,
+                         [this](const QuarantineNotice& notice) { quarantine_.Hear(notice); }),
       pipeline_(context, protocol, view_, quarantine_, metrics_, log,
                 {settings_.zone, settings_.retry_window, settings_.retry_ratio}) {
   view_.configuration_bound = settings_.configuration_bound;
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -360,6 +360,8 @@
     const ServerPtr server = co_await AwaitServer(request);
     if (request.client_left) result.end = ForwardEnd::kClientLeft;
     if (!server || request.client_left) break;
+    // The machine may have been suspended while it waited: one such request ran 57 s late (test).
+    if (BootClock::now() >= request.end) break;
     if (request.sends == 0) allowance.CountFirst(BootClock::now());
     ++request.sends;
     server_id = server->record().id;
--- a/src/quarantine/quarantine_record.cc
+++ b/src/quarantine/quarantine_record.cc
@@ -34,14 +34,19 @@
 
 void QuarantineRecord::Write(const QuarantineNotice& wanted) {
   const std::string summary = Summary(wanted);
-  if (writing_ || summary == held_ || BootClock::now() < not_before_) return;
+  if (calling_ || BootClock::now() < not_before_) return;
+  if (must_read_) {
+    Read();
+    return;
+  }
+  if (summary == held_) return;
   Transaction transaction;
   transaction.comparisons.push_back({key_, revision_});
   if (wanted.cases.empty())
     transaction.operations.emplace_back(DeleteOperation{key_});
   else
     transaction.operations.emplace_back(PutOperation{key_, EncodeMessage(wanted), 0});
-  writing_ = true;
+  calling_ = true;
   store_.Transact(
       std::move(transaction),
       [this, summary](const Outcome<TransactionResult>& result) { EndWrite(result, summary); });
@@ -49,16 +54,45 @@
 
 void QuarantineRecord::EndWrite(const Outcome<TransactionResult>& result,
                                 const std::string& summary) {
-  writing_ = false;
+  calling_ = false;
   not_before_ = BootClock::now() + kBetweenWrites;
   if (result.ok() && result.value().succeeded) {
     held_ = summary;
     revision_ = summary.empty() ? 0 : std::max(revision_, result.value().revision);
     return;
   }
-  // Another leader wrote meanwhile, or the answer was lost: the next reading of the store shows it.
-  const std::string problem =
-      result.ok() ? "the entry has changed meanwhile" : result.failure().message;
+  must_read_ = true;
+  NoteProblem(result.ok() ? "the entry has changed meanwhile" : result.failure().message);
+}
+
+void QuarantineRecord::Read() {
+  calling_ = true;
+  store_.Range({key_, ""}, [this](const Outcome<RangeResult>& result) { EndRead(result); });
+}
+
+void QuarantineRecord::EndRead(const Outcome<RangeResult>& result) {
+  calling_ = false;
+  if (!result.ok()) {
+    not_before_ = BootClock::now() + kBetweenWrites;
+    NoteProblem(result.failure().message);
+    return;
+  }
+  must_read_ = false;
+  revision_ = 0;
+  held_.clear();
+  if (result.value().entries.empty()) return;
+  const KeyValue& entry = result.value().entries.front();
+  revision_ = entry.mod_revision;
+  try {
+    const auto notice = DecodeMessage<QuarantineNotice>(entry.value);
+    held_ = Summary(notice);
+    heard_(notice);
+  } catch (const std::exception& error) {  // Of another version: it is replaced.
+    NoteProblem(error.what());
+  }
+}
+
+void QuarantineRecord::NoteProblem(const std::string& problem) {
   log_.Write(LogRank::kDecision, EventLine(LogEvent::kQuarantineNotStored)
                                      .Field(LogField::kKey, key_)
                                      .Field(LogField::kProblem, problem));
--- a/src/quarantine/quarantine_record.h
+++ b/src/quarantine/quarantine_record.h
@@ -17,8 +17,11 @@
 /// One thread.
 class QuarantineRecord {
  public:
-  QuarantineRecord(KeyValueStore& store, EventLog& log, std::string key)
-      : store_(store), log_(log), key_(std::move(key)) {}
+  using HeardHandler = std::function<void(const QuarantineNotice&)>;
+
+  /// @param heard is told what the store holds where this had to be read.
+  QuarantineRecord(KeyValueStore& store, EventLog& log, std::string key, HeardHandler heard)
+      : store_(store), log_(log), key_(std::move(key)), heard_(std::move(heard)) {}
 
   /// The store shows the entry so. @param value empty: there is none.
   void Seen(const std::string& value, std::int64_t revision);
@@ -30,6 +33,11 @@
  private:
   /// What a write would change: fingerprints and versions, not ages.
   static std::string Summary(const QuarantineNotice& notice);
+  /// A daemon that followed another's reads has not seen each change of the key: whoever finds that
+  /// its own view is old, or does not know what became of a write, reads the key.
+  void Read();
+  void EndRead(const Outcome<RangeResult>& result);
+  void NoteProblem(const std::string& problem);
   void EndWrite(const Outcome<TransactionResult>& result, const std::string& summary);
 
   KeyValueStore& store_;
@@ -37,7 +45,9 @@
   std::string key_;
   std::int64_t revision_ = 0;
   std::string held_;  ///< Summary of what the store holds.
-  bool writing_ = false;
+  HeardHandler heard_;
+  bool calling_ = false;
+  bool must_read_ = false;
   BootClock::time_point not_before_{};
 };
 
--- a/test/fleet/leader_election_test.cc
+++ b/test/fleet/leader_election_test.cc
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "clock_jump.h"
 #include "common/boot_clock.h"
 #include "fake_key_value_store.h"
 
@@ -302,5 +303,20 @@
   });
 }
 
+TEST_CASE("A leader that wakes after its lease has lapsed gives no order, and knows that it lost") {
+  boost::asio::io_context context;
+  KeyValueTable table;
+  Candidate one(context, table, "one");
+  REQUIRE(RunUntil(context, {&one}, [&] { return one.election.MayOrder(); }));
+  ClockJump jump;
+  CHECK(one.election.MayOrder());
+  jump.Sleep(milliseconds(1'400));  // Shorter than the lease: half of it is for orders under way.
+  CHECK_FALSE(one.election.MayOrder());
+  jump.Sleep(milliseconds(10'000));
+  CHECK_FALSE(one.election.MayOrder());                            // Before its timers have run.
+  table.RevokeLease(table.Range({kKey, ""}).entries.at(0).lease);  // As the store has meanwhile.
+  REQUIRE(RunUntil(context, {&one}, [&] { return !one.election.leading(); }));
+}
+
 }  // namespace
 }  // namespace moorfold
--- a/test/gateway/request_pipeline_test.cc
+++ b/test/gateway/request_pipeline_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "clock_jump.h"
 #include "common/boot_clock.h"
 #include "pipeline_fixture.h"
 
@@ -441,5 +442,25 @@
   CHECK(requests == 1);
 }
 
+TEST_CASE("A request whose time has passed while the machine was suspended is sent to no server") {
+  ClockJump jump;
+  PipelineFixture fixture;
+  std::atomic<int> requests{0};
+  ScriptedServer server(Always(Ok("x"), &requests));
+  Route route = PipelineFixture::MakeRoute(RouteType::kAtMostOnce);
+  route.target = milliseconds(2'000);
+  fixture.SetRoutes({route});
+  fixture.AddServer("i-0", {"127.0.0.1", 1});  // Nobody listens there: the request waits.
+  std::string answer;
+  std::thread client([&] { answer = fixture.Exchange(PipelineFixture::Request()); });
+  std::this_thread::sleep_for(milliseconds(300));
+  jump.Sleep(milliseconds(60'000));
+  fixture.AddServer("i-1", server.endpoint());
+  fixture.OnThread([&] { fixture.view().changed.NotifyAll(); });
+  client.join();
+  CHECK(PipelineFixture::Status(answer) == 503);
+  CHECK(requests == 0);
+}
+
 }  // namespace
 }  // namespace moorfold
--- /dev/null
+++ b/test/quarantine/quarantine_record_test.cc
@@ -0,0 +1,85 @@
+#include "quarantine/quarantine_record.h"
+
+#include <catch2/catch.hpp>
+
+#include "common/boot_clock.h"
+#include "fake_key_value_store.h"
+#include "fleet/fleet_messages.h"
+
+namespace moorfold {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kKey = "moorfold/quarantine";
+
+CaseNews Quarantined(const std::string& body) {
+  return {FingerprintOf({"h", "/p", "", body}), "s", {{"i-1", "v1", 5}}, {}, {"v1"}};
+}
+
+struct RecordFixture {
+  RecordFixture() : store(context, table), log(-1, {}) {}
+
+  QuarantineNotice Stored() {
+    const RangeResult read = table.Range({kKey, ""});
+    return read.entries.empty() ? QuarantineNotice{}
+                                : DecodeMessage<QuarantineNotice>(read.entries[0].value);
+  }
+  /// Calls Write as a leader does, twice a second, until the store holds that many cases.
+  bool WriteUntilStored(const QuarantineNotice& wanted, std::size_t cases) {
+    const auto give_up = BootClock::now() + milliseconds(10'000);
+    while (Stored().cases.size() != cases && BootClock::now() < give_up) {
+      record.Write(wanted);
+      context.restart();
+      context.run_for(milliseconds(100));
+    }
+    return Stored().cases.size() == cases;
+  }
+
+  boost::asio::io_context context;
+  KeyValueTable table;
+  FakeKeyValueStore store;
+  EventLog log;
+  std::vector<QuarantineNotice> heard;
+  QuarantineRecord record{store, log, kKey,
+                          [this](const QuarantineNotice& notice) { heard.push_back(notice); }};
+};
+
+TEST_CASE("A leader that has not seen the newest list reads it, and writes its own then") {
+  RecordFixture fixture;
+  // A leader before wrote it, while this daemon followed and read no keys.
+  Transaction before;
+  before.operations.emplace_back(
+      PutOperation{kKey, EncodeMessage(QuarantineNotice{{Quarantined("a")}}), 0});
+  fixture.table.Transact(before);
+  CHECK(fixture.WriteUntilStored({{Quarantined("a"), Quarantined("b")}}, 2));
+  REQUIRE(fixture.heard.size() == 1);
+  CHECK(fixture.heard[0].cases.size() == 1);
+}
+
+TEST_CASE("A write whose answer is lost is found done, and a list that ends is removed") {
+  RecordFixture fixture;
+  fixture.store.lose_answers = true;
+  CHECK(fixture.WriteUntilStored({{Quarantined("a")}}, 1));
+  fixture.store.lose_answers = false;
+  CHECK(fixture.WriteUntilStored({{Quarantined("a"), Quarantined("b")}}, 2));
+  CHECK(fixture.WriteUntilStored({}, 0));
+  CHECK(fixture.table.Range({kKey, ""}).entries.empty());
+}
+
+TEST_CASE("Nothing is written where the store holds the same verdicts, whatever their ages") {
+  RecordFixture fixture;
+  CHECK(fixture.WriteUntilStored({{Quarantined("a")}}, 1));
+  const std::int64_t revision = fixture.table.Range({kKey, ""}).revision;
+  QuarantineNotice older{{Quarantined("a")}};
+  older.cases[0].crashes[0].age_ms = 60'000;
+  for (int write = 0; write < 3; ++write) {
+    fixture.record.Write(older);
+    fixture.context.restart();
+    fixture.context.run_for(milliseconds(600));
+  }
+  CHECK(fixture.table.Range({kKey, ""}).revision == revision);
+}
+
+}  // namespace
+}  // namespace moorfold
