--- a/scripts/soak_faults.sh
+++ b/scripts/soak_faults.sh
@@ -2,6 +2,7 @@
 # soak_faults.sh SEED SECONDS [GATEWAYS]: gateways (three) as processes against the emulated platform, with faults
 # from outside: proxies, a store that misbehaves, signals. Ends only what it started. A failed run
 # keeps its folder with all logs; with KEEP_LOGS=1 so does any run.
+# QUARANTINE_SERVERS=0 plays without the quarantine of requests under which servers end.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 seed=${1:?SEED}
@@ -60,7 +61,7 @@
 }
 
 "$folder/moorfold-emulator" --seed "$seed" --seconds "$length" --gateways $gateways \
-  --folder "$folder" >"$folder/emulator.log" 2>&1 &
+  --quarantine-servers "${QUARANTINE_SERVERS:-3}" --folder "$folder" >"$folder/emulator.log" 2>&1 &
 emulator=$!
 for _ in $(seq 100); do
   grep -q event=ready "$folder/emulator.log" && break
--- a/test/emulator/main.cc
+++ b/test/emulator/main.cc
@@ -119,8 +119,9 @@
   std::vector<GatewayAddress> addresses;
 
   /// @param relays whether the gateways follow their leader's reads of the store, however few.
-  void WriteSettings(const std::string& folder, EmulatedPlatform& platform, int count,
-                     bool relays) {
+  /// @param quarantine_servers as the gateways' setting of that name.
+  void WriteSettings(const std::string& folder, EmulatedPlatform& platform, int count, bool relays,
+                     int quarantine_servers) {
     for (int number = 0; number < count; ++number) {
       const std::string ip = "127.0.0.1:";
       const Endpoint front{"127.0.0.1", FreePort()};
@@ -130,7 +131,7 @@
            << "\nreadiness: " << ToString(readiness) << "\npeer: " << ip << FreePort()
            << "\nstore: " << ToString(platform.store_for(number))
            << "\ndrain_timeout: 8s\norder_handover: 3s\nrelay_from_daemons: " << (relays ? 2 : 0)
-           << "\n";
+           << "\nquarantine_servers: " << quarantine_servers << "\n";
       addresses.push_back({front, readiness, false, {}});
     }
   }
@@ -360,7 +361,8 @@
   gateway.stop_until = BootClock::now() + kCalmAfter;
 }
 
-int RunSoak(std::uint64_t seed, seconds length, int gateways, const std::string& folder) {
+int RunSoak(std::uint64_t seed, seconds length, int gateways, int quarantine_servers,
+            const std::string& folder) {
   ClosableContext context(1);
   PlatformOptions options;
   options.seed = seed;
@@ -372,7 +374,7 @@
   platform.Start();
   Gateways processes;
   constexpr std::uint64_t kEven = 2;  // Odd seeds play the relay.
-  processes.WriteSettings(folder, platform, gateways, seed % kEven != 0);
+  processes.WriteSettings(folder, platform, gateways, seed % kEven != 0, quarantine_servers);
   std::cout << "event=ready" << std::endl;
   EmulatedClients clients(context, platform, processes.addresses, seed);
   FaultPlan faults(platform, processes.addresses, clients, seed);
@@ -422,6 +424,9 @@
                                       line.tclap());
   TCLAP::ValueArg<int> length("", "seconds", "how long", false, 60, "N", line.tclap());
   TCLAP::ValueArg<int> gateways("", "gateways", "how many", false, 3, "N", line.tclap());
+  TCLAP::ValueArg<int> quarantine_servers("", "quarantine-servers",
+                                          "setting of the gateways; 0: no quarantine", false, 3,
+                                          "N", line.tclap());
   TCLAP::ValueArg<std::string> folder("", "folder", "for the gateways' settings files", false, ".",
                                       "DIR", line.tclap());
   TCLAP::SwitchArg signals("", "print-signals",
@@ -430,7 +435,7 @@
   if (!line.Parse(arguments)) return kExitDone;
   if (!signals.getValue())
     return RunSoak(seed.getValue(), seconds(length.getValue()), gateways.getValue(),
-                   folder.getValue());
+                   quarantine_servers.getValue(), folder.getValue());
   constexpr double kMillisecondsPerSecond = 1000;
   for (const PlannedSignal& signal :
        PlanSignals(seed.getValue(), seconds(length.getValue()), gateways.getValue()))
