--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -86,7 +86,7 @@
   std::unique_ptr<HttpServer> readiness_;
   std::unique_ptr<HttpServer> figures_;  ///< Null where no address is given.
   /// Read before the first configuration, which tells what services exist: at a start the store
-  /// lists it first. 31 servers ended again after a kill of all daemons when it was dropped (soak).
+  /// lists it first. 16 servers ended again after a kill of all daemons when it was dropped (soak).
   std::optional<QuarantineNotice> early_record_;
   std::chrono::milliseconds longest_idle_{0};
   BootClock::time_point started_at_ = BootClock::now();
