Fewer loads from the weight store at once where they are long, learned before the first one ends

This store gives one its full speed, so all four took 53 s where one takes 13.2, and the limit learned of it only when they ended. It then kept two at once, each twice as long.

Ways: four at first, learned at the end, one above what was seen (as it stood); as many at first as take 12 s together, learned while loads are late, exactly what was seen, tried again after a minute.

Change: StoreLoadLimit.

--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -149,6 +149,7 @@
   if (stopped_ || !view_.routes || !election_.MayOrder()) return;
   NoteTerm();
   LearnDemand();
+  NoteSlowLoads();
   Forget();
   const auto began = BootClock::now();
   const RouteTableConstPtr table = view_.routes;
@@ -198,13 +199,30 @@
       }));
 }
 
+void FleetController::NoteSlowLoads() {
+  const auto now = BootClock::now();
+  for (const auto& [id, managed] : managed_)
+    if (!managed->incoming.empty() && managed->from_weight_store)
+      store_limit_.NoteUnderWay(managed->load_stated,
+                                std::chrono::duration_cast<milliseconds>(now - managed->load_began),
+                                managed->loads_together, now);
+}
+
+milliseconds FleetController::LongestLoad(const EngineDescription& engine) {
+  milliseconds longest{0};
+  for (const ModelDescription& model : engine.models)
+    longest = std::max(longest, std::chrono::duration_cast<milliseconds>(model.load_time));
+  return longest;
+}
+
 void FleetController::PlanService(const ServiceDescription& service) {
   const auto now = BootClock::now();
   std::vector<PlannedServer> servers;
   for (const ServerPtr& server : view_.servers.Of(service.name))
     servers.push_back(Describe(*server));
-  const double loads = std::min(election_.loads().Free(service.engine->loads_per_second, now),
-                                store_limit_.Free(StoreLoadsUnderWay()));
+  const double loads =
+      std::min(election_.loads().Free(service.engine->loads_per_second, now),
+               store_limit_.Free(StoreLoadsUnderWay(), LongestLoad(*service.engine)));
   const PlannerLimits limits{loads, kSlotShare * service.engine->slots, KnowsDemand()};
   PlacementPlanner planner(*service.engine, demand_.Of(service.name, now), std::move(servers),
                            limits, now);
@@ -232,6 +250,9 @@
     managed->incoming = step.name.model;
     managed->from_weight_store = step.from_weight_store;
     managed->ready_at = BootClock::now() + step.expected;
+    managed->load_began = BootClock::now();
+    managed->load_stated = step.expected;
+    managed->loads_together = StoreLoadsUnderWay();
   }
   if (step.from_weight_store) {
     election_.loads().Count(BootClock::now());
@@ -377,7 +398,7 @@
       if (load && step.from_weight_store)
         store_limit_.NoteLoad(step.expected,
                               std::chrono::duration_cast<milliseconds>(BootClock::now() - began),
-                              together);
+                              together, BootClock::now());
       if (load && Shows(report->models, step.name)) Notify(managed->id, step.name, true);
       co_return;
     }
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -32,6 +32,9 @@
   std::vector<std::string> on_disk;
   std::string incoming;
   bool from_weight_store = false;  ///< Of `incoming`.
+  SteadyTime load_began{};         ///< The same.
+  std::chrono::milliseconds load_stated{0};
+  std::size_t loads_together = 0;  ///< From the weight store, when it began.
   SteadyTime ready_at{};           ///< When `incoming` is expected to be there.
   std::string intended;
   SteadyTime not_before{};  ///< After a failure: no order earlier than this.
@@ -85,6 +88,10 @@
   void TakeOutcome(ManagedServer& managed, const PlacementStep& step, ServerOrderOutcome outcome);
   void TakeReport(ManagedServer& managed, const ServerStatus& report);
   std::size_t StoreLoadsUnderWay() const;
+  /// Lets the limit learn from loads that take too long, before they end.
+  void NoteSlowLoads();
+  /// @return the longest that a model of the service takes from the weight store alone.
+  static std::chrono::milliseconds LongestLoad(const EngineDescription& engine);
   /// Counts the order that a server has taken, and what it did at once.
   static void TakeAdapterChange(ManagedServer& managed, const PlacementStep& step);
   void Notify(const std::string& server_id, const ModelReference& name, bool held);
