Revert "A leader that begins learns the usual demand from the store, and takes nothing away before"

The harm is real (a leader without knowledge takes away what is asked for) and seldom: what reports show within the two seconds before its first order mostly suffices.

--- a/src/common/log_event.h
+++ b/src/common/log_event.h
@@ -40,7 +40,6 @@
   kQuarantineNotStored,
   kSharing,
   kSharingNotStored,
-  kDemandNotStored,
   kDatagramDropped,
   kLogLinesLeftOut,
 };
@@ -72,7 +71,6 @@
                                               "quarantine_not_stored",
                                               "sharing",
                                               "sharing_not_stored",
-                                              "demand_not_stored",
                                               "datagram_dropped",
                                               "log_lines_left_out"};
 
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -20,10 +20,6 @@
 constexpr milliseconds kPollEvery{150};
 constexpr milliseconds kLongestOperation{8'000};
 constexpr milliseconds kAfterFailure{800};
-constexpr const char* kDemandKey = "moorfold/demand";
-/// Where no earlier leader's demand can be read: after that time the reports of this term show most
-/// of what is asked for. A rare model's requests lie some seconds apart.
-constexpr milliseconds kDemandHeard{6'000};
 constexpr milliseconds kAdapterTime{15};
 /// Of a server's slots: fuller servers let others wait and preempt them, emptier ones leave rare
 /// models without a place. 0.2 in place of it cost 0.036 of what callers
@@ -63,9 +59,8 @@
 }  // namespace
 
 FleetController::FleetController(boost::asio::io_context& context, const FleetProtocol& protocol,
-                                 FleetView& view, LeaderElection& election, KeyValueStore& store,
-                                 GatewayMetrics& metrics, EventLog& log,
-                                 ControllerSettings settings, NoticeHandler notice)
+                                 FleetView& view, LeaderElection& election, GatewayMetrics& metrics,
+                                 EventLog& log, ControllerSettings settings, NoticeHandler notice)
     : context_(context),
       protocol_(protocol),
       view_(view),
@@ -76,8 +71,7 @@
       notice_(std::move(notice)),
       client_(context),
       timer_(context),
-      plan_timer_(context),
-      demand_record_(store, log, kDemandKey) {}
+      plan_timer_(context) {}
 
 void FleetController::Start() { Tick(); }
 
@@ -118,8 +112,6 @@
   if (term_ == election_.fencing_token()) return;
   term_ = election_.fencing_token();
   managed_.clear();
-  demand_read_ = false;
-  term_began_ = BootClock::now();
   if (election_.knows_loads()) return;
   constexpr double kShareAssumedUsed = 0.5;
   const double window_s = std::chrono::duration<double>(settings_.load_window).count();
@@ -129,26 +121,9 @@
                                    BootClock::now());
 }
 
-void FleetController::LearnDemand() {
-  if (demand_read_) {
-    demand_record_.Write([this] { return demand_.Usual(BootClock::now()); });
-    return;
-  }
-  demand_record_.Read([this, term = term_](const UsualDemand& usual) {
-    if (term != term_) return;
-    demand_.Restore(usual, BootClock::now());
-    demand_read_ = true;
-  });
-}
-
-bool FleetController::KnowsDemand() const {
-  return demand_read_ || BootClock::now() - term_began_ > kDemandHeard;
-}
-
 void FleetController::PlanAll() {
   if (stopped_ || !view_.routes || !election_.MayOrder()) return;
   NoteTerm();
-  LearnDemand();
   NoteSlowLoads();
   Forget();
   const auto began = BootClock::now();
@@ -223,7 +198,7 @@
   const double loads =
       std::min(election_.loads().Free(service.engine->loads_per_second, now),
                store_limit_.Free(StoreLoadsUnderWay(), LongestLoad(*service.engine)));
-  const PlannerLimits limits{loads, kSlotShare * service.engine->slots, KnowsDemand()};
+  const PlannerLimits limits{loads, kSlotShare * service.engine->slots};
   PlacementPlanner planner(*service.engine, demand_.Of(service.name, now), std::move(servers),
                            limits, now);
   for (const PlacementStep& step : planner.Plan())
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -8,7 +8,6 @@
 
 #include "common/boot_clock.h"
 #include "common/event_log.h"
-#include "fleet/demand_record.h"
 #include "fleet/fleet_demand.h"
 #include "fleet/leader_election.h"
 #include "fleet/placement_planner.h"
@@ -52,8 +51,8 @@
   using NoticeHandler = std::function<void(const PlacementNotice&)>;
 
   FleetController(boost::asio::io_context& context, const FleetProtocol& protocol, FleetView& view,
-                  LeaderElection& election, KeyValueStore& store, GatewayMetrics& metrics,
-                  EventLog& log, ControllerSettings settings, NoticeHandler notice);
+                  LeaderElection& election, GatewayMetrics& metrics, EventLog& log,
+                  ControllerSettings settings, NoticeHandler notice);
 
   void Start();
   void AddReport(const DemandReport& report);
@@ -73,10 +72,6 @@
   ManagedPtr Managed(const std::string& id);
   void Forget();
   void NoteTerm();
-  /// Reads what an earlier leader learned of demand, until that is known.
-  void LearnDemand();
-  /// Whether enough is known of demand to take models away.
-  bool KnowsDemand() const;
   void Begin(const PlacementStep& step, const Server& server);
   Awaitable<void> CarryOut(ManagedPtr managed, PlacementStep step, ServerOrder order,
                            Endpoint endpoint);
@@ -111,9 +106,6 @@
   SteadyTime plan_not_before_{};
   bool plan_pending_ = false;
   FleetDemand demand_;
-  DemandRecord demand_record_;
-  bool demand_read_ = false;  ///< In this term.
-  SteadyTime term_began_{};
   std::map<std::string, ManagedPtr> managed_;
   StoreLoadLimit store_limit_;
   std::int64_t term_ = 0;  ///< Fencing token of the term that `managed_` belongs to.
--- a/src/fleet/fleet_demand.cc
+++ b/src/fleet/fleet_demand.cc
@@ -8,8 +8,6 @@
 namespace moorfold {
 
 namespace {
-/// Arrivals a second: two in three minutes.
-constexpr double kLeastUsual = 0.01;
 constexpr double kAverageOverS = 4;  ///< Time constant of the rates.
 constexpr std::chrono::milliseconds kReportLife{1'500};
 constexpr std::chrono::seconds kForgetAfter{60};
@@ -59,30 +57,6 @@
   }
 }
 
-UsualDemand FleetDemand::Usual(Time now) {
-  UsualDemand usual;
-  for (auto& [service, entries] : services_) {
-    std::map<std::string, double> by_model;
-    for (auto& [name, entry] : entries) {
-      Decay(entry, now);
-      by_model[name.model] += entry.usual_arrivals_per_second;
-    }
-    for (const auto& [model, rate] : by_model)
-      if (rate >= kLeastUsual) usual.rates.push_back({service, model, rate});
-  }
-  return usual;
-}
-
-void FleetDemand::Restore(const UsualDemand& usual, Time now) {
-  for (const UsualRate& restored : usual.rates) {
-    Entry& entry = services_[restored.service][{restored.model, ""}];
-    Decay(entry, now);
-    if (entry.usual_arrivals_per_second >= restored.arrivals_per_second) continue;
-    entry.usual_arrivals_per_second = restored.arrivals_per_second;
-    entry.last_seen = now;
-  }
-}
-
 std::map<ModelReference, ModelDemand> FleetDemand::Of(const std::string& service, Time now) {
   std::map<ModelReference, ModelDemand> demand;
   std::map<ModelReference, Entry>& entries = services_[service];
--- a/src/fleet/fleet_demand.h
+++ b/src/fleet/fleet_demand.h
@@ -5,7 +5,6 @@
 #include <string>
 
 #include "common/boot_clock.h"
-#include "fleet/demand_record.h"
 #include "fleet/fleet_messages.h"
 
 namespace moorfold {
@@ -34,11 +33,6 @@
   static constexpr double kUsualOverS = 20;
 
   void Add(const DemandReport& report, Time now);
-  /// @return how often models of all services are usually asked for, their adapters included; the
-  /// rarest are left out.
-  UsualDemand Usual(Time now);
-  /// Goes on from what an earlier leader learned: no less is believed than that.
-  void Restore(const UsualDemand& usual, Time now);
   /// @return demand by model and adapter of one service; what no daemon has named for long is left
   /// out.
   std::map<ModelReference, ModelDemand> Of(const std::string& service, Time now);
--- a/src/fleet/placement_planner.cc
+++ b/src/fleet/placement_planner.cc
@@ -204,7 +204,7 @@
     return LossOf(left->name) < LossOf(right->name);
   });
   for (const HeldModel* candidate : held) {
-    if (free >= model.weights_mb || !limits_.may_evict) break;
+    if (free >= model.weights_mb) break;
     free += HeldMegabytes(*candidate);
     placement.cost += LossOf(candidate->name) * kHorizonS + kEvictionCost;
     placement.victims.push_back(candidate->name);
--- a/src/fleet/placement_planner.h
+++ b/src/fleet/placement_planner.h
@@ -47,8 +47,6 @@
   double weight_store_loads = 0;  ///< Loads from the weight store that may begin now.
   /// Requests that one server runs at once and still answers in time.
   double requests_per_server = 1;
-  /// Whether models may be taken away: not before it is known what is asked for.
-  bool may_evict = true;
 };
 
 /// Decides which models and adapters go where. Pure: the same input gives the same steps. At most
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -131,7 +131,7 @@
       election_(context, store_, log,
                 {settings_.name, ToString(channel_.endpoint()), kLeaderKey, kLeaderLease,
                  settings_.order_handover, settings_.load_window, CandidacyDelay(settings_)}),
-      controller_(context, protocol, view_, election_, store_, metrics_, log,
+      controller_(context, protocol, view_, election_, metrics_, log,
                   {settings_.name, settings_.load_window},
                   [this](const PlacementNotice& notice) {
                     TakeNotice(notice);
