The end of a load is seen late: that alone does not count as slowed

Cause: a report tells of some hundred milliseconds before and is asked for each 150 ms, so a load of 1.3 s seemed slowed from its 1.6th second on; the limit on loads at once fell, for a minute.

Change: half a second is taken off before a load is compared with what is stated.

--- a/src/fleet/store_load_limit.h
+++ b/src/fleet/store_load_limit.h
@@ -47,6 +47,9 @@
  private:
   /// Ratio of times from which on a load counts as slowed: above the error of reports and polls.
   static constexpr double kSlowed = 1.25;
+  /// The end of a load is seen so much later: a report tells of some hundred ms before, and is
+  /// asked for each 150 ms. Without it loads of 1.3 s count as slowed that are not.
+  static constexpr std::chrono::milliseconds kSeenLate{500};
   static constexpr double kLeast = 1;
   static constexpr double kMost = 1'000;
   /// Before any load has been timed: so many at once, or fewer where each takes long. Four loads of
@@ -58,7 +61,8 @@
   static constexpr std::chrono::seconds kBelieved{60};
 
   static bool Slowed(std::chrono::milliseconds stated, std::chrono::milliseconds taken) {
-    return static_cast<double>(taken.count()) > kSlowed * static_cast<double>(stated.count());
+    const auto own = taken - kSeenLate;
+    return static_cast<double>(own.count()) > kSlowed * static_cast<double>(stated.count());
   }
   static double First(std::chrono::milliseconds stated) {
     const auto one = std::max(std::chrono::milliseconds(1), stated);
