--- a/test/e2e/end_to_end_test.cc
+++ b/test/e2e/end_to_end_test.cc
@@ -8,7 +8,8 @@
 namespace moorfold {
 namespace {
 
-TEST_CASE("Requests for cold models are held, loaded and answered, from any daemon") {
+TEST_CASE("Requests for cold models are held, loaded and answered, from any daemon",
+          "[own_entry]") {
   Cluster cluster(Cluster::Small());
   cluster.Establish();
   std::vector<LoadRequest> requests;
@@ -259,7 +260,7 @@
   CHECK(outcome.end == LoadEnd::kServed);
 }
 
-TEST_CASE("A leaving engine's models are served elsewhere") {
+TEST_CASE("A leaving engine's models are served elsewhere", "[own_entry]") {
   Cluster cluster(Cluster::Small());
   cluster.Establish();
   REQUIRE(SendOne(cluster.ModelRequest(2, "only-z")).end == LoadEnd::kServed);
