--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -165,8 +165,8 @@
 /// What one request is refused for is not believed of the server, unless the server says it of
 /// itself: that it is full, or holds the model no more. A request that a server with places refuses
 /// may be at fault itself. Were the model taken for missing there, the requests of one client could
-/// take models out of service for all. With it, and such headers taken off, callers got 0.067 more of
-/// what they are owed (error 0.009, 12 paired days of one deployment, tenants' limits held too).
+/// take models out of service for all. With it, and such headers taken off, callers got 0.067 more
+/// of what they are owed (error 0.009, 12 paired days of one deployment, tenants' limits held too).
 ForwardResult Forwarder::ReadRefusal(const HttpHeaders& headers, unsigned status,
                                      const GatewayRequest& request, Server& server) const {
   const auto now = BootClock::now();
