Sight: how old the configuration is that routed a request, how long reads take, stalls

Cause: the record of the incident cannot tell a late read from an answer counted as too new, or from a process that stood still: ages in the log are of the servers' entries.

Ruled out: nothing yet.

Change: configuration_age_ms on each request's line, read_ms and configuration_age_ms on each new configuration, events store_read_late and stalled, histogram of reads, figures of stalls.

Conclusion: the three hypotheses can be told apart from a log.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -38,6 +38,9 @@
 /// Answers to older questions are not waited for.
 constexpr std::size_t kQuestionsOpen = 4;
 constexpr milliseconds kHousekeeping{500};
+/// A timer that is so late tells of a process that stood still or had to wait for the processor:
+/// a tenth of the time that a configuration may take where that is 2 s.
+constexpr milliseconds kStallNoted{200};
 /// How limits are shared out is told when it changes, and so often: a datagram may be lost.
 constexpr milliseconds kTellSharing{2'000};
 constexpr milliseconds kLeaderLease{3'000};
@@ -427,9 +430,22 @@
       std::max(kFreeRepeatsOfUnknownFleet, settings_.retry_minimum * kFreeRepeatsUsed / sharing));
 }
 
+void Gateway::NoteStall(BootClock::time_point due) {
+  const auto late = std::chrono::duration_cast<milliseconds>(BootClock::now() - due);
+  if (late < kStallNoted) return;
+  ++metrics_.stalls;
+  metrics_.stalled_ms = std::max<std::int64_t>(metrics_.stalled_ms, late.count());
+  log_.Write(LogRank::kDecision, EventLine(LogEvent::kStalled)
+                                     .Field(LogField::kMs, late.count())
+                                     .Field(LogField::kConfigurationAgeMs,
+                                            MillisecondsSince(view_.configuration_current_at)));
+}
+
 Awaitable<void> Gateway::KeepHouse() {
   while (true) {
+    const auto due = BootClock::now() + kHousekeeping;
     co_await Sleep(kHousekeeping);
+    NoteStall(due);
     if (election_.leading()) TakeSize(Daemons());
     const bool large =
         settings_.relay_from_daemons > 0 && Daemons() >= settings_.relay_from_daemons;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -72,6 +72,8 @@
   std::vector<std::string> UnreachableServers() const;
   Awaitable<void> ReportDemand();
   Awaitable<void> KeepHouse();
+  /// @param due when this process was to be woken up.
+  void NoteStall(BootClock::time_point due);
   Awaitable<void> Stop();
   bool Drained(BootClock::duration elapsed);
 
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -89,11 +89,14 @@
   Gauge(text, "requests_at_servers", requests_at_servers);
   for (const RepeatsLeft& left : repeats_left)
     Line(text, "repeats_left{service=\"" + left.service + "\"}", Decimal(left.repeats));
+  Count(text, "stalls", stalls);
+  Gauge(text, "longest_stall_ms", stalled_ms);
   Gauge(text, "peak_memory_kb", peak_memory_kb);
   time_to_head.Render("time_to_answer_ms", text);
   time_to_end.Render("time_to_end_ms", text);
   event_gap.Render("event_gap_ms", text);
   wait_for_server.Render("wait_for_server_ms", text);
+  store_read.Render("store_read_ms", text);
   return text;
 }
 
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -73,6 +73,9 @@
   LatencyHistogram time_to_end;
   LatencyHistogram event_gap;  ///< Between events of a stream, as they were passed on.
   LatencyHistogram wait_for_server;
+  LatencyHistogram store_read;  ///< From the sending of a read to its answer or failure.
+  std::uint64_t stalls = 0;     ///< Times that this process stood still, or nearly so.
+  std::int64_t stalled_ms = 0;  ///< The longest of them.
 
   /// @return all figures in Prometheus' text format.
   std::string Render() const;
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -42,6 +42,8 @@
   std::shared_ptr<const std::string> body;
   Fingerprint fingerprint;  ///< The same for each try of the same request.
   SteadyTime arrival;
+  /// How old this daemon's knowledge of the configuration was then.
+  std::chrono::milliseconds configuration_age{0};
   SteadyTime end;  ///< The earlier of the client's deadline and the route's time-out.
   bool client_left = false;
   bool counted = false;                 ///< In the demand for its model.
--- a/src/gateway/request_admission.cc
+++ b/src/gateway/request_admission.cc
@@ -34,6 +34,8 @@
 std::optional<Refusal> RequestAdmission::FindRoute(const HttpRequest& http,
                                                    GatewayRequest& request) {
   request.table = view_.routes;
+  request.configuration_age =
+      std::chrono::duration_cast<milliseconds>(request.arrival - view_.configuration_current_at);
   if (!request.table)
     return Refusal{http_status::kUnavailable, EndReason::kNoConfiguration,
                    "this daemon has just started; come back", false, kRetryAfterNotReadyS};
--- a/src/gateway/request_reporter.cc
+++ b/src/gateway/request_reporter.cc
@@ -85,6 +85,7 @@
         .Field(LogField::kSends, request.sends)
         .Field(LogField::kMayHaveRun, request.may_have_run)
         .Field(LogField::kConfiguration, request.table->configuration().version)
+        .Field(LogField::kConfigurationAgeMs, request.configuration_age.count())
         .Field(LogField::kWaitedMs, request.waited.count());
   }
   if (request.tenant != nullptr)
--- a/src/gateway/store_view.cc
+++ b/src/gateway/store_view.cc
@@ -23,6 +23,14 @@
   return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
 }
 
+std::int64_t MillisecondsBetween(SteadyTime from, SteadyTime to) {
+  return std::chrono::duration_cast<milliseconds>(to - from).count();
+}
+
+/// Of the longest time between two reads: an answer that takes as long is worth a line. It is more
+/// than the store holds a read of changes without news.
+constexpr double kLateReadShare = 0.5;
+
 /// All keys: every key begins with the empty text.
 KeyRange AllKeys() { return {"", "\xff"}; }
 
@@ -117,6 +125,7 @@
 void StoreView::ReadRange(KeyRange range, void (StoreView::*take)(const RangeResult&),
                           ReadConsistency consistency) {
   const auto done = [this, take](const Outcome<RangeResult>& listing) {
+    NoteReadTime();
     if (!listing.ok()) {
       NoteFailure(listing.failure());
       return;
@@ -206,11 +215,15 @@
 void StoreView::ReadChanges() {
   watch_ = store_.Watch(
       AllKeys(), state_.revision + 1, [this](const WatchBatch& batch) { TakeBatch(batch); },
-      [this](const PlatformFailure& failure) { NoteFailure(failure); });
+      [this](const PlatformFailure& failure) {
+        NoteReadTime();
+        NoteFailure(failure);
+      });
 }
 
 void StoreView::TakeBatch(const WatchBatch& batch) {
   watch_.reset();
+  NoteReadTime();
   NoteContact(BootClock::now());
   const std::int64_t known = state_.revision;
   const std::string& prefix = protocol_.layout().server_prefix;
@@ -390,12 +403,19 @@
   if (configuration->version <= held) return;
   view_.routes = std::make_shared<const RouteTable>(configuration);
   view_.configured_at = BootClock::now();
+  const SteadyTime read_began = state_.reading_since.value_or(view_.configured_at);
   metrics_.configuration_version = configuration->version;
-  log_.Write(LogRank::kDecision, EventLine(LogEvent::kConfiguration)
-                                     .Field(LogField::kVersion, configuration->version)
-                                     .Field(LogField::kBefore, held)
-                                     .Field(LogField::kRoutes, configuration->routes.size())
-                                     .Field(LogField::kRevision, entry.mod_revision));
+  log_.Write(LogRank::kDecision,
+             EventLine(LogEvent::kConfiguration)
+                 .Field(LogField::kVersion, configuration->version)
+                 .Field(LogField::kBefore, held)
+                 .Field(LogField::kRoutes, configuration->routes.size())
+                 .Field(LogField::kReadMs, MillisecondsBetween(read_began, view_.configured_at))
+                 .Field(LogField::kConfigurationAgeMs,
+                        held < 0 ? 0
+                                 : MillisecondsBetween(view_.configuration_current_at,
+                                                       view_.configured_at))
+                 .Field(LogField::kRevision, entry.mod_revision));
   configured_(*configuration);
 }
 
@@ -446,6 +466,19 @@
   retry_pause_ = kFirstRetryPause;
 }
 
+void StoreView::NoteReadTime() {
+  const SteadyTime now = BootClock::now();
+  const auto taken = now - state_.reading_since.value_or(now);
+  metrics_.store_read.Observe(std::chrono::duration<double, std::milli>(taken).count());
+  if (taken < settings_.longest_age * kLateReadShare) return;
+  log_.Write(LogRank::kDecision,
+             EventLine(LogEvent::kStoreReadLate)
+                 .Field(LogField::kRead, ToString(state_.reading))
+                 .Field(LogField::kMs, MillisecondsBetween(now - taken, now))
+                 .Field(LogField::kConfigurationAgeMs,
+                        MillisecondsBetween(view_.configuration_current_at, now)));
+}
+
 void StoreView::NoteFailure(const PlatformFailure& failure) {
   watch_.reset();
   ++failed_reads_;
--- a/src/gateway/store_view.h
+++ b/src/gateway/store_view.h
@@ -96,6 +96,8 @@
   /// @param current_at when the store had nothing newer than what is known now.
   void NoteContact(SteadyTime current_at);
   void NoteFailure(const PlatformFailure& failure);
+  /// Tells how long the read under way has taken until now, when it was answered or failed.
+  void NoteReadTime();
 
   KeyValueStore& store_;
   const FleetProtocol& protocol_;
