--- a/test/emulator/store_emulator.cc
+++ b/test/emulator/store_emulator.cc
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr std::size_t kPageItems = 500;
+/// Longer than any caller waits.
+constexpr milliseconds kSilence{10'000};
 
 std::string Encode(const std::string& bytes) {
   std::string text(base64::encoded_size(bytes.size()), '\0');
@@ -71,6 +73,12 @@
           {"lease", entry.lease}};
 }
 
+bool IsRead(const HttpRequest& request) {
+  const std::string& target = request.target;
+  return target.starts_with("/kv-watch") || target.starts_with("/kv-range") ||
+         target.starts_with("/kv-key");
+}
+
 KeyRange Prefix(const std::string& prefix) {
   return prefix.empty() ? KeyRange{"", "\xff"} : PrefixRange(prefix);
 }
@@ -139,7 +147,6 @@
     co_return;
   }
   if (faults_.silent) {
-    constexpr milliseconds kSilence{10'000};
     co_await Sleep(kSilence);
     exchange.Abort();
     co_return;
@@ -153,12 +160,24 @@
   HttpResponse response = co_await Answer(request);
   if (request.target == "/kv-lease" && faults_.grant_answer_delay.count() > 0)
     co_await Sleep(faults_.grant_answer_delay);
-  if (lost)
+  const bool answered = !IsRead(request) || co_await HoldAnswer();
+  if (lost || !answered)
     exchange.Abort();
   else
     co_await exchange.Respond(std::move(response));
 }
 
+Awaitable<bool> StoreEmulator::HoldAnswer() {
+  if (std::exchange(faults_.next_read_lost, false)) {
+    co_await Sleep(kSilence);
+    co_return false;
+  }
+  const milliseconds late = std::exchange(faults_.next_read_late, milliseconds(0));
+  if (late.count() > 0) co_await Sleep(late);
+  ++reads_answered_;
+  co_return true;
+}
+
 Awaitable<HttpResponse> StoreEmulator::Answer(const HttpRequest& request) {
   const std::string& target = request.target;
   HttpResponse bad = Refuse(400, "");
--- a/test/emulator/store_emulator.h
+++ b/test/emulator/store_emulator.h
@@ -24,7 +24,10 @@
   std::chrono::milliseconds lost_apply_late{0};  ///< Lost writes are done so much later.
   /// Leases run from their grant, whose answers come so much later: others win in between.
   std::chrono::milliseconds grant_answer_delay{0};
-  bool history_gone = false;       ///< Watches answer 410.
+  bool history_gone = false;    ///< Watches answer 410.
+  bool next_read_lost = false;  ///< The next read's answer never comes, its connection stands.
+  /// The next read is done in time, its answer comes so much later.
+  std::chrono::milliseconds next_read_late{0};
   double writes_per_second = 400;  ///< Of all callers together; more get 429.
   double reads_per_second = 2'000;
 };
@@ -59,6 +62,8 @@
   std::int64_t Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
   std::uint64_t calls() const { return calls_; }
+  /// Listings, reads of keys and reads of changes that were answered.
+  std::uint64_t reads_answered() const { return reads_answered_; }
   const KeyValueTable& table() const { return table_; }
 
  private:
@@ -70,6 +75,8 @@
   HttpResponse Transact(const std::string& body);
   HttpResponse Lease(const std::string& body);
   Awaitable<void> ExpireLeases();
+  /// Of a read that was done: whether its answer goes out now.
+  Awaitable<bool> HoldAnswer();
   bool LosesAnswer(const HttpRequest& request);
   bool WithinRate(const HttpRequest& request);
 
@@ -82,6 +89,7 @@
   CallBudget writes_;
   CallBudget reads_;
   std::uint64_t calls_ = 0;
+  std::uint64_t reads_answered_ = 0;
   HttpServer server_;
 };
 
