--- a/src/gateway/counting_store.h
+++ b/src/gateway/counting_store.h
@@ -22,6 +22,7 @@
   /// Counts each batch and the end.
   std::unique_ptr<WatchHandle> Watch(KeyRange range, std::int64_t start, WatchCallback changed,
                                      WatchEndCallback ended) override;
+  std::uint64_t repeated_reads() const override { return store_.repeated_reads(); }
 
  private:
   template <typename T>
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -16,7 +16,7 @@
 /// store's view writes it, requests read it.
 struct FleetView {
   explicit FleetView(const boost::asio::any_io_executor& executor)
-      : changed(executor), demand_raised(executor) {}
+      : changed(executor), demand_raised(executor), refreshed(executor) {}
 
   RouteTableConstPtr routes;  ///< Null until a configuration is known.
   ServerDirectory servers;
@@ -27,8 +27,14 @@
   SteadyTime configuration_current_at{};  ///< The same of the configuration.
   /// A configuration must be in force so soon after the store has it. Source: the platform's bound.
   std::chrono::milliseconds configuration_bound{2'000};
+  /// A server that leaves must be unused so soon after the store has it. Source: the same.
+  std::chrono::milliseconds staleness_bound{2'000};
+  /// Nothing says that the store is out of reach: its last read was answered, and no request has
+  /// waited in vain for one since.
+  bool store_answers = false;
   AsyncSignal changed;        ///< Notified when a waiting request may find a server now.
   AsyncSignal demand_raised;  ///< Notified when a request begins to wait for a server.
+  AsyncSignal refreshed;      ///< Notified when the store was read, or could not be.
 
   /// What a daemon does while it knows that it is behind:
   /// - It goes on sending requests to servers as it knew them last. A server proves itself with
@@ -41,6 +47,15 @@
   bool ConfigurationCurrent(SteadyTime now) const {
     return routes != nullptr && now - configuration_current_at < configuration_bound;
   }
+
+  /// What is older than its bound is not used while the store answers: a process that stood still,
+  /// or waited for the processor, finds requests in its sockets before it has read what changed
+  /// meanwhile.
+  /// @return whether a request is to wait for the read of the store that is due or under way.
+  bool AwaitsRead(SteadyTime now) const {
+    const bool old = !ConfigurationCurrent(now) || now - servers_current_at >= staleness_bound;
+    return routes != nullptr && store_answers && old;
+  }
 };
 
 }  // namespace moorfold
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -151,6 +151,7 @@
       pipeline_(context, protocol, view_, quarantine_, quota_, metrics_, log,
                 {settings_.zone, settings_.retry_window, settings_.retry_ratio}) {
   view_.configuration_bound = settings_.configuration_bound;
+  view_.staleness_bound = settings_.staleness_bound;
   const std::vector<boost::asio::io_context*> contexts = {&context_};
   front_ = std::make_unique<HttpServer>(
       contexts, settings_.listen, HttpServerLimits{},
@@ -224,6 +225,7 @@
     co_return;
   }
   metrics_.log_lines_lost = log_.lost();
+  metrics_.repeated_reads = store_.repeated_reads();
   metrics_.peak_memory_kb = PeakMemoryKilobytes();
   if (view_.routes) metrics_.configuration_age_ms = MillisecondsSince(view_.configured_at);
   pipeline_.DescribeLoad();
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -55,6 +55,8 @@
   Count(text, "repeats", repeats);
   Count(text, "repeats_denied", repeats_denied);
   Count(text, "waits_for_server", waits_for_server);
+  Count(text, "waits_for_store_read", waits_for_read);
+  Count(text, "store_reads_repeated", repeated_reads);
   Count(text, "servers_ended_under_requests", quarantine.servers_ended);
   Count(text, "requests_quarantined", quarantine.refused);
   Count(text, "quarantine_cases_dropped", quarantine.cases_dropped);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -44,6 +44,8 @@
   std::uint64_t repeats = 0;
   std::uint64_t repeats_denied = 0;
   std::uint64_t waits_for_server = 0;
+  std::uint64_t waits_for_read = 0;       ///< Of the store: what was known was too old.
+  std::uint64_t repeated_reads = 0;       ///< Of the store, whose first answers were late.
   LabelledCounter requests_ended;         ///< By route, kind, outcome and reason.
   LabelledCounter store_calls;            ///< By call and outcome.
   LabelledCounter failed_reads;           ///< Of the store, by what was read and the reason.
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -42,7 +42,7 @@
   std::shared_ptr<const std::string> body;
   Fingerprint fingerprint;  ///< The same for each try of the same request.
   SteadyTime arrival;
-  /// How old this daemon's knowledge of the configuration was then.
+  /// How old this daemon's knowledge of the configuration was when the request was routed.
   std::chrono::milliseconds configuration_age{0};
   SteadyTime end;  ///< The earlier of the client's deadline and the route's time-out.
   bool client_left = false;
--- a/src/gateway/request_admission.cc
+++ b/src/gateway/request_admission.cc
@@ -35,7 +35,7 @@
                                                    GatewayRequest& request) {
   request.table = view_.routes;
   request.configuration_age =
-      std::chrono::duration_cast<milliseconds>(request.arrival - view_.configuration_current_at);
+      std::chrono::duration_cast<milliseconds>(BootClock::now() - view_.configuration_current_at);
   if (!request.table)
     return Refusal{http_status::kUnavailable, EndReason::kNoConfiguration,
                    "this daemon has just started; come back", false, kRetryAfterNotReadyS};
@@ -87,7 +87,6 @@
 
 std::optional<Refusal> RequestAdmission::Resolve(const HttpRequest& http, GatewayRequest& request) {
   const HeaderNames& names = protocol_.headers();
-  request.arrival = BootClock::now();
   request.end = request.arrival;
   request.id = std::string(FindHeader(http.headers, names.request_id));
   if (std::optional<Refusal> refusal = FindRoute(http, request)) return refusal;
--- a/src/gateway/request_admission.h
+++ b/src/gateway/request_admission.h
@@ -18,7 +18,7 @@
   RequestAdmission(const FleetProtocol& protocol, const FleetView& view)
       : protocol_(protocol), view_(view) {}
 
-  /// Fills `request` in. @return why it cannot be served, if so.
+  /// Fills `request` in. @pre its arrival is set. @return why it cannot be served, if so.
   std::optional<Refusal> Resolve(const HttpRequest& http, GatewayRequest& request);
   /// A request that waited, or is sent once more, may have lost its key meanwhile. Answers that
   /// have begun go on to their end.
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -22,6 +22,9 @@
 /// Of a route's target: how long a request may wait for its tenant's credit. Afterwards little of
 /// the target would be left for a server.
 constexpr double kTargetShareForCredit = 0.5;
+/// Of the tighter bound: how long a request waits for a read of the store when what is known is too
+/// old. Longer than a read and its repeat take (0.125 of the bound, and the way).
+constexpr double kBoundShareForRead = 0.15;
 /// Of the newest answer in the usual time to an answer's head.
 constexpr double kAnswerTimeWeight = 0.1;
 /// Below the fleet's ratio, so that the edges of sliding windows stay inside it.
@@ -287,6 +290,19 @@
   return choice.server;
 }
 
+Awaitable<void> RequestPipeline::AwaitRead(const GatewayRequest& request) {
+  const SteadyTime began = BootClock::now();
+  if (!view_.AwaitsRead(began)) co_return;
+  ++metrics_.waits_for_read;
+  const auto longest = std::chrono::duration_cast<milliseconds>(
+      std::min(view_.configuration_bound, view_.staleness_bound) * kBoundShareForRead);
+  const SteadyTime until = began + longest;
+  while (view_.AwaitsRead(BootClock::now()) && BootClock::now() < until && !request.client_left)
+    co_await view_.refreshed.Wait(until);
+  // The store is silent. Others do not wait for it as well, until it has answered once more.
+  if (view_.AwaitsRead(BootClock::now()) && !request.client_left) view_.store_answers = false;
+}
+
 Awaitable<ServerPtr> RequestPipeline::AwaitServer(GatewayRequest& request) {
   NoServerReason reason = NoServerReason::kNone;
   if (ServerPtr server = ChooseOnce(request, reason)) co_return server;
@@ -430,6 +446,7 @@
     if (!request.counted) ++view_.demand.At(request.service, request.model).arrivals;
     request.counted = true;
     if (request.sends > 0 && !co_await AwaitAllowance(request, allowance)) break;
+    co_await AwaitRead(request);
     const ServerPtr server = co_await AwaitServer(request);
     if (request.client_left) result.end = ForwardEnd::kClientLeft;
     if (!server || request.client_left) break;
@@ -518,7 +535,9 @@
 Awaitable<void> RequestPipeline::Handle(HttpServerExchange& exchange) {
   // The exchange's disconnect callback may outlive this coroutine's other locals: shared.
   const auto request = std::make_shared<GatewayRequest>();
+  request->arrival = BootClock::now();
   ++metrics_.requests;
+  co_await AwaitRead(*request);
   const std::optional<Refusal> refusal = admission_.Resolve(exchange.request(), *request);
   if (refusal) {
     co_await Refuse(exchange, *request, *refusal);
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -73,6 +73,8 @@
                                 std::string server_id);
   Awaitable<void> Finish(HttpServerExchange& exchange, const GatewayRequest& request,
                          const ForwardResult& result, const std::string& server_id);
+  /// While what is known is older than its bound and the store answers, waits for its next answer.
+  Awaitable<void> AwaitRead(const GatewayRequest& request);
   Awaitable<ServerPtr> AwaitServer(GatewayRequest& request);
   ServerPtr ChooseOnce(GatewayRequest& request, NoServerReason& reason) const;
   SteadyTime AttemptEnd(const GatewayRequest& request) const;
--- a/src/gateway/store_view.cc
+++ b/src/gateway/store_view.cc
@@ -73,8 +73,11 @@
 bool StoreView::Decide(const follow::Event& event) {
   const follow::Decision decision = follow::Reduce(settings_, state_, event, BootClock::now());
   state_ = decision.state;
+  const bool newer = view_.servers_current_at < state_.current_at ||
+                     view_.configuration_current_at < state_.configuration_at;
   view_.servers_current_at = state_.current_at;
   view_.configuration_current_at = state_.configuration_at;
+  if (newer) view_.refreshed.NotifyAll();
   return decision.apply;
 }
 
@@ -460,6 +463,7 @@
                    .Field(LogField::kProblem, last_problem_));
   in_touch_ = true;
   contacted_ = true;
+  view_.store_answers = true;
   failed_reads_ = 0;
   last_problem_.clear();
   last_contact_ = std::max(last_contact_, current_at);
@@ -481,6 +485,8 @@
 
 void StoreView::NoteFailure(const PlatformFailure& failure) {
   watch_.reset();
+  view_.store_answers = false;
+  view_.refreshed.NotifyAll();
   ++failed_reads_;
   last_problem_ = failure.message;
   metrics_.failed_reads.Add(
--- a/src/ports/key_value_store.h
+++ b/src/ports/key_value_store.h
@@ -159,6 +159,8 @@
   [[nodiscard]] virtual std::unique_ptr<WatchHandle> Watch(KeyRange range, std::int64_t start,
                                                            WatchCallback changed,
                                                            WatchEndCallback ended) = 0;
+  /// @return reads that were sent once more since their answers were late, over all its life.
+  virtual std::uint64_t repeated_reads() const { return 0; }
 };
 
 }  // namespace moorfold
