Lives of servers under one id; entries of other writers; decoders that believe no length

Cause: a server may start again under its id (its counts begin anew, it holds nothing), and an entry may come from another writer. A load under way at such a restart was waited for 8 s, since the count of orders never reached the old one. One item without a key made a whole answer unreadable; a bad entry left the server's former record in use; a configuration that could not be read counted as known.

Ruled out: telling lives apart by address or by what came last; dropping the leader's record of another writer while it hangs on a lease.

Change: `life` in records, reports, relayed changes and notices; a later life is another server (connections, notes, orders, quarantine evidence), an earlier one changes nothing. Items are read one by one. An unreadable configuration: the last good one goes on, is not called newest, nobody waits for it. A leader's key with no record on no lease may be claimed. Numbers beyond their type are errors. BoundedInputArchive: no count is larger than the bytes that follow.

--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -149,9 +149,24 @@
   return managed;
 }
 
+FleetController::ManagedPtr FleetController::ManagedLife(const ServerRecord& record) {
+  // What was known and ordered of an earlier life went with it; what is under way there ends alone.
+  const auto found = managed_.find(record.id);
+  if (found != managed_.end() && IsLaterLife(record.life, found->second->life))
+    managed_.erase(found);
+  ManagedPtr managed = Managed(record.id);
+  if (managed->life == 0) managed->life = record.life;
+  return managed;
+}
+
+bool FleetController::Current(const ManagedPtr& managed) const {
+  const auto found = managed_.find(managed->id);
+  return found != managed_.end() && found->second == managed;
+}
+
 PlannedServer FleetController::Describe(const Server& server) {
   const auto now = BootClock::now();
-  const ManagedPtr managed = Managed(server.record().id);
+  const ManagedPtr managed = ManagedLife(server.record());
   PlannedServer planned;
   planned.id = server.record().id;
   planned.serving =
@@ -233,7 +248,7 @@
     election_.loads().Count(BootClock::now());
     ++metrics_.loads_from_weight_store;
   }
-  if (step.kind == ServerOrderKind::kUnload) Notify(managed->id, step.name, false);
+  if (step.kind == ServerOrderKind::kUnload) Notify(*managed, step.name, false);
   boost::asio::co_spawn(context_, CarryOut(managed, step, order, server.record().endpoint),
                         boost::asio::detached);
 }
@@ -264,6 +279,7 @@
   managed.in_memory = report.in_memory;
   managed.on_disk = report.on_disk;
   managed.order_count = report.order_count;
+  if (report.life != 0) managed.life = report.life;
 }
 
 Awaitable<void> FleetController::AskState(ManagedPtr managed, Endpoint endpoint) {
@@ -336,7 +352,7 @@
   TakeOutcome(*managed, step, outcome);
   const bool refused =
       outcome != ServerOrderOutcome::kUnderWay && outcome != ServerOrderOutcome::kNoAnswer;
-  if (step.kind == ServerOrderKind::kUnload && refused) Notify(managed->id, step.name, true);
+  if (step.kind == ServerOrderKind::kUnload && refused) Notify(*managed, step.name, true);
   if (outcome == ServerOrderOutcome::kUnderWay) co_await AwaitDone(managed, step, endpoint);
   managed->operating = false;
   PlanSoon();
@@ -356,17 +372,20 @@
   if (!step.name.adapter.empty()) {
     if (load) co_await Sleep(kAdapterTime);
     TakeAdapterChange(*managed, step);
-    if (load) Notify(managed->id, step.name, true);
+    if (load) Notify(*managed, step.name, true);
     co_return;
   }
   const SteadyTime began = BootClock::now();
   const std::size_t together = StoreLoadsUnderWay();
   const SteadyTime give_up = began + step.expected + kLongestOperation;
   if (load)
-    notice_({managed->id, step.name, false, std::max<std::int64_t>(1, step.expected.count())});
+    notice_({managed->id, step.name, false, std::max<std::int64_t>(1, step.expected.count()),
+             managed->life});
   co_await Sleep(load ? step.expected : kPollEvery);
   while (BootClock::now() < give_up && view_.servers.Find(managed->id) != nullptr) {
     const std::optional<ServerStatus> report = co_await ReadReport(managed->id, endpoint);
+    // The count of orders begins anew with each life: one that went with the last is never reached.
+    if (!Current(managed) || (report && IsLaterLife(report->life, managed->life))) break;
     if (report && report->order_count >= managed->order_count && !report->busy) {
       TakeReport(*managed, *report);
       managed->incoming.clear();
@@ -374,7 +393,7 @@
         store_limit_.NoteLoad(step.expected,
                               std::chrono::duration_cast<milliseconds>(BootClock::now() - began),
                               together, BootClock::now());
-      if (load && Shows(report->models, step.name)) Notify(managed->id, step.name, true);
+      if (load && Shows(report->models, step.name)) Notify(*managed, step.name, true);
       co_return;
     }
     co_await Sleep(kPollEvery);
@@ -383,8 +402,8 @@
   managed->incoming.clear();
 }
 
-void FleetController::Notify(const std::string& server_id, const ModelReference& name, bool held) {
-  notice_({server_id, name, held, 0});
+void FleetController::Notify(const ManagedServer& managed, const ModelReference& name, bool held) {
+  notice_({managed.id, name, held, 0, managed.life});
 }
 
 }  // namespace moorfold
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -29,6 +29,7 @@
   std::vector<HeldModel> models;
   std::vector<std::string> in_memory;
   std::vector<std::string> on_disk;
+  std::int64_t life = 0;  ///< Of the server, as ServerRecord has it.
   std::string incoming;
   bool from_weight_store = false;  ///< Of `incoming`.
   SteadyTime load_began{};         ///< The same.
@@ -70,6 +71,10 @@
   void PlanService(const ServiceDescription& service);
   PlannedServer Describe(const Server& server);
   ManagedPtr Managed(const std::string& id);
+  /// @return what is known of that life of the server.
+  ManagedPtr ManagedLife(const ServerRecord& record);
+  /// @return whether the server has not started again since, as far as known.
+  bool Current(const ManagedPtr& managed) const;
   void Forget();
   void NoteTerm();
   void Begin(const PlacementStep& step, const Server& server);
@@ -89,7 +94,7 @@
   static std::chrono::milliseconds LongestLoad(const EngineDescription& engine);
   /// Counts the order that a server has taken, and what it did at once.
   static void TakeAdapterChange(ManagedServer& managed, const PlacementStep& step);
-  void Notify(const std::string& server_id, const ModelReference& name, bool held);
+  void Notify(const ManagedServer& managed, const ModelReference& name, bool held);
   void NoteOrder(const ServerOrder& order, ServerOrderOutcome outcome);
 
   boost::asio::io_context& context_;
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -13,6 +13,7 @@
 #include <variant>
 #include <vector>
 
+#include "common/bounded_archive.h"
 #include "fleet/demand.h"
 #include "fleet/order_history.h"
 #include "quarantine/quarantine_messages.h"
@@ -63,10 +64,11 @@
   ModelReference name;
   bool held = true;
   std::int64_t expected_ms = 0;  ///< Above 0: it does not stand there yet, but should after that.
+  std::int64_t life = 0;         ///< Of the server, as ServerRecord has it.
 
   template <typename Archive>
   void serialize(Archive& archive) {
-    archive(server_id, name, held, expected_ms);
+    archive(server_id, name, held, expected_ms, life);
   }
 };
 
@@ -105,10 +107,9 @@
 /// @throws std::runtime_error when `bytes` is no such message.
 template <typename Message>
 Message DecodeMessage(const std::string& bytes) {
-  std::istringstream stream(bytes);
   Message message;
   try {
-    cereal::PortableBinaryInputArchive archive(stream);
+    BoundedInputArchive archive(bytes);
     archive(message);
   } catch (const std::exception& error) {
     throw std::runtime_error(std::string("not a message of this version: ") + error.what());
--- a/src/fleet/leader_election.cc
+++ b/src/fleet/leader_election.cc
@@ -81,12 +81,15 @@
   const bool was_other = leader_ && leader_->name != settings_.name;
   leader_.reset();
   leader_lease_ = 0;
+  key_abandoned_ = false;
   if (entry) {
     try {
       leader_ = DecodeMessage<LeaderRecord>(entry->value);
       leader_revision_ = entry->mod_revision;
       leader_lease_ = entry->lease;
     } catch (const std::exception& error) {
+      key_abandoned_ = entry->lease == 0;
+      leader_revision_ = entry->mod_revision;
       log_.Write(LogRank::kFailure,
                  EventLine(LogEvent::kLeaderRecordSkipped).Field(LogField::kProblem, error.what()));
     }
--- a/src/fleet/leader_election.h
+++ b/src/fleet/leader_election.h
@@ -65,6 +65,8 @@
 struct LeaderKeySight {
   std::optional<LeaderRecord> record;  ///< Nothing: the key does not exist.
   std::int64_t revision = 0;           ///< Of the record.
+  /// The key holds something that is no record and hangs on no lease: it goes by nobody's end.
+  bool abandoned = false;
 };
 
 /// A claim to the leader key, on the state of the key on which it was decided. The lease for it is
@@ -76,7 +78,7 @@
   /// nothing when the key is another machine's.
   static std::optional<std::int64_t> Condition(const LeaderKeySight& key,
                                                const std::string& machine) {
-    if (!key.record) return 0;
+    if (!key.record) return key.abandoned ? key.revision : 0;
     const bool claimable = key.record->released || key.record->name == machine;
     return claimable ? std::optional(key.revision) : std::nullopt;
   }
@@ -156,7 +158,9 @@
   void Stand(std::int64_t condition);
   void Campaign(std::int64_t condition);
   void Claim(const LeadershipClaim& claim, LeaseId lease, Time grant_sent);
-  LeaderKeySight Sight() const { return {leader_, leader_ ? leader_revision_ : 0}; }
+  LeaderKeySight Sight() const {
+    return {leader_, leader_ || key_abandoned_ ? leader_revision_ : 0, key_abandoned_};
+  }
   void EndClaim(const LeadershipClaim& claim, LeaseId lease,
                 const Outcome<TransactionResult>& result);
   void NoteClaim(LogEvent event, LeaseId lease, const LeadershipClaim& claim,
@@ -186,6 +190,7 @@
   BootTimer timer_;
   std::optional<LeaderRecord> leader_;
   std::int64_t leader_revision_ = 0;
+  bool key_abandoned_ = false;      ///< As LeaderKeySight has it.
   std::int64_t seen_revision_ = 0;  ///< Of the key's newest state, also of its absence.
   Time leader_seen_{};              ///< When that state was first seen.
   Time key_confirmed_{};            ///< When it was last seen.
--- a/src/fleet/server_record.h
+++ b/src/fleet/server_record.h
@@ -21,7 +21,8 @@
   bool operator==(const HeldModel&) const = default;
 };
 
-/// What a server says of itself in the store. One record is one incarnation.
+/// What a server says of itself in the store. A server that starts again may do so under the id
+/// that it had: then it holds nothing and its counts begin anew, and only its life tells.
 struct ServerRecord {
   std::string id;
   std::string service;
@@ -33,6 +34,7 @@
   std::vector<HeldModel> models;
   std::vector<std::string> in_memory;  ///< Models whose weights lie in host memory.
   std::vector<std::string> on_disk;    ///< Models whose weights lie on the server's disk.
+  std::int64_t life = 0;  ///< When it started, in milliseconds of some clock; 0: it does not say.
 };
 
 /// What a server answers when asked for its state; some hundred milliseconds old.
@@ -43,8 +45,14 @@
   bool busy = false;  ///< An order is under way.
   std::int64_t order_count = 0;
   std::vector<HeldModel> incoming;  ///< Adapters on their way.
+  std::int64_t life = 0;            ///< As in its record.
 };
 
+/// @return whether `life` began after `before`; a life that is not told is no other.
+constexpr bool IsLaterLife(std::int64_t life, std::int64_t before) {
+  return life != 0 && before != 0 && life > before;
+}
+
 enum class ServerOrderKind : std::uint8_t { kLoad, kUnload };
 
 /// An instruction to one incarnation of a server.
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -27,6 +27,7 @@
   SteadyTime configuration_current_at{};  ///< The same of the configuration.
   /// A configuration must be in force so soon after the store has it. Source: the platform's bound.
   std::chrono::milliseconds configuration_bound{2'000};
+  bool configuration_readable = true;  ///< False: what stands in its place cannot be read.
   /// A server that leaves must be unused so soon after the store has it. Source: the same.
   std::chrono::milliseconds staleness_bound{2'000};
   /// Nothing says that the store is out of reach: its last read was answered, and no request has
@@ -53,7 +54,8 @@
   /// meanwhile.
   /// @return whether a request is to wait for the read of the store that is due or under way.
   bool AwaitsRead(SteadyTime now) const {
-    const bool old = !ConfigurationCurrent(now) || now - servers_current_at >= staleness_bound;
+    const bool configuration_old = configuration_readable && !ConfigurationCurrent(now);
+    const bool old = configuration_old || now - servers_current_at >= staleness_bound;
     return routes != nullptr && store_answers && old;
   }
 };
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -125,7 +125,7 @@
 Awaitable<UpstreamConnectionPtr> Forwarder::Connect(const GatewayRequest& request,
                                                     const Server& server) {
   const milliseconds rest = std::min(rest_limit_, LongestRest(request));
-  if (UpstreamConnectionPtr resting = pool_.Take(server.record().id, rest)) co_return resting;
+  if (UpstreamConnectionPtr resting = pool_.Take(server.connection_key(), rest)) co_return resting;
   auto fresh = std::make_shared<UpstreamConnection>(context_, server.record().endpoint);
   ++connections_opened_;
   co_await fresh->Connect(std::min(request.end, BootClock::now() + kConnectTimeout));
@@ -210,7 +210,7 @@
 void Forwarder::GiveBack(const GatewayRequest& request, const Server& server) {
   if (!request.upstream->Reusable()) return;
   const milliseconds keep = KeepTime(request.upstream->headers());
-  pool_.Give(server.record().id, request.upstream, keep);
+  pool_.Give(server.connection_key(), request.upstream, keep);
 }
 
 Awaitable<ForwardResult> Forwarder::PassWhole(HttpServerExchange& exchange, GatewayRequest& request,
@@ -308,7 +308,7 @@
     co_return ForwardResult{ForwardEnd::kNotRun, 0, error.what(), error.peer_ended()};
   }
   if (request.client_left) {
-    if (upstream->Reusable()) pool_.Give(server->record().id, upstream, kLongestRest);
+    if (upstream->Reusable()) pool_.Give(server->connection_key(), upstream, kLongestRest);
     co_return ForwardResult{ForwardEnd::kClientLeft, 0, ""};
   }
   const AttemptGuard guard(request, *server, upstream, co_await boost::asio::this_coro::executor,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -183,6 +183,10 @@
   store_view_.Follow(sharing_record_.key(), [this](const std::optional<KeyValue>& entry,
                                                    std::int64_t) { TakeSharingRecord(entry); });
   quota_.Start();
+  // A start under the same id is the end of the process before.
+  store_view_.OnRestart([this](const std::string& id) {
+    if (quarantine_.book().Waiting(id)) quarantine_.Note(quarantine::ServerEnded{id});
+  });
   store_view_.Start(
       kLeaderKey,
       [this](const std::optional<KeyValue>& entry, std::int64_t revision) {
@@ -326,7 +330,7 @@
 
 void Gateway::TakeNotice(const PlacementNotice& notice) {
   const ServerPtr server = view_.servers.Find(notice.server_id);
-  if (!server) return;
+  if (!server || IsLaterLife(server->record().life, notice.life)) return;
   const auto now = BootClock::now();
   if (notice.expected_ms > 0) {
     view_.expected.Note(notice.name, {now, now + milliseconds(notice.expected_ms)});
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -74,6 +74,9 @@
   store_calls.Render("store_calls_total", text);
   failed_reads.Render("store_reads_failed_total", text);
   Count(text, "store_reads_outdated", outdated_reads);
+  Count(text, "store_entries_skipped", entries_skipped);
+  Count(text, "servers_restarted", servers_restarted);
+  Count(text, "earlier_lives_ignored", earlier_lives);
   Count(text, "relay_answers_sent", relay_answers_sent);
   Count(text, "relay_answers_taken", relay_answers_taken);
   Count(text, "relayed_changes", relayed_changes);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -17,6 +17,7 @@
   static constexpr std::array<double, 12> kBoundsMs = {1,   2,   5,   10,   20,   50,
                                                        100, 200, 500, 1000, 2000, 5000};
   void Observe(double milliseconds);
+  std::uint64_t count() const { return count_; }
   /// Appends the lines of the text format for `name`.
   void Render(const std::string& name, std::string& text) const;
 
@@ -50,6 +51,9 @@
   LabelledCounter store_calls;            ///< By call and outcome.
   LabelledCounter failed_reads;           ///< Of the store, by what was read and the reason.
   std::uint64_t outdated_reads = 0;       ///< Cheap ones of a configuration, read again.
+  std::uint64_t entries_skipped = 0;      ///< Of the store, that could not be read.
+  std::uint64_t servers_restarted = 0;    ///< Under the id that they had.
+  std::uint64_t earlier_lives = 0;        ///< Entries of servers that have started again since.
   std::uint64_t relay_answers_sent = 0;   ///< To followers.
   std::uint64_t relay_answers_taken = 0;  ///< That made this daemon's knowledge newer.
   std::uint64_t relayed_changes = 0;      ///< Of servers, taken from such answers.
--- a/src/gateway/server_directory.cc
+++ b/src/gateway/server_directory.cc
@@ -138,16 +138,21 @@
   return now - stated_at_ > kStatedLoadLife ? 0 : stated_waiting_;
 }
 
-void ServerDirectory::Put(ServerRecord record, SteadyTime now) {
+bool ServerDirectory::Put(ServerRecord record, SteadyTime now) {
   const auto found = by_id_.find(record.id);
-  if (found != by_id_.end() && found->second->record().service == record.service) {
-    found->second->Update(std::move(record), now);
-    return;
+  if (found != by_id_.end()) {
+    const ServerRecord& known = found->second->record();
+    if (IsLaterLife(known.life, record.life)) return false;
+    if (known.service == record.service && !IsLaterLife(record.life, known.life)) {
+      found->second->Update(std::move(record), now);
+      return true;
+    }
+    Remove(record.id);
   }
-  if (found != by_id_.end()) Remove(record.id);
   auto server = std::make_shared<Server>(std::move(record));
   by_id_[server->record().id] = server;
   by_service_[server->record().service].push_back(server);
+  return true;
 }
 
 void ServerDirectory::Drop(const ServerPtr& server) {
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -32,13 +32,15 @@
   std::unordered_map<std::uint64_t, std::uint32_t> counts_;
 };
 
-/// What this daemon knows of one incarnation of a server: its record, and what its answers showed.
+/// What this daemon knows of one life of a server: its record, and what its answers showed.
 /// One thread.
 class Server {
  public:
   explicit Server(ServerRecord record) : record_(std::move(record)) {}
 
   const ServerRecord& record() const { return record_; }
+  /// Names what its connections belong to: they end with its life.
+  std::string connection_key() const { return record_.id + '@' + std::to_string(record_.life); }
   void Update(ServerRecord record, SteadyTime now);
 
   bool Holds(const ModelReference& model, SteadyTime now) const;
@@ -114,7 +116,10 @@
 /// All servers that the store names. One thread.
 class ServerDirectory {
  public:
-  void Put(ServerRecord record, SteadyTime now);
+  /// Takes what a server says now. A later life of it is another server; what an earlier life says
+  /// changes nothing.
+  /// @return whether it was taken.
+  bool Put(ServerRecord record, SteadyTime now);
   void Remove(const std::string& id);
   ServerPtr Find(const std::string& id) const;
   const std::vector<ServerPtr>& Of(const std::string& service) const;
--- a/src/gateway/store_view.cc
+++ b/src/gateway/store_view.cc
@@ -73,12 +73,19 @@
 bool StoreView::Decide(const follow::Event& event) {
   const follow::Decision decision = follow::Reduce(settings_, state_, event, BootClock::now());
   state_ = decision.state;
+  DescribeAges();
+  return decision.apply;
+}
+
+void StoreView::DescribeAges() {
+  const SteadyTime configuration_at =
+      configuration_unreadable_since_.value_or(state_.configuration_at);
   const bool newer = view_.servers_current_at < state_.current_at ||
-                     view_.configuration_current_at < state_.configuration_at;
+                     view_.configuration_current_at < configuration_at;
   view_.servers_current_at = state_.current_at;
-  view_.configuration_current_at = state_.configuration_at;
+  view_.configuration_current_at = configuration_at;
+  view_.configuration_readable = !configuration_unreadable_since_;
   if (newer) view_.refreshed.NotifyAll();
-  return decision.apply;
 }
 
 void StoreView::SetWatching(bool watches) {
@@ -265,7 +272,7 @@
   // A follower takes the version stated here for the newest as of the revision stated here.
   answer.relays = state_.watches && state_.listed && state_.ConfigurationKept();
   if (!answer.relays) return answer;
-  const SteadyTime current_at = std::min(state_.current_at, state_.configuration_at);
+  const SteadyTime current_at = std::min(state_.current_at, view_.configuration_current_at);
   answer.age_us = Microseconds(BootClock::now() - current_at);
   answer.configuration_version = Version();
   answer.from_revision = question.revision;
@@ -312,7 +319,8 @@
     return;
   }
   ServerRecord record = change.record;
-  if (const ServerPtr known = view_.servers.Find(record.id)) {
+  const ServerPtr known = view_.servers.Find(record.id);
+  if (known != nullptr && !IsLaterLife(record.life, known->record().life)) {
     record.in_memory = known->record().in_memory;
     record.on_disk = known->record().on_disk;
   }
@@ -328,21 +336,52 @@
 }
 
 void StoreView::TakeEntry(const KeyValue& entry) {
+  // Readers of moorfold's own keys decide by themselves what follows from a record without sense.
+  if (!entry.readable && FindOwnKey(entry.key) == nullptr) {
+    TakeUnreadable(entry, "its value is no text in base 64, or it has no revision");
+    return;
+  }
   try {
-    if (entry.key == protocol_.layout().configuration_key)
-      TakeConfiguration(entry);
-    else if (entry.key.starts_with(protocol_.layout().server_prefix))
-      TakeServer(entry);
-    else if (OwnKey* own = FindOwnKey(entry.key))
-      TakeOwnKey(*own, entry);
+    TakeReadable(entry);
   } catch (const std::exception& error) {
-    log_.Write(LogRank::kFailure, EventLine(LogEvent::kEntrySkipped)
-                                      .Field(LogField::kKey, entry.key)
-                                      .Field(LogField::kRevision, entry.mod_revision)
-                                      .Field(LogField::kProblem, error.what()));
+    TakeUnreadable(entry, error.what());
   }
 }
 
+void StoreView::TakeReadable(const KeyValue& entry) {
+  if (entry.key == protocol_.layout().configuration_key)
+    TakeConfiguration(entry);
+  else if (entry.key.starts_with(protocol_.layout().server_prefix))
+    TakeServer(entry);
+  else if (OwnKey* own = FindOwnKey(entry.key))
+    TakeOwnKey(*own, entry);
+}
+
+void StoreView::TakeUnreadable(const KeyValue& entry, const std::string& problem) {
+  const std::string& prefix = protocol_.layout().server_prefix;
+  const bool configuration = entry.key == protocol_.layout().configuration_key;
+  const bool server = entry.key.starts_with(prefix);
+  if (!configuration && !server && FindOwnKey(entry.key) == nullptr) return;
+  // Listings show an entry again and again: it is told of once.
+  const bool told = configuration && configuration_unreadable_since_ &&
+                    entry.mod_revision == configuration_entry_revision_;
+  if (configuration) {
+    configuration_entry_revision_ = entry.mod_revision;
+    if (!configuration_unreadable_since_) configuration_unreadable_since_ = state_.configuration_at;
+    DescribeAges();
+  } else if (server) {
+    const std::string id = entry.key.substr(prefix.size());
+    changes_.Note(id, entry.mod_revision, true);
+    RemoveServer(id, entry.mod_revision);
+  }
+  if (told) return;
+  ++metrics_.entries_skipped;
+  log_.Write(LogRank::kFailure, EventLine(LogEvent::kEntrySkipped)
+                                    .Field(LogField::kKey, entry.key)
+                                    .Field(LogField::kRevision, entry.mod_revision)
+                                    .Field(LogField::kProblem, problem));
+}
+
 void StoreView::TakeRemoval(const std::string& key, std::int64_t revision) {
   const std::string& prefix = protocol_.layout().server_prefix;
   OwnKey* own = FindOwnKey(key);
@@ -403,8 +442,11 @@
       std::make_shared<const RoutingConfiguration>(protocol_.ParseConfiguration(entry.value));
   const std::int64_t held = Version();
   configuration_entry_revision_ = entry.mod_revision;
-  if (configuration->version <= held) return;
-  view_.routes = std::make_shared<const RouteTable>(configuration);
+  const bool newer = configuration->version > held;
+  if (newer) view_.routes = std::make_shared<const RouteTable>(configuration);
+  configuration_unreadable_since_.reset();
+  DescribeAges();
+  if (!newer) return;
   view_.configured_at = BootClock::now();
   const SteadyTime read_began = state_.reading_since.value_or(view_.configured_at);
   metrics_.configuration_version = configuration->version;
@@ -429,19 +471,34 @@
 
 void StoreView::PutServer(ServerRecord record, std::int64_t revision) {
   const ServerPtr known = view_.servers.Find(record.id);
-  if (known == nullptr || known->record().draining != record.draining)
+  const bool restarted = known != nullptr && IsLaterLife(record.life, known->record().life);
+  if (known != nullptr && IsLaterLife(known->record().life, record.life)) {
+    ++metrics_.earlier_lives;
+    log_.Write(LogRank::kDecision, EventLine(LogEvent::kEarlierLife)
+                                       .Field(LogField::kServer, record.id)
+                                       .Field(LogField::kLife, record.life)
+                                       .Field(LogField::kBefore, known->record().life)
+                                       .Field(LogField::kRevision, revision));
+    return;
+  }
+  if (known == nullptr || restarted || known->record().draining != record.draining)
     log_.Write(LogRank::kDecision,
                EventLine(LogEvent::kServer)
                    .Field(LogField::kServer, record.id)
                    .Field(LogField::kService, record.service)
                    .Field(LogField::kAddress, ToString(record.endpoint))
                    .Field(LogField::kState, record.draining ? "draining" : "ready")
+                   .Field(LogField::kLife, record.life)
                    .Field(LogField::kModels, record.models.size())
                    .Field(LogField::kRevision, revision));
   const bool back = removals_.erase(record.id) > 0;
   if (known == nullptr || back || !SameForRequests(known->record(), record))
     changes_.Note(record.id, revision, false);
+  const std::string id = record.id;
   view_.servers.Put(std::move(record), BootClock::now());
+  if (!restarted) return;
+  ++metrics_.servers_restarted;
+  if (restarted_) restarted_(id);
 }
 
 void StoreView::TakeOwnKey(OwnKey& own, const KeyValue& entry) {
--- a/src/gateway/store_view.h
+++ b/src/gateway/store_view.h
@@ -31,6 +31,8 @@
   /// Hears of one of moorfold's own keys: its newest state, or that it is gone.
   using OwnKeyHandler =
       std::function<void(const std::optional<KeyValue>& entry, std::int64_t revision)>;
+  /// Hears of a server whose process has started again under its id.
+  using RestartHandler = std::function<void(const std::string& id)>;
   using ConfigurationHandler = std::function<void(const RoutingConfiguration&)>;
 
   StoreView(boost::asio::io_context& context, KeyValueStore& store, const FleetProtocol& protocol,
@@ -44,6 +46,9 @@
     own_keys_.push_back({std::move(own_key), std::move(changed), 0});
   }
 
+  /// Before Start.
+  void OnRestart(RestartHandler handler) { restarted_ = std::move(handler); }
+
   /// Whether other daemons follow this one: it reads the store more often then.
   void SetWatching(bool watches);
   /// @return what to ask the watcher, once the store was listed.
@@ -78,6 +83,11 @@
   void NoteSource(bool relayed);
   void NoteChanged();
   void TakeEntry(const KeyValue& entry);
+  /// @throws std::exception where the entry cannot be read.
+  void TakeReadable(const KeyValue& entry);
+  /// What cannot be read names no server, and says nothing of the configuration.
+  void TakeUnreadable(const KeyValue& entry, const std::string& problem);
+  void DescribeAges();
   void TakeRemoval(const std::string& key, std::int64_t revision);
   void RemoveServer(const std::string& id, std::int64_t revision);
   void RemoveLater(const std::string& id);
@@ -106,6 +116,9 @@
   EventLog& log_;
   std::vector<OwnKey> own_keys_;
   ConfigurationHandler configured_;
+  RestartHandler restarted_;
+  /// The configuration's entry cannot be read: none newer than the one held existed at that time.
+  std::optional<SteadyTime> configuration_unreadable_since_;
   follow::Settings settings_;
   follow::State state_;
   ChangeLog changes_;
--- a/src/ports/key_value_store.h
+++ b/src/ports/key_value_store.h
@@ -80,6 +80,8 @@
   std::string value;
   std::int64_t mod_revision = 0;
   LeaseId lease = 0;
+  /// Whether its value could be read: another writer may have left something else there.
+  bool readable = true;
 };
 struct RangeResult {
   std::int64_t revision = 0;
--- a/src/relay/change_answer.cc
+++ b/src/relay/change_answer.cc
@@ -10,7 +10,7 @@
 
 /// @return an upper bound of what a change takes in a message.
 std::size_t EncodedBytes(const ServerChange& change) {
-  constexpr std::size_t kFixedBytes = 32;  ///< Revision, slots, port, flags, counts.
+  constexpr std::size_t kFixedBytes = 40;  ///< Revision, life, slots, port, flags, counts.
   constexpr std::size_t kLengthBytes = 8;  ///< Before each text and list.
   const auto text = [](const std::string& value) { return kLengthBytes + value.size(); };
   const ServerRecord& record = change.record;
@@ -27,10 +27,10 @@
 }  // namespace
 
 bool SameForRequests(const ServerRecord& left, const ServerRecord& right) {
-  return left.service == right.service && left.endpoint == right.endpoint &&
-         left.zone == right.zone && left.software_version == right.software_version &&
-         left.slots == right.slots && left.draining == right.draining &&
-         left.models == right.models;
+  return left.life == right.life && left.service == right.service &&
+         left.endpoint == right.endpoint && left.zone == right.zone &&
+         left.software_version == right.software_version && left.slots == right.slots &&
+         left.draining == right.draining && left.models == right.models;
 }
 
 void FillChanges(ChangeAnswer& answer, const ChangeLog& changes, const RecordFinder& find_record) {
--- a/src/relay/relay_messages.h
+++ b/src/relay/relay_messages.h
@@ -33,7 +33,7 @@
   void serialize(Archive& archive) {
     archive(revision, gone, record.id);
     if (gone) return;
-    archive(record.service, record.endpoint.address, record.endpoint.port, record.zone,
+    archive(record.life, record.service, record.endpoint.address, record.endpoint.port, record.zone,
             record.software_version, record.slots, record.draining, record.models);
   }
 };
--- a/test/emulator/server_emulator.h
+++ b/test/emulator/server_emulator.h
@@ -34,6 +34,7 @@
   double prompt_tokens_per_ms = 38;
   Endpoint announced;                ///< Where callers find it, if not at its own port.
   std::string version = "v1";        ///< Of its software.
+  std::int64_t born = 0;             ///< Its start, in milliseconds of the time of day.
   TenantChecker* tenants = nullptr;  ///< Is told whom requests run for; null: nobody is.
 };
 
@@ -62,6 +63,8 @@
   /// entry goes after three heartbeats of silence.
   void End();
   bool ended() const { return ended_; }
+  /// Another life has its id: its entry is no longer this one's to remove.
+  void Succeeded() { succeeded_ = true; }
   /// Hears of the end, to make what callers see of it.
   void OnEnd(std::function<void()> handler) { on_end_ = std::move(handler); }
   Endpoint endpoint() const { return server_.endpoint(); }
@@ -112,6 +115,7 @@
   bool draining_ = false;
   bool vanished_ = false;
   bool ended_ = false;
+  bool succeeded_ = false;
   std::function<void()> on_end_;
   std::int64_t beats_ = 0;
   HttpServer server_;
--- a/test/fleet/leader_election_test.cc
+++ b/test/fleet/leader_election_test.cc
@@ -279,6 +279,20 @@
   CHECK_FALSE(one.election.leader().has_value());
 }
 
+TEST_CASE(
+    "What another writer left in the leader's place, on no lease, keeps nobody from leading") {
+  boost::asio::io_context context;
+  KeyValueTable table;
+  Transaction foreign;
+  foreign.operations.emplace_back(PutOperation{kKey, "no record", 0});
+  table.Transact(foreign);
+  Candidate one(context, table, "one");
+  Candidate two(context, table, "two");
+  REQUIRE(RunUntil(context, {&one, &two},
+                   [&] { return one.election.leading() || two.election.leading(); }));
+  CHECK_FALSE((one.election.leading() && two.election.leading()));
+}
+
 TEST_CASE("The order window closes by the time of sending, not of the answer") {
   rc::check([] {
     const auto start = BootClock::time_point(std::chrono::seconds(1000));
--- a/test/platform/gateway_end_to_end_test.cc
+++ b/test/platform/gateway_end_to_end_test.cc
@@ -22,6 +22,36 @@
   CHECK(deployment.platform.checker().violations().empty());
 }
 
+TEST_CASE("A server that starts again under its id in the middle of a load is ordered anew soon") {
+  PlatformOptions options;
+  options.same_id = true;
+  options.restart_after = milliseconds(300);
+  options.model_servers = 1;
+  options.models = 2;
+  options.load_time = milliseconds(1'500);
+  Deployment deployment(1, options);
+  REQUIRE(deployment.RunUntil([&] { return deployment.AllReady() && deployment.Leaders() == 1; }));
+  deployment.RunFor(milliseconds(3'200));  // Until the leader may give orders.
+  BootClock::time_point ended{};
+  BootTimer timer(deployment.context, BootClock::now() + milliseconds(600));
+  timer.async_wait([&](const boost::system::error_code&) {
+    deployment.platform.servers().front()->End();
+    ended = BootClock::now();
+  });
+  const std::string cold = deployment.platform.models().back();
+  bool served = false;
+  for (int number = 0; number < 200 && !served; ++number) {
+    const std::string id = "r-" + std::to_string(number);
+    served = deployment.Send(0, deployment.Stream(id, cold)).status == 200;
+    deployment.RunFor(milliseconds(50));
+  }
+  CHECK(served);
+  REQUIRE(ended != BootClock::time_point{});
+  // The start, the entry, a load of 1.5 s; the load of the life before is not waited for.
+  CHECK(BootClock::now() - ended < milliseconds(6'000));
+  CHECK(deployment.platform.checker().violations() == std::vector<std::string>{});
+}
+
 TEST_CASE("Every kind of request is served on a calm day, and no promise is broken") {
   Deployment deployment(2);
   REQUIRE(deployment.RunUntil([&] { return deployment.AllReady(); }));
--- a/test/platform/store_client_test.cc
+++ b/test/platform/store_client_test.cc
@@ -3,6 +3,7 @@
 
 #include "store_client.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <optional>
 
@@ -107,5 +108,41 @@
   CHECK(calls.listing->failure().message.find("endless pages") != std::string::npos);
 }
 
+TEST_CASE("An item of another writer leaves the rest of the store's answer readable") {
+  const std::string items =
+      R"([{"keyFile":"servers/a","value":"e30=","revision":3,"lease":0},
+          {"value":"e30=","revision":3}, {"keyFile":7,"value":"e30="}, 5, null,
+          {"keyFile":"servers/b","value":7,"revision":3},
+          {"keyFile":"servers/c","revision":"x","value":"e30="},
+          {"keyFile":"servers/d","value":"*no base 64*","revision":3}])";
+  std::atomic<int> watches{0};
+  Calls calls([&](ScriptedConnection& connection) {
+    while (true) {
+      const std::string head = connection.ReadHead();
+      if (head.empty()) return;
+      const bool watch = head.find("kv-watch") != std::string::npos;
+      if (watch && watches++ > 0) {
+        connection.Write(Ok("[]"));  // Ends the watch.
+        return;
+      }
+      connection.Write(watch ? Ok(R"({"at":9,"events":)" + items + "}")
+                             : Ok(R"({"at":9,"more":false,"items":)" + items + "}"));
+      if (watch) return;
+    }
+  });
+  REQUIRE(calls.listing);
+  REQUIRE(calls.listing->ok());
+  const std::vector<KeyValue>& entries = calls.listing->value().entries;
+  REQUIRE(entries.size() == 4);
+  CHECK(entries[0].readable);
+  CHECK(entries[0].value == "{}");
+  for (std::size_t number = 1; number < entries.size(); ++number) {
+    CAPTURE(number);
+    CHECK_FALSE(entries[number].readable);
+    CHECK(entries[number].mod_revision > 0);
+  }
+  CHECK(calls.batches == 1);
+}
+
 }  // namespace
 }  // namespace moorfold
