Sight: which revision of the store is known, which was read, and that it went back

Ruled out: nothing yet; no logic is changed. Change: a line store_went_back (what was read, revision known before, revision read) and the figures moorfold_store_revision_known, moorfold_store_revision_read and moorfold_store_went_back_total. Measured: gateway_test and relay_test pass (2 of 2 programs).

--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -85,6 +85,9 @@
   Count(text, "log_lines_lost", log_lines_lost);
   Gauge(text, "configuration_version", configuration_version);
   Gauge(text, "servers_known", servers_known);
+  Gauge(text, "store_revision_known", store_revision_known);
+  Gauge(text, "store_revision_read", store_revision_read);
+  Count(text, "store_went_back", store_went_back);
   Gauge(text, "leading", leading);
   Gauge(text, "servers_known_age_ms", servers_known_age_ms);
   Gauge(text, "configuration_known_age_ms", configuration_known_age_ms);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -62,6 +62,9 @@
   std::uint64_t log_lines_lost = 0;
   std::int64_t configuration_version = 0;
   std::int64_t servers_known = 0;
+  std::int64_t store_revision_known = 0;  ///< All changes of servers up to it are known.
+  std::int64_t store_revision_read = 0;   ///< Of the last read by this daemon itself.
+  std::uint64_t store_went_back = 0;      ///< Reads that showed an older revision than known.
   std::int64_t leading = 0;
   std::int64_t servers_known_age_ms = 0;        ///< Since nothing newer of servers existed.
   std::int64_t configuration_known_age_ms = 0;  ///< Since no newer configuration existed.
--- a/src/gateway/store_view.cc
+++ b/src/gateway/store_view.cc
@@ -73,6 +73,7 @@
 bool StoreView::Decide(const follow::Event& event) {
   const follow::Decision decision = follow::Reduce(settings_, state_, event, BootClock::now());
   state_ = decision.state;
+  metrics_.store_revision_known = state_.revision;
   DescribeAges();
   return decision.apply;
 }
@@ -110,6 +111,7 @@
     return;
   }
   const follow::ReadKind kind = follow::NextReadKind(settings_, state_, BootClock::now());
+  known_before_read_ = state_.revision;
   Decide(follow::ReadBegun{kind});
   switch (kind) {
     case follow::ReadKind::kListing:
@@ -134,13 +136,14 @@
 
 void StoreView::ReadRange(KeyRange range, void (StoreView::*take)(const RangeResult&),
                           ReadConsistency consistency) {
-  const auto done = [this, take](const Outcome<RangeResult>& listing) {
+  const auto done = [this, take, consistency](const Outcome<RangeResult>& listing) {
     NoteReadTime();
     if (!listing.ok()) {
       NoteFailure(listing.failure());
       return;
     }
     NoteContact(BootClock::now());
+    if (consistency == ReadConsistency::kLinearizable) NoteRevisionRead(listing.value().revision);
     (this->*take)(listing.value());
     ReadWhenDue();
   };
@@ -235,6 +238,7 @@
   watch_.reset();
   NoteReadTime();
   NoteContact(BootClock::now());
+  NoteRevisionRead(batch.revision);
   const std::int64_t known = state_.revision;
   const std::string& prefix = protocol_.layout().server_prefix;
   double bytes = 0;
@@ -335,6 +339,16 @@
                                     .Field(LogField::kRevision, state_.revision));
 }
 
+void StoreView::NoteRevisionRead(std::int64_t revision) {
+  metrics_.store_revision_read = revision;
+  if (revision >= known_before_read_) return;
+  ++metrics_.store_went_back;
+  log_.Write(LogRank::kFailure, EventLine(LogEvent::kStoreWentBack)
+                                    .Field(LogField::kRead, ToString(state_.reading))
+                                    .Field(LogField::kBefore, known_before_read_)
+                                    .Field(LogField::kRevision, revision));
+}
+
 void StoreView::TakeEntry(const KeyValue& entry) {
   // Readers of moorfold's own keys decide by themselves what follows from a record without sense.
   if (!entry.readable && FindOwnKey(entry.key) == nullptr) {
--- a/src/gateway/store_view.h
+++ b/src/gateway/store_view.h
@@ -81,6 +81,8 @@
   std::optional<double> ChangesReplacedBy(const RangeResult& listing) const;
   void TakeChange(const ServerChange& change);
   void NoteSource(bool relayed);
+  /// Tells that the store's revision is lower than what this daemon holds for known.
+  void NoteRevisionRead(std::int64_t revision);
   void NoteChanged();
   void TakeEntry(const KeyValue& entry);
   /// @throws std::exception where the entry cannot be read.
@@ -123,8 +125,9 @@
   follow::State state_;
   ChangeLog changes_;
   std::unique_ptr<WatchHandle> watch_;
-  std::int64_t told_version_ = -1;     ///< Of the newest configuration that a watcher told of.
-  std::int64_t reading_version_ = -1;  ///< The same when the read under way began.
+  std::int64_t told_version_ = -1;      ///< Of the newest configuration that a watcher told of.
+  std::int64_t reading_version_ = -1;   ///< The same when the read under way began.
+  std::int64_t known_before_read_ = 0;  ///< All changes up to it, when the read under way began.
   std::int64_t configuration_entry_revision_ = 0;  ///< Of the entry that was read last.
   BootTimer read_timer_;
   Milliseconds retry_pause_;
