Reproduce the incident: a store that went back hides from followers what is written there

Cause: revisions of two histories of the store are compared as if they were of one: the leader's log of changes keeps its greatest revision, and reads drop what is not above the revision known. Ruled out: that only the relay is struck: a daemon alone, back after the store's counter has passed what it knew, fails, too.

--- a/src/modelled/key_value_table.cc
+++ b/src/modelled/key_value_table.cc
@@ -91,6 +91,12 @@
   for (const LeaseId lease : lapsed) RevokeLease(lease);
 }
 
+void KeyValueTable::RestoreFrom(const KeyValueTable& copy) {
+  const std::int64_t next_era = era_ + 1;
+  *this = copy;
+  era_ = next_era;
+}
+
 std::vector<WatchBatch> KeyValueTable::EventsSince(const KeyRange& range,
                                                    std::int64_t start) const {
   std::vector<WatchBatch> batches;
--- a/src/modelled/key_value_table.h
+++ b/src/modelled/key_value_table.h
@@ -28,6 +28,12 @@
   /// @return the changes in `range` from revision `start` on, grouped by revision.
   std::vector<WatchBatch> EventsSince(const KeyRange& range, std::int64_t start) const;
   std::int64_t revision() const { return revision_; }
+  /// @return whether a watch may begin there: false for a revision that was not given out yet.
+  bool CanWatchFrom(std::int64_t start) const { return start <= revision_ + 1; }
+  /// Comes back as `copy`, an earlier state of this table: what was written since is gone, and its
+  /// revisions and leases are given out again. How often that happened is told by `era`.
+  void RestoreFrom(const KeyValueTable& copy);
+  std::int64_t era() const { return era_; }
 
  private:
   struct Lease {
@@ -43,6 +49,7 @@
   std::map<LeaseId, Lease> leases_;
   std::vector<WatchBatch> history_;
   std::int64_t revision_ = 1;
+  std::int64_t era_ = 1;
   LeaseId next_lease_ = 1;
 };
 
--- a/test/relay/relayed_view_test.cc
+++ b/test/relay/relayed_view_test.cc
@@ -1,115 +1,13 @@
 #include <catch2/catch.hpp>
-#include <functional>
-#include <thread>
 
-#include "common/boot_clock.h"
-#include "fake_key_value_store.h"
 #include "fleet/fleet_messages.h"
-#include "gateway/store_view.h"
-#include "protocol.h"
+#include "relay_fixture.h"
 
 namespace moorfold {
 namespace {
 
 using std::chrono::milliseconds;
 
-/// A daemon's view of a shared store.
-struct Member {
-  Member(boost::asio::io_context& context, KeyValueTable& table, milliseconds longest_age)
-      : store(context, table),
-        log(-1, {}),
-        view(context.get_executor()),
-        store_view(context, store, protocol, view, metrics, log,
-                   {longest_age, milliseconds(10), milliseconds(10)}) {
-    store_view.Start(
-        "moorfold/leader", [](const std::optional<KeyValue>&, std::int64_t) {},
-        [](const RoutingConfiguration&) {});
-  }
-  std::int64_t Version() const { return view.routes ? view.routes->configuration().version : -1; }
-  const ServerRecord* Record(const std::string& id) const {
-    const ServerPtr server = view.servers.Find(id);
-    return server ? &server->record() : nullptr;
-  }
-
-  FakeKeyValueStore store;
-  EventLog log;
-  platform::Protocol protocol;
-  GatewayMetrics metrics;
-  FleetView view;
-  StoreView store_view;
-};
-
-std::string ServerText(const std::string& state, const std::string& models) {
-  return R"({"service":"s","address":"127.0.0.1:1","zone":"z","version":"v1","state":")" + state +
-         R"(","slots":4,"models":[)" + models + "]}";
-}
-
-void PutInto(KeyValueTable& table, const std::string& key, const std::string& value) {
-  Transaction transaction;
-  transaction.operations.emplace_back(PutOperation{key, value, 0});
-  table.Transact(transaction);
-}
-
-/// A configuration and a server.
-KeyValueTable StockedTable() {
-  KeyValueTable table;
-  PutInto(table, "op/config", R"({"version":3,"routes":[],"services":[]})");
-  PutInto(table, "servers/i-1", ServerText("ready", ""));
-  return table;
-}
-
-/// A watcher, and a follower that would not read the store by itself for an hour.
-struct RelayFixture {
-  RelayFixture()
-      : table(StockedTable()),
-        watcher(context, table, milliseconds(20)),
-        follower(context, table, std::chrono::hours(1)) {
-    REQUIRE(RunUntil([&] { return watcher.Version() == 3 && follower.Version() == 3; }));
-    watcher.store_view.SetWatching(true);
-  }
-  void Put(const std::string& key, const std::string& value) { PutInto(table, key, value); }
-  void Remove(const std::string& key) {
-    Transaction transaction;
-    transaction.operations.emplace_back(DeleteOperation{key});
-    table.Transact(transaction);
-  }
-  void PutServer(const std::string& id, const std::string& state, const std::string& models) {
-    Put("servers/" + id, ServerText(state, models));
-  }
-  /// One question and its answer.
-  ChangeAnswer Exchange() {
-    const std::optional<ChangeQuestion> question = follower.store_view.Question();
-    REQUIRE(question);
-    ChangeAnswer answer = watcher.store_view.Answer(*question, 20);
-    follower.store_view.TakeAnswer(answer);
-    return answer;
-  }
-  bool RunUntil(const std::function<bool()>& done, milliseconds patience = milliseconds(20'000)) {
-    const auto give_up = BootClock::now() + patience;
-    while (!done() && BootClock::now() < give_up) {
-      watcher.store.Deliver();
-      follower.store.Deliver();
-      if (context.stopped()) context.restart();
-      if (context.run_one_for(milliseconds(5)) == 0) std::this_thread::sleep_for(milliseconds(1));
-    }
-    return done();
-  }
-  /// Until the watcher has what was put before.
-  void Settle() {
-    const std::string marker = "i-marker-" + std::to_string(++markers_);
-    PutServer(marker, "ready", "");
-    REQUIRE(RunUntil([&] { return watcher.Record(marker) != nullptr; }));
-  }
-
-  boost::asio::io_context context;
-  KeyValueTable table;
-  Member watcher;
-  Member follower;
-
- private:
-  int markers_ = 0;
-};
-
 constexpr const char* kModel = R"({"name":"m","version":1,"adapters":["a1"]})";
 
 TEST_CASE("A follower learns of servers from the watcher and does not read the store") {
--- a/test/support/fake_key_value_store.h
+++ b/test/support/fake_key_value_store.h
@@ -63,7 +63,7 @@
   std::unique_ptr<WatchHandle> Watch(KeyRange range, std::int64_t start, WatchCallback changed,
                                      WatchEndCallback ended) override {
     watch_ = std::make_shared<Watcher>(Watcher{range, start, std::move(changed), std::move(ended)});
-    if (history_gone)
+    if (history_gone || !table_.CanWatchFrom(start))
       boost::asio::post(context_, [watcher = watch_] {
         if (watcher->running) watcher->ended({PlatformFault::kRejected, "history is gone"});
       });
