Hand-over model and soak with a store that comes back; soak with two builds

Cause: neither the exhaustive model of the hand-over nor the soak knew a store that comes back from an older copy, or gateways of two builds side by side. Change: order_handover_model_test gains returns of three copies at every step; the emulator's store keeps copies and comes back from one of 1 to 10 s, alone or twice within 5 s, beside all other faults; PRODUCTION=COMMIT begins a soak with gateways of that build, made once outside the tree.

--- a/scripts/soak_faults.sh
+++ b/scripts/soak_faults.sh
@@ -2,6 +2,8 @@
 # soak_faults.sh SEED SECONDS [GATEWAYS]: gateways (three) as processes against the emulated platform, with faults
 # from outside: proxies, a store that misbehaves, signals. Ends only what it started. A failed run
 # keeps its folder with all logs; with KEEP_LOGS=1 so does any run.
+# PRODUCTION=COMMIT begins with gateways of that build; each that is started again is of this one. The
+# build is made once, outside the tree.
 # QUARANTINE_SERVERS=0 plays without the quarantine of requests under which servers end.
 set -uo pipefail
 cd "$(dirname "$0")/.."
@@ -12,9 +14,42 @@
 # Copies: a build meanwhile must not change the programs, nor keep them from being started.
 cp build/release/platform/moorfold-gateway build/release/test/moorfold-emulator "$folder"
 declare -a pids
+production=${PRODUCTION:-}
+if [ -n "$production" ]; then
+  built="${XDG_CACHE_HOME:-$HOME/.cache}/moorfold-builds/$production"
+  if [ ! -x "$built/build/platform/moorfold-gateway" ]; then
+    mkdir -p "$built"
+    git archive "$production" | tar -x -C "$built"
+    cmake -S "$built" -B "$built/build" -G Ninja -DCMAKE_BUILD_TYPE=Release -DMOORFOLD_ONLY_GATEWAY=ON >/dev/null
+    cmake --build "$built/build" >/dev/null
+  fi
+  cp "$built/build/platform/moorfold-gateway" "$folder/moorfold-gateway-before"
+fi
+# Which program each gateway runs, and since when all run this build's.
+declare -A programs
+replaced=0
+two_builds_since=""
+two_builds_until=""
+note_builds() {  # NOW
+  [ -n "$production" ] || return 0
+  local before=0 number
+  for number in "${!programs[@]}"; do
+    [ "${programs[$number]}" = moorfold-gateway-before ] && before=$((before + 1))
+  done
+  [ "$replaced" -gt 0 ] && [ -z "$two_builds_since" ] && two_builds_since=$1
+  [ "$before" -eq 0 ] && [ -z "$two_builds_until" ] && two_builds_until=$1
+  return 0
+}
 
 start_gateway() {  # NUMBER
-  "$folder/moorfold-gateway" --settings "$folder/gateway-$1.yaml" \
+  local program=moorfold-gateway
+  if [ -n "$production" ] && [ -z "${programs[$1]:-}" ]; then
+    program=moorfold-gateway-before
+  elif [ "${programs[$1]:-}" = moorfold-gateway-before ]; then
+    replaced=$((replaced + 1))
+  fi
+  programs[$1]=$program
+  "$folder/$program" --settings "$folder/gateway-$1.yaml" \
     >>"$folder/gateway-$1.log" 2>&1 &
   pids[$1]=$!
 }
@@ -56,6 +91,7 @@
     alive "${pids[$each]}" && continue
     wait "${pids[$each]}" 2>/dev/null
     start_gateway "$each"
+    note_builds "$1"
     unset "restarts[$each]"
   done
 }
@@ -97,7 +133,13 @@
   kill -TERM "${pids[$number]}" 2>/dev/null
 done
 wait
-grep -E 'event=(soak|violation)|^crashing requests|^tenants:' "$folder/emulator.log"
+grep -E 'event=(soak|violation)|^crashing requests|^tenants:|^drills:' "$folder/emulator.log"
+if [ -n "$production" ]; then
+  unread=$(cat "$folder"/gateway-*.log | grep -c 'event=datagram_dropped.*received:')
+  broken=$(grep -c event=violation "$folder/emulator.log")
+  lasted=$(awk -v from="${two_builds_since:-0}" -v until="${two_builds_until:-$length}" 'BEGIN{printf "%.0f", until-from}')
+  echo "upgrades: $replaced, daemons of two builds for $lasted s, messages unread $unread, promises broken $broken"
+fi
 if [ "$status" -ne 0 ]; then
   echo "seed $seed failed; its logs are kept in $folder"
   exit 1
--- a/test/emulator/main.cc
+++ b/test/emulator/main.cc
@@ -171,6 +171,20 @@
                            Draw(1, 2));
     }
   }
+  /// Drills: the store is away for a moment and comes back from a copy some seconds old; now and
+  /// then twice within five seconds. Whatever else goes on, so they meet hand-overs, storms and
+  /// releases.
+  Awaitable<void> RunDrills() {
+    while (!stopped_) {
+      co_await Sleep(milliseconds(Draw(5'000, 12'000)));
+      if (stopped_ || Calm()) continue;
+      co_await Drill();
+      if (Draw(0, 3) > 0) continue;
+      co_await Sleep(milliseconds(Draw(200, 4'000)));
+      if (!stopped_ && !Calm()) co_await Drill();
+    }
+  }
+  int drills() const { return drills_; }
   /// Nothing strikes in that time; what struck before has ended by its beginning.
   void KeepCalm(BootClock::time_point from, BootClock::time_point until) {
     calm_.push_back({from - kLongestFault, until});
@@ -319,6 +333,19 @@
     }
   }
 
+  Awaitable<void> Drill() {
+    StoreFaults& store = platform_.store().faults();
+    const milliseconds away(Draw(50, 1'500));
+    Say("store_comes_back");
+    Disturb(-1, away);
+    bool StoreFaults::*const how =
+        Draw(0, 1) == 0 ? &StoreFaults::unavailable : &StoreFaults::silent;
+    store.*how = true;
+    co_await Sleep(away);
+    platform_.store().ComeBackFromCopy(milliseconds(Draw(1'000, 10'000)));
+    store.*how = false;
+    ++drills_;
+  }
   Awaitable<void> ChangeConfigurations(milliseconds length) {
     constexpr milliseconds kEvery{150};
     const auto end = BootClock::now() + length;
@@ -345,6 +372,7 @@
   EmulatedClients& clients_;
   std::mt19937_64 random_;
   std::vector<CalmTime> calm_;
+  int drills_ = 0;
   std::vector<std::size_t> ordinary_;  ///< Numbers of the ordinary servers in use.
   bool stopped_ = false;
 };
@@ -380,6 +408,9 @@
   std::cout << "event=ready" << std::endl;
   EmulatedClients clients(context, platform, processes.addresses, seed);
   FaultPlan faults(platform, processes.addresses, clients, seed);
+  constexpr std::uint64_t kSeedOfDrills =
+      49;  // Drawn apart: the other faults are those of the seed.
+  FaultPlan drills(platform, processes.addresses, clients, seed + kSeedOfDrills);
   platform.checker().OnEndedUnder([](const std::string& ending, const std::string& server) {
     std::cout << "event=server_ended t_us=" << BootClock::now().time_since_epoch().count() / 1'000
               << " server=" << server << " under=\"" << ending << "\"" << std::endl;
@@ -388,15 +419,18 @@
   for (const PlannedSignal& signal : PlanSignals(seed, length, gateways)) {
     boost::asio::co_spawn(context, Expect(signal, processes.addresses), boost::asio::detached);
     if (signal.judged_stop)
-      faults.KeepCalm(began + signal.at - kCalmBefore, began + signal.at + kCalmAfter);
+      for (FaultPlan* plan : {&faults, &drills})
+        plan->KeepCalm(began + signal.at - kCalmBefore, began + signal.at + kCalmAfter);
   }
   clients.SetStaying(true);
   clients.Start(std::max(10, kClientsOfGateway * gateways));
   for (int series = 0; series < kFaultSeries; ++series)
     boost::asio::co_spawn(context, faults.Run(), boost::asio::detached);
   boost::asio::co_spawn(context, faults.RunEndings(), boost::asio::detached);
+  boost::asio::co_spawn(context, drills.RunDrills(), boost::asio::detached);
   context.run_for(length - kFinalFault);
   faults.Stop();
+  drills.Stop();
   context.run_for(kFinalFault - kServeAgain - kLastAnswers);
   const ClientCounts before = clients.counts();
   context.run_for(kServeAgain);
@@ -411,6 +445,9 @@
             << " refused_not_run=" << counts.refused << " unknown=" << counts.unknown
             << " left=" << counts.left << " violations=" << platform.checker().violations().size()
             << std::endl;
+  std::cout << "drills: " << drills.drills() << ", records written again "
+            << platform.store().records_written_again() << ", promises broken "
+            << platform.checker().violations().size() << std::endl;
   const EndingSummary& endings = platform.checker().endings();
   std::cout << "crashing requests: " << endings.requests << "; servers ended by one: most "
             << endings.most_servers << "; sent after it was known: " << endings.sent_when_known
--- a/test/emulator/store_emulator.cc
+++ b/test/emulator/store_emulator.cc
@@ -145,8 +145,14 @@
   table_.RestoreFrom(CopyOfAge(age));
   copies_.clear();
   copies_.push_back({BootClock::now(), table_});
-  for (const KeyValue& entry : before)
-    if (!OfTheSystem(entry.key)) Put(entry.key, entry.value);
+  for (const KeyValue& entry : before) {
+    if (!OfTheSystem(entry.key)) {
+      Put(entry.key, entry.value);
+      continue;
+    }
+    const std::vector<KeyValue> now = table_.Range({entry.key, ""}).entries;
+    if (now.empty() || now.front().value != entry.value) lost_.insert(entry.key);
+  }
   std::vector<std::string> gone;
   for (const KeyValue& entry : table_.Range(Prefix("")).entries) {
     const auto same = [&](const KeyValue& each) { return each.key == entry.key; };
@@ -315,6 +321,9 @@
     transaction.operations.emplace_back(DeleteOperation{std::string(key.as_string())});
   const TransactionResult result = table_.Transact(transaction);
   if (!result.succeeded) return Reply(json::value{{"items", json::array()}}, 412);
+  for (const Operation& operation : transaction.operations)
+    if (const auto* put = std::get_if<PutOperation>(&operation))
+      written_again_ += static_cast<int>(lost_.erase(put->key));
   changed_.NotifyAll();
   return Reply(json::value{{"revision", result.revision.number}});
 }
--- a/test/emulator/store_emulator.h
+++ b/test/emulator/store_emulator.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 
 #include "common/async_signal.h"
@@ -66,6 +67,8 @@
   /// Comes back from a copy of about that age, at most some 10 s. What the operator and the servers
   /// wrote since is written again.
   void ComeBackFromCopy(std::chrono::milliseconds age);
+  /// Of the system, lost by a return from a copy and put again since.
+  int records_written_again() const { return written_again_; }
   std::uint64_t calls() const { return calls_; }
   /// Listings, reads of keys and reads of changes that were answered.
   std::uint64_t reads_answered() const { return reads_answered_; }
@@ -93,7 +96,9 @@
 
   boost::asio::io_context& context_;
   KeyValueTable table_;
-  std::deque<Copy> copies_;  ///< Oldest first.
+  std::deque<Copy> copies_;     ///< Oldest first.
+  std::set<std::string> lost_;  ///< Keys of the system that a copy did not have as they were.
+  int written_again_ = 0;
   WallClock clock_;
   StoreFaults faults_;
   AsyncSignal changed_;
--- a/test/fleet/order_handover_model_test.cc
+++ b/test/fleet/order_handover_model_test.cc
@@ -1,6 +1,7 @@
 // Every interleaving of a small world: three machines that lead in turn, leases that lapse,
-// renewals whose answers are lost, orders under way, planned stops, restarts. The shipped
-// OrderWindow and OrderHistory decide; each rule is also left out in turn, and harm is found.
+// renewals whose answers are lost, orders under way, planned stops, restarts, a store that comes
+// back from an older copy. The shipped OrderWindow, OrderHistory, EraWait and FencingToken decide;
+// each rule is also left out in turn, and harm is found.
 
 #include <array>
 #include <catch2/catch.hpp>
@@ -37,6 +38,11 @@
   bool hand_on_quiet = true;             ///< A leader that still waits hands its wait on.
   bool settle_when_clear = true;  ///< A restarted leader does without the wait only if all is past.
   bool claim_as_decided = true;   ///< A claim is dropped when the key changed since it was decided.
+  bool wait_after_return =
+      true;  ///< A leader of a later era waits out the orders of the one before.
+  bool renewals_name_era = true;  ///< Else a renewal succeeds on a number that is another's by now.
+  bool copies_tell_the_past = true;  ///< What a copy says of its leader is not taken for what is.
+  bool tokens_count_returns = true;  ///< Else tokens are bare revisions, which are given out again.
 };
 
 /// A lease that was granted for a claim which the store carries out later, if at all.
@@ -56,6 +62,8 @@
   Time others_from{};
   bool resigned = false;
   std::optional<PendingClaim> pending;
+  EraWait era_wait{kLease / 2 + milliseconds(600) + kApart + milliseconds(300)};
+  std::int64_t lease_era = 1;
 };
 
 /// The leader key as the store has it.
@@ -66,7 +74,8 @@
   bool settled = false;
   std::optional<OrderHistoryRecord> released;
   Time written{};
-  StoreRevision revision;  ///< Of its newest change; number 0: there is none.
+  StoreRevision revision;       ///< Of its newest change; number 0: there is none.
+  std::int64_t written_in = 1;  ///< The era in which its record was written.
 };
 
 struct Arrival {
@@ -82,6 +91,7 @@
   std::int64_t era = 1;
   std::int64_t revision = 1;
   StoreRevision NextRevision() { return {era, ++revision}; }
+  std::vector<Key> copies;  ///< Of the key, of which one may come back, once.
   std::vector<Arrival> arrivals;
 };
 
@@ -105,6 +115,45 @@
   }
   std::uint64_t visited() const { return visited_; }
 
+  /// "a" has led for long and handed its lead to "b", which has just ordered. Copies of all three
+  /// times may come back.
+  World HandedOver() {
+    World world = FirstOrder(milliseconds(0));
+    world.key.settled = true;
+    world.copies = {Key{}, world.key};
+    world.now += milliseconds(5'000);
+    Machine& leaver = At(world, 0);
+    world.key.released = leaver.history.Write(world.now, leaver.window.order_from());
+    world.key.written = world.now;
+    world.key.revision = world.NextRevision();
+    leaver.window.Lose();
+    world.copies.push_back(world.key);
+    BeginTerm(world, 1);
+    world.now += milliseconds(4'000);
+    At(world, 1).window.Renew(world.now);
+    world.key.lease_ends = world.now + kLease;
+    Send(world, 1, milliseconds(0));
+    return world;
+  }
+
+  /// The store has come back without the key while "b" led, who has not heard of it; "c" has won.
+  /// Where renewals succeed by number, those of "b" have gone on since.
+  World LeaderUnaware() {
+    World world = HandedOver();
+    world.copies.clear();
+    ++world.era;
+    world.key = Key{};
+    for (Machine& machine : world.machines) machine.era_wait.NoteEra(world.era, world.now);
+    BeginTerm(world, 2);
+    for (int renewal = 0; renewal < 3; ++renewal) {
+      world.now += milliseconds(1'499);
+      if (!rules_.renewals_name_era) At(world, 1).window.Renew(world.now);
+      At(world, 2).window.Renew(world.now);
+    }
+    world.key.lease_ends = world.now + kLease;
+    return world;
+  }
+
   /// "a" led and lost its key after its lease; "a" and "b" have both been granted leases to claim
   /// it, and the claim of "a" is done.
   World TwoCandidates() {
@@ -134,7 +183,21 @@
     return world.machines[static_cast<std::size_t>(index)];
   }
 
+  /// The key is as it was in a copy; its lease is there or not, and revisions are given out again.
+  void ComeBack(const World& before, const Key& copy, int steps) {
+    World world = before;
+    world.copies.clear();
+    ++world.era;
+    world.revision = std::max<std::int64_t>(1, copy.revision.number);
+    world.key = copy;
+    if (copy.owner >= 0) world.key.revision.era = world.era;
+    world.key.lease_ends = world.now + kLease;
+    for (Machine& machine : world.machines) machine.era_wait.NoteEra(world.era, world.now);
+    Explore(world, steps);
+  }
+
   void Step(const World& world, int steps) {
+    for (const Key& copy : world.copies) ComeBack(world, copy, steps);
     bool claimed_by_new = false;
     for (int index = 0; index < kMachines && !harm_; ++index) {
       const Machine& machine = world.machines[static_cast<std::size_t>(index)];
@@ -182,8 +245,12 @@
     if (before.now >= machine.pending->granted + kLease) return;  // No such lease.
     World world = before;
     PendingClaim& pending = *At(world, index).pending;
-    if (!rules_.claim_as_decided) pending.claim = LeadershipClaim(world.key.revision);
-    if (pending.claim.condition() != world.key.revision) return;
+    if (!rules_.claim_as_decided)
+      pending.claim =
+          LeadershipClaim(world.key.owner < 0 ? StoreRevision{world.era, 0} : world.key.revision);
+    const StoreRevision now_there =
+        world.key.owner < 0 ? StoreRevision{world.era, 0} : world.key.revision;
+    if (pending.claim.condition() != now_there) return;
     CarryOutClaim(world, index);
     Explore(world, steps);
   }
@@ -221,6 +288,7 @@
   /// The lease of a key that another has taken can be renewed as well as any.
   void Renew(const World& before, int index, int steps) {
     const Machine& machine = before.machines[static_cast<std::size_t>(index)];
+    if (rules_.renewals_name_era && machine.lease_era != before.era) return;
     const bool ours = before.key.owner == index && before.key.token == machine.token;
     const bool overwritten = before.key.owner >= 0 && !ours && !machine.window.Lapsed(before.now);
     if (before.key.released || (!ours && !overwritten)) return;
@@ -242,7 +310,8 @@
     if (!rules_.hand_on_quiet) record.quiet_ms = 0;
     leaver.window.Lose();
     leaver.resigned = true;
-    const bool ours = world.key.owner == index && world.key.token == leaver.token;
+    const bool ours = world.key.owner == index && world.key.token == leaver.token &&
+                      leaver.lease_era == world.era;
     if (!ours) {
       Explore(world, steps);
       return;
@@ -253,18 +322,21 @@
     world.key.released = record;
     world.key.written = world.now;
     world.key.revision = world.NextRevision();
+    world.key.written_in = world.era;
     Explore(world, steps);
   }
 
   void Restart(const World& before, int index, int steps) {
     World world = before;
     At(world, index) = Machine(index);
+    At(world, index).era_wait.NoteEra(world.era, world.now);
     Explore(world, steps);
   }
 
   void Settle(const World& before, int index, int steps) {
     const Machine& machine = before.machines[static_cast<std::size_t>(index)];
-    const bool ours = before.key.owner == index && before.key.token == machine.token;
+    const bool ours = before.key.owner == index && before.key.token == machine.token &&
+                      machine.lease_era == before.era;
     const bool clear = !rules_.settle_when_clear || machine.history.Clear(before.now);
     if (!ours || before.key.settled || !machine.window.Settled(before.now) || !clear) return;
     World world = before;
@@ -287,15 +359,20 @@
 
   void BeginTerm(World& world, int index) {
     Machine& machine = At(world, index);
+    const bool tells_now = !rules_.copies_tell_the_past || world.key.written_in == world.era;
     const bool own = world.key.owner == index && !world.key.released;
+    if (tells_now && world.key.owner >= 0) machine.era_wait.NoteRecord(RecordOf(world));
+    const bool follows_own =
+        !(tells_now && world.key.released) && machine.window.FollowsOwn(world.now, kWaitAfterOther);
     const Time covered = world.now + kApart + milliseconds(900);
     machine.others_from = own && rules_.own_process_unknown ? covered : Time{};
     milliseconds wait = rules_.wait_after_win ? kWaitAfterOther : milliseconds(0);
-    if (world.key.released) {  // The earliest sight of the record is the most dangerous.
+    if (tells_now &&
+        world.key.released) {  // The earliest sight of the record is the most dangerous.
       machine.history.TakeOver(*world.key.released, world.key.written);
       const Time quiet = world.key.written + milliseconds(world.key.released->quiet_ms);
       wait = std::chrono::ceil<milliseconds>(std::max(quiet, world.now) - world.now);
-    } else if (world.key.owner == index && world.key.settled) {
+    } else if (tells_now && world.key.owner == index && world.key.settled) {
       machine.history.Begin();
       wait = kOwnWait;
     } else if (machine.window.FollowsOwn(world.now, kWaitAfterOther)) {
@@ -303,16 +380,31 @@
     } else {
       machine.history.Begin();
     }
-    Win(world, index, world.now + wait);
+    Time order_from = world.now + wait;
+    if (rules_.wait_after_return && !follows_own)
+      order_from = std::max(order_from, machine.era_wait.quiet_until());
+    Win(world, index, order_from);
+  }
+
+  LeaderRecord RecordOf(const World& world) const {
+    LeaderRecord record;
+    record.era = rules_.copies_tell_the_past ? world.key.written_in : world.era;
+    return record;
   }
 
   void Win(World& world, int index, Time order_from) {
     Machine& machine = At(world, index);
     const StoreRevision claimed = world.NextRevision();
-    machine.token = FencingToken(claimed);
+    machine.token = rules_.tokens_count_returns ? FencingToken(claimed) : claimed.number;
+    machine.lease_era = world.era;
     machine.window.Win(world.now, order_from);
-    world.key =
-        Key{index, machine.token, world.now + kLease, false, std::nullopt, world.now, claimed};
+    world.key = Key{};
+    world.key.owner = index;
+    world.key.token = machine.token;
+    world.key.lease_ends = world.now + kLease;
+    world.key.written = world.now;
+    world.key.revision = claimed;
+    world.key.written_in = world.era;
     for (int other = 0; other < kMachines; ++other)
       if (other != index) At(world, other).window.NoteOtherTerm();
   }
@@ -385,5 +477,27 @@
   }
 }
 
+std::optional<std::string> ExploreReturns(const Rules& rules, int steps) {
+  Explorer explorer(rules);
+  return explorer.Explore(explorer.HandedOver(), steps);
+}
+
+std::optional<std::string> ExploreUnaware(const Rules& rules, int steps) {
+  Explorer explorer(rules);
+  return explorer.Explore(explorer.LeaderUnaware(), steps);
+}
+
+TEST_CASE("No schedule does harm where the store comes back from an older copy at any step") {
+  CHECK(ExploreReturns({}, 4) == std::nullopt);
+  CHECK(ExploreUnaware({}, 4) == std::nullopt);
+}
+
+TEST_CASE("Without any one of the rules for a store that comes back, some schedule does harm") {
+  CHECK(ExploreReturns({.wait_after_return = false}, 4).has_value());
+  CHECK(ExploreUnaware({.renewals_name_era = false}, 4).has_value());
+  CHECK(ExploreReturns({.copies_tell_the_past = false}, 4).has_value());
+  CHECK(ExploreReturns({.tokens_count_returns = false}, 4).has_value());
+}
+
 }  // namespace
 }  // namespace moorfold
