A store that tells no era, or era 0, has not come back: tokens and waits count from there

Cause: the first told era was taken for one without a return. Ruled out: counting from 1 and from 0 both; the era alone must say it, since a daemon that starts after a return remembers nothing.

--- a/src/fleet/fencing_token.h
+++ b/src/fleet/fencing_token.h
@@ -19,7 +19,7 @@
 /// fences sees rising numbers and no more.
 /// @return at most kGreatestToken, which two million returns reach.
 constexpr std::int64_t FencingToken(const StoreRevision& claimed_at) {
-  const std::int64_t returns = std::max<std::int64_t>(0, claimed_at.era - kLastEraWithoutReturn);
+  const std::int64_t returns = std::max<std::int64_t>(0, claimed_at.era - kEraWithoutReturn);
   const std::int64_t number = std::min(claimed_at.number, kTokensOfAnEra - 1);
   constexpr std::int64_t kMostReturns = kGreatestToken / kTokensOfAnEra;
   return std::min(returns, kMostReturns) * kTokensOfAnEra + number;
--- a/src/fleet/leader_election.h
+++ b/src/fleet/leader_election.h
@@ -78,7 +78,7 @@
   void NoteEra(std::int64_t era, Time now) {
     if (era_ && era <= *era_) return;
     era_ = era;
-    if (era > kLastEraWithoutReturn) quiet_until_ = now + orders_end_after_;
+    if (era != kEraWithoutReturn) quiet_until_ = now + orders_end_after_;
   }
   /// A leader's record that tells of this era is of a leader that has waited itself, or hands on
   /// what is left to wait.
--- a/src/ports/store_revision.h
+++ b/src/ports/store_revision.h
@@ -9,8 +9,8 @@
 /// Stands for the era of what a build that knows no eras has written: earlier than any other.
 inline constexpr std::int64_t kEraUntold = -1;
 
-/// A store that never came back from a copy is in its first era, or says nothing of eras.
-inline constexpr std::int64_t kLastEraWithoutReturn = 1;
+/// A store that never came back from a copy counts no return, or says nothing of eras.
+inline constexpr std::int64_t kEraWithoutReturn = 0;
 
 /// A point in the history of a key-value store. A store that comes back from an older copy of
 /// itself gives its revisions out again: only with the era, which counts those returns, can two of
