--- a/src/common/bounded_archive.h
+++ b/src/common/bounded_archive.h
@@ -13,8 +13,8 @@
 
 /// Layouts of bodies of messages that have landed without a format of their own.
 enum class BodyLayout : std::uint8_t {
-  kWithLives,    ///< Servers and notices state a server's life: all builds from f8f162a on.
-  kWithoutLives  ///< Builds up to 1cbede5.
+  kWithLives,    ///< Servers and notices state a server's life.
+  kWithoutLives  ///< They do not, in the oldest builds that are read (test/fleet/golden).
 };
 
 /// Reads what cereal's PortableBinaryOutputArchive has written on a machine of the same byte order.
