Servers by model, and daemons that do not choose alike

Ruled out: choice at random a request (connections would not be used again). Change: the directory knows who may hold a model; a daemon without prompts to keep prefers servers of its own by a hash of both names, by less than one more request costs. Measured: test "Daemons that know the same spread" (600 daemons, 60 servers; before, one server).

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -286,7 +286,7 @@
   // A refusal that does not say "not run" must not reach the client as one: it would be a promise.
   const bool unusable = refused || (failed && !last_attempt) || (!success && request.head_sent);
   if (unusable) co_return ForwardResult{ForwardEnd::kMayHaveRun, status, "it failed"};
-  if (success) server.prompts().Remember(request.model, request.parts);
+  if (success) server.RememberPrompt(request.model, request.parts);
   ForwardResult result;
   if (success && request.route->type == RouteType::kStream)
     result = co_await PassStream(exchange, request, std::move(headers));
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -277,6 +277,7 @@
 ServerPtr RequestPipeline::ChooseOnce(GatewayRequest& request, NoServerReason& reason) const {
   ChoiceRequest wanted{request.service, request.model, request.parts, settings_.zone,
                        request.failed_servers};
+  wanted.chooser = settings_.name;
   for (const ServerRefusal& refusal : request.refusals)
     if (BootClock::now() < refusal.until) wanted.excluded.push_back(refusal.server_id);
   if (quarantine_.book().Known(request.fingerprint) && !LimitSuspect(request, wanted)) {
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -26,6 +26,7 @@
   std::string zone;
   std::chrono::milliseconds retry_window{10'000};
   double retry_ratio = 0.2;  ///< Of the whole fleet.
+  std::string name = {};     ///< Of this daemon.
 };
 
 /// The path of a request: route, choose a server, attempt, decide what follows, answer. Whatever is
--- a/src/gateway/server_choice.cc
+++ b/src/gateway/server_choice.cc
@@ -14,6 +14,9 @@
 constexpr double kWaitingModelRequestMs = 60;  ///< Each waiting one is read before ours.
 constexpr double kPlainRequestMs = 20;         ///< Of a request at a full server without models.
 constexpr double kSpreadMs = 25;  ///< Daemons without knowledge of a prompt agree on a server.
+/// Daemons without prompts to keep each prefer servers of their own: where all take the first of
+/// equal cost, a large fleet sends everything to a few. Less than one more request costs.
+constexpr double kOwnSpreadMs = 1;
 
 std::uint64_t Mix(std::uint64_t hash, const std::string& text) {
   constexpr std::uint64_t kPrime = 1099511628211ULL;
@@ -21,16 +24,31 @@
   return hash;
 }
 
-/// Between 0 and 1, the same at every daemon for one shared prompt and one server.
-double AgreedSpread(const ChoiceRequest& request, const std::string& server_id) {
-  constexpr std::uint64_t kBasis = 14695981039346656037ULL;
+constexpr std::uint64_t kBasis = 14695981039346656037ULL;
+
+/// @return between 0 and 1.
+double Fraction(std::uint64_t hash) {
   constexpr unsigned kTopBits = 40;
   constexpr double kRange = 1 << 24;
+  return static_cast<double>(hash >> kTopBits) / kRange;
+}
+
+/// Between 0 and 1, the same for one daemon and one server.
+double OwnSpread(const ChoiceRequest& request, const std::string& server_id) {
+  // Short texts that differ in their last letter differ in few bits of the sum.
+  constexpr unsigned kShift = 29;
+  constexpr std::uint64_t kMultiplier = 0x9e3779b97f4a7c15ULL;
+  std::uint64_t hash = Mix(Mix(kBasis, request.chooser), server_id);
+  hash = (hash ^ (hash >> kShift)) * kMultiplier;
+  return Fraction(hash);
+}
+
+/// Between 0 and 1, the same at every daemon for one shared prompt and one server.
+double AgreedSpread(const ChoiceRequest& request, const std::string& server_id) {
   std::uint64_t hash = Mix(Mix(kBasis, request.model.model), request.model.adapter);
   for (std::size_t part = 0; part + 1 < request.parts.size(); ++part)
     hash = Mix(hash, request.parts[part].id);
-  hash = Mix(hash, server_id);
-  return static_cast<double>(hash >> kTopBits) / kRange;
+  return Fraction(Mix(hash, server_id));
 }
 
 double TotalTokens(const std::vector<PromptPart>& parts) {
@@ -42,13 +60,14 @@
 double QueueMs(const Server& server, const ChoiceRequest& request, SteadyTime now) {
   const double requests = server.ExpectedRequests(now);
   if (request.model.model.empty())
-    return kPlainRequestMs * requests / std::max(1U, server.record().slots);
+    return kPlainRequestMs * requests / std::max(1U, server.record().slots) +
+           kOwnSpreadMs * OwnSpread(request, server.record().id);
   return kRunningModelRequestMs * requests + kWaitingModelRequestMs * server.ExpectedWaiting(now);
 }
 
 double PromptMs(const Server& server, const ChoiceRequest& request) {
   if (request.parts.empty()) return 0;
-  const double kept = server.prompts().KeptTokens(request.model, request.parts);
+  const double kept = server.KeptTokens(request.model, request.parts);
   const double unread = TotalTokens(request.parts) - kept;
   return unread / kPrefillTokensPerMs + kSpreadMs * AgreedSpread(request, server.record().id);
 }
@@ -69,10 +88,12 @@
 Choice ChooseServer(const ServerDirectory& directory, const ChoiceRequest& request,
                     SteadyTime now) {
   Choice best;
-  const std::vector<ServerPtr>& servers = directory.Of(request.service);
-  best.reason = servers.empty() ? NoServerReason::kUnknownService : NoServerReason::kModelNotHeld;
-  for (const ServerPtr& server : servers) {
-    if (!request.model.model.empty() && !server->Holds(request.model, now)) continue;
+  const bool known = !directory.Of(request.service).empty();
+  best.reason = known ? NoServerReason::kModelNotHeld : NoServerReason::kUnknownService;
+  const bool of_model = !request.model.model.empty();
+  for (const ServerPtr& server : of_model ? directory.Holding(request.service, request.model.model)
+                                          : directory.Of(request.service)) {
+    if (of_model && !server->Holds(request.model, now)) continue;
     if (Contains(request.excluded_versions, server->record().software_version)) {
       if (best.reason != NoServerReason::kAllUnusable) best.reason = NoServerReason::kQuarantined;
       continue;
--- a/src/gateway/server_choice.h
+++ b/src/gateway/server_choice.h
@@ -16,6 +16,7 @@
   std::vector<std::string> excluded;  ///< Servers that have failed this request.
   /// Of the servers' software: such servers end under this request.
   std::vector<std::string> excluded_versions = {};
+  std::string chooser = {};  ///< Name of this daemon.
 };
 
 /// Why there is no server for a request.
--- a/src/gateway/server_directory.cc
+++ b/src/gateway/server_directory.cc
@@ -13,6 +13,11 @@
 constexpr std::chrono::milliseconds kStatedLoadLife{1'000};
 constexpr double kErrorWeight = 0.2;  ///< Of the newest answer in the share of failures.
 
+bool Names(const ServerRecord& record, const std::string& model) {
+  return std::any_of(record.models.begin(), record.models.end(),
+                     [&](const HeldModel& held) { return held.name == model; });
+}
+
 }  // namespace
 
 std::uint64_t RecentPrompts::Hash(std::uint64_t before, const std::string& part) {
@@ -138,26 +143,61 @@
   return now - stated_at_ > kStatedLoadLife ? 0 : stated_waiting_;
 }
 
+void Server::RememberPrompt(const ModelReference& model, const std::vector<PromptPart>& parts) {
+  if (!prompts_) prompts_ = std::make_unique<RecentPrompts>();
+  prompts_->Remember(model, parts);
+}
+
+double Server::KeptTokens(const ModelReference& model, const std::vector<PromptPart>& parts) const {
+  return prompts_ ? prompts_->KeptTokens(model, parts) : 0;
+}
+
 bool ServerDirectory::Put(ServerRecord record, SteadyTime now) {
   const auto found = by_id_.find(record.id);
   if (found != by_id_.end()) {
-    const ServerRecord& known = found->second->record();
-    if (IsLaterLife(known.life, record.life)) return false;
-    if (known.service == record.service && !IsLaterLife(record.life, known.life)) {
-      found->second->Update(std::move(record), now);
+    const ServerPtr known = found->second;
+    const ServerRecord& before = known->record();
+    if (IsLaterLife(before.life, record.life)) return false;
+    if (before.service == record.service && !IsLaterLife(record.life, before.life)) {
+      Reindex(known, record);
+      known->Update(std::move(record), now);
       return true;
     }
-    Remove(record.id);
+    Remove(before.id);
   }
   auto server = std::make_shared<Server>(std::move(record));
   by_id_[server->record().id] = server;
-  by_service_[server->record().service].push_back(server);
+  by_service_[server->record().service].servers.push_back(server);
+  for (const HeldModel& held : server->record().models) Index(server, held.name);
   return true;
 }
 
+void ServerDirectory::NoteHeld(const ServerPtr& server, const ModelReference& model,
+                               SteadyTime now) {
+  server->NoteHeld(model, now);
+  Index(server, model.model);
+}
+
+void ServerDirectory::Index(const ServerPtr& server, const std::string& model) {
+  Servers& holding = by_service_[server->record().service].by_model[model];
+  if (std::find(holding.begin(), holding.end(), server) == holding.end()) holding.push_back(server);
+}
+
+void ServerDirectory::Reindex(const ServerPtr& server, const ServerRecord& next) {
+  const ServerRecord& before = server->record();
+  Service& service = by_service_[before.service];
+  for (const HeldModel& held : before.models)
+    if (!Names(next, held.name)) std::erase(service.by_model[held.name], server);
+  for (const HeldModel& held : next.models)
+    if (!Names(before, held.name)) Index(server, held.name);
+}
+
 void ServerDirectory::Drop(const ServerPtr& server) {
   server->NoteGone();
-  std::erase(by_service_[server->record().service], server);
+  Service& service = by_service_[server->record().service];
+  std::erase(service.servers, server);
+  // A note may have put it under models that its record does not name.
+  for (auto& [model, holding] : service.by_model) std::erase(holding, server);
 }
 
 void ServerDirectory::Remove(const std::string& id) {
@@ -172,10 +212,19 @@
   return found == by_id_.end() ? nullptr : found->second;
 }
 
-const std::vector<ServerPtr>& ServerDirectory::Of(const std::string& service) const {
-  static const std::vector<ServerPtr> kNone;
+const ServerDirectory::Servers& ServerDirectory::Of(const std::string& service) const {
+  static const Servers kNone;
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? kNone : found->second.servers;
+}
+
+const ServerDirectory::Servers& ServerDirectory::Holding(const std::string& service,
+                                                         const std::string& model) const {
+  static const Servers kNone;
   const auto found = by_service_.find(service);
-  return found == by_service_.end() ? kNone : found->second;
+  if (found == by_service_.end()) return kNone;
+  const auto holding = found->second.by_model.find(model);
+  return holding == found->second.by_model.end() ? kNone : holding->second;
 }
 
 }  // namespace moorfold
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -44,8 +45,6 @@
   void Update(ServerRecord record, SteadyTime now);
 
   bool Holds(const ModelReference& model, SteadyTime now) const;
-  /// Notes that the model or adapter stands there now; the record follows later.
-  void NoteHeld(const ModelReference& model, SteadyTime now);
   /// The model cannot be asked for there, though the record may say so: an order on it is under
   /// way.
   /// @param life how long to believe it over the record.
@@ -83,16 +82,20 @@
   double ExpectedRequests(SteadyTime now) const;
   double ExpectedWaiting(SteadyTime now) const;
 
-  RecentPrompts& prompts() { return prompts_; }
-  const RecentPrompts& prompts() const { return prompts_; }
+  /// Notes that the request's prompt was sent there.
+  void RememberPrompt(const ModelReference& model, const std::vector<PromptPart>& parts);
+  /// @return tokens of the longest run of leading parts that this daemon lately sent there.
+  double KeptTokens(const ModelReference& model, const std::vector<PromptPart>& parts) const;
 
  private:
+  friend class ServerDirectory;  ///< Its index has to know what a note adds.
   struct NotedModel {
     ModelReference model;
     SteadyTime until;
     bool held = true;
   };
   const NotedModel* FindNote(const ModelReference& model, SteadyTime now) const;
+  void NoteHeld(const ModelReference& model, SteadyTime now);
   bool InRecord(const ModelReference& model) const;
   void Note(const ModelReference& model, SteadyTime until, bool held, SteadyTime now);
 
@@ -109,27 +112,45 @@
   double stated_waiting_ = 0;
   std::uint32_t in_flight_when_stated_ = 0;
   SteadyTime stated_at_{};
-  RecentPrompts prompts_;
+  /// Null until the first prompt: most daemons of a large fleet never use most of its servers.
+  std::unique_ptr<RecentPrompts> prompts_;
 };
 using ServerPtr = std::shared_ptr<Server>;
 
-/// All servers that the store names. One thread.
+/// All servers that the store names, with an index of who may hold which model: what a request's
+/// choice looks at does not grow with servers that do not hold its model. One thread.
 class ServerDirectory {
  public:
+  using Servers = std::vector<ServerPtr>;
+  /// In the order of their ids, so that they can be told piece by piece.
+  using ById = std::map<std::string, ServerPtr>;
+
   /// Takes what a server says now. A later life of it is another server; what an earlier life says
   /// changes nothing.
   /// @return whether it was taken.
   bool Put(ServerRecord record, SteadyTime now);
   void Remove(const std::string& id);
+  /// Notes that the model or adapter stands there now; the record follows later.
+  void NoteHeld(const ServerPtr& server, const ModelReference& model, SteadyTime now);
   ServerPtr Find(const std::string& id) const;
-  const std::vector<ServerPtr>& Of(const std::string& service) const;
-  const std::unordered_map<std::string, ServerPtr>& all() const { return by_id_; }
+  const Servers& Of(const std::string& service) const;
+  /// @return the service's servers whose records or notes name the model, and some whose notes have
+  /// lapsed: whether one holds it is asked of the server.
+  const Servers& Holding(const std::string& service, const std::string& model) const;
+  const ById& all() const { return by_id_; }
 
  private:
+  struct Service {
+    Servers servers;
+    std::unordered_map<std::string, Servers> by_model;
+  };
+  void Index(const ServerPtr& server, const std::string& model);
+  /// The server's next record names other models.
+  void Reindex(const ServerPtr& server, const ServerRecord& next);
   void Drop(const ServerPtr& server);
 
-  std::unordered_map<std::string, ServerPtr> by_id_;
-  std::unordered_map<std::string, std::vector<ServerPtr>> by_service_;
+  ById by_id_;
+  std::unordered_map<std::string, Service> by_service_;
 };
 
 }  // namespace moorfold
--- a/test/gateway/request_pipeline_test.cc
+++ b/test/gateway/request_pipeline_test.cc
@@ -387,7 +387,8 @@
   bool waiting = false;
   while (!waiting) fixture.OnThread([&] { waiting = fixture.view().demand.Waiting() > 0; });
   fixture.OnThread([&] {
-    fixture.view().servers.Find("i-1")->NoteHeld({"m", "a1"}, BootClock::now());
+    ServerDirectory& servers = fixture.view().servers;
+    servers.NoteHeld(servers.Find("i-1"), {"m", "a1"}, BootClock::now());
     fixture.view().changed.NotifyAll();
   });
   CHECK(answer.get().ends_with("loaded"));
--- a/test/gateway/server_choice_test.cc
+++ b/test/gateway/server_choice_test.cc
@@ -1,6 +1,7 @@
 #include "gateway/server_choice.h"
 
 #include <catch2/catch.hpp>
+#include <map>
 
 namespace moorfold {
 namespace {
@@ -95,7 +96,7 @@
   CHECK(Chosen(directory, MakeRequest("m/a2")).empty());
   CHECK(ChooseServer(directory, MakeRequest("n"), kNow).reason == NoServerReason::kModelNotHeld);
   SECTION("a notice comes before the record") {
-    server->NoteHeld({"m", "a2"}, kNow);
+    directory.NoteHeld(server, {"m", "a2"}, kNow);
     CHECK(Chosen(directory, MakeRequest("m/a2")) == "i");
     CHECK(Chosen(directory, MakeRequest("m/a2"), kNow + seconds(30)).empty());
   }
@@ -119,10 +120,10 @@
     ServerDirectory fresh;
     fresh.Put(MakeRecord("i"), kNow);
     fresh.Put(MakeRecord("j"), kNow);
-    fresh.Find(id)->prompts().Remember({"m", ""}, {{"shared", 6000}, {"other", 9}});
+    fresh.Find(id)->RememberPrompt({"m", ""}, {{"shared", 6000}, {"other", 9}});
     CHECK(Chosen(fresh, request) == id);
     request.model.adapter = "a1";  // Another adapter's memory does not serve.
-    CHECK(fresh.Find(id)->prompts().KeptTokens(request.model, request.parts) == 0);
+    CHECK(fresh.Find(id)->KeptTokens(request.model, request.parts) == 0);
     request.model.adapter.clear();
   }
   // Daemons that know nothing agree.
@@ -142,5 +143,55 @@
   CHECK(prompts.KeptTokens({"m", ""}, {{"999", 1}}) == 1);
 }
 
+/// @return how many of so many daemons, which know the same, choose each server.
+std::map<std::string, int> ChoicesOf(int daemons, const ServerDirectory& directory,
+                                     ChoiceRequest request) {
+  std::map<std::string, int> chosen;
+  for (int daemon = 0; daemon < daemons; ++daemon) {
+    request.chooser = "edge-" + std::to_string(daemon);
+    ++chosen[Chosen(directory, request)];
+  }
+  return chosen;
+}
+
+TEST_CASE("Daemons that know the same spread over servers without models") {
+  constexpr int kServers = 60;
+  constexpr int kDaemons = 600;
+  ServerDirectory directory;
+  for (int server = 0; server < kServers; ++server) {
+    ServerRecord record = MakeRecord("i-" + std::to_string(server));
+    record.models.clear();
+    directory.Put(record, kNow);
+  }
+  const std::map<std::string, int> chosen = ChoicesOf(kDaemons, directory, MakeRequest());
+  CHECK(chosen.size() > kServers * 9 / 10);
+  for (const auto& [server, count] : chosen) {
+    CAPTURE(server);
+    CHECK(count < 4 * kDaemons / kServers);
+  }
+}
+
+TEST_CASE("Whoever holds a model is found among it alone, whatever its record becomes") {
+  ServerDirectory directory;
+  for (int server = 0; server < 100; ++server) {
+    ServerRecord record = MakeRecord("i-" + std::to_string(server));
+    record.models = {{"m" + std::to_string(server % 50), {}}};
+    directory.Put(record, kNow);
+  }
+  const std::string service = directory.Find("i-0")->record().service;
+  CHECK(directory.Holding(service, "m7").size() == 2);
+  ServerRecord moved = directory.Find("i-7")->record();
+  moved.models = {{"m8", {}}, {"m9", {}}};
+  directory.Put(moved, kNow);
+  CHECK(directory.Holding(service, "m7").size() == 1);
+  CHECK(directory.Holding(service, "m8").size() == 3);
+  directory.NoteHeld(directory.Find("i-7"), {"m7", "a1"}, kNow);
+  CHECK(directory.Holding(service, "m7").size() == 2);
+  directory.Remove("i-7");
+  CHECK(directory.Holding(service, "m7").size() == 1);
+  CHECK(directory.Holding(service, "m9").size() == 2);
+  CHECK(directory.Holding(service, "m7").front()->record().id == "i-57");
+}
+
 }  // namespace
 }  // namespace moorfold
