--- a/src/common/log_event.h
+++ b/src/common/log_event.h
@@ -47,6 +47,8 @@
   kQuarantineNotStored,
   kSharing,
   kSharingNotStored,
+  kRelayPlan,
+  kRelayPlanNotStored,
   kDatagramDropped,
   kLogLinesLeftOut,
 };
@@ -85,6 +87,8 @@
                                               "quarantine_not_stored",
                                               "sharing",
                                               "sharing_not_stored",
+                                              "relay_plan",
+                                              "relay_plan_not_stored",
                                               "datagram_dropped",
                                               "log_lines_left_out"};
 
@@ -153,6 +157,7 @@
   kPools,
   kEra,
   kFormat,
+  kRelays,
 };
 inline constexpr std::array kLogFieldNames = {"id",
                                               "ids",
@@ -217,7 +222,8 @@
                                               "daemons",
                                               "pools",
                                               "era",
-                                              "format"};
+                                              "format",
+                                              "relays"};
 
 /// @return the name as it stands in the log.
 constexpr const char* Name(LogEvent event) {
@@ -227,7 +233,7 @@
   return kLogFieldNames[static_cast<std::size_t>(field)];
 }
 static_assert(kLogEventNames.size() == static_cast<std::size_t>(LogEvent::kLogLinesLeftOut) + 1);
-static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kFormat) + 1);
+static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kRelays) + 1);
 
 /// One line of a gateway's log, made only of listed events and fields.
 class EventLine {
--- a/src/fleet/demand_channel.cc
+++ b/src/fleet/demand_channel.cc
@@ -69,7 +69,7 @@
     reporters_[from_] = BootClock::now();
     handlers_.reported(std::move(*report));
   } else if (const auto* notice = std::get_if<PlacementNotice>(&message)) {
-    handlers_.noticed(*notice);
+    handlers_.noticed(*notice, from);
   } else if (const auto* answer = std::get_if<ChangeAnswer>(&message)) {
     handlers_.answered(*answer, from);
   } else if (const auto* cases = std::get_if<QuarantineNotice>(&message)) {
@@ -80,6 +80,12 @@
     handlers_.credit_asked(*credit, from);
   } else if (const auto* granted = std::get_if<CreditAnswer>(&message)) {
     handlers_.credit_answered(*granted, from);
+  } else if (const auto* plan = std::get_if<RelayPlan>(&message)) {
+    handlers_.planned(*plan);
+  } else if (const auto* servers = std::get_if<ServersQuestion>(&message)) {
+    handlers_.servers_asked(*servers, from);
+  } else if (const auto* page = std::get_if<ServersPage>(&message)) {
+    handlers_.servers_answered(*page, from);
   } else {
     handlers_.offered(std::get<LeadershipOffer>(message));
   }
--- a/src/fleet/demand_channel.h
+++ b/src/fleet/demand_channel.h
@@ -26,7 +26,8 @@
 class DemandChannel {
  public:
   using ReportHandler = std::function<void(DemandReport)>;
-  using NoticeHandler = std::function<void(const PlacementNotice&)>;
+  /// @param from "IP:PORT" of the sender.
+  using NoticeHandler = std::function<void(const PlacementNotice&, const std::string& from)>;
   /// @param from "IP:PORT" of the sender.
   using AnswerHandler = std::function<void(const ChangeAnswer&, const std::string& from)>;
   using QuarantineHandler = std::function<void(const QuarantineNotice&, const std::string& from)>;
@@ -34,6 +35,10 @@
   using SharingHandler = std::function<void(const CreditSharing&, const std::string& from)>;
   using CreditQuestionHandler = std::function<void(const CreditQuestion&, const std::string& from)>;
   using CreditAnswerHandler = std::function<void(const CreditAnswer&, const std::string& from)>;
+  using RelayPlanHandler = std::function<void(const RelayPlan&)>;
+  using ServersQuestionHandler =
+      std::function<void(const ServersQuestion&, const std::string& from)>;
+  using ServersPageHandler = std::function<void(const ServersPage&, const std::string& from)>;
   using OfferHandler = std::function<void(const LeadershipOffer&)>;
   /// Hears why a datagram could not be sent.
   using DropHandler = std::function<void(const std::string& problem)>;
@@ -50,6 +55,9 @@
     SharingHandler shared;
     CreditQuestionHandler credit_asked;
     CreditAnswerHandler credit_answered;
+    RelayPlanHandler planned;
+    ServersQuestionHandler servers_asked;
+    ServersPageHandler servers_answered;
     DropHandler dropped;
     UnreadHandler unread;
   };
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -19,6 +19,7 @@
 #include "fleet/order_history.h"
 #include "quarantine/quarantine_messages.h"
 #include "relay/relay_messages.h"
+#include "relay/relay_plan.h"
 #include "tenants/credit_messages.h"
 
 namespace moorfold {
@@ -27,7 +28,11 @@
 enum class AddedField : std::uint16_t {
   /// Of each revision in the message, or of the time at which the record was written. A message
   /// without it is of a build that knows no eras: kEraUntold.
-  kStoreEra = 1
+  kStoreEra = 1,
+  kZone = 2,           ///< Of a report: DemandReport::zone.
+  kRelayPlan = 3,      ///< Of a report: DemandReport::relay_plan.
+  kPartial = 4,        ///< Of an answer: ChangeAnswer::partial.
+  kLeaderAddress = 5,  ///< Of an answer: ChangeAnswer::leader, as PackAddress writes it.
 };
 
 /// What stands under the leader key. The key hangs on the leader's lease.
@@ -67,6 +72,10 @@
   std::optional<ChangeQuestion> question;  ///< What has changed in the store; in the last part.
   std::uint64_t quarantine_digest = 0;     ///< Of the sender's case book.
   std::uint16_t format = kMessageFormat;   ///< In which the sender's build writes.
+  ZoneId zone = 0;                         ///< Of the sender; 0: not told. An added field.
+  /// Number of the newest plan of relays that the sender knows; nothing from a build that knows no
+  /// relays. An added field.
+  std::optional<std::int64_t> relay_plan;
 
   template <typename Archive>
   void serialize(Archive& archive) {
@@ -100,8 +109,10 @@
   }
 };
 
+/// The last three are understood by builds that know relays (DemandReport::relay_plan).
 using FleetMessage = std::variant<DemandReport, PlacementNotice, ChangeAnswer, LeadershipOffer,
-                                  QuarantineNotice, CreditSharing, CreditQuestion, CreditAnswer>;
+                                  QuarantineNotice, CreditSharing, CreditQuestion, CreditAnswer,
+                                  RelayPlan, ServersQuestion, ServersPage>;
 
 template <typename Archive>
 void serialize(Archive& archive, ModelReference& name) {
@@ -132,21 +143,49 @@
 inline void ReadAdded(LeaderRecord& record, const FormattedMessage& message) {
   record.era = EraOf(message);
 }
+inline std::optional<std::int64_t> FindAdded(const FormattedMessage& message, AddedField field) {
+  return message.added.Find(static_cast<std::uint16_t>(field));
+}
+inline void PutAdded(AddedFields& added, AddedField field, std::int64_t value) {
+  added.Put(static_cast<std::uint16_t>(field), value);
+}
+
+/// @return "IP:PORT" of a version 4 address as a number; 0 for anything else.
+std::int64_t PackAddress(const std::string& address);
+/// @return the same address; empty for 0.
+std::string UnpackAddress(std::int64_t packed);
+
 inline void WriteAdded(const DemandReport& report, AddedFields& added) {
   if (report.question) PutEra(added, report.question->revision.era);
+  if (report.zone != 0) PutAdded(added, AddedField::kZone, report.zone);
+  if (report.relay_plan) PutAdded(added, AddedField::kRelayPlan, *report.relay_plan);
 }
 inline void ReadAdded(DemandReport& report, const FormattedMessage& message) {
   report.format = message.format;
+  report.zone = FindAdded(message, AddedField::kZone).value_or(0);
+  report.relay_plan = FindAdded(message, AddedField::kRelayPlan);
   if (report.question) report.question->revision.era = EraOf(message);
 }
 inline void WriteAdded(const ChangeAnswer& answer, AddedFields& added) {
   PutEra(added, answer.to_revision.era);
+  if (answer.partial) PutAdded(added, AddedField::kPartial, 1);
+  if (!answer.leader.empty())
+    PutAdded(added, AddedField::kLeaderAddress, PackAddress(answer.leader));
 }
 inline void ReadAdded(ChangeAnswer& answer, const FormattedMessage& message) {
   const std::int64_t era = EraOf(message);
   answer.from_revision.era = era;
   answer.to_revision.era = era;
   for (ServerChange& change : answer.servers) change.revision.era = era;
+  answer.partial = FindAdded(message, AddedField::kPartial).value_or(0) != 0;
+  answer.leader = UnpackAddress(FindAdded(message, AddedField::kLeaderAddress).value_or(0));
+}
+inline void WriteAdded(const ServersPage& page, AddedFields& added) {
+  PutEra(added, page.revision.era);
+}
+inline void ReadAdded(ServersPage& page, const FormattedMessage& message) {
+  page.revision.era = EraOf(message);
+  for (ServerChange& change : page.servers) change.revision.era = page.revision.era;
 }
 inline void WriteAdded(const FleetMessage& message, AddedFields& added) {
   std::visit([&](const auto& content) { WriteAdded(content, added); }, message);
--- a/src/gateway/counting_store.cc
+++ b/src/gateway/counting_store.cc
@@ -27,6 +27,10 @@
   store_.Range(std::move(range), consistency, Counted(call, std::move(done)));
 }
 
+void CountingStore::RangePage(KeyRange range, Callback<RangeResult> done) {
+  store_.RangePage(std::move(range), Counted("range_page", std::move(done)));
+}
+
 void CountingStore::Transact(Transaction transaction, Callback<TransactionResult> done) {
   store_.Transact(std::move(transaction), Counted("transact", std::move(done)));
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -25,6 +25,8 @@
 /// By then the server's record shows that the model is gone, or that it stayed.
 constexpr milliseconds kUnloadSettles{5'000};
 constexpr milliseconds kReportPause{60};
+/// A daemon without demand that follows relays tells the leader so often that it is there.
+constexpr milliseconds kPresenceEvery{3'000};
 /// Share of the tighter staleness bound that passes between two reads of the store; the rest is for
 /// the calls, for requests on their way, and for a weak machine. With all of the bound but
 /// 0.9 s as the pause, servers were used too late on two days of six of a fleet of 86 daemons.
@@ -35,6 +37,11 @@
 /// Two reads for which there is a reason, as a newer configuration, lie at least so far apart: with
 /// a question's interval that is still within `kReadShare` of a bound of 3 s or more.
 constexpr double kUrgentReadShare = 0.35;
+/// Silence of all relays after which a daemon reads the store for servers: what is left of the
+/// bound has to do for the read.
+constexpr double kRelayPatienceShare = 0.7;
+constexpr double kRelayPatienceSpread = 0.15;  ///< Added to it, from none to all of it.
+constexpr std::size_t kSpreadSteps = 1'000;
 /// Answers to older questions are not waited for.
 constexpr std::size_t kQuestionsOpen = 4;
 constexpr milliseconds kHousekeeping{500};
@@ -69,7 +76,13 @@
   const auto share = [&](double part) {
     return std::chrono::duration_cast<milliseconds>(bound * part);
   };
-  return {share(kReadShare), share(kWatcherReadShare), share(kUrgentReadShare)};
+  follow::Settings wanted{share(kReadShare), share(kWatcherReadShare), share(kUrgentReadShare)};
+  // Where relays are lost, daemons do not all read the store at the same moment.
+  const double spread =
+      static_cast<double>(std::hash<std::string>{}(settings.name) % kSpreadSteps) /
+      static_cast<double>(kSpreadSteps);
+  wanted.relay_patience = share(kRelayPatienceShare + kRelayPatienceSpread * spread);
+  return wanted;
 }
 
 quarantine::Settings QuarantineSettings(const GatewaySettings& settings) {
@@ -107,7 +120,9 @@
       store_view_(context, store_, protocol, view_, metrics_, log, FollowSettings(settings_)),
       channel_(context, settings_.peer,
                {[this](const DemandReport& report) { TakeReport(report); },
-                [this](const PlacementNotice& notice) { TakeNotice(notice); },
+                [this](const PlacementNotice& notice, const std::string& from) {
+                  HearNotice(notice, from);
+                },
                 [this](const ChangeAnswer& answer, const std::string& from) {
                   TakeAnswer(answer, from);
                 },
@@ -126,6 +141,13 @@
                 [this](const CreditAnswer& answer, const std::string& from) {
                   quota_.Hear(answer, from);
                 },
+                [this](const RelayPlan& plan) { relays_.TakePlan(plan); },
+                [this](const ServersQuestion& question, const std::string& from) {
+                  relays_.AnswerServersQuestion(question, from);
+                },
+                [this](const ServersPage& page, const std::string& from) {
+                  relays_.TakeServersPage(page, from);
+                },
                 [this](const std::string& problem) {
                   log_.Write(
                       LogRank::kRoutine,
@@ -139,7 +161,7 @@
                   {settings_.name, settings_.load_window},
                   [this](const PlacementNotice& notice) {
                     TakeNotice(notice);
-                    channel_.Broadcast(notice);
+                    SpreadNotice(notice);
                   }),
       quarantine_(context, QuarantineSettings(settings_), log, metrics_.quarantine,
                   QuarantinePorts()),
@@ -148,9 +170,12 @@
       quota_(context, QuotaSettings(settings_), ToString(channel_.endpoint()), metrics_.quota,
              QuotaPorts()),
       census_(ToString(channel_.endpoint()), settings_.cpu_share),
-      sharing_record_(store_, log, kSharingKey),
+      sharing_record_(store_, log, kSharingKey, LogEvent::kSharingNotStored),
+      relays_(context, store_, store_view_, metrics_, log,
+              {settings_.zone, ToString(channel_.endpoint()), settings_.relays_from_daemons},
+              RelayPorts()),
       pipeline_(context, protocol, view_, quarantine_, quota_, metrics_, log,
-                {settings_.zone, settings_.retry_window, settings_.retry_ratio}) {
+                {settings_.zone, settings_.retry_window, settings_.retry_ratio, settings_.name}) {
   view_.configuration_bound = settings_.configuration_bound;
   view_.staleness_bound = settings_.staleness_bound;
   const std::vector<boost::asio::io_context*> contexts = {&context_};
@@ -185,6 +210,10 @@
                      [this](const std::optional<KeyValue>& entry, StoreRevision revision) {
                        TakeSharingRecord(entry, revision);
                      });
+  store_view_.Follow(relays_.key(),
+                     [this](const std::optional<KeyValue>& entry, StoreRevision revision) {
+                       relays_.TakeRecord(entry, revision);
+                     });
   quota_.Start();
   // A start under the same id is the end of the process before.
   store_view_.OnRestart([this](const std::string& id) {
@@ -336,6 +365,20 @@
   channel_.Broadcast(sharing);
 }
 
+void Gateway::SpreadNotice(const PlacementNotice& notice) {
+  if (!relays_.plan().needed()) {
+    channel_.Broadcast(notice);
+    return;
+  }
+  for (const std::string& relay : relays_.plan().AllRelays()) channel_.SendTo(relay, notice);
+}
+
+void Gateway::HearNotice(const PlacementNotice& notice, const std::string& from) {
+  TakeNotice(notice);
+  // Only what comes from the leader is passed on: no notice goes round.
+  if (relays_.IsRelay() && from == LeaderAddress()) channel_.Broadcast(notice);
+}
+
 void Gateway::TakeNotice(const PlacementNotice& notice) {
   const ServerPtr server = view_.servers.Find(notice.server_id);
   if (!server || IsLaterLife(server->record().life, notice.life)) return;
@@ -345,7 +388,7 @@
     return;
   }
   if (notice.held)
-    server->NoteHeld(notice.name, now);
+    view_.servers.NoteHeld(server, notice.name, now);
   else
     server->NoteMissing(notice.name, now, kUnloadSettles);
   if (notice.held) view_.changed.NotifyAll();
@@ -366,38 +409,89 @@
   return true;
 }
 
+DemandReport Gateway::DescribeSelf() const {
+  DemandReport report;
+  report.sender = settings_.name;
+  report.address = ToString(channel_.endpoint());
+  report.uptime_ms =
+      std::chrono::duration_cast<milliseconds>(BootClock::now() - started_at_).count();
+  report.strength = settings_.cpu_share;
+  report.stopping = stopping_;
+  report.quarantine_digest = quarantine_.book().Digest();
+  report.zone = ZoneIdOf(settings_.zone);
+  report.relay_plan = relays_.plan().number;
+  return report;
+}
+
+RelayService::Ports Gateway::RelayPorts() {
+  RelayService::Ports ports;
+  ports.send = [this](const std::string& to, const FleetMessage& message) {
+    channel_.SendTo(to, message);
+  };
+  ports.broadcast = [this](const FleetMessage& message) { channel_.Broadcast(message); };
+  ports.ask = [this] {
+    DemandReport report = DescribeSelf();
+    AskForChanges(report);
+    return report;
+  };
+  ports.leads = [this] { return election_.leading(); };
+  return ports;
+}
+
+std::string Gateway::LeaderAddress() const {
+  const std::string told = relays_.Asks() ? relays_.LeaderTold() : std::string();
+  if (!told.empty()) return told;
+  return election_.leader() ? election_.leader()->address : std::string();
+}
+
 Awaitable<void> Gateway::ReportDemand() {
   while (true) {
     co_await view_.demand_raised.Wait(BootClock::now() + kReportEvery);
-    DemandReport report;
-    report.sender = settings_.name;
-    report.address = ToString(channel_.endpoint());
-    report.uptime_ms =
-        std::chrono::duration_cast<milliseconds>(BootClock::now() - started_at_).count();
-    report.strength = settings_.cpu_share;
-    report.stopping = stopping_;
+    DemandReport report = DescribeSelf();
     report.entries = view_.demand.Take();
     report.unreachable = UnreachableServers();
-    report.quarantine_digest = quarantine_.book().Digest();
-    if (election_.leading()) {
+    if (election_.leading())
       controller_.AddReport(report);
-    } else if (election_.leader()) {
-      if (AskNow(BootClock::now())) report.question = store_view_.Question();
-      if (report.question) {
-        asked_at_us_.push_back(report.question->asked_at_us);
-        if (asked_at_us_.size() > kQuestionsOpen) asked_at_us_.pop_front();
-      }
-      channel_.SendReport(election_.leader()->address, report);
-    }
+    else if (relays_.Asks())
+      ReportBesideRelays(report);
+    else
+      ReportToLeader(std::move(report));
     co_await Sleep(kReportPause);
   }
 }
 
+void Gateway::ReportToLeader(DemandReport report) {
+  const std::string leader = LeaderAddress();
+  if (leader.empty()) return;
+  if (AskNow(BootClock::now())) AskForChanges(report);
+  channel_.SendReport(leader, report);
+}
+
+void Gateway::AskForChanges(DemandReport& report) {
+  report.question = store_view_.Question();
+  if (!report.question) return;
+  asked_at_us_.push_back(report.question->asked_at_us);
+  if (asked_at_us_.size() > kQuestionsOpen) asked_at_us_.pop_front();
+}
+
+/// What the leader has to know of a daemon that follows relays is its demand, and that it is there.
+void Gateway::ReportBesideRelays(const DemandReport& report) {
+  const auto now = BootClock::now();
+  const std::string leader = LeaderAddress();
+  const bool tells = !report.entries.empty() || !report.unreachable.empty() || report.stopping;
+  if (!leader.empty() && (tells || now - reported_ >= kPresenceEvery)) {
+    reported_ = now;
+    channel_.SendReport(leader, report);
+  }
+  if (AskNow(now)) relays_.Ask();
+}
+
 void Gateway::TakeReport(const DemandReport& report) {
   members_.Note(report, BootClock::now());
   census_.Note(report.address, report.strength, BootClock::now());
   peers_.Note(report.address, BootClock::now());
   if (report.question) quarantine_.Compare(report.quarantine_digest, report.address);
+  relays_.TakeReport(report);
   controller_.AddReport(report);
   if (report.question) AnswerQuestion(report);
 }
@@ -405,8 +499,10 @@
 void Gateway::AnswerQuestion(const DemandReport& report) {
   const ChangeQuestion& question = *report.question;
   ChangeAnswer answer;
-  if (election_.leading()) {
-    answer = store_view_.Answer(question, Daemons());
+  if (election_.leading() || relays_.IsRelay()) {
+    const std::uint32_t daemons = election_.leading() ? Daemons() : relays_.plan().daemons;
+    answer = store_view_.Answer(question, daemons, report.relay_plan.has_value());
+    answer.leader = LeaderAddress();
   } else {
     answer.asked_at_us = question.asked_at_us;
     answer.leads = false;
@@ -417,11 +513,15 @@
   channel_.SendTo(report.address, answer);
 }
 
+bool Gateway::Expected(const ChangeAnswer& answer) const {
+  return std::find(asked_at_us_.begin(), asked_at_us_.end(), answer.asked_at_us) !=
+         asked_at_us_.end();
+}
+
 void Gateway::TakeAnswer(const ChangeAnswer& answer, const std::string& from) {
-  const bool asked =
-      std::find(asked_at_us_.begin(), asked_at_us_.end(), answer.asked_at_us) != asked_at_us_.end();
-  const bool from_leader = election_.leader() && election_.leader()->address == from;
-  if (!asked || !from_leader || election_.leading()) {
+  const bool from_leader = LeaderAddress() == from;
+  const bool believed = relays_.Asks() ? relays_.TakeAnswer(answer, from) : from_leader;
+  if (!Expected(answer) || !believed || election_.leading()) {
     log_.Write(LogRank::kRoutine,
                EventLine(LogEvent::kDatagramDropped)
                    .Field(LogField::kProblem, "an answer that was not asked for, or not there")
@@ -429,12 +529,13 @@
     return;
   }
   if (answer.leads) {
-    election_.HeardLeader(answer.daemons);
+    if (from_leader) election_.HeardLeader(answer.daemons);
     TakeSize(answer.daemons);
   }
   for (const std::string& peer : answer.peers) peers_.Note(peer, BootClock::now());
   quarantine_.Compare(answer.quarantine_digest, from);
   store_view_.TakeAnswer(answer);
+  if (relays_.Asks() && answer.partial) relays_.Ask();
 }
 
 void Gateway::NoteUnread(const UnreadMessage& message) {
@@ -472,7 +573,8 @@
     if (election_.leading()) TakeSize(Daemons());
     const bool large =
         settings_.relay_from_daemons > 0 && Daemons() >= settings_.relay_from_daemons;
-    store_view_.SetWatching(election_.leading() && large);
+    store_view_.SetWatching((election_.leading() && large) || relays_.Watches());
+    relays_.Tick();
     store_view_.NoteEra(store_.era());
     KeepQuarantine();
     ShareQuotas();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,12 +9,14 @@
 #include "fleet/demand_channel.h"
 #include "fleet/fleet_controller.h"
 #include "fleet/fleet_members.h"
+#include "fleet/kept_record.h"
 #include "fleet/leader_election.h"
 #include "fleet/peer_list.h"
 #include "gateway/counting_store.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/relay_service.h"
 #include "gateway/request_pipeline.h"
 #include "gateway/store_view.h"
 #include "http/http_server.h"
@@ -24,7 +26,6 @@
 #include "quarantine/quarantine_service.h"
 #include "tenants/credit_census.h"
 #include "tenants/quota_service.h"
-#include "tenants/sharing_record.h"
 
 namespace moorfold {
 
@@ -52,8 +53,13 @@
   Awaitable<void> AnswerReadiness(HttpServerExchange& exchange);
   Awaitable<void> AnswerMetrics(HttpServerExchange& exchange);
   void TakeNotice(const PlacementNotice& notice);
+  /// @param from "IP:PORT" of the sender.
+  void HearNotice(const PlacementNotice& notice, const std::string& from);
+  /// Tells all daemons of a placement: those that follow relays by these.
+  void SpreadNotice(const PlacementNotice& notice);
   void TakeAnswer(const ChangeAnswer& answer, const std::string& from);
   void AnswerQuestion(const DemandReport& report);
+  bool Expected(const ChangeAnswer& answer) const;
   void NoteUnread(const UnreadMessage& message);
   void TakeSize(std::uint32_t daemons);
   QuarantineService::Ports QuarantinePorts();
@@ -68,6 +74,14 @@
   void KeepQuarantine();
   std::uint32_t Daemons() const { return static_cast<std::uint32_t>(channel_.reporters()) + 1; }
   bool AskNow(BootClock::time_point now);
+  /// @return a report of this daemon that carries no demand and asks nothing.
+  DemandReport DescribeSelf() const;
+  RelayService::Ports RelayPorts();
+  /// @return "IP:PORT" of whoever leads, as far as known; empty: nobody.
+  std::string LeaderAddress() const;
+  void ReportToLeader(DemandReport report);
+  void AskForChanges(DemandReport& report);
+  void ReportBesideRelays(const DemandReport& report);
   void TakeReport(const DemandReport& report);
   void HandLeadershipOn();
   std::vector<std::string> UnreachableServers() const;
@@ -94,7 +108,8 @@
   QuarantineRecord quarantine_record_;
   QuotaService quota_;
   quota::CreditCensus census_;
-  SharingRecord sharing_record_;
+  KeptRecord<CreditSharing> sharing_record_;
+  RelayService relays_;
   RequestPipeline pipeline_;
   std::unique_ptr<HttpServer> front_;
   std::unique_ptr<HttpServer> readiness_;
@@ -104,6 +119,7 @@
   std::optional<QuarantineNotice> early_record_;
   std::chrono::milliseconds longest_idle_{0};
   BootClock::time_point started_at_ = BootClock::now();
+  BootClock::time_point reported_{};  ///< To the leader, beside relays.
   /// When the latest questions were asked: other answers are not believed.
   std::deque<std::int64_t> asked_at_us_;
   BootClock::time_point asked_{};
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -81,6 +81,8 @@
   Count(text, "server_entries_doubted", entries_doubted);
   messages_unread.Render("messages_unread_total", text);
   Count(text, "relay_answers_sent", relay_answers_sent);
+  Count(text, "servers_pages_sent", servers_pages_sent);
+  Count(text, "servers_pages_taken", servers_pages_taken);
   Count(text, "relay_answers_taken", relay_answers_taken);
   Count(text, "relayed_changes", relayed_changes);
   orders.Render("orders_total", text);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -58,6 +58,8 @@
   LabelledCounter messages_unread;        ///< By sender and format.
   std::uint64_t earlier_lives = 0;        ///< Entries of servers that have started again since.
   std::uint64_t relay_answers_sent = 0;   ///< To followers.
+  std::uint64_t servers_pages_sent = 0;   ///< Of all servers, to daemons that lack them.
+  std::uint64_t servers_pages_taken = 0;  ///< The same, from a relay.
   std::uint64_t relay_answers_taken = 0;  ///< That made this daemon's knowledge newer.
   std::uint64_t relayed_changes = 0;      ///< Of servers, taken from such answers.
   LabelledCounter orders;                 ///< By kind and outcome.
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -73,6 +73,8 @@
       root.Integer("log_lines_per_second", 0, kMostLogLines, settings.log_lines_per_second));
   settings.relay_from_daemons = static_cast<std::uint32_t>(
       root.Integer("relay_from_daemons", 0, kMostDaemons, settings.relay_from_daemons));
+  settings.relays_from_daemons = static_cast<std::uint32_t>(
+      root.Integer("relays_from_daemons", 0, kMostDaemons, settings.relays_from_daemons));
   settings.quarantine_servers = static_cast<std::uint32_t>(
       root.Integer("quarantine_servers", 0, kMostQuarantineServers, settings.quarantine_servers));
   settings.quarantine_time = ReadTime(root, "quarantine_time", settings.quarantine_time);
--- a/src/gateway/own_keys.h
+++ b/src/gateway/own_keys.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <string>
@@ -19,6 +20,11 @@
     keys_.push_back({std::move(key), std::move(changed), {}});
   }
   bool Contains(const std::string& key) const { return Find(key) != nullptr; }
+  /// @return whether all of them stand before `key` in the order of keys.
+  bool AllBefore(const std::string& key) const {
+    return std::all_of(keys_.begin(), keys_.end(),
+                       [&](const Followed& own) { return own.key < key; });
+  }
   /// The store shows the key so. Nothing where a state as new was shown before.
   void Take(const KeyValue& entry);
   /// The store shows no such key.
--- /dev/null
+++ b/src/gateway/relay_service.cc
@@ -0,0 +1,165 @@
+#include "gateway/relay_service.h"
+
+#include <algorithm>
+
+namespace moorfold {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kPlanKey = "moorfold/relays";
+/// Of a relay's word on who leads: several questions long.
+constexpr milliseconds kLeaderTold{3'000};
+/// Questions for servers that were lost are asked again at the latest so soon.
+constexpr milliseconds kPullAgain{300};
+
+}  // namespace
+
+RelayService::RelayService(boost::asio::io_context& context, KeyValueStore& store, StoreView& view,
+                           GatewayMetrics& metrics, EventLog& log, RelaySettings settings,
+                           Ports ports)
+    : view_(view),
+      metrics_(metrics),
+      log_(log),
+      settings_(std::move(settings)),
+      ports_(std::move(ports)),
+      record_(store, log, kPlanKey, LogEvent::kRelayPlanNotStored),
+      planner_(settings_.from_daemons),
+      sources_(settings_.address, ZoneIdOf(settings_.zone)),
+      pull_timer_(context) {}
+
+void RelayService::TakeRecord(const std::optional<KeyValue>& entry, StoreRevision revision) {
+  record_.Seen(entry, revision);
+  if (entry) TakePlan(DecodeMessage<RelayPlan>(entry->value));
+}
+
+void RelayService::TakePlan(const RelayPlan& plan) {
+  newest_number_ = std::max(newest_number_, plan.number);
+  if (plan.number <= plan_.number) return;
+  plan_ = plan;
+  log_.Write(LogRank::kDecision, EventLine(LogEvent::kRelayPlan)
+                                     .Field(LogField::kVersion, plan_.number)
+                                     .Field(LogField::kDaemons, plan_.daemons)
+                                     .Field(LogField::kRelays, plan_.AllRelays().size()));
+  sources_.SetPlan(plan_, BootClock::now());
+  Apply();
+}
+
+void RelayService::Apply() {
+  if (!plan_.needed()) {
+    if (plan_.number > 0) view_.SetRelays(false);
+    return;
+  }
+  sources_.SetPatient(view_.WaitsForServers());
+  const Time now = BootClock::now();
+  sources_.NoteOwnReads(!view_.StoreInTouch(), now);
+  watches_ = sources_.Watches(now);
+  view_.SetServing(IsRelay());
+  view_.SetWatching(watches_ || ports_.leads());
+  view_.SetRelays(plan_.needed() && !watches_);
+  PullServers();
+}
+
+void RelayService::TakeReport(const DemandReport& report) {
+  if (!ports_.leads()) return;
+  planner_.Note({report.address, report.zone, report.strength, report.stopping,
+                 report.relay_plan.has_value()},
+                BootClock::now());
+  if (!report.relay_plan) return;
+  newest_number_ = std::max(newest_number_, *report.relay_plan);
+  if (plan_.number > 0 && *report.relay_plan != plan_.number) ports_.send(report.address, plan_);
+}
+
+void RelayService::MakePlan(Time now) {
+  if (leading_since_ == Time{}) leading_since_ = now;
+  RelayPlan next = planner_.Plan(plan_, leading_since_, now);
+  // Whoever knows a later plan, of a leader that this one never heard of, would not take this one.
+  const bool outrun = plan_.number > 0 && newest_number_ > plan_.number;
+  if (next.number == plan_.number && !outrun) return;
+  next.number = std::max(next.number, newest_number_ + 1);
+  TakePlan(next);
+  ports_.broadcast(plan_);
+}
+
+void RelayService::Tick() {
+  const Time now = BootClock::now();
+  if (ports_.leads()) {
+    MakePlan(now);
+    if (plan_.number > 0) record_.Write(plan_);
+  } else {
+    leading_since_ = {};
+  }
+  Apply();
+}
+
+void RelayService::Ask() {
+  Apply();
+  const Time now = BootClock::now();
+  const std::string relay = sources_.Current(now);
+  if (relay.empty()) return;
+  const DemandReport report = ports_.ask();
+  if (!report.question) return;
+  sources_.Asked(now);
+  ports_.send(relay, report);
+}
+
+bool RelayService::TakeAnswer(const ChangeAnswer& answer, const std::string& from) {
+  if (!sources_.Contains(from)) return false;
+  const Time now = BootClock::now();
+  if (!answer.relays) {
+    sources_.Declined(from, now);
+    return true;
+  }
+  sources_.Heard(from, std::chrono::microseconds(answer.age_us), now);
+  if (!answer.leader.empty()) {
+    leader_told_ = answer.leader;
+    leader_told_at_ = now;
+  }
+  return true;
+}
+
+std::string RelayService::LeaderTold() const {
+  return BootClock::now() - leader_told_at_ < kLeaderTold ? leader_told_ : std::string();
+}
+
+void RelayService::AnswerServersQuestion(const ServersQuestion& question, const std::string& from) {
+  ++metrics_.servers_pages_sent;
+  ports_.send(from, view_.Page(question));
+}
+
+void RelayService::TakeServersPage(const ServersPage& page, const std::string& from) {
+  if (!sources_.Contains(from)) return;
+  switch (view_.TakePage(page, from)) {
+    case SnapshotReader::Taken::kIgnored:
+      return;
+    case SnapshotReader::Taken::kDeclined:
+      sources_.Declined(from, BootClock::now());
+      return;
+    case SnapshotReader::Taken::kPage:
+    case SnapshotReader::Taken::kWhole:
+      ++metrics_.servers_pages_taken;
+      sources_.Heard(from, std::chrono::microseconds(0), BootClock::now());
+      PullServers();
+      return;
+  }
+}
+
+void RelayService::PullServers() {
+  if (!Asks()) return;
+  const Time now = BootClock::now();
+  const std::string relay = sources_.Current(now);
+  if (relay.empty()) return;
+  const std::optional<ServersQuestion> question = view_.ServersQuestionDue();
+  if (question) {
+    sources_.Asked(now);
+    ports_.send(relay, *question);
+  }
+  if (!view_.PullsServers()) return;
+  pull_timer_.expires_after(kPullAgain);
+  pull_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) PullServers();
+  });
+}
+
+}  // namespace moorfold
--- a/src/gateway/store_view.cc
+++ b/src/gateway/store_view.cc
@@ -4,6 +4,7 @@
 #include <unordered_set>
 
 #include "common/boot_clock.h"
+#include "gateway/servers_page.h"
 #include "relay/change_answer.h"
 
 namespace moorfold {
@@ -127,7 +128,10 @@
   Decide(follow::ReadBegun{kind});
   switch (kind) {
     case follow::ReadKind::kListing:
-      ReadRange(AllKeys(), &StoreView::TakeListing);
+      if (state_.listed || state_.begun)
+        ReadRange(AllKeys(), &StoreView::TakeListing);
+      else
+        ReadFirstPage();
       break;
     case follow::ReadKind::kChanges:
       ReadChanges();
@@ -146,9 +150,9 @@
   }
 }
 
-void StoreView::ReadRange(KeyRange range, void (StoreView::*take)(const RangeResult&),
-                          ReadConsistency consistency) {
-  const auto done = [this, take, consistency](const Outcome<RangeResult>& listing) {
+KeyValueStore::Callback<RangeResult> StoreView::WhenRead(
+    void (StoreView::*take)(const RangeResult&), ReadConsistency consistency) {
+  return [this, take, consistency](const Outcome<RangeResult>& listing) {
     NoteReadTime();
     if (!listing.ok()) {
       NoteFailure(listing.failure());
@@ -160,14 +164,49 @@
     (this->*take)(listing.value());
     ReadWhenDue();
   };
-  store_.Range(std::move(range), consistency, done);
+}
+
+void StoreView::ReadRange(KeyRange range, void (StoreView::*take)(const RangeResult&),
+                          ReadConsistency consistency) {
+  store_.Range(std::move(range), consistency, WhenRead(take, consistency));
+}
+
+void StoreView::ReadFirstPage() {
+  store_.RangePage(AllKeys(), WhenRead(&StoreView::TakeFirstPage, ReadConsistency::kLinearizable));
+}
+
+bool StoreView::HoldsAllButServers(const RangeResult& page) const {
+  const std::string& prefix = protocol_.layout().server_prefix;
+  const bool servers_last =
+      protocol_.layout().configuration_key < prefix && own_keys_.AllBefore(prefix);
+  return servers_last && !page.entries.empty() && page.entries.back().key.starts_with(prefix);
+}
+
+void StoreView::TakeFirstPage(const RangeResult& page) {
+  if (!page.more) {
+    TakeListing(page);
+    return;
+  }
+  if (!HoldsAllButServers(page)) {
+    ReadRange(AllKeys(), &StoreView::TakeListing);
+    return;
+  }
+  TakeOtherEntries(page);
+  Decide(follow::FirstPageEnded{page.revision});
+  NoteChanged();
 }
 
 void StoreView::TakeListing(const RangeResult& listing) {
   const std::optional<double> change_bytes = ChangesReplacedBy(listing);
-  const std::string& configuration = protocol_.layout().configuration_key;
-  const std::string& prefix = protocol_.layout().server_prefix;
   TakeServerEntries(listing);
+  TakeOtherEntries(listing);
+  Decide(follow::ReadEnded{listing.revision, BytesOf(listing.entries), change_bytes});
+  NoteSource(false);
+  NoteChanged();
+}
+
+void StoreView::TakeOtherEntries(const RangeResult& listing) {
+  const std::string& prefix = protocol_.layout().server_prefix;
   std::unordered_set<std::string> listed;
   for (const KeyValue& entry : listing.entries) {
     if (entry.key.starts_with(prefix)) continue;
@@ -175,10 +214,8 @@
     TakeEntry(entry);
   }
   own_keys_.RemoveMissing(listed, listing.revision);
-  if (Version() >= 0 && !listed.contains(configuration)) NoteConfigurationUnsure();
-  Decide(follow::ReadEnded{listing.revision, BytesOf(listing.entries), change_bytes});
-  NoteSource(false);
-  NoteChanged();
+  const bool shown = listed.contains(protocol_.layout().configuration_key);
+  if (Version() >= 0 && !shown) NoteConfigurationUnsure();
 }
 
 void StoreView::TakeServers(const RangeResult& listing) {
@@ -286,26 +323,87 @@
   return ChangeQuestion{Microseconds(BootClock::now().time_since_epoch()), state_.revision};
 }
 
-ChangeAnswer StoreView::Answer(const ChangeQuestion& question, std::uint32_t daemons) const {
+ChangeAnswer StoreView::Answer(const ChangeQuestion& question, std::uint32_t daemons,
+                               bool parts) const {
   ChangeAnswer answer;
   answer.asked_at_us = question.asked_at_us;
   answer.daemons = daemons;
   // A follower takes the version stated here for the newest as of the revision stated here. One
   // that tells no era of its revision could not tell what an answer is worth: it reads by itself.
   const bool understood = question.revision.era != kEraUntold;
-  answer.relays = understood && state_.watches && state_.listed && state_.ConfigurationKept();
+  answer.relays = understood && Serves() && state_.ConfigurationKept();
   if (!answer.relays) return answer;
   const SteadyTime current_at = std::min(state_.current_at, view_.configuration_current_at);
   answer.age_us = Microseconds(BootClock::now() - current_at);
   answer.configuration_version = Version();
   answer.from_revision = question.revision;
-  FillChanges(answer, changes_, [this](const std::string& id) -> const ServerRecord* {
+  const auto find_record = [this](const std::string& id) -> const ServerRecord* {
     const ServerPtr server = view_.servers.Find(id);
     return server ? &server->record() : nullptr;
-  });
+  };
+  FillChanges(answer, changes_, find_record, parts);
   return answer;
 }
 
+void StoreView::SetRelays(bool named) {
+  Decide(follow::RelaysTold{named});
+  ReadWhenDue();
+}
+
+std::optional<ServersQuestion> StoreView::ServersQuestionDue() {
+  const bool wanted = follow::WantsServers(state_);
+  if (!wanted) snapshot_.Stop();
+  if (wanted && !snapshot_.running()) snapshot_.Begin();
+  return snapshot_.Due(BootClock::now());
+}
+
+ServersPage StoreView::Page(const ServersQuestion& question) const {
+  ServersPage page = FillPage(question, view_.servers);
+  page.relays = Serves() && state_.ConfigurationKept();
+  page.revision = state_.revision;
+  const SteadyTime current_at = std::min(state_.current_at, view_.configuration_current_at);
+  page.age_us = Microseconds(BootClock::now() - current_at);
+  page.configuration_version = Version();
+  return page;
+}
+
+SnapshotReader::Taken StoreView::TakePage(const ServersPage& page, const std::string& from) {
+  using Taken = SnapshotReader::Taken;
+  const Taken taken = snapshot_.Take(page, from);
+  if (taken == Taken::kIgnored || taken == Taken::kDeclined) return taken;
+  // What the page does not name between its first and its last server is not there any more.
+  std::unordered_set<std::string> named;
+  for (ServerChange server : page.servers) {
+    named.insert(server.record.id);
+    server.revision = page.revision;  // It changed at some revision up to this one.
+    TakeChange(server);
+  }
+  std::vector<std::string> missing;
+  const ServerDirectory::ById& all = view_.servers.all();
+  const auto end = page.more ? all.upper_bound(page.last) : all.end();
+  for (auto known = all.upper_bound(page.after); known != end; ++known)
+    if (!named.contains(known->first)) missing.push_back(known->first);
+  for (const std::string& id : missing) servers_.TakeRemoval(id, page.revision);
+  const bool newer = page.configuration_version > Version();
+  if (newer) told_version_ = page.configuration_version;
+  const SteadyTime asked_at{std::chrono::microseconds(page.asked_at_us)};
+  const std::chrono::microseconds age{std::max<std::int64_t>(0, page.age_us)};
+  Decide(follow::ServersPageTaken{page.revision, newer, asked_at - age});
+  if (taken == Taken::kWhole) EndSnapshot();
+  return taken;
+}
+
+void StoreView::EndSnapshot() {
+  if (state_.listed)
+    changes_.NoteListing(state_.revision, snapshot_.revision());
+  else
+    changes_.Restart(snapshot_.revision());
+  Decide(follow::ServersTaken{snapshot_.revision(), snapshot_.current_at()});
+  NoteSource(true);
+  NoteChanged();
+  ReadWhenDue();
+}
+
 void StoreView::TakeAnswer(const ChangeAnswer& answer) {
   const SteadyTime asked_at{std::chrono::microseconds(answer.asked_at_us)};
   const std::int64_t configuration = Version();
@@ -317,7 +415,8 @@
                                 answer.from_revision,
                                 answer.to_revision,
                                 answer.configuration_version > configuration,
-                                asked_at - age};
+                                asked_at - age,
+                                answer.partial};
   if (answer.leads && !answer.relays) return;
   const SteadyTime current_before = state_.current_at;
   const bool apply = Decide(relayed);
--- a/src/gateway/store_view.h
+++ b/src/gateway/store_view.h
@@ -18,6 +18,7 @@
 #include "relay/change_log.h"
 #include "relay/follow_state.h"
 #include "relay/relay_messages.h"
+#include "relay/snapshot_reader.h"
 
 namespace moorfold {
 
@@ -50,24 +51,57 @@
   /// @return what to ask the watcher, once the store was listed.
   std::optional<ChangeQuestion> Question() const;
   /// @param daemons in the fleet, as far as known. @pre this daemon watches.
-  ChangeAnswer Answer(const ChangeQuestion& question, std::uint32_t daemons) const;
+  /// @param parts whether the asker takes parts of what has changed.
+  ChangeAnswer Answer(const ChangeQuestion& question, std::uint32_t daemons, bool parts) const;
   /// Some other call of the store, or another daemon, has told of this era.
   void NoteEra(std::int64_t era);
   /// Takes over what a watcher has answered.
   void TakeAnswer(const ChangeAnswer& answer);
 
+  /// Whether other daemons ask this one though it does not watch the store itself.
+  void SetServing(bool serves) { serves_ = serves; }
+  /// Whether there are relays for this daemon to ask; nothing is known of that before.
+  void SetRelays(bool named);
+  /// @return whether the store holds more servers than one page, and none are known of yet.
+  bool WaitsForServers() const { return state_.begun && !state_.listed; }
+  /// @return the question to a relay that is to be sent now, where all servers are to be taken from
+  /// one.
+  std::optional<ServersQuestion> ServersQuestionDue();
+  /// @return whether the last read of the store was answered, or none has been.
+  bool StoreInTouch() const { return failed_reads_ == 0; }
+  /// @return whether pages of a relay are asked for.
+  bool PullsServers() const { return snapshot_.running(); }
+  /// @return the page asked for, of what this daemon knows.
+  ServersPage Page(const ServersQuestion& question) const;
+  /// Takes over what a relay has answered.
+  /// @param from "IP:PORT" of the relay.
+  /// @return whether it was a page that was asked for.
+  SnapshotReader::Taken TakePage(const ServersPage& page, const std::string& from);
+
  private:
   using Milliseconds = std::chrono::milliseconds;
 
+  /// @return whether others may rely on what is known here.
+  bool Serves() const { return state_.listed && (state_.watches || serves_); }
   /// @return whether relayed changes are to be taken over.
   bool Decide(const follow::Event& event);
   void ReadWhenDue();
   void Read();
+  /// @return what to do with the answer to a read of a range.
+  KeyValueStore::Callback<RangeResult> WhenRead(void (StoreView::*take)(const RangeResult&),
+                                                ReadConsistency consistency);
   /// Reads what is now under `range`, and hands it to `take`.
   void ReadRange(KeyRange range, void (StoreView::*take)(const RangeResult&),
                  ReadConsistency consistency = ReadConsistency::kLinearizable);
+  /// Reads the first page of a first listing: in a large fleet the rest comes from a relay.
+  void ReadFirstPage();
+  void TakeFirstPage(const RangeResult& page);
+  /// @return whether nothing but servers can stand after the page.
+  bool HoldsAllButServers(const RangeResult& page) const;
   void TakeListing(const RangeResult& listing);
   void TakeServers(const RangeResult& listing);
+  /// Takes the configuration and moorfold's own keys of a listing over.
+  void TakeOtherEntries(const RangeResult& listing);
   /// Takes the servers of a listing over: what has changed, and who is missing.
   void TakeServerEntries(const RangeResult& listing);
   void TakeConfigurationRead(const RangeResult& listing);
@@ -78,6 +112,8 @@
   /// @return about how many bytes the changes since the revision known would have been.
   std::optional<double> ChangesReplacedBy(const RangeResult& listing) const;
   void TakeChange(const ServerChange& change);
+  /// All pages of a relay were taken over.
+  void EndSnapshot();
   void NoteSource(bool relayed);
   /// Tells that the store's revision is lower than what this daemon holds for known.
   void NoteRevisionRead(StoreRevision revision);
@@ -115,6 +151,8 @@
   std::optional<SteadyTime> configuration_unsure_since_;
   follow::Settings settings_;
   follow::State state_;
+  SnapshotReader snapshot_;
+  bool serves_ = false;
   std::unique_ptr<WatchHandle> watch_;
   std::int64_t told_version_ = -1;     ///< Of the newest configuration that a watcher told of.
   std::int64_t reading_version_ = -1;  ///< The same when the read under way began.
--- a/src/ports/key_value_store.h
+++ b/src/ports/key_value_store.h
@@ -84,7 +84,8 @@
 };
 struct RangeResult {
   StoreRevision revision;
-  std::vector<KeyValue> entries;
+  std::vector<KeyValue> entries;  ///< In the order of their keys.
+  bool more = false;              ///< Of a page: there are keys after its last one.
 };
 
 /// Holds when the key's last change has this revision; number 0: the key does not exist. It never
@@ -156,6 +157,11 @@
     static_cast<void>(consistency);
     Range(std::move(range), std::move(done));
   }
+  /// As many of the first keys as one answer of the service holds, and whether there are more. A
+  /// service that has no pages answers with all.
+  virtual void RangePage(KeyRange range, Callback<RangeResult> done) {
+    Range(std::move(range), std::move(done));
+  }
   virtual void Transact(Transaction transaction, Callback<TransactionResult> done) = 0;
   /// @param time_to_live whole seconds, at least one.
   virtual void GrantLease(Duration time_to_live, Callback<LeaseId> done) = 0;
--- a/src/relay/change_answer.cc
+++ b/src/relay/change_answer.cc
@@ -1,14 +1,9 @@
 #include "relay/change_answer.h"
 
-namespace moorfold {
-
-namespace {
+#include <algorithm>
 
-/// Of one answer to a follower: a datagram is lost whole when a part of it is lost, and the channel
-/// carries 8 kB.
-constexpr std::size_t kMostAnswerBytes = 7'000;
+namespace moorfold {
 
-/// @return an upper bound of what a change takes in a message.
 std::size_t EncodedBytes(const ServerChange& change) {
   constexpr std::size_t kFixedBytes = 40;  ///< Revision, life, slots, port, flags, counts.
   constexpr std::size_t kLengthBytes = 8;  ///< Before each text and list.
@@ -24,6 +19,23 @@
   return bytes;
 }
 
+namespace {
+
+ServerChange Describe(const ChangeLog::Change& change, const RecordFinder& find_record) {
+  const ServerRecord* record = change.gone ? nullptr : find_record(change.server_id);
+  ServerChange told{change.revision, record == nullptr, {}};
+  if (record == nullptr)
+    told.record.id = change.server_id;
+  else
+    told.record = *record;
+  return told;
+}
+
+/// Takes off the end until no revision is there in part: one transaction may change several.
+void EndAtWholeRevision(std::vector<ServerChange>& servers, StoreRevision next) {
+  while (!servers.empty() && servers.back().revision == next) servers.pop_back();
+}
+
 }  // namespace
 
 bool SameForRequests(const ServerRecord& left, const ServerRecord& right) {
@@ -33,22 +45,29 @@
          left.draining == right.draining && left.models == right.models;
 }
 
-void FillChanges(ChangeAnswer& answer, const ChangeLog& changes, const RecordFinder& find_record) {
+void FillChanges(ChangeAnswer& answer, const ChangeLog& changes, const RecordFinder& find_record,
+                 bool parts) {
   answer.to_revision = changes.newest();
   answer.gap = !changes.Reaches(answer.from_revision);
   if (answer.gap) return;
   std::size_t bytes = 0;
   for (const ChangeLog::Change& change : changes.Since(answer.from_revision)) {
-    const ServerRecord* record = change.gone ? nullptr : find_record(change.server_id);
-    ServerChange told{change.revision, record == nullptr, {}};
-    if (record == nullptr)
-      told.record.id = change.server_id;
-    else
-      told.record = *record;
+    ServerChange told = Describe(change, find_record);
     bytes += EncodedBytes(told);
+    if (bytes > kMostServersBytes) {
+      EndAtWholeRevision(answer.servers, change.revision);
+      answer.partial = parts && !answer.servers.empty();
+      answer.gap = !answer.partial;
+      break;
+    }
     answer.servers.push_back(std::move(told));
   }
-  answer.gap = bytes > kMostAnswerBytes;
+  if (answer.partial) {
+    answer.to_revision = std::min(answer.to_revision, answer.servers.back().revision);
+    // From there the next part could not be told.
+    if (!changes.Reaches(answer.to_revision)) answer.gap = true;
+  }
+  answer.partial = answer.partial && !answer.gap;
   if (answer.gap) answer.servers.clear();
 }
 
--- a/src/relay/follow_state.cc
+++ b/src/relay/follow_state.cc
@@ -92,6 +92,20 @@
   state.changes_unread = true;
 }
 
+/// Another daemon has told whether there is a newer configuration, up to `revision` and at `at`.
+void TakeConfigurationNews(State& state, bool newer, StoreRevision revision, Time at) {
+  if (newer) {
+    state.configuration_wanted = true;
+    state.told = ToldConfiguration{revision, at};
+    return;
+  }
+  // Unless a later answer, which overtook this one, told of a configuration.
+  const bool newest = !state.told || state.told->revision <= revision;
+  if (newest && at > state.configuration_at) state.configuration_wanted = false;
+  state.configuration_revision = std::max(state.configuration_revision, revision);
+  state.configuration_at = std::max(state.configuration_at, at);
+}
+
 /// @return whether the changes are to be taken over.
 bool Take(State& state, const Relayed& answer, Time now) {
   if (!answer.retired && answer.to_revision.era < state.revision.era) return false;
@@ -114,28 +128,78 @@
   const bool read_meanwhile =
       answer.from_revision < state.revision && answer.to_revision > state.revision;
   if (read_meanwhile) return false;
-  if (answer.newer_configuration) {
-    state.configuration_wanted = true;
-    state.told = ToldConfiguration{answer.to_revision, answer.current_at};
-  } else {
-    // Unless a later answer, which overtook this one, told of a configuration.
-    const bool newest = !state.told || state.told->revision <= answer.to_revision;
-    if (newest && answer.current_at > state.configuration_at) state.configuration_wanted = false;
-    state.configuration_revision = std::max(state.configuration_revision, answer.to_revision);
-    state.configuration_at = std::max(state.configuration_at, answer.current_at);
-  }
-  // Nothing is missing any more as of a later time than was known.
-  if (answer.current_at > state.current_at) state.urgent = false;
+  TakeConfigurationNews(state, answer.newer_configuration, answer.to_revision, answer.current_at);
   const bool apply = answer.to_revision > state.revision;
   state.revision = std::max(state.revision, answer.to_revision);
+  // What is still to come may be as old as what this part holds.
+  if (answer.partial) return apply;
+  // Nothing is missing any more as of a later time than was known.
+  if (answer.current_at > state.current_at) state.urgent = false;
   state.current_at = std::max(state.current_at, answer.current_at);
   return apply;
 }
 
+void TakeFirstPage(const Settings& settings, State& state, const FirstPageEnded& page, Time now) {
+  const Time since = state.reading_since.value_or(now);
+  state.reading_since.reset();
+  state.begun = true;
+  state.servers_not_before = now + settings.listing_patience;
+  state.configuration_revision = std::max(state.configuration_revision, page.revision);
+  state.configuration_at = std::max(state.configuration_at, since);
+}
+
+void Take(State& state, const RelaysTold& relays, Time now) {
+  if (relays.named && !state.relayed) state.relayed_since = now;
+  state.relayed = relays.named;
+  if (!relays.named) state.servers_not_before = Time{};
+}
+
+void Take(State& state, const ServersPageTaken& page, Time now) {
+  state.watcher_heard_at = now;
+  if (page.revision.era != state.configuration_revision.era) return;
+  TakeConfigurationNews(state, page.newer_configuration, page.revision, page.current_at);
+}
+
+void Take(State& state, const ServersTaken& taken) {
+  // A read of the store meanwhile, or under way, shows more.
+  const bool listing = state.reading_since && ListsServers(state.reading);
+  if (listing || (state.listed && taken.revision < state.revision)) return;
+  state.listed = true;
+  state.revision = taken.revision;
+  state.current_at = std::max(state.current_at, taken.current_at);
+  state.changes_unread = false;
+  state.urgent = false;
+}
+
 Milliseconds LongestAge(const Settings& settings, const State& state) {
   return state.watches ? settings.watcher_age : settings.longest_age;
 }
 
+/// @return whether servers come from relays, or may.
+bool LeavesServers(const State& state) {
+  if (state.watches) return false;
+  return state.relayed || (state.begun && !state.listed);
+}
+
+/// @return when the store is to be read for servers.
+Time ServersDue(const Settings& settings, const State& state) {
+  const Time heard = std::max(state.watcher_heard_at, state.relayed_since);
+  if (!state.listed && LeavesServers(state)) {
+    const Time patience = state.relayed ? heard + settings.listing_patience : Time{};
+    return std::max(state.servers_not_before, patience);
+  }
+  if (!state.listed) return Time{};
+  Time due = state.current_at + LongestAge(settings, state);
+  if (LeavesServers(state)) return std::max(due, heard + settings.relay_patience);
+  if (state.urgent) due = std::min(due, state.urgent_not_before);
+  return due;
+}
+
+Time ConfigurationDue(const Settings& settings, const State& state) {
+  const Time due = state.configuration_at + LongestAge(settings, state);
+  return state.configuration_wanted ? std::min(due, state.urgent_not_before) : due;
+}
+
 bool ListingIsSmaller(const State& state, Time now) {
   const double seconds = SecondsBetween(state.current_at, now);
   return state.change_bytes_per_s * seconds > state.listing_bytes;
@@ -155,6 +219,14 @@
     decision.apply = Take(decision.state, *relayed, now);
   else if (const auto* told = std::get_if<EraTold>(&event))
     Take(decision.state, *told);
+  else if (const auto* page = std::get_if<FirstPageEnded>(&event))
+    TakeFirstPage(settings, decision.state, *page, now);
+  else if (const auto* relays = std::get_if<RelaysTold>(&event))
+    Take(decision.state, *relays, now);
+  else if (const auto* servers = std::get_if<ServersPageTaken>(&event))
+    Take(decision.state, *servers, now);
+  else if (const auto* taken = std::get_if<ServersTaken>(&event))
+    Take(decision.state, *taken);
   else
     decision.state.watches = std::get<RoleTaken>(event).watches;
   return decision;
@@ -163,14 +235,11 @@
 Time NextRead(const Settings& settings, const State& state) {
   if (state.reading_since) return Time::max();
   // A clock that began with the machine may show less than the age.
-  if (!state.listed) return state.not_before;
-  const Time oldest = std::min(state.current_at, state.configuration_at);
-  const Time due = oldest + LongestAge(settings, state);
+  if (!state.listed && !state.begun) return state.not_before;
   const bool other_half = state.narrow && state.configuration_wanted;
   if (other_half) return state.not_before;
-  const bool reason = state.urgent || state.configuration_wanted;
-  const Time wanted = reason ? std::min(due, state.urgent_not_before) : due;
-  return std::max(wanted, state.not_before);
+  const Time due = std::min(ServersDue(settings, state), ConfigurationDue(settings, state));
+  return std::max(due, state.not_before);
 }
 
 Milliseconds LongestPause(const Settings& settings, const State& state, Time now) {
@@ -180,19 +249,28 @@
   return together ? std::max(settings.longest_pause, settings.longest_age) : settings.longest_pause;
 }
 
+bool WantsServers(const State& state) {
+  if (!state.relayed || state.watches) return false;
+  const bool listing = state.reading_since && ListsServers(state.reading);
+  return !listing && (!state.listed || state.urgent || state.changes_unread);
+}
+
 ReadKind NextReadKind(const Settings& settings, const State& state, Time now) {
   // Halves take turns: news of servers, one after the other, would keep the configuration waiting.
   const bool other_half = state.narrow && state.configuration_wanted;
   if (other_half && state.configuration_at < state.current_at) return ReadKind::kConfiguration;
   const bool old = now >= state.current_at + LongestAge(settings, state);
-  const bool servers = !state.listed || state.urgent || old;
+  const bool servers = LeavesServers(state) ? now >= ServersDue(settings, state)
+                                            : !state.listed || state.urgent || old;
   const bool told = state.told && state.told->revision > state.configuration_revision;
   if (!servers && told && !state.told_missed) return ReadKind::kToldConfiguration;
   if (!servers) return ReadKind::kConfiguration;
   if (state.narrow) return ReadKind::kServers;
   // Changes since a revision that was relayed leave out configurations before it.
   const bool changes_show_all = state.listed && !state.changes_unread && state.ConfigurationKept();
-  if (!changes_show_all || ListingIsSmaller(state, now)) return ReadKind::kListing;
+  // What changed while relays were followed was never measured: a listing is bounded.
+  const bool measured = !state.relayed || state.watches;
+  if (!changes_show_all || !measured || ListingIsSmaller(state, now)) return ReadKind::kListing;
   return ReadKind::kChanges;
 }
 
--- a/src/relay/follow_state.h
+++ b/src/relay/follow_state.h
@@ -38,6 +38,12 @@
 /// changes that was not answered, and, after a listing that was not, the servers alone before the
 /// configuration.
 ///
+/// In a fleet with relays (see relay/relay_plan.h) all but those ask a relay, and take from it what
+/// they lack, a first knowledge of all servers too: what each would read of the store grows with
+/// the servers, and what all would read with the daemons times the servers. The store is read for
+/// servers only when no relay has answered for long, and for the configuration as ever: nothing
+/// that is known of servers, or not yet, holds it up.
+///
 /// Pure: state, event and time in, state out. test/relay explores it.
 namespace follow {
 
@@ -55,6 +61,12 @@
   Milliseconds longest_pause{500};
   /// A watcher is asked twice a second: without two answers it is not heard any more.
   Milliseconds watcher_silence{1'200};
+  /// A daemon that follows relays reads the store for servers itself when none has answered for so
+  /// long.
+  Milliseconds relay_patience{3'500};
+  /// One that knows no servers yet, and may be one of a large fleet that starts at once, lists them
+  /// itself when nobody has told it where to ask by then.
+  Milliseconds listing_patience{8'000};
 };
 
 /// What one read of the store asks for.
@@ -105,12 +117,18 @@
   ToldConfiguration reading_told;         ///< Of the read under way.
   bool told_missed = false;               ///< The store answered with an older one than that.
   Time watcher_heard_at{};
-  Time watcher_current_at{};      ///< The last answer's: at that time the watcher knew all.
-  bool changes_unread = false;    ///< The changes since `revision` could not be read.
-  bool narrow = false;            ///< A listing was not answered: servers and configuration apart.
-  Time not_before{};              ///< No read earlier, after a failed one.
-  Time urgent_not_before{};       ///< No read earlier just because it is urgent.
-  bool watches = false;           ///< Others follow this daemon.
+  Time watcher_current_at{};    ///< The last answer's: at that time the watcher knew all.
+  bool changes_unread = false;  ///< The changes since `revision` could not be read.
+  bool narrow = false;          ///< A listing was not answered: servers and configuration apart.
+  Time not_before{};            ///< No read earlier, after a failed one.
+  Time urgent_not_before{};     ///< No read earlier just because it is urgent.
+  bool watches = false;         ///< Others follow this daemon.
+  /// The configuration is known, of the servers only that they are more than one page: they are
+  /// listed later, or taken from a relay.
+  bool begun = false;
+  bool relayed = false;       ///< Relays are named for this daemon, which is none of them.
+  Time servers_not_before{};  ///< No listing of servers earlier, while there may be relays to ask.
+  Time relayed_since{};
   double listing_bytes = 0;       ///< Of the last listing.
   double change_bytes_per_s = 0;  ///< Of changes, as measured or estimated last.
 
@@ -145,15 +163,38 @@
   StoreRevision to_revision;
   bool newer_configuration = false;  ///< There is one that this daemon lacks; it is not relayed.
   Time current_at{};                 ///< Nothing newer existed then.
+  /// The changes go only up to `to_revision`, and the watcher knows of more.
+  bool partial = false;
 };
 struct RoleTaken {
   bool watches = false;
 };
+/// The first page of a first listing is taken over, and holds all but the servers after it.
+struct FirstPageEnded {
+  StoreRevision revision;
+};
+/// What is known of relays: whether there are some that this daemon is to ask, or none at all, so
+/// that it lists by itself.
+struct RelaysTold {
+  bool named = false;
+};
+/// A page of a relay's servers was taken over; it tells of the configuration as Relayed does.
+struct ServersPageTaken {
+  StoreRevision revision;
+  bool newer_configuration = false;
+  Time current_at{};
+};
+/// All servers were taken from a relay.
+struct ServersTaken {
+  StoreRevision revision;  ///< All changes of servers up to this one are known.
+  Time current_at{};       ///< At that time the relay knew no more.
+};
 /// Something other than a read has told of an era of the store.
 struct EraTold {
   std::int64_t era = 0;
 };
-using Event = std::variant<ReadBegun, ReadEnded, ReadFailed, Relayed, RoleTaken, EraTold>;
+using Event = std::variant<ReadBegun, ReadEnded, ReadFailed, Relayed, RoleTaken, EraTold,
+                           FirstPageEnded, RelaysTold, ServersPageTaken, ServersTaken>;
 
 struct Decision {
   State state;
@@ -169,6 +210,8 @@
 /// cannot read the store either, the store is out of reach for all: the watcher will tell when it
 /// is back, and its many followers do not all knock meanwhile.
 Milliseconds LongestPause(const Settings& settings, const State& state, Time now);
+/// @return whether all servers are to be taken from a relay now.
+bool WantsServers(const State& state);
 /// @return what a read that begins now asks for.
 ReadKind NextReadKind(const Settings& settings, const State& state, Time now);
 
--- a/src/relay/relay_messages.h
+++ b/src/relay/relay_messages.h
@@ -64,6 +64,12 @@
   /// other while nobody leads.
   std::vector<std::string> peers;
   std::uint64_t quarantine_digest = 0;  ///< Of the sender's case book.
+  /// Only the oldest of the changes are here, up to `to_revision`, as many as a datagram carries:
+  /// more follow, and nothing is known to be complete before. An added field; told only to builds
+  /// that know relays.
+  bool partial = false;
+  /// "IP:PORT" of the leader as the sender knows it; empty: of none. An added field.
+  std::string leader;
 
   template <typename Archive>
   void serialize(Archive& archive) {
@@ -72,6 +78,39 @@
   }
 };
 
+/// From a daemon to a relay: which servers are there? They come page by page, in the order of their
+/// ids.
+struct ServersQuestion {
+  std::int64_t asked_at_us = 0;  ///< As in ChangeQuestion.
+  std::string after;             ///< The page begins with the first id after this one.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(asked_at_us, after);
+  }
+};
+
+/// One page of all servers that a relay knows. Pages are no snapshot of one moment: whoever has all
+/// knows what was there at the revision of the first, and asks for the changes since then.
+struct ServersPage {
+  std::int64_t asked_at_us = 0;  ///< Of the question.
+  std::string after;             ///< The same.
+  /// Whether the sender watches the store and has read it. If not, nothing below counts.
+  bool relays = false;
+  std::string last;         ///< The page holds every server from `after` up to and with this id.
+  bool more = false;        ///< There are servers after `last`.
+  StoreRevision revision;   ///< All changes up to this one are in it. Its era is an added field.
+  std::int64_t age_us = 0;  ///< As in ChangeAnswer.
+  std::int64_t configuration_version = 0;  ///< The same.
+  std::vector<ServerChange> servers;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(asked_at_us, after, relays, last, more, revision.number, age_us, configuration_version,
+            servers);
+  }
+};
+
 template <typename Archive>
 void serialize(Archive& archive, HeldModel& held) {
   archive(held.name, held.adapters);
--- /dev/null
+++ b/src/relay/relay_plan.cc
@@ -0,0 +1,96 @@
+#include "relay/relay_plan.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace moorfold {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// One takes over from the other without waiting for a new plan.
+constexpr std::size_t kLeastRelays = 2;
+/// Daemons that one relay answers. All start at once: each takes some hundreds of pages then.
+constexpr std::size_t kDaemonsOfRelay = 60;
+/// Daemons report every three seconds at the least; one report may be lost.
+constexpr milliseconds kMemberLife{8'000};
+/// A fleet that starts at once has reported by then, twice.
+constexpr milliseconds kFirstCount{1'500};
+/// A new leader knows of all that live by then.
+constexpr milliseconds kRecount{9'000};
+/// A fleet is small again only well below the size at which it became large.
+constexpr double kSmallAgain = 0.75;
+
+}  // namespace
+
+ZoneId ZoneIdOf(const std::string& zone) {
+  constexpr unsigned kSignBit = 1;  // Identifiers are positive, 0 stands for none.
+  return static_cast<ZoneId>(XXH64(zone.data(), zone.size(), 0) >> kSignBit) | 1;
+}
+
+bool RelayPlan::Names(const std::string& address) const {
+  const std::vector<std::string> relays = AllRelays();
+  return std::find(relays.begin(), relays.end(), address) != relays.end();
+}
+
+std::vector<std::string> RelayPlan::AllRelays() const {
+  std::vector<std::string> all;
+  for (const ZoneRelays& zone : zones)
+    all.insert(all.end(), zone.relays.begin(), zone.relays.end());
+  return all;
+}
+
+void RelayPlanner::Note(const Member& member, Time now) {
+  members_[member.address] = {member, now};
+}
+
+bool RelayPlanner::MayRelay(const std::string& address) const {
+  const auto found = members_.find(address);
+  return found != members_.end() && !found->second.member.stopping;
+}
+
+RelayPlan RelayPlanner::Plan(const RelayPlan& known, Time leading_since, Time now) {
+  std::erase_if(members_, [&](const auto& seen) { return now - seen.second.at > kMemberLife; });
+  // Who has not been heard of yet is not gone.
+  const milliseconds count_after = known.needed() ? kRecount : kFirstCount;
+  if (now - leading_since < count_after) return known;
+  const auto daemons = static_cast<std::uint32_t>(members_.size()) + 1;
+  const double least = from_daemons_ * (known.needed() ? kSmallAgain : 1);
+  const bool understood = std::all_of(members_.begin(), members_.end(), [](const auto& seen) {
+    return seen.second.member.understands;
+  });
+  RelayPlan next{known.number + 1, daemons, {}};
+  if (from_daemons_ > 0 && daemons >= least && understood) next.zones = Choose(known);
+  const bool changed = known.number == 0 || next.zones != known.zones;
+  return changed ? next : known;
+}
+
+std::vector<ZoneRelays> RelayPlanner::Choose(const RelayPlan& known) const {
+  std::map<ZoneId, std::vector<const Member*>> zones;
+  for (const auto& [address, seen] : members_)
+    if (!seen.member.stopping) zones[seen.member.zone].push_back(&seen.member);
+  std::vector<ZoneRelays> chosen;
+  for (auto& [zone, members] : zones) {
+    ZoneRelays relays{zone, {}};
+    const std::size_t wanted = std::max(kLeastRelays, members.size() / kDaemonsOfRelay + 1);
+    for (const ZoneRelays& before : known.zones)
+      if (before.zone == zone)
+        std::copy_if(before.relays.begin(), before.relays.end(), std::back_inserter(relays.relays),
+                     [this](const std::string& address) { return MayRelay(address); });
+    std::stable_sort(members.begin(), members.end(), [](const Member* left, const Member* right) {
+      return left->strength > right->strength;
+    });
+    for (const Member* member : members) {
+      if (relays.relays.size() >= wanted) break;
+      const auto& named = relays.relays;
+      if (std::find(named.begin(), named.end(), member->address) == named.end())
+        relays.relays.push_back(member->address);
+    }
+    chosen.push_back(std::move(relays));
+  }
+  return chosen;
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/relay/relay_sources.cc
@@ -0,0 +1,147 @@
+#include "relay/relay_sources.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace moorfold {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Relays are asked twice a second: without two answers another is asked.
+constexpr milliseconds kSilence{900};
+/// The same after another was silent: what is known ages meanwhile.
+constexpr milliseconds kHurriedSilence{400};
+/// The same for a daemon that knows nothing yet: in a fleet that starts at once its relays read the
+/// whole store first.
+constexpr milliseconds kPatientSilence{3'000};
+/// So long a relay may say that it does not know enough: a whole read of the store takes less.
+constexpr milliseconds kLongestDecline{6'000};
+/// Of its own zone: where so many are silent, the others are hardly asked in time.
+constexpr std::size_t kAskedOfZone = 2;
+/// What a relay knows may have come over another, and is up to two questions and a read old. One
+/// that is further behind is cut off from its source, or too slow.
+constexpr milliseconds kBehind{2'000};
+/// Whoever asks a relay of another zone looks for its own again so often: what crosses zones costs.
+constexpr milliseconds kHomeAgain{5'000};
+
+}  // namespace
+
+std::vector<std::string> RelaySources::SourcesOf(const ZoneRelays& zone) const {
+  if (zone.relays.empty()) return {};
+  const auto rank = [this](const std::string& address) {
+    const std::string both = address_ + '>' + address;
+    return XXH64(both.data(), both.size(), 0);
+  };
+  // The first has the store to read.
+  std::vector<std::string> sources(zone.relays.begin() + 1, zone.relays.end());
+  std::sort(sources.begin(), sources.end(), [&](const std::string& left, const std::string& right) {
+    return rank(left) < rank(right);
+  });
+  sources.push_back(zone.relays.front());
+  if (sources.size() > kAskedOfZone) sources.resize(kAskedOfZone);
+  return sources;
+}
+
+std::vector<std::string> RelaySources::SourcesBeyond(const RelayPlan& plan) const {
+  std::vector<std::vector<std::string>> zones;
+  for (const ZoneRelays& zone : plan.zones)
+    if (zone.zone != zone_) zones.push_back(SourcesOf(zone));
+  if (zones.empty()) return {};
+  // Daemons of a lost zone spread over all others.
+  const auto start = std::hash<std::string>{}(address_) % zones.size();
+  std::rotate(zones.begin(), zones.begin() + static_cast<std::ptrdiff_t>(start), zones.end());
+  std::vector<std::string> sources;
+  for (std::size_t turn = 0; turn < kAskedOfZone; ++turn)
+    for (const std::vector<std::string>& zone : zones)
+      if (turn < zone.size()) sources.push_back(zone[turn]);
+  return sources;
+}
+
+void RelaySources::SetPlan(const RelayPlan& plan, Time now) {
+  const std::string before = Current(now);
+  relay_ = plan.Names(address_);
+  order_.clear();
+  for (const ZoneRelays& zone : plan.zones) {
+    const auto self = std::find(zone.relays.begin(), zone.relays.end(), address_);
+    if (self != zone.relays.end())
+      order_.assign(zone.relays.begin(), self + 1);
+    else if (zone.zone == zone_)
+      order_ = SourcesOf(zone);
+  }
+  own_zone_ = order_.size();
+  const std::vector<std::string> beyond = SourcesBeyond(plan);
+  order_.insert(order_.end(), beyond.begin(), beyond.end());
+  const auto same = std::find(order_.begin(), order_.end(), before);
+  const bool stays = !relay_ && same != order_.end();
+  current_ = stays ? static_cast<std::size_t>(same - order_.begin()) : 0;
+  if (!stays) silent_since_ = {};
+}
+
+bool RelaySources::Contains(const std::string& address) const {
+  return std::find(order_.begin(), order_.end(), address) != order_.end();
+}
+
+void RelaySources::Next(Time now) {
+  silent_since_ = {};
+  declined_since_ = {};
+  home_again_ = now + kHomeAgain;
+  current_ = (current_ + 1) % order_.size();
+}
+
+void RelaySources::MoveOn(Time now) {
+  if (order_.empty()) return;
+  const milliseconds usual = hurried_ ? kHurriedSilence : kSilence;
+  const milliseconds patience = patient_ ? kPatientSilence : usual;
+  const bool silent = silent_since_ != Time{} && now - silent_since_ >= patience;
+  if (silent) {
+    Next(now);
+    hurried_ = true;
+  }
+  if (current_ < own_zone_ || own_zone_ == 0 || now < home_again_) return;
+  current_ = 0;
+  silent_since_ = {};
+}
+
+std::string RelaySources::Current(Time now) {
+  MoveOn(now);
+  return order_.empty() || AtSelf() ? std::string() : order_[current_];
+}
+
+bool RelaySources::Watches(Time now) {
+  MoveOn(now);
+  return AtSelf();
+}
+
+void RelaySources::Asked(Time now) {
+  if (silent_since_ == Time{}) silent_since_ = now;
+}
+
+void RelaySources::Heard(const std::string& from, std::chrono::microseconds age, Time now) {
+  if (order_.empty() || order_[current_] != from) return;
+  silent_since_ = {};
+  declined_since_ = {};
+  hurried_ = false;
+  if (age > kBehind) Next(now);
+}
+
+void RelaySources::NoteOwnReads(bool fail, Time now) {
+  const bool read_in_vain = AtSelf() && fail;
+  if (!read_in_vain) {
+    failing_since_ = {};
+    return;
+  }
+  if (failing_since_ == Time{}) failing_since_ = now;
+  if (now - failing_since_ >= kSilence) Next(now);
+}
+
+void RelaySources::Declined(const std::string& from, Time now) {
+  if (order_.empty() || order_[current_] != from) return;
+  if (declined_since_ == Time{}) declined_since_ = now;
+  // It is there; what is known here ages all the same.
+  if (patient_ && now - declined_since_ < kLongestDecline) silent_since_ = {};
+}
+
+}  // namespace moorfold
--- /dev/null
+++ b/src/relay/snapshot_reader.cc
@@ -0,0 +1,63 @@
+#include "relay/snapshot_reader.h"
+
+#include <algorithm>
+
+namespace moorfold {
+
+namespace {
+/// A page takes some milliseconds on its way: one that takes longer is lost, or its relay is slow.
+constexpr std::chrono::milliseconds kAskAgain{300};
+}  // namespace
+
+std::optional<ServersQuestion> SnapshotReader::Due(Time now) {
+  if (!running_) return std::nullopt;
+  const bool open = asked_at_us_ || (declined_ && after_.empty());
+  if (open && now - sent_at_ < kAskAgain) return std::nullopt;
+  sent_at_ = now;
+  // Asked again, it is the same question: a relay that is slow is answered by its first answer.
+  if (!asked_at_us_) {
+    asked_at_ = now;
+    asked_at_us_ =
+        std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count();
+  }
+  return ServersQuestion{*asked_at_us_, after_};
+}
+
+bool SnapshotReader::Continues(const ServersPage& page, const std::string& from) const {
+  if (relay_.empty()) return true;
+  return from == relay_ && page.revision.era == revision_.era && page.revision >= revision_;
+}
+
+SnapshotReader::Taken SnapshotReader::Take(const ServersPage& page, const std::string& from) {
+  const bool asked = running_ && asked_at_us_ == page.asked_at_us && page.after == after_;
+  if (!asked) return Taken::kIgnored;
+  if (!page.relays) {
+    // Asked again after the usual pause, from the beginning: another relay may answer then.
+    const Time sent_at = sent_at_;
+    Begin();
+    sent_at_ = sent_at;
+    declined_ = true;
+    return Taken::kDeclined;
+  }
+  const bool endless = page.more && page.last <= page.after;
+  if (endless || !Continues(page, from)) {
+    Begin();
+    return Taken::kIgnored;
+  }
+  if (relay_.empty()) {
+    relay_ = from;
+    revision_ = page.revision;
+    const std::chrono::microseconds age{std::max<std::int64_t>(0, page.age_us)};
+    current_at_ = asked_at_ - age;
+  }
+  asked_at_us_.reset();
+  declined_ = false;
+  if (!page.more) {
+    running_ = false;
+    return Taken::kWhole;
+  }
+  after_ = page.last;
+  return Taken::kPage;
+}
+
+}  // namespace moorfold
--- a/test/fleet/placement_test.cc
+++ b/test/fleet/placement_test.cc
@@ -380,13 +380,16 @@
 TEST_CASE("An address for datagrams that is in use is named, with what to do") {
   boost::asio::io_context context;
   const DemandChannel::Handlers none{[](const DemandReport&) {},
-                                     [](const PlacementNotice&) {},
+                                     [](const PlacementNotice&, const std::string&) {},
                                      [](const ChangeAnswer&, const std::string&) {},
                                      [](const LeadershipOffer&) {},
                                      [](const QuarantineNotice&, const std::string&) {},
                                      [](const CreditSharing&, const std::string&) {},
                                      [](const CreditQuestion&, const std::string&) {},
                                      [](const CreditAnswer&, const std::string&) {},
+                                     [](const RelayPlan&) {},
+                                     [](const ServersQuestion&, const std::string&) {},
+                                     [](const ServersPage&, const std::string&) {},
                                      [](const std::string&) {}};
   const DemandChannel first(context, {"127.0.0.1", 0}, none);
   try {
@@ -408,19 +411,22 @@
   std::vector<std::string> dropped;
   DemandChannel::Handlers to_leader{
       [&](DemandReport report) { reports.push_back(report); },
-      [](const PlacementNotice&) {},
+      [](const PlacementNotice&, const std::string&) {},
       [](const ChangeAnswer&, const std::string&) {},
       [](const LeadershipOffer&) {},
       [](const QuarantineNotice&, const std::string&) {},
       [](const CreditSharing&, const std::string&) {},
       [](const CreditQuestion&, const std::string&) {},
       [](const CreditAnswer&, const std::string&) {},
+      [](const RelayPlan&) {},
+      [](const ServersQuestion&, const std::string&) {},
+      [](const ServersPage&, const std::string&) {},
       [](const std::string&) {},
       [&](const UnreadMessage& message) { dropped.push_back(message.problem); }};
   DemandChannel leader(context, {"127.0.0.1", 0}, to_leader);
   DemandChannel::Handlers to_daemon{
       [](const DemandReport&) {},
-      [&](const PlacementNotice& notice) { notices.push_back(notice); },
+      [&](const PlacementNotice& notice, const std::string&) { notices.push_back(notice); },
       [&](const ChangeAnswer& answer, const std::string& from) {
         answers.push_back(answer);
         answered_from = from;
@@ -430,6 +436,9 @@
       [](const CreditSharing&, const std::string&) {},
       [](const CreditQuestion&, const std::string&) {},
       [](const CreditAnswer&, const std::string&) {},
+      [](const RelayPlan&) {},
+      [](const ServersQuestion&, const std::string&) {},
+      [](const ServersPage&, const std::string&) {},
       [](const std::string&) {}};
   DemandChannel daemon(context, {"127.0.0.1", 0}, to_daemon);
   leader.Start();
--- a/test/gateway/store_view_test.cc
+++ b/test/gateway/store_view_test.cc
@@ -110,7 +110,7 @@
   CHECK_FALSE(fixture.view.AwaitsRead(fixture.view.servers_current_at));
   const std::optional<ChangeQuestion> question = fixture.store_view.Question();
   REQUIRE(question);
-  CHECK(fixture.store_view.Answer(*question, 2).age_us > 400'000);
+  CHECK(fixture.store_view.Answer(*question, 2, false).age_us > 400'000);
   fixture.PutVersion(3);  // Readable again, and the same.
   CHECK(fixture.RunUntil([&] { return fixture.view.configuration_current_at > known_at; }));
 }
--- a/test/relay/relay_fixture.h
+++ b/test/relay/relay_fixture.h
@@ -14,13 +14,15 @@
 
 /// A daemon's view of a shared store.
 struct Member {
+  /// @param page_entries of the store's first page; 0: it holds all.
   Member(boost::asio::io_context& context, KeyValueTable& table,
-         std::chrono::milliseconds longest_age)
+         std::chrono::milliseconds longest_age, std::size_t page_entries = 0)
       : store(context, table),
         log(-1, {}),
         view(context.get_executor()),
         store_view(context, store, protocol, view, metrics, log,
                    {longest_age, std::chrono::milliseconds(10), std::chrono::milliseconds(10)}) {
+    store.page_entries = page_entries;
     store_view.Start(
         "moorfold/leader", [](const std::optional<KeyValue>&, StoreRevision) {},
         [](const RoutingConfiguration&) {});
@@ -77,10 +79,11 @@
     Put("servers/" + id, ServerText(state, models));
   }
   /// One question and its answer.
-  ChangeAnswer Exchange() {
+  /// @param parts whether the follower takes parts of what has changed.
+  ChangeAnswer Exchange(bool parts = false) {
     const std::optional<ChangeQuestion> question = follower.store_view.Question();
     REQUIRE(question);
-    ChangeAnswer answer = watcher.store_view.Answer(*question, 20);
+    ChangeAnswer answer = watcher.store_view.Answer(*question, 20, parts);
     follower.store_view.TakeAnswer(answer);
     return answer;
   }
--- a/test/relay/relayed_view_test.cc
+++ b/test/relay/relayed_view_test.cc
@@ -82,7 +82,7 @@
   REQUIRE(early);
   ChangeQuestion before_all = *early;
   before_all.revision = {fixture.table.era(), 0};
-  const ChangeAnswer answer = fixture.watcher.store_view.Answer(before_all, 20);
+  const ChangeAnswer answer = fixture.watcher.store_view.Answer(before_all, 20, false);
   CHECK(answer.gap);
   CHECK(answer.servers.empty());
   fixture.PutServer("i-2", "ready", "");
--- /dev/null
+++ b/test/relay/servers_from_relay_test.cc
@@ -0,0 +1,180 @@
+// A daemon of a large fleet: it starts, and catches up, without listing all servers of the store.
+
+#include <catch2/catch.hpp>
+
+#include "fleet/fleet_messages.h"
+#include "gateway/servers_page.h"
+#include "relay_fixture.h"
+
+namespace moorfold {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kModel = R"({"name":"m","version":1,"adapters":["a1"]})";
+constexpr std::size_t kPageEntries = 50;
+constexpr int kServers = 400;
+
+std::string ServerName(int number) { return "i-" + std::to_string(1'000 + number); }
+
+/// A store with more servers than a page holds, a relay that has listed it, and a daemon that
+/// starts.
+struct LargeFleet {
+  LargeFleet() : table(Stocked()), relay(context, table, milliseconds(20)) {
+    REQUIRE(RunUntil([&] { return relay.Record(ServerName(kServers - 1)) != nullptr; }));
+    relay.store_view.SetWatching(true);
+    starting.emplace(context, table, std::chrono::hours(1), kPageEntries);
+    REQUIRE(RunUntil([&] { return starting->Version() == 3; }));
+  }
+  static KeyValueTable Stocked() {
+    KeyValueTable table = StockedTable();
+    for (int server = 0; server < kServers; ++server)
+      PutInto(table, "servers/" + ServerName(server), ServerText("ready", kModel));
+    return table;
+  }
+  void Put(const std::string& id, const std::string& state) {
+    PutInto(table, "servers/" + id, ServerText(state, kModel));
+  }
+  void Remove(const std::string& id) {
+    Transaction transaction;
+    transaction.operations.emplace_back(DeleteOperation{"servers/" + id});
+    table.Transact(transaction);
+  }
+  /// Pages go back and forth until the daemon has all. @return how many.
+  int TakeAllPages() {
+    int pages = 0;
+    while (const std::optional<ServersQuestion> question =
+               starting->store_view.ServersQuestionDue()) {
+      const ServersPage page = relay.store_view.Page(*question);
+      CHECK(EncodeMessage(FleetMessage(page)).size() < 8'000);
+      starting->store_view.TakePage(page, "relay");
+      ++pages;
+    }
+    return pages;
+  }
+  ChangeAnswer Exchange() {
+    const std::optional<ChangeQuestion> question = starting->store_view.Question();
+    REQUIRE(question);
+    const ChangeAnswer answer = relay.store_view.Answer(*question, 1'000, true);
+    starting->store_view.TakeAnswer(answer);
+    return answer;
+  }
+  /// Until the relay has what was put before.
+  void Settle() {
+    const std::string marker = "i-marker-" + std::to_string(++markers_);
+    Put(marker, "ready");
+    REQUIRE(RunUntil([&] { return relay.Record(marker) != nullptr; }));
+  }
+  bool RunUntil(const std::function<bool()>& done, milliseconds patience = milliseconds(20'000)) {
+    const auto give_up = BootClock::now() + patience;
+    while (!done() && BootClock::now() < give_up) {
+      relay.store.Deliver();
+      if (context.stopped()) context.restart();
+      if (context.run_one_for(milliseconds(5)) == 0) std::this_thread::sleep_for(milliseconds(1));
+    }
+    return done();
+  }
+
+  boost::asio::io_context context;
+  KeyValueTable table;
+  Member relay;
+  std::optional<Member> starting;
+
+ private:
+  int markers_ = 0;
+};
+
+TEST_CASE("A configuration is in force though not one server was listed") {
+  LargeFleet fleet;
+  CHECK(fleet.starting->store_view.WaitsForServers());
+  CHECK(fleet.starting->view.ConfigurationCurrent(BootClock::now()));
+  CHECK(fleet.starting->view.servers.all().empty());
+  // Nobody has said where to ask, and nothing is asked of the store meanwhile.
+  fleet.RunUntil([] { return false; }, milliseconds(200));
+  CHECK(fleet.starting->store.listings() == 0);
+  CHECK_FALSE(fleet.starting->store_view.ServersQuestionDue());
+}
+
+TEST_CASE("A fleet that has no relays is listed at once") {
+  LargeFleet fleet;
+  fleet.starting->store_view.SetRelays(false);
+  REQUIRE(fleet.RunUntil([&] { return fleet.starting->Record(ServerName(399)) != nullptr; }));
+  CHECK(fleet.starting->store.listings() == 1);
+}
+
+TEST_CASE("All servers come from a relay, and what changed meanwhile after them") {
+  LargeFleet fleet;
+  fleet.starting->store_view.SetRelays(true);
+  const std::optional<ServersQuestion> first = fleet.starting->store_view.ServersQuestionDue();
+  REQUIRE(first);
+  const ServersPage page = fleet.relay.store_view.Page(*first);
+  REQUIRE(page.more);
+  fleet.starting->store_view.TakePage(page, "relay");
+  // Before and after the place that the pages have reached.
+  fleet.Put(ServerName(0), "draining");
+  fleet.Remove(ServerName(1));
+  fleet.Remove(ServerName(398));
+  fleet.Settle();
+  CHECK(fleet.TakeAllPages() > 2);
+  CHECK_FALSE(fleet.starting->store_view.WaitsForServers());
+  CHECK(fleet.starting->Record(ServerName(398)) == nullptr);
+  fleet.Exchange();
+  CHECK(fleet.starting->Record(ServerName(0))->draining);
+  CHECK(fleet.starting->Record(ServerName(1)) == nullptr);
+  CHECK(fleet.starting->view.servers.all().size() == fleet.relay.view.servers.all().size());
+  CHECK(fleet.starting->store.listings() == 0);
+}
+
+TEST_CASE("A relay that has not read the store itself gives nothing") {
+  LargeFleet fleet;
+  fleet.starting->store_view.SetRelays(true);
+  const std::optional<ServersQuestion> question = fleet.starting->store_view.ServersQuestionDue();
+  REQUIRE(question);
+  Member another(fleet.context, fleet.table, std::chrono::hours(1), kPageEntries);
+  const ServersPage page = another.store_view.Page(*question);
+  CHECK_FALSE(page.relays);
+  CHECK(fleet.starting->store_view.TakePage(page, "relay") == SnapshotReader::Taken::kDeclined);
+  CHECK(fleet.starting->store_view.WaitsForServers());
+}
+
+TEST_CASE("More changes than a datagram carries come in parts, and count as known with the last") {
+  LargeFleet fleet;
+  fleet.starting->store_view.SetRelays(true);
+  fleet.TakeAllPages();
+  fleet.Exchange();
+  const auto known_at = fleet.starting->view.servers_current_at;
+  for (int server = 0; server < 200; ++server) fleet.Put(ServerName(server), "draining");
+  fleet.Settle();
+  ChangeAnswer answer = fleet.Exchange();
+  REQUIRE(answer.partial);
+  CHECK(EncodeMessage(FleetMessage(answer)).size() < 8'000);
+  CHECK(fleet.starting->view.servers_current_at == known_at);
+  CHECK(fleet.starting->Record(ServerName(0))->draining);
+  int parts = 1;
+  for (; answer.partial; ++parts) answer = fleet.Exchange();
+  CHECK(parts > 2);
+  CHECK(fleet.starting->Record(ServerName(199))->draining);
+  CHECK(fleet.starting->view.servers_current_at > known_at);
+  CHECK(fleet.starting->store.listings() == 0);
+}
+
+TEST_CASE(
+    "Where the relay's log does not reach back, its servers are taken again, not the store's") {
+  LargeFleet fleet;
+  fleet.starting->store_view.SetRelays(true);
+  fleet.TakeAllPages();
+  fleet.Exchange();
+  for (int round = 0; round < 4; ++round)
+    for (int server = 0; server < kServers; ++server)
+      fleet.Put(ServerName(server) + "-" + std::to_string(round), "ready");
+  fleet.Remove(ServerName(7));
+  fleet.Settle();
+  CHECK(fleet.Exchange().gap);
+  CHECK(fleet.TakeAllPages() > 10);
+  CHECK(fleet.starting->Record(ServerName(7)) == nullptr);
+  CHECK(fleet.starting->view.servers.all().size() == fleet.relay.view.servers.all().size());
+  CHECK(fleet.starting->store.listings() == 0);
+}
+
+}  // namespace
+}  // namespace moorfold
--- /dev/null
+++ b/test/relay/snapshot_reader_test.cc
@@ -0,0 +1,94 @@
+#include "relay/snapshot_reader.h"
+
+#include <catch2/catch.hpp>
+
+namespace moorfold {
+namespace {
+
+using std::chrono::milliseconds;
+using Taken = SnapshotReader::Taken;
+using Time = SnapshotReader::Time;
+
+constexpr Time kStart{std::chrono::seconds(1'000)};
+
+ServersPage PageFor(const ServersQuestion& question, const std::string& last, bool more,
+                    std::int64_t revision) {
+  ServersPage page;
+  page.asked_at_us = question.asked_at_us;
+  page.after = question.after;
+  page.relays = true;
+  page.last = last;
+  page.more = more;
+  page.revision = {0, revision};
+  page.age_us = 40'000;
+  return page;
+}
+
+struct Reading {
+  Reading() { reader.Begin(); }
+  ServersQuestion Ask() {
+    const std::optional<ServersQuestion> question = reader.Due(now);
+    REQUIRE(question);
+    return *question;
+  }
+  SnapshotReader reader;
+  Time now = kStart;
+};
+
+TEST_CASE("Pages are asked for one after the other, and are as old as the first") {
+  Reading reading;
+  const ServersQuestion first = reading.Ask();
+  CHECK(first.after.empty());
+  CHECK_FALSE(reading.reader.Due(reading.now));  // It is open.
+  CHECK(reading.reader.Take(PageFor(first, "i-3", true, 50), "relay") == Taken::kPage);
+  reading.now += milliseconds(5);
+  const ServersQuestion second = reading.Ask();
+  CHECK(second.after == "i-3");
+  CHECK(reading.reader.Take(PageFor(second, "i-6", false, 57), "relay") == Taken::kWhole);
+  CHECK(reading.reader.revision() == StoreRevision{0, 50});
+  CHECK(reading.reader.current_at() == kStart - milliseconds(40));
+  CHECK_FALSE(reading.reader.running());
+}
+
+TEST_CASE("A late page is asked for again; its first answer is taken, its second left alone") {
+  Reading reading;
+  const ServersQuestion late = reading.Ask();
+  reading.now += milliseconds(400);
+  const ServersQuestion again = reading.Ask();
+  CHECK(again.after == late.after);
+  CHECK(reading.reader.Take(PageFor(late, "i-3", true, 50), "relay") == Taken::kPage);
+  CHECK(reading.reader.Take(PageFor(again, "i-3", true, 50), "relay") == Taken::kIgnored);
+  // As old as the first question: nothing says which of the two was answered.
+  CHECK(reading.reader.current_at() == kStart - milliseconds(40));
+}
+
+TEST_CASE("Pages of another relay, another era or an older state begin anew") {
+  Reading reading;
+  const ServersQuestion first = reading.Ask();
+  reading.reader.Take(PageFor(first, "i-3", true, 50), "relay");
+  const ServersQuestion second = reading.Ask();
+  ServersPage page = PageFor(second, "i-6", true, 57);
+  std::string from = "relay";
+  SECTION("relay") { from = "another"; }
+  SECTION("era") { page.revision.era = 1; }
+  SECTION("state") { page.revision.number = 49; }
+  SECTION("a page without end") { page.last = page.after; }
+  CHECK(reading.reader.Take(page, from) == Taken::kIgnored);
+  CHECK(reading.Ask().after.empty());
+}
+
+TEST_CASE("Who does not watch the store declines, and the next is asked from the beginning") {
+  Reading reading;
+  const ServersQuestion first = reading.Ask();
+  reading.reader.Take(PageFor(first, "i-3", true, 50), "relay");
+  const ServersQuestion second = reading.Ask();
+  ServersPage declined = PageFor(second, "", false, 0);
+  declined.relays = false;
+  CHECK(reading.reader.Take(declined, "relay") == Taken::kDeclined);
+  CHECK_FALSE(reading.reader.Due(reading.now));  // Not in a tight circle.
+  reading.now += milliseconds(400);
+  CHECK(reading.Ask().after.empty());
+}
+
+}  // namespace
+}  // namespace moorfold
--- a/test/support/fake_key_value_store.h
+++ b/test/support/fake_key_value_store.h
@@ -24,8 +24,24 @@
   bool lose_answers = false;  ///< Calls are done, their answers do not come.
   bool hold_grants = false;   ///< Leases are granted, their answers come with ReleaseGrants.
 
-  /// Of all keys, answered or not.
+  std::size_t page_entries = 0;  ///< Of one page; 0: a page holds all.
+
+  /// Of all keys, answered or not; first pages are no listings.
   std::uint64_t listings() const { return listings_; }
+  void RangePage(KeyRange range, Callback<RangeResult> done) override {
+    if (page_entries == 0) {
+      Range(std::move(range), std::move(done));
+      return;
+    }
+    Answer<RangeResult>(
+        [this, range] {
+          RangeResult page = table_.Range(range);
+          page.more = page.entries.size() > page_entries;
+          if (page.more) page.entries.resize(page_entries);
+          return page;
+        },
+        std::move(done));
+  }
   void Range(KeyRange range, Callback<RangeResult> done) override {
     if (range.key.empty()) ++listings_;
     Answer<RangeResult>([this, range] { return table_.Range(range); }, std::move(done));
