Adapters planned by themselves; the configuration comes from relays

Daemons that the store turns away asked it for each new configuration until it answered: refused calls cost as well. Ruled out: more of the leader's time for plans (a larger constant). Change: adapters that are waited for are planned at once, over the servers that hold their models; the text of a newer configuration comes in parts from a relay, checked by version and digest, and from the store only where no relay gives it within a fifth of the bound. Measured: a property test, the same steps as the whole plan's; tests of the reader and of a daemon that the store turns away.

--- a/src/fleet/demand_channel.cc
+++ b/src/fleet/demand_channel.cc
@@ -86,6 +86,10 @@
     handlers_.servers_asked(*servers, from);
   } else if (const auto* page = std::get_if<ServersPage>(&message)) {
     handlers_.servers_answered(*page, from);
+  } else if (const auto* text = std::get_if<ConfigurationQuestion>(&message)) {
+    handlers_.configuration_asked(*text, from);
+  } else if (const auto* part = std::get_if<ConfigurationPart>(&message)) {
+    handlers_.configuration_answered(*part, from);
   } else {
     handlers_.offered(std::get<LeadershipOffer>(message));
   }
--- a/src/fleet/demand_channel.h
+++ b/src/fleet/demand_channel.h
@@ -39,6 +39,10 @@
   using ServersQuestionHandler =
       std::function<void(const ServersQuestion&, const std::string& from)>;
   using ServersPageHandler = std::function<void(const ServersPage&, const std::string& from)>;
+  using ConfigurationQuestionHandler =
+      std::function<void(const ConfigurationQuestion&, const std::string& from)>;
+  using ConfigurationPartHandler =
+      std::function<void(const ConfigurationPart&, const std::string& from)>;
   using OfferHandler = std::function<void(const LeadershipOffer&)>;
   /// Hears why a datagram could not be sent.
   using DropHandler = std::function<void(const std::string& problem)>;
@@ -58,6 +62,8 @@
     RelayPlanHandler planned;
     ServersQuestionHandler servers_asked;
     ServersPageHandler servers_answered;
+    ConfigurationQuestionHandler configuration_asked;
+    ConfigurationPartHandler configuration_answered;
     DropHandler dropped;
     UnreadHandler unread;
   };
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <set>
 
 #include "common/boot_clock.h"
 #include "http/http_status.h"
@@ -71,34 +72,48 @@
       notice_(std::move(notice)),
       client_(context),
       timer_(context),
-      plan_timer_(context) {}
+      whole_pace_(context),
+      adapter_pace_(context) {}
 
 void FleetController::Start() { Tick(); }
 
 void FleetController::AddReport(const DemandReport& report) {
   demand_.Add(report, BootClock::now());
-  const bool waiting = std::any_of(report.entries.begin(), report.entries.end(),
-                                   [](const DemandEntry& entry) { return entry.waiting > 0; });
-  if (waiting) PlanSoon();
+  const auto waits = [](const DemandEntry& entry) { return entry.waiting > 0; };
+  const auto waits_for_adapter = [](const DemandEntry& entry) {
+    return entry.waiting > 0 && !entry.name.adapter.empty();
+  };
+  if (std::any_of(report.entries.begin(), report.entries.end(), waits_for_adapter))
+    PlanAdaptersSoon();
+  if (std::any_of(report.entries.begin(), report.entries.end(), waits)) PlanSoon();
 }
 
+void FleetController::PlanSoon() { Soon(whole_pace_, &FleetController::PlanAll); }
+
+void FleetController::PlanAdaptersSoon() { Soon(adapter_pace_, &FleetController::PlanAdapters); }
+
 /// At once, or when enough time has passed since the last plan: planning takes no more than a part
 /// of this machine's time.
-void FleetController::PlanSoon() {
-  if (plan_pending_) return;
-  const auto now = BootClock::now();
-  if (now >= plan_not_before_) {
-    PlanAll();
+void FleetController::Soon(Pace& pace, void (FleetController::*plan)()) {
+  if (pace.pending) return;
+  if (BootClock::now() >= pace.not_before) {
+    (this->*plan)();
     return;
   }
-  plan_pending_ = true;
-  plan_timer_.expires_at(plan_not_before_);
-  plan_timer_.async_wait([this](const boost::system::error_code& error) {
-    plan_pending_ = false;
-    if (!error) PlanAll();
+  pace.pending = true;
+  pace.timer.expires_at(pace.not_before);
+  pace.timer.async_wait([this, &pace, plan](const boost::system::error_code& error) {
+    pace.pending = false;
+    if (!error) (this->*plan)();
   });
 }
 
+void FleetController::Rest(Pace& pace, SteadyTime began) {
+  const SteadyTime ended = BootClock::now();
+  pace.not_before =
+      ended + std::max<BootClock::duration>(kShortestPlanPause, (ended - began) * kPauseByDuration);
+}
+
 void FleetController::Tick() {
   metrics_.leading = election_.leading() ? 1 : 0;
   PlanSoon();
@@ -130,9 +145,35 @@
   const RouteTableConstPtr table = view_.routes;
   for (const ServiceDescription& service : table->configuration().services)
     if (service.engine) PlanService(service);
-  const auto ended = BootClock::now();
-  plan_not_before_ =
-      ended + std::max<BootClock::duration>(kShortestPlanPause, (ended - began) * kPauseByDuration);
+  Rest(whole_pace_, began);
+}
+
+void FleetController::PlanAdapters() {
+  if (stopped_ || !view_.routes || !election_.MayOrder()) return;
+  NoteTerm();
+  const auto began = BootClock::now();
+  const RouteTableConstPtr table = view_.routes;
+  for (const ServiceDescription& service : table->configuration().services)
+    if (service.engine) PlanAdapters(service);
+  Rest(adapter_pace_, began);
+}
+
+void FleetController::PlanAdapters(const ServiceDescription& service) {
+  const auto now = BootClock::now();
+  std::map<ModelReference, ModelDemand> demand = demand_.Of(service.name, now);
+  std::set<std::string> models;
+  for (const auto& [name, wanted] : demand)
+    if (wanted.waiting > 0 && !name.adapter.empty()) models.insert(name.model);
+  std::map<std::string, ServerPtr> holding;
+  for (const std::string& model : models)
+    for (const ServerPtr& server : view_.servers.Holding(service.name, model))
+      holding.emplace(server->record().id, server);
+  if (holding.empty()) return;
+  std::vector<PlannedServer> servers;
+  for (const auto& [id, server] : holding) servers.push_back(Describe(*server));
+  const PlannerLimits limits{0, kSlotShare * service.engine->slots};
+  PlacementPlanner planner(*service.engine, std::move(demand), std::move(servers), limits, now);
+  Begin(planner.PlanAdaptersOnly());
 }
 
 void FleetController::Forget() {
@@ -216,7 +257,11 @@
   const PlannerLimits limits{loads, kSlotShare * service.engine->slots};
   PlacementPlanner planner(*service.engine, demand_.Of(service.name, now), std::move(servers),
                            limits, now);
-  for (const PlacementStep& step : planner.Plan())
+  Begin(planner.Plan());
+}
+
+void FleetController::Begin(const std::vector<PlacementStep>& steps) {
+  for (const PlacementStep& step : steps)
     if (const ServerPtr server = view_.servers.Find(step.server_id)) Begin(step, *server);
 }
 
@@ -291,6 +336,7 @@
   if (!report) co_return;
   TakeReport(*managed, *report);
   managed->known = !report->busy;
+  PlanAdaptersSoon();
   PlanSoon();
 }
 
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -68,6 +68,12 @@
   void Tick();
   void PlanSoon();
   void PlanAll();
+  /// Places adapters that requests wait for, over the servers that hold their models: this takes a
+  /// small part of the time of a whole plan, and so comes much sooner.
+  void PlanAdapters();
+  void PlanAdapters(const ServiceDescription& service);
+  void PlanAdaptersSoon();
+  void Begin(const std::vector<PlacementStep>& steps);
   void PlanService(const ServiceDescription& service);
   PlannedServer Describe(const Server& server);
   ManagedPtr Managed(const std::string& id);
@@ -107,9 +113,20 @@
   NoticeHandler notice_;
   HttpClient client_;
   BootTimer timer_;
-  BootTimer plan_timer_;
-  SteadyTime plan_not_before_{};
-  bool plan_pending_ = false;
+  /// When one kind of plan may be made again.
+  struct Pace {
+    explicit Pace(boost::asio::io_context& context) : timer(context) {}
+    BootTimer timer;
+    SteadyTime not_before{};
+    bool pending = false;
+  };
+  /// Runs `plan` at once, or when the pace allows it.
+  void Soon(Pace& pace, void (FleetController::*plan)());
+  /// A plan that began then has ended.
+  static void Rest(Pace& pace, SteadyTime began);
+
+  Pace whole_pace_;
+  Pace adapter_pace_;
   FleetDemand demand_;
   std::map<std::string, ManagedPtr> managed_;
   StoreLoadLimit store_limit_;
--- a/src/fleet/fleet_members.cc
+++ b/src/fleet/fleet_members.cc
@@ -17,8 +17,9 @@
 }  // namespace
 
 void FleetMembers::Note(const DemandReport& report, Time now) {
-  members_[report.sender] = {report.address, milliseconds(report.uptime_ms), report.strength,
-                             report.stopping, report.format, now};
+  members_[report.sender] = {report.address,  milliseconds(report.uptime_ms),
+                             report.strength, report.stopping,
+                             report.format,   now};
   // Not with each report, or the work would grow with the square of the daemons.
   if (now < forget_next_) return;
   forget_next_ = now + kForgetEvery;
--- a/src/fleet/fleet_members.h
+++ b/src/fleet/fleet_members.h
@@ -39,7 +39,7 @@
 
   std::map<std::string, Member> members_;  ///< By name; some longer than they count.
   Time forget_next_{};
-  std::string told_last_;                  ///< Name of the last that Some returned.
+  std::string told_last_;  ///< Name of the last that Some returned.
 };
 
 }  // namespace moorfold
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -109,10 +109,11 @@
   }
 };
 
-/// The last three are understood by builds that know relays (DemandReport::relay_plan).
-using FleetMessage = std::variant<DemandReport, PlacementNotice, ChangeAnswer, LeadershipOffer,
-                                  QuarantineNotice, CreditSharing, CreditQuestion, CreditAnswer,
-                                  RelayPlan, ServersQuestion, ServersPage>;
+/// The last five are understood by builds that know relays (DemandReport::relay_plan).
+using FleetMessage =
+    std::variant<DemandReport, PlacementNotice, ChangeAnswer, LeadershipOffer, QuarantineNotice,
+                 CreditSharing, CreditQuestion, CreditAnswer, RelayPlan, ServersQuestion,
+                 ServersPage, ConfigurationQuestion, ConfigurationPart>;
 
 template <typename Archive>
 void serialize(Archive& archive, ModelReference& name) {
@@ -187,6 +188,12 @@
   page.revision.era = EraOf(message);
   for (ServerChange& change : page.servers) change.revision.era = page.revision.era;
 }
+inline void WriteAdded(const ConfigurationPart& part, AddedFields& added) {
+  PutEra(added, part.revision.era);
+}
+inline void ReadAdded(ConfigurationPart& part, const FormattedMessage& message) {
+  part.revision.era = EraOf(message);
+}
 inline void WriteAdded(const FleetMessage& message, AddedFields& added) {
   std::visit([&](const auto& content) { WriteAdded(content, added); }, message);
 }
--- a/src/fleet/placement_planner.cc
+++ b/src/fleet/placement_planner.cc
@@ -81,6 +81,11 @@
   return steps_;
 }
 
+std::vector<PlacementStep> PlacementPlanner::PlanAdaptersOnly() {
+  PlanAdapters();
+  return steps_;
+}
+
 const ModelDescription* PlacementPlanner::Describe(const std::string& model) const {
   const auto found = descriptions_.find(model);
   return found == descriptions_.end() ? nullptr : found->second;
--- a/src/fleet/placement_planner.h
+++ b/src/fleet/placement_planner.h
@@ -59,6 +59,9 @@
                    std::vector<PlannedServer> servers, PlannerLimits limits, Time now);
 
   std::vector<PlacementStep> Plan();
+  /// Adapters alone. Where the servers given hold the models of those that are waited for, these
+  /// are the steps that a plan over all servers takes for them.
+  std::vector<PlacementStep> PlanAdaptersOnly();
 
  private:
   /// A model that would be worth one more server.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -40,6 +40,8 @@
 /// Silence of all relays after which a daemon reads the store for servers: what is left of the
 /// bound has to do for the read.
 constexpr double kRelayPatienceShare = 0.7;
+/// For a newer configuration to come from a relay, before the store is read for it.
+constexpr double kConfigurationPatienceShare = 0.2;
 constexpr double kRelayPatienceSpread = 0.15;  ///< Added to it, from none to all of it.
 constexpr std::size_t kSpreadSteps = 1'000;
 /// Answers to older questions are not waited for.
@@ -81,6 +83,7 @@
   const double spread =
       static_cast<double>(std::hash<std::string>{}(settings.name) % kSpreadSteps) /
       static_cast<double>(kSpreadSteps);
+  wanted.configuration_patience = share(kConfigurationPatienceShare);
   wanted.relay_patience = share(kRelayPatienceShare + kRelayPatienceSpread * spread);
   return wanted;
 }
@@ -147,6 +150,12 @@
                 [this](const ServersPage& page, const std::string& from) {
                   relays_.TakeServersPage(page, from);
                 },
+                [this](const ConfigurationQuestion& question, const std::string& from) {
+                  relays_.AnswerConfigurationQuestion(question, from);
+                },
+                [this](const ConfigurationPart& part, const std::string& from) {
+                  relays_.TakeConfigurationPart(part, from);
+                },
                 [this](const std::string& problem) {
                   log_.Write(
                       LogRank::kRoutine,
@@ -535,7 +544,9 @@
   for (const std::string& peer : answer.peers) peers_.Note(peer, BootClock::now());
   quarantine_.Compare(answer.quarantine_digest, from);
   store_view_.TakeAnswer(answer);
-  if (relays_.Asks() && answer.partial) relays_.Ask();
+  if (!relays_.Asks()) return;
+  if (answer.partial) relays_.Ask();
+  relays_.Pull();
 }
 
 void Gateway::NoteUnread(const UnreadMessage& message) {
--- a/src/gateway/relay_service.cc
+++ b/src/gateway/relay_service.cc
@@ -11,8 +11,8 @@
 constexpr const char* kPlanKey = "moorfold/relays";
 /// Of a relay's word on who leads: several questions long.
 constexpr milliseconds kLeaderTold{3'000};
-/// Questions for servers that were lost are asked again at the latest so soon.
-constexpr milliseconds kPullAgain{300};
+/// What was lost on its way is looked at so often: no sooner than it would be asked for again.
+constexpr milliseconds kPullAgain{160};
 
 }  // namespace
 
@@ -58,7 +58,7 @@
   view_.SetServing(IsRelay());
   view_.SetWatching(watches_ || ports_.leads());
   view_.SetRelays(plan_.needed() && !watches_);
-  PullServers();
+  Pull();
 }
 
 void RelayService::TakeReport(const DemandReport& report) {
@@ -140,25 +140,37 @@
     case SnapshotReader::Taken::kWhole:
       ++metrics_.servers_pages_taken;
       sources_.Heard(from, std::chrono::microseconds(0), BootClock::now());
-      PullServers();
+      Pull();
       return;
   }
 }
 
-void RelayService::PullServers() {
+void RelayService::AnswerConfigurationQuestion(const ConfigurationQuestion& question,
+                                               const std::string& from) {
+  if (const std::optional<ConfigurationPart> part = view_.Part(question)) ports_.send(from, *part);
+}
+
+void RelayService::TakeConfigurationPart(const ConfigurationPart& part, const std::string& from) {
+  if (!sources_.Contains(from)) return;
+  view_.TakePart(part);
+  Pull();
+}
+
+void RelayService::Pull() {
   if (!Asks()) return;
   const Time now = BootClock::now();
   const std::string relay = sources_.Current(now);
   if (relay.empty()) return;
-  const std::optional<ServersQuestion> question = view_.ServersQuestionDue();
-  if (question) {
+  if (const std::optional<ServersQuestion> servers = view_.ServersQuestionDue()) {
     sources_.Asked(now);
-    ports_.send(relay, *question);
+    ports_.send(relay, *servers);
   }
-  if (!view_.PullsServers()) return;
+  if (const std::optional<ConfigurationQuestion> text = view_.ConfigurationQuestionDue())
+    ports_.send(relay, *text);
+  if (!view_.PullsServers() && !view_.PullsConfiguration()) return;
   pull_timer_.expires_after(kPullAgain);
   pull_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) PullServers();
+    if (!error) Pull();
   });
 }
 
--- a/src/gateway/relay_service.h
+++ b/src/gateway/relay_service.h
@@ -62,6 +62,10 @@
   bool TakeAnswer(const ChangeAnswer& answer, const std::string& from);
   void AnswerServersQuestion(const ServersQuestion& question, const std::string& from);
   void TakeServersPage(const ServersPage& page, const std::string& from);
+  void AnswerConfigurationQuestion(const ConfigurationQuestion& question, const std::string& from);
+  void TakeConfigurationPart(const ConfigurationPart& part, const std::string& from);
+  /// Asks for what is to be taken from a relay and was not asked for, or was not answered.
+  void Pull();
   /// To be called a few times a second.
   void Tick();
   /// @return "IP:PORT" of the leader as a relay has told; empty: none has lately.
@@ -70,7 +74,6 @@
  private:
   void MakePlan(Time now);
   void Apply();
-  void PullServers();
 
   StoreView& view_;
   GatewayMetrics& metrics_;
--- a/src/gateway/store_view.cc
+++ b/src/gateway/store_view.cc
@@ -393,6 +393,33 @@
   return taken;
 }
 
+std::optional<ConfigurationQuestion> StoreView::ConfigurationQuestionDue() {
+  if (follow::WantsConfiguration(state_) && told_version_ > Version())
+    configuration_reader_.Want(told_version_);
+  else
+    configuration_reader_.Stop();
+  return configuration_reader_.Due(BootClock::now());
+}
+
+std::optional<ConfigurationPart> StoreView::Part(const ConfigurationQuestion& question) const {
+  if (question.version != Version()) return std::nullopt;
+  return PartOf(configuration_text_, configuration_entry_revision_, question);
+}
+
+void StoreView::TakePart(const ConfigurationPart& part) {
+  const std::optional<ConfigurationReader::Text> text = configuration_reader_.Take(part);
+  if (!text) return;
+  KeyValue entry;
+  entry.key = protocol_.layout().configuration_key;
+  entry.value = text->bytes;
+  entry.mod_revision = text->revision;
+  TakeEntry(entry);
+  if (Version() < told_version_) return;
+  Decide(follow::ConfigurationTaken{});
+  NoteChanged();
+  ReadWhenDue();
+}
+
 void StoreView::EndSnapshot() {
   if (state_.listed)
     changes_.NoteListing(state_.revision, snapshot_.revision());
@@ -520,7 +547,10 @@
   const std::int64_t held = Version();
   configuration_entry_revision_ = entry.mod_revision;
   const bool newer = configuration->version > held;
-  if (newer) view_.routes = std::make_shared<const RouteTable>(configuration);
+  if (newer) {
+    view_.routes = std::make_shared<const RouteTable>(configuration);
+    configuration_text_ = entry.value;
+  }
   if (configuration->version < held) {
     // The store shows what was before the version held: none newer is known of until it has it
     // again.
--- a/src/gateway/store_view.h
+++ b/src/gateway/store_view.h
@@ -16,6 +16,7 @@
 #include "ports/fleet_protocol.h"
 #include "ports/key_value_store.h"
 #include "relay/change_log.h"
+#include "relay/configuration_reader.h"
 #include "relay/follow_state.h"
 #include "relay/relay_messages.h"
 #include "relay/snapshot_reader.h"
@@ -69,6 +70,15 @@
   std::optional<ServersQuestion> ServersQuestionDue();
   /// @return whether the last read of the store was answered, or none has been.
   bool StoreInTouch() const { return failed_reads_ == 0; }
+  /// @return the question to a relay for a part of the configuration, where it is to be taken from
+  /// one.
+  std::optional<ConfigurationQuestion> ConfigurationQuestionDue();
+  /// @return that part; nothing where this daemon holds no such configuration.
+  std::optional<ConfigurationPart> Part(const ConfigurationQuestion& question) const;
+  /// Takes over what a relay has answered.
+  void TakePart(const ConfigurationPart& part);
+  /// @return whether parts of a configuration are asked for.
+  bool PullsConfiguration() const { return configuration_reader_.running(); }
   /// @return whether pages of a relay are asked for.
   bool PullsServers() const { return snapshot_.running(); }
   /// @return the page asked for, of what this daemon knows.
@@ -155,6 +165,8 @@
   follow::Settings settings_;
   follow::State state_;
   SnapshotReader snapshot_;
+  ConfigurationReader configuration_reader_;
+  std::string configuration_text_;  ///< Of the configuration held, as the store has it.
   bool serves_ = false;
   std::unique_ptr<WatchHandle> watch_;
   std::int64_t told_version_ = -1;     ///< Of the newest configuration that a watcher told of.
--- /dev/null
+++ b/src/relay/configuration_reader.cc
@@ -0,0 +1,69 @@
+#include "relay/configuration_reader.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace moorfold {
+
+namespace {
+
+/// Of one part: with it a message is no longer than a datagram of the channel.
+constexpr std::size_t kPartBytes = 7'000;
+/// A part takes some milliseconds on its way.
+constexpr std::chrono::milliseconds kAskAgain{150};
+
+std::uint64_t DigestOf(const std::string& text, std::int64_t version) {
+  return XXH64(text.data(), text.size(), static_cast<XXH64_hash_t>(version));
+}
+
+}  // namespace
+
+std::optional<ConfigurationPart> PartOf(const std::string& text, StoreRevision revision,
+                                        const ConfigurationQuestion& question) {
+  const std::size_t begin = question.part * kPartBytes;
+  if (begin >= text.size()) return std::nullopt;
+  ConfigurationPart part;
+  part.version = question.version;
+  part.part = question.part;
+  part.digest = DigestOf(text, question.version);
+  part.revision = revision;
+  part.bytes = text.substr(begin, kPartBytes);
+  part.more = begin + part.bytes.size() < text.size();
+  return part;
+}
+
+void ConfigurationReader::Want(std::int64_t version) {
+  if (version == version_) return;
+  Stop();
+  version_ = version;
+}
+
+std::optional<ConfigurationQuestion> ConfigurationReader::Due(Time now) {
+  if (!running()) return std::nullopt;
+  if (asked_at_ != Time{} && now - asked_at_ < kAskAgain) return std::nullopt;
+  asked_at_ = now;
+  return ConfigurationQuestion{version_, next_part_};
+}
+
+std::optional<ConfigurationReader::Text> ConfigurationReader::Take(const ConfigurationPart& part) {
+  if (!running() || part.version != version_ || part.part != next_part_) return std::nullopt;
+  if (next_part_ == 0) digest_ = part.digest;
+  asked_at_ = Time{};
+  bytes_ += part.bytes;
+  ++next_part_;
+  const bool another = part.digest != digest_;
+  const bool broken = !part.more && DigestOf(bytes_, version_) != digest_;
+  if (another || broken) {
+    const std::int64_t version = version_;
+    Stop();
+    Want(version);
+    return std::nullopt;
+  }
+  if (part.more) return std::nullopt;
+  Text text{std::move(bytes_), part.revision};
+  Stop();
+  return text;
+}
+
+}  // namespace moorfold
--- a/src/relay/follow_state.cc
+++ b/src/relay/follow_state.cc
@@ -43,15 +43,17 @@
   state.changes_unread = false;
 }
 
+void TakeTold(State& state, const ToldConfiguration& told) {
+  state.configuration_revision = std::max(state.configuration_revision, told.revision);
+  state.configuration_at = std::max(state.configuration_at, told.current_at);
+}
+
 void TakeTold(State& state, const ReadEnded& read) {
   state.told_missed = read.outdated;
-  if (read.outdated) {
+  if (read.outdated)
     state.configuration_wanted = true;
-    return;
-  }
-  const ToldConfiguration& told = state.reading_told;
-  state.configuration_revision = std::max(state.configuration_revision, told.revision);
-  state.configuration_at = std::max(state.configuration_at, told.current_at);
+  else
+    TakeTold(state, state.reading_told);
 }
 
 void TakeConfiguration(State& state, const ReadEnded& read, Time since) {
@@ -94,8 +96,9 @@
 }
 
 /// Another daemon has told whether there is a newer configuration, up to `revision` and at `at`.
-void TakeConfigurationNews(State& state, bool newer, StoreRevision revision, Time at) {
+void TakeConfigurationNews(State& state, bool newer, StoreRevision revision, Time at, Time now) {
   if (newer) {
+    if (!state.configuration_wanted) state.wanted_since = now;
     state.configuration_wanted = true;
     state.told = ToldConfiguration{revision, at};
     return;
@@ -129,7 +132,8 @@
   const bool read_meanwhile =
       answer.from_revision < state.revision && answer.to_revision > state.revision;
   if (read_meanwhile || (state.in_parts && answer.from_revision < state.revision)) return false;
-  TakeConfigurationNews(state, answer.newer_configuration, answer.to_revision, answer.current_at);
+  TakeConfigurationNews(state, answer.newer_configuration, answer.to_revision, answer.current_at,
+                        now);
   const bool apply = answer.to_revision > state.revision;
   state.revision = std::max(state.revision, answer.to_revision);
   // What is still to come may be as old as what this part holds.
@@ -159,7 +163,13 @@
 void Take(State& state, const ServersPageTaken& page, Time now) {
   state.watcher_heard_at = now;
   if (page.revision.era != state.configuration_revision.era) return;
-  TakeConfigurationNews(state, page.newer_configuration, page.revision, page.current_at);
+  TakeConfigurationNews(state, page.newer_configuration, page.revision, page.current_at, now);
+}
+
+void Take(State& state, const ConfigurationTaken&) {
+  if (!state.told) return;
+  state.configuration_wanted = false;
+  TakeTold(state, *state.told);
 }
 
 void Take(State& state, const ServersTaken& taken) {
@@ -200,7 +210,10 @@
 
 Time ConfigurationDue(const Settings& settings, const State& state) {
   const Time due = state.configuration_at + LongestAge(settings, state);
-  return state.configuration_wanted ? std::min(due, state.urgent_not_before) : due;
+  if (!state.configuration_wanted) return due;
+  const bool from_relay = WantsConfiguration(state);
+  const Time patience = from_relay ? state.wanted_since + settings.configuration_patience : Time{};
+  return std::min(due, std::max(state.urgent_not_before, patience));
 }
 
 bool ListingIsSmaller(const State& state, Time now) {
@@ -210,6 +223,11 @@
 
 }  // namespace
 
+bool WantsConfiguration(const State& state) {
+  if (!state.relayed || state.watches || !state.configuration_wanted) return false;
+  return state.told && state.told->revision > state.configuration_revision;
+}
+
 Decision Reduce(const Settings& settings, State state, const Event& event, Time now) {
   Decision decision{state, false};
   if (const auto* begun = std::get_if<ReadBegun>(&event))
@@ -228,6 +246,8 @@
     Take(decision.state, *relays, now);
   else if (const auto* servers = std::get_if<ServersPageTaken>(&event))
     Take(decision.state, *servers, now);
+  else if (const auto* configuration = std::get_if<ConfigurationTaken>(&event))
+    Take(decision.state, *configuration);
   else if (const auto* taken = std::get_if<ServersTaken>(&event))
     Take(decision.state, *taken);
   else
--- a/src/relay/follow_state.h
+++ b/src/relay/follow_state.h
@@ -67,6 +67,8 @@
   /// One that knows no servers yet, and may be one of a large fleet that starts at once, lists them
   /// itself when nobody has told it where to ask by then.
   Milliseconds listing_patience{8'000};
+  /// One that follows relays asks these for a newer configuration before it reads it itself.
+  Milliseconds configuration_patience{1'000};
 };
 
 /// What one read of the store asks for.
@@ -113,6 +115,7 @@
   ReadKind reading = ReadKind::kListing;  ///< The read under way; of no meaning without one.
   bool urgent = false;                ///< There is a reason to read before `current_at` is too old.
   bool configuration_wanted = false;  ///< There is a configuration that is not known.
+  Time wanted_since{};                ///< Since when that was told.
   std::optional<ToldConfiguration> told;  ///< Which is wanted, if a watcher told of it.
   ToldConfiguration reading_told;         ///< Of the read under way.
   bool told_missed = false;               ///< The store answered with an older one than that.
@@ -181,6 +184,8 @@
 struct RelaysTold {
   bool named = false;
 };
+/// The configuration of which a watcher told was taken from a relay.
+struct ConfigurationTaken {};
 /// A page of a relay's servers was taken over; it tells of the configuration as Relayed does.
 struct ServersPageTaken {
   StoreRevision revision;
@@ -196,8 +201,9 @@
 struct EraTold {
   std::int64_t era = 0;
 };
-using Event = std::variant<ReadBegun, ReadEnded, ReadFailed, Relayed, RoleTaken, EraTold,
-                           FirstPageEnded, RelaysTold, ServersPageTaken, ServersTaken>;
+using Event =
+    std::variant<ReadBegun, ReadEnded, ReadFailed, Relayed, RoleTaken, EraTold, FirstPageEnded,
+                 RelaysTold, ServersPageTaken, ServersTaken, ConfigurationTaken>;
 
 struct Decision {
   State state;
@@ -215,6 +221,8 @@
 Milliseconds LongestPause(const Settings& settings, const State& state, Time now);
 /// @return whether all servers are to be taken from a relay now.
 bool WantsServers(const State& state);
+/// @return whether the configuration that was told is to be taken from a relay now.
+bool WantsConfiguration(const State& state);
 /// @return what a read that begins now asks for.
 ReadKind NextReadKind(const Settings& settings, const State& state, Time now);
 
--- a/src/relay/relay_messages.h
+++ b/src/relay/relay_messages.h
@@ -111,6 +111,32 @@
   }
 };
 
+/// From a daemon to a relay: a part of the text of that version of the configuration.
+struct ConfigurationQuestion {
+  std::int64_t version = 0;
+  std::uint32_t part = 0;  ///< Counted from 0.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(version, part);
+  }
+};
+
+/// That part, as it stands in the store.
+struct ConfigurationPart {
+  std::int64_t version = 0;
+  std::uint32_t part = 0;
+  bool more = false;         ///< There are parts after it.
+  std::uint64_t digest = 0;  ///< Of the whole text.
+  StoreRevision revision;    ///< Of the store's entry. Its era is an added field.
+  std::string bytes;
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(version, part, more, digest, revision.number, bytes);
+  }
+};
+
 template <typename Archive>
 void serialize(Archive& archive, HeldModel& held) {
   archive(held.name, held.adapters);
--- a/test/fleet/placement_test.cc
+++ b/test/fleet/placement_test.cc
@@ -377,6 +377,65 @@
   CHECK_FALSE(demand.Unreachable("i", kNow + seconds(3)));
 }
 
+/// What random fleets hold and ask for; servers in the order of their ids.
+struct AdapterFleet {
+  std::vector<PlannedServer> servers;
+  std::map<ModelReference, ModelDemand> demand;
+};
+
+AdapterFleet MakeAdapterFleet() {
+  const std::vector<std::string> models = {"a", "b", "c", "d"};
+  AdapterFleet fleet;
+  const int servers = *rc::gen::inRange(1, 12);
+  for (int number = 0; number < servers; ++number) {
+    PlannedServer server = MakeServer("i-" + std::to_string(10 + number), {});
+    server.orderable = *rc::gen::inRange(0, 4) > 0;
+    for (const std::string& model : models)
+      if (*rc::gen::inRange(0, 3) == 0 && server.models.size() < 2) {
+        HeldModel held{model, {}};
+        if (*rc::gen::inRange(0, 2) == 0) held.adapters.push_back("x1");
+        server.models.push_back(held);
+      }
+    fleet.servers.push_back(server);
+  }
+  for (const std::string& model : models)
+    for (const char* adapter : {"x1", "x2", "x3"})
+      if (*rc::gen::inRange(0, 2) == 0)
+        fleet.demand[{model, adapter}] =
+            MakeDemand(*rc::gen::inRange(0, 3), *rc::gen::inRange(0, 60));
+  return fleet;
+}
+
+/// @return "SERVER NAME", of each step for an adapter that is waited for.
+std::vector<std::string> StepsForWaiting(const AdapterFleet& fleet,
+                                         const std::vector<PlacementStep>& steps) {
+  std::vector<std::string> told;
+  for (const PlacementStep& step : steps) {
+    const auto wanted = fleet.demand.find(step.name);
+    const bool waits = wanted != fleet.demand.end() && wanted->second.waiting > 0;
+    if (waits && step.kind == ServerOrderKind::kLoad)
+      told.push_back(step.server_id + " " + ToString(step.name));
+  }
+  return told;
+}
+
+TEST_CASE("Adapters that are waited for go where a plan over all servers takes them") {
+  rc::check([] {
+    const AdapterFleet fleet = MakeAdapterFleet();
+    std::vector<PlannedServer> holding;
+    for (const PlannedServer& server : fleet.servers)
+      for (const auto& [name, demand] : fleet.demand)
+        if (demand.waiting > 0 && server.Find(name.model) != nullptr) {
+          holding.push_back(server);
+          break;
+        }
+    const EngineDescription engine = MakeEngine();
+    PlacementPlanner part(engine, fleet.demand, holding, {0, kRequestsPerServer}, kNow);
+    RC_ASSERT(StepsForWaiting(fleet, part.PlanAdaptersOnly()) ==
+              StepsForWaiting(fleet, Plan(fleet.demand, fleet.servers)));
+  });
+}
+
 TEST_CASE("An address for datagrams that is in use is named, with what to do") {
   boost::asio::io_context context;
   const DemandChannel::Handlers none{[](const DemandReport&) {},
@@ -390,6 +449,8 @@
                                      [](const RelayPlan&) {},
                                      [](const ServersQuestion&, const std::string&) {},
                                      [](const ServersPage&, const std::string&) {},
+                                     [](const ConfigurationQuestion&, const std::string&) {},
+                                     [](const ConfigurationPart&, const std::string&) {},
                                      [](const std::string&) {}};
   const DemandChannel first(context, {"127.0.0.1", 0}, none);
   try {
@@ -421,6 +482,8 @@
       [](const RelayPlan&) {},
       [](const ServersQuestion&, const std::string&) {},
       [](const ServersPage&, const std::string&) {},
+      [](const ConfigurationQuestion&, const std::string&) {},
+      [](const ConfigurationPart&, const std::string&) {},
       [](const std::string&) {},
       [&](const UnreadMessage& message) { dropped.push_back(message.problem); }};
   DemandChannel leader(context, {"127.0.0.1", 0}, to_leader);
@@ -439,6 +502,8 @@
       [](const RelayPlan&) {},
       [](const ServersQuestion&, const std::string&) {},
       [](const ServersPage&, const std::string&) {},
+      [](const ConfigurationQuestion&, const std::string&) {},
+      [](const ConfigurationPart&, const std::string&) {},
       [](const std::string&) {}};
   DemandChannel daemon(context, {"127.0.0.1", 0}, to_daemon);
   leader.Start();
--- /dev/null
+++ b/test/relay/configuration_reader_test.cc
@@ -0,0 +1,87 @@
+#include "relay/configuration_reader.h"
+
+#include <catch2/catch.hpp>
+
+#include "fleet/fleet_messages.h"
+
+namespace moorfold {
+namespace {
+
+using std::chrono::milliseconds;
+using Time = ConfigurationReader::Time;
+
+constexpr Time kStart{std::chrono::seconds(1'000)};
+constexpr std::int64_t kVersion = 7;
+constexpr StoreRevision kRevision{1, 90};
+
+std::string LongText(char filling) { return std::string(20'000, filling) + "}"; }
+
+struct Reading {
+  Reading() { reader.Want(kVersion); }
+  /// One question and its answer from whoever holds `text`.
+  std::optional<ConfigurationReader::Text> Exchange(const std::string& text) {
+    const std::optional<ConfigurationQuestion> question = reader.Due(now);
+    REQUIRE(question);
+    const std::optional<ConfigurationPart> part = PartOf(text, kRevision, *question);
+    REQUIRE(part);
+    CHECK(EncodeMessage(FleetMessage(*part)).size() < 8'000);
+    return reader.Take(*part);
+  }
+  ConfigurationReader reader;
+  Time now = kStart;
+};
+
+TEST_CASE("A text comes part by part, as the store has it") {
+  Reading reading;
+  CHECK_FALSE(reading.Exchange(LongText('a')));
+  CHECK_FALSE(reading.Exchange(LongText('a')));
+  const std::optional<ConfigurationReader::Text> text = reading.Exchange(LongText('a'));
+  REQUIRE(text);
+  CHECK(text->bytes == LongText('a'));
+  CHECK(text->revision == kRevision);
+  CHECK_FALSE(reading.reader.running());
+}
+
+TEST_CASE("Parts of two texts make none") {
+  Reading reading;
+  CHECK_FALSE(reading.Exchange(LongText('a')));
+  CHECK_FALSE(reading.Exchange(LongText('b')));
+  // From the beginning.
+  CHECK(reading.reader.Due(reading.now)->part == 0);
+}
+
+TEST_CASE("A text that is not what its digest says is not taken") {
+  Reading reading;
+  const std::optional<ConfigurationQuestion> question = reading.reader.Due(reading.now);
+  std::optional<ConfigurationPart> part = PartOf("{}", kRevision, *question);
+  REQUIRE(part);
+  CHECK_FALSE(part->more);
+  part->bytes = "[]";
+  CHECK_FALSE(reading.reader.Take(*part));
+  CHECK(reading.reader.running());
+}
+
+TEST_CASE("A part that does not come is asked for again; others are left alone") {
+  Reading reading;
+  const std::optional<ConfigurationQuestion> first = reading.reader.Due(reading.now);
+  REQUIRE(first);
+  CHECK_FALSE(reading.reader.Due(reading.now + milliseconds(100)));
+  CHECK(reading.reader.Due(reading.now + milliseconds(200)));
+  ConfigurationPart other = *PartOf(LongText('a'), kRevision, *first);
+  other.version = kVersion - 1;
+  CHECK_FALSE(reading.reader.Take(other));
+  ConfigurationPart late = *PartOf(LongText('a'), kRevision, {kVersion, 1});
+  CHECK_FALSE(reading.reader.Take(late));
+  reading.reader.Want(kVersion + 1);
+  CHECK(reading.reader.Due(reading.now + milliseconds(200))->version == kVersion + 1);
+  reading.reader.Stop();
+  CHECK_FALSE(reading.reader.Due(reading.now + milliseconds(900)));
+}
+
+TEST_CASE("Who is asked for a part beyond the end has none") {
+  CHECK_FALSE(PartOf("{}", kRevision, {kVersion, 1}));
+  CHECK_FALSE(PartOf("", kRevision, {kVersion, 0}));
+}
+
+}  // namespace
+}  // namespace moorfold
--- a/test/relay/servers_from_relay_test.cc
+++ b/test/relay/servers_from_relay_test.cc
@@ -176,5 +176,39 @@
   CHECK(fleet.starting->store.listings() == 0);
 }
 
+TEST_CASE("A newer configuration comes from a relay, also where the store turns the daemon away") {
+  LargeFleet fleet;
+  fleet.starting->store_view.SetRelays(true);
+  fleet.TakeAllPages();
+  fleet.Exchange();
+  fleet.starting->store.unreachable = true;
+  PutInto(fleet.table, "op/config", R"({"version":9,"routes":[],"services":[]})");
+  fleet.Settle();
+  fleet.Exchange();
+  CHECK(fleet.starting->Version() == 3);
+  const auto question = fleet.starting->store_view.ConfigurationQuestionDue();
+  REQUIRE(question);
+  const std::optional<ConfigurationPart> part = fleet.relay.store_view.Part(*question);
+  REQUIRE(part);
+  fleet.starting->store_view.TakePart(*part);
+  CHECK(fleet.starting->Version() == 9);
+  CHECK_FALSE(fleet.starting->store_view.ConfigurationQuestionDue());
+  fleet.Exchange();
+  CHECK(fleet.starting->view.ConfigurationCurrent(BootClock::now()));
+  // Of another version than its own a relay tells nothing.
+  CHECK_FALSE(fleet.relay.store_view.Part({8, 0}));
+}
+
+TEST_CASE("A configuration that no relay gives is read from the store") {
+  LargeFleet fleet;
+  fleet.starting->store_view.SetRelays(true);
+  fleet.TakeAllPages();
+  fleet.Exchange();
+  PutInto(fleet.table, "op/config", R"({"version":9,"routes":[],"services":[]})");
+  fleet.Settle();
+  fleet.Exchange();
+  REQUIRE(fleet.RunUntil([&] { return fleet.starting->Version() == 9; }));
+}
+
 }  // namespace
 }  // namespace moorfold
