--- a/src/fleet/demand_channel.cc
+++ b/src/fleet/demand_channel.cc
@@ -81,7 +81,7 @@
   } else if (const auto* granted = std::get_if<CreditAnswer>(&message)) {
     handlers_.credit_answered(*granted, from);
   } else if (const auto* plan = std::get_if<RelayPlan>(&message)) {
-    handlers_.planned(*plan);
+    handlers_.planned(*plan, from);
   } else if (const auto* servers = std::get_if<ServersQuestion>(&message)) {
     handlers_.servers_asked(*servers, from);
   } else if (const auto* page = std::get_if<ServersPage>(&message)) {
--- a/src/fleet/demand_channel.h
+++ b/src/fleet/demand_channel.h
@@ -35,7 +35,8 @@
   using SharingHandler = std::function<void(const CreditSharing&, const std::string& from)>;
   using CreditQuestionHandler = std::function<void(const CreditQuestion&, const std::string& from)>;
   using CreditAnswerHandler = std::function<void(const CreditAnswer&, const std::string& from)>;
-  using RelayPlanHandler = std::function<void(const RelayPlan&)>;
+  /// @param from "IP:PORT" of the sender.
+  using RelayPlanHandler = std::function<void(const RelayPlan&, const std::string& from)>;
   using ServersQuestionHandler =
       std::function<void(const ServersQuestion&, const std::string& from)>;
   using ServersPageHandler = std::function<void(const ServersPage&, const std::string& from)>;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -143,7 +143,12 @@
                 [this](const CreditAnswer& answer, const std::string& from) {
                   quota_.Hear(answer, from);
                 },
-                [this](const RelayPlan& plan) { relays_.TakePlan(plan); },
+                [this](const RelayPlan& plan, const std::string& from) {
+                  if (LeaderAddress() == from)
+                    relays_.TakePlan(plan);
+                  else
+                    NoteDropped("a plan of relays that is not the leader's", from);
+                },
                 [this](const ServersQuestion& question, const std::string& from) {
                   relays_.AnswerServersQuestion(question, from);
                 },
@@ -444,11 +449,14 @@
     return report;
   };
   ports.leads = [this] { return election_.leading(); };
+  ports.dropped = [this](const std::string& problem, const std::string& from) {
+    NoteDropped(problem, from);
+  };
   return ports;
 }
 
 std::string Gateway::LeaderAddress() const {
-  const std::string told = relays_.Asks() ? relays_.LeaderTold() : std::string();
+  std::string told = relays_.Asks() ? relays_.LeaderTold() : std::string();
   if (!told.empty()) return told;
   return election_.leader() ? election_.leader()->address : std::string();
 }
@@ -522,6 +530,12 @@
   channel_.SendTo(report.address, answer);
 }
 
+void Gateway::NoteDropped(const std::string& problem, const std::string& from) {
+  log_.Write(LogRank::kRoutine, EventLine(LogEvent::kDatagramDropped)
+                                    .Field(LogField::kProblem, problem)
+                                    .Field(LogField::kAddress, from));
+}
+
 bool Gateway::Expected(const ChangeAnswer& answer) const {
   return std::find(asked_at_us_.begin(), asked_at_us_.end(), answer.asked_at_us) !=
          asked_at_us_.end();
@@ -531,10 +545,7 @@
   const bool from_leader = LeaderAddress() == from;
   const bool believed = relays_.Asks() ? relays_.TakeAnswer(answer, from) : from_leader;
   if (!Expected(answer) || !believed || election_.leading()) {
-    log_.Write(LogRank::kRoutine,
-               EventLine(LogEvent::kDatagramDropped)
-                   .Field(LogField::kProblem, "an answer that was not asked for, or not there")
-                   .Field(LogField::kAddress, from));
+    NoteDropped("an answer that was not asked for, or not there", from);
     return;
   }
   if (answer.leads) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -60,6 +60,8 @@
   void TakeAnswer(const ChangeAnswer& answer, const std::string& from);
   void AnswerQuestion(const DemandReport& report);
   bool Expected(const ChangeAnswer& answer) const;
+  /// A datagram is left alone.
+  void NoteDropped(const std::string& problem, const std::string& from);
   void NoteUnread(const UnreadMessage& message);
   void TakeSize(std::uint32_t daemons);
   QuarantineService::Ports QuarantinePorts();
--- a/src/gateway/relay_service.cc
+++ b/src/gateway/relay_service.cc
@@ -128,8 +128,14 @@
   ports_.send(from, view_.Page(question));
 }
 
+bool RelayService::FromRelay(const std::string& from) {
+  const bool known = sources_.Contains(from);
+  if (!known) ports_.dropped("an answer of a daemon that is not asked as a relay", from);
+  return known;
+}
+
 void RelayService::TakeServersPage(const ServersPage& page, const std::string& from) {
-  if (!sources_.Contains(from)) return;
+  if (!FromRelay(from)) return;
   switch (view_.TakePage(page, from)) {
     case SnapshotReader::Taken::kIgnored:
       return;
@@ -151,7 +157,7 @@
 }
 
 void RelayService::TakeConfigurationPart(const ConfigurationPart& part, const std::string& from) {
-  if (!sources_.Contains(from)) return;
+  if (!FromRelay(from)) return;
   view_.TakePart(part);
   Pull();
 }
--- a/src/gateway/relay_service.h
+++ b/src/gateway/relay_service.h
@@ -34,6 +34,8 @@
     /// @return a report that carries no demand, and asks what has changed where that can be asked.
     std::function<DemandReport()> ask;
     std::function<bool()> leads;
+    /// Hears of a datagram that is left alone.
+    std::function<void(const std::string& problem, const std::string& from)> dropped;
   };
 
   RelayService(boost::asio::io_context& context, KeyValueStore& store, StoreView& view,
@@ -73,6 +75,8 @@
 
  private:
   void MakePlan(Time now);
+  /// @return whether that daemon is a relay that this one may ask; else the datagram is dropped.
+  bool FromRelay(const std::string& from);
   void Apply();
 
   StoreView& view_;
--- a/test/fleet/golden_messages_test.cc
+++ b/test/fleet/golden_messages_test.cc
@@ -18,6 +18,7 @@
 constexpr const char* kWithoutLives = "1cbede5";
 constexpr const char* kWithLives = "f8f162a";
 constexpr const char* kFormatOne = "format-1";
+constexpr const char* kRelays = "relays";  ///< What came with relays, also of format 1.
 
 std::string Load(const std::string& build, const std::string& name) {
   std::ifstream file(kGolden / build / (name + ".hex"));
@@ -187,6 +188,94 @@
   }
 }
 
+/// What builds that know relays write and others do not.
+struct RelayMessages {
+  RelayMessages() {
+    const GoldenMessages golden;
+    report = golden.report;
+    report.zone = 77;
+    report.relay_plan = 3;
+    part = golden.answer;
+    part.partial = true;
+    part.leader = "10.0.0.1:7001";
+    plan = {3, 985, {{77, {"10.0.0.1:7001", "10.0.0.2:7001"}}, {78, {"10.0.0.3:7001"}}}};
+    servers_question = {11, "i-65"};
+    page.asked_at_us = 11;
+    page.after = "i-65";
+    page.relays = true;
+    page.last = "i-66";
+    page.more = true;
+    page.revision = {3, 270};
+    page.age_us = 5'000;
+    page.configuration_version = 61;
+    page.servers = {golden.answer.servers[0]};
+    configuration_question = {61, 2};
+    text = {61, 2, true, 99, {3, 255}, "{}"};
+  }
+  std::map<std::string, std::string> Encoded() const {
+    return {{"demand_report", EncodeMessage(FleetMessage(report))},
+            {"change_answer", EncodeMessage(FleetMessage(part))},
+            {"relay_plan_record", EncodeMessage(plan)},
+            {"relay_plan", EncodeMessage(FleetMessage(plan))},
+            {"servers_question", EncodeMessage(FleetMessage(servers_question))},
+            {"servers_page", EncodeMessage(FleetMessage(page))},
+            {"configuration_question", EncodeMessage(FleetMessage(configuration_question))},
+            {"configuration_part", EncodeMessage(FleetMessage(text))}};
+  }
+
+  DemandReport report;
+  ChangeAnswer part;
+  RelayPlan plan;
+  ServersQuestion servers_question;
+  ServersPage page;
+  ConfigurationQuestion configuration_question;
+  ConfigurationPart text;
+};
+
+TEST_CASE("Messages of relays are written, and read, as the first build wrote them") {
+  const RelayMessages golden;
+  for (const auto& [name, bytes] : golden.Encoded()) {
+    CAPTURE(name);
+    CHECK(bytes == Load(kRelays, name));
+  }
+  const auto report = LoadMessage<DemandReport>(kRelays, "demand_report");
+  CHECK(report.zone == 77);
+  CHECK(report.relay_plan == std::optional<std::int64_t>(3));
+  const auto part = LoadMessage<ChangeAnswer>(kRelays, "change_answer");
+  CHECK(part.partial);
+  CHECK(part.leader == "10.0.0.1:7001");
+  CHECK(DecodeMessage<RelayPlan>(Load(kRelays, "relay_plan_record")) == golden.plan);
+  CHECK(LoadMessage<RelayPlan>(kRelays, "relay_plan") == golden.plan);
+  CHECK(LoadMessage<ServersQuestion>(kRelays, "servers_question").after == "i-65");
+  const auto page = LoadMessage<ServersPage>(kRelays, "servers_page");
+  CHECK(page.revision == StoreRevision{3, 270});
+  CHECK(page.more);
+  CHECK(page.configuration_version == 61);
+  CHECK(page.servers.at(0).record.models == golden.page.servers[0].record.models);
+  CHECK(LoadMessage<ConfigurationQuestion>(kRelays, "configuration_question").part == 2);
+  const auto text = LoadMessage<ConfigurationPart>(kRelays, "configuration_part");
+  CHECK(text.revision == StoreRevision{3, 255});
+  CHECK(text.bytes == "{}");
+}
+
+TEST_CASE("A report or an answer of a build without relays tells of none") {
+  const auto report = LoadMessage<DemandReport>(kFormatOne, "demand_report");
+  CHECK_FALSE(report.relay_plan);
+  CHECK(report.zone == 0);
+  const auto answer = LoadMessage<ChangeAnswer>(kFormatOne, "change_answer");
+  CHECK_FALSE(answer.partial);
+  CHECK(answer.leader.empty());
+}
+
+TEST_CASE("What is no address is told as none") {
+  CHECK(UnpackAddress(PackAddress("10.4.0.106:8648")) == "10.4.0.106:8648");
+  CHECK(UnpackAddress(PackAddress("255.255.255.255:65535")) == "255.255.255.255:65535");
+  CHECK(PackAddress("nowhere") == 0);
+  CHECK(PackAddress("") == 0);
+  CHECK(UnpackAddress(0).empty());
+  CHECK(UnpackAddress(-5).empty());
+}
+
 TEST_CASE("Fields that a later build adds are passed over, and missing ones have their default") {
   const GoldenMessages golden;
   const std::string body = Load(kWithLives, "demand_report");
--- a/test/relay/servers_from_relay_test.cc
+++ b/test/relay/servers_from_relay_test.cc
@@ -55,7 +55,7 @@
   ChangeAnswer Exchange() {
     const std::optional<ChangeQuestion> question = starting->store_view.Question();
     REQUIRE(question);
-    const ChangeAnswer answer = relay.store_view.Answer(*question, 1'000, true);
+    ChangeAnswer answer = relay.store_view.Answer(*question, 1'000, true);
     starting->store_view.TakeAnswer(answer);
     return answer;
   }
