--- a/scripts/soak_faults.sh
+++ b/scripts/soak_faults.sh
@@ -96,7 +96,10 @@
   done
 }
 
-"$folder/moorfold-emulator" --seed "$seed" --seconds "$length" --gateways $gateways \
+# Builds before this one need not know of relays.
+relays=--relays
+[ -n "$production" ] && relays=
+"$folder/moorfold-emulator" --seed "$seed" --seconds "$length" --gateways $gateways $relays \
   --quarantine-servers "${QUARANTINE_SERVERS:-3}" --folder "$folder" >"$folder/emulator.log" 2>&1 &
 emulator=$!
 for _ in $(seq 100); do
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -18,15 +18,6 @@
 constexpr const char* kLeaderKey = "moorfold/leader";
 constexpr const char* kSharingKey = "moorfold/quota-sharing";
 constexpr const char* kQuarantineKey = "moorfold/quarantine";
-/// Addresses in one answer of the leader: a fleet of seven knows all after two answers, one of 295
-/// knows as many as it keeps within half a minute.
-constexpr std::size_t kPeersTold = 4;
-constexpr milliseconds kReportEvery{500};
-/// By then the server's record shows that the model is gone, or that it stayed.
-constexpr milliseconds kUnloadSettles{5'000};
-constexpr milliseconds kReportPause{60};
-/// A daemon without demand that follows relays tells the leader so often that it is there.
-constexpr milliseconds kPresenceEvery{3'000};
 /// Share of the tighter staleness bound that passes between two reads of the store; the rest is for
 /// the calls, for requests on their way, and for a weak machine. With all of the bound but
 /// 0.9 s as the pause, servers were used too late on two days of six of a fleet of 86 daemons.
@@ -44,8 +35,6 @@
 constexpr double kConfigurationPatienceShare = 0.2;
 constexpr double kRelayPatienceSpread = 0.15;  ///< Added to it, from none to all of it.
 constexpr std::size_t kSpreadSteps = 1'000;
-/// Answers to older questions are not waited for.
-constexpr std::size_t kQuestionsOpen = 4;
 constexpr milliseconds kHousekeeping{500};
 /// A timer that is so late tells of a process that stood still or had to wait for the processor:
 /// a tenth of the time that a configuration may take where that is 2 s.
@@ -54,11 +43,6 @@
 constexpr milliseconds kTellSharing{2'000};
 constexpr milliseconds kLeaderLease{3'000};
 constexpr milliseconds kStopCheck{50};
-/// Of the fleet's free repeats, for daemons that reported to the leader; the rest is left to those
-/// that have not heard how large the fleet is.
-constexpr double kFreeRepeatsUsed = 0.5;
-constexpr double kSmallestFleet = 4;
-constexpr double kFreeRepeatsOfUnknownFleet = 2;
 /// Until whoever deals connections has seen twice that this daemon is not ready.
 constexpr milliseconds kNotReadySeen{2'600};
 constexpr milliseconds kReserve{300};
@@ -379,203 +363,6 @@
   channel_.Broadcast(sharing);
 }
 
-void Gateway::SpreadNotice(const PlacementNotice& notice) {
-  if (!relays_.plan().needed()) {
-    channel_.Broadcast(notice);
-    return;
-  }
-  for (const std::string& relay : relays_.plan().AllRelays()) channel_.SendTo(relay, notice);
-}
-
-void Gateway::HearNotice(const PlacementNotice& notice, const std::string& from) {
-  TakeNotice(notice);
-  // Only what comes from the leader is passed on: no notice goes round.
-  if (relays_.IsRelay() && from == LeaderAddress()) channel_.Broadcast(notice);
-}
-
-void Gateway::TakeNotice(const PlacementNotice& notice) {
-  const ServerPtr server = view_.servers.Find(notice.server_id);
-  if (!server || IsLaterLife(server->record().life, notice.life)) return;
-  const auto now = BootClock::now();
-  if (notice.expected_ms > 0) {
-    view_.expected.Note(notice.name, {now, now + milliseconds(notice.expected_ms)});
-    return;
-  }
-  if (notice.held)
-    view_.servers.NoteHeld(server, notice.name, now);
-  else
-    server->NoteMissing(notice.name, now, kUnloadSettles);
-  if (notice.held) view_.changed.NotifyAll();
-}
-
-std::vector<std::string> Gateway::UnreachableServers() const {
-  const auto now = BootClock::now();
-  std::vector<std::string> servers;
-  for (const auto& [id, server] : view_.servers.all())
-    if (server->Unreachable(now)) servers.push_back(id);
-  return servers;
-}
-
-/// Reports come more often while requests wait; questions need not.
-bool Gateway::AskNow(BootClock::time_point now) {
-  if (now - asked_ < kReportEvery - kReportPause) return false;
-  asked_ = now;
-  return true;
-}
-
-DemandReport Gateway::DescribeSelf() const {
-  DemandReport report;
-  report.sender = settings_.name;
-  report.address = ToString(channel_.endpoint());
-  report.uptime_ms =
-      std::chrono::duration_cast<milliseconds>(BootClock::now() - started_at_).count();
-  report.strength = settings_.cpu_share;
-  report.stopping = stopping_;
-  report.quarantine_digest = quarantine_.book().Digest();
-  report.zone = ZoneIdOf(settings_.zone);
-  report.relay_plan = relays_.plan().number;
-  return report;
-}
-
-RelayService::Ports Gateway::RelayPorts() {
-  RelayService::Ports ports;
-  ports.send = [this](const std::string& to, const FleetMessage& message) {
-    channel_.SendTo(to, message);
-  };
-  ports.broadcast = [this](const FleetMessage& message) { channel_.Broadcast(message); };
-  ports.ask = [this] {
-    DemandReport report = DescribeSelf();
-    AskForChanges(report);
-    return report;
-  };
-  ports.leads = [this] { return election_.leading(); };
-  ports.dropped = [this](const std::string& problem, const std::string& from) {
-    NoteDropped(problem, from);
-  };
-  return ports;
-}
-
-std::string Gateway::LeaderAddress() const {
-  std::string told = relays_.Asks() ? relays_.LeaderTold() : std::string();
-  if (!told.empty()) return told;
-  return election_.leader() ? election_.leader()->address : std::string();
-}
-
-Awaitable<void> Gateway::ReportDemand() {
-  while (true) {
-    co_await view_.demand_raised.Wait(BootClock::now() + kReportEvery);
-    DemandReport report = DescribeSelf();
-    report.entries = view_.demand.Take();
-    report.unreachable = UnreachableServers();
-    if (election_.leading())
-      controller_.AddReport(report);
-    else if (relays_.Asks())
-      ReportBesideRelays(report);
-    else
-      ReportToLeader(std::move(report));
-    co_await Sleep(kReportPause);
-  }
-}
-
-void Gateway::ReportToLeader(DemandReport report) {
-  const std::string leader = LeaderAddress();
-  if (leader.empty()) return;
-  if (AskNow(BootClock::now())) AskForChanges(report);
-  channel_.SendReport(leader, report);
-}
-
-void Gateway::AskForChanges(DemandReport& report) {
-  report.question = store_view_.Question();
-  if (!report.question) return;
-  asked_at_us_.push_back(report.question->asked_at_us);
-  if (asked_at_us_.size() > kQuestionsOpen) asked_at_us_.pop_front();
-}
-
-/// What the leader has to know of a daemon that follows relays is its demand, and that it is there.
-void Gateway::ReportBesideRelays(const DemandReport& report) {
-  const auto now = BootClock::now();
-  const std::string leader = LeaderAddress();
-  const bool tells = !report.entries.empty() || !report.unreachable.empty() || report.stopping;
-  if (!leader.empty() && (tells || now - reported_ >= kPresenceEvery)) {
-    reported_ = now;
-    channel_.SendReport(leader, report);
-  }
-  if (AskNow(now)) relays_.Ask();
-}
-
-void Gateway::TakeReport(const DemandReport& report) {
-  members_.Note(report, BootClock::now());
-  census_.Note(report.address, report.strength, BootClock::now());
-  peers_.Note(report.address, BootClock::now());
-  if (report.question) quarantine_.Compare(report.quarantine_digest, report.address);
-  relays_.TakeReport(report);
-  controller_.AddReport(report);
-  if (report.question) AnswerQuestion(report);
-}
-
-void Gateway::AnswerQuestion(const DemandReport& report) {
-  const ChangeQuestion& question = *report.question;
-  ChangeAnswer answer;
-  if (election_.leading() || relays_.IsRelay()) {
-    const std::uint32_t daemons = election_.leading() ? Daemons() : relays_.plan().daemons;
-    answer = store_view_.Answer(question, daemons, report.relay_plan.has_value());
-    answer.leader = LeaderAddress();
-  } else {
-    answer.asked_at_us = question.asked_at_us;
-    answer.leads = false;
-  }
-  answer.peers = members_.Some(kPeersTold);
-  answer.quarantine_digest = quarantine_.book().Digest();
-  ++metrics_.relay_answers_sent;
-  channel_.SendTo(report.address, answer);
-}
-
-void Gateway::NoteDropped(const std::string& problem, const std::string& from) {
-  log_.Write(LogRank::kRoutine, EventLine(LogEvent::kDatagramDropped)
-                                    .Field(LogField::kProblem, problem)
-                                    .Field(LogField::kAddress, from));
-}
-
-bool Gateway::Expected(const ChangeAnswer& answer) const {
-  return std::find(asked_at_us_.begin(), asked_at_us_.end(), answer.asked_at_us) !=
-         asked_at_us_.end();
-}
-
-void Gateway::TakeAnswer(const ChangeAnswer& answer, const std::string& from) {
-  const bool from_leader = LeaderAddress() == from;
-  const bool believed = relays_.Asks() ? relays_.TakeAnswer(answer, from) : from_leader;
-  if (!Expected(answer) || !believed || election_.leading()) {
-    NoteDropped("an answer that was not asked for, or not there", from);
-    return;
-  }
-  if (answer.leads) {
-    if (from_leader) election_.HeardLeader(answer.daemons);
-    TakeSize(answer.daemons);
-  }
-  for (const std::string& peer : answer.peers) peers_.Note(peer, BootClock::now());
-  quarantine_.Compare(answer.quarantine_digest, from);
-  store_view_.TakeAnswer(answer);
-  if (!relays_.Asks()) return;
-  if (answer.partial) relays_.Ask();
-  relays_.Pull();
-}
-
-void Gateway::NoteUnread(const UnreadMessage& message) {
-  const std::string format = std::to_string(message.format);
-  metrics_.messages_unread.Add({{"sender", message.from}, {"format", format}});
-  log_.Write(LogRank::kRoutine, EventLine(LogEvent::kDatagramDropped)
-                                    .Field(LogField::kProblem, message.problem)
-                                    .Field(LogField::kAddress, message.from)
-                                    .Field(LogField::kFormat, message.format));
-}
-
-/// The part of the fleet's free repeats that this daemon may use on top of its share by requests.
-void Gateway::TakeSize(std::uint32_t daemons) {
-  const double sharing = std::max<double>(daemons, kSmallestFleet);
-  pipeline_.SetFreeRepeats(
-      std::max(kFreeRepeatsOfUnknownFleet, settings_.retry_minimum * kFreeRepeatsUsed / sharing));
-}
-
 void Gateway::NoteStall(BootClock::time_point due) {
   const auto late = std::chrono::duration_cast<milliseconds>(BootClock::now() - due);
   if (late < kStallNoted) return;
--- a/test/emulator/main.cc
+++ b/test/emulator/main.cc
@@ -115,13 +115,23 @@
   }
 }
 
+/// Whose reads of the store the gateways follow, however few they are.
+enum class Following { kNobody, kLeader, kRelays };
+
+/// @param relays whether the build that begins knows them.
+Following FollowingOf(std::uint64_t seed, bool relays) {
+  constexpr std::uint64_t kEven = 2;
+  constexpr std::uint64_t kKinds = 4;
+  if (seed % kEven == 0) return Following::kNobody;
+  return relays && seed % kKinds == 1 ? Following::kRelays : Following::kLeader;
+}
+
 struct Gateways {
   std::vector<GatewayAddress> addresses;
 
-  /// @param relays whether the gateways follow their leader's reads of the store, however few.
   /// @param quarantine_servers as the gateways' setting of that name.
-  void WriteSettings(const std::string& folder, EmulatedPlatform& platform, int count, bool relays,
-                     int quarantine_servers) {
+  void WriteSettings(const std::string& folder, EmulatedPlatform& platform, int count,
+                     Following following, int quarantine_servers) {
     for (int number = 0; number < count; ++number) {
       const std::string ip = "127.0.0.1:";
       const Endpoint front{"127.0.0.1", FreePort()};
@@ -130,7 +140,9 @@
       file << "name: gateway-" << number << "\nzone: z\nlisten: " << ToString(front)
            << "\nreadiness: " << ToString(readiness) << "\npeer: " << ip << FreePort()
            << "\nstore: " << ToString(platform.store_for(number))
-           << "\ndrain_timeout: 8s\norder_handover: 3s\nrelay_from_daemons: " << (relays ? 2 : 0)
+           << "\ndrain_timeout: 8s\norder_handover: 3s\nrelay_from_daemons: "
+           << (following == Following::kNobody ? 0 : 2)
+           << (following == Following::kRelays ? "\nrelays_from_daemons: 2" : "")
            << "\nquarantine_servers: " << quarantine_servers << "\nquota_window: 8s"
            << "\nquota_overshoot: 0.1\nquota_slack: 4\n";
       addresses.push_back({front, readiness, false, {}});
@@ -390,7 +402,7 @@
   gateway.stop_until = BootClock::now() + kCalmAfter;
 }
 
-int RunSoak(std::uint64_t seed, seconds length, int gateways, int quarantine_servers,
+int RunSoak(std::uint64_t seed, seconds length, int gateways, int quarantine_servers, bool relays,
             const std::string& folder) {
   ClosableContext context(1);
   PlatformOptions options;
@@ -403,8 +415,8 @@
   EmulatedPlatform platform(context, options);
   platform.Start();
   Gateways processes;
-  constexpr std::uint64_t kEven = 2;  // Odd seeds play the relay.
-  processes.WriteSettings(folder, platform, gateways, seed % kEven != 0, quarantine_servers);
+  processes.WriteSettings(folder, platform, gateways, FollowingOf(seed, relays),
+                          quarantine_servers);
   std::cout << "event=ready" << std::endl;
   EmulatedClients clients(context, platform, processes.addresses, seed);
   FaultPlan faults(platform, processes.addresses, clients, seed);
@@ -481,10 +493,12 @@
   TCLAP::SwitchArg signals("", "print-signals",
                            "only prints the signals of that seed: seconds, kind, gateway, length",
                            line.tclap());
+  TCLAP::SwitchArg relays("", "relays", "the gateways know relays: some seeds play them",
+                          line.tclap());
   if (!line.Parse(arguments)) return kExitDone;
   if (!signals.getValue())
     return RunSoak(seed.getValue(), seconds(length.getValue()), gateways.getValue(),
-                   quarantine_servers.getValue(), folder.getValue());
+                   quarantine_servers.getValue(), relays.getValue(), folder.getValue());
   constexpr double kMillisecondsPerSecond = 1000;
   for (const PlannedSignal& signal :
        PlanSignals(seed.getValue(), seconds(length.getValue()), gateways.getValue()))
