A plan that needs no relays any more ends their reads; relays' service has a test of its own

Cause: seen on reading the diff: where a fleet shrank below the size that needs relays, a relay went on watching the store and answering; who does not know all servers filled a page nobody may take. Change: both end with the plan; a page that is declined is empty. Measured: test/relay/relay_service_test.cc, whose first case fails on the commit before (Watches stays true).

--- a/src/gateway/relay_service.cc
+++ b/src/gateway/relay_service.cc
@@ -48,6 +48,8 @@
 
 void RelayService::Apply() {
   if (!plan_.needed()) {
+    watches_ = false;
+    view_.SetServing(false);
     if (plan_.number > 0) view_.SetRelays(false);
     return;
   }
@@ -57,7 +59,7 @@
   watches_ = sources_.Watches(now);
   view_.SetServing(IsRelay());
   view_.SetWatching(watches_ || ports_.leads());
-  view_.SetRelays(plan_.needed() && !watches_);
+  view_.SetRelays(!watches_);
   Pull();
 }
 
--- a/src/gateway/servers_page.h
+++ b/src/gateway/servers_page.h
@@ -5,8 +5,7 @@
 
 namespace moorfold {
 
-/// @return the page asked for, with as many servers as a datagram carries. Of what stands there,
-/// `relays`, `revision` and `age_us` are the caller's to fill in.
-ServersPage FillPage(const ServersQuestion& question, const ServerDirectory& servers);
+/// Fills in the servers after `page.after`, as many as a datagram carries.
+void FillPage(ServersPage& page, const ServerDirectory& servers);
 
 }  // namespace moorfold
--- a/src/gateway/store_view_relay.cc
+++ b/src/gateway/store_view_relay.cc
@@ -59,8 +59,12 @@
 }
 
 ServersPage StoreView::Page(const ServersQuestion& question) const {
-  ServersPage page = FillPage(question, view_.servers);
+  ServersPage page;
+  page.asked_at_us = question.asked_at_us;
+  page.after = question.after;
   page.relays = Serves();
+  if (!page.relays) return page;
+  FillPage(page, view_.servers);
   page.revision = state_.revision;
   const SteadyTime current_at = std::min(state_.current_at, view_.configuration_current_at);
   page.age_us = Microseconds(BootClock::now() - current_at);
--- /dev/null
+++ b/test/relay/relay_service_test.cc
@@ -0,0 +1,133 @@
+// A daemon's part in a fleet with relays, without a network.
+
+#include "gateway/relay_service.h"
+
+#include <catch2/catch.hpp>
+
+#include "relay_fixture.h"
+
+namespace moorfold {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kSelf = "10.0.0.1:7000";
+constexpr const char* kOther = "10.0.0.2:7000";
+constexpr const char* kLeader = "10.0.0.9:7000";
+
+struct ServiceFixture {
+  ServiceFixture()
+      : table(StockedTable()),
+        member(context, table, std::chrono::hours(1)),
+        service(context, member.store, member.store_view, member.metrics, member.log,
+                {"north", kSelf, 2}, MakePorts()) {
+    while (member.Version() != 3) context.run_one();
+  }
+  RelayService::Ports MakePorts() {
+    RelayService::Ports ports;
+    ports.send = [this](const std::string& to, const FleetMessage& message) {
+      sent.emplace_back(to, message);
+    };
+    ports.broadcast = [this](const FleetMessage& message) { sent.emplace_back("all", message); };
+    ports.ask = [this] {
+      DemandReport report;
+      report.question = member.store_view.Question();
+      return report;
+    };
+    ports.leads = [this] { return leads; };
+    ports.dropped = [this](const std::string&, const std::string& from) {
+      dropped.push_back(from);
+    };
+    return ports;
+  }
+  static RelayPlan Plan(std::int64_t number, std::vector<std::string> relays) {
+    RelayPlan plan{number, 10, {}};
+    if (!relays.empty()) plan.zones.push_back({ZoneIdOf("north"), std::move(relays)});
+    return plan;
+  }
+  /// @return to whom messages of that kind were sent.
+  template <typename Message>
+  std::vector<std::string> SentTo() const {
+    std::vector<std::string> to;
+    for (const auto& [address, message] : sent)
+      if (std::holds_alternative<Message>(message)) to.push_back(address);
+    return to;
+  }
+
+  boost::asio::io_context context;
+  KeyValueTable table;
+  Member member;
+  bool leads = false;
+  std::vector<std::pair<std::string, FleetMessage>> sent;
+  std::vector<std::string> dropped;
+  RelayService service;
+};
+
+TEST_CASE("The first relay of a zone watches the store and answers, until no relay is needed") {
+  ServiceFixture fixture;
+  const ServersQuestion question{1, ""};
+  CHECK_FALSE(fixture.member.store_view.Page(question).relays);
+  fixture.service.TakePlan(ServiceFixture::Plan(1, {kSelf, kOther}));
+  CHECK(fixture.service.Watches());
+  CHECK_FALSE(fixture.service.Asks());
+  CHECK(fixture.member.store_view.Page(question).relays);
+  fixture.service.TakePlan(ServiceFixture::Plan(2, {}));
+  CHECK_FALSE(fixture.service.Watches());
+  fixture.member.store_view.SetWatching(false);
+  CHECK_FALSE(fixture.member.store_view.Page(question).relays);
+}
+
+TEST_CASE("Another relay asks the first, and serves what it hears; a daemon only asks") {
+  ServiceFixture fixture;
+  SECTION("relay") {
+    fixture.service.TakePlan(ServiceFixture::Plan(1, {kOther, kSelf}));
+    CHECK(fixture.member.store_view.Page({1, ""}).relays);
+  }
+  SECTION("daemon") {
+    fixture.service.TakePlan(ServiceFixture::Plan(1, {kOther, kLeader}));
+    CHECK_FALSE(fixture.member.store_view.Page({1, ""}).relays);
+  }
+  CHECK(fixture.service.Asks());
+  fixture.service.Ask();
+  CHECK(fixture.SentTo<DemandReport>().size() == 1);
+}
+
+TEST_CASE("What comes from a daemon that is not asked as a relay is dropped") {
+  ServiceFixture fixture;
+  fixture.service.TakePlan(ServiceFixture::Plan(1, {kOther, kLeader}));
+  fixture.service.TakeServersPage({}, "10.9.9.9:7000");
+  fixture.service.TakeConfigurationPart({}, "10.9.9.9:7000");
+  CHECK_FALSE(fixture.service.TakeAnswer({}, "10.9.9.9:7000"));
+  CHECK(fixture.dropped.size() == 2);
+}
+
+TEST_CASE("An older plan changes nothing; a leader tells its plan to whoever knows another") {
+  ServiceFixture fixture;
+  fixture.service.TakePlan(ServiceFixture::Plan(5, {kOther}));
+  fixture.service.TakePlan(ServiceFixture::Plan(4, {kSelf}));
+  CHECK(fixture.service.plan().number == 5);
+  fixture.leads = true;
+  DemandReport report;
+  report.address = kOther;
+  report.relay_plan = 5;
+  fixture.service.TakeReport(report);
+  CHECK(fixture.SentTo<RelayPlan>().empty());
+  report.relay_plan = 3;
+  fixture.service.TakeReport(report);
+  CHECK(fixture.SentTo<RelayPlan>() == std::vector<std::string>{kOther});
+}
+
+TEST_CASE("A plan is kept in the store for daemons that start") {
+  ServiceFixture fixture;
+  KeyValue entry;
+  entry.value = EncodeMessage(ServiceFixture::Plan(7, {kSelf, kOther}));
+  fixture.service.TakeRecord(entry, {0, 9});
+  CHECK(fixture.service.plan().number == 7);
+  CHECK(fixture.service.Watches());
+  entry.value = "no plan";
+  CHECK_THROWS(fixture.service.TakeRecord(entry, {1, 10}));
+  CHECK(fixture.service.plan().number == 7);
+}
+
+}  // namespace
+}  // namespace moorfold
