--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -38,8 +38,8 @@
   /// would save little. From that arithmetic; other sizes were not played.
   std::uint32_t relay_from_daemons = 16;
   /// In a fleet of at least so many daemons relays watch the store, and the others ask these in
-  /// place of the leader; 0: in none. One leader of half a core answers 300 with about that much of
-  /// its time (docs/CAPACITY.md).
+  /// place of the leader; 0: in none. The leader alone answers a few hundred with a fifth to a
+  /// quarter of a core (docs/CAPACITY.md).
   std::uint32_t relays_from_daemons = 400;
   /// Servers that may end under one request before it is sent to none; 0: it is never kept from
   /// them. The platform's pages bound it by three.
