--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -48,7 +48,9 @@
   const GatewayMetrics& metrics() const { return metrics_; }
 
  private:
-  bool Ready() const { return !stopping_ && view_.routes != nullptr; }
+  bool Ready() const {
+    return !stopping_ && view_.routes != nullptr && !store_view_.WaitsForServers();
+  }
   void Configure(const RoutingConfiguration& configuration);
   Awaitable<void> AnswerReadiness(HttpServerExchange& exchange);
   Awaitable<void> AnswerMetrics(HttpServerExchange& exchange);
