--- a/src/fleet/fleet_members.cc
+++ b/src/fleet/fleet_members.cc
@@ -27,18 +27,18 @@
                 [&](const auto& member) { return now - member.second.seen > kHeardLately; });
 }
 
-bool FleetMembers::BetterSuccessor(const Member& left, const Member& right) {
+bool FleetMembers::BetterSuccessor(const Member& left, const Member& right, bool strongest) {
   if (left.format != right.format) return left.format > right.format;
-  if (left.strength != right.strength) return left.strength > right.strength;
+  if (strongest && left.strength != right.strength) return left.strength > right.strength;
   return left.uptime < right.uptime;
 }
 
-std::optional<std::string> FleetMembers::Successor(Time now) const {
+std::optional<std::string> FleetMembers::Successor(Time now, bool strongest) const {
   const Member* best = nullptr;
   for (const auto& [name, member] : members_) {
     if (member.stopping || now - member.seen > kHeardLately) continue;
     if (member.uptime < kSettlingIn) continue;
-    if (best == nullptr || BetterSuccessor(member, *best)) best = &member;
+    if (best == nullptr || BetterSuccessor(member, *best, strongest)) best = &member;
   }
   if (best == nullptr) return std::nullopt;
   return best->address;
--- a/src/fleet/fleet_members.h
+++ b/src/fleet/fleet_members.h
@@ -20,9 +20,11 @@
   /// Whom to offer leadership at a planned stop. In a rolling restart whoever has just been
   /// restarted is the least likely to be stopped next. Where
   /// daemons of two builds run, those of the newer format come first: leadership changes hands
-  /// once. Among those, the strongest machines come first: a leader reads all that changes.
+  /// once.
+  /// @param strongest whether strong machines come before younger daemons: in a fleet whose changes
+  /// a weak machine's link does not bring, a weak leader costs more than another change of leaders.
   /// @return its "IP:PORT" for datagrams, or nothing when no daemon may be offered it.
-  std::optional<std::string> Successor(Time now) const;
+  std::optional<std::string> Successor(Time now, bool strongest) const;
   /// @return addresses of up to `most` daemons, going round with each call.
   std::vector<std::string> Some(std::size_t most);
 
@@ -35,7 +37,7 @@
     std::uint16_t format = 0;  ///< In which its build writes.
     Time seen{};
   };
-  static bool BetterSuccessor(const Member& left, const Member& right);
+  static bool BetterSuccessor(const Member& left, const Member& right, bool strongest);
 
   std::map<std::string, Member> members_;  ///< By name; some longer than they count.
   Time forget_next_{};
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -433,7 +433,8 @@
   const bool led = election_.leading();
   election_.Resign([this, led] {
     resigned_ = true;
-    const std::optional<std::string> successor = members_.Successor(BootClock::now());
+    const std::optional<std::string> successor =
+        members_.Successor(BootClock::now(), relays_.plan().needed());
     if (led && successor) channel_.SendTo(*successor, LeadershipOffer{settings_.name});
   });
 }
--- a/test/fleet/order_history_test.cc
+++ b/test/fleet/order_history_test.cc
@@ -86,17 +86,18 @@
 
 TEST_CASE("Leadership is offered to the daemon that was restarted last, if it is well") {
   FleetMembers members;
-  CHECK_FALSE(members.Successor(kStart).has_value());
+  CHECK_FALSE(members.Successor(kStart, false).has_value());
   members.Note(Report("old", 90'000), kStart);
-  CHECK(members.Successor(kStart) == std::optional<std::string>("old:1"));
+  CHECK(members.Successor(kStart, false) == std::optional<std::string>("old:1"));
   members.Note(Report("new", 2'000), kStart);
   members.Note(Report("starting", 100), kStart);
   members.Note(Report("leaving", 1'000, true), kStart);
-  CHECK(members.Successor(kStart) == std::optional<std::string>("new:1"));
-  CHECK_FALSE(members.Successor(kStart + milliseconds(2'000)).has_value());
+  CHECK(members.Successor(kStart, false) == std::optional<std::string>("new:1"));
+  CHECK_FALSE(members.Successor(kStart + milliseconds(2'000), false).has_value());
 }
 
-TEST_CASE("Leadership is offered to a strong machine before a weak one that is younger") {
+TEST_CASE(
+    "Leadership goes to the youngest, and to a strong machine first where that is asked for") {
   FleetMembers members;
   DemandReport strong;
   strong.sender = "strong";
@@ -110,7 +111,8 @@
   weak.strength = 0.12;
   members.Note(weak, kStart);
   members.Note(strong, kStart);
-  CHECK(members.Successor(kStart) == std::optional<std::string>("strong:1"));
+  CHECK(members.Successor(kStart, true) == std::optional<std::string>("strong:1"));
+  CHECK(members.Successor(kStart, false) == std::optional<std::string>("weak:1"));
 }
 
 }  // namespace
