--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -29,9 +29,9 @@
   /// Of each revision in the message, or of the time at which the record was written. A message
   /// without it is of a build that knows no eras: kEraUntold.
   kStoreEra = 1,
-  kZone = 2,       ///< Of a report: DemandReport::zone.
-  kRelayPlan = 3,  ///< Of a report: DemandReport::relay_plan; of a leader's record: knows_relays.
-  kPartial = 4,    ///< Of an answer: ChangeAnswer::partial.
+  kZone = 2,           ///< Of a report: DemandReport::zone.
+  kRelayPlan = 3,      ///< Of a report: DemandReport::relay_plan.
+  kPartial = 4,        ///< Of an answer: ChangeAnswer::partial.
   kLeaderAddress = 5,  ///< Of an answer: ChangeAnswer::leader, as PackAddress writes it.
 };
 
@@ -46,8 +46,6 @@
   OrderHistoryRecord history;  ///< Where released.
   /// Of the store in which it was written: in a later one it is of a copy, and tells what was.
   std::int64_t era = kEraUntold;
-  /// Its build names relays, or says that none are needed. An added field.
-  bool knows_relays = false;
 
   /// @return whether it tells of what is, in a store of that era. A record of a build that knows no
   /// eras does where no copy can have brought it back.
@@ -140,20 +138,17 @@
   return message.added.Find(static_cast<std::uint16_t>(AddedField::kStoreEra)).value_or(kEraUntold);
 }
 
-inline std::optional<std::int64_t> FindAdded(const FormattedMessage& message, AddedField field) {
-  return message.added.Find(static_cast<std::uint16_t>(field));
-}
-inline void PutAdded(AddedFields& added, AddedField field, std::int64_t value) {
-  added.Put(static_cast<std::uint16_t>(field), value);
-}
-
 inline void WriteAdded(const LeaderRecord& record, AddedFields& added) {
   PutEra(added, record.era);
-  if (record.knows_relays) PutAdded(added, AddedField::kRelayPlan, 1);
 }
 inline void ReadAdded(LeaderRecord& record, const FormattedMessage& message) {
   record.era = EraOf(message);
-  record.knows_relays = FindAdded(message, AddedField::kRelayPlan).has_value();
+}
+inline std::optional<std::int64_t> FindAdded(const FormattedMessage& message, AddedField field) {
+  return message.added.Find(static_cast<std::uint16_t>(field));
+}
+inline void PutAdded(AddedFields& added, AddedField field, std::int64_t value) {
+  added.Put(static_cast<std::uint16_t>(field), value);
 }
 
 /// @return "IP:PORT" of a version 4 address as a number; 0 for anything else.
--- a/src/fleet/leader_election.cc
+++ b/src/fleet/leader_election.cc
@@ -182,7 +182,7 @@
   claimed_own_ = leader_ && leader_->name == settings_.name && !leader_->released;
   if (tells_now && leader_->released) taken_over_ = leader_->history;
   taken_over_seen_ = leader_seen_;
-  const LeaderRecord record{settings_.name, settings_.address, false, false, {}, lease.era, true};
+  const LeaderRecord record{settings_.name, settings_.address, false, false, {}, lease.era};
   Transaction transaction;
   transaction.comparisons.push_back({settings_.key, claim.condition()});
   transaction.operations.emplace_back(PutOperation{settings_.key, EncodeMessage(record), lease});
@@ -287,8 +287,7 @@
 }
 
 Transaction LeaderElection::RecordTransaction(bool settled) const {
-  const LeaderRecord record{
-      settings_.name, settings_.address, settled, false, {}, lease_.era, true};
+  const LeaderRecord record{settings_.name, settings_.address, settled, false, {}, lease_.era};
   Transaction transaction;
   transaction.comparisons.push_back({settings_.key, record_revision_});
   transaction.operations.emplace_back(PutOperation{settings_.key, EncodeMessage(record), lease_});
@@ -345,7 +344,7 @@
 /// Takes the key off the lease and leaves in it what the next leader has to keep away from. Where
 /// that does not come about the key goes with the lease, and the next leader waits in full.
 void LeaderElection::Release(std::function<void()> done) {
-  LeaderRecord record{settings_.name, settings_.address, false, true, {}, lease_.era, true};
+  LeaderRecord record{settings_.name, settings_.address, false, true, {}, lease_.era};
   record.history = history_.Write(BootClock::now(), std::max(window_.order_from(), others_from_));
   Transaction transaction;
   transaction.comparisons.push_back({settings_.key, record_revision_});
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -383,7 +383,6 @@
     const bool large =
         settings_.relay_from_daemons > 0 && Daemons() >= settings_.relay_from_daemons;
     store_view_.SetWatching((election_.leading() && large) || relays_.Watches());
-    if (election_.leader()) relays_.NoteLeader(*election_.leader());
     relays_.Tick();
     store_view_.NoteEra(store_.era());
     KeepQuarantine();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -48,9 +48,7 @@
   const GatewayMetrics& metrics() const { return metrics_; }
 
  private:
-  bool Ready() const {
-    return !stopping_ && view_.routes != nullptr && !store_view_.WaitsForServers();
-  }
+  bool Ready() const { return !stopping_ && view_.routes != nullptr; }
   void Configure(const RoutingConfiguration& configuration);
   Awaitable<void> AnswerReadiness(HttpServerExchange& exchange);
   Awaitable<void> AnswerMetrics(HttpServerExchange& exchange);
--- a/src/gateway/relay_service.cc
+++ b/src/gateway/relay_service.cc
@@ -46,11 +46,6 @@
   Apply();
 }
 
-void RelayService::NoteLeader(const LeaderRecord& leader) {
-  const bool names_none = plan_.number == 0 && !leader.released && !leader.knows_relays;
-  if (names_none && view_.WaitsForServers()) view_.SetRelays(false);
-}
-
 void RelayService::Apply() {
   if (!plan_.needed()) {
     watches_ = false;
--- a/src/gateway/relay_service.h
+++ b/src/gateway/relay_service.h
@@ -48,8 +48,6 @@
   /// A daemon has told of a plan.
   void TakePlan(const RelayPlan& plan);
   const RelayPlan& plan() const { return plan_; }
-  /// This one leads. Of a build that knows no relays it names none, and nothing is waited for.
-  void NoteLeader(const LeaderRecord& leader);
   /// @return whether other daemons ask this one.
   bool IsRelay() const { return plan_.Names(settings_.address); }
   /// @return whether this daemon watches the store for others.
