Log what answers of servers say of the servers themselves

Ruled out: reading it from the answers that clients get (bodies and heads are not logged). Change: FleetProtocol::ReadStatement decodes the three headers in platform/, ServerStanding keeps them with a server's life, from answers to requests (whole, streams, refusals), orders and questions; a line server_states where one says something new, moorfold_server_statements_total. Nothing acts on it yet.

--- a/src/common/log_event.h
+++ b/src/common/log_event.h
@@ -28,6 +28,7 @@
   kConfiguration,
   kServer,
   kServerGone,
+  kServerStates,
   kServerStillLeaves,
   kEntrySkipped,
   kEarlierLife,
@@ -68,6 +69,7 @@
                                               "configuration",
                                               "server",
                                               "server_gone",
+                                              "server_states",
                                               "server_still_leaves",
                                               "entry_skipped",
                                               "earlier_life",
@@ -158,6 +160,9 @@
   kEra,
   kFormat,
   kRelays,
+  kLeaving,
+  kLimit,
+  kPauseMs,
 };
 inline constexpr std::array kLogFieldNames = {"id",
                                               "ids",
@@ -223,7 +228,10 @@
                                               "pools",
                                               "era",
                                               "format",
-                                              "relays"};
+                                              "relays",
+                                              "leaving",
+                                              "limit",
+                                              "pause_ms"};
 
 /// @return the name as it stands in the log.
 constexpr const char* Name(LogEvent event) {
@@ -233,7 +241,7 @@
   return kLogFieldNames[static_cast<std::size_t>(field)];
 }
 static_assert(kLogEventNames.size() == static_cast<std::size_t>(LogEvent::kLogLinesLeftOut) + 1);
-static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kRelays) + 1);
+static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kPauseMs) + 1);
 
 /// One line of a gateway's log, made only of listed events and fields.
 class EventLine {
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -60,12 +60,14 @@
 }  // namespace
 
 FleetController::FleetController(boost::asio::io_context& context, const FleetProtocol& protocol,
-                                 FleetView& view, LeaderElection& election, GatewayMetrics& metrics,
+                                 FleetView& view, LeaderElection& election,
+                                 ServerStatements& statements, GatewayMetrics& metrics,
                                  EventLog& log, ControllerSettings settings, NoticeHandler notice)
     : context_(context),
       protocol_(protocol),
       view_(view),
       election_(election),
+      statements_(statements),
       metrics_(metrics),
       log_(log),
       settings_(std::move(settings)),
@@ -298,13 +300,22 @@
                         boost::asio::detached);
 }
 
+void FleetController::NoteStatement(const std::string& id, const HttpResponse& response,
+                                    SteadyTime sent_at) {
+  const ServerPtr server = view_.servers.Find(id);
+  if (server == nullptr || response.status == kMisdirectedStatus) return;
+  statements_.Hear(*server, {response.status, response.headers, sent_at, false});
+}
+
 Awaitable<std::optional<ServerStatus>> FleetController::ReadReport(const std::string& id,
                                                                    Endpoint endpoint) {
   HttpSendOptions options;
   options.deadline = BootClock::now() + kReportTimeout;
   try {
     HttpRequest request = protocol_.MakeReportQuery(id);
+    const SteadyTime sent_at = BootClock::now();
     const HttpResponse response = co_await client_.Send(endpoint, std::move(request), options);
+    NoteStatement(id, response, sent_at);
     if (response.status != http_status::kOk) co_return std::nullopt;
     co_return protocol_.ParseReport(response.body);
   } catch (const std::exception& error) {
@@ -347,7 +358,9 @@
   options.fresh_connection = true;
   try {
     HttpRequest request = protocol_.MakeOrder(order);
+    const SteadyTime sent_at = BootClock::now();
     const HttpResponse response = co_await client_.Send(endpoint, std::move(request), options);
+    NoteStatement(order.server_id, response, sent_at);
     co_return protocol_.ReadOrderAnswer(response.status);
   } catch (const HttpError&) {
     co_return ServerOrderOutcome::kNoAnswer;
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -14,6 +14,7 @@
 #include "fleet/store_load_limit.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/server_statements.h"
 #include "http/http_client.h"
 #include "ports/fleet_protocol.h"
 
@@ -52,8 +53,8 @@
   using NoticeHandler = std::function<void(const PlacementNotice&)>;
 
   FleetController(boost::asio::io_context& context, const FleetProtocol& protocol, FleetView& view,
-                  LeaderElection& election, GatewayMetrics& metrics, EventLog& log,
-                  ControllerSettings settings, NoticeHandler notice);
+                  LeaderElection& election, ServerStatements& statements, GatewayMetrics& metrics,
+                  EventLog& log, ControllerSettings settings, NoticeHandler notice);
 
   void Start();
   void AddReport(const DemandReport& report);
@@ -90,6 +91,8 @@
                             const Endpoint& endpoint);
   Awaitable<void> AskState(ManagedPtr managed, Endpoint endpoint);
   Awaitable<std::optional<ServerStatus>> ReadReport(const std::string& id, Endpoint endpoint);
+  /// Takes over what an answer to an order or a question says of its server.
+  void NoteStatement(const std::string& id, const HttpResponse& response, SteadyTime sent_at);
   Awaitable<ServerOrderOutcome> SendOrder(const ServerOrder& order, const Endpoint& endpoint);
   void TakeOutcome(ManagedServer& managed, const PlacementStep& step, ServerOrderOutcome outcome);
   void TakeReport(ManagedServer& managed, const ServerStatus& report);
@@ -107,6 +110,7 @@
   const FleetProtocol& protocol_;
   FleetView& view_;
   LeaderElection& election_;
+  ServerStatements& statements_;
   GatewayMetrics& metrics_;
   EventLog& log_;
   ControllerSettings settings_;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -96,8 +96,8 @@
 };
 
 Forwarder::Forwarder(boost::asio::io_context& context, const FleetProtocol& protocol,
-                     GatewayMetrics& metrics)
-    : context_(context), protocol_(protocol), metrics_(metrics) {}
+                     ServerStatements& statements, GatewayMetrics& metrics)
+    : context_(context), protocol_(protocol), statements_(statements), metrics_(metrics) {}
 
 void Forwarder::NoteHead(GatewayRequest& request) {
   request.head_sent = true;
@@ -162,6 +162,17 @@
   server.NoteLoad(load[0], load[1], BootClock::now());
 }
 
+bool Forwarder::AnswersForOther(const HttpHeaders& headers, unsigned status,
+                                const Server& server) const {
+  if (status != kMisdirectedStatus) return false;
+  const std::string_view instance = FindHeader(headers, protocol_.headers().server_instance);
+  return !instance.empty() && instance != server.record().id;
+}
+
+void Forwarder::NoteStatement(const ServerAnswer& answer, Server& server) const {
+  if (!AnswersForOther(answer.headers, answer.status, server)) statements_.Hear(server, answer);
+}
+
 /// What one request is refused for is not believed of the server, unless the server says it of
 /// itself: that it is full, or holds the model no more. A request that a server with places refuses
 /// may be at fault itself. Were the model taken for missing there, the requests of one client could
@@ -181,8 +192,7 @@
     if (full) server.NoteFull(now);
     return result;
   }
-  const std::string_view instance = FindHeader(headers, protocol_.headers().server_instance);
-  if (!instance.empty() && instance != server.record().id) {
+  if (AnswersForOther(headers, status, server)) {
     server.NoteGone();
     result.problem = "another server has its address";
   } else {
@@ -263,12 +273,15 @@
 }
 
 Awaitable<ForwardResult> Forwarder::Exchange(HttpServerExchange& exchange, GatewayRequest& request,
-                                             Server& server, bool last_attempt) {
+                                             Server& server, SteadyTime sent_at,
+                                             bool last_attempt) {
   co_await ReadOwnHead(*request.upstream, request);
   const unsigned status = request.upstream->status();
   HttpHeaders headers = request.upstream->headers();
   const HeaderNames& names = protocol_.headers();
+  const bool sealed = !FindHeader(headers, names.seal).empty();
   NoteLoad(headers, server);
+  NoteStatement({status, headers, sent_at, sealed}, server);
   const bool refused = status == http_status::kUnavailable ||
                        status == http_status::kTooManyRequests || status == kMisdirectedStatus;
   const bool not_run = !FindHeader(headers, names.not_run).empty();
@@ -278,7 +291,6 @@
     co_return ReadRefusal(headers, status, request, server);
   }
   const bool success = status >= http_status::kOk && status < http_status::kFirstRedirection;
-  const bool sealed = !FindHeader(headers, names.seal).empty();
   if (success && (!sealed || !FindHeader(headers, "Content-Encoding").empty()))
     co_return ForwardResult{ForwardEnd::kMayHaveRun, status, "the answer is not a server's whole"};
   const bool failed = status >= http_status::kFirstServerError;
@@ -314,8 +326,9 @@
   const AttemptGuard guard(request, *server, upstream, co_await boost::asio::this_coro::executor,
                            attempt_end);
   try {
+    const SteadyTime sent_at = BootClock::now();
     upstream->BeginSend(MakeHead(exchange.request(), request, *server, attempt_end), request.body);
-    result = co_await Exchange(exchange, request, *server, last_attempt);
+    result = co_await Exchange(exchange, request, *server, sent_at, last_attempt);
   } catch (const HttpError& error) {
     result = {ForwardEnd::kMayHaveRun, 0, error.what(), error.peer_ended()};
     NoteUnanswered(*upstream);
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -5,6 +5,7 @@
 
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_request.h"
+#include "gateway/server_statements.h"
 #include "http/http_server.h"
 #include "http/upstream_connection.h"
 #include "ports/fleet_protocol.h"
@@ -16,7 +17,7 @@
 class Forwarder {
  public:
   Forwarder(boost::asio::io_context& context, const FleetProtocol& protocol,
-            GatewayMetrics& metrics);
+            ServerStatements& statements, GatewayMetrics& metrics);
 
   /// @param attempt_end when to give the attempt up; no later than the request's end.
   /// @param last_attempt whether a failure answer of the server is to be passed on.
@@ -32,7 +33,7 @@
   HttpRequest MakeHead(const HttpRequest& original, const GatewayRequest& request,
                        const Server& server, SteadyTime attempt_end) const;
   Awaitable<ForwardResult> Exchange(HttpServerExchange& exchange, GatewayRequest& request,
-                                    Server& server, bool last_attempt);
+                                    Server& server, SteadyTime sent_at, bool last_attempt);
   Awaitable<void> ReadOwnHead(UpstreamConnection& upstream, const GatewayRequest& request);
   Awaitable<ForwardResult> PassWhole(HttpServerExchange& exchange, GatewayRequest& request,
                                      HttpHeaders headers);
@@ -41,6 +42,10 @@
   ForwardResult ReadRefusal(const HttpHeaders& headers, unsigned status,
                             const GatewayRequest& request, Server& server) const;
   void NoteLoad(const HttpHeaders& headers, Server& server) const;
+  /// @return whether another server has answered, which has this one's address now.
+  bool AnswersForOther(const HttpHeaders& headers, unsigned status, const Server& server) const;
+  /// Takes over what an answer of this server says of it.
+  void NoteStatement(const ServerAnswer& answer, Server& server) const;
   static std::chrono::milliseconds LongestRest(const GatewayRequest& request);
   void NoteUnanswered(const UpstreamConnection& upstream);
   void GiveBack(const GatewayRequest& request, const Server& server);
@@ -50,6 +55,7 @@
 
   boost::asio::io_context& context_;
   const FleetProtocol& protocol_;
+  ServerStatements& statements_;
   GatewayMetrics& metrics_;
   UpstreamPool pool_;
   std::uint64_t connections_opened_ = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -154,7 +154,8 @@
       election_(context, store_, log,
                 {settings_.name, ToString(channel_.endpoint()), kLeaderKey, kLeaderLease,
                  settings_.order_handover, settings_.load_window, CandidacyDelay(settings_)}),
-      controller_(context, protocol, view_, election_, metrics_, log,
+      statements_(protocol, metrics_, log),
+      controller_(context, protocol, view_, election_, statements_, metrics_, log,
                   {settings_.name, settings_.load_window},
                   [this](const PlacementNotice& notice) {
                     TakeNotice(notice);
@@ -171,7 +172,7 @@
       relays_(context, store_, store_view_, metrics_, log,
               {settings_.zone, ToString(channel_.endpoint()), settings_.relays_from_daemons},
               RelayPorts()),
-      pipeline_(context, protocol, view_, quarantine_, quota_, metrics_, log,
+      pipeline_(context, protocol, view_, quarantine_, quota_, statements_, metrics_, log,
                 {settings_.zone, settings_.retry_window, settings_.retry_ratio, settings_.name}) {
   view_.configuration_bound = settings_.configuration_bound;
   view_.staleness_bound = settings_.staleness_bound;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/relay_service.h"
 #include "gateway/request_pipeline.h"
+#include "gateway/server_statements.h"
 #include "gateway/store_view.h"
 #include "http/http_server.h"
 #include "ports/fleet_protocol.h"
@@ -104,6 +105,7 @@
   DemandChannel channel_;
   FleetMembers members_;
   LeaderElection election_;
+  ServerStatements statements_;
   FleetController controller_;
   PeerList peers_;
   QuarantineService quarantine_;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -77,6 +77,7 @@
   Count(text, "store_entries_skipped", entries_skipped);
   Count(text, "servers_restarted", servers_restarted);
   Count(text, "earlier_lives_ignored", earlier_lives);
+  Count(text, "server_statements", server_statements);
   Count(text, "servers_kept_leaving", leaving_kept);
   Count(text, "server_entries_doubted", entries_doubted);
   messages_unread.Render("messages_unread_total", text);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -53,6 +53,7 @@
   std::uint64_t outdated_reads = 0;       ///< Cheap ones of a configuration, read again.
   std::uint64_t entries_skipped = 0;      ///< Of the store, that could not be read.
   std::uint64_t servers_restarted = 0;    ///< Under the id that they had.
+  std::uint64_t server_statements = 0;    ///< News that servers gave of themselves in answers.
   std::uint64_t leaving_kept = 0;         ///< Entries that called a server ready that had left.
   std::uint64_t entries_doubted = 0;      ///< Of servers that were gone, in a copy.
   LabelledCounter messages_unread;        ///< By sender and format.
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -105,8 +105,8 @@
 
 RequestPipeline::RequestPipeline(boost::asio::io_context& context, const FleetProtocol& protocol,
                                  FleetView& view, QuarantineService& quarantine,
-                                 QuotaService& quota, GatewayMetrics& metrics, EventLog& log,
-                                 PipelineSettings settings)
+                                 QuotaService& quota, ServerStatements& statements,
+                                 GatewayMetrics& metrics, EventLog& log, PipelineSettings settings)
     : protocol_(protocol),
       view_(view),
       quarantine_(quarantine),
@@ -114,7 +114,7 @@
       metrics_(metrics),
       admission_(protocol, view),
       settings_(std::move(settings)),
-      forwarder_(context, protocol, metrics),
+      forwarder_(context, protocol, statements, metrics),
       reporter_(view, metrics, log) {}
 
 void RequestPipeline::RefuseWaiting() {
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -14,6 +14,7 @@
 #include "gateway/request_reporter.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/server_choice.h"
+#include "gateway/server_statements.h"
 #include "http/http_server.h"
 #include "ports/fleet_protocol.h"
 #include "quarantine/quarantine_service.h"
@@ -34,8 +35,8 @@
 class RequestPipeline {
  public:
   RequestPipeline(boost::asio::io_context& context, const FleetProtocol& protocol, FleetView& view,
-                  QuarantineService& quarantine, QuotaService& quota, GatewayMetrics& metrics,
-                  EventLog& log, PipelineSettings settings);
+                  QuarantineService& quarantine, QuotaService& quota, ServerStatements& statements,
+                  GatewayMetrics& metrics, EventLog& log, PipelineSettings settings);
 
   Awaitable<void> Handle(HttpServerExchange& exchange);
   void Sweep() { forwarder_.Sweep(); }
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -11,6 +11,7 @@
 
 #include "common/boot_clock.h"
 #include "fleet/server_record.h"
+#include "fleet/server_statement.h"
 #include "gateway/prompt.h"
 
 namespace moorfold {
@@ -60,6 +61,13 @@
   void NoteGone() { gone_ = true; }
   bool gone() const { return gone_; }
 
+  /// Takes over what an answer of it says of itself, see ServerStanding::Take.
+  bool TakeStatement(const ServerStatement& statement, SteadyTime sent_at, SteadyTime now,
+                     bool from_run) {
+    return standing_.Take(statement, sent_at, now, from_run);
+  }
+  const ServerStanding& standing() const { return standing_; }
+
   void BeginRequest() { ++in_flight_; }
   void EndRequest() { --in_flight_; }
   std::uint32_t in_flight() const { return in_flight_; }
@@ -101,6 +109,7 @@
 
   ServerRecord record_;
   std::vector<NotedModel> notes_;
+  ServerStanding standing_;
   bool gone_ = false;
   std::uint32_t in_flight_ = 0;
   std::uint32_t failures_in_row_ = 0;
--- /dev/null
+++ b/src/gateway/server_statements.cc
@@ -0,0 +1,20 @@
+#include "gateway/server_statements.h"
+
+#include "common/boot_clock.h"
+
+namespace moorfold {
+
+void ServerStatements::Hear(Server& server, const ServerAnswer& answer) {
+  const ServerStatement statement = protocol_.ReadStatement(answer.headers, answer.status);
+  if (!server.TakeStatement(statement, answer.sent_at, BootClock::now(), answer.from_run)) return;
+  ++metrics_.server_statements;
+  const ServerStanding& standing = server.standing();
+  EventLine line(LogEvent::kServerStates);
+  line.Field(LogField::kServer, server.record().id)
+      .Field(LogField::kLeaving, standing.leaving ? "yes" : "no")
+      .Field(LogField::kPauseMs, statement.pause.count());
+  if (standing.limit_per_second) line.Field(LogField::kLimit, *standing.limit_per_second);
+  log_.Write(LogRank::kDecision, line);
+}
+
+}  // namespace moorfold
--- a/src/ports/fleet_protocol.h
+++ b/src/ports/fleet_protocol.h
@@ -8,6 +8,7 @@
 
 #include "fleet/routing_configuration.h"
 #include "fleet/server_record.h"
+#include "fleet/server_statement.h"
 #include "http/http_types.h"
 
 namespace moorfold {
@@ -55,6 +56,8 @@
   virtual ServerOrderOutcome ReadOrderAnswer(unsigned status) const = 0;
   virtual HttpRequest MakeReportQuery(const std::string& server_id) const = 0;
   virtual ServerStatus ParseReport(std::string_view body) const = 0;
+  /// @return what an answer says of its server. What cannot be read is taken as not said.
+  virtual ServerStatement ReadStatement(const HttpHeaders& headers, unsigned status) const = 0;
 };
 
 }  // namespace moorfold
--- a/test/gateway/pipeline_fixture.h
+++ b/test/gateway/pipeline_fixture.h
@@ -29,7 +29,8 @@
         quota_(context_, {std::chrono::seconds(8), 0.1, 0}, "self", metrics_.quota,
                {[](const std::string&, const CreditQuestion&) {},
                 [](const std::string&, const CreditAnswer&) {}}),
-        pipeline_(context_, protocol_, view_, quarantine_, quota_, metrics_, log_,
+        statements_(protocol_, metrics_, log_),
+        pipeline_(context_, protocol_, view_, quarantine_, quota_, statements_, metrics_, log_,
                   {"z", std::chrono::seconds(10), 0.2}),
         front_(
             {&context_}, {"127.0.0.1", 0}, {},
@@ -173,6 +174,7 @@
   FleetView view_;
   QuarantineService quarantine_;
   QuotaService quota_;
+  ServerStatements statements_;
   RequestPipeline pipeline_;
   HttpServer front_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard_;
--- a/test/platform/protocol_test.cc
+++ b/test/platform/protocol_test.cc
@@ -102,5 +102,22 @@
   CHECK(kProtocol.ReadOrderAnswer(400) == ServerOrderOutcome::kRejected);
 }
 
+TEST_CASE("What an answer says of its server is read, and what cannot be read is not said") {
+  const auto read = [](HttpHeaders headers, unsigned status = 200) {
+    return kProtocol.ReadStatement(headers, status);
+  };
+  CHECK_FALSE(read({}).leaving);
+  CHECK(read({{"server-leaving", "1"}}).leaving);
+  CHECK_FALSE(read({{"Server-Leaving", "0"}}).leaving);
+  CHECK(read({{"Server-Limit", "0.5"}}).limit_per_second == 0.5);
+  CHECK(read({{"Server-Limit", "0"}}).limit_per_second == 0.0);
+  for (const char* text : {"", "-1", "nan", "inf", "1e999", "2 a second", "0x1"})
+    CHECK_FALSE(read({{"Server-Limit", text}}).limit_per_second.has_value());
+  CHECK(read({{"Retry-After", "1.5"}}, 503).pause == milliseconds(1'500));
+  CHECK(read({{"Retry-After", "1.5"}}, 200).pause == milliseconds(0));
+  CHECK(read({{"Retry-After", "Wed, 21 Oct 2026 07:28:00 GMT"}}, 503).pause == milliseconds(0));
+  CHECK(read({{"Retry-After", "1e300"}}, 503).pause == milliseconds(60'000));
+}
+
 }  // namespace
 }  // namespace moorfold
