Failing test: all daemons together send a limited server more than it takes

Whole gateways before the emulated platform, whose servers name a limit in their answers; a checker of its own counts what reaches them in any 4 s (StatementChecker, shown to bite).

--- a/test/emulator/emulated_platform.cc
+++ b/test/emulator/emulated_platform.cc
@@ -93,6 +93,7 @@
   options.load_time = options_.load_time;
   options.version = server_version_;
   if (options_.tenants) options.tenants = &tenant_checker_;
+  options.statements = &statement_checker_;
   return std::make_unique<ServerEmulator>(context_, store_, checker_, options,
                                           options_.seed + static_cast<std::uint64_t>(next_server_));
 }
--- a/test/emulator/emulated_platform.h
+++ b/test/emulator/emulated_platform.h
@@ -11,6 +11,7 @@
 #include "fault_proxy.h"
 #include "promise_checker.h"
 #include "server_emulator.h"
+#include "statement_checker.h"
 #include "store_emulator.h"
 #include "tenant_checker.h"
 
@@ -42,6 +43,7 @@
   StoreEmulator& store() { return store_; }
   PromiseChecker& checker() { return checker_; }
   TenantChecker& tenant_checker() { return tenant_checker_; }
+  StatementChecker& statement_checker() { return statement_checker_; }
   bool tenants() const { return options_.tenants; }
   /// Tenants with limits, and one whose key changes with each configuration.
   static constexpr const char* kSmallTenant = "small";
@@ -88,6 +90,7 @@
   PlatformOptions options_;
   PromiseChecker checker_;
   TenantChecker tenant_checker_;
+  StatementChecker statement_checker_;
   StoreEmulator store_;
   std::vector<std::string> models_;
   std::vector<std::unique_ptr<FaultProxy>> store_proxies_;
--- a/test/emulator/server_emulator.cc
+++ b/test/emulator/server_emulator.cc
@@ -125,10 +125,26 @@
   return false;
 }
 
+void ServerEmulator::NameLimit(std::optional<double> per_second) {
+  limit_per_second_ = per_second;
+  if (options_.statements != nullptr)
+    options_.statements->Named(options_.id, per_second, BootClock::now());
+}
+
+HttpHeaders ServerEmulator::Statement() const {
+  HttpHeaders headers;
+  if (limit_per_second_) headers.push_back({"Server-Limit", std::to_string(*limit_per_second_)});
+  if (faults_.says_leaving) headers.push_back({"Server-Leaving", "1"});
+  return headers;
+}
+
 HttpHeaders ServerEmulator::Headers(const std::string& id) const {
-  return {{"X-Request-Id", id},
-          {"X-Server-Load", std::to_string(running_) + ",0," + std::to_string(options_.slots)},
-          {"Keep-Alive", "timeout=10"}};
+  HttpHeaders headers = Statement();
+  headers.push_back({"X-Request-Id", id});
+  headers.push_back(
+      {"X-Server-Load", std::to_string(running_) + ",0," + std::to_string(options_.slots)});
+  headers.push_back({"Keep-Alive", "timeout=10"});
+  return headers;
 }
 
 Awaitable<void> ServerEmulator::Handle(HttpServerExchange& exchange) {
@@ -154,6 +170,7 @@
     co_return;
   }
   if (!id.empty()) checker_.Arrived(id, options_.id, BootClock::now());
+  if (options_.statements != nullptr) options_.statements->Arrived(options_.id, BootClock::now());
   if (request.body.starts_with(EndingBody("")))
     checker_.EndingArrived(request.body, id, BootClock::now());
   headers = Headers(id);
@@ -255,7 +272,9 @@
                             {"running", running_},
                             {"born", options_.born},
                             {"incoming", json::array()}};
-  return {200, {{"Content-Type", "application/json"}}, json::serialize(body)};
+  HttpHeaders headers = Statement();
+  headers.push_back({"Content-Type", "application/json"});
+  return {200, std::move(headers), json::serialize(body)};
 }
 
 unsigned ServerEmulator::Judge(const ServerOrder& order, std::int64_t expected_count) {
@@ -302,7 +321,7 @@
   }
   if (taken) status = Judge(order, order.order_count);
   if (status == 202) boost::asio::co_spawn(context_, CarryOut(order), boost::asio::detached);
-  if (!late) co_await exchange.Respond(Bare(status, {}));
+  if (!late) co_await exchange.Respond(Bare(status, Statement()));
 }
 
 Awaitable<void> ServerEmulator::CarryOut(ServerOrder order) {
--- a/test/emulator/server_emulator.h
+++ b/test/emulator/server_emulator.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 #include <functional>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -12,6 +13,7 @@
 #include "gateway/server_directory.h"
 #include "http/http_server.h"
 #include "promise_checker.h"
+#include "statement_checker.h"
 #include "store_emulator.h"
 #include "tenant_checker.h"
 
@@ -32,10 +34,11 @@
   std::chrono::milliseconds work{15};
   std::chrono::milliseconds event_gap{15};  ///< Of a stream that runs alone.
   double prompt_tokens_per_ms = 38;
-  Endpoint announced;                ///< Where callers find it, if not at its own port.
-  std::string version = "v1";        ///< Of its software.
-  std::int64_t born = 0;             ///< Its start, in milliseconds of the time of day.
-  TenantChecker* tenants = nullptr;  ///< Is told whom requests run for; null: nobody is.
+  Endpoint announced;                      ///< Where callers find it, if not at its own port.
+  std::string version = "v1";              ///< Of its software.
+  std::int64_t born = 0;                   ///< Its start, in milliseconds of the time of day.
+  TenantChecker* tenants = nullptr;        ///< Is told whom requests run for; null: nobody is.
+  StatementChecker* statements = nullptr;  ///< Is told what it names, and gets; null: nobody is.
 };
 
 struct ServerFaults {
@@ -43,6 +46,7 @@
   double no_answer_share = 0;   ///< Runs, and closes the connection instead of answering.
   double late_order_share = 0;  ///< Orders without an answer, carried out later.
   std::chrono::milliseconds order_lateness{2'000};
+  bool says_leaving = false;  ///< Its answers say that it leaves; its entry does not.
 };
 
 /// A server of the platform: keeps its entry in the store, runs requests, carries out orders. What
@@ -55,6 +59,8 @@
   void Start();
   /// Callers are to find it at `address`, not at its own port. Before Start.
   void Announce(const Endpoint& address) { options_.announced = address; }
+  /// From now on its answers name that many requests a second; nothing: no limit.
+  void NameLimit(std::optional<double> per_second);
   /// Says that it leaves; requests in progress run to their end.
   void Drain();
   /// Its entry goes and comes no more.
@@ -91,6 +97,8 @@
   unsigned Judge(const ServerOrder& order, std::int64_t expected_count);
   HttpResponse Report() const;
   HttpHeaders Headers(const std::string& id) const;
+  /// What it says of itself in every answer.
+  HttpHeaders Statement() const;
   bool Holds(const std::string& name) const;
   void WriteEntry();
   Awaitable<void> Beat();
@@ -105,6 +113,7 @@
   PromiseChecker& checker_;
   ServerOptions options_;
   ServerFaults faults_;
+  std::optional<double> limit_per_second_;
   std::mt19937_64 random_;
   RecentPrompts prompts_;
   std::set<std::string> had_;  ///< Models whose weights lie on the disk.
