Servers that name a limit get no more than that from all daemons together

Cause: no code read the limit, and a choice of a server is each daemon's own, so nothing could keep a sum. Class: a bound over the whole fleet that no part of the fleet keeps. Ruled out: orders and state queries (the requests in the daemons' logs add up to what was reported). Change: the leader gives out turns, evenly spaced, one for each request (PermitPool); a daemon asks before it sends, and takes another server at once where one can serve the request. While nobody answers, each daemon has moments of its own that are lost when unused (OwnTurns); a leader that lost its lease and knows of no other goes on at a third. A limit ends with the first answer to a later request that names none, and the leader passes that on. Requests whose servers are all at their limits wait only for a turn that comes in time, and are refused at once otherwise, with the time of the next turn. What a server said outlives new entries and gaps of its entry. Ways weighed: equal shares (a turn in a quarter of an hour at 985 daemons), credit pools as for tenants (every daemon would have to know of every limited server), this one (one question to the leader for each request that prefers a limited server).

--- a/src/fleet/demand_channel.cc
+++ b/src/fleet/demand_channel.cc
@@ -90,6 +90,10 @@
     handlers_.configuration_asked(*text, from);
   } else if (const auto* part = std::get_if<ConfigurationPart>(&message)) {
     handlers_.configuration_answered(*part, from);
+  } else if (const auto* turn = std::get_if<PermitQuestion>(&message)) {
+    handlers_.permit_asked(*turn, from);
+  } else if (const auto* given = std::get_if<PermitAnswer>(&message)) {
+    handlers_.permit_answered(*given, from);
   } else {
     handlers_.offered(std::get<LeadershipOffer>(message));
   }
--- a/src/fleet/demand_channel.h
+++ b/src/fleet/demand_channel.h
@@ -44,6 +44,9 @@
       std::function<void(const ConfigurationQuestion&, const std::string& from)>;
   using ConfigurationPartHandler =
       std::function<void(const ConfigurationPart&, const std::string& from)>;
+  /// @param from "IP:PORT" of the sender.
+  using PermitQuestionHandler = std::function<void(const PermitQuestion&, const std::string& from)>;
+  using PermitAnswerHandler = std::function<void(const PermitAnswer&, const std::string& from)>;
   using OfferHandler = std::function<void(const LeadershipOffer&)>;
   /// Hears why a datagram could not be sent.
   using DropHandler = std::function<void(const std::string& problem)>;
@@ -65,6 +68,8 @@
     ServersPageHandler servers_answered;
     ConfigurationQuestionHandler configuration_asked;
     ConfigurationPartHandler configuration_answered;
+    PermitQuestionHandler permit_asked;
+    PermitAnswerHandler permit_answered;
     DropHandler dropped;
     UnreadHandler unread;
   };
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -20,6 +20,7 @@
 #include "quarantine/quarantine_messages.h"
 #include "relay/relay_messages.h"
 #include "relay/relay_plan.h"
+#include "server_limits/permit_messages.h"
 #include "tenants/credit_messages.h"
 
 namespace moorfold {
@@ -109,11 +110,12 @@
   }
 };
 
-/// The last five are understood by builds that know relays (DemandReport::relay_plan).
-using FleetMessage =
-    std::variant<DemandReport, PlacementNotice, ChangeAnswer, LeadershipOffer, QuarantineNotice,
-                 CreditSharing, CreditQuestion, CreditAnswer, RelayPlan, ServersQuestion,
-                 ServersPage, ConfigurationQuestion, ConfigurationPart>;
+/// Those from RelayPlan on are understood by builds that know relays (DemandReport::relay_plan); a
+/// build that does not know the last two leaves them alone, and questions without an answer.
+using FleetMessage = std::variant<DemandReport, PlacementNotice, ChangeAnswer, LeadershipOffer,
+                                  QuarantineNotice, CreditSharing, CreditQuestion, CreditAnswer,
+                                  RelayPlan, ServersQuestion, ServersPage, ConfigurationQuestion,
+                                  ConfigurationPart, PermitQuestion, PermitAnswer>;
 
 template <typename Archive>
 void serialize(Archive& archive, ModelReference& name) {
--- a/src/fleet/server_statement.cc
+++ b/src/fleet/server_statement.cc
@@ -11,8 +11,10 @@
   if (statement.limit_per_second) {
     limit_per_second = statement.limit_per_second;
     limit_heard_at = now;
+    limit_as_of = std::max(limit_as_of, sent_at);
   } else if (from_run && sent_at > limit_heard_at) {
     limit_per_second.reset();
+    limit_as_of = sent_at;
   }
   return leaving != before.leaving || paused_until != before.paused_until ||
          limit_per_second != before.limit_per_second;
--- a/src/fleet/server_statement.h
+++ b/src/fleet/server_statement.h
@@ -23,7 +23,10 @@
 
   bool leaving = false;                    ///< For the rest of its life.
   std::optional<double> limit_per_second;  ///< In force until an answer names it no more.
-  Time limit_heard_at{};
+  Time limit_heard_at{};                   ///< When an answer last named it.
+  /// When the request was sent whose answer showed `limit_per_second` as it is: the server said so
+  /// no earlier.
+  Time limit_as_of{};
   Time paused_until{};
 
   /// @return whether no request may go there now, whatever it asks for.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -145,6 +145,12 @@
                 [this](const ConfigurationPart& part, const std::string& from) {
                   relays_.TakeConfigurationPart(part, from);
                 },
+                [this](const PermitQuestion& question, const std::string& from) {
+                  permits_.Hear(question, from);
+                },
+                [this](const PermitAnswer& answer, const std::string& from) {
+                  permits_.Hear(answer, from);
+                },
                 [this](const std::string& problem) {
                   log_.Write(
                       LogRank::kRoutine,
@@ -167,12 +173,13 @@
                          [this](const QuarantineNotice& notice) { quarantine_.Hear(notice); }),
       quota_(context, QuotaSettings(settings_), ToString(channel_.endpoint()), metrics_.quota,
              QuotaPorts()),
+      permits_(context, ToString(channel_.endpoint()), metrics_.permits, PermitPorts()),
       census_(ToString(channel_.endpoint()), settings_.cpu_share),
       sharing_record_(store_, log, kSharingKey, LogEvent::kSharingNotStored),
       relays_(context, store_, store_view_, metrics_, log,
               {settings_.zone, ToString(channel_.endpoint()), settings_.relays_from_daemons},
               RelayPorts()),
-      pipeline_(context, protocol, view_, quarantine_, quota_, statements_, metrics_, log,
+      pipeline_(context, protocol, view_, quarantine_, quota_, statements_, permits_, metrics_, log,
                 {settings_.zone, settings_.retry_window, settings_.retry_ratio, settings_.name}) {
   view_.configuration_bound = settings_.configuration_bound;
   view_.staleness_bound = settings_.staleness_bound;
@@ -213,6 +220,7 @@
                        relays_.TakeRecord(entry, revision);
                      });
   quota_.Start();
+  statements_.OnLimitEnded([this](const Server& server) { permits_.TellUnlimited(server); });
   // A start under the same id is the end of the process before.
   store_view_.OnRestart([this](const std::string& id) {
     if (quarantine_.book().Waiting(id)) quarantine_.Note(quarantine::ServerEnded{id});
@@ -331,6 +339,27 @@
   return ports;
 }
 
+limits::PoolRole Gateway::PermitRole() const {
+  if (election_.leading()) return limits::PoolRole::kLeader;
+  const std::string leader = LeaderAddress();
+  const bool other_leads = !leader.empty() && leader != ToString(channel_.endpoint());
+  return other_leads ? limits::PoolRole::kNone : limits::PoolRole::kDeputy;
+}
+
+PermitService::Ports Gateway::PermitPorts() {
+  PermitService::Ports ports;
+  ports.ask = [this](const std::string& to, const PermitQuestion& question) {
+    channel_.SendTo(to, question);
+  };
+  ports.answer = [this](const std::string& to, const PermitAnswer& answer) {
+    channel_.SendTo(to, answer);
+  };
+  ports.leader = [this] { return LeaderAddress(); };
+  ports.role = [this] { return PermitRole(); };
+  ports.daemons = [this] { return fleet_size_; };
+  return ports;
+}
+
 void Gateway::TakeSharing(const CreditSharing& sharing) {
   if (sharing == quota_.sharing()) return;
   log_.Write(LogRank::kDecision, EventLine(LogEvent::kSharing)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -25,6 +25,7 @@
 #include "ports/key_value_store.h"
 #include "quarantine/quarantine_record.h"
 #include "quarantine/quarantine_service.h"
+#include "server_limits/permit_service.h"
 #include "tenants/credit_census.h"
 #include "tenants/quota_service.h"
 
@@ -69,6 +70,9 @@
   std::vector<std::string> Peers();
   bool ServiceExists(const std::string& service) const;
   QuotaService::Ports QuotaPorts();
+  /// @return whether this daemon shares servers' limits out.
+  limits::PoolRole PermitRole() const;
+  PermitService::Ports PermitPorts();
   void TakeSharing(const CreditSharing& sharing);
   void TakeSharingRecord(const std::optional<KeyValue>& entry, StoreRevision revision);
   /// While this daemon leads: tells the others how limits are shared out.
@@ -111,6 +115,7 @@
   QuarantineService quarantine_;
   QuarantineRecord quarantine_record_;
   QuotaService quota_;
+  PermitService permits_;
   quota::CreditCensus census_;
   KeptRecord<CreditSharing> sharing_record_;
   RelayService relays_;
@@ -130,6 +135,7 @@
   BootClock::time_point leading_since_{};  ///< Zero: this daemon does not lead.
   BootClock::time_point sharing_told_{};
   std::int64_t quarantine_era_ = kEraUntold;  ///< Of the store when it last showed the list.
+  std::uint32_t fleet_size_ = 0;              ///< Daemons, as the leader said last; 0: unknown.
   bool stopping_ = false;
   bool resigning_ = false;
   bool resigned_ = false;
--- a/src/gateway/gateway_fleet.cc
+++ b/src/gateway/gateway_fleet.cc
@@ -222,6 +222,7 @@
 
 /// The part of the fleet's free repeats that this daemon may use on top of its share by requests.
 void Gateway::TakeSize(std::uint32_t daemons) {
+  fleet_size_ = daemons;
   const double sharing = std::max<double>(daemons, kSmallestFleet);
   pipeline_.SetFreeRepeats(
       std::max(kFreeRepeatsOfUnknownFleet, settings_.retry_minimum * kFreeRepeatsUsed / sharing));
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -68,6 +68,13 @@
   Count(text, "quota_answers_dropped", quota.dropped);
   Count(text, "requests_over_quota", quota.refused_over);
   Count(text, "requests_quota_unknown", quota.refused_unknown);
+  Count(text, "permit_questions", permits.asked);
+  Count(text, "permit_questions_answered", permits.answered);
+  Count(text, "permit_questions_unanswered", permits.unanswered);
+  Count(text, "permit_answers_dropped", permits.dropped);
+  Count(text, "permits_granted", permits.granted);
+  Count(text, "permits_denied", permits.denied);
+  Count(text, "permits_own", permits.own_turns);
   tenant_requests.Render("tenant_requests_total", text);
   tenant_units.Render("tenant_units_total", text);
   requests_ended.Render("requests_ended_total", text);
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -56,8 +56,10 @@
   std::string last_event;                    ///< Last whole event that the client has.
   std::uint32_t sends = 0;                   ///< Servers that it was sent to.
   NoServerReason no_server = NoServerReason::kNone;  ///< Why it found none, last.
-  std::uint32_t may_have_run = 0;                    ///< Servers on which it may have run.
-  UpstreamConnectionPtr upstream;                    ///< Of the attempt under way.
+  SteadyTime free_at{};      ///< When the first server takes more, where all are at their limits.
+  bool alternative = false;  ///< Another server than the chosen one could take it.
+  std::uint32_t may_have_run = 0;  ///< Servers on which it may have run.
+  UpstreamConnectionPtr upstream;  ///< Of the attempt under way.
   std::vector<std::string> failed_servers;
   std::vector<ServerRefusal> refusals;
   std::optional<Refusal> refusal;  ///< Why it must not be sent any more.
--- a/src/gateway/hold_policy.cc
+++ b/src/gateway/hold_policy.cc
@@ -56,8 +56,10 @@
 SteadyTime HoldUntil(const HeldRequest& request) {
   if (request.reason == NoServerReason::kQuarantined) return request.arrival;
   const SteadyTime last_useful = LastUseful(request);
-  if (request.reason != NoServerReason::kModelNotHeld)
-    return std::min(last_useful, request.arrival + request.target);
+  const SteadyTime place_wanted_by = std::min(last_useful, request.arrival + request.target);
+  if (request.reason == NoServerReason::kAtLimit && request.free_at > place_wanted_by)
+    return request.arrival;
+  if (request.reason != NoServerReason::kModelNotHeld) return place_wanted_by;
   const SteadyTime unheard = request.arrival + kLeaderAnswers + request.load;
   if (!request.expected) return std::min(last_useful, unheard);
   if (request.expected->ready_at > last_useful) return request.arrival;
@@ -67,6 +69,8 @@
 
 milliseconds ComeBackAfter(const HeldRequest& request, SteadyTime now, double spread) {
   milliseconds after = std::max(kLeastComeBack, request.answer);
+  if (request.reason == NoServerReason::kAtLimit && request.free_at > now)
+    after = std::max(after, std::chrono::ceil<milliseconds>(request.free_at - now));
   if (request.reason == NoServerReason::kModelNotHeld) {
     after = kLeaderAnswers + request.load;
     if (request.expected && request.expected->ready_at > now)
--- a/src/gateway/hold_policy.h
+++ b/src/gateway/hold_policy.h
@@ -37,6 +37,7 @@
   std::chrono::milliseconds answer{0};  ///< Until an answer of its kind usually begins.
   std::optional<std::chrono::milliseconds> patience;  ///< Of its client with a silent stream.
   std::optional<Expectation> expected;                ///< Of its model.
+  SteadyTime free_at{};  ///< Where all its servers are at their limits: when the first takes more.
 };
 
 /// How long a request that no server can take is held, and when its caller should come back.
@@ -51,6 +52,9 @@
 ///   soon.
 /// - A place at a busy server is waited for as long as the answer is wanted within. Past that, a
 ///   place serves more with a request that can still be in time.
+/// - A request whose servers have all said how much they take is held until the first takes more,
+/// if
+///   that is soon enough, and else refused at once.
 /// - A request under which servers end is not held at all.
 /// - Nobody is held when the rest of the time is shorter than an answer usually takes, nor for
 /// longer
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -106,11 +106,13 @@
 RequestPipeline::RequestPipeline(boost::asio::io_context& context, const FleetProtocol& protocol,
                                  FleetView& view, QuarantineService& quarantine,
                                  QuotaService& quota, ServerStatements& statements,
-                                 GatewayMetrics& metrics, EventLog& log, PipelineSettings settings)
+                                 PermitService& permits, GatewayMetrics& metrics, EventLog& log,
+                                 PipelineSettings settings)
     : protocol_(protocol),
       view_(view),
       quarantine_(quarantine),
       quota_(quota),
+      permits_(permits),
       metrics_(metrics),
       admission_(protocol, view),
       settings_(std::move(settings)),
@@ -172,6 +174,7 @@
   held.answer = usual == answer_ms_.end() ? request.route->target
                                           : milliseconds(static_cast<std::int64_t>(usual->second));
   if (request.route->type == RouteType::kStream) held.patience = StreamPatience(*request.route);
+  held.free_at = request.free_at;
   if (request.model.model.empty()) return held;
   held.expected = view_.expected.Find(request.model);
   held.load = StatedLoad(request);
@@ -288,6 +291,8 @@
   Choice choice = ChooseServer(view_.servers, wanted, now);
   reason = choice.reason;
   request.expected_ms = choice.cost_ms;
+  request.free_at = choice.free_at;
+  request.alternative = choice.alternative;
   return choice.server;
 }
 
@@ -421,6 +426,18 @@
   if (request.credit) quota_.Refund(request.tenant->name, *request.credit);
 }
 
+Awaitable<bool> RequestPipeline::AwaitPermit(const GatewayRequest& request,
+                                             const ServerPtr& server) {
+  // Where another server can take it, nobody waits for this one's turn.
+  const SteadyTime until = HoldEnd(request, NoServerReason::kAllUnusable);
+  const milliseconds patience = request.alternative
+                                    ? milliseconds(0)
+                                    : std::chrono::duration_cast<milliseconds>(std::max(
+                                          BootClock::duration{}, until - BootClock::now()));
+  const bool granted = co_await permits_.Acquire(server, patience);
+  co_return granted;
+}
+
 Awaitable<ForwardResult> RequestPipeline::Attempt(HttpServerExchange& exchange,
                                                   GatewayRequest& request,
                                                   const ServerPtr& server) {
@@ -442,11 +459,13 @@
   ForwardResult result;
   std::string server_id;
   RetryAllowance& allowance = AllowanceOf(request.service);
+  std::uint32_t sends_allowed = 1;
   // Whoever is over its limit is told before it waits for a server or counts as demand.
   while (co_await AwaitCredit(request)) {
     if (!request.counted) ++view_.demand.At(request.service, request.model).arrivals;
     request.counted = true;
-    if (request.sends > 0 && !co_await AwaitAllowance(request, allowance)) break;
+    if (request.sends >= sends_allowed && !co_await AwaitAllowance(request, allowance)) break;
+    sends_allowed = request.sends + 1;
     co_await AwaitRead(request);
     const ServerPtr server = co_await AwaitServer(request);
     if (request.client_left) result.end = ForwardEnd::kClientLeft;
@@ -455,6 +474,7 @@
     if (BootClock::now() >= request.end) break;
     // The credit that it was let in with may have died while it waited.
     if (!co_await AwaitCredit(request)) break;
+    if (!co_await AwaitPermit(request, server)) continue;
     request.refusal = admission_.Recheck(request);
     if (request.refusal) break;
     // Its answer is no longer wanted, or is late already.
@@ -475,7 +495,10 @@
     request.failed_servers.push_back(server_id);
     if (result.link_ended) co_await quarantine_.AwaitEvidence(server_id, request.fingerprint);
   }
-  if (!request.model.model.empty() && request.head_sent && request.LateAtServer())
+  const bool late = request.head_sent && request.LateAtServer();
+  // Copies elsewhere are wanted as much as where answers come late.
+  const bool at_limit = !request.head_sent && request.no_server == NoServerReason::kAtLimit;
+  if (!request.model.model.empty() && (late || at_limit))
     ++view_.demand.At(request.service, request.model).late;
   ReturnCredit(request);
   co_await Finish(exchange, request, result, server_id);
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -18,6 +18,7 @@
 #include "http/http_server.h"
 #include "ports/fleet_protocol.h"
 #include "quarantine/quarantine_service.h"
+#include "server_limits/permit_service.h"
 #include "tenants/quota_service.h"
 
 namespace moorfold {
@@ -36,7 +37,8 @@
  public:
   RequestPipeline(boost::asio::io_context& context, const FleetProtocol& protocol, FleetView& view,
                   QuarantineService& quarantine, QuotaService& quota, ServerStatements& statements,
-                  GatewayMetrics& metrics, EventLog& log, PipelineSettings settings);
+                  PermitService& permits, GatewayMetrics& metrics, EventLog& log,
+                  PipelineSettings settings);
 
   Awaitable<void> Handle(HttpServerExchange& exchange);
   void Sweep() { forwarder_.Sweep(); }
@@ -91,6 +93,8 @@
   /// Takes what the request counts against its tenant's limit, if it holds no such credit.
   /// @return whether it may be sent; if not, `refusal` of the request says why.
   Awaitable<bool> AwaitCredit(GatewayRequest& request);
+  /// @return whether the request may be sent to the server now; if not, another is to be chosen.
+  Awaitable<bool> AwaitPermit(const GatewayRequest& request, const ServerPtr& server);
   /// Gives back the credit of a request that ran nowhere.
   void ReturnCredit(const GatewayRequest& request);
   RetryAllowance& AllowanceOf(const std::string& service);
@@ -104,6 +108,7 @@
   FleetView& view_;
   QuarantineService& quarantine_;
   QuotaService& quota_;
+  PermitService& permits_;
   GatewayMetrics& metrics_;
   RequestAdmission admission_;
   PipelineSettings settings_;
--- a/src/gateway/server_choice.cc
+++ b/src/gateway/server_choice.cc
@@ -8,6 +8,7 @@
 
 constexpr double kPrefillTokensPerMs = 38;
 constexpr double kOtherZoneMs = 3;
+constexpr double kPermitMs = 10;  ///< Of a server with a limit: its turns are asked for.
 constexpr double kSuspectMs = 2'000;
 constexpr double kErrorMs = 400;
 constexpr double kRunningModelRequestMs = 6;   ///< Each request in a batch slows the others.
@@ -76,9 +77,17 @@
   double cost = QueueMs(server, request, now) + PromptMs(server, request);
   if (server.record().zone != request.zone) cost += kOtherZoneMs;
   if (server.Suspect(now)) cost += kSuspectMs;
+  if (server.standing().limit_per_second) cost += kPermitMs;
   return cost + kErrorMs * server.error_share();
 }
 
+/// A server that is usable but for what it takes: it is waited for, where there is no other.
+void NoteAtLimit(const Server& server, Choice& best) {
+  const bool first = best.free_at == SteadyTime{};
+  best.free_at = first ? server.FreeAt() : std::min(best.free_at, server.FreeAt());
+  if (best.reason != NoServerReason::kAllUnusable) best.reason = NoServerReason::kAtLimit;
+}
+
 bool Contains(const std::vector<std::string>& names, const std::string& name) {
   return std::find(names.begin(), names.end(), name) != names.end();
 }
@@ -91,6 +100,7 @@
   const bool known = !directory.Of(request.service).empty();
   best.reason = known ? NoServerReason::kModelNotHeld : NoServerReason::kUnknownService;
   const bool of_model = !request.model.model.empty();
+  int unlimited = 0;  ///< Usable servers that name no limit.
   for (const ServerPtr& server : of_model ? directory.Holding(request.service, request.model.model)
                                           : directory.Of(request.service)) {
     if (of_model && !server->Holds(request.model, now)) continue;
@@ -102,12 +112,19 @@
       best.reason = NoServerReason::kAllUnusable;
       continue;
     }
+    if (now < server->FreeAt()) {
+      NoteAtLimit(*server, best);
+      continue;
+    }
+    if (!server->standing().limit_per_second) ++unlimited;
     const double cost = CostMs(*server, request, now);
     if (best.server && cost >= best.cost_ms) continue;
     best.server = server;
     best.cost_ms = cost;
   }
-  if (best.server) best.reason = NoServerReason::kNone;
+  if (!best.server) return best;
+  best.reason = NoServerReason::kNone;
+  best.alternative = unlimited > (best.server->standing().limit_per_second ? 0 : 1);
   return best;
 }
 
--- a/src/gateway/server_choice.h
+++ b/src/gateway/server_choice.h
@@ -25,6 +25,7 @@
   kUnknownService,
   kModelNotHeld,
   kAllUnusable,
+  kAtLimit,     ///< Each has said how much it takes, or for how long nothing, and that is used up.
   kQuarantined  ///< Whichever holds the model would end under it.
 };
 
@@ -32,6 +33,8 @@
   ServerPtr server;
   NoServerReason reason = NoServerReason::kNone;
   double cost_ms = 0;
+  bool alternative = false;  ///< Another server could take it that names no limit.
+  SteadyTime free_at{};      ///< Where all are at their limits: when the first takes more.
 };
 
 /// Picks the server with the least expected time to a first byte: its queue, the part of the prompt
--- a/src/gateway/server_directory.cc
+++ b/src/gateway/server_directory.cc
@@ -154,6 +154,7 @@
 
 bool ServerDirectory::Put(ServerRecord record, SteadyTime now) {
   const auto found = by_id_.find(record.id);
+  ServerStanding said;
   if (found != by_id_.end()) {
     const ServerPtr known = found->second;
     const ServerRecord& before = known->record();
@@ -163,9 +164,11 @@
       known->Update(std::move(record), now);
       return true;
     }
+    if (!IsLaterLife(record.life, before.life)) said = known->standing();
     Remove(before.id);
   }
   auto server = std::make_shared<Server>(std::move(record));
+  server->Restore(said);
   by_id_[server->record().id] = server;
   by_service_[server->record().service].servers.push_back(server);
   for (const HeldModel& held : server->record().models) Index(server, held.name);
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -67,6 +68,18 @@
     return standing_.Take(statement, sent_at, now, from_run);
   }
   const ServerStanding& standing() const { return standing_; }
+  /// Another daemon has heard that the server names no limit any more.
+  /// @param known_at what was heard here after that counts more.
+  void EndLimit(SteadyTime known_at) {
+    if (standing_.limit_heard_at <= known_at) standing_.limit_per_second.reset();
+  }
+  /// All that the server takes from all daemons is taken until then.
+  void NoteAtLimit(SteadyTime until) { at_limit_until_ = until; }
+  /// @return when a request may be sent again; in the past: now. For servers that are usable
+  /// otherwise.
+  SteadyTime FreeAt() const { return standing_.limit_per_second ? at_limit_until_ : SteadyTime{}; }
+  /// What it had said in this life before this daemon lost sight of its entry.
+  void Restore(const ServerStanding& standing) { standing_ = standing; }
 
   void BeginRequest() { ++in_flight_; }
   void EndRequest() { --in_flight_; }
@@ -116,6 +129,7 @@
   SteadyTime suspect_until_{};
   SteadyTime unreachable_until_{};
   SteadyTime full_until_{};
+  SteadyTime at_limit_until_{};
   double error_share_ = 0;
   double stated_running_ = 0;
   double stated_waiting_ = 0;
--- a/src/gateway/server_entries.cc
+++ b/src/gateway/server_entries.cc
@@ -41,7 +41,9 @@
   if (known == nullptr || back || !SameForRequests(known->record(), record))
     changes_.Note(record.id, revision, false);
   const std::string id = record.id;
+  const Departed* departed = known == nullptr ? FindDeparted(record) : nullptr;
   view_.servers.Put(std::move(record), BootClock::now());
+  if (departed != nullptr) view_.servers.Find(id)->Restore(departed->standing);
   if (!restarted) return;
   ++metrics_.servers_restarted;
   if (restarted_) restarted_(id);
@@ -131,16 +133,17 @@
   log_.Write(LogRank::kDecision, EventLine(LogEvent::kServerGone)
                                      .Field(LogField::kServer, id)
                                      .Field(LogField::kRevision, ToString(revision)));
-  NoteDeparted(known->record());
+  NoteDeparted(*known);
   view_.servers.Remove(id);
 }
 
-void ServerEntries::NoteDeparted(const ServerRecord& record) {
+void ServerEntries::NoteDeparted(const Server& server) {
+  const ServerRecord& record = server.record();
   const SteadyTime now = BootClock::now();
   std::erase_if(departed_,
                 [&](const auto& departed) { return now - departed.second.at >= kDepartedKept; });
   if (departed_.size() >= kMostDeparted) departed_.erase(departed_.begin());
-  departed_[record.id] = {record.life, record.draining, now};
+  departed_[record.id] = {record.life, record.draining, server.standing(), now};
 }
 
 void ServerEntries::RemoveLater(const std::string& id) {
--- a/src/gateway/server_entries.h
+++ b/src/gateway/server_entries.h
@@ -52,6 +52,7 @@
   struct Departed {
     std::int64_t life = 0;
     bool draining = false;  ///< It had said so.
+    ServerStanding standing;
     SteadyTime at{};
   };
   /// An entry of a copy that is not believed yet.
@@ -68,7 +69,7 @@
   const Departed* FindDeparted(const ServerRecord& record) const;
   void Remove(const std::string& id, StoreRevision revision);
   void RemoveLater(const std::string& id);
-  void NoteDeparted(const ServerRecord& record);
+  void NoteDeparted(const Server& server);
   void ActWhenDue();
   void ActOnDue();
   void LogServer(const ServerRecord& record, StoreRevision revision);
--- a/src/gateway/server_statements.cc
+++ b/src/gateway/server_statements.cc
@@ -5,6 +5,7 @@
 namespace moorfold {
 
 void ServerStatements::Hear(Server& server, const ServerAnswer& answer) {
+  const bool limited_before = server.standing().limit_per_second.has_value();
   const ServerStatement statement = protocol_.ReadStatement(answer.headers, answer.status);
   if (!server.TakeStatement(statement, answer.sent_at, BootClock::now(), answer.from_run)) return;
   ++metrics_.server_statements;
@@ -15,6 +16,7 @@
       .Field(LogField::kPauseMs, statement.pause.count());
   if (standing.limit_per_second) line.Field(LogField::kLimit, *standing.limit_per_second);
   log_.Write(LogRank::kDecision, line);
+  if (limited_before && !standing.limit_per_second && limit_ended_) limit_ended_(server);
 }
 
 }  // namespace moorfold
--- a/src/gateway/server_statements.h
+++ b/src/gateway/server_statements.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string>
 
 #include "common/event_log.h"
@@ -22,15 +23,21 @@
 /// with the server. One thread.
 class ServerStatements {
  public:
+  using Handler = std::function<void(const Server& server)>;
+
   ServerStatements(const FleetProtocol& protocol, GatewayMetrics& metrics, EventLog& log)
       : protocol_(protocol), metrics_(metrics), log_(log) {}
 
+  /// Hears of servers that name no limit any more.
+  void OnLimitEnded(Handler handler) { limit_ended_ = std::move(handler); }
+
   void Hear(Server& server, const ServerAnswer& answer);
 
  private:
   const FleetProtocol& protocol_;
   GatewayMetrics& metrics_;
   EventLog& log_;
+  Handler limit_ended_;
 };
 
 }  // namespace moorfold
--- a/test/fleet/golden_messages_test.cc
+++ b/test/fleet/golden_messages_test.cc
@@ -18,7 +18,8 @@
 constexpr const char* kWithoutLives = "1cbede5";
 constexpr const char* kWithLives = "f8f162a";
 constexpr const char* kFormatOne = "format-1";
-constexpr const char* kRelays = "relays";  ///< What came with relays, also of format 1.
+constexpr const char* kPermits = "permits";  ///< What came with limits of servers, the same.
+constexpr const char* kRelays = "relays";    ///< What came with relays, also of format 1.
 
 std::string Load(const std::string& build, const std::string& name) {
   std::ifstream file(kGolden / build / (name + ".hex"));
@@ -258,6 +259,31 @@
   CHECK(text.bytes == "{}");
 }
 
+/// What builds that know limits of servers write and others do not.
+struct PermitMessages {
+  std::map<std::string, std::string> Encoded() const {
+    return {{"permit_question", EncodeMessage(FleetMessage(question))},
+            {"permit_answer", EncodeMessage(FleetMessage(answer))}};
+  }
+  PermitQuestion question{123, "i-1", 77, true, 0.5, 20'000, 400'000};
+  PermitAnswer answer{123, PermitVerdict::kDenied, 900'000};
+};
+
+TEST_CASE("Messages on limits of servers are written, and read, as the first build wrote them") {
+  const PermitMessages golden;
+  for (const auto& [name, bytes] : golden.Encoded()) {
+    CAPTURE(name);
+    CHECK(bytes == Load(kPermits, name));
+  }
+  const auto question = LoadMessage<PermitQuestion>(kPermits, "permit_question");
+  CHECK(question.server_id == "i-1");
+  CHECK(question.limit_per_second == 0.5);
+  CHECK(question.patience_us == 400'000);
+  const auto answer = LoadMessage<PermitAnswer>(kPermits, "permit_answer");
+  CHECK(answer.verdict == PermitVerdict::kDenied);
+  CHECK(answer.wait_us == 900'000);
+}
+
 TEST_CASE("A report or an answer of a build without relays tells of none") {
   const auto report = LoadMessage<DemandReport>(kFormatOne, "demand_report");
   CHECK_FALSE(report.relay_plan);
--- a/test/gateway/pipeline_fixture.h
+++ b/test/gateway/pipeline_fixture.h
@@ -30,8 +30,9 @@
                {[](const std::string&, const CreditQuestion&) {},
                 [](const std::string&, const CreditAnswer&) {}}),
         statements_(protocol_, metrics_, log_),
-        pipeline_(context_, protocol_, view_, quarantine_, quota_, statements_, metrics_, log_,
-                  {"z", std::chrono::seconds(10), 0.2}),
+        permits_(context_, "self", metrics_.permits, AlonePermitPorts()),
+        pipeline_(context_, protocol_, view_, quarantine_, quota_, statements_, permits_, metrics_,
+                  log_, {"z", std::chrono::seconds(10), 0.2}),
         front_(
             {&context_}, {"127.0.0.1", 0}, {},
             [this](HttpServerExchange& exchange) { return pipeline_.Handle(exchange); },
@@ -151,6 +152,16 @@
   QuotaService& quota() { return quota_; }
 
  private:
+  /// Of a daemon that leads and has no others.
+  static PermitService::Ports AlonePermitPorts() {
+    PermitService::Ports ports;
+    ports.ask = [](const std::string&, const PermitQuestion&) {};
+    ports.answer = [](const std::string&, const PermitAnswer&) {};
+    ports.leader = [] { return std::string("self"); };
+    ports.role = [] { return limits::PoolRole::kLeader; };
+    ports.daemons = [] { return 1U; };
+    return ports;
+  }
   /// Of a daemon without others.
   QuarantineService::Ports AlonePorts() {
     QuarantineService::Ports ports;
@@ -175,6 +186,7 @@
   QuarantineService quarantine_;
   QuotaService quota_;
   ServerStatements statements_;
+  PermitService permits_;
   RequestPipeline pipeline_;
   HttpServer front_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard_;
--- /dev/null
+++ b/test/server_limits/server_standing_test.cc
@@ -0,0 +1,58 @@
+#include <catch2/catch.hpp>
+
+#include "fleet/server_statement.h"
+#include "gateway/server_directory.h"
+
+namespace moorfold {
+namespace {
+
+using std::chrono::milliseconds;
+using Time = ServerStanding::Time;
+
+const Time kStart{std::chrono::hours(1)};
+
+ServerStatement Limit(double per_second) {
+  ServerStatement statement;
+  statement.limit_per_second = per_second;
+  return statement;
+}
+
+ServerRecord Record(std::int64_t life) {
+  ServerRecord record;
+  record.id = "i-1";
+  record.service = "s";
+  record.life = life;
+  return record;
+}
+
+TEST_CASE("A limit holds until an answer to a later request names none") {
+  ServerStanding standing;
+  CHECK(standing.Take(Limit(2), kStart, kStart + milliseconds(50), false));
+  CHECK(standing.limit_per_second == 2.0);
+  // Sent before the limit was heard: its answer may have been made before that, too.
+  CHECK_FALSE(standing.Take({}, kStart + milliseconds(40), kStart + milliseconds(60), true));
+  CHECK(standing.limit_per_second == 2.0);
+  // A refusal or an answer to an order need not name it.
+  CHECK_FALSE(standing.Take({}, kStart + milliseconds(70), kStart + milliseconds(80), false));
+  CHECK(standing.limit_per_second == 2.0);
+  CHECK(standing.Take({}, kStart + milliseconds(70), kStart + milliseconds(80), true));
+  CHECK_FALSE(standing.limit_per_second.has_value());
+}
+
+TEST_CASE("What a server has said outlives new entries of the same life, and ends with it") {
+  ServerDirectory directory;
+  directory.Put(Record(7), kStart);
+  directory.Find("i-1")->TakeStatement(Limit(1), kStart, kStart, true);
+  directory.Put(Record(7), kStart + milliseconds(400));
+  CHECK(directory.Find("i-1")->standing().limit_per_second == 1.0);
+  ServerRecord moved = Record(7);
+  moved.service = "t";
+  directory.Put(moved, kStart + milliseconds(500));
+  CHECK(directory.Find("i-1")->standing().limit_per_second == 1.0);
+  moved.life = 8;
+  directory.Put(moved, kStart + milliseconds(600));
+  CHECK_FALSE(directory.Find("i-1")->standing().limit_per_second.has_value());
+}
+
+}  // namespace
+}  // namespace moorfold
