--- /dev/null
+++ b/test/gateway/stated_leaving_test.cc
@@ -0,0 +1,90 @@
+// Servers whose answers say that they leave, while the store knows nothing of it.
+
+#include "gateway_deployment.h"
+#include "two_servers.h"
+#include "view_fixture.h"
+
+namespace moorfold {
+namespace {
+
+using std::chrono::milliseconds;
+
+const std::string kLeaving = "Server-Leaving: 1\r\n";
+
+TEST_CASE("After any kind of answer that says that its server leaves, nothing more goes there") {
+  const std::string answer = GENERATE(
+      Answer("200 OK", kSealed + kLeaving), Answer("404 Not Found", kSealed + kLeaving),
+      Answer("500 Internal Server Error", kSealed + kLeaving),
+      Answer("503 Service Unavailable", "X-Request-Id: one\r\nX-Not-Executed: 1\r\n" + kLeaving),
+      Answer("421 Misdirected Request", "X-Request-Id: one\r\n" + kLeaving));
+  CAPTURE(answer);
+  TwoServers servers(answer);
+  servers.Send();
+  const int got = servers.first_got;
+  REQUIRE(got > 0);
+  servers.AddSecond();
+  for (int request = 0; request < 8; ++request) {
+    CHECK(PipelineFixture::Status(servers.Send()) == 200);
+    std::this_thread::sleep_for(milliseconds(30));
+  }
+  CHECK(servers.first_got == got);
+}
+
+TEST_CASE("After a stream whose head says that its server leaves, nothing more goes there") {
+  const std::string stream = "HTTP/1.1 200 OK\r\n" + kSealed + kLeaving +
+                             "Content-Type: text/event-stream\r\nContent-Length: 16\r\n\r\n"
+                             "id: 1\ndata: a\n\n\n";
+  TwoServers servers(stream, RouteType::kStream);
+  servers.Send();
+  CHECK(servers.first_got == 1);
+  servers.AddSecond();
+  CHECK(PipelineFixture::Status(servers.Send()) == 200);
+  CHECK(servers.first_got == 1);
+}
+
+TEST_CASE("A server that has said that it leaves stays out of use when its entry comes back") {
+  ViewFixture fixture;
+  fixture.PutVersion(1);
+  fixture.PutServer("i-1");
+  fixture.Start();
+  const auto find = [&] { return fixture.view.servers.Find("i-1"); };
+  REQUIRE(fixture.RunUntil([&] { return find() != nullptr; }));
+  ServerStatement statement;
+  statement.leaving = true;
+  find()->TakeStatement(statement, BootClock::now(), BootClock::now(), true);
+  CHECK_FALSE(find()->Usable(BootClock::now()));
+  fixture.PutServer("i-1");
+  fixture.RunUntil([] { return false; }, milliseconds(100));
+  CHECK_FALSE(find()->Usable(BootClock::now()));
+  fixture.Remove("servers/i-1");
+  REQUIRE(fixture.RunUntil([&] { return find() == nullptr; }));
+  fixture.PutServer("i-1");
+  REQUIRE(fixture.RunUntil([&] { return find() != nullptr; }));
+  CHECK_FALSE(find()->Usable(BootClock::now()));
+  fixture.Put("servers/i-1", ViewFixture::Entry(2'000));  // It has started again.
+  CHECK(fixture.RunUntil([&] { return find() != nullptr && find()->Usable(BootClock::now()); }));
+}
+
+TEST_CASE("Servers whose answers say that they leave get nothing more while the store is away") {
+  Deployment deployment(3);
+  REQUIRE(deployment.RunUntil([&] { return deployment.AllReady() && deployment.Leaders() == 1; }));
+  deployment.clients->Start(16);
+  deployment.RunFor(milliseconds(1'000));
+  std::vector<ServerEmulator*> leaving;
+  const auto& servers = deployment.platform.servers();
+  leaving.push_back(servers.front().get());  // A model server.
+  leaving.push_back(servers.back().get());   // A plain one.
+  deployment.platform.store().faults().unavailable = true;
+  for (ServerEmulator* server : leaving) server->faults().says_leaving = true;
+  deployment.RunFor(milliseconds(3'000));
+  std::vector<std::uint64_t> runs;
+  for (const ServerEmulator* server : leaving) runs.push_back(server->runs());
+  deployment.RunFor(milliseconds(3'000));
+  for (std::size_t number = 0; number < leaving.size(); ++number)
+    CHECK(leaving[number]->runs() == runs[number]);
+  deployment.clients->Stop();
+  deployment.RunUntil([&] { return deployment.clients->running() == 0; });
+}
+
+}  // namespace
+}  // namespace moorfold
--- /dev/null
+++ b/test/gateway/stated_pause_test.cc
@@ -0,0 +1,48 @@
+// Servers that turn a request away and say when they want another.
+
+#include <catch2/catch.hpp>
+
+#include "two_servers.h"
+
+namespace moorfold {
+namespace {
+
+using std::chrono::milliseconds;
+
+TEST_CASE("A server that turns a request away for a time is left alone for that time") {
+  const std::string refusal = Answer(
+      "503 Service Unavailable", "X-Request-Id: one\r\nX-Not-Executed: 1\r\nRetry-After: 2\r\n");
+  TwoServers servers(refusal);
+  const auto began = BootClock::now();
+  const std::string answer = servers.Send();
+  CHECK(PipelineFixture::Status(answer) == 503);
+  while (BootClock::now() - began < milliseconds(1'900)) {
+    servers.Send();
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  CHECK(servers.first_got == 1);
+  std::this_thread::sleep_for(milliseconds(200));
+  servers.Send();
+  CHECK(servers.first_got == 2);
+}
+
+TEST_CASE("Callers of servers that all want a pause are turned away at once, with its time") {
+  const std::string refusal = Answer(
+      "503 Service Unavailable", "X-Request-Id: one\r\nX-Not-Executed: 1\r\nRetry-After: 2\r\n");
+  TwoServers servers(refusal);
+  servers.Send();
+  const auto began = BootClock::now();
+  const std::string answer = servers.Send();
+  CHECK(BootClock::now() - began < milliseconds(100));
+  CHECK(PipelineFixture::Status(answer) == 503);
+  const std::size_t at = answer.find("Retry-After: ");
+  REQUIRE(at != std::string::npos);
+  const double seconds = std::stod(answer.substr(at + 13));
+  CHECK(seconds > 1.5);
+  CHECK(seconds < 3.5);
+  servers.AddSecond();
+  CHECK(PipelineFixture::Status(servers.Send()) == 200);
+}
+
+}  // namespace
+}  // namespace moorfold
--- /dev/null
+++ b/test/gateway/two_servers.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "pipeline_fixture.h"
+
+namespace moorfold {
+
+inline const std::string kSealed = "X-Response-Seal: s1\r\nX-Request-Id: one\r\n";
+
+/// Answers each request on a connection with the same bytes, and counts.
+inline ScriptedServer::Script Always(std::string answer, std::atomic<int>& requests) {
+  return [answer, &requests](ScriptedConnection& connection) {
+    while (!connection.ReadHead().empty()) {
+      ++requests;
+      connection.Write(answer);
+    }
+  };
+}
+
+inline std::string Answer(const std::string& status, const std::string& headers) {
+  return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: 0\r\n\r\n";
+}
+
+/// A pipeline before a first server and, later, a second one that answers all that it gets.
+struct TwoServers {
+  explicit TwoServers(const std::string& answer, RouteType type = RouteType::kRepeatable)
+      : first(Always(answer, first_got)), second(Always(Answer("200 OK", kSealed), second_got)) {
+    fixture.SetRoutes({PipelineFixture::MakeRoute(type)});
+    fixture.AddServer(first_id, first.endpoint());
+  }
+  void AddSecond() { fixture.AddServer(first_id == "i-1" ? "i-2" : "i-1", second.endpoint()); }
+  std::string Send() { return fixture.Exchange(PipelineFixture::Request()); }
+
+  /// Whichever of the two is preferred otherwise is the first once.
+  std::string first_id = GENERATE("i-1", "i-2");
+  std::atomic<int> first_got = 0;
+  std::atomic<int> second_got = 0;
+  PipelineFixture fixture;
+  ScriptedServer first;
+  ScriptedServer second;
+};
+
+}  // namespace moorfold
