A server whose answers say that it leaves gets nothing more in that life

Cause: only the store's word counted, and the store could not be reached; an entry that calls the server ready would also have put it back. Class: what a server itself proves in an answer is dropped in favour of an older, indirect source. Change: ServerStanding::leaving counts in the choice, once more when the request is really sent (after a wait for a turn, for credit, for a connection), in the leader's plans, and is kept over entries that call the server ready, over gaps of its entry and over a return of the store. A leader's followers hear of it with the next entry.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -323,6 +323,10 @@
     if (upstream->Reusable()) pool_.Give(server->connection_key(), upstream, kLongestRest);
     co_return ForwardResult{ForwardEnd::kClientLeft, 0, ""};
   }
+  if (server->Leaves()) {
+    if (upstream->Reusable()) pool_.Give(server->connection_key(), upstream, kLongestRest);
+    co_return ForwardResult{ForwardEnd::kNotRun, 0, "the server leaves"};
+  }
   const AttemptGuard guard(request, *server, upstream, co_await boost::asio::this_coro::executor,
                            attempt_end);
   try {
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -435,7 +435,8 @@
                                     : std::chrono::duration_cast<milliseconds>(std::max(
                                           BootClock::duration{}, until - BootClock::now()));
   const bool granted = co_await permits_.Acquire(server, patience);
-  co_return granted;
+  // It may have been heard meanwhile that the server leaves.
+  co_return granted && !server->Leaves();
 }
 
 Awaitable<ForwardResult> RequestPipeline::Attempt(HttpServerExchange& exchange,
--- a/src/gateway/server_directory.cc
+++ b/src/gateway/server_directory.cc
@@ -98,7 +98,7 @@
 }
 
 bool Server::Usable(SteadyTime now) const {
-  return !gone_ && !record_.draining && now >= full_until_ && !Unreachable(now);
+  return !Leaves() && now >= full_until_ && !Unreachable(now);
 }
 
 void Server::NoteSuccess() {
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -61,6 +61,10 @@
   /// The server said it leaves, or another incarnation answered at its address.
   void NoteGone() { gone_ = true; }
   bool gone() const { return gone_; }
+  /// Whether its entry or an answer has said that it leaves.
+  bool SaysItLeaves() const { return record_.draining || standing_.leaving; }
+  /// Whether nothing more is to be sent there in this life.
+  bool Leaves() const { return gone_ || SaysItLeaves(); }
 
   /// Takes over what an answer of it says of itself, see ServerStanding::Take.
   bool TakeStatement(const ServerStatement& statement, SteadyTime sent_at, SteadyTime now,
--- a/src/gateway/server_entries.cc
+++ b/src/gateway/server_entries.cc
@@ -80,12 +80,14 @@
   if (record.draining) return;
   const ServerPtr known = view_.servers.Find(record.id);
   const Departed* departed = known == nullptr ? FindDeparted(record) : nullptr;
-  const bool left_before = departed != nullptr && departed->draining;
-  const bool leaves = known != nullptr && known->record().draining &&
-                      !IsLaterLife(record.life, known->record().life);
+  const bool left_before = departed != nullptr && departed->leaving;
+  const bool leaves =
+      known != nullptr && known->SaysItLeaves() && !IsLaterLife(record.life, known->record().life);
   if (!leaves && !left_before) return;
   record.draining = true;
   ++metrics_.leaving_kept;
+  // Its entry may call it ready with each heartbeat until the store is back.
+  if (known != nullptr && known->standing().leaving && known->record().draining) return;
   log_.Write(LogRank::kDecision, EventLine(LogEvent::kServerStillLeaves)
                                      .Field(LogField::kServer, record.id)
                                      .Field(LogField::kRevision, ToString(revision)));
@@ -143,7 +145,7 @@
   std::erase_if(departed_,
                 [&](const auto& departed) { return now - departed.second.at >= kDepartedKept; });
   if (departed_.size() >= kMostDeparted) departed_.erase(departed_.begin());
-  departed_[record.id] = {record.life, record.draining, server.standing(), now};
+  departed_[record.id] = {record.life, server.SaysItLeaves(), server.standing(), now};
 }
 
 void ServerEntries::RemoveLater(const std::string& id) {
--- a/src/gateway/server_entries.h
+++ b/src/gateway/server_entries.h
@@ -51,7 +51,7 @@
  private:
   struct Departed {
     std::int64_t life = 0;
-    bool draining = false;  ///< It had said so.
+    bool leaving = false;  ///< It had said so.
     ServerStanding standing;
     SteadyTime at{};
   };
