A server that turns a request away and names a time gets nothing before it

What callers saw: requests that were sent on to a server that had just refused one and said when to come back, and refusals without that time. Change: ServerStanding::paused_until counts in the choice and when a request is really sent; the leader neither orders nor polls meanwhile; callers whose servers all pause are refused at once with the time of the first (servers_at_limit). A model server that names a time speaks of itself, so the request is not blamed for it.

--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -212,8 +212,8 @@
   const ManagedPtr managed = ManagedLife(server.record());
   PlannedServer planned;
   planned.id = server.record().id;
-  planned.serving =
-      server.Usable(now) && !server.Suspect(now) && !demand_.Unreachable(server.record().id, now);
+  planned.serving = server.Usable(now) && !server.TurnsAway(now) && !server.Suspect(now) &&
+                    !demand_.Unreachable(server.record().id, now);
   planned.orderable = planned.serving && !managed->operating && now >= managed->not_before &&
                       election_.ServerFree(planned.id);
   const bool own = managed->known;
@@ -424,6 +424,12 @@
   if (step.kind == ServerOrderKind::kLoad) held->adapters.push_back(step.name.adapter);
 }
 
+BootClock::duration FleetController::PauseOf(const std::string& id) const {
+  const ServerPtr server = view_.servers.Find(id);
+  if (server == nullptr) return {};
+  return server->standing().paused_until - BootClock::now();
+}
+
 /// Waits until the server shows the result, and tells the daemons.
 Awaitable<void> FleetController::AwaitDone(const ManagedPtr& managed, const PlacementStep& step,
                                            const Endpoint& endpoint) {
@@ -455,7 +461,7 @@
       if (load && Shows(report->models, step.name)) Notify(*managed, step.name, true);
       co_return;
     }
-    co_await Sleep(kPollEvery);
+    co_await Sleep(std::max<BootClock::duration>(kPollEvery, PauseOf(managed->id)));
   }
   managed->known = false;
   managed->incoming.clear();
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -89,6 +89,8 @@
                            Endpoint endpoint);
   Awaitable<void> AwaitDone(const ManagedPtr& managed, const PlacementStep& step,
                             const Endpoint& endpoint);
+  /// @return how long the server still wants nothing of this daemon.
+  BootClock::duration PauseOf(const std::string& id) const;
   Awaitable<void> AskState(ManagedPtr managed, Endpoint endpoint);
   Awaitable<std::optional<ServerStatus>> ReadReport(const std::string& id, Endpoint endpoint);
   /// Takes over what an answer to an order or a question says of its server.
--- a/src/fleet/server_statement.h
+++ b/src/fleet/server_statement.h
@@ -29,9 +29,6 @@
   Time limit_as_of{};
   Time paused_until{};
 
-  /// @return whether no request may go there now, whatever it asks for.
-  bool TurnsAway(Time now) const { return leaving || now < paused_until; }
-
   /// Takes over what an answer says.
   /// @param sent_at when its request was sent. An answer without a limit ends one only if its
   /// request was sent after the limit was heard: answers on different connections may pass each
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -185,7 +185,9 @@
   if (status != kMisdirectedStatus) {
     const std::array<std::uint32_t, 3> load =
         ParseLoad(FindHeader(headers, protocol_.headers().server_load));
-    const bool full = request.model.model.empty() || load[0] + load[1] >= server.record().slots;
+    // A server that names a time to come back speaks of itself, not of the request.
+    const bool full = request.model.model.empty() || server.TurnsAway(now) ||
+                      load[0] + load[1] >= server.record().slots;
     result.problem =
         full ? "the server is full" : "the server has places, but refuses this request";
     result.refused_alone = !full;
@@ -323,9 +325,9 @@
     if (upstream->Reusable()) pool_.Give(server->connection_key(), upstream, kLongestRest);
     co_return ForwardResult{ForwardEnd::kClientLeft, 0, ""};
   }
-  if (server->Leaves()) {
+  if (server->TurnsAway(BootClock::now())) {
     if (upstream->Reusable()) pool_.Give(server->connection_key(), upstream, kLongestRest);
-    co_return ForwardResult{ForwardEnd::kNotRun, 0, "the server leaves"};
+    co_return ForwardResult{ForwardEnd::kNotRun, 0, "the server leaves, or wants a pause"};
   }
   const AttemptGuard guard(request, *server, upstream, co_await boost::asio::this_coro::executor,
                            attempt_end);
--- a/src/gateway/request_outcome.h
+++ b/src/gateway/request_outcome.h
@@ -22,6 +22,7 @@
   kConfigurationMayBeOld,  ///< No route matches, but the store was not heard from lately.
   kNoServer,               ///< No server that may be used holds what is asked for.
   kServersFull,            ///< All that could serve it turned it away.
+  kServersAtLimit,         ///< All that could serve it get as much as they have said they take.
   kQuarantined,            ///< Servers end under it.
   kRefusedByServers,       ///< Several servers with free places refuse just it.
   kKeyMissing,             ///< It shows no key where one is needed.
@@ -74,6 +75,8 @@
       return "no_server";
     case EndReason::kServersFull:
       return "servers_full";
+    case EndReason::kServersAtLimit:
+      return "servers_at_limit";
     case EndReason::kQuarantined:
       return "quarantined";
     case EndReason::kRefusedByServers:
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -378,12 +378,15 @@
   }
   if (request.refusal) return *request.refusal;
   if (request.no_server == NoServerReason::kQuarantined) return QuarantineRefusal();
-  const bool full = result.status != 0;
+  const bool at_limit = request.no_server == NoServerReason::kAtLimit;
+  const bool full = result.status != 0 && !at_limit;
   const HeldRequest held =
       DescribeHeld(request, full ? NoServerReason::kAllUnusable : request.no_server);
+  const EndReason reason = at_limit ? EndReason::kServersAtLimit
+                           : full   ? EndReason::kServersFull
+                                    : EndReason::kNoServer;
   const milliseconds come_back = ComeBackAfter(held, BootClock::now(), SpreadOf(request.id));
-  return {http_status::kUnavailable, full ? EndReason::kServersFull : EndReason::kNoServer,
-          "come back after the stated time", false,
+  return {http_status::kUnavailable, reason, "come back after the stated time", false,
           std::chrono::duration<double>(come_back).count()};
 }
 
@@ -435,8 +438,8 @@
                                     : std::chrono::duration_cast<milliseconds>(std::max(
                                           BootClock::duration{}, until - BootClock::now()));
   const bool granted = co_await permits_.Acquire(server, patience);
-  // It may have been heard meanwhile that the server leaves.
-  co_return granted && !server->Leaves();
+  // It may have been heard meanwhile that the server leaves, or wants a pause.
+  co_return granted && !server->TurnsAway(BootClock::now());
 }
 
 Awaitable<ForwardResult> RequestPipeline::Attempt(HttpServerExchange& exchange,
--- a/src/gateway/server_choice.cc
+++ b/src/gateway/server_choice.cc
@@ -108,12 +108,12 @@
       if (best.reason != NoServerReason::kAllUnusable) best.reason = NoServerReason::kQuarantined;
       continue;
     }
-    if (!server->Usable(now) || Contains(request.excluded, server->record().id)) {
-      best.reason = NoServerReason::kAllUnusable;
+    if (!server->Leaves() && now < server->FreeAt()) {
+      NoteAtLimit(*server, best);
       continue;
     }
-    if (now < server->FreeAt()) {
-      NoteAtLimit(*server, best);
+    if (!server->Usable(now) || Contains(request.excluded, server->record().id)) {
+      best.reason = NoServerReason::kAllUnusable;
       continue;
     }
     if (!server->standing().limit_per_second) ++unlimited;
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -65,6 +65,8 @@
   bool SaysItLeaves() const { return record_.draining || standing_.leaving; }
   /// Whether nothing more is to be sent there in this life.
   bool Leaves() const { return gone_ || SaysItLeaves(); }
+  /// Whether it wants nothing of this daemon now, though a request was let through to it before.
+  bool TurnsAway(SteadyTime now) const { return Leaves() || now < standing_.paused_until; }
 
   /// Takes over what an answer of it says of itself, see ServerStanding::Take.
   bool TakeStatement(const ServerStatement& statement, SteadyTime sent_at, SteadyTime now,
@@ -81,7 +83,10 @@
   void NoteAtLimit(SteadyTime until) { at_limit_until_ = until; }
   /// @return when a request may be sent again; in the past: now. For servers that are usable
   /// otherwise.
-  SteadyTime FreeAt() const { return standing_.limit_per_second ? at_limit_until_ : SteadyTime{}; }
+  SteadyTime FreeAt() const {
+    const bool limited = standing_.limit_per_second.has_value();
+    return std::max(standing_.paused_until, limited ? at_limit_until_ : SteadyTime{});
+  }
   /// What it had said in this life before this daemon lost sight of its entry.
   void Restore(const ServerStanding& standing) { standing_ = standing; }
 
