A listing of all servers ends when relays are named; a large fleet leaves servers to them from the first answer

Cause, from all daemons' logs: 984 of 985 daemons began to list all servers between 0.2 and 0.5 s before the first plan of relays came (the first read had met an empty store, the leader's next answers told of a configuration and of more changes than fit); each read its listing to the end: 5.9 GB, 22 to 27 s, in which relays listed no faster than all others and configurations were late. Class: work that is not needed any more is brought to its end, once for each daemon. Ruled out: a leader that changes (the first is lost at 5.7 s, after it), relays unknown (984 know the plan at -21.5 s). Change: RelaysTold ends a listing of all servers of a daemon that follows relays (follow::LeaveListing, KeyValueStore::RangeWhile asks for no further page); a daemon that hears from the leader of a fleet with relays leaves servers to them before the plan comes, for six seconds at most. The fleet test's store answers page by page.

--- a/src/gateway/counting_store.cc
+++ b/src/gateway/counting_store.cc
@@ -27,6 +27,13 @@
   store_.Range(std::move(range), consistency, Counted(call, std::move(done)));
 }
 
+void CountingStore::RangeWhile(std::function<bool()> wanted, KeyRange range,
+                               ReadConsistency consistency, Callback<RangeResult> done) {
+  const char* call = consistency == ReadConsistency::kPossiblyStale ? "stale_range" : "range";
+  store_.RangeWhile(std::move(wanted), std::move(range), consistency,
+                    Counted(call, std::move(done)));
+}
+
 void CountingStore::RangePage(KeyRange range, Callback<RangeResult> done) {
   store_.RangePage(std::move(range), Counted("range_page", std::move(done)));
 }
--- a/src/gateway/counting_store.h
+++ b/src/gateway/counting_store.h
@@ -16,6 +16,8 @@
   void Range(KeyRange range, Callback<RangeResult> done) override;
   void Range(KeyRange range, ReadConsistency consistency, Callback<RangeResult> done) override;
   void RangePage(KeyRange range, Callback<RangeResult> done) override;
+  void RangeWhile(std::function<bool()> wanted, KeyRange range, ReadConsistency consistency,
+                  Callback<RangeResult> done) override;
   void Transact(Transaction transaction, Callback<TransactionResult> done) override;
   void GrantLease(Duration time_to_live, Callback<LeaseId> done) override;
   void KeepLeaseAlive(LeaseId lease, Callback<Duration> done) override;
--- a/src/gateway/relay_service.cc
+++ b/src/gateway/relay_service.cc
@@ -11,6 +11,8 @@
 constexpr const char* kPlanKey = "moorfold/relays";
 /// Of a relay's word on who leads: several questions long.
 constexpr milliseconds kLeaderTold{3'000};
+/// A leader names relays within some seconds of its election, if it is of a build that knows any.
+constexpr milliseconds kPlanExpected{6'000};
 /// What was lost on its way is looked at so often: no sooner than it would be asked for again.
 constexpr milliseconds kPullAgain{160};
 
@@ -63,6 +65,20 @@
   Pull();
 }
 
+void RelayService::NoteFleetSize(std::uint32_t daemons) {
+  const bool large = settings_.from_daemons > 0 && daemons >= settings_.from_daemons;
+  if (!large || plan_.number > 0 || plan_expected_since_) return;
+  plan_expected_since_ = BootClock::now();
+  view_.SetRelays(true);
+}
+
+void RelayService::EndExpectation() {
+  if (plan_.number > 0 || !plan_expected_since_ || expectation_ended_) return;
+  if (BootClock::now() - *plan_expected_since_ < kPlanExpected) return;
+  expectation_ended_ = true;
+  view_.SetRelays(false);
+}
+
 void RelayService::TakeReport(const DemandReport& report) {
   if (!ports_.leads()) return;
   planner_.Note({report.address, report.zone, report.strength, report.stopping,
@@ -85,6 +101,7 @@
 }
 
 void RelayService::Tick() {
+  EndExpectation();
   const Time now = BootClock::now();
   if (ports_.leads()) {
     MakePlan(now);
--- a/src/gateway/relay_service.h
+++ b/src/gateway/relay_service.h
@@ -57,6 +57,9 @@
 
   /// A daemon has reported to this one.
   void TakeReport(const DemandReport& report);
+  /// The leader has told how many daemons there are. In a fleet that is to have relays their plan
+  /// follows: until then, and while it may, servers are left to them.
+  void NoteFleetSize(std::uint32_t daemons);
   /// Asks the relay what has changed.
   void Ask();
   /// A relay has answered that.
@@ -74,6 +77,8 @@
   std::string LeaderTold() const;
 
  private:
+  /// No plan has come: servers are read as in a fleet without relays.
+  void EndExpectation();
   void MakePlan(Time now);
   /// @return whether that daemon is a relay that this one may ask; else the datagram is dropped.
   bool FromRelay(const std::string& from);
@@ -83,6 +88,8 @@
   GatewayMetrics& metrics_;
   EventLog& log_;
   RelaySettings settings_;
+  std::optional<Time> plan_expected_since_;  ///< The fleet is large, as far as told.
+  bool expectation_ended_ = false;
   Ports ports_;
   KeptRecord<RelayPlan> record_;
   RelayPlan plan_;
--- a/src/gateway/store_view.cc
+++ b/src/gateway/store_view.cc
@@ -146,7 +146,10 @@
 
 KeyValueStore::Callback<RangeResult> StoreView::WhenRead(
     void (StoreView::*take)(const RangeResult&), ReadConsistency consistency) {
-  return [this, take, consistency](const Outcome<RangeResult>& listing) {
+  read_wanted_ = std::make_shared<ReadWanted>();
+  return [this, take, consistency,
+          wanted = std::weak_ptr(read_wanted_)](const Outcome<RangeResult>& listing) {
+    if (wanted.expired()) return;
     NoteReadTime();
     if (!listing.ok()) {
       NoteFailure(listing.failure());
@@ -162,7 +165,9 @@
 
 void StoreView::ReadRange(KeyRange range, void (StoreView::*take)(const RangeResult&),
                           ReadConsistency consistency) {
-  store_.Range(std::move(range), consistency, WhenRead(take, consistency));
+  KeyValueStore::Callback<RangeResult> read = WhenRead(take, consistency);
+  store_.RangeWhile([wanted = std::weak_ptr(read_wanted_)] { return !wanted.expired(); },
+                    std::move(range), consistency, std::move(read));
 }
 
 void StoreView::ReadFirstPage() {
--- a/src/gateway/store_view.h
+++ b/src/gateway/store_view.h
@@ -169,6 +169,9 @@
   std::string configuration_text_;  ///< Of the configuration held, as the store has it.
   bool serves_ = false;
   std::unique_ptr<WatchHandle> watch_;
+  struct ReadWanted {};
+  /// Lives as long as the range under way is wanted.
+  std::shared_ptr<ReadWanted> read_wanted_;
   std::int64_t told_version_ = -1;     ///< Of the newest configuration that a watcher told of.
   std::int64_t reading_version_ = -1;  ///< The same when the read under way began.
   StoreRevision known_before_read_;    ///< All changes up to it, when the read under way began.
--- a/src/gateway/store_view_relay.cc
+++ b/src/gateway/store_view_relay.cc
@@ -47,7 +47,9 @@
 }
 
 void StoreView::SetRelays(bool named) {
+  const bool reading = state_.reading_since.has_value();
   Decide(follow::RelaysTold{named});
+  if (reading && !state_.reading_since) read_wanted_.reset();
   ReadWhenDue();
 }
 
--- a/src/ports/key_value_store.h
+++ b/src/ports/key_value_store.h
@@ -162,6 +162,13 @@
   virtual void RangePage(KeyRange range, Callback<RangeResult> done) {
     Range(std::move(range), std::move(done));
   }
+  /// A read that may be given up: of one that takes several answers no more are asked for once
+  /// `wanted` does not hold; it then fails with kNoAnswer.
+  virtual void RangeWhile(std::function<bool()> wanted, KeyRange range, ReadConsistency consistency,
+                          Callback<RangeResult> done) {
+    static_cast<void>(wanted);
+    Range(std::move(range), consistency, std::move(done));
+  }
   virtual void Transact(Transaction transaction, Callback<TransactionResult> done) = 0;
   /// @param time_to_live whole seconds, at least one.
   virtual void GrantLease(Duration time_to_live, Callback<LeaseId> done) = 0;
--- a/src/relay/follow_state.cc
+++ b/src/relay/follow_state.cc
@@ -25,6 +25,7 @@
 void Take(State& state, const ReadBegun& read, Time now) {
   state.reading_since = now;
   state.reading = read.kind;
+  state.reading_all = ListsServers(read.kind) && (state.listed || state.begun);
   // Whatever was heard before, this read will show.
   if (ShowsServers(read.kind)) state.urgent = false;
   if (ShowsConfiguration(read.kind)) state.configuration_wanted = false;
@@ -154,8 +155,22 @@
   state.configuration_at = std::max(state.configuration_at, since);
 }
 
-void Take(State& state, const RelaysTold& relays, Time now) {
-  if (relays.named && !state.relayed) state.relayed_since = now;
+/// Relays are named while all servers are being listed: these come from a relay instead. Were each
+/// daemon of a large fleet to read its listing to the end, they would take up the store for longer
+/// than a leader's lease, and the relays' own listings would wait behind them.
+void LeaveListing(const Settings& settings, State& state, Time now) {
+  if (!state.reading_since || !state.reading_all || state.watches) return;
+  state.reading_since.reset();
+  state.listed = false;
+  state.begun = true;
+  state.servers_not_before = now + settings.listing_patience;
+}
+
+void Take(const Settings& settings, State& state, const RelaysTold& relays, Time now) {
+  if (relays.named && !state.relayed) {
+    state.relayed_since = now;
+    LeaveListing(settings, state, now);
+  }
   state.relayed = relays.named;
   if (!relays.named) state.servers_not_before = Time{};
 }
@@ -243,7 +258,7 @@
   else if (const auto* page = std::get_if<FirstPageEnded>(&event))
     TakeFirstPage(settings, decision.state, *page, now);
   else if (const auto* relays = std::get_if<RelaysTold>(&event))
-    Take(decision.state, *relays, now);
+    Take(settings, decision.state, *relays, now);
   else if (const auto* servers = std::get_if<ServersPageTaken>(&event))
     Take(decision.state, *servers, now);
   else if (const auto* configuration = std::get_if<ConfigurationTaken>(&event))
--- a/src/relay/follow_state.h
+++ b/src/relay/follow_state.h
@@ -113,6 +113,7 @@
   Time configuration_at{};               ///< The same of the configuration.
   std::optional<Time> reading_since;
   ReadKind reading = ReadKind::kListing;  ///< The read under way; of no meaning without one.
+  bool reading_all = false;               ///< It lists all servers, page after page.
   bool urgent = false;                ///< There is a reason to read before `current_at` is too old.
   bool configuration_wanted = false;  ///< There is a configuration that is not known.
   Time wanted_since{};                ///< Since when that was told.
--- a/test/platform/store_client_test.cc
+++ b/test/platform/store_client_test.cc
@@ -144,5 +144,26 @@
   CHECK(calls.batches == 1);
 }
 
+TEST_CASE("Of a listing that is not wanted any more no further page is asked for") {
+  std::atomic<int> pages = 0;
+  ScriptedServer server([&](ScriptedConnection& connection) {
+    while (!connection.ReadHead().empty()) {
+      const std::string key = "k" + std::to_string(++pages);
+      connection.Write(Ok(R"({"items":[{"keyFile":")" + key +
+                          R"(","value":"","revision":1,"createdAt":1}],"more":true,"at":5})"));
+    }
+  });
+  boost::asio::io_context context;
+  platform::StoreClient client(context, server.endpoint(), QuickOptions());
+  std::optional<Outcome<RangeResult>> listing;
+  client.RangeWhile([&] { return pages < 3; }, {"", "\xff"}, ReadConsistency::kLinearizable,
+                    [&](Outcome<RangeResult> outcome) { listing.emplace(std::move(outcome)); });
+  const auto give_up = BootClock::now() + std::chrono::seconds(60);
+  while (!listing && BootClock::now() < give_up) context.run_one_for(milliseconds(20));
+  REQUIRE(listing);
+  CHECK_FALSE(listing->ok());
+  CHECK(pages == 3);
+}
+
 }  // namespace
 }  // namespace moorfold
--- a/test/relay/fleet_size_test.cc
+++ b/test/relay/fleet_size_test.cc
@@ -67,11 +67,14 @@
   double datagram_bytes = 0;
   Time listed_at{};
   Time configured_at{};
-  std::uint64_t reads = 0;  ///< Wakes the read that was planned last, no earlier one.
+  std::uint64_t reading = 0;  ///< Number of the read under way.
+  std::uint64_t reads = 0;    ///< Wakes the read that was planned last, no earlier one.
 };
 
 struct Fleet {
-  Fleet(int size, bool with_relays) : relays_used(with_relays), servers(size * kServersOfDaemon) {
+  /// @param registered when the servers write their entries.
+  Fleet(int size, bool with_relays, Time registered = {})
+      : relays_used(with_relays), registered_at(registered), servers(size * kServersOfDaemon) {
     for (int number = 0; number < size; ++number) {
       auto daemon = std::make_unique<Daemon>();
       daemon->name = "edge-" + std::to_string(number);
@@ -151,8 +154,23 @@
       ReadWhenDue(daemon);
       return;
     }
-    const double bytes = BytesOf(daemon, kind);
-    const std::int64_t revision = Revision();
+    const bool empty = first && !Registered();
+    const ReadUnderWay read{kind, first && !empty, Revision(),
+                            empty ? kConfigurationBytes : BytesOf(daemon, kind), ++read_number};
+    daemon.reading = read.number;
+    ReadPage(daemon, read, read.bytes);
+  }
+  bool Registered() const { return now >= registered_at; }
+  struct ReadUnderWay {
+    ReadKind kind;
+    bool first_page;
+    std::int64_t revision;
+    double bytes;
+    std::uint64_t number;
+  };
+  /// Page after page, as long as the read is wanted.
+  void ReadPage(Daemon& daemon, const ReadUnderWay& read, double left) {
+    const double bytes = std::min(left, kConfigurationBytes + kPageEntries * kEntryBytes);
     daemon.store_bytes += bytes;
     store_bytes += bytes;
     store_free = std::max(store_free, now) + Seconds(bytes / kStoreBytesPerS);
@@ -161,20 +179,27 @@
     const Time arrives = store_free + Seconds(bytes / link);
     const milliseconds work = Seconds(bytes / kEntryBytes * kEntryCpuS / share);
     daemon.busy_until = std::max(daemon.busy_until, now) + work;
-    At(std::max(daemon.busy_until, arrives + work), [this, &daemon, kind, revision, bytes, first] {
-      if (!daemon.alive) return;
-      if (first) {
-        Decide(daemon, follow::FirstPageEnded{{0, revision}});
-        if (!relays_used) Decide(daemon, follow::RelaysTold{false});
-        if (plan.number > 0) ApplyPlan(daemon);
-      } else {
-        const bool changes = kind == ReadKind::kChanges;
-        Decide(daemon, follow::ReadEnded{
-                           {0, revision}, bytes, changes ? std::optional(bytes) : std::nullopt});
-      }
-      ReadWhenDue(daemon);
+    At(std::max(daemon.busy_until, arrives + work), [this, &daemon, read, left, bytes] {
+      if (!daemon.alive || daemon.reading != read.number || !daemon.state.reading_since) return;
+      if (left > bytes)
+        ReadPage(daemon, read, left - bytes);
+      else
+        EndRead(daemon, read);
     });
   }
+  void EndRead(Daemon& daemon, const ReadUnderWay& read) {
+    if (read.first_page) {
+      Decide(daemon, follow::FirstPageEnded{{0, read.revision}});
+      if (!relays_used) Decide(daemon, follow::RelaysTold{false});
+      if (plan.number > 0) ApplyPlan(daemon);
+    } else {
+      const bool changes = read.kind == ReadKind::kChanges;
+      Decide(daemon, follow::ReadEnded{{0, read.revision},
+                                       read.bytes,
+                                       changes ? std::optional(read.bytes) : std::nullopt});
+    }
+    ReadWhenDue(daemon);
+  }
 
   // --- Relays.
   void MakePlan() {
@@ -267,6 +292,16 @@
   }
   void Ask(Daemon& daemon) {
     At(now + kAskEvery, [this, &daemon] { Ask(daemon); });
+    if (daemon.alive && !plan.needed() && daemon.state.listed && Registered()) {
+      // The leader, which names no relays yet, tells of a configuration, and then of more changes
+      // than it can name.
+      if (size_told) Decide(daemon, follow::RelaysTold{true});
+      const StoreRevision known = daemon.state.revision;
+      const StoreRevision configured{0, known.number + 1};
+      Decide(daemon, follow::Relayed{false, false, known, configured, true, now});
+      Decide(daemon, follow::Relayed{true, false, configured, {0, Revision()}, false, now});
+      ReadWhenDue(daemon);
+    }
     if (!daemon.alive || !plan.needed()) return;
     if (daemon.state.begun || daemon.state.listed) TakeRole(daemon);
     if (daemon.state.watches || !daemon.state.listed) return;
@@ -328,6 +363,8 @@
     }
   };
   bool relays_used;
+  bool size_told = false;  ///< The leader's answers tell how many daemons there are.
+  Time registered_at;
   double servers;
   follow::Settings settings = FleetSettings();
   std::vector<std::unique_ptr<Daemon>> daemons;
@@ -335,6 +372,7 @@
   std::uint64_t order = 0;
   Time now = kStart;
   Time store_free{};
+  std::uint64_t read_number = 0;
   double store_bytes = 0;
   RelayPlanner planner{200};
   RelayPlan plan;
@@ -354,6 +392,33 @@
   CHECK(fleet.OldestKnowledge() < kBound);
 }
 
+/// Of all daemons but relays.
+double MostReadFromStore(const Fleet& fleet) {
+  double most = 0;
+  for (const auto& daemon : fleet.daemons)
+    if (!fleet.plan.Names(daemon->address)) most = std::max(most, daemon->store_bytes);
+  return most;
+}
+
+TEST_CASE("A listing of all servers that began before relays were named is not read to its end") {
+  Fleet fleet(1'000, true, kStart + milliseconds(600));
+  fleet.RunUntil(kStart + kTrafficAfter);
+  CHECK(fleet.AllConfiguredAfterS() < 8);
+  CHECK(fleet.store_bytes < 0.6 * kStoreBytesPerS * 24);
+  CHECK(MostReadFromStore(fleet) < 0.5 * fleet.servers * kEntryBytes);
+  CHECK(fleet.OldestKnowledge() < kBound);
+}
+
+TEST_CASE("Daemons that are told of a large fleet list no servers while its relays are chosen") {
+  Fleet fleet(1'000, true, kStart + milliseconds(600));
+  fleet.size_told = true;
+  fleet.RunUntil(kStart + seconds(6));
+  CHECK(MostReadFromStore(fleet) < 3 * (kConfigurationBytes + kPageEntries * kEntryBytes));
+  fleet.RunUntil(kStart + kTrafficAfter);
+  CHECK(fleet.store_bytes < 0.6 * kStoreBytesPerS * 24);
+  CHECK(fleet.OldestKnowledge() < kBound);
+}
+
 TEST_CASE("Without relays a large fleet does not come up: what it reads grows with its square") {
   Fleet fleet(1'000, false);
   fleet.RunUntil(kStart + kTrafficAfter);
