--- a/src/server_limits/limit_shares.h
+++ b/src/server_limits/limit_shares.h
@@ -27,7 +27,9 @@
                   (kWindow + kPermitLife + kAnswerTimeout).count() <=
               kOvershoot * static_cast<double>(kWindow.count()));
 
-/// A daemon that has found no turn asks again no later: the limit may have ended meanwhile.
+/// A daemon that has found no turn asks again no sooner, and no later: the limit may have ended
+/// meanwhile.
+inline constexpr milliseconds kShortestDenied{5};
 inline constexpr milliseconds kLongestDenied{2'000};
 
 /// So much goes to a server in any case: only an answer shows that a limit has risen or ended.
--- a/src/server_limits/permit_service.cc
+++ b/src/server_limits/permit_service.cc
@@ -90,9 +90,10 @@
     co_return true;
   }
   const bool granted = answer->verdict == PermitVerdict::kGranted;
+  const microseconds least = granted ? microseconds(0) : microseconds(limits::kShortestDenied);
   const microseconds longest =
       granted ? microseconds(patience) : microseconds(limits::kLongestDenied);
-  const microseconds wait(std::clamp<std::int64_t>(answer->wait_us, 0, longest.count()));
+  const microseconds wait = std::clamp(microseconds(answer->wait_us), least, longest);
   if (!granted) {
     ++figures_.denied;
     server->NoteAtLimit(now + wait);
