Soak: servers name limits while all else goes on; runs beside each other draw their own ports

Cause: limits and leaving were played by no soak; a leaving server of the emulator said so in the store only. Change: two series in which servers name 1 to 8 requests a second for 5 to 11 s, judged by StatementChecker but for windows in which a gateway was stopped, killed or held (or was within 3 s of it); leaving servers say so in their answers. Ports of a run come from a range of its own.

--- a/scripts/soak_faults.sh
+++ b/scripts/soak_faults.sh
@@ -136,7 +136,7 @@
   kill -TERM "${pids[$number]}" 2>/dev/null
 done
 wait
-grep -E 'event=(soak|violation)|^crashing requests|^tenants:|^drills:' "$folder/emulator.log"
+grep -E 'event=(soak|violation)|^crashing requests|^tenants:|^drills:|^limits:' "$folder/emulator.log"
 if [ -n "$production" ]; then
   unread=$(cat "$folder"/gateway-*.log | grep -c 'event=datagram_dropped.*received:')
   broken=$(grep -c event=violation "$folder/emulator.log")
--- a/test/emulator/emulated_clients.h
+++ b/test/emulator/emulated_clients.h
@@ -21,6 +21,8 @@
   bool ready = false;
   /// Until then the gateway, or its way to the store, is or was lately disturbed.
   BootClock::time_point disturbed_until{};
+  /// Until then the gateway's process was lately stopped, started again or held.
+  BootClock::time_point signalled_until{};
   /// Around a planned stop with no other trouble: what is cut then is lost.
   BootClock::time_point stop_from{};
   BootClock::time_point stop_until{};
--- a/test/emulator/main.cc
+++ b/test/emulator/main.cc
@@ -1,6 +1,8 @@
 // The emulated platform as a program of its own, for soaks: gateways are separate processes that
 // the caller starts with the settings files this program writes.
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -34,6 +36,7 @@
 constexpr int kSpareRoutes = 120;
 constexpr int kClientsOfGateway = 4;
 /// Series of faults that overlap.
+constexpr int kLimitSeries = 2;
 constexpr int kFaultSeries = 2;
 /// Enough that three of a service may be gone for a moment.
 constexpr int kPlainServers = 8;
@@ -101,13 +104,16 @@
 /// A port that nobody listens on, below those that the kernel gives to outgoing connections: a
 /// gateway that is started anew must find it free again.
 std::uint16_t FreePort() {
-  constexpr int kLowest = 15'000;
-  constexpr int kHighest = 30'000;
+  // Runs beside each other draw from ranges of their own: a port is free while its gateway is down.
+  constexpr int kFirst = 15'000;
+  constexpr int kPorts = 150;
+  constexpr int kRanges = 100;
+  const int lowest = kFirst + static_cast<int>(::getpid()) % kRanges * kPorts;
   static std::mt19937 random{std::random_device{}()};
   boost::asio::io_context context;
   while (true) {
-    const auto port =
-        static_cast<std::uint16_t>(std::uniform_int_distribution<int>(kLowest, kHighest)(random));
+    const auto port = static_cast<std::uint16_t>(
+        std::uniform_int_distribution<int>(lowest, lowest + kPorts - 1)(random));
     boost::asio::ip::tcp::acceptor acceptor(context, boost::asio::ip::tcp::v4());
     boost::system::error_code taken;
     acceptor.bind({boost::asio::ip::address_v4::loopback(), port}, taken);
@@ -196,6 +202,25 @@
       if (!stopped_ && !Calm()) co_await Drill();
     }
   }
+  /// Servers name limits for some seconds, one or two at a time, whatever else goes on.
+  Awaitable<void> RunLimits() {
+    constexpr int kMostPerSecond = 8;
+    while (!stopped_) {
+      co_await Sleep(milliseconds(Draw(500, 2'500)));
+      if (stopped_) break;
+      const auto number =
+          static_cast<std::size_t>(Draw(0, static_cast<int>(platform_.servers().size()) - 1));
+      const ServerEmulator* server = platform_.servers()[number].get();
+      Say("server_limit");
+      platform_.servers()[number]->NameLimit(Draw(1, kMostPerSecond));
+      ++limits_;
+      co_await Sleep(milliseconds(Draw(5'000, 11'000)));
+      // Another may have its place by then.
+      if (platform_.servers()[number].get() == server)
+        platform_.servers()[number]->NameLimit(std::nullopt);
+    }
+  }
+  int limits() const { return limits_; }
   int drills() const { return drills_; }
   /// Nothing strikes in that time; what struck before has ended by its beginning.
   void KeepCalm(BootClock::time_point from, BootClock::time_point until) {
@@ -385,18 +410,31 @@
   std::mt19937_64 random_;
   std::vector<CalmTime> calm_;
   int drills_ = 0;
+  int limits_ = 0;
   std::vector<std::size_t> ordinary_;  ///< Numbers of the ordinary servers in use.
   bool stopped_ = false;
 };
 
+/// @return for how long a gateway is out of touch, from a second before the signal on.
+milliseconds OutOfTouch(const PlannedSignal& signal) {
+  constexpr milliseconds kEarly{1'000};
+  constexpr milliseconds kLongestStop{8'500};
+  constexpr milliseconds kContact{3'000};
+  if (signal.kind == SignalKind::kReload) return milliseconds(0);
+  const bool stops = signal.kind == SignalKind::kTerminate;
+  return kEarly + (stops ? kLongestStop : signal.length) + kContact;
+}
+
 /// What the soak has to know of a signal that the caller sends: its gateway is disturbed from then
 /// on, and around a planned stop nothing else may happen.
 Awaitable<void> Expect(PlannedSignal signal, std::vector<GatewayAddress>& addresses) {
   co_await Sleep(signal.at - seconds(1));
   GatewayAddress& gateway = addresses[static_cast<std::size_t>(signal.gateway)];
   for (GatewayAddress& each : addresses)
-    if (&each == &gateway || signal.kind == SignalKind::kKillAll)
+    if (&each == &gateway || signal.kind == SignalKind::kKillAll) {
       each.disturbed_until = BootClock::now() + signal.length + kSignalSettles;
+      each.signalled_until = std::max(each.signalled_until, BootClock::now() + OutOfTouch(signal));
+    }
   if (!signal.judged_stop) co_return;
   gateway.stop_from = BootClock::now();
   gateway.stop_until = BootClock::now() + kCalmAfter;
@@ -423,6 +461,12 @@
   constexpr std::uint64_t kSeedOfDrills =
       49;  // Drawn apart: the other faults are those of the seed.
   FaultPlan drills(platform, processes.addresses, clients, seed + kSeedOfDrills);
+  constexpr std::uint64_t kSeedOfLimits = 50;
+  FaultPlan limits(platform, processes.addresses, clients, seed + kSeedOfLimits);
+  platform.statement_checker().SetExcused([&processes](auto from, auto) {
+    return std::any_of(processes.addresses.begin(), processes.addresses.end(),
+                       [&](const GatewayAddress& each) { return each.signalled_until > from; });
+  });
   platform.checker().OnEndedUnder([](const std::string& ending, const std::string& server) {
     std::cout << "event=server_ended t_us=" << BootClock::now().time_since_epoch().count() / 1'000
               << " server=" << server << " under=\"" << ending << "\"" << std::endl;
@@ -440,9 +484,12 @@
     boost::asio::co_spawn(context, faults.Run(), boost::asio::detached);
   boost::asio::co_spawn(context, faults.RunEndings(), boost::asio::detached);
   boost::asio::co_spawn(context, drills.RunDrills(), boost::asio::detached);
+  for (int series = 0; series < kLimitSeries; ++series)
+    boost::asio::co_spawn(context, limits.RunLimits(), boost::asio::detached);
   context.run_for(length - kFinalFault);
   faults.Stop();
   drills.Stop();
+  limits.Stop();
   context.run_for(kFinalFault - kServeAgain - kLastAnswers);
   const ClientCounts before = clients.counts();
   context.run_for(kServeAgain);
@@ -473,9 +520,14 @@
             << "%; refused below limit " << tenants.summary().refused_below_limit
             << "; served with a key gone " << tenants.summary().served_with_key_gone
             << "; reserved headers passed on " << tenants.summary().reserved_passed_on << std::endl;
+  const std::vector<std::string>& over = platform.statement_checker().violations();
+  for (const std::string& violation : over)
+    std::cout << "event=violation seed=" << seed << " what=\"" << violation << "\"" << std::endl;
+  std::cout << "limits: named " << limits.limits() << " times; passed " << over.size() << std::endl;
   context.DestroyHandlers();
   const bool served = counts.served * 2 > counts.sent;
-  const bool kept = platform.checker().violations().empty() && tenants.violations().empty();
+  const bool kept = platform.checker().violations().empty() && tenants.violations().empty() &&
+                    platform.statement_checker().violations().empty();
   return kept && served ? kExitDone : kExitFailed;
 }
 
--- a/test/emulator/server_emulator.cc
+++ b/test/emulator/server_emulator.cc
@@ -134,7 +134,7 @@
 HttpHeaders ServerEmulator::Statement() const {
   HttpHeaders headers;
   if (limit_per_second_) headers.push_back({"Server-Limit", std::to_string(*limit_per_second_)});
-  if (faults_.says_leaving) headers.push_back({"Server-Leaving", "1"});
+  if (draining_ || faults_.says_leaving) headers.push_back({"Server-Leaving", "1"});
   return headers;
 }
 
