Soak rig: a port is given once, and held while its program is down

The rig drew each port from a range and forgot it, so two programs of one run could be given the same one: the second to listen ends at once.

Ruled out: the gateway itself. It ends with a ListenError, as it should when another program has its port.

Change: FreePorts walks a shuffled range, holds every port that it gives with a bound socket that does not listen, and says so when none is left. A run beside it, also of the same range, passes held ports over.

--- a/test/emulator/main.cc
+++ b/test/emulator/main.cc
@@ -7,7 +7,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <fstream>
 #include <iostream>
 
@@ -16,6 +15,7 @@
 #include "common/closable_context.h"
 #include "emulated_clients.h"
 #include "emulated_platform.h"
+#include "free_ports.h"
 
 namespace moorfold {
 namespace {
@@ -101,26 +101,6 @@
   return signals;
 }
 
-/// A port that nobody listens on, below those that the kernel gives to outgoing connections: a
-/// gateway that is started anew must find it free again.
-std::uint16_t FreePort() {
-  // Runs beside each other draw from ranges of their own: a port is free while its gateway is down.
-  constexpr int kFirst = 15'000;
-  constexpr int kPorts = 150;
-  constexpr int kRanges = 100;
-  const int lowest = kFirst + static_cast<int>(::getpid()) % kRanges * kPorts;
-  static std::mt19937 random{std::random_device{}()};
-  boost::asio::io_context context;
-  while (true) {
-    const auto port = static_cast<std::uint16_t>(
-        std::uniform_int_distribution<int>(lowest, lowest + kPorts - 1)(random));
-    boost::asio::ip::tcp::acceptor acceptor(context, boost::asio::ip::tcp::v4());
-    boost::system::error_code taken;
-    acceptor.bind({boost::asio::ip::address_v4::loopback(), port}, taken);
-    if (!taken) return port;
-  }
-}
-
 /// Whose reads of the store the gateways follow, however few they are.
 enum class Following { kNobody, kLeader, kRelays };
 
@@ -134,17 +114,18 @@
 
 struct Gateways {
   std::vector<GatewayAddress> addresses;
+  FreePorts ports{static_cast<int>(::getpid())};
 
   /// @param quarantine_servers as the gateways' setting of that name.
   void WriteSettings(const std::string& folder, EmulatedPlatform& platform, int count,
                      Following following, int quarantine_servers) {
     for (int number = 0; number < count; ++number) {
       const std::string ip = "127.0.0.1:";
-      const Endpoint front{"127.0.0.1", FreePort()};
-      const Endpoint readiness{"127.0.0.1", FreePort()};
+      const Endpoint front{"127.0.0.1", ports.Next()};
+      const Endpoint readiness{"127.0.0.1", ports.Next()};
       std::ofstream file(folder + "/gateway-" + std::to_string(number) + ".yaml");
       file << "name: gateway-" << number << "\nzone: z\nlisten: " << ToString(front)
-           << "\nreadiness: " << ToString(readiness) << "\npeer: " << ip << FreePort()
+           << "\nreadiness: " << ToString(readiness) << "\npeer: " << ip << ports.Next()
            << "\nstore: " << ToString(platform.store_for(number))
            << "\ndrain_timeout: 8s\norder_handover: 3s\nrelay_from_daemons: "
            << (following == Following::kNobody ? 0 : 2)
