Soak: a gateway that ends by itself is reported when it ends, with its last lines

Cause: whether a gateway had ended by itself was looked at once, after the run.

Change: every round of the rig looks; the report carries the time and the last three lines of that gateway's log, and a gateway that has not ended after its signal by the end of the run is a violation, too. The check is stricter than before.

--- a/scripts/soak_faults.sh
+++ b/scripts/soak_faults.sh
@@ -57,6 +57,17 @@
 # Of gateways that are to be started again once their processes have ended, or their ports are still
 # taken: when that is.
 declare -A restarts
+# Of gateways that have ended though no signal ended them: when that was seen.
+declare -A ended
+note_ended() {  # NOW
+  for each in "${!pids[@]}"; do
+    [ -n "${restarts[$each]:-}${ended[$each]:-}" ] && continue
+    alive "${pids[$each]}" && continue
+    ended[$each]=$1
+    echo "event=violation seed=$seed at=$1 what=\"gateway-$each ended by itself\"" >>"$folder/ended.log"
+    tail -n 3 "$folder/gateway-$each.log" | sed "s/^/gateway-$each: /" >>"$folder/ended.log"
+  done
+}
 # Of gateways that stand still: when they go on.
 declare -A wakes
 
@@ -123,20 +134,24 @@
     read -r at kind number duration <&3 || pending=""
   done
   follow_up "$now"
+  note_ended "$now"
   sleep 0.1
 done
 exec 3<&-
 wait "$emulator"
 status=$?
-for number in $(seq 0 $((gateways - 1))); do
-  if ! alive "${pids[$number]}"; then
-    echo "event=violation seed=$seed what=\"gateway-$number ended by itself\"" >>"$folder/emulator.log"
-    status=1
-  fi
-  kill -TERM "${pids[$number]}" 2>/dev/null
+now=$(elapsed)
+note_ended "$now"
+for number in "${!restarts[@]}"; do
+  echo "event=violation seed=$seed at=$now what=\"gateway-$number did not end after its signal\"" >>"$folder/ended.log"
 done
+if [ -s "$folder/ended.log" ]; then
+  cat "$folder/ended.log" >>"$folder/emulator.log"
+  status=1
+fi
+for number in $(seq 0 $((gateways - 1))); do kill -TERM "${pids[$number]}" 2>/dev/null; done
 wait
-grep -E 'event=(soak|violation)|^crashing requests|^tenants:|^drills:|^limits:' "$folder/emulator.log"
+grep -E 'event=(soak|violation)|^crashing requests|^tenants:|^drills:|^limits:|^gateway-[0-9]+:' "$folder/emulator.log"
 if [ -n "$production" ]; then
   unread=$(cat "$folder"/gateway-*.log | grep -c 'event=datagram_dropped.*received:')
   broken=$(grep -c event=violation "$folder/emulator.log")
