Whoever misses a server's report asks the daemon that polls it

Cause: a daemon shares the report of a server that it polls only when its states change. A report that comes before its receiver has read of the server in the list of machines is dropped there, and one that is lost on the way is lost; neither comes again. The coordinator of a zone then never homes a permit on that server.

Ruled out, from the logs of failing and good runs side by side: a release that is not acknowledged (all are, within 1 ms), a swap of the ledger that is lost (revisions 4 and 5 commit). The failing run's first ledger has three permits, all on z-engine-1, the good one's four: z-engine-0 was never known. A coordinator asks for reports when it takes the role, but only the members that it knows then.

Change: a daemon that has no report of a listed server, or as coordinator none since it has the role, asks the daemon that polls it, at most once a second. One that knows all servers asks nothing.

--- a/src/core/reports/report_sharing.cc
+++ b/src/core/reports/report_sharing.cc
@@ -7,6 +7,9 @@
 namespace moorfold {
 namespace {
 
+/// How long the answer to a request for reports is waited for.
+constexpr Duration kReportsRequestInterval = std::chrono::seconds(1);
+
 std::uint64_t RendezvousWeight(const std::string& key, const std::string& candidate) {
   const std::uint64_t seed = XXH3_64bits(key.data(), key.size());
   return XXH3_64bits_withSeed(candidate.data(), candidate.size(), seed);
@@ -62,6 +65,7 @@
     effects_.push_back(PollServer{name});
   }
   ShareReports();
+  AskForMissing();
   if (now_ - state_.last_load_share >= state_.settings.load_share_interval) ShareLoads();
 }
 
@@ -111,6 +115,29 @@
     if (member != state_.self.name) effects_.push_back(SendMessage{member, message});
 }
 
+/// A coordinator orders nothing on what it heard before it had the role.
+bool ReportSharing::Misses(const ServerView& server) const {
+  const CoordinatorState& coordinator = state_.coordinator;
+  if (!server.listed) return false;
+  return !server.report ||
+         (coordinator.active && server.report_received < coordinator.active_since);
+}
+
+/// What was shared once may not have arrived, or come before the receiver knew the server; without
+/// a change it is not shared again.
+void ReportSharing::AskForMissing() {
+  if (state_.stopping || state_.membership.alive.empty()) return;
+  if (now_ - state_.last_reports_request < kReportsRequestInterval) return;
+  std::set<DaemonName> pollers;
+  for (const auto& [name, server] : state_.servers)
+    if (Misses(server)) pollers.insert(PollerOf(name, state_.membership.alive));
+  pollers.erase(state_.self.name);
+  if (pollers.empty()) return;
+  state_.last_reports_request = now_;
+  for (const DaemonName& poller : pollers)
+    effects_.push_back(SendMessage{poller, ServerReportsRequest{}});
+}
+
 void ReportSharing::ShareLoads() {
   state_.last_load_share = now_;
   if (state_.loads_to_share.empty()) return;
--- a/src/core/reports/report_sharing.h
+++ b/src/core/reports/report_sharing.h
@@ -7,7 +7,8 @@
 
 /// Spreads what engines report within a zone. Each server is polled by one daemon (highest
 /// rendezvous hash over the alive members); that daemon tells the others what changed: states of
-/// replicas at once, load figures every `load_share_interval`.
+/// replicas at once, load figures every `load_share_interval`. Who misses a server's report asks
+/// the daemon that polls it.
 class ReportSharing {
  public:
   ReportSharing(State& state, Timestamp now, Effects& effects)
@@ -26,6 +27,8 @@
   void ShareReports();
 
  private:
+  bool Misses(const ServerView& server) const;
+  void AskForMissing();
   void ShareLoads();
 
   State& state_;
--- a/src/core/state.h
+++ b/src/core/state.h
@@ -59,6 +59,7 @@
   std::set<ServerName> reports_to_share;
   std::set<ServerName> loads_to_share;
   Timestamp last_load_share{};
+  Timestamp last_reports_request{};
   DemandState demand;
   CoordinatorState coordinator;
   Timestamp started{};
