No plan is made on a list of machines that was never read

Cause: an operator's plan is checked against the servers that the daemon knows. Right after its start it knows none, and the plan that it stores refuses every model ("no server is listed there; name a zone with servers").

Ruled out: the watch and the regular reads of the configuration.

Change: a daemon without a list of machines answers 503 machine_list_unread and says when to plan again. The tests' cluster plans again until it gets a plan, and fails at once, with the plan, where the confirmation is refused: stricter than the wait of a minute.

The new case failed before (200 in place of 503) and passes.

--- a/src/api/operator_api.cc
+++ b/src/api/operator_api.cc
@@ -140,6 +140,10 @@
   if (!mistakes.empty())
     co_return Refuse(http_status::kUnprocessable, "bad_intent", mistakes,
                      "correct these and plan again");
+  if (host_.state().listed == nullptr)
+    co_return Refuse(http_status::kUnavailable, "machine_list_unread",
+                     "this daemon has not read the list of machines yet",
+                     "plan again in a moment, or at another daemon");
   using Read = Outcome<std::optional<ConfigurationSnapshot>>;
   const Read read = co_await AwaitCallback<Read>(
       [this](auto done) { host_.documents().ReadConfiguration(0, std::move(done)); });
--- a/test/e2e/cluster.h
+++ b/test/e2e/cluster.h
@@ -9,6 +9,7 @@
 
 #include "config/intent_file.h"
 #include "daemon/daemon.h"
+#include "http/http_status.h"
 #include "load/load_client.h"
 #include "ports/json_codec.h"
 #include "standin/platform.h"
@@ -106,6 +107,7 @@
   std::string Admin(const std::string& target, const std::string& body) {
     return Post(platform_.admin(), target, body);
   }
+  Endpoint key_value() const { return platform_.key_value(); }
   Endpoint platform_admin() const { return platform_.admin(); }
   Endpoint EngineEndpoint(const ServerName& name) {
     for (const Machine& machine :
@@ -129,10 +131,17 @@
 
   /// Puts the intent in force and waits until all daemons have it, with ledgers and claim owners.
   void Establish() {
-    const boost::json::value plan =
-        ParseJson(Post(daemon(0).http_endpoint(), "/operator/plan", kIntent));
-    const boost::json::value body = {{"plan_id", plan.at("id")}};
-    Post(daemon(0).http_endpoint(), "/operator/confirm", boost::json::serialize(body));
+    HttpResponse plan;
+    // A daemon plans once it has read the list of machines.
+    WaitFor([&] {
+      plan = Call(daemon(0).http_endpoint(), {"POST", "/operator/plan", {}, kIntent});
+      return plan.status == http_status::kOk;
+    });
+    const boost::json::value body = {{"plan_id", ParseJson(plan.body).at("id")}};
+    const HttpResponse confirmed = Call(
+        daemon(0).http_endpoint(), {"POST", "/operator/confirm", {}, boost::json::serialize(body)});
+    if (confirmed.status != http_status::kOk)
+      throw std::runtime_error("not confirmed: " + confirmed.body + "; the plan: " + plan.body);
     WaitFor(
         [this] {
           for (const auto& each : daemons_) {
--- a/test/e2e/end_to_end_test.cc
+++ b/test/e2e/end_to_end_test.cc
@@ -8,8 +8,7 @@
 namespace moorfold {
 namespace {
 
-TEST_CASE("Requests for cold models are held, loaded and answered, from any daemon",
-          "[own_entry]") {
+TEST_CASE("Requests for cold models are held, loaded and answered, from any daemon") {
   Cluster cluster(Cluster::Small());
   cluster.Establish();
   std::vector<LoadRequest> requests;
@@ -102,6 +101,22 @@
   CHECK(Call(endpoint, {"GET", "/readyz", {}, ""}).status == 200);
 }
 
+TEST_CASE("No plan is made, and refused, on a list of machines that was never read") {
+  Cluster cluster(Cluster::Small(), 1);
+  DaemonSettings settings;
+  settings.name = "blind";
+  settings.zone = "y";
+  settings.peer_key = "end-to-end-test-key";
+  settings.key_value = cluster.key_value();
+  settings.machine_list = {"127.0.0.1", 1};  // Nobody listens there.
+  Daemon blind(settings);
+  blind.Start();
+  const HttpResponse plan =
+      Call(blind.http_endpoint(), {"POST", "/operator/plan", {}, Cluster::kIntent});
+  CHECK(plan.status == 503);
+  CHECK(plan.body.find("machine_list_unread") != std::string::npos);
+}
+
 TEST_CASE("Cold starts go on while the key-value service is down") {
   Cluster cluster(Cluster::Small());
   cluster.Establish();
@@ -260,7 +275,7 @@
   CHECK(outcome.end == LoadEnd::kServed);
 }
 
-TEST_CASE("A leaving engine's models are served elsewhere", "[own_entry]") {
+TEST_CASE("A leaving engine's models are served elsewhere") {
   Cluster cluster(Cluster::Small());
   cluster.Establish();
   REQUIRE(SendOne(cluster.ModelRequest(2, "only-z")).end == LoadEnd::kServed);
