--- /dev/null
+++ b/src/gateway/refusals.cc
@@ -0,0 +1,62 @@
+#include "gateway/refusals.h"
+
+#include <chrono>
+
+#include "http/http_status.h"
+
+namespace moorfold {
+
+namespace {
+
+std::string SecondsText(double seconds) {
+  std::string text = std::to_string(seconds);
+  constexpr std::size_t kDigitsDropped = 3;
+  text.resize(text.size() - kDigitsDropped);
+  return text;
+}
+
+}  // namespace
+
+Refusal QuotaRefusal(const QuotaDecision& decision, double spread) {
+  constexpr double kSpreadShare = 0.5;
+  const double come_back_s =
+      std::chrono::duration<double>(decision.come_back).count() * (1 + kSpreadShare * spread);
+  switch (decision.standing) {
+    case QuotaStanding::kOverAlways:
+      return {http_status::kTooManyRequests, EndReason::kOverQuota,
+              "the limit never allows so many units at once; ask for less in one request", false,
+              0};
+    case QuotaStanding::kUnknown:
+      return {http_status::kUnavailable, EndReason::kQuotaUnknown,
+              "no daemon could tell what the limit still allows; come back", false, come_back_s};
+    case QuotaStanding::kOver:
+    case QuotaStanding::kGranted:
+      break;
+  }
+  return {http_status::kTooManyRequests, EndReason::kOverQuota,
+          "the tenant has used its limit; come back after the stated time", false, come_back_s};
+}
+
+Refusal QuarantineRefusal() {
+  return {http_status::kUnavailable, EndReason::kQuarantined,
+          "servers ended under this request; do not repeat it, change it or ask the operator",
+          false, 0};
+}
+
+HttpResponse ToResponse(const Refusal& refusal, const std::string& id_header,
+                        const std::string& id) {
+  HttpResponse response;
+  response.status = refusal.status;
+  response.headers.push_back({"Content-Type", "application/json"});
+  if (!id.empty()) response.headers.push_back({id_header, id});
+  if (refusal.status == http_status::kUnauthorized)
+    response.headers.push_back({"WWW-Authenticate", "Bearer"});
+  if (refusal.retry_after_s > 0)
+    response.headers.push_back({"Retry-After", SecondsText(refusal.retry_after_s)});
+  response.body = R"({"error":{"code":")" + std::string(Name(refusal.reason)) + R"(","remedy":")" +
+                  refusal.remedy + R"("},"executed":")" +
+                  (refusal.may_have_run ? "unknown" : "no") + "\"}\n";
+  return response;
+}
+
+}  // namespace moorfold
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "common/boot_clock.h"
+#include "gateway/refusals.h"
 #include "http/http_status.h"
 
 namespace moorfold {
@@ -16,7 +17,7 @@
 /// order on its model may be under way.
 constexpr milliseconds kRefusalLife{400};
 /// Servers that refuse one request while they serve others: one may be in the middle of an order,
-/// two at once hardly. Of 1,704 requests refused so on one day one was served by a later server.
+/// two at once hardly.
 constexpr std::size_t kRefusalsBelieved = 2;
 constexpr milliseconds kRetryPause{40};
 /// Of a route's target: how long a request may wait for its tenant's credit. Afterwards little of
@@ -25,66 +26,9 @@
 /// Of the tighter bound: how long a request waits for a read of the store when what is known is too
 /// old. Longer than a read and its repeat take (0.125 of the bound, and the way).
 constexpr double kBoundShareForRead = 0.15;
-/// Of the newest answer in the usual time to an answer's head.
-constexpr double kAnswerTimeWeight = 0.1;
 /// Below the fleet's ratio, so that the edges of sliding windows stay inside it.
 constexpr double kRatioUsed = 0.8;
 
-/// How long a client waits for the next event of a stream, also for its first (from the users'
-/// pages).
-milliseconds StreamPatience(const Route& route) {
-  constexpr milliseconds kLeast{2'000};
-  constexpr int kTargets = 4;
-  constexpr int kGaps = 8;
-  return std::max({kLeast, route.target * kTargets, route.gap_target * kGaps});
-}
-
-/// @return how long a load of the request's model takes from a server's disk; 0 where none is
-/// stated.
-milliseconds StatedLoad(const GatewayRequest& request) {
-  const ServiceDescription* service = request.table->configuration().FindService(request.service);
-  if (service == nullptr || !service->engine) return milliseconds(0);
-  for (const ModelDescription& model : service->engine->models)
-    if (model.name == request.model.model)
-      return std::chrono::duration_cast<milliseconds>(model.disk_load_time);
-  return milliseconds(0);
-}
-
-/// @param spread between 0 and 1, so that refused callers do not all come back at once.
-Refusal ExplainQuota(const QuotaDecision& decision, double spread) {
-  constexpr double kSpreadShare = 0.5;
-  const double come_back_s =
-      std::chrono::duration<double>(decision.come_back).count() * (1 + kSpreadShare * spread);
-  switch (decision.standing) {
-    case QuotaStanding::kOverAlways:
-      return {http_status::kTooManyRequests, EndReason::kOverQuota,
-              "the limit never allows so many units at once; ask for less in one request", false,
-              0};
-    case QuotaStanding::kUnknown:
-      return {http_status::kUnavailable, EndReason::kQuotaUnknown,
-              "no daemon could tell what the limit still allows; come back", false, come_back_s};
-    case QuotaStanding::kOver:
-    case QuotaStanding::kGranted:
-      break;
-  }
-  return {http_status::kTooManyRequests, EndReason::kOverQuota,
-          "the tenant has used its limit; come back after the stated time", false, come_back_s};
-}
-
-/// Without a time to come back: a later try of the same request would be refused as well.
-Refusal QuarantineRefusal() {
-  return {http_status::kUnavailable, EndReason::kQuarantined,
-          "servers ended under this request; do not repeat it, change it or ask the operator",
-          false, 0};
-}
-
-std::string SecondsText(double seconds) {
-  std::string text = std::to_string(seconds);
-  constexpr std::size_t kDigitsDropped = 3;
-  text.resize(text.size() - kDigitsDropped);
-  return text;
-}
-
 }  // namespace
 
 /// Lists a request among those that are being answered.
@@ -115,6 +59,8 @@
       permits_(permits),
       metrics_(metrics),
       admission_(protocol, view),
+      holds_(view),
+      suspects_(view, quarantine),
       settings_(std::move(settings)),
       forwarder_(context, protocol, statements, metrics),
       reporter_(view, metrics, log) {}
@@ -167,38 +113,13 @@
   for (auto& [service, allowance] : allowances_) allowance.set_free_repeats(free_repeats);
 }
 
-HeldRequest RequestPipeline::DescribeHeld(const GatewayRequest& request,
-                                          NoServerReason reason) const {
-  HeldRequest held{request.arrival, request.end, reason, request.route->target, {}, {}, {}, {}};
-  const auto usual = answer_ms_.find(request.service);
-  held.answer = usual == answer_ms_.end() ? request.route->target
-                                          : milliseconds(static_cast<std::int64_t>(usual->second));
-  if (request.route->type == RouteType::kStream) held.patience = StreamPatience(*request.route);
-  held.free_at = request.free_at;
-  if (request.model.model.empty()) return held;
-  held.expected = view_.expected.Find(request.model);
-  held.load = StatedLoad(request);
-  return held;
-}
-
-SteadyTime RequestPipeline::HoldEnd(const GatewayRequest& request, NoServerReason reason) const {
-  return HoldUntil(DescribeHeld(request, reason));
-}
-
-void RequestPipeline::NoteAnswerTime(const GatewayRequest& request, SteadyTime sent_at) {
-  if (!request.head_sent || request.head_at < sent_at) return;
-  const double taken = std::chrono::duration<double, std::milli>(request.head_at - sent_at).count();
-  double& usual = answer_ms_.try_emplace(request.service, taken).first->second;
-  usual += kAnswerTimeWeight * (taken - usual);
-}
-
 /// Waits until one more repeat may be sent; one that has not run may be held as long as one that
 /// has no server. @return whether it may.
 Awaitable<bool> RequestPipeline::AwaitAllowance(GatewayRequest& request,
                                                 RetryAllowance& allowance) {
   while (!allowance.TryRepeat(BootClock::now())) {
     const bool held = request.may_have_run == 0 && !refuse_waiting_ && !request.client_left &&
-                      BootClock::now() < HoldEnd(request, NoServerReason::kAllUnusable);
+                      BootClock::now() < holds_.End(request, NoServerReason::kAllUnusable);
     if (!held) {
       ++metrics_.repeats_denied;
       co_return false;
@@ -209,65 +130,6 @@
   co_return true;
 }
 
-bool RequestPipeline::Quarantined(const GatewayRequest& request) const {
-  if (!quarantine_.book().Known(request.fingerprint)) return false;
-  const std::vector<ServerPtr>& servers = view_.servers.Of(request.service);
-  return !servers.empty() &&
-         std::all_of(servers.begin(), servers.end(), [&](const ServerPtr& server) {
-           return quarantine_.At(request.fingerprint, server->record().software_version) ==
-                  quarantine::Standing::kQuarantined;
-         });
-}
-
-/// A suspected request is tried at one server at a time, and not where another suspect is: if the
-/// server ends, its cause is known, and if not, the request is cleared.
-bool RequestPipeline::LimitSuspect(const GatewayRequest& request, ChoiceRequest& wanted) const {
-  if (quarantine_.OnTrial(request.fingerprint)) return false;
-  bool suspected = false;
-  for (const ServerPtr& server : view_.servers.Of(request.service)) {
-    const std::string& version = server->record().software_version;
-    switch (quarantine_.At(request.fingerprint, version)) {
-      case quarantine::Standing::kQuarantined:
-        wanted.excluded_versions.push_back(version);
-        break;
-      case quarantine::Standing::kUndecided:
-        wanted.excluded.push_back(server->record().id);
-        break;
-      case quarantine::Standing::kSuspect:
-        suspected = true;
-        break;
-      case quarantine::Standing::kClear:
-        break;
-    }
-  }
-  if (!suspected) return true;
-  for (std::string& server : quarantine_.ServersOnTrial())
-    wanted.excluded.push_back(std::move(server));
-  return true;
-}
-
-void RequestPipeline::NoteEvidence(const GatewayRequest& request, const Server& server,
-                                   const ForwardResult& result, SteadyTime sent_at) {
-  const ServerRecord& record = server.record();
-  const bool sent = result.end != ForwardEnd::kNotRun && result.end != ForwardEnd::kClientLeft;
-  if (result.link_ended && sent) {
-    quarantine_.Note(quarantine::LinkEnded{request.fingerprint, request.service, record.id,
-                                           record.software_version});
-    return;
-  }
-  const bool other_there = result.status == kMisdirectedStatus && server.gone();
-  if (result.link_ended || other_there) {
-    if (quarantine_.book().Waiting(record.id)) quarantine_.Note(quarantine::ServerEnded{record.id});
-    return;
-  }
-  if (result.status == 0) return;
-  if (quarantine_.book().Waiting(record.id))
-    quarantine_.Note(quarantine::ServerAnswered{record.id, sent_at});
-  // A failure that a server answers may come before it has begun the request: no proof.
-  if (result.end == ForwardEnd::kAnswered && result.status < http_status::kBadRequest)
-    quarantine_.Note(quarantine::Served{request.fingerprint, record.software_version});
-}
-
 void RequestPipeline::NoteRefusedAlone(GatewayRequest& request, const std::string& server_id) {
   std::erase_if(request.refusals,
                 [&](const ServerRefusal& refusal) { return refusal.server_id == server_id; });
@@ -283,7 +145,7 @@
   wanted.chooser = settings_.name;
   for (const ServerRefusal& refusal : request.refusals)
     if (BootClock::now() < refusal.until) wanted.excluded.push_back(refusal.server_id);
-  if (quarantine_.book().Known(request.fingerprint) && !LimitSuspect(request, wanted)) {
+  if (quarantine_.book().Known(request.fingerprint) && !suspects_.Limit(request, wanted)) {
     reason = NoServerReason::kAllUnusable;
     return nullptr;
   }
@@ -319,9 +181,10 @@
   view_.demand_raised.NotifyAll();
   request.no_server = reason;
   // What is expected may change meanwhile.
-  while (!request.client_left && !refuse_waiting_ && BootClock::now() < HoldEnd(request, reason)) {
+  while (!request.client_left && !refuse_waiting_ &&
+         BootClock::now() < holds_.End(request, reason)) {
     const SteadyTime look_again = BootClock::now() + kRetryPause;
-    co_await view_.changed.Wait(std::min(HoldEnd(request, reason), look_again));
+    co_await view_.changed.Wait(std::min(holds_.End(request, reason), look_again));
     request.failed_servers.clear();
     ServerPtr server = ChooseOnce(request, reason);
     request.no_server = reason;
@@ -381,7 +244,7 @@
   const bool at_limit = request.no_server == NoServerReason::kAtLimit;
   const bool full = result.status != 0 && !at_limit;
   const HeldRequest held =
-      DescribeHeld(request, full ? NoServerReason::kAllUnusable : request.no_server);
+      holds_.Describe(request, full ? NoServerReason::kAllUnusable : request.no_server);
   const EndReason reason = at_limit ? EndReason::kServersAtLimit
                            : full   ? EndReason::kServersFull
                                     : EndReason::kNoServer;
@@ -392,18 +255,7 @@
 
 Awaitable<void> RequestPipeline::Answer(HttpServerExchange& exchange, const GatewayRequest& request,
                                         const Refusal& refusal) {
-  HttpResponse response;
-  response.status = refusal.status;
-  response.headers.push_back({"Content-Type", "application/json"});
-  if (!request.id.empty()) response.headers.push_back({protocol_.headers().request_id, request.id});
-  if (refusal.status == http_status::kUnauthorized)
-    response.headers.push_back({"WWW-Authenticate", "Bearer"});
-  if (refusal.retry_after_s > 0)
-    response.headers.push_back({"Retry-After", SecondsText(refusal.retry_after_s)});
-  response.body = R"({"error":{"code":")" + std::string(Name(refusal.reason)) + R"(","remedy":")" +
-                  refusal.remedy + R"("},"executed":")" +
-                  (refusal.may_have_run ? "unknown" : "no") + "\"}\n";
-  co_await exchange.Respond(std::move(response));
+  co_await exchange.Respond(ToResponse(refusal, protocol_.headers().request_id, request.id));
 }
 
 Awaitable<bool> RequestPipeline::AwaitCredit(GatewayRequest& request) {
@@ -421,7 +273,7 @@
     request.credit = decision.credit;
     co_return true;
   }
-  request.refusal = ExplainQuota(decision, SpreadOf(request.id));
+  request.refusal = QuotaRefusal(decision, SpreadOf(request.id));
   co_return false;
 }
 
@@ -432,7 +284,7 @@
 Awaitable<bool> RequestPipeline::AwaitPermit(const GatewayRequest& request,
                                              const ServerPtr& server) {
   // Where another server can take it, nobody waits for this one's turn.
-  const SteadyTime until = HoldEnd(request, NoServerReason::kAllUnusable);
+  const SteadyTime until = holds_.End(request, NoServerReason::kAllUnusable);
   const milliseconds patience = request.alternative
                                     ? milliseconds(0)
                                     : std::chrono::duration_cast<milliseconds>(std::max(
@@ -454,8 +306,8 @@
   const SteadyTime sent_at = BootClock::now();
   ForwardResult result =
       co_await forwarder_.Forward(exchange, request, server, AttemptEnd(request), last);
-  NoteAnswerTime(request, sent_at);
-  NoteEvidence(request, *server, result, sent_at);
+  holds_.NoteAnswerTime(request, sent_at);
+  suspects_.NoteEvidence(request, *server, result, sent_at);
   co_return result;
 }
 
@@ -474,7 +326,7 @@
     const ServerPtr server = co_await AwaitServer(request);
     if (request.client_left) result.end = ForwardEnd::kClientLeft;
     if (!server || request.client_left) break;
-    // The machine may have been suspended while it waited: one such request ran 57 s late (test).
+    // The machine may have been suspended while it waited.
     if (BootClock::now() >= request.end) break;
     // The credit that it was let in with may have died while it waited.
     if (!co_await AwaitCredit(request)) break;
@@ -508,27 +360,6 @@
   co_await Finish(exchange, request, result, server_id);
 }
 
-RequestEnd RequestPipeline::DescribeEnd(const GatewayRequest& request, const ForwardResult& result,
-                                        std::string server_id) {
-  RequestEnd end;
-  end.status = result.status;
-  end.problem = result.problem;
-  if (result.end == ForwardEnd::kAnswered) {
-    end.outcome = RequestOutcome::kAnswered;
-    if (result.status >= http_status::kBadRequest) end.reason = EndReason::kServerError;
-  } else if (result.end == ForwardEnd::kClientLeft) {
-    end.outcome = RequestOutcome::kClientLeft;
-    end.reason = request.head_sent   ? EndReason::kLeftInAnswer
-                 : request.sends > 0 ? EndReason::kLeftAtServer
-                                     : EndReason::kLeftWaiting;
-  } else {
-    end.outcome = RequestOutcome::kBrokenOff;
-    end.reason = EndReason::kStreamBroke;
-  }
-  end.server_id = std::move(server_id);
-  return end;
-}
-
 /// Counts, logs and, where the client has no answer yet, answers.
 Awaitable<void> RequestPipeline::Finish(HttpServerExchange& exchange, const GatewayRequest& request,
                                         const ForwardResult& result, const std::string& server_id) {
@@ -576,7 +407,7 @@
       {FindHeader(exchange.request().headers, "Host"), exchange.request().target,
        FindHeader(exchange.request().headers, protocol_.headers().model), *request->body,
        request->tenant == nullptr ? std::string_view() : std::string_view(request->tenant->name)});
-  if (Quarantined(*request)) {
+  if (suspects_.Quarantined(*request)) {
     ++metrics_.quarantine.refused;
     const Refusal quarantined = QuarantineRefusal();
     co_await Refuse(exchange, *request, quarantined);
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -9,12 +9,13 @@
 #include "gateway/fleet_view.h"
 #include "gateway/forwarder.h"
 #include "gateway/gateway_metrics.h"
-#include "gateway/hold_policy.h"
+#include "gateway/hold_estimates.h"
 #include "gateway/request_admission.h"
 #include "gateway/request_reporter.h"
 #include "gateway/retry_allowance.h"
 #include "gateway/server_choice.h"
 #include "gateway/server_statements.h"
+#include "gateway/suspect_guard.h"
 #include "http/http_server.h"
 #include "ports/fleet_protocol.h"
 #include "quarantine/quarantine_service.h"
@@ -60,21 +61,11 @@
   enum class Next : std::uint8_t { kDone, kTryAgain, kGiveUp, kBreakOff };
   class ActiveMark;
 
-  /// @return whether servers of every version that runs would end under the request.
-  bool Quarantined(const GatewayRequest& request) const;
-  /// Leaves out servers to which a suspected request is not to be sent now. @return whether any are
-  /// left to be looked at.
-  bool LimitSuspect(const GatewayRequest& request, ChoiceRequest& wanted) const;
-  /// Tells the case book what an attempt has shown of its server and its request.
-  void NoteEvidence(const GatewayRequest& request, const Server& server,
-                    const ForwardResult& result, SteadyTime sent_at);
   Awaitable<ForwardResult> Attempt(HttpServerExchange& exchange, GatewayRequest& request,
                                    const ServerPtr& server);
   Awaitable<void> Refuse(HttpServerExchange& exchange, const GatewayRequest& request,
                          const Refusal& refusal);
   Awaitable<void> Serve(HttpServerExchange& exchange, GatewayRequest& request);
-  static RequestEnd DescribeEnd(const GatewayRequest& request, const ForwardResult& result,
-                                std::string server_id);
   Awaitable<void> Finish(HttpServerExchange& exchange, const GatewayRequest& request,
                          const ForwardResult& result, const std::string& server_id);
   /// While what is known is older than its bound and the store answers, waits for its next answer.
@@ -99,11 +90,6 @@
   void ReturnCredit(const GatewayRequest& request);
   RetryAllowance& AllowanceOf(const std::string& service);
   Awaitable<bool> AwaitAllowance(GatewayRequest& request, RetryAllowance& allowance);
-  HeldRequest DescribeHeld(const GatewayRequest& request, NoServerReason reason) const;
-  SteadyTime HoldEnd(const GatewayRequest& request, NoServerReason reason) const;
-  /// Takes the time from a send to the head of its answer into what is usual for the service.
-  void NoteAnswerTime(const GatewayRequest& request, SteadyTime sent_at);
-
   const FleetProtocol& protocol_;
   FleetView& view_;
   QuarantineService& quarantine_;
@@ -111,12 +97,13 @@
   PermitService& permits_;
   GatewayMetrics& metrics_;
   RequestAdmission admission_;
+  HoldEstimates holds_;
+  SuspectGuard suspects_;
   PipelineSettings settings_;
   Forwarder forwarder_;
   RequestReporter reporter_;
   std::map<std::string, RetryAllowance> allowances_;
   std::set<GatewayRequest*> active_;
-  std::map<std::string, double> answer_ms_;  ///< Usual time to an answer's head, by service.
   bool refuse_waiting_ = false;
   double free_repeats_ = 2;
 };
--- a/src/gateway/request_reporter.cc
+++ b/src/gateway/request_reporter.cc
@@ -129,4 +129,25 @@
   log_.Write(LogRank::kDecision, EventLine(LogEvent::kRequestsOpen).Field(LogField::kIds, ids));
 }
 
+RequestEnd DescribeEnd(const GatewayRequest& request, const ForwardResult& result,
+                       std::string server_id) {
+  RequestEnd end;
+  end.status = result.status;
+  end.problem = result.problem;
+  if (result.end == ForwardEnd::kAnswered) {
+    end.outcome = RequestOutcome::kAnswered;
+    if (result.status >= http_status::kBadRequest) end.reason = EndReason::kServerError;
+  } else if (result.end == ForwardEnd::kClientLeft) {
+    end.outcome = RequestOutcome::kClientLeft;
+    end.reason = request.head_sent   ? EndReason::kLeftInAnswer
+                 : request.sends > 0 ? EndReason::kLeftAtServer
+                                     : EndReason::kLeftWaiting;
+  } else {
+    end.outcome = RequestOutcome::kBrokenOff;
+    end.reason = EndReason::kStreamBroke;
+  }
+  end.server_id = std::move(server_id);
+  return end;
+}
+
 }  // namespace moorfold
--- a/src/gateway/request_reporter.h
+++ b/src/gateway/request_reporter.h
@@ -41,4 +41,8 @@
   EventLog& log_;
 };
 
+/// @param server_id of the last attempt.
+RequestEnd DescribeEnd(const GatewayRequest& request, const ForwardResult& result,
+                       std::string server_id);
+
 }  // namespace moorfold
