--- /dev/null
+++ b/test/fleet/fleet_demand_test.cc
@@ -0,0 +1,82 @@
+// What daemons report of demand adds up at the leader, and the bound on loads.
+
+#include "fleet/fleet_demand.h"
+
+#include <catch2/catch.hpp>
+
+#include "common/boot_clock.h"
+#include "demand_report.h"
+#include "fleet/load_window.h"
+
+namespace moorfold {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Time = BootClock::time_point;
+
+const Time kNow{seconds(1000)};
+
+TEST_CASE("Loads that may begin keep to the rate in every window, also late ones") {
+  LoadWindow window(milliseconds(5'000));
+  CHECK(window.Free(4, kNow) == 20);
+  for (int load = 0; load < 20; ++load) window.Count(kNow);
+  CHECK(window.Free(4, kNow + milliseconds(4'999)) == 0);
+  CHECK(window.Free(4, kNow + milliseconds(5'001)) == 20);
+  window.CountUnanswered(kNow + seconds(6));
+  CHECK(window.Free(4, kNow + seconds(20)) == 19);
+  CHECK(window.Free(4, kNow + seconds(30)) == 20);
+}
+
+TEST_CASE("Demand adds up over daemons, and a silent daemon's share passes") {
+  FleetDemand demand;
+  demand.Add(MakeReport("one", {{"s", {"m", ""}, 1, 2, 3}}), kNow);
+  demand.Add(MakeReport("two", {{"s", {"m", ""}, 4, 0, 1}}), kNow);
+  const auto both = demand.Of("s", kNow);
+  CHECK(both.at({"m", ""}).waiting == 5);
+  CHECK(both.at({"m", ""}).in_flight == 2);
+  CHECK(both.at({"m", ""}).arrivals_per_second == Approx(1));
+  const auto later = demand.Of("s", kNow + seconds(2));
+  CHECK(later.at({"m", ""}).waiting == 0);
+  CHECK(later.at({"m", ""}).arrivals_per_second < 1);
+  CHECK(demand.Of("other", kNow).empty());
+}
+
+TEST_CASE("How long a model is unserved counts over repeated waits, and ends with a served one") {
+  FleetDemand demand;
+  demand.Add(MakeReport("one", {{"s", {"m", ""}, 1, 0, 1}}), kNow);
+  demand.Add(MakeReport("one", {{"s", {"m", ""}, 0, 0, 0}}), kNow + seconds(2));
+  demand.Add(MakeReport("one", {{"s", {"m", ""}, 1, 0, 1}}), kNow + seconds(5));
+  CHECK(demand.Of("s", kNow + seconds(6)).at({"m", ""}).unserved_s == Approx(6));
+  demand.Add(MakeReport("one", {{"s", {"m", ""}, 0, 1, 0}}), kNow + seconds(7));
+  CHECK(demand.Of("s", kNow + seconds(8)).at({"m", ""}).unserved_s == 0);
+}
+
+TEST_CASE("Late answers are told to the leader once, and fade") {
+  DemandBook book;
+  book.At("s", {"m", ""}).late = 3;
+  const std::vector<DemandEntry> entries = book.Take();
+  REQUIRE(entries.size() == 1);
+  CHECK(entries[0].late == 3);
+  CHECK(book.Take().empty());
+  FleetDemand demand;
+  demand.Add(MakeReport("one", entries), kNow);
+  const double now = demand.Of("s", kNow).at({"m", ""}).late_per_second;
+  CHECK(now > 0.5);
+  CHECK(demand.Of("s", kNow + seconds(8)).at({"m", ""}).late_per_second < now / 4);
+}
+
+TEST_CASE("A server is out of reach when two daemons say so, not one that may itself be cut off") {
+  FleetDemand demand;
+  demand.Add(MakeReport("one", {}, {"i"}), kNow);
+  demand.Add(MakeReport("one", {}, {"i"}), kNow + milliseconds(100));
+  CHECK_FALSE(demand.Unreachable("i", kNow + milliseconds(200)));
+  demand.Add(MakeReport("two", {}, {"i"}), kNow + milliseconds(200));
+  CHECK(demand.Unreachable("i", kNow + milliseconds(300)));
+  CHECK_FALSE(demand.Unreachable("i", kNow + seconds(3)));
+}
+
+/// What random fleets hold and ask for; servers in the order of their ids.
+
+}  // namespace
+}  // namespace moorfold
--- a/test/fleet/placement_test.cc
+++ b/test/fleet/placement_test.cc
@@ -1,16 +1,11 @@
-// Demand, the planner's decisions, and the bound on loads.
+// The planner's decisions.
 
 #include <rapidcheck.h>
 
 #include <catch2/catch.hpp>
 
 #include "common/boot_clock.h"
-#include "fleet/demand_channel.h"
-#include "fleet/fleet_demand.h"
-#include "fleet/load_window.h"
 #include "fleet/placement_planner.h"
-#include "http/listen_error.h"
-#include "store_revisions.h"
 
 namespace moorfold {
 namespace {
@@ -240,50 +235,6 @@
   CHECK(planner.Plan().size() <= 16);
 }
 
-TEST_CASE("Loads that may begin keep to the rate in every window, also late ones") {
-  LoadWindow window(milliseconds(5'000));
-  CHECK(window.Free(4, kNow) == 20);
-  for (int load = 0; load < 20; ++load) window.Count(kNow);
-  CHECK(window.Free(4, kNow + milliseconds(4'999)) == 0);
-  CHECK(window.Free(4, kNow + milliseconds(5'001)) == 20);
-  window.CountUnanswered(kNow + seconds(6));
-  CHECK(window.Free(4, kNow + seconds(20)) == 19);
-  CHECK(window.Free(4, kNow + seconds(30)) == 20);
-}
-
-DemandReport MakeReport(const std::string& sender, std::vector<DemandEntry> entries,
-                        std::vector<std::string> unreachable = {}) {
-  DemandReport report;
-  report.sender = sender;
-  report.entries = std::move(entries);
-  report.unreachable = std::move(unreachable);
-  return report;
-}
-
-TEST_CASE("Demand adds up over daemons, and a silent daemon's share passes") {
-  FleetDemand demand;
-  demand.Add(MakeReport("one", {{"s", {"m", ""}, 1, 2, 3}}), kNow);
-  demand.Add(MakeReport("two", {{"s", {"m", ""}, 4, 0, 1}}), kNow);
-  const auto both = demand.Of("s", kNow);
-  CHECK(both.at({"m", ""}).waiting == 5);
-  CHECK(both.at({"m", ""}).in_flight == 2);
-  CHECK(both.at({"m", ""}).arrivals_per_second == Approx(1));
-  const auto later = demand.Of("s", kNow + seconds(2));
-  CHECK(later.at({"m", ""}).waiting == 0);
-  CHECK(later.at({"m", ""}).arrivals_per_second < 1);
-  CHECK(demand.Of("other", kNow).empty());
-}
-
-TEST_CASE("How long a model is unserved counts over repeated waits, and ends with a served one") {
-  FleetDemand demand;
-  demand.Add(MakeReport("one", {{"s", {"m", ""}, 1, 0, 1}}), kNow);
-  demand.Add(MakeReport("one", {{"s", {"m", ""}, 0, 0, 0}}), kNow + seconds(2));
-  demand.Add(MakeReport("one", {{"s", {"m", ""}, 1, 0, 1}}), kNow + seconds(5));
-  CHECK(demand.Of("s", kNow + seconds(6)).at({"m", ""}).unserved_s == Approx(6));
-  demand.Add(MakeReport("one", {{"s", {"m", ""}, 0, 1, 0}}), kNow + seconds(7));
-  CHECK(demand.Of("s", kNow + seconds(8)).at({"m", ""}).unserved_s == 0);
-}
-
 /// As Plan, with loads from the weight store that take 6 s.
 std::vector<PlacementStep> PlanLongLoads(std::map<ModelReference, ModelDemand> demand,
                                          std::vector<PlannedServer> servers) {
@@ -353,31 +304,6 @@
   CHECK(on_their_way <= 4);
 }
 
-TEST_CASE("Late answers are told to the leader once, and fade") {
-  DemandBook book;
-  book.At("s", {"m", ""}).late = 3;
-  const std::vector<DemandEntry> entries = book.Take();
-  REQUIRE(entries.size() == 1);
-  CHECK(entries[0].late == 3);
-  CHECK(book.Take().empty());
-  FleetDemand demand;
-  demand.Add(MakeReport("one", entries), kNow);
-  const double now = demand.Of("s", kNow).at({"m", ""}).late_per_second;
-  CHECK(now > 0.5);
-  CHECK(demand.Of("s", kNow + seconds(8)).at({"m", ""}).late_per_second < now / 4);
-}
-
-TEST_CASE("A server is out of reach when two daemons say so, not one that may itself be cut off") {
-  FleetDemand demand;
-  demand.Add(MakeReport("one", {}, {"i"}), kNow);
-  demand.Add(MakeReport("one", {}, {"i"}), kNow + milliseconds(100));
-  CHECK_FALSE(demand.Unreachable("i", kNow + milliseconds(200)));
-  demand.Add(MakeReport("two", {}, {"i"}), kNow + milliseconds(200));
-  CHECK(demand.Unreachable("i", kNow + milliseconds(300)));
-  CHECK_FALSE(demand.Unreachable("i", kNow + seconds(3)));
-}
-
-/// What random fleets hold and ask for; servers in the order of their ids.
 struct AdapterFleet {
   std::vector<PlannedServer> servers;
   std::map<ModelReference, ModelDemand> demand;
@@ -436,139 +362,5 @@
   });
 }
 
-TEST_CASE("An address for datagrams that is in use is named, with what to do") {
-  boost::asio::io_context context;
-  const DemandChannel::Handlers none{[](const DemandReport&) {},
-                                     [](const PlacementNotice&, const std::string&) {},
-                                     [](const ChangeAnswer&, const std::string&) {},
-                                     [](const LeadershipOffer&) {},
-                                     [](const QuarantineNotice&, const std::string&) {},
-                                     [](const CreditSharing&, const std::string&) {},
-                                     [](const CreditQuestion&, const std::string&) {},
-                                     [](const CreditAnswer&, const std::string&) {},
-                                     [](const RelayPlan&, const std::string&) {},
-                                     [](const ServersQuestion&, const std::string&) {},
-                                     [](const ServersPage&, const std::string&) {},
-                                     [](const ConfigurationQuestion&, const std::string&) {},
-                                     [](const ConfigurationPart&, const std::string&) {},
-                                     [](const PermitQuestion&, const std::string&) {},
-                                     [](const PermitAnswer&, const std::string&) {},
-                                     [](const std::string&) {}};
-  const DemandChannel first(context, {"127.0.0.1", 0}, none);
-  try {
-    const DemandChannel second(context, first.endpoint(), none);
-    FAIL("no error");
-  } catch (const ListenError& error) {
-    CHECK(std::string(error.what()).find(ToString(first.endpoint())) != std::string::npos);
-    CHECK(std::string(error.what()).find("draining") != std::string::npos);
-  }
-}
-
-TEST_CASE("Reports and notices pass between daemons; what is no message is left alone") {
-  boost::asio::io_context context;
-  std::vector<DemandReport> reports;
-  std::vector<PlacementNotice> notices;
-  std::vector<ChangeAnswer> answers;
-  std::string answered_from;
-  std::vector<std::string> offers;
-  std::vector<std::string> dropped;
-  DemandChannel::Handlers to_leader{
-      [&](DemandReport report) { reports.push_back(report); },
-      [](const PlacementNotice&, const std::string&) {},
-      [](const ChangeAnswer&, const std::string&) {},
-      [](const LeadershipOffer&) {},
-      [](const QuarantineNotice&, const std::string&) {},
-      [](const CreditSharing&, const std::string&) {},
-      [](const CreditQuestion&, const std::string&) {},
-      [](const CreditAnswer&, const std::string&) {},
-      [](const RelayPlan&, const std::string&) {},
-      [](const ServersQuestion&, const std::string&) {},
-      [](const ServersPage&, const std::string&) {},
-      [](const ConfigurationQuestion&, const std::string&) {},
-      [](const ConfigurationPart&, const std::string&) {},
-      [](const PermitQuestion&, const std::string&) {},
-      [](const PermitAnswer&, const std::string&) {},
-      [](const std::string&) {},
-      [&](const UnreadMessage& message) { dropped.push_back(message.problem); }};
-  DemandChannel leader(context, {"127.0.0.1", 0}, to_leader);
-  DemandChannel::Handlers to_daemon{
-      [](const DemandReport&) {},
-      [&](const PlacementNotice& notice, const std::string&) { notices.push_back(notice); },
-      [&](const ChangeAnswer& answer, const std::string& from) {
-        answers.push_back(answer);
-        answered_from = from;
-      },
-      [&](const LeadershipOffer& offer) { offers.push_back(offer.from); },
-      [](const QuarantineNotice&, const std::string&) {},
-      [](const CreditSharing&, const std::string&) {},
-      [](const CreditQuestion&, const std::string&) {},
-      [](const CreditAnswer&, const std::string&) {},
-      [](const RelayPlan&, const std::string&) {},
-      [](const ServersQuestion&, const std::string&) {},
-      [](const ServersPage&, const std::string&) {},
-      [](const ConfigurationQuestion&, const std::string&) {},
-      [](const ConfigurationPart&, const std::string&) {},
-      [](const PermitQuestion&, const std::string&) {},
-      [](const PermitAnswer&, const std::string&) {},
-      [](const std::string&) {}};
-  DemandChannel daemon(context, {"127.0.0.1", 0}, to_daemon);
-  leader.Start();
-  daemon.Start();
-  DemandReport report = MakeReport("one", {}, {"i-9"});
-  report.address = ToString(daemon.endpoint());
-  report.uptime_ms = 1'234;
-  report.question = ChangeQuestion{77, At(12)};
-  for (int entry = 0; entry < 60; ++entry)
-    report.entries.push_back({"s", {"m" + std::to_string(entry), ""}, 1, 2, 3});
-  daemon.SendReport(ToString(leader.endpoint()), report);
-  boost::asio::ip::udp::socket stray(context, boost::asio::ip::udp::v4());
-  stray.send_to(boost::asio::buffer(std::string("\xff\xff no message")),
-                {boost::asio::ip::make_address("127.0.0.1"), leader.endpoint().port});
-  std::size_t entries = 0;
-  const auto give_up = BootClock::now() + seconds(20);
-  while (entries < 60 && BootClock::now() < give_up) {
-    context.run_one_for(milliseconds(50));
-    entries = 0;
-    for (const DemandReport& part : reports) entries += part.entries.size();
-  }
-  REQUIRE(entries == 60);
-  while (dropped.empty() && BootClock::now() < give_up) context.run_one_for(milliseconds(50));
-  REQUIRE(dropped.size() == 1);  // The stray datagram is told of.
-  CHECK(dropped[0].starts_with("received: "));
-  CHECK(reports[0].unreachable == std::vector<std::string>{"i-9"});
-  CHECK(reports[0].uptime_ms == 1'234);
-  CHECK(leader.reporters() == 1);
-  leader.SendTo(reports[0].address, LeadershipOffer{"leader"});
-  const auto questions = std::count_if(
-      reports.begin(), reports.end(),
-      [](const DemandReport& part) { return part.question && part.question->revision == At(12); });
-  CHECK(questions == 1);  // However many datagrams a report takes.
-  ChangeAnswer answer;
-  answer.asked_at_us = 77;
-  answer.daemons = 7;
-  answer.servers.push_back(
-      {At(13), false, {"i-1", "s", {"127.0.0.1", 8}, "z", "v1", 4, true, {{"m", {"a"}}}}});
-  answer.servers.push_back({At(14), true, {"i-2"}});
-  leader.SendTo(reports[0].address, answer);
-  leader.Broadcast(PlacementNotice{"i-1", {"m", "a"}, false});
-  while ((notices.empty() || offers.empty() || answers.empty()) && BootClock::now() < give_up)
-    context.run_one_for(milliseconds(50));
-  CHECK(offers == std::vector<std::string>{"leader"});
-  REQUIRE(notices.size() == 1);
-  CHECK(notices[0].name.adapter == "a");
-  CHECK_FALSE(notices[0].held);
-  REQUIRE(answers.size() == 1);
-  CHECK(answered_from == ToString(leader.endpoint()));
-  CHECK(answers[0].asked_at_us == 77);
-  CHECK(answers[0].daemons == 7);
-  REQUIRE(answers[0].servers.size() == 2);
-  const ServerRecord& record = answers[0].servers[0].record;
-  CHECK(record.draining);
-  CHECK(record.endpoint.port == 8);
-  CHECK(record.models == std::vector<HeldModel>{{"m", {"a"}}});
-  CHECK(answers[0].servers[1].gone);
-  CHECK(answers[0].servers[1].record.id == "i-2");
-}
-
 }  // namespace
 }  // namespace moorfold
