--- a/test/relay/relay_service_test.cc
+++ b/test/relay/relay_service_test.cc
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "clock_jump.h"
 #include "relay_fixture.h"
 
 namespace moorfold {
@@ -16,9 +17,10 @@
 constexpr const char* kLeader = "10.0.0.9:7000";
 
 struct ServiceFixture {
-  ServiceFixture()
-      : table(StockedTable()),
-        member(context, table, std::chrono::hours(1)),
+  /// @param page_entries as Member has it.
+  explicit ServiceFixture(KeyValueTable stock = StockedTable(), std::size_t page_entries = 0)
+      : table(std::move(stock)),
+        member(context, table, std::chrono::hours(1), page_entries),
         service(context, member.store, member.store_view, member.metrics, member.log,
                 {"north", kSelf, 2}, MakePorts()) {
     while (member.Version() != 3) context.run_one();
@@ -129,5 +131,32 @@
   CHECK(fixture.service.plan().number == 7);
 }
 
+TEST_CASE("In a large fleet a plan of relays is waited for, but not for ever") {
+  constexpr std::size_t kConfigurationAndServer = 2;
+  constexpr std::uint32_t kLargeFleet = 500;
+  constexpr milliseconds kMostOfTheWait{5'500};
+  constexpr milliseconds kListed{1'500};
+  KeyValueTable stock = StockedTable();
+  PutInto(stock, "servers/i-2", ServerText("ready", ""));
+  ServiceFixture fixture(stock, kConfigurationAndServer);
+  ClockJump clock;
+  const auto knows_server = [&] { return fixture.member.Record("i-2") != nullptr; };
+  fixture.service.NoteFleetSize(kLargeFleet);
+  REQUIRE(fixture.member.store_view.WaitsForServers());
+  clock.Sleep(kMostOfTheWait);
+  fixture.service.Tick();
+  fixture.context.run_for(milliseconds(300));
+  CHECK_FALSE(knows_server());
+  CHECK(fixture.member.store.listings() == 0);
+  clock.Sleep(milliseconds(1'000));
+  fixture.service.Tick();
+  const auto give_up = BootClock::now() + kListed;
+  while (!knows_server() && BootClock::now() < give_up)
+    fixture.context.run_one_for(milliseconds(10));
+  CHECK(knows_server());
+  fixture.service.NoteFleetSize(kLargeFleet);
+  CHECK_FALSE(fixture.member.store_view.WaitsForServers());
+}
+
 }  // namespace
 }  // namespace moorfold
