--- a/src/fleet/leader_election.cc
+++ b/src/fleet/leader_election.cc
@@ -354,7 +354,7 @@
   store_.Transact(std::move(transaction),
                   [this, tries, done = std::move(done)](const Outcome<TransactionResult>& result) {
                     if (result.ok() && !result.value().succeeded && tries > 1) {
-                      ReleaseAsItStands(tries - 1, done);
+                      ReleaseAtCurrentRevision(tries - 1, done);
                       return;
                     }
                     if (result.ok() && result.value().succeeded)
@@ -365,7 +365,7 @@
 
 /// A write of this leader's own whose answer is under way or lost has moved the key's revision on.
 /// A key that hangs on this lease is this leader's, whatever its revision.
-void LeaderElection::ReleaseAsItStands(int tries, std::function<void()> done) {
+void LeaderElection::ReleaseAtCurrentRevision(int tries, std::function<void()> done) {
   store_.Range({settings_.key, ""},
                [this, tries, done = std::move(done)](const Outcome<RangeResult>& read) {
                  const bool ours = read.ok() && !read.value().entries.empty() &&
--- a/src/fleet/leader_election.h
+++ b/src/fleet/leader_election.h
@@ -210,7 +210,7 @@
   void Verify();
   Transaction RecordTransaction(bool settled) const;
   void Release(int tries, std::function<void()> done);
-  void ReleaseAsItStands(int tries, std::function<void()> done);
+  void ReleaseAtCurrentRevision(int tries, std::function<void()> done);
   void ReadKey();
   /// @return whether another leads, as far as known, but says nothing.
   bool LeaderSilent(Time now) const;
--- a/test/emulator/fault_plan.cc
+++ b/test/emulator/fault_plan.cc
@@ -48,7 +48,7 @@
   while (!stopped_) {
     co_await Sleep(milliseconds(Draw(1'500, 5'000)));
     const auto number = static_cast<std::size_t>(Draw(0, static_cast<int>(kFaults.size()) - 1));
-    if (!Calm()) co_await Strike(kFaults.at(number));
+    if (!Calm()) co_await Inject(kFaults.at(number));
   }
 }
 
@@ -114,7 +114,7 @@
       gateways_[number].disturbed_until = BootClock::now() + length + kSettles;
 }
 
-Awaitable<void> FaultPlan::Strike(Fault fault) {
+Awaitable<void> FaultPlan::Inject(Fault fault) {
   const milliseconds length(Draw(500, 4'000));
   const auto server =
       static_cast<std::size_t>(Draw(0, static_cast<int>(platform_.servers().size()) - 1));
@@ -123,133 +123,133 @@
   co_await (this->*fault)({length, server, gateway, mode});
 }
 
-Awaitable<void> FaultPlan::StoreDown(Blow blow) {
+Awaitable<void> FaultPlan::StoreDown(FaultScope scope) {
   StoreFaults& store = platform_.store().faults();
   Say("store_down");
-  Disturb(-1, blow.length);
+  Disturb(-1, scope.length);
   (Draw(0, 1) == 0 ? store.unavailable : store.silent) = true;
-  co_await Sleep(blow.length);
+  co_await Sleep(scope.length);
   store.unavailable = store.silent = false;
 }
 
-Awaitable<void> FaultPlan::StoreSlow(Blow blow) {
+Awaitable<void> FaultPlan::StoreSlow(FaultScope scope) {
   StoreFaults& store = platform_.store().faults();
   Say("store_slow");
-  Disturb(-1, blow.length);
+  Disturb(-1, scope.length);
   store.delay = milliseconds(Draw(50, 400));
-  co_await Sleep(blow.length);
+  co_await Sleep(scope.length);
   store.delay = milliseconds(0);
 }
 
-Awaitable<void> FaultPlan::StoreLosesAnswers(Blow blow) {
+Awaitable<void> FaultPlan::StoreLosesAnswers(FaultScope scope) {
   StoreFaults& store = platform_.store().faults();
   Say("store_loses_answers");
-  Disturb(-1, blow.length);
+  Disturb(-1, scope.length);
   store.lose_share = 0.4;
   store.lost_apply_late = milliseconds(Draw(0, 1) * 1'500);
-  co_await Sleep(blow.length);
+  co_await Sleep(scope.length);
   store.lose_share = 0;
 }
 
-Awaitable<void> FaultPlan::StoreForgets(Blow blow) {
+Awaitable<void> FaultPlan::StoreForgets(FaultScope scope) {
   StoreFaults& store = platform_.store().faults();
   Say("store_forgets");
-  Disturb(-1, blow.length);
+  Disturb(-1, scope.length);
   store.history_gone = true;
-  co_await Sleep(blow.length);
+  co_await Sleep(scope.length);
   store.history_gone = false;
 }
 
-Awaitable<void> FaultPlan::GatewayCutFromStore(Blow blow) {
+Awaitable<void> FaultPlan::GatewayCutFromStore(FaultScope scope) {
   Say("gateway_cut_from_store");
-  Disturb(blow.gateway, blow.length);
-  platform_.store_proxy(blow.gateway).SetMode(blow.mode);
-  co_await Sleep(blow.length);
-  platform_.store_proxy(blow.gateway).SetMode(ProxyMode::kPass);
+  Disturb(scope.gateway, scope.length);
+  platform_.store_proxy(scope.gateway).SetMode(scope.mode);
+  co_await Sleep(scope.length);
+  platform_.store_proxy(scope.gateway).SetMode(ProxyMode::kPass);
 }
 
-Awaitable<void> FaultPlan::ServerLink(Blow blow) {
+Awaitable<void> FaultPlan::ServerLink(FaultScope scope) {
   Say("server_link");
-  platform_.server_proxy(blow.server).SetMode(blow.mode);
-  co_await Sleep(blow.length);
-  platform_.server_proxy(blow.server).SetMode(ProxyMode::kPass);
+  platform_.server_proxy(scope.server).SetMode(scope.mode);
+  co_await Sleep(scope.length);
+  platform_.server_proxy(scope.server).SetMode(ProxyMode::kPass);
 }
 
-Awaitable<void> FaultPlan::ServerErrors(Blow blow) {
+Awaitable<void> FaultPlan::ServerErrors(FaultScope scope) {
   Say("server_errors");
-  platform_.servers()[blow.server]->faults().error_share = 0.3;
-  platform_.servers()[blow.server]->faults().no_answer_share = 0.1;
-  co_await Sleep(blow.length);
-  platform_.servers()[blow.server]->faults() = {};
+  platform_.servers()[scope.server]->faults().error_share = 0.3;
+  platform_.servers()[scope.server]->faults().no_answer_share = 0.1;
+  co_await Sleep(scope.length);
+  platform_.servers()[scope.server]->faults() = {};
 }
 
-Awaitable<void> FaultPlan::OrdersLate(Blow blow) {
+Awaitable<void> FaultPlan::OrdersLate(FaultScope scope) {
   Say("orders_late");
   for (const auto& each : platform_.servers()) each->faults().late_order_share = 0.4;
-  co_await Sleep(blow.length);
+  co_await Sleep(scope.length);
   for (const auto& each : platform_.servers()) each->faults().late_order_share = 0;
 }
 
-Awaitable<void> FaultPlan::StoreThrottles(Blow blow) {
+Awaitable<void> FaultPlan::StoreThrottles(FaultScope scope) {
   StoreFaults& store = platform_.store().faults();
   Say("store_throttles");
-  Disturb(-1, blow.length);
+  Disturb(-1, scope.length);
   store.writes_per_second = store.reads_per_second = 4;
-  co_await Sleep(blow.length);
+  co_await Sleep(scope.length);
   store.writes_per_second = StoreFaults{}.writes_per_second;
   store.reads_per_second = StoreFaults{}.reads_per_second;
 }
 
-Awaitable<void> FaultPlan::StoreGrantsSlowly(Blow blow) {
+Awaitable<void> FaultPlan::StoreGrantsSlowly(FaultScope scope) {
   StoreFaults& store = platform_.store().faults();
   Say("store_grants_slowly");
-  Disturb(-1, blow.length);
+  Disturb(-1, scope.length);
   store.grant_answer_delay = milliseconds(Draw(200, 900));
-  platform_.store_proxy(blow.gateway).SetMode(blow.mode);
-  co_await Sleep(blow.length);
+  platform_.store_proxy(scope.gateway).SetMode(scope.mode);
+  co_await Sleep(scope.length);
   store.grant_answer_delay = milliseconds(0);
-  platform_.store_proxy(blow.gateway).SetMode(ProxyMode::kPass);
+  platform_.store_proxy(scope.gateway).SetMode(ProxyMode::kPass);
 }
 
-Awaitable<void> FaultPlan::ImpatientClients(Blow blow) {
+Awaitable<void> FaultPlan::ImpatientClients(FaultScope scope) {
   Say("impatient_clients");
   clients_.SetImpatient(true);
-  co_await Sleep(blow.length);
+  co_await Sleep(scope.length);
   clients_.SetImpatient(false);
 }
 
-Awaitable<void> FaultPlan::StoreConnectionsSilent(Blow blow) {
+Awaitable<void> FaultPlan::StoreConnectionsSilent(FaultScope scope) {
   Say("store_connections_silent");
-  Disturb(blow.gateway, milliseconds(0));
-  platform_.store_proxy(blow.gateway).SilenceStanding();
+  Disturb(scope.gateway, milliseconds(0));
+  platform_.store_proxy(scope.gateway).SilenceStanding();
   co_return;
 }
 
-Awaitable<void> FaultPlan::ServerConnectionsSilent(Blow blow) {
+Awaitable<void> FaultPlan::ServerConnectionsSilent(FaultScope scope) {
   Say("server_connections_silent");
-  platform_.server_proxy(blow.server).SilenceStanding();
+  platform_.server_proxy(scope.server).SilenceStanding();
   co_return;
 }
 
-Awaitable<void> FaultPlan::ConfigurationsInSeries(Blow blow) {
+Awaitable<void> FaultPlan::ConfigurationsInSeries(FaultScope scope) {
   Say("configurations_in_series");
-  co_await ChangeConfigurations(blow.length);
+  co_await ChangeConfigurations(scope.length);
 }
 
-Awaitable<void> FaultPlan::NarrowLinkToStore(Blow blow) {
+Awaitable<void> FaultPlan::NarrowLinkToStore(FaultScope scope) {
   Say("narrow_link_to_store");
-  Disturb(blow.gateway, blow.length);
-  platform_.store_proxy(blow.gateway).SetBytesPerSecond(kNarrowLink);
-  co_await Sleep(blow.length);
-  platform_.store_proxy(blow.gateway).SetBytesPerSecond(0);
+  Disturb(scope.gateway, scope.length);
+  platform_.store_proxy(scope.gateway).SetBytesPerSecond(kNarrowLink);
+  co_await Sleep(scope.length);
+  platform_.store_proxy(scope.gateway).SetBytesPerSecond(0);
 }
 
-Awaitable<void> FaultPlan::ReleaseServers(Blow /*blow*/) {
+Awaitable<void> FaultPlan::ReleaseServers(FaultScope /*scope*/) {
   Say("release");
   co_await ReplaceServers();
 }
 
-Awaitable<void> FaultPlan::NewConfiguration(Blow /*blow*/) {
+Awaitable<void> FaultPlan::NewConfiguration(FaultScope /*scope*/) {
   Say("configuration");
   platform_.Configure();
   co_return;
--- a/test/emulator/fault_plan.h
+++ b/test/emulator/fault_plan.h
@@ -32,7 +32,7 @@
   Awaitable<void> RunLimits();
   int limits() const { return limits_; }
   int drills() const { return drills_; }
-  /// Nothing strikes in that time; what struck before has ended by its beginning.
+  /// No fault begins in that time; those from before have ended by its beginning.
   void KeepCalm(BootClock::time_point from, BootClock::time_point until);
   void Stop() { stopped_ = true; }
 
@@ -41,14 +41,14 @@
     BootClock::time_point from;
     BootClock::time_point until;
   };
-  /// What one fault strikes, and for how long.
-  struct Blow {
+  /// What one fault acts on, and for how long.
+  struct FaultScope {
     std::chrono::milliseconds length;
     std::size_t server;
     int gateway;
     ProxyMode mode;
   };
-  using Fault = Awaitable<void> (FaultPlan::*)(Blow);
+  using Fault = Awaitable<void> (FaultPlan::*)(FaultScope);
   /// Each is as likely as the others; a fault that stands twice is twice as likely.
   static const std::array<Fault, 18> kFaults;
 
@@ -59,24 +59,24 @@
   /// @param gateway -1: all.
   void Disturb(int gateway, std::chrono::milliseconds length);
 
-  Awaitable<void> Strike(Fault fault);
-  Awaitable<void> StoreDown(Blow blow);
-  Awaitable<void> StoreSlow(Blow blow);
-  Awaitable<void> StoreLosesAnswers(Blow blow);
-  Awaitable<void> StoreForgets(Blow blow);
-  Awaitable<void> GatewayCutFromStore(Blow blow);
-  Awaitable<void> ServerLink(Blow blow);
-  Awaitable<void> ServerErrors(Blow blow);
-  Awaitable<void> OrdersLate(Blow blow);
-  Awaitable<void> StoreThrottles(Blow blow);
-  Awaitable<void> StoreGrantsSlowly(Blow blow);
-  Awaitable<void> ImpatientClients(Blow blow);
-  Awaitable<void> StoreConnectionsSilent(Blow blow);
-  Awaitable<void> ServerConnectionsSilent(Blow blow);
-  Awaitable<void> ConfigurationsInSeries(Blow blow);
-  Awaitable<void> NarrowLinkToStore(Blow blow);
-  Awaitable<void> ReleaseServers(Blow blow);
-  Awaitable<void> NewConfiguration(Blow blow);
+  Awaitable<void> Inject(Fault fault);
+  Awaitable<void> StoreDown(FaultScope scope);
+  Awaitable<void> StoreSlow(FaultScope scope);
+  Awaitable<void> StoreLosesAnswers(FaultScope scope);
+  Awaitable<void> StoreForgets(FaultScope scope);
+  Awaitable<void> GatewayCutFromStore(FaultScope scope);
+  Awaitable<void> ServerLink(FaultScope scope);
+  Awaitable<void> ServerErrors(FaultScope scope);
+  Awaitable<void> OrdersLate(FaultScope scope);
+  Awaitable<void> StoreThrottles(FaultScope scope);
+  Awaitable<void> StoreGrantsSlowly(FaultScope scope);
+  Awaitable<void> ImpatientClients(FaultScope scope);
+  Awaitable<void> StoreConnectionsSilent(FaultScope scope);
+  Awaitable<void> ServerConnectionsSilent(FaultScope scope);
+  Awaitable<void> ConfigurationsInSeries(FaultScope scope);
+  Awaitable<void> NarrowLinkToStore(FaultScope scope);
+  Awaitable<void> ReleaseServers(FaultScope scope);
+  Awaitable<void> NewConfiguration(FaultScope scope);
   Awaitable<void> Drill();
   Awaitable<void> ChangeConfigurations(std::chrono::milliseconds length);
   /// The ordinary servers are replaced one after the other.
