--- /dev/null
+++ b/src/balancing/separation_policy.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "fleet/routing_configuration.h"
+
+namespace moorfold::balancing {
+
+/// What a request does to the other requests that its server runs.
+enum class RequestWork : std::uint8_t {
+  kNeutral,    ///< Neither of the two below.
+  kPaced,      ///< A stream of an urgent route: its events must not pause.
+  kLongPrompt  ///< Its prefill pauses the streams at the same server.
+};
+
+/// Decides for one service which requests are kept apart. Answers load in which long prompts of
+/// less urgent routes pause the streams of the most urgent ones. Immutable.
+class SeparationPolicy {
+ public:
+  /// A policy that is off: every request is neutral.
+  SeparationPolicy() = default;
+  /// The policy is on if the stream routes of the service have at least two priorities and a route
+  /// of the most urgent priority states a gap target.
+  SeparationPolicy(const RoutingConfiguration& configuration, const std::string& service);
+
+  bool enabled() const { return enabled_; }
+  /// @param prompt_tokens Length of the whole prompt.
+  RequestWork Classify(const Route& route, double prompt_tokens) const;
+
+ private:
+  bool enabled_ = false;
+  std::uint32_t urgent_priority_ = 0;
+  double long_prompt_tokens_ = 0;  ///< Longer prompts are long.
+};
+
+/// The policies of all services with an engine, by service name.
+using SeparationPolicies = std::map<std::string, SeparationPolicy>;
+SeparationPolicies MakeSeparationPolicies(const RoutingConfiguration& configuration);
+
+}  // namespace moorfold::balancing
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -81,6 +81,8 @@
   settings.quota_window = ReadTime(root, "quota_window", settings.quota_window);
   settings.quota_overshoot = root.Number("quota_overshoot", 0, 1, settings.quota_overshoot);
   settings.quota_slack = root.Number("quota_slack", 0, kMaxQuotaSlack, settings.quota_slack);
+  settings.prompt_separation = root.Bool("prompt_separation", settings.prompt_separation);
+  settings.load_outlook = root.Bool("load_outlook", settings.load_outlook);
   settings.cpu_share = root.Number("cpu_share", 0, 4096, settings.cpu_share);
   root.Finish();
   problems.ThrowIfAny();
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -56,6 +56,12 @@
   std::chrono::milliseconds quota_window{8'000};
   double quota_overshoot = 0.1;  ///< Share of what the limit allows in a window.
   double quota_slack = 0;        ///< In requests or tokens, whichever the limit counts.
+  /// Whether long prompts and paced streams prefer different servers, for services whose routes
+  /// call for it (balancing/separation_policy.h).
+  bool prompt_separation = true;
+  /// Whether the leader announces when models that need the weight store can be ready, so that
+  /// requests that cannot wait that long are rejected at once.
+  bool load_outlook = true;
   double cpu_share = 1;  ///< CPU cores available; larger daemons stand for election earlier.
 };
 
