Separate long prompts from paced streams

Ruled out: exclusive pools (a request would wait or be refused for its pool); hashing server ids for each choice (the rank is kept in Server); copying the pools per model in the directory (they depend on which servers are usable).

RouteTable holds the policies. Setting prompt_separation, fields work and pool of request_end, metric moorfold_requests_by_pool_total; moorfold explain prints whole request_end lines and needs no change. The pool in logs and metrics is that of the last server chosen, only of requests that were sent.

--- a/bench/fleet_bench.cc
+++ b/bench/fleet_bench.cc
@@ -4,6 +4,7 @@
 #include <benchmark/benchmark.h>
 
 #include "fleet/placement_planner.h"
+#include "gateway/server_choice.h"
 #include "tenants/credit_ledger.h"
 #include "tenants/tenant_directory.h"
 
@@ -70,6 +71,33 @@
 }
 BENCHMARK(PlanPlacement)->Arg(140)->Arg(166)->Arg(2'400)->Unit(benchmark::kMillisecond);
 
+/// One choice among 100 servers that all hold the model and three more of 200. Argument: the
+/// request's work, 0 for neutral (no pools).
+void ChooseAmongServers(benchmark::State& state) {
+  constexpr int kServers = 100;
+  constexpr int kModels = 200;
+  ServerDirectory directory;
+  const auto now = BootClock::now();
+  for (int index = 0; index < kServers; ++index) {
+    ServerRecord record;
+    record.id = "server-" + std::to_string(index);
+    record.service = "s";
+    record.zone = index % 2 == 0 ? "z" : "y";
+    record.models = {{"model", {}}};
+    for (int other = 0; other < 3; ++other)
+      record.models.push_back({"model-" + std::to_string((index * 3 + other) % kModels), {}});
+    directory.Put(std::move(record), now);
+  }
+  ServerChoiceRequest request;
+  request.service = "s";
+  request.model.model = "model";
+  request.zone = "z";
+  request.parts = {{"shared", 8'400}, {"own", 600}};
+  request.work = static_cast<balancing::RequestWork>(state.range(0));
+  for (auto _ : state) benchmark::DoNotOptimize(ChooseServer(directory, request, now));
+}
+BENCHMARK(ChooseAmongServers)->DenseRange(0, 2);
+
 }  // namespace
 }  // namespace moorfold
 
--- a/src/balancing/separation_policy.h
+++ b/src/balancing/separation_policy.h
@@ -15,14 +15,18 @@
   kLongPrompt  ///< Its prefill pauses the streams at the same server.
 };
 
-/// Decides for one service which requests are kept apart. Answers load in which long prompts of
+/// @return the name in logs and metrics.
+const char* Name(RequestWork work);
+
+/// Decides for one service which requests are kept apart. Responds to load in which long prompts of
 /// less urgent routes pause the streams of the most urgent ones. Immutable.
 class SeparationPolicy {
  public:
   /// A policy that is off: every request is neutral.
   SeparationPolicy() = default;
-  /// The policy is on if the stream routes of the service have at least two priorities and a route
-  /// of the most urgent priority states a gap target.
+  /// The policy is on if the service has an engine, its stream routes have at least two priorities
+  /// and a stream route of the most urgent priority states a gap target. Routes that give the
+  /// service no weight send it nothing and do not count.
   SeparationPolicy(const RoutingConfiguration& configuration, const std::string& service);
 
   bool enabled() const { return enabled_; }
@@ -32,7 +36,7 @@
  private:
   bool enabled_ = false;
   std::uint32_t urgent_priority_ = 0;
-  double long_prompt_tokens_ = 0;  ///< Longer prompts are long.
+  double long_prompt_tokens_ = 0;  ///< Prompts with more tokens are long.
 };
 
 /// The policies of all services with an engine, by service name.
--- a/src/common/log_event.h
+++ b/src/common/log_event.h
@@ -163,6 +163,8 @@
   kLeaving,
   kLimit,
   kPauseMs,
+  kWork,
+  kPool,
 };
 inline constexpr std::array kLogFieldNames = {"id",
                                               "ids",
@@ -231,7 +233,9 @@
                                               "relays",
                                               "leaving",
                                               "limit",
-                                              "pause_ms"};
+                                              "pause_ms",
+                                              "work",
+                                              "pool"};
 
 /// @return the name as it stands in the log.
 constexpr const char* Name(LogEvent event) {
@@ -241,7 +245,7 @@
   return kLogFieldNames[static_cast<std::size_t>(field)];
 }
 static_assert(kLogEventNames.size() == static_cast<std::size_t>(LogEvent::kLogLinesLeftOut) + 1);
-static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kPauseMs) + 1);
+static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kPool) + 1);
 
 /// One line of a gateway's log, made only of listed events and fields.
 class EventLine {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -186,7 +186,8 @@
               {settings_.zone, ToString(channel_.endpoint()), settings_.relays_from_daemons},
               RelayPorts()),
       pipeline_(context, protocol, view_, quarantine_, quota_, statements_, permits_, metrics_, log,
-                {settings_.zone, settings_.retry_window, settings_.retry_ratio, settings_.name}) {
+                {settings_.zone, settings_.retry_window, settings_.retry_ratio, settings_.name,
+                 settings_.prompt_separation}) {
   view_.configuration_bound = settings_.configuration_bound;
   view_.staleness_bound = settings_.staleness_bound;
   const std::vector<boost::asio::io_context*> contexts = {&context_};
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -78,6 +78,7 @@
   tenant_requests.Render("tenant_requests_total", text);
   tenant_units.Render("tenant_units_total", text);
   requests_ended.Render("requests_ended_total", text);
+  requests_by_pool.Render("requests_by_pool_total", text);
   store_calls.Render("store_calls_total", text);
   failed_reads.Render("store_reads_failed_total", text);
   Count(text, "store_reads_outdated", stale_configuration_reads);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -50,6 +50,7 @@
   std::uint64_t waits_for_store_read = 0;
   std::uint64_t repeated_reads = 0;  ///< Store reads sent again because the first answer was late.
   LabelledCounter requests_ended;    ///< By route, kind, outcome and reason.
+  LabelledCounter requests_by_pool;  ///< Not neutral and sent to a server, by work and pool.
   LabelledCounter store_calls;       ///< By call and outcome.
   LabelledCounter failed_reads;      ///< Of the store, by kind of read and reason.
   /// Reads of an announced configuration that returned an older one.
--- a/src/gateway/prompt.cc
+++ b/src/gateway/prompt.cc
@@ -22,6 +22,12 @@
   return parts;
 }
 
+double TotalTokens(const std::vector<PromptPart>& parts) {
+  double tokens = 0;
+  for (const PromptPart& part : parts) tokens += part.tokens;
+  return tokens;
+}
+
 ModelReference ParseModelReference(std::string_view text) {
   const std::size_t slash = text.find('/');
   if (slash == std::string_view::npos) return {std::string(text), {}};
--- a/src/gateway/prompt.h
+++ b/src/gateway/prompt.h
@@ -15,6 +15,8 @@
 
 /// @param text "ID:TOKENS,ID:TOKENS"; malformed parts are skipped.
 std::vector<PromptPart> ParsePromptParts(std::string_view text);
+/// @return the length of the whole prompt.
+double TotalTokens(const std::vector<PromptPart>& parts);
 
 /// The model, or adapter of a model, that a request names.
 struct ModelReference {
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -142,10 +142,17 @@
                             "servers with free places refuse this request; change it", false, 0};
 }
 
+balancing::RequestWork RequestPipeline::Classify(const GatewayRequest& request) const {
+  if (!settings_.prompt_separation) return balancing::RequestWork::kNeutral;
+  return request.table->SeparationOf(request.service)
+      .Classify(*request.route, TotalTokens(request.parts));
+}
+
 ServerPtr RequestPipeline::TryChooseServer(GatewayRequest& request, NoServerReason& reason) const {
   ServerChoiceRequest choice_request{request.service, request.model, request.parts, settings_.zone,
                                      request.failed_servers};
   choice_request.daemon_name = settings_.name;
+  choice_request.work = request.work = Classify(request);
   for (const ServerRefusal& refusal : request.refusals)
     if (BootClock::now() < refusal.until) choice_request.excluded.push_back(refusal.server_id);
   if (quarantine_.tracker().HasCase(request.fingerprint) &&
@@ -158,6 +165,8 @@
   reason = choice.reason;
   request.expected_ms = choice.cost_ms;
   request.capacity_at = choice.capacity_at;
+  // A later choice without a result leaves the pool of the server that the request was sent to.
+  if (choice.server) request.other_pool = choice.other_pool;
   request.has_alternative = choice.has_alternative;
   return choice.server;
 }
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -30,6 +30,7 @@
   std::chrono::milliseconds retry_window{10'000};
   double retry_ratio = 0.2;  ///< Retries per first attempt, over the whole fleet.
   std::string name = {};     ///< Of this daemon.
+  bool prompt_separation = true;
 };
 
 /// Processes requests: finds the route, chooses a server, forwards, retries if allowed and
@@ -74,6 +75,7 @@
   Awaitable<void> AwaitStoreRead(const GatewayRequest& request);
   Awaitable<ServerPtr> AwaitServer(GatewayRequest& request);
   ServerPtr TryChooseServer(GatewayRequest& request, NoServerReason& reason) const;
+  balancing::RequestWork Classify(const GatewayRequest& request) const;
   SteadyTime AttemptDeadline(const GatewayRequest& request) const;
   bool MayRetryElsewhere(const GatewayRequest& request) const;
   NextStep DecideNextStep(const GatewayRequest& request, const AttemptResult& result);
--- a/src/gateway/request_reporter.cc
+++ b/src/gateway/request_reporter.cc
@@ -31,6 +31,13 @@
   return "none";
 }
 
+/// @return whether the request was sent to a server that was chosen by pool.
+bool HasPool(const GatewayRequest& request) {
+  return request.sends > 0 && request.work != balancing::RequestWork::kNeutral;
+}
+
+const char* PoolName(const GatewayRequest& request) { return request.other_pool ? "other" : "own"; }
+
 }  // namespace
 
 void RequestReporter::Count(const GatewayRequest& request, const RequestEnd& end) {
@@ -52,6 +59,8 @@
       ++metrics_.client_left;
       break;
   }
+  if (HasPool(request))
+    metrics_.requests_by_pool.Add({{"work", Name(request.work)}, {"pool", PoolName(request)}});
   const std::string_view route =
       request.route == nullptr ? "none" : std::string_view(request.route->name);
   metrics_.requests_ended.Add({{"route", route},
@@ -88,6 +97,9 @@
         .Field(LogField::kConfigurationAgeMs, request.configuration_age.count())
         .Field(LogField::kWaitedMs, request.waited.count());
   }
+  if (request.work != balancing::RequestWork::kNeutral)
+    line.Field(LogField::kWork, Name(request.work));
+  if (HasPool(request)) line.Field(LogField::kPool, PoolName(request));
   if (request.tenant != nullptr)
     line.Field(LogField::kTenant, request.tenant->name).Field(LogField::kUnits, request.units);
   if (request.head_sent)
--- a/src/gateway/route_table.cc
+++ b/src/gateway/route_table.cc
@@ -5,7 +5,9 @@
 namespace moorfold {
 
 RouteTable::RouteTable(RoutingConfigurationConstPtr configuration)
-    : configuration_(std::move(configuration)), tenants_(configuration_->tenants) {
+    : configuration_(std::move(configuration)),
+      tenants_(configuration_->tenants),
+      separation_(balancing::MakeSeparationPolicies(*configuration_)) {
   for (const Route& route : configuration_->routes) by_host_[route.host].push_back(&route);
   for (auto& [host, routes] : by_host_)
     std::stable_sort(routes.begin(), routes.end(), [](const Route* left, const Route* right) {
@@ -22,6 +24,12 @@
   return nullptr;
 }
 
+const balancing::SeparationPolicy& RouteTable::SeparationOf(const std::string& service) const {
+  static const balancing::SeparationPolicy kOff;
+  const auto found = separation_.find(service);
+  return found == separation_.end() ? kOff : found->second;
+}
+
 const std::string& WeightedRoundRobin::Next(const Route& route) {
   if (route.services.size() == 1) return route.services.front().service;
   std::vector<double>& credits = credits_[route.name];
--- a/src/gateway/route_table.h
+++ b/src/gateway/route_table.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "balancing/separation_policy.h"
 #include "fleet/routing_configuration.h"
 #include "tenants/tenant_directory.h"
 
@@ -23,10 +24,13 @@
   const Route* Find(std::string_view host, std::string_view target) const;
   const RoutingConfiguration& configuration() const { return *configuration_; }
   const TenantDirectory& tenants() const { return tenants_; }
+  /// @return the service's policy; one that is off if the service has no engine.
+  const balancing::SeparationPolicy& SeparationOf(const std::string& service) const;
 
  private:
   RoutingConfigurationConstPtr configuration_;
   TenantDirectory tenants_;
+  balancing::SeparationPolicies separation_;
   /// By host, longest path prefix first.
   std::unordered_map<std::string, std::vector<const Route*>> by_host_;
 };
--- a/src/gateway/server_choice.h
+++ b/src/gateway/server_choice.h
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "balancing/separation_policy.h"
 #include "gateway/server_directory.h"
 
 namespace moorfold {
@@ -17,6 +18,7 @@
   /// Software versions whose servers crash while processing this request.
   std::vector<std::string> excluded_versions = {};
   std::string daemon_name = {};  ///< Of the daemon that chooses.
+  balancing::RequestWork work = balancing::RequestWork::kNeutral;
 };
 
 /// Why no server can take a request.
@@ -33,13 +35,16 @@
   ServerPtr server;
   NoServerReason reason = NoServerReason::kNone;
   double cost_ms = 0;
+  /// The server is in the pool of the other kind of work. False for neutral requests.
+  bool other_pool = false;
   bool has_alternative = false;  ///< Another usable server without a limit exists.
   SteadyTime capacity_at{};  ///< If all servers are at their limits: when the first has capacity.
 };
 
 /// Chooses the server with the lowest expected time to first byte. The estimate covers the server's
 /// queue, the part of the prompt that is not in its cache, the network distance and a penalty for
-/// failures. Pure function.
+/// failures. Of a request that is not neutral, the servers of the other pool cost more. Pure
+/// function.
 ServerChoice ChooseServer(const ServerDirectory& directory, const ServerChoiceRequest& request,
                           SteadyTime now);
 
--- a/src/gateway/server_directory.cc
+++ b/src/gateway/server_directory.cc
@@ -79,6 +79,8 @@
 }
 
 bool Server::Holds(const ModelReference& model, SteadyTime now) const {
+  // Most servers have no override; a choice among many must not copy the model's name for each.
+  if (overrides_.empty()) return InRecord(model);
   const ModelOverride* base = FindOverride({model.model, ""}, now);
   if (base != nullptr && !base->held) return false;
   if (const ModelOverride* model_override = FindOverride(model, now)) return model_override->held;
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "balancing/server_pools.h"
 #include "common/boot_clock.h"
 #include "fleet/server_advisory.h"
 #include "fleet/server_record.h"
@@ -43,9 +44,12 @@
 /// Not thread-safe.
 class Server {
  public:
-  explicit Server(ServerRecord record) : record_(std::move(record)) {}
+  explicit Server(ServerRecord record)
+      : record_(std::move(record)), rank_(balancing::RankOf(record_.id)) {}
 
   const ServerRecord& record() const { return record_; }
+  /// @return the rank of its id, which does not change.
+  balancing::ServerRank rank() const { return rank_; }
   /// @return the key under which connections to this incarnation are pooled; they are not reused
   /// for a later incarnation.
   std::string connection_key() const {
@@ -143,6 +147,7 @@
   void SetOverride(const ModelReference& model, SteadyTime until, bool held, SteadyTime now);
 
   ServerRecord record_;
+  balancing::ServerRank rank_;
   std::vector<ModelOverride> overrides_;
   ServerAdvisoryState advisory_state_;
   bool gone_ = false;
--- a/test/gateway/explain_test.cc
+++ b/test/gateway/explain_test.cc
@@ -13,7 +13,7 @@
     "t_us=4000 event=server server=i-2 service=s state=ready\n"
     "t_us=5000 event=store_lost problem=\"no answer\"\n"
     "t_us=6000 event=attempt_failed id=r1 server=i-1 status=0 ran=maybe problem=\"reset by peer\"\n"
-    "t_us=7000 event=request_end id=r1 outcome=failed status=502 server=i-1\n"
+    "t_us=7000 event=request_end id=r1 outcome=failed status=502 work=paced pool=other server=i-1\n"
     "t_us=8000 event=configuration version=9 before=4 routes=18\n"
     "t_us=9000 event=request_end id=r10 outcome=answered status=200\n";
 
@@ -25,7 +25,7 @@
   CHECK(all.find("store_lost") != std::string::npos);
   CHECK(all.find("event=server server=i-1") != std::string::npos);
   CHECK(all.find("reset by peer") != std::string::npos);
-  CHECK(all.find("status=502") != std::string::npos);
+  CHECK(all.find("status=502 work=paced pool=other") != std::string::npos);
   CHECK(all.find("version=9") == std::string::npos);  // Later than the request.
   CHECK(all.find("i-2") == std::string::npos);        // No attempt was sent there.
   CHECK(all.find("id=r10") == std::string::npos);
--- a/test/gateway/gateway_parts_test.cc
+++ b/test/gateway/gateway_parts_test.cc
@@ -153,6 +153,9 @@
   CHECK(settings.metrics->port == 9100);
   CHECK(settings.metrics->path == "/m");
   CHECK(settings.order_handover == seconds(3));
+  CHECK(settings.prompt_separation);
+  CHECK_FALSE(
+      ParseGatewaySettings(kGoodSettings + "prompt_separation: false\n", "f").prompt_separation);
   struct Case {
     const char* name;
     std::string text;
@@ -164,6 +167,8 @@
         Case{"an unknown field", kGoodSettings + "retry_ration: 1\n", "retry_ratio"},
         Case{"no unit", kGoodSettings + "load_window: 5\n", "load_window"},
         Case{"out of range", kGoodSettings + "retry_ratio: 3\n", "retry_ratio"},
+        Case{"neither true nor false", kGoodSettings + "prompt_separation: sometimes\n",
+             "prompt_separation"},
         Case{"no YAML", "a: [", "f:"}}) {
     CAPTURE(each.name);
     try {
--- a/test/gateway/pipeline_fixture.h
+++ b/test/gateway/pipeline_fixture.h
@@ -22,7 +22,7 @@
 /// A request pipeline behind an HTTP server on loopback; the test sets up servers and routes.
 class PipelineFixture {
  public:
-  PipelineFixture()
+  explicit PipelineFixture(PipelineSettings settings = {"z", std::chrono::seconds(10), 0.2})
       : log_(-1, {}),
         view_(context_.get_executor()),
         quarantine_(context_, {}, log_, metrics_.quarantine, SingleDaemonPorts()),
@@ -32,7 +32,7 @@
         statements_(protocol_, metrics_, log_),
         permits_(context_, "self", metrics_.permits, SingleDaemonPermitPorts()),
         pipeline_(context_, protocol_, view_, quarantine_, quota_, statements_, permits_, metrics_,
-                  log_, {"z", std::chrono::seconds(10), 0.2}),
+                  log_, std::move(settings)),
         front_(
             {&context_}, {"127.0.0.1", 0}, {},
             [this](HttpServerExchange& exchange) { return pipeline_.Handle(exchange); },
--- a/test/gateway/request_reporter_test.cc
+++ b/test/gateway/request_reporter_test.cc
@@ -140,6 +140,90 @@
         1);
 }
 
+/// @return an urgent stream route under /p/ and a less urgent one under /q/.
+std::vector<Route> RoutesOfTwoPriorities() {
+  Route urgent = PipelineFixture::MakeRoute(RouteType::kStream);
+  urgent.gap_target = milliseconds(300);
+  Route other = PipelineFixture::MakeRoute(RouteType::kStream);
+  other.name = "q";
+  other.path_prefix = "/q/";
+  other.priority = 1;
+  return {urgent, other};
+}
+
+TEST_CASE("Paced requests and long prompts are counted by work and pool") {
+  const bool separation = GENERATE(true, false);
+  CAPTURE(separation);
+  PipelineSettings settings{"z", std::chrono::seconds(10), 0.2};
+  settings.prompt_separation = separation;
+  PipelineFixture fixture(settings);
+  ScriptedServer server([](ScriptedConnection& connection) {
+    connection.ReadHead();
+    connection.Write("HTTP/1.1 200 OK\r\n" + kSealed + "Connection: close\r\n\r\n");
+    connection.Write("id: 1\ndata: a\n\n");
+  });
+  fixture.SetRoutes(RoutesOfTwoPriorities(), true);
+  fixture.AddServer("i-1", server.endpoint(), {{"m", {}}});
+  const std::string short_prompt = "X-Model: m\r\nX-Prompt-Prefix: a:600\r\n";
+  const std::string long_prompt = "X-Model: m\r\nX-Prompt-Prefix: a:9000\r\n";
+  for (const char* path : {"/p/x", "/q/x"})
+    for (const std::string& headers : {short_prompt, long_prompt})
+      CHECK(PipelineFixture::Status(fixture.Exchange(PipelineFixture::Request(path, headers))) ==
+            200);
+  GatewayMetrics& metrics = fixture.metrics();
+  REQUIRE(EventuallyTrue([&] {
+    std::uint64_t ended = 0;
+    fixture.OnThread([&] { ended = metrics.requests_ended.Total(); });
+    return ended == 4;
+  }));
+  const std::uint64_t expected = separation ? 1 : 0;
+  fixture.OnThread([&] {
+    const LabelledCounter& counter = metrics.requests_by_pool;
+    CHECK(counter.Count({{"work", "paced"}, {"pool", "own"}}) == expected);
+    CHECK(counter.Count({{"work", "long_prompt"}, {"pool", "own"}}) == expected);
+    CHECK(counter.Total() == 2 * expected);
+  });
+}
+
+/// @return the line that a reporter logs for the end of `request`.
+std::string EndLineOf(const GatewayRequest& request) {
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  boost::asio::io_context context;
+  FleetView view(context.get_executor());
+  GatewayMetrics metrics;
+  EventLog log(ends[1], {});
+  RequestReporter reporter(view, metrics, log);
+  RequestEnd end;
+  end.outcome = RequestOutcome::kRefused;
+  reporter.ReportEnd(request, end);
+  log.Flush();
+  close(ends[1]);
+  std::string out(4096, '\0');
+  const ssize_t length = read(ends[0], out.data(), out.size());
+  close(ends[0]);
+  REQUIRE(length > 0);
+  out.resize(static_cast<std::size_t>(length));
+  return out;
+}
+
+TEST_CASE("The line of a request's end names its work, and its pool once it was sent") {
+  GatewayRequest request;
+  request.id = "one";
+  request.arrival = BootClock::now();
+  request.sends = 1;
+  CHECK(EndLineOf(request).find(" work=") == std::string::npos);
+  CHECK(EndLineOf(request).find(" pool=") == std::string::npos);
+  request.work = balancing::RequestWork::kPaced;
+  CHECK(EndLineOf(request).find(" work=paced pool=own") != std::string::npos);
+  request.work = balancing::RequestWork::kLongPrompt;
+  request.other_pool = true;
+  CHECK(EndLineOf(request).find(" work=long_prompt pool=other") != std::string::npos);
+  request.sends = 0;
+  CHECK(EndLineOf(request).find(" work=long_prompt") != std::string::npos);
+  CHECK(EndLineOf(request).find(" pool=") == std::string::npos);
+}
+
 TEST_CASE("Requests open for a while are logged once, so that the log names them after a kill") {
   std::array<int, 2> ends{};
   REQUIRE(pipe(ends.data()) == 0);
--- a/test/gateway/server_choice_test.cc
+++ b/test/gateway/server_choice_test.cc
@@ -172,6 +172,93 @@
   }
 }
 
+/// @return the server that has the lowest cost when each is the only candidate, so that pools have
+/// no effect.
+std::string CheapestAlone(const ServerDirectory& directory, ServerChoiceRequest request) {
+  std::string cheapest;
+  double lowest = 0;
+  for (const ServerPtr& server : directory.Of(request.service)) {
+    request.excluded.clear();
+    for (const ServerPtr& other : directory.Of(request.service))
+      if (other != server) request.excluded.push_back(other->record().id);
+    const double cost = ChooseServer(directory, request, kNow).cost_ms;
+    if (!cheapest.empty() && cost >= lowest) continue;
+    cheapest = server->record().id;
+    lowest = cost;
+  }
+  return cheapest;
+}
+
+TEST_CASE("A neutral request gets the server of the lowest cost, whatever the pools") {
+  ServerDirectory directory;
+  for (int server = 0; server < 12; ++server)
+    directory.Put(MakeRecord("i-" + std::to_string(server), server % 3 == 0 ? "y" : "z"), kNow);
+  ServerChoiceRequest request = MakeRequest("m");
+  for (std::uint32_t round = 0; round < 50; ++round) {
+    CAPTURE(round);
+    std::uint32_t position = 0;
+    for (const ServerPtr& server : directory.Of("s")) {
+      const std::uint32_t load = (round * 7 + ++position * 5) % 11;
+      server->NoteLoad(load, load / 4, kNow);
+    }
+    request.parts = {{"prefix-" + std::to_string(round), 5'000}, {"own", 500}};
+    const ServerChoice choice = ChooseServer(directory, request, kNow);
+    REQUIRE(choice.server);
+    CHECK(choice.server->record().id == CheapestAlone(directory, request));
+    CHECK_FALSE(choice.other_pool);
+  }
+}
+
+TEST_CASE("Paced requests and long prompts prefer different servers to a cached prompt") {
+  ServerDirectory directory;
+  for (int server = 0; server < 5; ++server)
+    directory.Put(MakeRecord("i-" + std::to_string(server)), kNow);
+  ServerChoiceRequest paced = MakeRequest("m");
+  paced.parts = {{"shared", 600}};
+  paced.work = balancing::RequestWork::kPaced;
+  const ServerChoice first = ChooseServer(directory, paced, kNow);
+  REQUIRE(first.server);
+  CHECK_FALSE(first.other_pool);
+  ServerChoiceRequest prompt = MakeRequest("m");
+  prompt.parts = {{"document", 9'000}, {"own", 1}};
+  prompt.work = balancing::RequestWork::kLongPrompt;
+  first.server->RecordPrompt(prompt.model, prompt.parts);
+  const ServerChoice second = ChooseServer(directory, prompt, kNow);
+  REQUIRE(second.server);
+  CHECK(second.server != first.server);
+  CHECK_FALSE(second.other_pool);
+}
+
+TEST_CASE("A pool whose servers all fail is replaced by the other one") {
+  // Guards against a preference that refuses requests or sends them to failing servers.
+  ServerDirectory directory;
+  for (int server = 0; server < 5; ++server)
+    directory.Put(MakeRecord("i-" + std::to_string(server)), kNow);
+  ServerChoiceRequest request = MakeRequest("m");
+  request.work = GENERATE(balancing::RequestWork::kPaced, balancing::RequestWork::kLongPrompt);
+  balancing::ServerPools pools;
+  for (const ServerPtr& server : directory.Of("s")) pools.Add(server->rank());
+  pools.Divide();
+  std::vector<ServerPtr> own;
+  for (const ServerPtr& server : directory.Of("s"))
+    if (!pools.InOtherPool(server->rank(), request.work)) own.push_back(server);
+  SECTION("recent failures: the servers stay candidates") {
+    for (const ServerPtr& server : own) server->RecordFailure(kNow);
+    const ServerChoice choice = ChooseServer(directory, request, kNow);
+    REQUIRE(choice.server);
+    CHECK_FALSE(choice.server->Suspect(kNow));
+    CHECK(choice.other_pool);
+  }
+  SECTION("unreachable: the rest is divided anew") {
+    for (const ServerPtr& server : own)
+      for (int failure = 0; failure < 4; ++failure) server->MarkUnreachable(kNow);
+    const ServerChoice choice = ChooseServer(directory, request, kNow);
+    REQUIRE(choice.server);
+    CHECK(choice.reason == NoServerReason::kNone);
+    CHECK(pools.InOtherPool(choice.server->rank(), request.work));
+  }
+}
+
 TEST_CASE("The index of servers by model follows changes of their records") {
   ServerDirectory directory;
   for (int server = 0; server < 100; ++server) {
