Planner: late responses may replace last replicas whose weights stay local

Ranking such placements by gain among the others: 10 late responses/s outrank a request that waits for a model without a replica. Change: PlannerLimits::may_replace_local_replicas (off by default: no plan changes). With it, PlaceAt sets evicts_last_replica only if a victim's weights are neither in the server's memory nor on its disk. The late gain counts for such a replacement only above the tolerated rate, and the placement is made after all others of the plan. PlacementStep::for_late_responses marks the unload that begins it.

--- a/src/fleet/placement_planner.cc
+++ b/src/fleet/placement_planner.cc
@@ -222,15 +222,36 @@
   for (const LoadedModel* candidate : held) {
     if (free >= model.weights_mb) break;
     free += HeldMegabytes(*candidate);
-    placement.cost += RemovalLossOf(candidate->name) * kPlanningHorizonS + kEvictionOverhead;
-    placement.victims.push_back(candidate->name);
-    placement.evicts_last_replica =
-        placement.evicts_last_replica || ReplicaCount(candidate->name) <= 1;
+    AddVictim(placement, candidate->name);
   }
   if (free < model.weights_mb) return std::nullopt;
   return placement;
 }
 
+void PlacementPlanner::AddVictim(Placement& placement, const std::string& model) {
+  placement.cost += RemovalLossOf(model) * kPlanningHorizonS + kEvictionOverhead;
+  placement.victims.push_back(model);
+  if (ReplicaCount(model) > 1) return;
+  if (limits_.may_replace_local_replicas && !FromWeightStore(*placement.server, model))
+    placement.replaces_local_replica = true;
+  else
+    placement.evicts_last_replica = true;
+}
+
+/// Below the tolerated rate, late responses are random and do not justify that another model has no
+/// replica, even for the time of a local load.
+bool PlacementPlanner::LateGainCounts(const ReplicaCandidate& candidate_model,
+                                      const Placement& placement) {
+  if (placement.evicts_last_replica) return false;
+  return !placement.replaces_local_replica || candidate_model.has_late_responses;
+}
+
+bool PlacementPlanner::ReplacesForLateResponses(const ReplicaCandidate& candidate_model,
+                                                const Placement& placement) {
+  return placement.replaces_local_replica &&
+         candidate_model.gain * kPlanningHorizonS - placement.cost < kMinBenefit;
+}
+
 void PlacementPlanner::AddLoadStep(PlannedServer& server, const ModelDescription& model) {
   const bool from_store = FromWeightStore(server, model.name);
   if (from_store) limits_.weight_store_loads -= 1;
@@ -274,7 +295,8 @@
   return true;
 }
 
-void PlacementPlanner::PlaceModel(const ReplicaCandidate& candidate_model) {
+std::optional<PlacementPlanner::Placement> PlacementPlanner::BestPlacement(
+    const ReplicaCandidate& candidate_model) {
   std::optional<Placement> best;
   double best_benefit = kMinBenefit;
   // Independent of the server: evaluating it for each one would make a plan quadratic in the number
@@ -286,17 +308,24 @@
                 local_copy_exists);
     if (!placement) continue;
     const double gain =
-        candidate_model.gain + (placement->evicts_last_replica ? 0 : candidate_model.late_gain);
+        candidate_model.gain +
+        (LateGainCounts(candidate_model, *placement) ? candidate_model.late_gain : 0);
     const double benefit = gain * kPlanningHorizonS - placement->cost;
     if (benefit < best_benefit) continue;
     best_benefit = benefit;
     best = std::move(placement);
   }
-  if (!best) return;
-  if (best->victims.empty())
-    AddLoadStep(*best->server, *candidate_model.model);
-  else
-    AddUnloadStep(*best->server, best->victims.front(), candidate_model.model->name);
+  return best;
+}
+
+void PlacementPlanner::AddFirstStep(const ReplicaCandidate& candidate_model,
+                                    const Placement& placement) {
+  if (placement.victims.empty()) {
+    AddLoadStep(*placement.server, *candidate_model.model);
+    return;
+  }
+  AddUnloadStep(*placement.server, placement.victims.front(), candidate_model.model->name);
+  steps_.back().for_late_responses = ReplacesForLateResponses(candidate_model, placement);
 }
 
 std::vector<PlacementPlanner::ReplicaCandidate> PlacementPlanner::RankCandidates() const {
@@ -313,7 +342,7 @@
       gain += kWaitingRequestWeight * demand.waiting + kUnservedSecondWeight * demand.unserved_s;
     const double late_gain = value_.LateResponseGain(demand, replicas);
     if ((gain + late_gain) * kPlanningHorizonS > kMinBenefit)
-      candidates.push_back({model, gain, late_gain});
+      candidates.push_back({model, gain, late_gain, value_.HasLateResponses(demand, replicas)});
   }
   std::stable_sort(candidates.begin(), candidates.end(),
                    [](const ReplicaCandidate& left, const ReplicaCandidate& right) {
@@ -325,11 +354,22 @@
 void PlacementPlanner::PlanModels() {
   for (PlannedServer& server : servers_)
     if (server.accepts_orders && !server.reserved_for.empty()) ContinueReservation(server);
-  std::size_t placed = 0;
-  for (const ReplicaCandidate& candidate_model : RankCandidates()) {
-    if (placed++ >= kMaxCandidatesPerPlan) break;
-    PlaceModel(candidate_model);
+  std::vector<ReplicaCandidate> candidates = RankCandidates();
+  if (candidates.size() > kMaxCandidatesPerPlan) candidates.resize(kMaxCandidatesPerPlan);
+  // Last replicas are replaced for late responses after all other placements, since a model that
+  // requests wait for needs the server more.
+  std::vector<ReplicaCandidate> deferred;
+  for (const ReplicaCandidate& candidate_model : candidates) {
+    const std::optional<Placement> placement = BestPlacement(candidate_model);
+    if (!placement) continue;
+    if (ReplacesForLateResponses(candidate_model, *placement))
+      deferred.push_back(candidate_model);
+    else
+      AddFirstStep(candidate_model, *placement);
   }
+  for (const ReplicaCandidate& candidate_model : deferred)
+    if (const std::optional<Placement> placement = BestPlacement(candidate_model))
+      AddFirstStep(candidate_model, *placement);
 }
 
 void PlacementPlanner::PlanAdapter(const ModelReference& name, const ModelDemand& demand) {
--- a/src/fleet/placement_planner.h
+++ b/src/fleet/placement_planner.h
@@ -42,12 +42,19 @@
   std::string reserved_for;        ///< For an unload: the model for which memory is freed.
   bool from_weight_store = false;  ///< Whether a model load reads from the weight store.
   std::chrono::milliseconds expected{0};
+  /// For an unload: whether it begins a placement that replaces the last replica of a model, made
+  /// for the gain from fewer late responses. Set once for each placement.
+  bool for_late_responses = false;
 };
 
 struct PlannerLimits {
   double weight_store_loads = 0;  ///< Loads from the weight store that may start now.
   /// Concurrent requests that one server handles within the response target.
   double requests_per_server = 1;
+  /// Whether the gain from fewer late responses may evict a model's last replica if its weights
+  /// stay on the server. A request for that model then costs a load from there, not from the weight
+  /// store.
+  bool may_replace_local_replicas = false;
 };
 
 /// Decides which server holds which models and adapters. Deterministic: the same input yields the
@@ -69,27 +76,43 @@
   /// A model that would benefit from one more replica.
   struct ReplicaCandidate {
     const ModelDescription* model = nullptr;
-    double gain = 0;       ///< Request-seconds saved per second.
-    double late_gain = 0;  ///< Request-seconds saved per second by fewer late responses.
+    double gain = 0;                  ///< Request-seconds saved per second.
+    double late_gain = 0;             ///< Request-seconds saved per second by fewer late responses.
+    bool has_late_responses = false;  ///< More than tolerated.
   };
   /// A way to place a model on a server.
   struct Placement {
     PlannedServer* server = nullptr;
     double cost = 0;  ///< Request-seconds over the planning horizon.
     std::vector<std::string> victims;
-    bool evicts_last_replica = false;  ///< Whether a victim has no replica elsewhere.
+    /// Whether a victim has no replica elsewhere. Such a victim does not count if its weights stay
+    /// on the server and local replicas may be replaced.
+    bool evicts_last_replica = false;
+    /// Whether a victim has no replica elsewhere, but its weights stay on the server. Set only if
+    /// local replicas may be replaced.
+    bool replaces_local_replica = false;
   };
 
   void PlanAdapters();
   void PlanAdapter(const ModelReference& name, const ModelDemand& demand);
   void PlanModels();
   std::vector<ReplicaCandidate> RankCandidates() const;
-  void PlaceModel(const ReplicaCandidate& candidate_model);
+  /// @return the placement with the highest benefit, or nothing if none is worth its cost.
+  std::optional<Placement> BestPlacement(const ReplicaCandidate& candidate_model);
+  void AddFirstStep(const ReplicaCandidate& candidate_model, const Placement& placement);
   bool ContinueReservation(PlannedServer& server);
   /// @return how to place the model on the server, or nothing if that is not possible now.
   /// @param local_copy_exists whether some server can load the model without the weight store.
   std::optional<Placement> PlaceAt(PlannedServer& server, const ModelDescription& model,
                                    double gain, bool local_copy_exists);
+  /// Adds a model of the server to those that the placement evicts.
+  void AddVictim(Placement& placement, const std::string& model);
+  /// @return whether the gain from fewer late responses may justify the placement.
+  static bool LateGainCounts(const ReplicaCandidate& candidate_model, const Placement& placement);
+  /// @return whether the placement replaces a local replica and only the gain from fewer late
+  /// responses justifies it.
+  static bool ReplacesForLateResponses(const ReplicaCandidate& candidate_model,
+                                       const Placement& placement);
   double RemovalLossOf(const std::string& model);
   double DemandSurvivalProbability(const std::string& model, double seconds) const;
   void CountReplicas();
--- a/src/fleet/placement_value.h
+++ b/src/fleet/placement_value.h
@@ -32,8 +32,8 @@
     return RequiredServers(demand) > static_cast<double>(replicas);
   }
   /// @return the loss that one more replica avoids through fewer late responses. Separate from
-  /// `Gain` because it does not justify evicting another model's last replica: a model without a
-  /// replica loses more.
+  /// `Gain` because it does not justify evicting another model's last replica, except one whose
+  /// weights stay local (PlannerLimits): a model without a replica loses more.
   double LateResponseGain(const ModelDemand& demand, std::size_t replicas) const;
   /// @return whether late responses would persist with that many replicas.
   bool HasLateResponses(const ModelDemand& demand, std::size_t replicas) const;
--- a/test/fleet/placement_test.cc
+++ b/test/fleet/placement_test.cc
@@ -2,6 +2,7 @@
 
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "common/boot_clock.h"
@@ -311,6 +312,216 @@
   CHECK(loading_replicas <= 4);
 }
 
+ModelDemand Late(double late_responses_per_second) {
+  ModelDemand demand = Busy(10);
+  demand.late_responses_per_second = late_responses_per_second;
+  return demand;
+}
+
+ModelDemand Rare(double arrivals_per_second) {
+  ModelDemand demand;
+  demand.long_term_arrivals_per_second = arrivals_per_second;
+  demand.last_seen = kNow;
+  return demand;
+}
+
+/// A server with the weights of "a", of "w" and of the models that it holds on its disk.
+PlannedServer MakeServerWithDisk(const std::string& id, const std::vector<std::string>& models) {
+  PlannedServer server = MakeServer(id, models);
+  server.on_disk = models;
+  server.on_disk.insert(server.on_disk.end(), {"a", "w"});
+  return server;
+}
+
+/// Load in which the responses of "a", which one server holds, are late. Each other replica is the
+/// last one of its model; no server that accepts orders has room for another model.
+struct LateFleet {
+  explicit LateFleet(double late_per_second = 10) {
+    demand = {{{"a", ""}, Late(late_per_second)},
+              {{"b", ""}, Rare(0.2)},
+              {{"c", ""}, Rare(0.05)},
+              {{"d", ""}, Rare(0.1)},
+              {{"e", ""}, Rare(0.2)}};
+    servers[0].accepts_orders = false;
+    for (const char* name : {"e", "w"}) {
+      engine.models.push_back(engine.models.front());
+      engine.models.back().name = name;
+    }
+  }
+  std::vector<PlacementStep> Plan(bool may_replace = true) const {
+    const PlannerLimits limits{10, kRequestsPerServer, may_replace};
+    return PlacementPlanner(engine, demand, servers, limits, kNow).Plan();
+  }
+  EngineDescription engine = MakeEngine();
+  std::map<ModelReference, ModelDemand> demand;
+  std::vector<PlannedServer> servers = {MakeServerWithDisk("holder", {"a"}),
+                                        MakeServerWithDisk("one", {"b", "c"}),
+                                        MakeServerWithDisk("two", {"d", "e"})};
+};
+
+TEST_CASE("Late responses replace the last replica of lowest value if its weights stay local") {
+  // Guards against a busy model that stays on one server because each other replica is the last
+  // one of its model.
+  LateFleet fleet;
+  CHECK(fleet.Plan(false).empty());
+  const auto steps = fleet.Plan();
+  REQUIRE(steps.size() == 1);
+  CHECK(steps[0].kind == ServerOrderKind::kUnload);
+  CHECK(steps[0].server_id == "one");
+  CHECK(steps[0].name.model == "c");
+  CHECK(steps[0].reserved_for == "a");
+  CHECK(steps[0].for_late_responses);
+  SECTION("weights in memory are local, too") {
+    fleet.servers[1].on_disk = {"a"};
+    fleet.servers[1].in_memory = {"c"};
+    const auto from_memory = fleet.Plan();
+    REQUIRE(from_memory.size() == 1);
+    CHECK(from_memory[0].name.model == "c");
+  }
+  SECTION("a model whose weights would be gone is not replaced, however rare it is") {
+    std::erase(fleet.servers[1].on_disk, "c");
+    const auto other = fleet.Plan();
+    REQUIRE(other.size() == 1);
+    CHECK(other[0].name.model == "d");
+    for (PlannedServer& server : fleet.servers) server.on_disk = {"a"};
+    CHECK(fleet.Plan().empty());
+  }
+  SECTION("a placement whose second victim's weights would be gone is not made") {
+    fleet.engine.models.front().weights_mb = 180;
+    fleet.engine.weights_mb = 180;
+    fleet.servers.pop_back();
+    REQUIRE(fleet.Plan().size() == 1);
+    std::erase(fleet.servers[1].on_disk, "b");
+    CHECK(fleet.Plan().empty());
+  }
+  SECTION("a surplus replica is evicted without the mark") {
+    fleet.servers.push_back(MakeServerWithDisk("three", {"c", "b"}));
+    fleet.servers.back().accepts_orders = false;
+    const auto surplus = fleet.Plan();
+    REQUIRE(surplus.size() == 1);
+    CHECK(surplus[0].server_id == "one");
+    CHECK_FALSE(surplus[0].for_late_responses);
+  }
+}
+
+TEST_CASE("Late responses at the tolerated rate do not replace a last replica") {
+  // Guards against replacing replicas because of random late responses: the gain of a second
+  // replica exceeds the cost of an eviction at somewhat lower rates than the tolerated one.
+  CHECK(LateFleet(0.48).Plan().empty());
+  CHECK(LateFleet(0.6).Plan().size() == 1);
+}
+
+TEST_CASE("A model that requests wait for is placed before local replicas are replaced") {
+  // Guards against a busy model that takes the only server that accepts orders from a model that
+  // no server holds: its gain from fewer late responses is higher than that of one waiting request.
+  LateFleet fleet;
+  fleet.demand[{"w", ""}] = Waiting(1);
+  fleet.servers[2].accepts_orders = false;
+  const auto steps = fleet.Plan();
+  REQUIRE(steps.size() == 1);
+  CHECK(steps[0].reserved_for == "w");
+  CHECK_FALSE(steps[0].for_late_responses);
+  fleet.servers[2].accepts_orders = true;
+  const auto both = fleet.Plan();
+  REQUIRE(both.size() == 2);
+  CHECK(both[0].reserved_for == "w");
+  CHECK(both[1].reserved_for == "a");
+  CHECK(both[1].for_late_responses);
+}
+
+TEST_CASE("A leader without demand reports replaces no replica") {
+  // Guards against a new leader that evicts replicas before it knows which models are in use.
+  LateFleet fleet;
+  fleet.demand = FleetDemand().ForService("service", kNow);
+  CHECK(fleet.demand.empty());
+  CHECK(fleet.Plan().empty());
+}
+
+/// Carries out the steps of a plan at once.
+void CarryOut(const std::vector<PlacementStep>& steps, std::vector<PlannedServer>& servers) {
+  for (const PlacementStep& step : steps)
+    for (PlannedServer& server : servers) {
+      if (server.id != step.server_id) continue;
+      server.reserved_for = step.reserved_for;
+      if (step.kind == ServerOrderKind::kLoad)
+        server.models.push_back({step.name.model, {}});
+      else
+        std::erase_if(server.models,
+                      [&](const LoadedModel& held) { return held.name == step.name.model; });
+    }
+}
+
+std::size_t HoldersOf(const std::string& model, const std::vector<PlannedServer>& servers) {
+  return static_cast<std::size_t>(
+      std::count_if(servers.begin(), servers.end(),
+                    [&](const PlannedServer& server) { return server.Find(model) != nullptr; }));
+}
+
+TEST_CASE("Replicas are replaced until late responses fall under the tolerated rate, not longer") {
+  // Guards against endless swapping. The load: ten late responses per second on one server; their
+  // rate falls with the square of the replicas.
+  constexpr double kLateOnOneServer = 10;
+  constexpr double kTolerated = 0.5;
+  constexpr int kServers = 12;
+  constexpr int kPlans = 10;
+  LateFleet fleet;
+  fleet.servers.resize(1);
+  for (int index = 0; index < kServers; ++index) {
+    std::vector<std::string> models;
+    for (const char* place : {"first-", "second-"}) {
+      models.push_back(place + std::to_string(index));
+      fleet.engine.models.push_back(fleet.engine.models.front());
+      fleet.engine.models.back().name = models.back();
+      fleet.demand[{models.back(), ""}] = Rare(0.05);
+    }
+    fleet.servers.push_back(MakeServerWithDisk("server-" + std::to_string(index), models));
+  }
+  std::size_t replaced = 0;
+  int last_plan_with_steps = 0;
+  for (int plan = 1; plan <= kPlans; ++plan) {
+    const auto replicas = static_cast<double>(HoldersOf("a", fleet.servers));
+    const double late = kLateOnOneServer / (replicas * replicas);
+    fleet.demand[{"a", ""}] = Late(late);
+    const std::vector<PlacementStep> steps = fleet.Plan();
+    for (const PlacementStep& step : steps) {
+      if (!step.for_late_responses) continue;
+      ++replaced;
+      CHECK(late > kTolerated);
+    }
+    if (!steps.empty()) last_plan_with_steps = plan;
+    CarryOut(steps, fleet.servers);
+  }
+  const std::size_t replicas = HoldersOf("a", fleet.servers);
+  CHECK(replicas == replaced + 1);
+  CHECK(replicas >= 3);
+  CHECK(replicas <= 5);
+  CHECK(last_plan_with_steps < kPlans);
+}
+
+TEST_CASE("The switch changes no plan without late responses or without local weights") {
+  rc::check([] {
+    LateFleet fleet(*rc::gen::inRange(0, 20));
+    const bool local = *rc::gen::arbitrary<bool>();
+    if (local) fleet.demand[{"a", ""}].late_responses_per_second = 0;
+    for (auto& [name, demand] : fleet.demand) {
+      demand.waiting = *rc::gen::inRange(0, 3);
+      demand.in_flight = *rc::gen::inRange(0, 90);
+    }
+    for (PlannedServer& server : fleet.servers) {
+      server.accepts_orders = *rc::gen::inRange(0, 4) > 0;
+      if (!local) server.on_disk = {"a", "w"};
+    }
+    const auto text = [](const std::vector<PlacementStep>& steps) {
+      std::string joined;
+      for (const PlacementStep& step : steps)
+        joined += step.server_id + " " + ToString(step.name) + " " + step.reserved_for +
+                  (step.for_late_responses ? " late\n" : "\n");
+      return joined;
+    };
+    RC_ASSERT(text(fleet.Plan(true)) == text(fleet.Plan(false)));
+  });
+}
+
 struct AdapterFleet {
   std::vector<PlannedServer> servers;
   std::map<ModelReference, ModelDemand> demand;
