Controller: order lines and a metric for replicas replaced for late responses

Cause: an operator could not tell such an unload from one for a waiting model. Ruled out: a line of its own; the order line has the server, the model and the outcome already. Change: log field cause=late_responses of an order, moorfold_replicas_replaced_for_late_responses_total (unloads that the server accepted), ControllerSettings::replace_local_replicas from the setting prompt_separation.

--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -28,6 +28,9 @@
 /// paired days of one deployment).
 constexpr double kTargetSlotUtilization = 0.6;
 
+/// Cause of an unload in its order line.
+constexpr const char* kLateResponsesCause = "late_responses";
+
 const char* OutcomeName(ServerOrderOutcome outcome) {
   switch (outcome) {
     case ServerOrderOutcome::kInProgress:
@@ -374,17 +377,23 @@
   }
 }
 
-void FleetController::RecordOrder(const ServerOrder& order, ServerOrderOutcome outcome) {
+void FleetController::RecordOrder(const PlacementStep& step, const ServerOrder& order,
+                                  ServerOrderOutcome outcome) {
   const char* kind = order.kind == ServerOrderKind::kLoad ? "load" : "unload";
   metrics_.orders.Add({{"kind", kind}, {"outcome", OutcomeName(outcome)}});
-  log_.Write(LogRank::kDecision, EventLine(LogEvent::kOrder)
-                                     .Field(LogField::kKind, kind)
-                                     .Field(LogField::kModel, order.model)
-                                     .Field(LogField::kAdapter, order.adapter)
-                                     .Field(LogField::kServer, order.server_id)
-                                     .Field(LogField::kOrderCount, order.order_count)
-                                     .Field(LogField::kToken, order.fencing_token)
-                                     .Field(LogField::kOutcome, OutcomeName(outcome)));
+  EventLine line(LogEvent::kOrder);
+  line.Field(LogField::kKind, kind)
+      .Field(LogField::kModel, order.model)
+      .Field(LogField::kAdapter, order.adapter)
+      .Field(LogField::kServer, order.server_id)
+      .Field(LogField::kOrderCount, order.order_count)
+      .Field(LogField::kToken, order.fencing_token)
+      .Field(LogField::kOutcome, OutcomeName(outcome));
+  if (step.for_late_responses) {
+    line.Field(LogField::kCause, kLateResponsesCause);
+    if (outcome == ServerOrderOutcome::kInProgress) ++metrics_.replicas_replaced_for_late_responses;
+  }
+  log_.Write(LogRank::kDecision, line);
 }
 
 void FleetController::ApplyOutcome(ManagedServer& managed, const PlacementStep& step,
@@ -414,7 +423,7 @@
   const ServerOrderOutcome outcome = co_await SendOrder(order, endpoint);
   --sending_;
   election_.NoteOrder(managed->id);
-  RecordOrder(order, outcome);
+  RecordOrder(step, order, outcome);
   ApplyOutcome(*managed, step, outcome);
   const bool refused =
       outcome != ServerOrderOutcome::kInProgress && outcome != ServerOrderOutcome::kNoAnswer;
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -45,6 +45,9 @@
 struct ControllerSettings {
   std::string holder;  ///< Name of this machine in orders.
   std::chrono::milliseconds load_window{5'000};
+  /// Whether late responses may replace last replicas whose weights stay on their server, for
+  /// services whose separation policy is on.
+  bool replace_local_replicas = true;
 };
 
 /// Executes the planner's steps while this daemon is the leader. Each server has at most one order
@@ -111,7 +114,7 @@
   /// Updates the adapters of the tracked model after a completed adapter order.
   static void ApplyAdapterChange(ManagedServer& managed, const PlacementStep& step);
   void Notify(const ManagedServer& managed, const ModelReference& name, bool held);
-  void RecordOrder(const ServerOrder& order, ServerOrderOutcome outcome);
+  void RecordOrder(const PlacementStep& step, const ServerOrder& order, ServerOrderOutcome outcome);
 
   boost::asio::io_context& context_;
   const FleetProtocol& protocol_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -168,7 +168,7 @@
                  settings_.order_handover, settings_.load_window, CandidacyDelay(settings_)}),
       statements_(protocol, metrics_, log),
       controller_(context, protocol, view_, election_, statements_, metrics_, log,
-                  {settings_.name, settings_.load_window},
+                  {settings_.name, settings_.load_window, settings_.prompt_separation},
                   [this](const PlacementNotice& notice) {
                     ApplyPlacementNotice(notice);
                     BroadcastPlacementNotice(notice);
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -95,6 +95,7 @@
   Count(text, "relayed_changes", relayed_changes);
   orders.Render("orders_total", text);
   Count(text, "loads_from_weight_store", loads_from_weight_store);
+  Count(text, "replicas_replaced_for_late_responses", replicas_replaced_for_late_responses);
   Count(text, "log_lines_lost", log_lines_lost);
   Gauge(text, "configuration_version", configuration_version);
   Gauge(text, "servers_known", servers_known);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -69,6 +69,8 @@
   std::uint64_t relayed_changes = 0;      ///< Server changes applied from relay answers.
   LabelledCounter orders;                 ///< By kind and outcome.
   std::uint64_t loads_from_weight_store = 0;
+  /// Accepted unloads that replace a model's last replica to reduce late responses.
+  std::uint64_t replicas_replaced_for_late_responses = 0;
   std::uint64_t log_lines_lost = 0;
   std::int64_t configuration_version = 0;
   std::int64_t servers_known = 0;
