--- a/bench/fleet_bench.cc
+++ b/bench/fleet_bench.cc
@@ -34,17 +34,21 @@
 }
 BENCHMARK(KeyAndCredit)->Arg(100)->Arg(10'000);
 
-/// One plan for that many model servers, seven models on each one's disk and two loaded, each model
-/// asked for, some of them standing nowhere. Whether a model lies near some server was looked for
-/// at each server: 6.1 ms at 140 and 1,190 ms at 2,400 servers; once for each model: 1.3 and 46 ms.
-void PlanPlacement(benchmark::State& state) {
+/// That many model servers, seven models on each one's disk and two loaded, each model asked for,
+/// some of them standing nowhere.
+struct PlacementLoad {
   EngineDescription engine;
+  std::map<ModelReference, ModelDemand> demand;
+  std::vector<PlannedServer> servers;
+  BootClock::time_point now = BootClock::now();
+};
+
+PlacementLoad MakePlacementLoad(std::size_t count) {
+  PlacementLoad load;
+  auto& [engine, demand, servers, now] = load;
   engine.weights_mb = 200'000;
   engine.adapter_slots = 8;
-  const auto count = static_cast<std::size_t>(state.range(0));
   const std::size_t models = count * 12 / 5;
-  std::map<ModelReference, ModelDemand> demand;
-  const auto now = BootClock::now();
   for (std::size_t model = 0; model < models; ++model) {
     engine.models.push_back({"model-" + std::to_string(model), 72'700, 66,
                              std::chrono::milliseconds(13'200), std::chrono::milliseconds(1'200),
@@ -54,7 +58,7 @@
     wanted.waiting = model % 10 == 0 ? 1 : 0;
     wanted.last_seen = now;
   }
-  std::vector<PlannedServer> servers(count);
+  servers.resize(count);
   for (std::size_t index = 0; index < count; ++index) {
     servers[index].id = "server-" + std::to_string(index);
     servers[index].accepts_orders = servers[index].serving = true;
@@ -63,13 +67,38 @@
     for (std::size_t disk = 0; disk < 7; ++disk)
       servers[index].on_disk.push_back(engine.models[(index * 7 + disk) % models].name);
   }
+  return load;
+}
+
+void MeasurePlan(benchmark::State& state, const PlacementLoad& load, bool may_replace) {
   for (auto _ : state) {
-    PlacementPlanner planner(engine, demand, servers, {1, 20}, now);
+    const PlannerLimits limits{1, 20, may_replace};
+    PlacementPlanner planner(load.engine, load.demand, load.servers, limits, load.now);
     benchmark::DoNotOptimize(planner.Plan());
   }
 }
+
+/// One plan. Whether a model lies near some server was looked for at each server: 6.1 ms at 140 and
+/// 1,190 ms at 2,400 servers; once for each model: 1.3 and 46 ms.
+void PlanPlacement(benchmark::State& state) {
+  MeasurePlan(state, MakePlacementLoad(static_cast<std::size_t>(state.range(0))), false);
+}
 BENCHMARK(PlanPlacement)->Arg(140)->Arg(166)->Arg(2'400)->Unit(benchmark::kMillisecond);
 
+/// The same, with late responses of one model in ten, and with each server's models on its disk, so
+/// that they may be replaced (second argument).
+void PlanAgainstLateResponses(benchmark::State& state) {
+  PlacementLoad load = MakePlacementLoad(static_cast<std::size_t>(state.range(0)));
+  for (std::size_t model = 1; model < load.engine.models.size(); model += 10)
+    load.demand[{load.engine.models[model].name, ""}].late_responses_per_second = 10;
+  for (PlannedServer& server : load.servers)
+    for (const LoadedModel& held : server.models) server.on_disk.push_back(held.name);
+  MeasurePlan(state, load, state.range(1) != 0);
+}
+BENCHMARK(PlanAgainstLateResponses)
+    ->ArgsProduct({{140, 600, 2'400}, {0, 1}})
+    ->Unit(benchmark::kMillisecond);
+
 }  // namespace
 }  // namespace moorfold
 
