Controller: late responses may replace local replicas in services with separation

Cause: the planner's switch was not set anywhere. Ruled out: setting it for plans of adapters only, which place no models. Change: PlanService sets may_replace_local_replicas if the setting is on and the service's separation policy is enabled, from RouteTable::separation_policies().

--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <set>
 
+#include "balancing/separation_policy.h"
 #include "common/boot_clock.h"
 #include "http/http_status.h"
 
@@ -266,12 +267,20 @@
   const double loads =
       std::min(election_.loads().AvailableLoads(service.engine->loads_per_second, now),
                store_limit_.AvailableLoads(ActiveStoreLoads(), LongestLoadTime(*service.engine)));
-  const PlannerLimits limits{loads, kTargetSlotUtilization * service.engine->slots};
+  const PlannerLimits limits{loads, kTargetSlotUtilization * service.engine->slots,
+                             MayReplaceLocalReplicas(service.name)};
   PlacementPlanner planner(*service.engine, demand_.ForService(service.name, now),
                            std::move(servers), limits, now);
   StartSteps(planner.Plan());
 }
 
+bool FleetController::MayReplaceLocalReplicas(const std::string& service) const {
+  if (!settings_.replace_local_replicas) return false;
+  const balancing::SeparationPolicies& policies = fleet_view_.routes->separation_policies();
+  const auto policy = policies.find(service);
+  return policy != policies.end() && policy->second.enabled();
+}
+
 void FleetController::StartSteps(const std::vector<PlacementStep>& steps) {
   for (const PlacementStep& step : steps)
     if (const ServerPtr server = fleet_view_.servers.Find(step.server_id)) StartStep(step, *server);
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -81,6 +81,8 @@
   void PlanAdaptersSoon();
   void StartSteps(const std::vector<PlacementStep>& steps);
   void PlanService(const ServiceDescription& service);
+  /// @return whether late responses may replace last replicas of the service's models.
+  bool MayReplaceLocalReplicas(const std::string& service) const;
   PlannedServer MakePlannedServer(const Server& server);
   ManagedServerPtr FindOrCreateManaged(const std::string& id);
   /// @return the tracked state of the incarnation that the record describes; replaces the state of
