--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -28,6 +28,9 @@
 /// paired days of one deployment).
 constexpr double kTargetSlotUtilization = 0.6;
 
+/// Cause of an unload in its order line.
+constexpr const char* kLateResponsesCause = "late_responses";
+
 const char* OutcomeName(ServerOrderOutcome outcome) {
   switch (outcome) {
     case ServerOrderOutcome::kInProgress:
@@ -263,12 +266,17 @@
   const double loads =
       std::min(election_.loads().AvailableLoads(service.engine->loads_per_second, now),
                store_limit_.AvailableLoads(ActiveStoreLoads(), LongestLoadTime(*service.engine)));
-  const PlannerLimits limits{loads, kTargetSlotUtilization * service.engine->slots};
+  const PlannerLimits limits{loads, kTargetSlotUtilization * service.engine->slots,
+                             MayReplaceLocalReplicas(service.name)};
   PlacementPlanner planner(*service.engine, demand_.ForService(service.name, now),
                            std::move(servers), limits, now);
   StartSteps(planner.Plan());
 }
 
+bool FleetController::MayReplaceLocalReplicas(const std::string& service) const {
+  return settings_.replace_local_replicas && fleet_view_.routes->SeparationOf(service).enabled();
+}
+
 void FleetController::StartSteps(const std::vector<PlacementStep>& steps) {
   for (const PlacementStep& step : steps)
     if (const ServerPtr server = fleet_view_.servers.Find(step.server_id)) StartStep(step, *server);
@@ -374,17 +382,23 @@
   }
 }
 
-void FleetController::RecordOrder(const ServerOrder& order, ServerOrderOutcome outcome) {
+void FleetController::RecordOrder(const PlacementStep& step, const ServerOrder& order,
+                                  ServerOrderOutcome outcome) {
   const char* kind = order.kind == ServerOrderKind::kLoad ? "load" : "unload";
   metrics_.orders.Add({{"kind", kind}, {"outcome", OutcomeName(outcome)}});
-  log_.Write(LogRank::kDecision, EventLine(LogEvent::kOrder)
-                                     .Field(LogField::kKind, kind)
-                                     .Field(LogField::kModel, order.model)
-                                     .Field(LogField::kAdapter, order.adapter)
-                                     .Field(LogField::kServer, order.server_id)
-                                     .Field(LogField::kOrderCount, order.order_count)
-                                     .Field(LogField::kToken, order.fencing_token)
-                                     .Field(LogField::kOutcome, OutcomeName(outcome)));
+  EventLine line(LogEvent::kOrder);
+  line.Field(LogField::kKind, kind)
+      .Field(LogField::kModel, order.model)
+      .Field(LogField::kAdapter, order.adapter)
+      .Field(LogField::kServer, order.server_id)
+      .Field(LogField::kOrderCount, order.order_count)
+      .Field(LogField::kToken, order.fencing_token)
+      .Field(LogField::kOutcome, OutcomeName(outcome));
+  if (step.for_late_responses) {
+    line.Field(LogField::kCause, kLateResponsesCause);
+    if (outcome == ServerOrderOutcome::kInProgress) ++metrics_.replicas_replaced_for_late_responses;
+  }
+  log_.Write(LogRank::kDecision, line);
 }
 
 void FleetController::ApplyOutcome(ManagedServer& managed, const PlacementStep& step,
@@ -414,7 +428,7 @@
   const ServerOrderOutcome outcome = co_await SendOrder(order, endpoint);
   --sending_;
   election_.NoteOrder(managed->id);
-  RecordOrder(order, outcome);
+  RecordOrder(step, order, outcome);
   ApplyOutcome(*managed, step, outcome);
   const bool refused =
       outcome != ServerOrderOutcome::kInProgress && outcome != ServerOrderOutcome::kNoAnswer;
