Load outlook: requests for models that cannot be ready in time are refused at once

Cause: Models whose weights no server has need 10 to 13 s from the weight store. Requests for them waited 1.7 to 2.4 s, were refused, were sent again and waited again.

Ruled out: LoadConcurrencyLimit::limit() as the number of concurrent loads: before any load has been timed it states 4 whatever the load time. AvailableLoads(0, ...) accounts for the load time.

Change: PlanOutlook predicts when the weight store can have loaded each awaited model. The leader announces this at most twice a second with LoadOutlookNotice, one datagram of at most 32 models; further models follow in turn. Daemons accept it from the leader and its relays only, ignore and count times out of range, and treat it like an announced load. It does not replace the announcement of a load in progress. Requests refused because no server holds their model still count as demand. Setting load_outlook, log event load_outlook, metric moorfold_requests_refused_by_outlook_total. event_names_test also reads src/outlook, which logs the new event.

Measured: tests only.

Conclusion: The decision and its failures are tested without a network; worth is to be measured.

--- a/src/fleet/demand.cc
+++ b/src/fleet/demand.cc
@@ -6,16 +6,17 @@
   std::vector<DemandEntry> entries;
   for (auto at = counts_.begin(); at != counts_.end();) {
     Count& count = at->second;
-    const bool empty =
-        count.waiting == 0 && count.in_flight == 0 && count.arrivals == 0 && count.late == 0;
+    const bool empty = count.waiting == 0 && count.in_flight == 0 && count.arrivals == 0 &&
+                       count.late == 0 && count.turned_away == 0;
     if (empty) {
       at = counts_.erase(at);
       continue;
     }
-    entries.push_back({at->first.service, at->first.name, count.waiting, count.in_flight,
-                       count.arrivals, count.late});
+    entries.push_back({at->first.service, at->first.name, count.waiting + count.turned_away,
+                       count.in_flight, count.arrivals, count.late});
     count.arrivals = 0;
     count.late = 0;
+    count.turned_away = 0;
     ++at;
   }
   return entries;
--- a/src/fleet/demand.h
+++ b/src/fleet/demand.h
@@ -33,12 +33,16 @@
     std::uint32_t in_flight = 0;
     std::uint32_t arrivals = 0;
     std::uint32_t late = 0;
+    /// Requests refused since the last report because no server holds the model. Reported as
+    /// waiting, so that a model whose requests are all refused at once is still loaded.
+    std::uint32_t turned_away = 0;
   };
 
   Count& CountsOf(const std::string& service, const ModelReference& name) {
     return counts_[{service, name}];
   }
-  /// @return the counts of all models and adapters in use. Resets `arrivals` and `late`; removes
+  /// @return the counts of all models and adapters in use. Resets `arrivals`, `late` and
+  /// `turned_away`, which is added to `waiting`; removes
   /// entries whose counts are all zero.
   std::vector<DemandEntry> Take();
   /// @return requests that currently wait for a server, over all models.
--- a/src/fleet/demand_channel.cc
+++ b/src/fleet/demand_channel.cc
@@ -96,6 +96,8 @@
     handlers_.on_permit_question(*permit_question, from);
   } else if (const auto* permit_answer = std::get_if<PermitResponse>(&message)) {
     handlers_.on_permit_answer(*permit_answer, from);
+  } else if (const auto* load_outlook = std::get_if<LoadOutlookNotice>(&message)) {
+    handlers_.on_load_outlook(*load_outlook, from);
   } else {
     handlers_.on_leadership_offer(std::get<LeadershipOffer>(message));
   }
--- a/src/fleet/demand_channel.h
+++ b/src/fleet/demand_channel.h
@@ -48,6 +48,8 @@
   /// @param from "IP:PORT" of the sender.
   using PermitQuestionHandler = std::function<void(const PermitRequest&, const std::string& from)>;
   using PermitAnswerHandler = std::function<void(const PermitResponse&, const std::string& from)>;
+  /// @param from "IP:PORT" of the sender.
+  using LoadOutlookHandler = std::function<void(const LoadOutlookNotice&, const std::string& from)>;
   using LeadershipOfferHandler = std::function<void(const LeadershipOffer&)>;
   /// Receives the reason why a datagram could not be sent or handled.
   using DropHandler = std::function<void(const std::string& problem)>;
@@ -71,6 +73,7 @@
     ConfigurationPartHandler on_configuration_part;
     PermitQuestionHandler on_permit_question;
     PermitAnswerHandler on_permit_answer;
+    LoadOutlookHandler on_load_outlook;
     DropHandler on_drop;
     UndecodableHandler on_undecodable;
   };
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -52,6 +52,10 @@
   return nullptr;
 }
 
+bool Contains(const std::vector<std::string>& names, const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
 bool HoldsReference(const std::vector<LoadedModel>& models, const ModelReference& name) {
   for (const LoadedModel& held : models)
     if (held.name == name.model) return name.adapter.empty() || held.HasAdapter(name.adapter);
@@ -64,7 +68,8 @@
                                  FleetView& view, LeaderElection& election,
                                  ServerStatements& statements, GatewayMetrics& metrics,
                                  EventLog& log, ControllerSettings settings,
-                                 PlacementNoticeHandler notice)
+                                 PlacementNoticeHandler notice,
+                                 outlook::OutlookAnnouncer::Handler outlook)
     : context_(context),
       protocol_(protocol),
       fleet_view_(view),
@@ -77,7 +82,8 @@
       client_(context),
       timer_(context),
       full_plan_throttle_(context),
-      adapter_plan_throttle_(context) {}
+      adapter_plan_throttle_(context),
+      announcer_(log, std::move(outlook)) {}
 
 void FleetController::Start() { Tick(); }
 
@@ -133,6 +139,7 @@
   if (managed_term_ == election_.fencing_token()) return;
   managed_term_ = election_.fencing_token();
   managed_.clear();
+  announcer_.Reset();
   if (election_.load_history_known()) return;
   constexpr double kAssumedLoadRateShare = 0.5;
   const double window_s = std::chrono::duration<double>(settings_.load_window).count();
@@ -266,7 +273,44 @@
   const PlannerLimits limits{loads, kTargetSlotUtilization * service.engine->slots};
   PlacementPlanner planner(*service.engine, demand_.ForService(service.name, now),
                            std::move(servers), limits, now);
+  const bool announce = settings_.load_outlook && announcer_.Due(service.name, now) &&
+                        outlook::LoadsExceedTarget(fleet_view_.routes->configuration(), service);
+  std::vector<std::string> awaited;
+  if (announce) awaited = planner.ModelsAwaitingStoreLoad();
   StartSteps(planner.Plan());
+  if (announce) AnnounceOutlook(service, std::move(awaited));
+}
+
+outlook::WeightStoreState FleetController::CurrentStoreState(const EngineDescription& engine) {
+  const auto now = BootClock::now();
+  outlook::WeightStoreState state;
+  std::vector<std::string> reserved;
+  for (const auto& [id, managed] : managed_) {
+    if (!managed->loading_model.empty() && managed->from_weight_store)
+      state.loads_in_progress.push_back(std::chrono::duration_cast<milliseconds>(
+          managed->load_started + managed->expected_load_time - now));
+    else if (managed->loading_model.empty() && !managed->reserved_for.empty() &&
+             !Contains(managed->in_memory, managed->reserved_for) &&
+             !Contains(managed->on_disk, managed->reserved_for))
+      reserved.push_back(managed->reserved_for);
+  }
+  // The load begins as soon as memory is free, before those of the awaited models.
+  for (const outlook::AwaitedModel& model : outlook::WithLoadTimes(reserved, engine))
+    state.loads_in_progress.push_back(model.load_time);
+  // Unlike limit(), this accounts for the load time before any load has been timed.
+  state.concurrent_loads =
+      static_cast<std::size_t>(store_limit_.AvailableLoads(0, LongestLoadTime(engine)));
+  return state;
+}
+
+void FleetController::AnnounceOutlook(const ServiceDescription& service,
+                                      std::vector<std::string> awaited) {
+  std::set<std::string> underway;
+  for (const auto& [id, managed] : managed_)
+    underway.insert({managed->loading_model, managed->reserved_for});
+  std::erase_if(awaited, [&](const std::string& model) { return underway.contains(model); });
+  announcer_.Announce(service.name, outlook::WithLoadTimes(awaited, *service.engine),
+                      CurrentStoreState(*service.engine), BootClock::now());
 }
 
 void FleetController::StartSteps(const std::vector<PlacementStep>& steps) {
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -16,6 +16,7 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/server_statements.h"
 #include "http/http_client.h"
+#include "outlook/outlook_announcer.h"
 #include "ports/fleet_protocol.h"
 
 namespace moorfold {
@@ -45,6 +46,7 @@
 struct ControllerSettings {
   std::string holder;  ///< Name of this machine in orders.
   std::chrono::milliseconds load_window{5'000};
+  bool load_outlook = true;  ///< Whether to announce when models can be ready.
 };
 
 /// Executes the planner's steps while this daemon is the leader. Each server has at most one order
@@ -56,7 +58,8 @@
 
   FleetController(boost::asio::io_context& context, const FleetProtocol& protocol, FleetView& view,
                   LeaderElection& election, ServerStatements& statements, GatewayMetrics& metrics,
-                  EventLog& log, ControllerSettings settings, PlacementNoticeHandler notice);
+                  EventLog& log, ControllerSettings settings, PlacementNoticeHandler notice,
+                  outlook::OutlookAnnouncer::Handler outlook);
 
   void Start();
   void AddReport(const DemandReport& report);
@@ -103,6 +106,11 @@
   void ApplyOutcome(ManagedServer& managed, const PlacementStep& step, ServerOrderOutcome outcome);
   void ApplyReport(ManagedServer& managed, const ServerStatus& report);
   std::size_t ActiveStoreLoads() const;
+  /// Announces when models can be ready that a plan has started no load for.
+  /// @param awaited Models that needed a load from the weight store before the plan, in order.
+  void AnnounceOutlook(const ServiceDescription& service, std::vector<std::string> awaited);
+  /// @return the loads from the weight store that run or for which memory is being freed.
+  outlook::WeightStoreState CurrentStoreState(const EngineDescription& engine);
   /// Reports store loads that exceed their expected time to the limit before they end.
   void RecordSlowLoads();
   /// @return the longest time that a load of one of the service's models takes from the weight
@@ -141,6 +149,7 @@
   FleetDemand demand_;
   std::map<std::string, ManagedServerPtr> managed_;
   LoadConcurrencyLimit store_limit_;
+  outlook::OutlookAnnouncer announcer_;
   /// Fencing token of the leadership term to which `managed_` belongs.
   std::int64_t managed_term_ = 0;
   std::size_t sending_ = 0;
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -17,6 +17,7 @@
 #include "common/message_format.h"
 #include "fleet/demand.h"
 #include "fleet/order_history.h"
+#include "outlook/outlook_messages.h"
 #include "quarantine/quarantine_messages.h"
 #include "relay/relay_messages.h"
 #include "relay/relay_plan.h"
@@ -114,11 +115,12 @@
 };
 
 /// Alternatives from RelayPlan on require relay support (DemandReport::relay_plan). Builds that do
-/// not know the last two ignore them, so their queries get no response.
-using FleetMessage = std::variant<DemandReport, PlacementNotice, ChangeAnswer, LeadershipOffer,
-                                  QuarantineNotice, CreditSharing, CreditQuestion, CreditAnswer,
-                                  RelayPlan, ServersRequest, ServersPage, ConfigurationPartRequest,
-                                  ConfigurationPart, PermitRequest, PermitResponse>;
+/// not know the permit messages ignore them, so their queries get no response.
+using FleetMessage =
+    std::variant<DemandReport, PlacementNotice, ChangeAnswer, LeadershipOffer, QuarantineNotice,
+                 CreditSharing, CreditQuestion, CreditAnswer, RelayPlan, ServersRequest,
+                 ServersPage, ConfigurationPartRequest, ConfigurationPart, PermitRequest,
+                 PermitResponse, LoadOutlookNotice>;
 
 template <typename Archive>
 void serialize(Archive& archive, ModelReference& name) {
--- a/src/fleet/placement_planner.cc
+++ b/src/fleet/placement_planner.cc
@@ -322,6 +322,26 @@
   return candidates;
 }
 
+std::vector<std::string> PlacementPlanner::ModelsAwaitingStoreLoad() const {
+  std::vector<std::string> models;
+  std::unordered_set<std::string> without_copy;
+  for (const ReplicaCandidate& candidate : RankCandidates()) {
+    const std::string& name = candidate.model->name;
+    if (ReplicaCount(name) > 0 || demand_by_model_.at(name).waiting <= 0) continue;
+    models.push_back(name);
+    without_copy.insert(name);
+  }
+  if (models.empty()) return models;
+  // One pass over the servers for all models.
+  for (const PlannedServer& server : servers_) {
+    if (!server.serving) continue;
+    for (const auto* copies : {&server.in_memory, &server.on_disk})
+      for (const std::string& name : *copies) without_copy.erase(name);
+  }
+  std::erase_if(models, [&](const std::string& name) { return !without_copy.contains(name); });
+  return models;
+}
+
 void PlacementPlanner::PlanModels() {
   for (PlannedServer& server : servers_)
     if (server.accepts_orders && !server.reserved_for.empty()) ContinueReservation(server);
--- a/src/fleet/placement_planner.h
+++ b/src/fleet/placement_planner.h
@@ -64,6 +64,10 @@
   /// Plans adapters only. If the given servers include all holders of the models whose adapters
   /// have waiting requests, these adapters get the same steps as in a plan over all servers.
   std::vector<PlacementStep> PlanAdaptersOnly();
+  /// Call before Plan().
+  /// @return the models that requests wait for, that no serving server holds, will hold or has in
+  /// memory or on disk, in descending order of gain.
+  std::vector<std::string> ModelsAwaitingStoreLoad() const;
 
  private:
   /// A model that would benefit from one more replica.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -157,6 +157,9 @@
                 [this](const PermitResponse& answer, const std::string& from) {
                   permits_.Hear(answer, from);
                 },
+                [this](const LoadOutlookNotice& notice, const std::string& from) {
+                  ReceiveLoadOutlook(notice, from);
+                },
                 [this](const std::string& problem) {
                   log_.Write(
                       LogRank::kRoutine,
@@ -167,12 +170,17 @@
                 {settings_.name, ToString(channel_.endpoint()), kLeaderKey, kLeaderLease,
                  settings_.order_handover, settings_.load_window, CandidacyDelay(settings_)}),
       statements_(protocol, metrics_, log),
-      controller_(context, protocol, view_, election_, statements_, metrics_, log,
-                  {settings_.name, settings_.load_window},
-                  [this](const PlacementNotice& notice) {
-                    ApplyPlacementNotice(notice);
-                    BroadcastPlacementNotice(notice);
-                  }),
+      controller_(
+          context, protocol, view_, election_, statements_, metrics_, log,
+          {settings_.name, settings_.load_window, settings_.load_outlook},
+          [this](const PlacementNotice& notice) {
+            ApplyPlacementNotice(notice);
+            BroadcastToFleet(notice);
+          },
+          [this](const LoadOutlookNotice& notice) {
+            ApplyLoadOutlook(notice, ToString(channel_.endpoint()));
+            BroadcastToFleet(notice);
+          }),
       quarantine_(context, QuarantineSettings(settings_), log, metrics_.quarantine,
                   QuarantinePorts()),
       quarantine_record_(store_, log, kQuarantineKey,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -58,9 +58,13 @@
   void ApplyPlacementNotice(const PlacementNotice& notice);
   /// @param from "IP:PORT" of the sender.
   void ReceivePlacementNotice(const PlacementNotice& notice, const std::string& from);
-  /// Sends a placement notice to all daemons, or to the relays only if the fleet uses relays; the
-  /// relays then forward it.
-  void BroadcastPlacementNotice(const PlacementNotice& notice);
+  /// Accepts a load outlook from the leader or a relay only.
+  /// @param from "IP:PORT" of the sender.
+  void ReceiveLoadOutlook(const LoadOutlookNotice& notice, const std::string& from);
+  void ApplyLoadOutlook(const LoadOutlookNotice& notice, const std::string& from);
+  /// Sends a notice to all daemons, or to the relays only if the fleet uses relays; the relays then
+  /// forward it.
+  void BroadcastToFleet(const FleetMessage& notice);
   void HandleChangeAnswer(const ChangeAnswer& answer, const std::string& from);
   void AnswerChangeQuestion(const DemandReport& report);
   bool MatchesOpenQuestion(const ChangeAnswer& answer) const;
--- a/src/gateway/gateway_fleet.cc
+++ b/src/gateway/gateway_fleet.cc
@@ -5,6 +5,7 @@
 
 #include "common/boot_clock.h"
 #include "gateway/gateway.h"
+#include "outlook/outlook_receiver.h"
 
 namespace moorfold {
 
@@ -32,7 +33,7 @@
 
 }  // namespace
 
-void Gateway::BroadcastPlacementNotice(const PlacementNotice& notice) {
+void Gateway::BroadcastToFleet(const FleetMessage& notice) {
   if (!relays_.plan().needed()) {
     channel_.Broadcast(notice);
     return;
@@ -46,6 +47,25 @@
   if (relays_.IsRelay() && from == LeaderAddress()) channel_.Broadcast(notice);
 }
 
+void Gateway::ReceiveLoadOutlook(const LoadOutlookNotice& notice, const std::string& from) {
+  const std::string leader = LeaderAddress();
+  const std::vector<std::string> relays =
+      relays_.UsesRelays() ? relays_.plan().AllRelays() : std::vector<std::string>();
+  if (election_.leading() || !outlook::IsAcceptedSender(from, leader, relays)) {
+    LogDroppedDatagram("load outlook from a sender other than the leader", from);
+    return;
+  }
+  ApplyLoadOutlook(notice, from);
+  if (relays_.IsRelay() && from == leader) channel_.Broadcast(notice);
+}
+
+void Gateway::ApplyLoadOutlook(const LoadOutlookNotice& notice, const std::string& from) {
+  if (!settings_.load_outlook) return;
+  if (outlook::ApplyNotice(notice, BootClock::now(), view_.expected) > 0)
+    RecordUnreadableMessage({from, kMessageFormat, "load outlook with a time out of range"});
+  view_.changed.NotifyAll();
+}
+
 void Gateway::ApplyPlacementNotice(const PlacementNotice& notice) {
   const ServerPtr server = view_.servers.Find(notice.server_id);
   if (!server || IsLaterIncarnation(server->record().incarnation, notice.incarnation)) return;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -54,6 +54,7 @@
   Count(text, "requests_no_route", no_route);
   Count(text, "repeats", repeats);
   Count(text, "repeats_denied", repeats_denied);
+  Count(text, "requests_refused_by_outlook", requests_refused_by_outlook);
   Count(text, "waits_for_server", waits_for_server);
   Count(text, "waits_for_store_read", waits_for_store_read);
   Count(text, "store_reads_repeated", repeated_reads);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -45,6 +45,8 @@
   std::uint64_t no_route = 0;
   std::uint64_t repeats = 0;
   std::uint64_t repeats_denied = 0;
+  /// Requests refused because their models cannot be ready in time.
+  std::uint64_t requests_refused_by_outlook = 0;
   std::uint64_t waits_for_server = 0;
   /// Requests that waited for a store read, since the data was too old.
   std::uint64_t waits_for_store_read = 0;
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -199,9 +199,18 @@
     metrics_.wait_for_server.Observe(static_cast<double>(request.waited.count()));
     co_return server;
   }
+  if (!request.client_left) RecordTurnedAway(request, reason);
   co_return nullptr;
 }
 
+void RequestPipeline::RecordTurnedAway(const GatewayRequest& request, NoServerReason reason) {
+  if (request.model.model.empty() || reason != NoServerReason::kModelNotHeld) return;
+  ++view_.demand.CountsOf(request.service, request.model).turned_away;
+  view_.demand_raised.NotifyAll();
+  if (RefusedByOutlook(wait_estimator_.MakeWaitingRequest(request, reason)))
+    ++metrics_.requests_refused_by_outlook;
+}
+
 bool RequestPipeline::MayRetryElsewhere(const GatewayRequest& request) const {
   return request.Repeatable() && request.may_have_run + 1 < request.route->attempts;
 }
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -75,6 +75,9 @@
   Awaitable<ServerPtr> AwaitServer(GatewayRequest& request);
   ServerPtr TryChooseServer(GatewayRequest& request, NoServerReason& reason) const;
   SteadyTime AttemptDeadline(const GatewayRequest& request) const;
+  /// Counts a request that is refused because no server holds its model, so that the leader still
+  /// learns of the demand.
+  void RecordTurnedAway(const GatewayRequest& request, NoServerReason reason);
   bool MayRetryElsewhere(const GatewayRequest& request) const;
   NextStep DecideNextStep(const GatewayRequest& request, const AttemptResult& result);
   Refusal MakeFailureRefusal(const GatewayRequest& request, const AttemptResult& result) const;
--- a/src/gateway/wait_estimator.cc
+++ b/src/gateway/wait_estimator.cc
@@ -46,6 +46,10 @@
   waiting_request.capacity_at = request.capacity_at;
   if (request.model.model.empty()) return waiting_request;
   waiting_request.expected = view_.expected.Find(request.model);
+  // An adapter of a held model loads within milliseconds, so an outlook of that model is outdated.
+  if (waiting_request.expected && waiting_request.expected->from_outlook &&
+      !view_.servers.ServersWithModel(request.service, request.model.model).empty())
+    waiting_request.expected.reset();
   waiting_request.load_time = DiskLoadTime(request);
   return waiting_request;
 }
--- a/src/gateway/wait_policy.cc
+++ b/src/gateway/wait_policy.cc
@@ -51,6 +51,15 @@
   if (by_model_.size() < kMaxExpectedLoads) by_model_[model.model] = expected_load;
 }
 
+void ExpectedModelLoads::NoteOutlook(const ModelReference& model, ExpectedModelLoad outlook) {
+  const auto found = by_model_.find(model.model);
+  if (found != by_model_.end() && !found->second.from_outlook &&
+      ExpectedLoadExpiry(found->second) >= outlook.announced_at)
+    return;
+  outlook.from_outlook = true;
+  Note(model, outlook);
+}
+
 std::optional<ExpectedModelLoad> ExpectedModelLoads::Find(const ModelReference& model) const {
   const auto found = by_model_.find(model.model);
   if (found == by_model_.end()) return std::nullopt;
@@ -73,6 +82,11 @@
   return std::min(latest_start, load_expiry);
 }
 
+bool RefusedByOutlook(const WaitingRequest& request) {
+  return request.reason == NoServerReason::kModelNotHeld && request.expected &&
+         request.expected->from_outlook && request.expected->ready_at > LatestUsefulStart(request);
+}
+
 milliseconds RetryAfter(const WaitingRequest& request, SteadyTime now, double jitter) {
   milliseconds delay = std::max(kMinRetryAfter, request.response_time);
   if (request.reason == NoServerReason::kAtLimit && request.capacity_at > now)
--- a/src/gateway/wait_policy.h
+++ b/src/gateway/wait_policy.h
@@ -10,16 +10,21 @@
 
 namespace moorfold {
 
-/// Expected load of a model or adapter, as the leader announces it with its orders.
+/// Expected load of a model or adapter, as the leader announces it with its orders or as the
+/// earliest possible time of a load that has not begun.
 struct ExpectedModelLoad {
   SteadyTime announced_at{};
   SteadyTime ready_at{};
+  bool from_outlook = false;  ///< The load has not begun; see outlook/load_outlook.h.
 };
 
 /// Model loads that the leader has announced. Bounded in size; not thread-safe.
 class ExpectedModelLoads {
  public:
   void Note(const ModelReference& model, ExpectedModelLoad expected_load);
+  /// Records the earliest time of a load that has not begun. Does not replace the announcement of a
+  /// load in progress: a datagram may arrive after the announcement that was sent later.
+  void NoteOutlook(const ModelReference& model, ExpectedModelLoad outlook);
   /// @return the expected load of the model, or of the base model of an adapter.
   std::optional<ExpectedModelLoad> Find(const ModelReference& model) const;
 
@@ -65,6 +70,10 @@
 /// @return until when the request waits; a time in the past means no wait.
 SteadyTime WaitDeadline(const WaitingRequest& request);
 
+/// @return whether the request is refused because its model cannot be ready in time according to
+/// the load outlook.
+bool RefusedByOutlook(const WaitingRequest& request);
+
 /// @param jitter between 0 and 1, different for each refused caller, so that they do not all retry
 /// at the same time.
 /// @return how long after `now` a refused caller should retry.
--- a/test/fleet/demand_channel_test.cc
+++ b/test/fleet/demand_channel_test.cc
@@ -32,6 +32,7 @@
                                      [](const ConfigurationPart&, const std::string&) {},
                                      [](const PermitRequest&, const std::string&) {},
                                      [](const PermitResponse&, const std::string&) {},
+                                     [](const LoadOutlookNotice&, const std::string&) {},
                                      [](const std::string&) {}};
   const DemandChannel first(context, {"127.0.0.1", 0}, none);
   try {
@@ -49,6 +50,8 @@
   std::vector<PlacementNotice> notices;
   std::vector<ChangeAnswer> answers;
   std::string answered_from;
+  std::vector<LoadOutlookNotice> outlooks;
+  std::string outlook_from;
   std::vector<std::string> offers;
   std::vector<std::string> dropped;
   DemandChannel::Handlers to_leader{
@@ -67,6 +70,7 @@
       [](const ConfigurationPart&, const std::string&) {},
       [](const PermitRequest&, const std::string&) {},
       [](const PermitResponse&, const std::string&) {},
+      [](const LoadOutlookNotice&, const std::string&) {},
       [](const std::string&) {},
       [&](const UndecodableMessage& message) { dropped.push_back(message.problem); }};
   DemandChannel leader(context, {"127.0.0.1", 0}, to_leader);
@@ -89,6 +93,10 @@
       [](const ConfigurationPart&, const std::string&) {},
       [](const PermitRequest&, const std::string&) {},
       [](const PermitResponse&, const std::string&) {},
+      [&](const LoadOutlookNotice& notice, const std::string& from) {
+        outlooks.push_back(notice);
+        outlook_from = from;
+      },
       [](const std::string&) {}};
   DemandChannel daemon(context, {"127.0.0.1", 0}, to_daemon);
   leader.Start();
@@ -130,12 +138,17 @@
   answer.servers.push_back({At(14), true, {"i-2"}});
   leader.SendTo(reports[0].address, answer);
   leader.Broadcast(PlacementNotice{"i-1", {"m", "a"}, false});
-  while ((notices.empty() || offers.empty() || answers.empty()) && BootClock::now() < deadline)
+  leader.Broadcast(LoadOutlookNotice{"s", {{"m", 13'000}}});
+  while ((notices.empty() || offers.empty() || answers.empty() || outlooks.empty()) &&
+         BootClock::now() < deadline)
     context.run_one_for(milliseconds(50));
   CHECK(offers == std::vector<std::string>{"leader"});
   REQUIRE(notices.size() == 1);
   CHECK(notices[0].name.adapter == "a");
   CHECK_FALSE(notices[0].held);
+  REQUIRE(outlooks.size() == 1);
+  CHECK(outlooks[0].entries.at(0).ready_in_ms == 13'000);
+  CHECK(outlook_from == ToString(leader.endpoint()));
   REQUIRE(answers.size() == 1);
   CHECK(answered_from == ToString(leader.endpoint()));
   CHECK(answers[0].asked_at_us == 77);
--- a/test/fleet/golden_messages_test.cc
+++ b/test/fleet/golden_messages_test.cc
@@ -19,7 +19,9 @@
 constexpr const char* kWithIncarnations = "f8f162a";
 constexpr const char* kFormatOne = "format-1";
 constexpr const char* kPermits =
-    "permits";                             ///< Messages added with server limits, also of format 1.
+    "permits";  ///< Messages added with server limits, also of format 1.
+constexpr const char* kOutlook =
+    "outlook";  ///< Messages added with the load outlook, also of format 1.
 constexpr const char* kRelays = "relays";  ///< Messages added with relays, also of format 1.
 
 std::string Load(const std::string& build, const std::string& name) {
@@ -285,6 +287,17 @@
   CHECK(answer.wait_us == 900'000);
 }
 
+TEST_CASE("A load outlook is encoded and decoded as in the first build that had it") {
+  const LoadOutlookNotice golden{"s", {{"model-1", 13'000}, {"model-2", 26'000}}};
+  CHECK(EncodeMessage(FleetMessage(golden)) == Load(kOutlook, "load_outlook"));
+  const auto notice = LoadMessage<LoadOutlookNotice>(kOutlook, "load_outlook");
+  CHECK(notice.service == "s");
+  REQUIRE(notice.entries.size() == 2);
+  CHECK(notice.entries[0].model == "model-1");
+  CHECK(notice.entries[0].ready_in_ms == 13'000);
+  CHECK(notice.entries[1].ready_in_ms == 26'000);
+}
+
 TEST_CASE("A report or a response of a build without relays decodes without relay fields") {
   const auto report = LoadMessage<DemandReport>(kFormatOne, "demand_report");
   CHECK_FALSE(report.relay_plan);
