--- a/scripts/soak_faults.sh
+++ b/scripts/soak_faults.sh
@@ -152,6 +152,14 @@
 for number in $(seq 0 $((gateways - 1))); do kill -TERM "${pids[$number]}" 2>/dev/null; done
 wait
 grep -E 'event=(soak|violation)|^crashing requests|^tenants:|^drills:|^limits:|^gateway-[0-9]+:' "$folder/emulator.log"
+requests_by_pool() { cat "$folder"/gateway-*.log | grep "event=request_end .*work=$1" | grep -c "pool=$2"; }
+paced=$(requests_by_pool paced own)
+long_prompts=$(requests_by_pool long_prompt own)
+echo "separation: paced $paced (other pool $(requests_by_pool paced other)), long prompts $long_prompts (other pool $(requests_by_pool long_prompt other))"
+if [ -z "$production" ] && { [ "$paced" -eq 0 ] || [ "$long_prompts" -eq 0 ]; }; then
+  echo "no request was placed by separation"
+  status=1
+fi
 if [ -n "$production" ]; then
   unread=$(cat "$folder"/gateway-*.log | grep -c 'event=datagram_dropped.*received:')
   broken=$(grep -c event=violation "$folder/emulator.log")
--- a/test/emulator/emulated_clients.cc
+++ b/test/emulator/emulated_clients.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <functional>
 
 #include "common/boot_clock.h"
 
@@ -15,6 +16,12 @@
 constexpr milliseconds kProbeEvery{200};
 constexpr milliseconds kPause{30};
 
+/// One of so many streams has a long prompt.
+constexpr std::size_t kLongPromptOf = 4;
+/// Tokens of a prompt's own part: a long one takes 240 ms of prefill, over half of the gap target.
+constexpr const char* kLongPart = ":9000";
+constexpr const char* kShortPart = ":20";
+
 constexpr const char* kAuthorization = "Authorization";
 constexpr unsigned kUnavailable = 503;
 /// By which a gateway says that servers end under a request.
@@ -191,7 +198,11 @@
     std::string model = models[static_cast<std::size_t>(Draw(static_cast<int>(models.size()) - 1))];
     if (Draw(3) == 0) model += "/a" + std::to_string(1 + Draw(1));
     request.headers.push_back({"X-Model", model});
-    request.headers.push_back({"X-Prompt-Prefix", "5c1e:800," + id + ":20"});
+    // Derived from the id, so that the other draws of a seed stay the same.
+    const bool long_prompt = std::hash<std::string>{}(id) % kLongPromptOf == 0;
+    if (long_prompt) request.target = std::string(EmulatedPlatform::kLongPromptPath) + "x";
+    request.headers.push_back(
+        {"X-Prompt-Prefix", "5c1e:800," + id + (long_prompt ? kLongPart : kShortPart)});
   }
   if (kind != RequestKind::kRepeatable) request.body = "body of " + id;
   ShowKey(request, id);
--- a/test/emulator/emulated_platform.cc
+++ b/test/emulator/emulated_platform.cc
@@ -31,15 +31,16 @@
           {"burst", limit.burst}};
 }
 
+/// @param priority 0 is the most urgent.
 json::object MakeRoute(const std::string& name, const std::string& prefix, const std::string& type,
-                       const std::string& service, int attempts) {
+                       const std::string& service, int attempts, int priority = 1) {
   return {{"name", name},
           {"host", EmulatedPlatform::kHost},
           {"pathPrefix", prefix},
           {"type", type},
           {"timeoutMs", kTimeoutMs},
           {"targetMs", 200},
-          {"priority", 1},
+          {"priority", priority},
           {"service", service},
           {"attempts", attempts},
           {"resumable", false},
@@ -160,7 +161,8 @@
 std::string EmulatedPlatform::ConfigurationText() const {
   json::array routes = {MakeRoute("safe", "/safe/", "safe", "booking", 2),
                         MakeRoute("once", "/once/", "unsafe", "booking", 1),
-                        MakeRoute("stream", "/stream/", "stream", "models", 1)};
+                        MakeRoute("stream", "/stream/", "stream", "models", 1, 0),
+                        MakeRoute("long", kLongPromptPath, "stream", "models", 1, 2)};
   for (const std::int64_t version : {version_, version_ - 1}) {
     routes.push_back(MakeRoute("v" + std::to_string(version), "/v" + std::to_string(version) + "/",
                                "safe", "booking", 2));
--- a/test/emulator/emulated_platform.h
+++ b/test/emulator/emulated_platform.h
@@ -34,6 +34,8 @@
 class EmulatedPlatform {
  public:
   static constexpr const char* kHost = "host.example";
+  /// Path of the less urgent stream route for long prompts; the other stream route is urgent.
+  static constexpr const char* kLongPromptPath = "/stream/long/";
 
   EmulatedPlatform(boost::asio::io_context& context, PlatformOptions options);
 
