Show whether a daemon reaches servers at all

Ruled out: deriving it from attempt_failed lines: they are left out first when a log is full, and name servers one by one. Change: ServerContact, pure, counts the different servers that failed since the last response of any; line server_contact, metrics moorfold_isolated, moorfold_isolations_total, moorfold_servers_failing. No decision depends on it yet.

--- /dev/null
+++ b/src/gateway/contact_monitor.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "common/event_log.h"
+#include "detour/server_contact.h"
+#include "gateway/fleet_view.h"
+#include "gateway/gateway_metrics.h"
+
+namespace moorfold {
+
+/// Keeps track of this daemon's contact with the servers, and logs and counts its changes. Not
+/// thread-safe.
+class ContactMonitor {
+ public:
+  using ChangeHandler = std::function<void(detour::ContactState)>;
+
+  ContactMonitor(const FleetView& view, GatewayMetrics& metrics, EventLog& log)
+      : view_(view), metrics_(metrics), log_(log) {}
+
+  /// Records a response of a server, or a connection that it accepted.
+  void RecordResponse();
+  /// Records that a server could not be reached or gave no response.
+  void RecordFailure(const std::string& server_id);
+  /// Lets failures expire. Call it periodically.
+  void Update();
+
+  detour::ContactState state() const { return state_; }
+  bool isolated() const { return state_ == detour::ContactState::kIsolated; }
+  const detour::ServerContact& contact() const { return contact_; }
+  /// @param handler called after each change of the state.
+  void OnChange(ChangeHandler handler) { on_change_ = std::move(handler); }
+
+ private:
+  const FleetView& view_;
+  GatewayMetrics& metrics_;
+  EventLog& log_;
+  detour::ServerContact contact_;
+  detour::ContactState state_ = detour::ContactState::kReachable;
+  ChangeHandler on_change_;
+};
+
+}  // namespace moorfold
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -98,8 +98,12 @@
 };
 
 Forwarder::Forwarder(boost::asio::io_context& context, const FleetProtocol& protocol,
-                     ServerStatements& statements, GatewayMetrics& metrics)
-    : context_(context), protocol_(protocol), statements_(statements), metrics_(metrics) {}
+                     ServerStatements& statements, ContactMonitor& contact, GatewayMetrics& metrics)
+    : context_(context),
+      protocol_(protocol),
+      statements_(statements),
+      contact_(contact),
+      metrics_(metrics) {}
 
 void Forwarder::RecordHeadSent(GatewayRequest& request) {
   request.head_sent = true;
@@ -244,7 +248,8 @@
 }
 
 Awaitable<AttemptResult> Forwarder::RelayStream(HttpServerExchange& exchange,
-                                                GatewayRequest& request, HttpHeaders headers) {
+                                                GatewayRequest& request, const Server& server,
+                                                HttpHeaders headers) {
   const unsigned status = request.upstream->status();
   EventSplitter splitter;
   SteadyTime last_events = BootClock::now();
@@ -268,6 +273,7 @@
     }
   } catch (const HttpError& error) {
     if (request.client_left) co_return AttemptResult{AttemptOutcome::kClientLeft, status, ""};
+    contact_.RecordFailure(server.record().id);
     const AttemptOutcome end =
         request.head_sent ? AttemptOutcome::kBrokenOff : AttemptOutcome::kMayHaveRun;
     co_return AttemptResult{end, status, error.what(), error.peer_ended()};
@@ -284,6 +290,7 @@
                                              Server& server, SteadyTime sent_at,
                                              bool last_attempt) {
   co_await ReadMatchingHead(*request.upstream, request);
+  contact_.RecordResponse();
   const unsigned status = request.upstream->status();
   HttpHeaders headers = request.upstream->headers();
   const HeaderNames& names = protocol_.headers();
@@ -312,7 +319,7 @@
   if (success) server.RecordPrompt(request.model, request.parts);
   AttemptResult result;
   if (success && request.route->type == RouteType::kStream)
-    result = co_await RelayStream(exchange, request, std::move(headers));
+    result = co_await RelayStream(exchange, request, server, std::move(headers));
   else
     result = co_await RelayResponse(exchange, request, std::move(headers));
   if (result.attempt_outcome == AttemptOutcome::kAnswered) ReturnConnection(request, server);
@@ -328,6 +335,7 @@
     upstream = co_await Connect(request, *server);
   } catch (const HttpError& error) {
     server->MarkUnreachable(BootClock::now());
+    contact_.RecordFailure(server->record().id);
     co_return AttemptResult{AttemptOutcome::kNotRun, 0, error.what(), error.peer_ended()};
   }
   if (request.client_left) {
@@ -348,6 +356,8 @@
     result = co_await Exchange(exchange, request, *server, sent_at, last_attempt);
   } catch (const HttpError& error) {
     result = {AttemptOutcome::kMayHaveRun, 0, error.what(), error.peer_ended()};
+    if (upstream->cancelled() != CancelReason::kCallerLeft)
+      contact_.RecordFailure(server->record().id);
     ShortenIdleLimit(*upstream);
   }
   if (upstream->cancelled() == CancelReason::kCallerLeft || request.client_left)
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <memory>
 
+#include "gateway/contact_monitor.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_request.h"
 #include "gateway/server_statements.h"
@@ -17,7 +18,7 @@
 class Forwarder {
  public:
   Forwarder(boost::asio::io_context& context, const FleetProtocol& protocol,
-            ServerStatements& statements, GatewayMetrics& metrics);
+            ServerStatements& statements, ContactMonitor& contact, GatewayMetrics& metrics);
 
   /// @param attempt_deadline when to abandon the attempt; no later than the request's expiry.
   /// @param last_attempt whether to relay an error response of the server to the client.
@@ -39,7 +40,7 @@
   Awaitable<AttemptResult> RelayResponse(HttpServerExchange& exchange, GatewayRequest& request,
                                          HttpHeaders headers);
   Awaitable<AttemptResult> RelayStream(HttpServerExchange& exchange, GatewayRequest& request,
-                                       HttpHeaders headers);
+                                       const Server& server, HttpHeaders headers);
   AttemptResult HandleRefusal(const HttpHeaders& headers, unsigned status,
                               const GatewayRequest& request, Server& server) const;
   void NoteLoad(const HttpHeaders& headers, Server& server) const;
@@ -58,6 +59,7 @@
   boost::asio::io_context& context_;
   const FleetProtocol& protocol_;
   ServerStatements& statements_;
+  ContactMonitor& contact_;
   GatewayMetrics& metrics_;
   UpstreamPool pool_;
   std::uint64_t connections_opened_ = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -109,6 +109,7 @@
       settings_(std::move(settings)),
       log_(log),
       view_(context.get_executor()),
+      contact_(view_, metrics_, log),
       store_(store, metrics_),
       store_view_(context, store_, protocol, view_, metrics_, log, FollowSettings(settings_)),
       channel_(context, settings_.peer,
@@ -194,7 +195,8 @@
       relays_(context, store_, store_view_, metrics_, log,
               {settings_.zone, ToString(channel_.endpoint()), settings_.relays_from_daemons},
               RelayPorts()),
-      pipeline_(context, protocol, view_, quarantine_, quota_, statements_, permits_, metrics_, log,
+      pipeline_(context, protocol, view_, quarantine_, quota_, statements_, permits_, contact_,
+                metrics_, log,
                 {settings_.zone, settings_.retry_window, settings_.retry_ratio, settings_.name,
                  settings_.prompt_separation}) {
   view_.configuration_bound = settings_.configuration_bound;
@@ -435,6 +437,7 @@
     UpdateQuarantine();
     UpdateQuotaSharing();
     pipeline_.Sweep();
+    contact_.Update();
     pipeline_.LogOpenRequests();
     log_.Flush();
   }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "fleet/leader_election.h"
 #include "fleet/peer_list.h"
 #include "fleet/published_record.h"
+#include "gateway/contact_monitor.h"
 #include "gateway/counting_store.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_metrics.h"
@@ -114,6 +115,7 @@
   EventLog& log_;
   GatewayMetrics metrics_;
   FleetView view_;
+  ContactMonitor contact_;
   CountingStore store_;
   StoreView store_view_;
   DemandChannel channel_;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -87,6 +87,9 @@
   Count(text, "servers_restarted", servers_restarted);
   Count(text, "earlier_lives_ignored", previous_run_entries_ignored);
   Count(text, "server_statements", server_statements);
+  Gauge(text, "servers_failing", servers_failing);
+  Gauge(text, "isolated", isolated);
+  Count(text, "isolations", isolations);
   Count(text, "servers_kept_leaving", stale_ready_states_overridden);
   Count(text, "server_entries_doubted", restored_entries_deferred);
   messages_unread.Render("messages_unread_total", text);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -59,6 +59,9 @@
   std::uint64_t stale_configuration_reads = 0;
   std::uint64_t entries_skipped = 0;    ///< Store entries that could not be decoded.
   std::uint64_t servers_restarted = 0;  ///< Restarts under an unchanged id.
+  std::int64_t servers_failing = 0;  ///< Different servers that failed since the last response.
+  std::int64_t isolated = 0;         ///< 1 while no server can be reached.
+  std::uint64_t isolations = 0;
   std::uint64_t server_statements = 0;  ///< State changes that servers announced in responses.
   /// Entries that showed a leaving server as ready.
   std::uint64_t stale_ready_states_overridden = 0;
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -50,8 +50,8 @@
 RequestPipeline::RequestPipeline(boost::asio::io_context& context, const FleetProtocol& protocol,
                                  FleetView& view, QuarantineService& quarantine,
                                  QuotaService& quota, ServerStatements& statements,
-                                 PermitService& permits, GatewayMetrics& metrics, EventLog& log,
-                                 PipelineSettings settings)
+                                 PermitService& permits, ContactMonitor& contact,
+                                 GatewayMetrics& metrics, EventLog& log, PipelineSettings settings)
     : protocol_(protocol),
       view_(view),
       quarantine_(quarantine),
@@ -62,7 +62,7 @@
       wait_estimator_(view),
       quarantine_filter_(view, quarantine),
       settings_(std::move(settings)),
-      forwarder_(context, protocol, statements, metrics),
+      forwarder_(context, protocol, statements, contact, metrics),
       reporter_(view, metrics, log) {}
 
 void RequestPipeline::RefuseWaiting() {
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "common/event_log.h"
+#include "gateway/contact_monitor.h"
 #include "gateway/fleet_view.h"
 #include "gateway/forwarder.h"
 #include "gateway/gateway_metrics.h"
@@ -39,8 +40,8 @@
  public:
   RequestPipeline(boost::asio::io_context& context, const FleetProtocol& protocol, FleetView& view,
                   QuarantineService& quarantine, QuotaService& quota, ServerStatements& statements,
-                  PermitService& permits, GatewayMetrics& metrics, EventLog& log,
-                  PipelineSettings settings);
+                  PermitService& permits, ContactMonitor& contact, GatewayMetrics& metrics,
+                  EventLog& log, PipelineSettings settings);
 
   Awaitable<void> Handle(HttpServerExchange& exchange);
   /// Closes connections to servers that have been idle for too long.
--- a/test/gateway/pipeline_fixture.h
+++ b/test/gateway/pipeline_fixture.h
@@ -31,8 +31,9 @@
                 [](const std::string&, const CreditAnswer&) {}}),
         statements_(protocol_, metrics_, log_),
         permits_(context_, "self", metrics_.permits, SingleDaemonPermitPorts()),
-        pipeline_(context_, protocol_, view_, quarantine_, quota_, statements_, permits_, metrics_,
-                  log_, std::move(settings)),
+        contact_(view_, metrics_, log_),
+        pipeline_(context_, protocol_, view_, quarantine_, quota_, statements_, permits_, contact_,
+                  metrics_, log_, std::move(settings)),
         front_(
             {&context_}, {"127.0.0.1", 0}, {},
             [this](HttpServerExchange& exchange) { return pipeline_.Handle(exchange); },
@@ -187,6 +188,7 @@
   QuotaService quota_;
   ServerStatements statements_;
   PermitService permits_;
+  ContactMonitor contact_;
   RequestPipeline pipeline_;
   HttpServer front_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard_;
