Failing test: callers of daemons that are cut off from all servers are refused

Ruled out: the bench's network as the cause: the same is seen over loopback. Change: the emulator's servers have a link to each gateway, which can be cut three ways (hang, reset, refuse new connections); isolated_daemon_test plays 2 and 7 whole gateways, and a leader that is cut off.

--- a/test/emulator/emulated_platform.cc
+++ b/test/emulator/emulated_platform.cc
@@ -62,7 +62,9 @@
 void EmulatedPlatform::Start() {
   store_.Start();
   for (int gateway = 0; gateway < options_.gateways; ++gateway) {
-    store_proxies_.push_back(std::make_unique<FaultProxy>(context_, store_.endpoint()));
+    const Endpoint store = store_.AddListener(
+        [this, gateway](const std::string& address) { return AddressFor(gateway, address); });
+    store_proxies_.push_back(std::make_unique<FaultProxy>(context_, store));
     store_proxies_.back()->Start();
   }
   for (int server = 0; server < options_.model_servers; ++server) {
@@ -101,16 +103,18 @@
 
 void EmulatedPlatform::AddServer(bool engine, std::vector<LoadedModel> models) {
   servers_.push_back(MakeServer(engine, std::move(models)));
-  server_proxies_.push_back(std::make_unique<FaultProxy>(context_, servers_.back()->endpoint()));
-  server_proxies_.back()->Start();
+  server_links_.push_back(
+      std::make_unique<ServerLinks>(context_, options_.gateways, servers_.back()->endpoint()));
+  server_links_.back()->Start();
+  for (const auto& [gateway, cut] : cuts_) server_links_.back()->Cut(gateway, cut);
   Serve(servers_.size() - 1);
 }
 
 void EmulatedPlatform::Serve(std::size_t number) {
   ServerEmulator& server = *servers_.at(number);
-  server.Announce(server_proxies_.at(number)->endpoint());
+  server.Announce(server_links_.at(number)->endpoint(0));
   server.OnEnd([this, number] {
-    server_proxies_.at(number)->SetTargetGone(true);
+    server_links_.at(number)->SetTargetGone(true);
     boost::asio::co_spawn(context_, Restart(number), boost::asio::detached);
   });
   server.Start();
@@ -123,11 +127,22 @@
   const std::string id = options_.same_id ? before.options().id : "";
   if (options_.same_id) before.Succeeded();
   ended_.push_back(std::exchange(servers_.at(number), MakeServer(engine, {}, id)));
-  server_proxies_.at(number)->set_target(servers_.at(number)->endpoint());
-  server_proxies_.at(number)->SetTargetGone(false);
+  server_links_.at(number)->set_target(servers_.at(number)->endpoint());
+  server_links_.at(number)->SetTargetGone(false);
   Serve(number);
 }
 
+std::string EmulatedPlatform::AddressFor(int gateway, const std::string& address) const {
+  for (const std::unique_ptr<ServerLinks>& links : server_links_)
+    if (ToString(links->endpoint(0)) == address) return ToString(links->endpoint(gateway));
+  return address;
+}
+
+void EmulatedPlatform::CutFromServers(int gateway, ServerCut cut) {
+  cuts_[gateway] = cut;
+  for (const std::unique_ptr<ServerLinks>& links : server_links_) links->Cut(gateway, cut);
+}
+
 void EmulatedPlatform::ReplaceServer(std::size_t number) {
   ServerEmulator& leaving = *servers_.at(number);
   AddServer(leaving.options().engine, {});
--- a/test/emulator/emulated_platform.h
+++ b/test/emulator/emulated_platform.h
@@ -11,6 +11,7 @@
 #include "fault_proxy.h"
 #include "promise_checker.h"
 #include "server_emulator.h"
+#include "server_links.h"
 #include "statement_checker.h"
 #include "store_emulator.h"
 #include "tenant_checker.h"
@@ -30,7 +31,7 @@
   int spare_routes = 0;  ///< Of each configuration, which nobody asks for: they give it its size.
 };
 
-/// The emulated platform: a store, servers behind proxies, an operator. One thread.
+/// The emulated platform: a store, servers behind a link for each gateway, an operator. One thread.
 class EmulatedPlatform {
  public:
   static constexpr const char* kHost = "host.example";
@@ -59,7 +60,9 @@
   /// @return when that version was written; the beginning of time where it never was.
   BootClock::time_point WrittenAt(std::int64_t version) const;
   std::vector<std::unique_ptr<ServerEmulator>>& servers() { return servers_; }
-  FaultProxy& server_proxy(std::size_t number) { return *server_proxies_.at(number); }
+  ServerLinks& server_links(std::size_t number) { return *server_links_.at(number); }
+  /// Cuts one gateway off from all servers, also those that come later, or ends that.
+  void CutFromServers(int gateway, ServerCut cut);
   FaultProxy& store_proxy(int number) { return *store_proxies_.at(number); }
   const std::vector<std::string>& models() const { return models_; }
 
@@ -87,6 +90,8 @@
   /// had, with nothing loaded.
   Awaitable<void> Restart(std::size_t number);
   std::string ConfigurationText() const;
+  /// @return where gateway `number` finds the server that is announced at `address`.
+  std::string AddressFor(int gateway, const std::string& address) const;
 
   boost::asio::io_context& context_;
   PlatformOptions options_;
@@ -96,7 +101,8 @@
   StoreEmulator store_;
   std::vector<std::string> models_;
   std::vector<std::unique_ptr<FaultProxy>> store_proxies_;
-  std::vector<std::unique_ptr<FaultProxy>> server_proxies_;
+  std::vector<std::unique_ptr<ServerLinks>> server_links_;
+  std::map<int, ServerCut> cuts_;  ///< By gateway.
   std::vector<std::unique_ptr<ServerEmulator>> servers_;
   /// Servers whose processes have ended: their last handlers may still run.
   std::vector<std::unique_ptr<ServerEmulator>> ended_;
--- a/test/emulator/fault_plan.cc
+++ b/test/emulator/fault_plan.cc
@@ -170,9 +170,9 @@
 
 Awaitable<void> FaultPlan::ServerLink(FaultScope scope) {
   Say("server_link");
-  platform_.server_proxy(scope.server).SetMode(scope.mode);
+  platform_.server_links(scope.server).SetMode(scope.mode);
   co_await Sleep(scope.length);
-  platform_.server_proxy(scope.server).SetMode(ProxyMode::kPass);
+  platform_.server_links(scope.server).SetMode(ProxyMode::kPass);
 }
 
 Awaitable<void> FaultPlan::ServerErrors(FaultScope scope) {
@@ -227,7 +227,7 @@
 
 Awaitable<void> FaultPlan::ServerConnectionsSilent(FaultScope scope) {
   Say("server_connections_silent");
-  platform_.server_proxy(scope.server).SilenceStanding();
+  platform_.server_links(scope.server).SilenceStanding();
   co_return;
 }
 
--- a/test/emulator/fault_proxy.cc
+++ b/test/emulator/fault_proxy.cc
@@ -56,17 +56,50 @@
 }
 
 void FaultProxy::SetTargetGone(bool gone) {
-  if (gone != acceptor_.is_open()) return;
-  if (gone) {
-    error_code ignored;
-    acceptor_.close(ignored);
-    ResetAll();
-    return;
-  }
+  SetRefusesNew(gone);
+  if (gone) ResetAll();
+}
+
+void FaultProxy::SetRefusesNew(bool refuses) {
+  if (refuses != acceptor_.is_open()) return;
+  if (refuses)
+    StopListening();
+  else
+    Listen();
+}
+
+void FaultProxy::Listen() {
   acceptor_ = tcp::acceptor(context_, address_);
   Start();
 }
 
+void FaultProxy::StopListening() {
+  error_code ignored;
+  acceptor_.close(ignored);
+}
+
+void FaultProxy::SetUnreachable(bool unreachable) {
+  if (unreachable == !queue_fillers_.empty()) return;
+  StopListening();
+  queue_fillers_.clear();
+  if (!unreachable) {
+    Listen();
+    return;
+  }
+  SilenceStanding();
+  // Nobody accepts: with an accept queue of one, the kernel leaves later requests unanswered.
+  acceptor_ = tcp::acceptor(context_);
+  acceptor_.open(address_.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(address_);
+  acceptor_.listen(0);
+  constexpr int kFillers = 3;
+  for (int filler = 0; filler < kFillers; ++filler) {
+    queue_fillers_.emplace_back(context_);
+    queue_fillers_.back().async_connect(address_, [](const error_code&) {});
+  }
+}
+
 void FaultProxy::ResetAll() {
   for (const std::shared_ptr<Pair>& pair : pairs_) pair->Reset();
 }
--- a/test/emulator/fault_proxy.h
+++ b/test/emulator/fault_proxy.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
 #include <set>
+#include <vector>
 
 #include "common/async_signal.h"
 #include "common/boot_clock.h"
@@ -29,6 +30,11 @@
   /// The target's process has ended: connections that stand are reset and no new one comes up,
   /// whatever the mode. Or it is back.
   void SetTargetGone(bool gone);
+  /// Whether new connections are refused while those that stand live on.
+  void SetRefusesNew(bool refuses);
+  /// Whether connection requests stay unanswered and the connections that stand carry nothing, as
+  /// behind a cut that drops packets. Standing connections never recover.
+  void SetUnreachable(bool unreachable);
   /// Resets the connections that stand; new ones pass.
   void ResetAll();
   /// The connections that stand stay open and carry nothing any more; new ones pass.
@@ -42,6 +48,8 @@
   struct Pair;
 
   Awaitable<void> Accept();
+  void Listen();
+  void StopListening();
   Awaitable<void> Serve(std::shared_ptr<Pair> pair);
   Awaitable<void> Pump(std::shared_ptr<Pair> pair, bool to_target);
   /// Waits until the link to the callers has carried all before and these bytes.
@@ -56,6 +64,8 @@
   double bytes_per_second_ = 0;
   BootClock::time_point link_free_at_{};
   std::set<std::shared_ptr<Pair>> pairs_;
+  /// Fill the accept queue of an unreachable listener, so that the kernel drops further requests.
+  std::vector<boost::asio::ip::tcp::socket> queue_fillers_;
 };
 
 }  // namespace moorfold
--- a/test/emulator/store_emulator.cc
+++ b/test/emulator/store_emulator.cc
@@ -92,6 +92,28 @@
   return !key.starts_with("op/") && !key.starts_with("servers/");
 }
 
+void MapAddress(json::object& item, const StoreEmulator::AddressView& view) {
+  if (!item.contains("value") || !item.at("keyFile").as_string().starts_with("servers/")) return;
+  json::error_code error;
+  json::value entry = json::parse(Decode(item.at("value").as_string()), error);
+  json::value* address =
+      error || !entry.is_object() ? nullptr : entry.as_object().if_contains("address");
+  if (address == nullptr || !address->is_string()) return;
+  *address = view(std::string(address->as_string()));
+  item["value"] = Encode(json::serialize(entry));
+}
+
+/// @return the body of a read, with the servers' addresses as `view` has them.
+std::string WithAddresses(const std::string& body, const StoreEmulator::AddressView& view) {
+  json::value document = json::parse(body);
+  json::object& object = document.as_object();
+  if (object.contains("keyFile")) MapAddress(object, view);
+  for (const char* list : {"items", "events"})
+    if (json::value* entries = object.if_contains(list))
+      for (json::value& item : entries->as_array()) MapAddress(item.as_object(), view);
+  return json::serialize(document);
+}
+
 HttpResponse Refuse(unsigned status, const std::string& reason) { return {status, {}, reason}; }
 
 }  // namespace
@@ -102,7 +124,16 @@
       random_(seed),
       server_(
           {&context}, {"127.0.0.1", 0}, {},
-          [this](HttpServerExchange& exchange) { return Handle(exchange); }, Refuse) {}
+          [this](HttpServerExchange& exchange) { return Handle(exchange, {}); }, Refuse) {}
+
+Endpoint StoreEmulator::AddListener(AddressView view) {
+  listeners_.push_back(std::make_unique<HttpServer>(
+      std::vector<boost::asio::io_context*>{&context_}, Endpoint{"127.0.0.1", 0},
+      HttpServerLimits{},
+      [this, view](HttpServerExchange& exchange) { return Handle(exchange, view); }, Refuse));
+  listeners_.back()->Start();
+  return listeners_.back()->endpoint();
+}
 
 void StoreEmulator::Start() {
   server_.Start();
@@ -186,7 +217,7 @@
                : reads_.Take(faults_.reads_per_second, now);
 }
 
-Awaitable<void> StoreEmulator::Handle(HttpServerExchange& exchange) {
+Awaitable<void> StoreEmulator::Handle(HttpServerExchange& exchange, const AddressView& view) {
   ++calls_;
   const HttpRequest request = exchange.request();
   if (faults_.delay.count() > 0) co_await Sleep(faults_.delay);
@@ -215,6 +246,8 @@
     co_return;
   }
   if (faults_.tells_era) response.headers.push_back({"Store-Era", std::to_string(era)});
+  if (view && IsRead(request) && response.status == 200)
+    response.body = WithAddresses(response.body, view);
   co_await exchange.Respond(std::move(response));
 }
 
--- a/test/emulator/store_emulator.h
+++ b/test/emulator/store_emulator.h
@@ -4,10 +4,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "common/async_signal.h"
 #include "common/boot_clock.h"
@@ -60,6 +62,10 @@
 
   void Start();
   Endpoint endpoint() const { return server_.endpoint(); }
+  /// Maps the announced address of a server to the one at which a caller finds it.
+  using AddressView = std::function<std::string(const std::string& announced)>;
+  /// Opens another listener, whose callers read the servers' addresses through `view`.
+  Endpoint AddListener(AddressView view);
   StoreFaults& faults() { return faults_; }
   /// What the operator and the servers write; faults do not concern them.
   std::int64_t Put(const std::string& key, const std::string& value);
@@ -79,7 +85,7 @@
     BootClock::time_point taken_at;
     KeyValueTable table;
   };
-  Awaitable<void> Handle(HttpServerExchange& exchange);
+  Awaitable<void> Handle(HttpServerExchange& exchange, const AddressView& view);
   Awaitable<HttpResponse> Answer(const HttpRequest& request);
   Awaitable<HttpResponse> Watch(const std::string& target);
   HttpResponse Range(const std::string& target);
@@ -108,6 +114,7 @@
   std::uint64_t calls_ = 0;
   std::uint64_t reads_answered_ = 0;
   HttpServer server_;
+  std::vector<std::unique_ptr<HttpServer>> listeners_;
 };
 
 }  // namespace moorfold
