--- a/src/common/log_event.h
+++ b/src/common/log_event.h
@@ -170,6 +170,8 @@
   kPauseMs,
   kWork,
   kPool,
+  kVia,
+  kOrigin,
 };
 inline constexpr std::array kLogFieldNames = {"id",
                                               "ids",
@@ -241,7 +243,9 @@
                                               "limit",
                                               "pause_ms",
                                               "work",
-                                              "pool"};
+                                              "pool",
+                                              "via",
+                                              "origin"};
 
 /// @return the name as it stands in the log.
 constexpr const char* Name(LogEvent event) {
@@ -251,7 +255,7 @@
   return kLogFieldNames[static_cast<std::size_t>(field)];
 }
 static_assert(kLogEventNames.size() == static_cast<std::size_t>(LogEvent::kLogLinesLeftOut) + 1);
-static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kPool) + 1);
+static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kOrigin) + 1);
 
 /// One line of a gateway's log, made only of listed events and fields.
 class EventLine {
--- a/src/fleet/demand_channel.cc
+++ b/src/fleet/demand_channel.cc
@@ -98,6 +98,10 @@
     handlers_.on_permit_answer(*permit_answer, from);
   } else if (const auto* load_outlook = std::get_if<LoadOutlookNotice>(&message)) {
     handlers_.on_load_outlook(*load_outlook, from);
+  } else if (const auto* detour_query = std::get_if<DetourQuery>(&message)) {
+    handlers_.on_detour_query(*detour_query, from);
+  } else if (const auto* detour_offer = std::get_if<DetourOffer>(&message)) {
+    handlers_.on_detour_offer(*detour_offer, from);
   } else {
     handlers_.on_leadership_offer(std::get<LeadershipOffer>(message));
   }
--- a/src/fleet/demand_channel.h
+++ b/src/fleet/demand_channel.h
@@ -50,6 +50,9 @@
   using PermitAnswerHandler = std::function<void(const PermitResponse&, const std::string& from)>;
   /// @param from "IP:PORT" of the sender.
   using LoadOutlookHandler = std::function<void(const LoadOutlookNotice&, const std::string& from)>;
+  /// @param from "IP:PORT" of the sender.
+  using DetourQueryHandler = std::function<void(const DetourQuery&, const std::string& from)>;
+  using DetourOfferHandler = std::function<void(const DetourOffer&, const std::string& from)>;
   using LeadershipOfferHandler = std::function<void(const LeadershipOffer&)>;
   /// Receives the reason why a datagram could not be sent or handled.
   using DropHandler = std::function<void(const std::string& problem)>;
@@ -74,6 +77,8 @@
     PermitQuestionHandler on_permit_question;
     PermitAnswerHandler on_permit_answer;
     LoadOutlookHandler on_load_outlook;
+    DetourQueryHandler on_detour_query;
+    DetourOfferHandler on_detour_offer;
     DropHandler on_drop;
     UndecodableHandler on_undecodable;
   };
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -15,6 +15,7 @@
 
 #include "common/bounded_archive.h"
 #include "common/message_format.h"
+#include "detour/detour_messages.h"
 #include "fleet/demand.h"
 #include "fleet/order_history.h"
 #include "outlook/outlook_messages.h"
@@ -35,6 +36,7 @@
   kRelayPlan = 3,      ///< In DemandReport: `relay_plan`.
   kPartial = 4,        ///< In ChangeAnswer: `partial`.
   kLeaderAddress = 5,  ///< In ChangeAnswer: `leader`, in the form of PackAddress.
+  kIsolated = 6,       ///< In DemandReport: `isolated`.
 };
 
 /// Value of the leader key in the store. The key is attached to the leader's lease.
@@ -80,6 +82,7 @@
   /// Number of the newest relay plan known to the sender; empty from builds without relay support.
   /// An added field.
   std::optional<std::int64_t> relay_plan;
+  bool isolated = false;  ///< The sender reaches no server. An added field.
 
   template <typename Archive>
   void serialize(Archive& archive) {
@@ -115,12 +118,12 @@
 };
 
 /// Alternatives from RelayPlan on require relay support (DemandReport::relay_plan). Builds that do
-/// not know the permit messages ignore them, so their queries get no response.
+/// not know the permit or detour messages ignore them, so their queries get no response.
 using FleetMessage =
     std::variant<DemandReport, PlacementNotice, ChangeAnswer, LeadershipOffer, QuarantineNotice,
                  CreditSharing, CreditQuestion, CreditAnswer, RelayPlan, ServersRequest,
                  ServersPage, ConfigurationPartRequest, ConfigurationPart, PermitRequest,
-                 PermitResponse, LoadOutlookNotice>;
+                 PermitResponse, LoadOutlookNotice, DetourQuery, DetourOffer>;
 
 template <typename Archive>
 void serialize(Archive& archive, ModelReference& name) {
@@ -167,11 +170,13 @@
   if (report.question) PutEra(added, report.question->revision.era);
   if (report.zone != 0) PutAdded(added, AddedField::kZone, report.zone);
   if (report.relay_plan) PutAdded(added, AddedField::kRelayPlan, *report.relay_plan);
+  if (report.isolated) PutAdded(added, AddedField::kIsolated, 1);
 }
 inline void ReadAdded(DemandReport& report, const FormattedMessage& message) {
   report.format = message.format;
   report.zone = FindAdded(message, AddedField::kZone).value_or(0);
   report.relay_plan = FindAdded(message, AddedField::kRelayPlan);
+  report.isolated = FindAdded(message, AddedField::kIsolated).value_or(0) != 0;
   if (report.question) report.question->revision.era = EraOf(message);
 }
 inline void WriteAdded(const ChangeAnswer& answer, AddedFields& added) {
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -139,21 +139,42 @@
   co_return fresh;
 }
 
-HttpRequest Forwarder::MakeRequestHead(const HttpRequest& original, const GatewayRequest& request,
-                                       const Server& server, SteadyTime attempt_deadline) const {
+HttpRequest Forwarder::CopyHead(const HttpRequest& original, const GatewayRequest& request) const {
   const HeaderNames& names = protocol_.headers();
   HttpRequest head{original.method, original.target, {}, ""};
   const HopByHopHeaders hop_by_hop(original.headers);
   for (const HttpHeader& header : original.headers) {
-    const bool replaced =
-        EqualHeaderNames(header.name, names.deadline) || IsSystemOnly(header.name, names) ||
-        (request.strip_credentials && EqualHeaderNames(header.name, kAuthorizationHeader));
+    const bool replaced = EqualHeaderNames(header.name, names.deadline) ||
+                          IsSystemOnly(header.name, names) ||
+                          EqualHeaderNames(header.name, detour::kOriginHeader);
     const bool resumed =
         !request.last_event_id.empty() && EqualHeaderNames(header.name, names.last_event);
     if (!replaced && !resumed && !hop_by_hop.Contains(header.name)) head.headers.push_back(header);
   }
   if (!request.last_event_id.empty())
     head.headers.push_back({names.last_event, request.last_event_id});
+  return head;
+}
+
+HttpRequest Forwarder::MakeDetourHead(const HttpRequest& original, const GatewayRequest& request,
+                                      SteadyTime attempt_deadline) const {
+  HttpRequest head = CopyHead(original, request);
+  const milliseconds remaining = std::max(milliseconds(1), Remaining(attempt_deadline));
+  head.headers.push_back({protocol_.headers().deadline, std::to_string(remaining.count())});
+  const detour::Origin origin{request.detour_target->token, request.table->configuration().version,
+                              request.first_attempt_counted, request.arrived, request.may_have_run};
+  head.headers.push_back({std::string(detour::kOriginHeader), detour::Format(origin)});
+  return head;
+}
+
+HttpRequest Forwarder::MakeRequestHead(const HttpRequest& original, const GatewayRequest& request,
+                                       const Server& server, SteadyTime attempt_deadline) const {
+  const HeaderNames& names = protocol_.headers();
+  HttpRequest head = CopyHead(original, request);
+  if (request.strip_credentials)
+    std::erase_if(head.headers, [](const HttpHeader& header) {
+      return EqualHeaderNames(header.name, kAuthorizationHeader);
+    });
   const milliseconds remaining = std::max(milliseconds(1), Remaining(attempt_deadline));
   head.headers.push_back({names.deadline, std::to_string(remaining.count())});
   head.headers.push_back({names.expected_server, server.record().id});
@@ -273,7 +294,7 @@
     }
   } catch (const HttpError& error) {
     if (request.client_left) co_return AttemptResult{AttemptOutcome::kClientLeft, status, ""};
-    contact_.RecordFailure(server.record().id);
+    RecordUnreachable(request, server);
     const AttemptOutcome end =
         request.head_sent ? AttemptOutcome::kBrokenOff : AttemptOutcome::kMayHaveRun;
     co_return AttemptResult{end, status, error.what(), error.peer_ended()};
@@ -286,11 +307,67 @@
   co_return AttemptResult{AttemptOutcome::kAnswered, status, ""};
 }
 
+void Forwarder::RecordUnreachable(const GatewayRequest& request, const Server& server) {
+  if (!request.detour_target) contact_.RecordFailure(server.record().id);
+}
+
+/// The other daemon has validated the server's response, so it is relayed as it is.
+Awaitable<AttemptResult> Forwarder::ExchangeThroughDaemon(HttpServerExchange& exchange,
+                                                          GatewayRequest& request,
+                                                          const Server& daemon) {
+  co_await ReadMatchingHead(*request.upstream, request);
+  HttpHeaders headers = request.upstream->headers();
+  if (FindHeader(headers, protocol_.headers().seal).empty())
+    co_return co_await ReadDaemonRefusal(request, daemon);
+  const unsigned status = request.upstream->status();
+  const std::uint32_t runs = detour::ParseResult(FindHeader(headers, detour::kResultHeader))
+                                 .value_or(detour::Result{})
+                                 .may_have_run;
+  std::erase_if(headers, [](const HttpHeader& header) {
+    return EqualHeaderNames(header.name, detour::kResultHeader);
+  });
+  const bool success = status >= http_status::kOk && status < http_status::kFirstRedirection;
+  AttemptResult result;
+  if (success && request.route->type == RouteType::kStream)
+    result = co_await RelayStream(exchange, request, daemon, std::move(headers));
+  else
+    result = co_await RelayResponse(exchange, request, std::move(headers));
+  result.runs = std::max(1U, runs);
+  if (result.attempt_outcome == AttemptOutcome::kAnswered) ReturnConnection(request, daemon);
+  co_return result;
+}
+
+Awaitable<AttemptResult> Forwarder::ReadDaemonRefusal(GatewayRequest& request,
+                                                      const Server& daemon) {
+  const unsigned status = request.upstream->status();
+  const HttpHeaders headers = request.upstream->headers();
+  co_await request.upstream->ReadAll();
+  ReturnConnection(request, daemon);
+  const auto stated = detour::ParseResult(FindHeader(headers, detour::kResultHeader));
+  if (FindHeader(headers, protocol_.headers().not_run).empty() || !stated) {
+    AttemptResult result{AttemptOutcome::kMayHaveRun, status, "the request failed at the daemon"};
+    result.runs = stated ? stated->may_have_run : request.route->attempts;
+    co_return result;
+  }
+  if (!stated->declined) {
+    double retry_after_s = 0;
+    const std::string_view text = FindHeader(headers, "Retry-After");
+    std::from_chars(text.data(), text.data() + text.size(), retry_after_s);
+    request.refusal = Refusal{status, EndReason::kRefusedByDaemon,
+                              "come back after the stated time", false, retry_after_s};
+  }
+  co_return AttemptResult{
+      AttemptOutcome::kNotRun, status,
+      stated->declined ? "the daemon declined the request" : "the daemon refused the request"};
+}
+
 Awaitable<AttemptResult> Forwarder::Exchange(HttpServerExchange& exchange, GatewayRequest& request,
                                              Server& server, SteadyTime sent_at,
                                              bool last_attempt) {
+  if (request.detour_target) co_return co_await ExchangeThroughDaemon(exchange, request, server);
   co_await ReadMatchingHead(*request.upstream, request);
   contact_.RecordResponse();
+  server.RecordResponse(BootClock::now());
   const unsigned status = request.upstream->status();
   HttpHeaders headers = request.upstream->headers();
   const HeaderNames& names = protocol_.headers();
@@ -317,6 +394,9 @@
   if (unusable)
     co_return AttemptResult{AttemptOutcome::kMayHaveRun, status, "the server returned an error"};
   if (success) server.RecordPrompt(request.model, request.parts);
+  if (request.detour_origin)
+    headers.push_back({std::string(detour::kResultHeader),
+                       detour::Format(detour::Result{false, request.MayHaveRunHere() + 1})});
   AttemptResult result;
   if (success && request.route->type == RouteType::kStream)
     result = co_await RelayStream(exchange, request, server, std::move(headers));
@@ -335,7 +415,7 @@
     upstream = co_await Connect(request, *server);
   } catch (const HttpError& error) {
     server->MarkUnreachable(BootClock::now());
-    contact_.RecordFailure(server->record().id);
+    RecordUnreachable(request, *server);
     co_return AttemptResult{AttemptOutcome::kNotRun, 0, error.what(), error.peer_ended()};
   }
   if (request.client_left) {
@@ -351,13 +431,16 @@
                            attempt_deadline);
   try {
     const SteadyTime sent_at = BootClock::now();
-    upstream->BeginSend(MakeRequestHead(exchange.request(), request, *server, attempt_deadline),
-                        request.body);
+    upstream->BeginSend(
+        request.detour_target
+            ? MakeDetourHead(exchange.request(), request, attempt_deadline)
+            : MakeRequestHead(exchange.request(), request, *server, attempt_deadline),
+        request.body);
     result = co_await Exchange(exchange, request, *server, sent_at, last_attempt);
   } catch (const HttpError& error) {
     result = {AttemptOutcome::kMayHaveRun, 0, error.what(), error.peer_ended()};
-    if (upstream->cancelled() != CancelReason::kCallerLeft)
-      contact_.RecordFailure(server->record().id);
+    if (request.detour_target) result.runs = request.route->attempts;
+    if (upstream->cancelled() != CancelReason::kCallerLeft) RecordUnreachable(request, *server);
     ShortenIdleLimit(*upstream);
   }
   if (upstream->cancelled() == CancelReason::kCallerLeft || request.client_left)
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -34,6 +34,16 @@
   Awaitable<UpstreamConnectionPtr> Connect(const GatewayRequest& request, const Server& server);
   HttpRequest MakeRequestHead(const HttpRequest& original, const GatewayRequest& request,
                               const Server& server, SteadyTime attempt_deadline) const;
+  HttpRequest MakeDetourHead(const HttpRequest& original, const GatewayRequest& request,
+                             SteadyTime attempt_deadline) const;
+  /// Copies the headers that a client's request keeps on its way.
+  HttpRequest CopyHead(const HttpRequest& original, const GatewayRequest& request) const;
+  /// Like Exchange, with another daemon in the place of the server.
+  Awaitable<AttemptResult> ExchangeThroughDaemon(HttpServerExchange& exchange,
+                                                 GatewayRequest& request, const Server& daemon);
+  Awaitable<AttemptResult> ReadDaemonRefusal(GatewayRequest& request, const Server& daemon);
+  /// Records that nothing was heard of the server of this attempt.
+  void RecordUnreachable(const GatewayRequest& request, const Server& server);
   Awaitable<AttemptResult> Exchange(HttpServerExchange& exchange, GatewayRequest& request,
                                     Server& server, SteadyTime sent_at, bool last_attempt);
   Awaitable<void> ReadMatchingHead(UpstreamConnection& upstream, const GatewayRequest& request);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -161,6 +161,13 @@
                 [this](const LoadOutlookNotice& notice, const std::string& from) {
                   ReceiveLoadOutlook(notice, from);
                 },
+                [this](const DetourQuery& query, const std::string& from) {
+                  peers_.Note(from, BootClock::now());
+                  detours_.Hear(query, from);
+                },
+                [this](const DetourOffer& offer, const std::string& from) {
+                  detours_.Hear(offer, from);
+                },
                 [this](const std::string& problem) {
                   log_.Write(
                       LogRank::kRoutine,
@@ -190,15 +197,19 @@
       quota_(context, QuotaSettings(settings_), ToString(channel_.endpoint()), metrics_.quota,
              QuotaPorts()),
       permits_(context, ToString(channel_.endpoint()), metrics_.permits, PermitPorts()),
+      prober_(context, view_, contact_),
+      detour_server_(MakeDetourServer()),
+      detours_(context, metrics_.detours, DetourPorts()),
       census_(ToString(channel_.endpoint()), settings_.cpu_share),
       sharing_record_(store_, log, kSharingKey, LogEvent::kSharingNotStored),
       relays_(context, store_, store_view_, metrics_, log,
               {settings_.zone, ToString(channel_.endpoint()), settings_.relays_from_daemons},
               RelayPorts()),
       pipeline_(context, protocol, view_, quarantine_, quota_, statements_, permits_, contact_,
-                metrics_, log,
+                detours_, metrics_, log,
                 {settings_.zone, settings_.retry_window, settings_.retry_ratio, settings_.name,
                  settings_.prompt_separation}) {
+  contact_.OnChange([this](detour::ContactState state) { HandleContactChange(state); });
   view_.configuration_bound = settings_.configuration_bound;
   view_.staleness_bound = settings_.staleness_bound;
   const std::vector<boost::asio::io_context*> contexts = {&context_};
@@ -223,6 +234,7 @@
                                     .Field(LogField::kPeakMemoryKb, PeakMemoryKilobytes()));
   client_server_->Start();
   readiness_server_->Start();
+  detour_server_->Start();
   if (metrics_server_) metrics_server_->Start();
   channel_.Start();
   store_view_.Subscribe(quarantine_record_.key(),
@@ -347,6 +359,51 @@
   if (election_.leading()) quarantine_record_.Write(quarantine_.QuarantinedCases());
 }
 
+std::unique_ptr<HttpServer> Gateway::MakeDetourServer() {
+  return std::make_unique<HttpServer>(
+      std::vector<boost::asio::io_context*>{&context_}, settings_.peer, HttpServerLimits{},
+      [this](HttpServerExchange& exchange) { return AnswerDetour(exchange); }, Reject);
+}
+
+DetourService::Ports Gateway::DetourPorts() {
+  DetourService::Ports ports;
+  ports.ask = [this](const std::string& to, const DetourQuery& query) {
+    channel_.SendTo(to, query);
+  };
+  ports.answer = [this](const std::string& to, const DetourOffer& offer) {
+    channel_.SendTo(to, offer);
+  };
+  ports.peers = [this] { return Peers(); };
+  ports.accepts = [this] {
+    return Ready() && contact_.state() == detour::ContactState::kReachable;
+  };
+  ports.reaches = [this](const std::string& server_id) {
+    constexpr milliseconds kRecentResponse{2'000};
+    const ServerPtr server = view_.servers.Find(server_id);
+    return server && server->RespondedWithin(kRecentResponse, BootClock::now());
+  };
+  ports.active = [this] { return pipeline_.active_detours(); };
+  ports.port = detour_server_->endpoint().port;
+  return ports;
+}
+
+Awaitable<void> Gateway::AnswerDetour(HttpServerExchange& exchange) {
+  const std::string_view header = FindHeader(exchange.request().headers, detour::kOriginHeader);
+  const std::optional<detour::Origin> origin = detour::ParseOrigin(header);
+  if (!origin || !detours_.Allows(origin->token, exchange.remote_address())) {
+    // An offer of this daemon's previous process, or not a daemon of this fleet.
+    LogDroppedDatagram("request from a sender without an offer", exchange.remote_address());
+    co_await pipeline_.DeclineDetour(exchange);
+    co_return;
+  }
+  co_await pipeline_.HandleDetoured(exchange, *origin);
+}
+
+void Gateway::HandleContactChange(detour::ContactState state) {
+  if (state != detour::ContactState::kReachable) prober_.Start();
+  view_.changed.NotifyAll();
+}
+
 QuotaService::Ports Gateway::QuotaPorts() {
   QuotaService::Ports ports;
   ports.ask = [this](const std::string& to, const CreditQuestion& question) {
@@ -459,6 +516,7 @@
                  .Field(LogField::kConnections, client_server_->open_connections())
                  .Field(LogField::kActiveRequests, client_server_->active_requests()));
   client_server_->AnnounceClose();
+  detour_server_->AnnounceClose();
   controller_.Stop();
   election_.StopOrdering();
   boost::asio::co_spawn(context_, Stop(), boost::asio::detached);
@@ -472,9 +530,11 @@
   if (elapsed < kNotReadyPropagation) return false;
   client_server_->StopAccepting();
   client_server_->CloseIdle();
+  detour_server_->StopAccepting();
+  detour_server_->CloseIdle();
   pipeline_.RefuseWaiting();
   if (elapsed >= settings_.drain_timeout - kFinalAnswerMargin) pipeline_.TimeOutUnanswered();
-  return client_server_->open_connections() == 0;
+  return client_server_->open_connections() == 0 && detour_server_->active_requests() == 0;
 }
 
 /// Resigns once no order is awaiting its answer. The store must hold the resignation before the
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 
 #include "common/boot_clock.h"
 #include "common/event_log.h"
+#include "detour/detour_service.h"
 #include "fleet/demand_channel.h"
 #include "fleet/fleet_controller.h"
 #include "fleet/fleet_members.h"
@@ -13,6 +14,7 @@
 #include "fleet/peer_list.h"
 #include "fleet/published_record.h"
 #include "gateway/contact_monitor.h"
+#include "gateway/contact_prober.h"
 #include "gateway/counting_store.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_metrics.h"
@@ -80,6 +82,11 @@
   QuotaService::Ports QuotaPorts();
   /// @return the role of this daemon in distributing the servers' concurrency limits.
   limits::AllocatorRole PermitRole() const;
+  DetourService::Ports DetourPorts();
+  std::unique_ptr<HttpServer> MakeDetourServer();
+  /// Handles a request that another daemon forwards.
+  Awaitable<void> AnswerDetour(HttpServerExchange& exchange);
+  void HandleContactChange(detour::ContactState state);
   PermitService::Ports PermitPorts();
   void ApplySharing(const CreditSharing& sharing);
   void HandleSharingRecord(const std::optional<KeyValue>& entry, StoreRevision revision);
@@ -128,6 +135,10 @@
   QuarantineRecord quarantine_record_;
   QuotaService quota_;
   PermitService permits_;
+  ContactProber prober_;
+  /// Takes requests that other daemons forward. Its port is stated in DetourOffer.
+  std::unique_ptr<HttpServer> detour_server_;
+  DetourService detours_;
   quota::CreditSharingPlanner census_;
   PublishedRecord<CreditSharing> sharing_record_;
   RelayService relays_;
--- a/src/gateway/gateway_fleet.cc
+++ b/src/gateway/gateway_fleet.cc
@@ -84,6 +84,8 @@
 std::vector<std::string> Gateway::UnreachableServers() const {
   const auto now = BootClock::now();
   std::vector<std::string> servers;
+  // Different servers that fail in a row say something about this daemon, not about them.
+  if (contact_.state() != detour::ContactState::kReachable) return servers;
   for (const auto& [id, server] : view_.servers.all())
     if (server->Unreachable(now)) servers.push_back(id);
   return servers;
@@ -105,6 +107,7 @@
       std::chrono::duration_cast<milliseconds>(BootClock::now() - started_at_).count();
   report.strength = settings_.cpu_share;
   report.stopping = stopping_;
+  report.isolated = contact_.isolated();
   report.quarantine_digest = quarantine_.tracker().Digest();
   report.zone = ZoneIdOf(settings_.zone);
   report.relay_plan = relays_.plan().number;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -90,6 +90,10 @@
   Gauge(text, "servers_failing", servers_failing);
   Gauge(text, "isolated", isolated);
   Count(text, "isolations", isolations);
+  Count(text, "detours_sent", detours.sent);
+  Count(text, "detours_not_found", detours.not_found);
+  Count(text, "detours_carried", detours.carried);
+  Count(text, "detours_declined", detours.declined);
   Count(text, "servers_kept_leaving", stale_ready_states_overridden);
   Count(text, "server_entries_doubted", restored_entries_deferred);
   messages_unread.Render("messages_unread_total", text);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "detour/detour_service.h"
 #include "gateway/labelled_counter.h"
 #include "quarantine/quarantine_service.h"
 #include "server_limits/permit_counters.h"
@@ -59,8 +60,8 @@
   std::uint64_t stale_configuration_reads = 0;
   std::uint64_t entries_skipped = 0;    ///< Store entries that could not be decoded.
   std::uint64_t servers_restarted = 0;  ///< Restarts under an unchanged id.
-  std::int64_t servers_failing = 0;  ///< Different servers that failed since the last response.
-  std::int64_t isolated = 0;         ///< 1 while no server can be reached.
+  std::int64_t servers_failing = 0;     ///< Different servers that failed since the last response.
+  std::int64_t isolated = 0;            ///< 1 while no server can be reached.
   std::uint64_t isolations = 0;
   std::uint64_t server_statements = 0;  ///< State changes that servers announced in responses.
   /// Entries that showed a leaving server as ready.
@@ -96,6 +97,7 @@
   std::vector<RepeatsLeft> repeats_left;
   std::int64_t peak_memory_kb = 0;
   QuarantineCounters quarantine;
+  DetourCounters detours;
   QuotaCounters quota;
   PermitCounters permits;
   LabelledCounter tenant_requests;         ///< By tenant, outcome and reason.
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "detour/detour_headers.h"
+#include "detour/detour_peers.h"
 #include "fleet/routing_configuration.h"
 #include "gateway/prompt.h"
 #include "gateway/refusal.h"
@@ -65,8 +67,19 @@
   UpstreamConnectionPtr upstream;  ///< Connection of the current attempt.
   std::vector<std::string> failed_servers;
   std::vector<ServerRefusal> refusals;
-  std::optional<Refusal> refusal;  ///< Why it must not be sent again.
+  /// Set if another daemon, which cannot reach the servers, took it from the client.
+  std::optional<detour::Origin> detour_origin;
+  std::string origin_address;  ///< IP number of that daemon.
+  /// Set if the current attempt goes through another daemon.
+  std::optional<detour::Target> detour_target;
+  bool first_attempt_counted = false;  ///< In the retry budget, here or at another daemon.
+  bool arrived = false;                ///< A server, or a daemon that took it, has received it.
+  std::optional<Refusal> refusal;      ///< Why it must not be sent again.
 
+  /// @return number of servers on which it may have run because of this daemon.
+  std::uint32_t MayHaveRunHere() const {
+    return may_have_run - (detour_origin ? detour_origin->may_have_run : 0);
+  }
   /// @return whether the response missed the route's target: the first byte was late, or a gap in
   /// the stream was too long.
   bool MissedTarget() const {
@@ -106,6 +119,8 @@
   bool connection_lost = false;
   /// The server had free capacity and refused this request nevertheless.
   bool refused_with_capacity = false;
+  /// Number of servers on which it may have run, if the outcome is that it may have run.
+  std::uint32_t runs = 1;
 };
 
 }  // namespace moorfold
--- a/src/gateway/refusals.cc
+++ b/src/gateway/refusals.cc
@@ -43,6 +43,19 @@
           false, 0};
 }
 
+Refusal IsolatedRefusal(double jitter) {
+  // Callers may find another daemon at once; this one looks for servers several times a second.
+  constexpr double kRetryAfterS = 0.3;
+  return {http_status::kUnavailable, EndReason::kServersUnreachable,
+          "this daemon reaches no server; come back after the stated time, on a new connection",
+          false, kRetryAfterS * (1 + jitter)};
+}
+
+Refusal DeclinedRefusal() {
+  return {http_status::kUnavailable, EndReason::kDeclined, "send the request to another daemon",
+          false, 0};
+}
+
 HttpResponse ToResponse(const Refusal& refusal, const std::string& id_header,
                         const std::string& id) {
   HttpResponse response;
--- a/src/gateway/refusals.h
+++ b/src/gateway/refusals.h
@@ -14,6 +14,13 @@
 /// Has no Retry-After: a later attempt at the same request would be refused as well.
 Refusal QuarantineRefusal();
 
+/// For a daemon that reaches no server and has found no detour.
+/// @param jitter as above.
+Refusal IsolatedRefusal(double jitter);
+
+/// For a request that another daemon has sent here in vain.
+Refusal DeclinedRefusal();
+
 /// @param id_header name of the header that carries the request ID.
 /// @param id of the request; empty: the header is omitted.
 HttpResponse ToResponse(const Refusal& refusal, const std::string& id_header,
--- a/src/gateway/request_outcome.h
+++ b/src/gateway/request_outcome.h
@@ -22,6 +22,9 @@
   kConfigurationMayBeOld,  ///< The request does not match the known configuration, which may be
                            ///< outdated.
   kNoServer,               ///< No usable server holds the requested model or service.
+  kServersUnreachable,     ///< This daemon reaches no server, and no other daemon offers to help.
+  kRefusedByDaemon,        ///< Another daemon, through which it was sent, refused it.
+  kDeclined,               ///< Another daemon sent it here, and this one cannot serve it either.
   kServersFull,            ///< Every server that could serve it rejected it.
   kServersAtLimit,         ///< Every server that could serve it is at its stated limit.
   kQuarantined,            ///< Servers crash while they process it.
@@ -74,6 +77,12 @@
       return "configuration_may_be_old";
     case EndReason::kNoServer:
       return "no_server";
+    case EndReason::kServersUnreachable:
+      return "servers_unreachable";
+    case EndReason::kRefusedByDaemon:
+      return "refused_by_daemon";
+    case EndReason::kDeclined:
+      return "declined";
     case EndReason::kServersFull:
       return "servers_full";
     case EndReason::kServersAtLimit:
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -51,12 +51,15 @@
                                  FleetView& view, QuarantineService& quarantine,
                                  QuotaService& quota, ServerStatements& statements,
                                  PermitService& permits, ContactMonitor& contact,
-                                 GatewayMetrics& metrics, EventLog& log, PipelineSettings settings)
+                                 DetourService& detours, GatewayMetrics& metrics, EventLog& log,
+                                 PipelineSettings settings)
     : protocol_(protocol),
       view_(view),
       quarantine_(quarantine),
       quota_(quota),
       permits_(permits),
+      contact_(contact),
+      detours_(detours),
       metrics_(metrics),
       admission_(protocol, view),
       wait_estimator_(view),
@@ -148,11 +151,17 @@
       .Classify(*request.route, TotalTokens(request.parts));
 }
 
-ServerPtr RequestPipeline::TryChooseServer(GatewayRequest& request, NoServerReason& reason) const {
+ServerChoiceRequest RequestPipeline::MakeChoiceRequest(const GatewayRequest& request) const {
   ServerChoiceRequest choice_request{request.service, request.model, request.parts, settings_.zone,
                                      request.failed_servers};
   choice_request.daemon_name = settings_.name;
-  choice_request.work = request.work = Classify(request);
+  choice_request.work = request.work;
+  return choice_request;
+}
+
+ServerPtr RequestPipeline::TryChooseServer(GatewayRequest& request, NoServerReason& reason) const {
+  request.work = Classify(request);
+  ServerChoiceRequest choice_request = MakeChoiceRequest(request);
   for (const ServerRefusal& refusal : request.refusals)
     if (BootClock::now() < refusal.until) choice_request.excluded.push_back(refusal.server_id);
   if (quarantine_.tracker().HasCase(request.fingerprint) &&
@@ -186,9 +195,58 @@
     view_.store_reachable = false;
 }
 
+std::vector<std::string> RequestPipeline::UnreachableServers(const GatewayRequest& request) const {
+  return UnreachableCandidates(view_.servers, MakeChoiceRequest(request), BootClock::now());
+}
+
+Awaitable<ServerPtr> RequestPipeline::FindDetour(GatewayRequest& request,
+                                                 std::vector<std::string> server_ids) {
+  // One hop at most: daemons that cannot reach the servers must not pass requests in circles.
+  if (request.detour_origin) co_return nullptr;
+  detour::Need need{std::move(server_ids), request.failed_servers};
+  request.detour_target = co_await detours_.Find(std::move(need));
+  if (!request.detour_target) co_return nullptr;
+  constexpr std::size_t kMaxDaemons = 64;
+  if (detour_daemons_.size() > kMaxDaemons) detour_daemons_.clear();
+  ServerPtr& daemon = detour_daemons_[request.detour_target->peer];
+  const bool moved = daemon && daemon->record().endpoint != request.detour_target->endpoint;
+  if (!daemon || moved) {
+    ServerRecord record;
+    record.id = request.detour_target->peer;
+    record.endpoint = request.detour_target->endpoint;
+    daemon = std::make_shared<Server>(std::move(record));
+  }
+  co_return daemon;
+}
+
+bool RequestPipeline::MayTakeDetour(const GatewayRequest& request) const {
+  const bool older_configuration =
+      request.table->configuration().version < request.detour_origin->configuration_version;
+  return !older_configuration && !contact_.isolated() && !rejects_waiting_;
+}
+
+Awaitable<ServerPtr> RequestPipeline::AwaitTarget(GatewayRequest& request) {
+  request.detour_target.reset();
+  if (contact_.isolated() && !request.detour_origin && detours_.HasPeers()) {
+    ServerPtr daemon = co_await FindDetour(request, std::vector<std::string>());
+    if (daemon) co_return daemon;
+    if (contact_.isolated()) {
+      request.refusal = IsolatedRefusal(JitterOf(request.id));
+      co_return nullptr;
+    }
+  }
+  co_return co_await AwaitServer(request);
+}
+
 Awaitable<ServerPtr> RequestPipeline::AwaitServer(GatewayRequest& request) {
   NoServerReason reason = NoServerReason::kNone;
   if (ServerPtr server = TryChooseServer(request, reason)) co_return server;
+  if (reason == NoServerReason::kAllUnusable) {
+    std::vector<std::string> unreachable = UnreachableServers(request);
+    ServerPtr daemon;
+    if (!unreachable.empty()) daemon = co_await FindDetour(request, std::move(unreachable));
+    if (daemon) co_return daemon;
+  }
   const ScopedDemandCount waiting(view_.demand, request.service, request.model,
                                   &ModelDemandCounters::Count::waiting);
   const auto began = BootClock::now();
@@ -204,6 +262,8 @@
     ServerPtr server = TryChooseServer(request, reason);
     request.no_server_reason = reason;
     request.waited = std::chrono::duration_cast<milliseconds>(BootClock::now() - began);
+    if (!server && contact_.isolated())
+      server = co_await FindDetour(request, std::vector<std::string>());
     if (!server) continue;
     metrics_.wait_for_server.Observe(static_cast<double>(request.waited.count()));
     co_return server;
@@ -281,10 +341,20 @@
 
 Awaitable<void> RequestPipeline::Answer(HttpServerExchange& exchange, const GatewayRequest& request,
                                         const Refusal& refusal) {
-  co_await exchange.Respond(ToResponse(refusal, protocol_.headers().request_id, request.id));
+  HttpResponse response = ToResponse(refusal, protocol_.headers().request_id, request.id);
+  if (request.detour_origin) {
+    if (!refusal.may_have_run) response.headers.push_back({protocol_.headers().not_run, "1"});
+    const bool declined = refusal.reason == EndReason::kDeclined;
+    response.headers.push_back(
+        {std::string(detour::kResultHeader),
+         detour::Format(detour::Result{declined, request.MayHaveRunHere()})});
+  }
+  co_await exchange.Respond(std::move(response));
 }
 
 Awaitable<bool> RequestPipeline::AwaitCredit(GatewayRequest& request) {
+  // The daemon that took the request from its client holds the credit for it.
+  if (request.detour_origin) co_return true;
   if (request.tenant == nullptr || !request.tenant->limit.Limited()) co_return true;
   if (request.credit && quota_.Alive(request.tenant->name, *request.credit)) co_return true;
   request.credit.reset();
@@ -325,6 +395,8 @@
 Awaitable<AttemptResult> RequestPipeline::Attempt(HttpServerExchange& exchange,
                                                   GatewayRequest& request,
                                                   const ServerPtr& server) {
+  if (request.detour_target)
+    co_return co_await forwarder_.Forward(exchange, request, server, request.expires_at, true);
   const ScopedDemandCount in_flight_mark(view_.demand, request.service, request.model,
                                          &ModelDemandCounters::Count::in_flight);
   std::optional<QuarantineService::SuspectAttempt> suspect_attempt;
@@ -339,22 +411,43 @@
   co_return result;
 }
 
+bool RequestPipeline::NeedsRetryPermit(const GatewayRequest& request,
+                                       std::uint32_t permitted_sends) const {
+  if (request.sends < permitted_sends) return false;
+  // Failed connections of a daemon that is cut off were arrivals at no server.
+  return request.arrived || !contact_.isolated();
+}
+
+void RequestPipeline::RecordAttempt(GatewayRequest& request, const AttemptResult& result) {
+  const bool may_have_run = result.attempt_outcome == AttemptOutcome::kMayHaveRun ||
+                            result.attempt_outcome == AttemptOutcome::kBrokenOff;
+  // An attempt that may have run consumes its credit; a retry must acquire new credit.
+  if (result.attempt_outcome != AttemptOutcome::kNotRun) request.credit.reset();
+  if (may_have_run) request.may_have_run += result.runs;
+  const bool declined = request.detour_target && !request.refusal && !may_have_run;
+  const bool arrived = may_have_run || (result.status != 0 && !declined);
+  request.arrived = request.arrived || arrived;
+  request.first_attempt_counted =
+      request.first_attempt_counted || !request.detour_target || arrived;
+}
+
 Awaitable<void> RequestPipeline::Serve(HttpServerExchange& exchange, GatewayRequest& request) {
   AttemptResult result;
   std::string server_id;
   WindowedRetryBudget& retry_budget = RetryBudgetOf(request.service);
-  std::uint32_t permitted_sends = 1;
+  std::uint32_t permitted_sends = request.arrived ? 0 : 1;
   // Check the quota first: a request over its limit neither waits for a server nor counts as
   // demand.
   while (co_await AwaitCredit(request)) {
     if (!request.counted_as_demand)
       ++view_.demand.CountsOf(request.service, request.model).arrivals;
     request.counted_as_demand = true;
-    if (request.sends >= permitted_sends && !co_await AwaitRetryBudget(request, retry_budget))
+    if (NeedsRetryPermit(request, permitted_sends) &&
+        !co_await AwaitRetryBudget(request, retry_budget))
       break;
     permitted_sends = request.sends + 1;
     co_await AwaitStoreRead(request);
-    const ServerPtr server = co_await AwaitServer(request);
+    const ServerPtr server = co_await AwaitTarget(request);
     if (request.client_left) result.attempt_outcome = AttemptOutcome::kClientLeft;
     if (!server || request.client_left) break;
     // The machine may have been suspended during the wait.
@@ -366,15 +459,12 @@
     if (request.refusal) break;
     // The client has disconnected, or the deadline has passed.
     if (request.client_left || BootClock::now() >= request.expires_at) break;
-    if (request.sends == 0) retry_budget.RecordFirstAttempt(BootClock::now());
+    if (!request.first_attempt_counted && !request.detour_target)
+      retry_budget.RecordFirstAttempt(BootClock::now());
     ++request.sends;
     server_id = server->record().id;
     result = co_await Attempt(exchange, request, server);
-    // An attempt that may have run consumes its credit; a retry must acquire new credit.
-    if (result.attempt_outcome != AttemptOutcome::kNotRun) request.credit.reset();
-    if (result.attempt_outcome == AttemptOutcome::kMayHaveRun ||
-        result.attempt_outcome == AttemptOutcome::kBrokenOff)
-      ++request.may_have_run;
+    RecordAttempt(request, result);
     if (result.refused_with_capacity) RecordRefusalWithCapacity(request, server_id);
     const NextStep next = DecideNextStep(request, result);
     if (result.attempt_outcome != AttemptOutcome::kAnswered &&
@@ -384,7 +474,8 @@
     request.failed_servers.push_back(server_id);
     if (result.connection_lost) co_await quarantine_.AwaitEvidence(server_id, request.fingerprint);
   }
-  const bool late = request.head_sent && request.MissedTargetAtServer();
+  // What is late through another daemon is counted there.
+  const bool late = request.head_sent && request.MissedTargetAtServer() && !request.detour_target;
   // Servers at their limits call for more replicas just as late responses do.
   const bool at_limit = !request.head_sent && request.no_server_reason == NoServerReason::kAtLimit;
   if (!request.model.model.empty() && (late || at_limit))
@@ -425,8 +516,37 @@
 }
 
 Awaitable<void> RequestPipeline::Handle(HttpServerExchange& exchange) {
-  // Shared because the exchange's disconnect callback may outlive this coroutine.
+  return Process(exchange, std::make_shared<GatewayRequest>());
+}
+
+Awaitable<void> RequestPipeline::HandleDetoured(HttpServerExchange& exchange,
+                                                detour::Origin origin) {
   const auto request = std::make_shared<GatewayRequest>();
+  request->detour_origin = origin;
+  request->origin_address = exchange.remote_address();
+  request->may_have_run = origin.may_have_run;
+  request->arrived = origin.arrived;
+  request->first_attempt_counted = origin.first_attempt_counted;
+  request->counted_as_demand = true;  // By the daemon that took it from the client.
+  ++metrics_.detours.carried;
+  ++active_detours_;
+  co_await Process(exchange, request);
+  --active_detours_;
+}
+
+Awaitable<void> RequestPipeline::DeclineDetour(HttpServerExchange& exchange) {
+  ++metrics_.detours.declined;
+  GatewayRequest request;
+  request.arrival = BootClock::now();
+  request.id = std::string(FindHeader(exchange.request().headers, protocol_.headers().request_id));
+  request.detour_origin = detour::Origin{};
+  const Refusal declined = DeclinedRefusal();
+  co_await Refuse(exchange, request, declined);
+}
+
+/// @param request Shared because the exchange's disconnect callback may outlive this coroutine.
+Awaitable<void> RequestPipeline::Process(HttpServerExchange& exchange,
+                                         std::shared_ptr<GatewayRequest> request) {
   request->arrival = BootClock::now();
   ++metrics_.requests;
   co_await AwaitStoreRead(*request);
@@ -435,6 +555,12 @@
     co_await Refuse(exchange, *request, *refusal);
     co_return;
   }
+  if (request->detour_origin && !MayTakeDetour(*request)) {
+    ++metrics_.detours.declined;
+    const Refusal declined = DeclinedRefusal();
+    co_await Refuse(exchange, *request, declined);
+    co_return;
+  }
   request->body = std::make_shared<const std::string>(exchange.TakeBody());
   request->fingerprint = FingerprintOf(
       {FindHeader(exchange.request().headers, "Host"), exchange.request().target,
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "common/event_log.h"
+#include "detour/detour_service.h"
 #include "gateway/contact_monitor.h"
 #include "gateway/fleet_view.h"
 #include "gateway/forwarder.h"
@@ -40,10 +41,16 @@
  public:
   RequestPipeline(boost::asio::io_context& context, const FleetProtocol& protocol, FleetView& view,
                   QuarantineService& quarantine, QuotaService& quota, ServerStatements& statements,
-                  PermitService& permits, ContactMonitor& contact, GatewayMetrics& metrics,
-                  EventLog& log, PipelineSettings settings);
+                  PermitService& permits, ContactMonitor& contact, DetourService& detours,
+                  GatewayMetrics& metrics, EventLog& log, PipelineSettings settings);
 
   Awaitable<void> Handle(HttpServerExchange& exchange);
+  /// Processes a request that another daemon, which cannot reach the servers, took from a client.
+  Awaitable<void> HandleDetoured(HttpServerExchange& exchange, detour::Origin origin);
+  /// Responds that this daemon has not taken such a request.
+  Awaitable<void> DeclineDetour(HttpServerExchange& exchange);
+  /// @return number of such requests in progress.
+  std::uint32_t active_detours() const { return active_detours_; }
   /// Closes connections to servers that have been idle for too long.
   void Sweep() { forwarder_.Sweep(); }
   /// Sets how many retries each service may get in a window regardless of its first attempts.
@@ -74,7 +81,23 @@
   /// While the known state is older than its bound and the store is responsive, waits for the
   /// store's next response.
   Awaitable<void> AwaitStoreRead(const GatewayRequest& request);
+  Awaitable<void> Process(HttpServerExchange& exchange, std::shared_ptr<GatewayRequest> request);
+  /// @return a server, or the daemon through which the request is to be sent; null: it cannot be
+  /// sent.
+  Awaitable<ServerPtr> AwaitTarget(GatewayRequest& request);
   Awaitable<ServerPtr> AwaitServer(GatewayRequest& request);
+  /// Finds a daemon that reaches one of the servers, or any if none is named.
+  /// @return the daemon, in the form of a server; null if there is none.
+  Awaitable<ServerPtr> FindDetour(GatewayRequest& request, std::vector<std::string> server_ids);
+  /// @return whether this daemon may serve a request in the place of the one that took it.
+  bool MayTakeDetour(const GatewayRequest& request) const;
+  /// @return servers that hold the request's model and cannot be reached from here.
+  std::vector<std::string> UnreachableServers(const GatewayRequest& request) const;
+  ServerChoiceRequest MakeChoiceRequest(const GatewayRequest& request) const;
+  /// @return whether the request needs a permit of the retry budget before its next attempt.
+  bool NeedsRetryPermit(const GatewayRequest& request, std::uint32_t permitted_sends) const;
+  /// Updates the request after an attempt.
+  void RecordAttempt(GatewayRequest& request, const AttemptResult& result);
   ServerPtr TryChooseServer(GatewayRequest& request, NoServerReason& reason) const;
   balancing::RequestWork Classify(const GatewayRequest& request) const;
   SteadyTime AttemptDeadline(const GatewayRequest& request) const;
@@ -105,6 +128,8 @@
   QuarantineService& quarantine_;
   QuotaService& quota_;
   PermitService& permits_;
+  ContactMonitor& contact_;
+  DetourService& detours_;
   GatewayMetrics& metrics_;
   RequestAdmission admission_;
   WaitEstimator wait_estimator_;
@@ -114,6 +139,9 @@
   RequestReporter reporter_;
   std::map<std::string, WindowedRetryBudget> retry_budgets_;
   std::set<GatewayRequest*> active_;
+  /// Daemons through which requests are sent, by address, in the form of servers.
+  std::map<std::string, ServerPtr> detour_daemons_;
+  std::uint32_t active_detours_ = 0;
   bool rejects_waiting_ = false;
   double min_retries_ = 2;
 };
--- a/src/gateway/request_reporter.cc
+++ b/src/gateway/request_reporter.cc
@@ -109,6 +109,8 @@
   if (!end.server_id.empty())
     line.Field(LogField::kServer, end.server_id)
         .Field(LogField::kExpectedMs, static_cast<std::int64_t>(request.expected_ms));
+  if (request.detour_target) line.Field(LogField::kVia, request.detour_target->peer);
+  if (request.detour_origin) line.Field(LogField::kOrigin, request.origin_address);
   line.Field(LogField::kStoreAgeMs, MillisecondsSince(view_.servers_current_at));
   log_.Write(routine     ? LogRank::kRoutine
              : succeeded ? LogRank::kDecision
--- a/src/gateway/server_choice.cc
+++ b/src/gateway/server_choice.cc
@@ -154,6 +154,18 @@
 
 }  // namespace
 
+std::vector<std::string> UnreachableCandidates(const ServerDirectory& directory,
+                                               const ServerChoiceRequest& request, SteadyTime now) {
+  std::vector<std::string> ids;
+  for (const ServerPtr& server : ServersFor(directory, request)) {
+    const bool holds = request.model.model.empty() || server->Holds(request.model, now);
+    if (holds && server->Unreachable(now) && !server->RejectsRequests(now) &&
+        !Contains(request.excluded_versions, server->record().software_version))
+      ids.push_back(server->record().id);
+  }
+  return ids;
+}
+
 ServerChoice ChooseServer(const ServerDirectory& directory, const ServerChoiceRequest& request,
                           SteadyTime now) {
   ServerChoice choice;
--- a/src/gateway/server_choice.h
+++ b/src/gateway/server_choice.h
@@ -48,4 +48,9 @@
 ServerChoice ChooseServer(const ServerDirectory& directory, const ServerChoiceRequest& request,
                           SteadyTime now);
 
+/// @return the IDs of servers that could take the request if this daemon could connect to them.
+/// Pure function.
+std::vector<std::string> UnreachableCandidates(const ServerDirectory& directory,
+                                               const ServerChoiceRequest& request, SteadyTime now);
+
 }  // namespace moorfold
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -108,6 +108,12 @@
   void EndRequest() { --in_flight_; }
   std::uint32_t in_flight() const { return in_flight_; }
 
+  /// Records that a response of this server arrived.
+  void RecordResponse(SteadyTime now) { responded_at_ = now; }
+  /// @return whether it responded within that time, and no connection to it has failed since.
+  bool RespondedWithin(std::chrono::milliseconds age, SteadyTime now) const {
+    return responded_at_ != SteadyTime{} && now - responded_at_ <= age && !Suspect(now);
+  }
   void RecordSuccess();
   /// Records a response that reports a failed request; the server is reachable.
   void RecordErrorResponse();
@@ -157,6 +163,7 @@
   SteadyTime unreachable_until_{};
   SteadyTime full_until_{};
   SteadyTime at_limit_until_{};
+  SteadyTime responded_at_{};
   double error_share_ = 0;
   double stated_running_ = 0;
   double stated_waiting_ = 0;
--- a/test/detour/isolated_daemon_test.cc
+++ b/test/detour/isolated_daemon_test.cc
@@ -145,5 +145,18 @@
   CHECK(loaded.deployment.platform.checker().violations() == std::vector<std::string>{});
 }
 
+TEST_CASE("Daemons that are cut off do not keep the leader from using sound servers") {
+  LoadedDeployment loaded(3);
+  const int leader = loaded.LeaderNumber();
+  REQUIRE(leader >= 0);
+  for (int gateway = 0; gateway < 3; ++gateway)
+    if (gateway != leader) loaded.deployment.platform.CutFromServers(gateway, ServerCut::kReset);
+  loaded.deployment.RunFor(kSettleTime);
+  const std::string unloaded_model = loaded.deployment.platform.models().back();
+  const std::string id = "unloaded";
+  CHECK(loaded.deployment.Send(leader, loaded.deployment.Stream(id, unloaded_model)).status == 200);
+  CHECK(loaded.deployment.platform.checker().violations() == std::vector<std::string>{});
+}
+
 }  // namespace
 }  // namespace moorfold
--- a/test/emulator/fault_proxy.cc
+++ b/test/emulator/fault_proxy.cc
@@ -93,8 +93,9 @@
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
   acceptor_.bind(address_);
   acceptor_.listen(0);
-  constexpr int kFillers = 3;
-  for (int filler = 0; filler < kFillers; ++filler) {
+  constexpr std::size_t kFillers = 3;
+  queue_fillers_.reserve(kFillers);
+  for (std::size_t filler = 0; filler < kFillers; ++filler) {
     queue_fillers_.emplace_back(context_);
     queue_fillers_.back().async_connect(address_, [](const error_code&) {});
   }
--- a/test/fleet/demand_channel_test.cc
+++ b/test/fleet/demand_channel_test.cc
@@ -33,6 +33,8 @@
                                      [](const PermitRequest&, const std::string&) {},
                                      [](const PermitResponse&, const std::string&) {},
                                      [](const LoadOutlookNotice&, const std::string&) {},
+                                     [](const DetourQuery&, const std::string&) {},
+                                     [](const DetourOffer&, const std::string&) {},
                                      [](const std::string&) {}};
   const DemandChannel first(context, {"127.0.0.1", 0}, none);
   try {
@@ -71,6 +73,8 @@
       [](const PermitRequest&, const std::string&) {},
       [](const PermitResponse&, const std::string&) {},
       [](const LoadOutlookNotice&, const std::string&) {},
+      [](const DetourQuery&, const std::string&) {},
+      [](const DetourOffer&, const std::string&) {},
       [](const std::string&) {},
       [&](const UndecodableMessage& message) { dropped.push_back(message.problem); }};
   DemandChannel leader(context, {"127.0.0.1", 0}, to_leader);
@@ -97,6 +101,8 @@
         outlooks.push_back(notice);
         outlook_from = from;
       },
+      [](const DetourQuery&, const std::string&) {},
+      [](const DetourOffer&, const std::string&) {},
       [](const std::string&) {}};
   DemandChannel daemon(context, {"127.0.0.1", 0}, to_daemon);
   leader.Start();
--- a/test/fleet/golden_messages_test.cc
+++ b/test/fleet/golden_messages_test.cc
@@ -22,6 +22,7 @@
     "permits";  ///< Messages added with server limits, also of format 1.
 constexpr const char* kOutlook =
     "outlook";  ///< Messages added with the load outlook, also of format 1.
+constexpr const char* kDetour = "detour";  ///< Messages added with detours, also of format 1.
 constexpr const char* kRelays = "relays";  ///< Messages added with relays, also of format 1.
 
 std::string Load(const std::string& build, const std::string& name) {
@@ -287,6 +288,37 @@
   CHECK(answer.wait_us == 900'000);
 }
 
+/// Messages that only builds with detours write.
+struct DetourMessages {
+  DetourMessages() {
+    report.sender = "edge-3";
+    report.isolated = true;
+  }
+  std::map<std::string, std::string> Encoded() const {
+    return {{"demand_report", EncodeMessage(FleetMessage(report))},
+            {"detour_query", EncodeMessage(FleetMessage(query))},
+            {"detour_offer", EncodeMessage(FleetMessage(offer))}};
+  }
+  DemandReport report;
+  DetourQuery query{123, {"i-1", "i-2"}};
+  DetourOffer offer{123, true, 0x1122'3344'5566'7788ULL, 9'001, 5, {"i-2"}};
+};
+
+TEST_CASE("Detour messages are encoded and decoded as in the first build that had them") {
+  for (const auto& [name, bytes] : DetourMessages().Encoded()) {
+    CAPTURE(name);
+    CHECK(bytes == Load(kDetour, name));
+  }
+  CHECK(LoadMessage<DemandReport>(kDetour, "demand_report").isolated);
+  CHECK(LoadMessage<DetourQuery>(kDetour, "detour_query").server_ids.size() == 2);
+  const auto offer = LoadMessage<DetourOffer>(kDetour, "detour_offer");
+  CHECK(offer.accepts);
+  CHECK(offer.token == 0x1122'3344'5566'7788ULL);
+  CHECK(offer.port == 9'001);
+  CHECK(offer.active == 5);
+  CHECK(offer.server_ids == std::vector<std::string>{"i-2"});
+}
+
 TEST_CASE("A load outlook is encoded and decoded as in the first build that had it") {
   const LoadOutlookNotice golden{"s", {{"model-1", 13'000}, {"model-2", 26'000}}};
   CHECK(EncodeMessage(FleetMessage(golden)) == Load(kOutlook, "load_outlook"));
--- a/test/gateway/pipeline_fixture.h
+++ b/test/gateway/pipeline_fixture.h
@@ -32,8 +32,9 @@
         statements_(protocol_, metrics_, log_),
         permits_(context_, "self", metrics_.permits, SingleDaemonPermitPorts()),
         contact_(view_, metrics_, log_),
+        detours_(context_, metrics_.detours, NoDetourPorts()),
         pipeline_(context_, protocol_, view_, quarantine_, quota_, statements_, permits_, contact_,
-                  metrics_, log_, std::move(settings)),
+                  detours_, metrics_, log_, std::move(settings)),
         front_(
             {&context_}, {"127.0.0.1", 0}, {},
             [this](HttpServerExchange& exchange) { return pipeline_.Handle(exchange); },
@@ -163,6 +164,16 @@
     ports.daemons = [] { return 1U; };
     return ports;
   }
+  static DetourService::Ports NoDetourPorts() {
+    DetourService::Ports ports;
+    ports.ask = [](const std::string&, const DetourQuery&) {};
+    ports.answer = [](const std::string&, const DetourOffer&) {};
+    ports.peers = [] { return std::vector<std::string>(); };
+    ports.accepts = [] { return false; };
+    ports.reaches = [](const std::string&) { return false; };
+    ports.active = [] { return 0U; };
+    return ports;
+  }
   /// @return quarantine ports of a fleet with a single daemon.
   QuarantineService::Ports SingleDaemonPorts() {
     QuarantineService::Ports ports;
@@ -189,6 +200,7 @@
   ServerStatements statements_;
   PermitService permits_;
   ContactMonitor contact_;
+  DetourService detours_;
   RequestPipeline pipeline_;
   HttpServer front_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard_;
