A leader that reaches no server hands leadership to a daemon that does

Cause: a lease depends on the store alone; whether the holder can carry out the duty that goes with it did not count. Ruled out: the wait of a new leader for the orders of the one before: its record hands on the order history as at a planned stop. Change: an isolated leader orders nothing, ends its orders, releases the key and offers leadership to a daemon that reports contact; an isolated daemon claims the key 2.5 s after the others could.

--- a/src/fleet/fleet_members.cc
+++ b/src/fleet/fleet_members.cc
@@ -18,9 +18,13 @@
 }  // namespace
 
 void FleetMembers::Note(const DemandReport& report, Time now) {
-  members_[report.sender] = {report.address,  milliseconds(report.uptime_ms),
-                             report.strength, report.stopping,
-                             report.format,   now};
+  members_[report.sender] = {report.address,
+                             milliseconds(report.uptime_ms),
+                             report.strength,
+                             report.stopping,
+                             report.isolated,
+                             report.format,
+                             now};
   // Not done for each report: that work would grow with the square of the number of daemons.
   if (now < next_cleanup_at_) return;
   next_cleanup_at_ = now + kCleanupInterval;
@@ -39,7 +43,7 @@
 std::optional<std::string> FleetMembers::ChooseSuccessor(Time now, bool prefer_stronger) const {
   const Member* best = nullptr;
   for (const auto& [name, member] : members_) {
-    if (member.stopping || now - member.last_report_at > kReportExpiry) continue;
+    if (member.stopping || member.isolated || now - member.last_report_at > kReportExpiry) continue;
     if (member.uptime < kMinSuccessorUptime) continue;
     if (best == nullptr || IsBetterSuccessor(member, *best, prefer_stronger)) best = &member;
   }
--- a/src/fleet/fleet_members.h
+++ b/src/fleet/fleet_members.h
@@ -24,6 +24,7 @@
   /// @param prefer_stronger Whether stronger machines come before more recently restarted ones. In
   /// a fleet whose changes overload the link of a weak machine, a weak leader costs more than
   /// another change of leader.
+  /// Daemons that reach no server are not eligible.
   /// @return the daemon's "IP:PORT" for datagrams, or nothing if no daemon is eligible.
   std::optional<std::string> ChooseSuccessor(Time now, bool prefer_stronger) const;
   /// @return addresses of up to `max_count` daemons, in round-robin order over successive calls.
@@ -35,6 +36,7 @@
     std::chrono::milliseconds uptime{0};  ///< At the last report.
     double strength = 0;                  ///< Of the daemon's machine, as a share of a core.
     bool stopping = false;
+    bool isolated = false;     ///< Reaches no server, so it could not order loads.
     std::uint16_t format = 0;  ///< Message format that the daemon's build writes.
     Time last_report_at{};
   };
--- a/src/fleet/leader_election.cc
+++ b/src/fleet/leader_election.cc
@@ -25,6 +25,8 @@
 constexpr milliseconds kFormerLeaderHeadStart{300};
 /// How much later other daemons claim a released key than the daemon that was offered leadership.
 constexpr milliseconds kOfferedDaemonHeadStart{600};
+/// How much later a daemon that reaches no server claims the key than the others.
+constexpr milliseconds kReachingDaemonsHeadStart{2'500};
 constexpr milliseconds kReadInterval{300};
 /// Age from which the known state of the key is read again before a claim. A claim costs the store
 /// a lease and a transaction. When a whole fleet starts at once, most daemons find by this read
@@ -58,7 +60,7 @@
 void LeaderElection::Start() { Tick(); }
 
 bool LeaderElection::MayOrder() const {
-  return !resigned_ && !ownership_unverified_ && !LeaseEraEnded() &&
+  return !resigned_ && reaches_servers_ && !ownership_unverified_ && !LeaseEraEnded() &&
          window_.MayOrder(BootClock::now());
 }
 
@@ -131,7 +133,10 @@
 }
 
 std::optional<StoreRevision> LeaderElection::EligibleClaimCondition() const {
-  if (resigned_ || claim_in_progress_ || window_.leading() || !key_known_) return std::nullopt;
+  if (resigned_ || stepping_down_ || claim_in_progress_ || window_.leading() || !key_known_)
+    return std::nullopt;
+  if (!reaches_servers_ && BootClock::now() < key_state_seen_at_ + kReachingDaemonsHeadStart)
+    return std::nullopt;
   if (BootClock::now() < campaign_not_before_) return std::nullopt;
   return LeadershipClaim::Condition(KeyState(), settings_.name);
 }
@@ -258,7 +263,7 @@
 }
 
 void LeaderElection::Won(StoreRevision revision) {
-  if (window_.leading() || resigned_) return;
+  if (window_.leading() || resigned_ || stepping_down_) return;
   const auto now = BootClock::now();
   // Only this machine can have sent orders since its own term: no other machine can have completed
   // its wait.
@@ -355,6 +360,19 @@
     boost::asio::post(timer_.get_executor(), std::move(done));
     return;
   }
+  BeginRelease(std::move(done));
+}
+
+void LeaderElection::StepDown(std::function<void()> done) {
+  if (!window_.leading() || stepping_down_) return;
+  stepping_down_ = true;
+  BeginRelease([this, done = std::move(done)] {
+    stepping_down_ = false;
+    done();
+  });
+}
+
+void LeaderElection::BeginRelease(std::function<void()> done) {
   window_.Lose();
   log_.Write(LogRank::kDecision,
              EventLine(LogEvent::kLeadershipResigned).Field(LogField::kToken, fencing_token_));
--- a/src/fleet/leader_election.h
+++ b/src/fleet/leader_election.h
@@ -175,6 +175,12 @@
   void ReadLeaderKeyNow(bool stand_for_leader);
   /// Stops sending orders and taking part in elections. The leader key is kept until Resign.
   void StopOrdering() { resigned_ = true; }
+  /// Sets whether this daemon reaches servers. One that does not sends no orders, and claims
+  /// leadership only after all others had time to.
+  void SetReachesServers(bool reaches_servers) { reaches_servers_ = reaches_servers; }
+  /// Gives leadership up like Resign, but keeps taking part in elections. All orders must have
+  /// ended, and MayOrder must be false.
+  void StepDown(std::function<void()> done);
   /// Gives leadership up and leaves the order history to the next leader. All orders must have
   /// ended.
   /// @param done Called when the store has accepted the release or has not answered.
@@ -220,6 +226,7 @@
   void WriteSettledRecord();
   void VerifyKeyOwnership();
   Transaction RecordTransaction(bool settled) const;
+  void BeginRelease(std::function<void()> done);
   void Release(int attempts_left, std::function<void()> done);
   void ReleaseAtCurrentRevision(int attempts_left, std::function<void()> done);
   void ReadKey();
@@ -275,6 +282,8 @@
   Time read_not_before_{};
   Time leader_heard_at_{};
   bool resigned_ = false;
+  bool reaches_servers_ = true;
+  bool stepping_down_ = false;  ///< The release of the key is in progress.
   Time campaign_not_before_{};
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -400,10 +400,25 @@
 }
 
 void Gateway::HandleContactChange(detour::ContactState state) {
+  const bool isolated = state == detour::ContactState::kIsolated;
+  isolated_since_ = isolated ? BootClock::now() : BootClock::time_point{};
+  election_.SetReachesServers(!isolated);
   if (state != detour::ContactState::kReachable) prober_.Start();
   view_.changed.NotifyAll();
 }
 
+void Gateway::YieldLeadership() {
+  constexpr milliseconds kMinIsolation{500};
+  if (stopping_ || !election_.leading() || isolated_since_ == BootClock::time_point{}) return;
+  const auto now = BootClock::now();
+  if (now - isolated_since_ < kMinIsolation || controller_.sending() > 0) return;
+  const std::optional<std::string> successor =
+      members_.ChooseSuccessor(now, relays_.plan().needed());
+  if (!successor) return;
+  election_.StepDown(
+      [this, successor] { channel_.SendTo(*successor, LeadershipOffer{settings_.name}); });
+}
+
 QuotaService::Ports Gateway::QuotaPorts() {
   QuotaService::Ports ports;
   ports.ask = [this](const std::string& to, const CreditQuestion& question) {
@@ -495,6 +510,7 @@
     UpdateQuotaSharing();
     pipeline_.Sweep();
     contact_.Update();
+    YieldLeadership();
     pipeline_.LogOpenRequests();
     log_.Flush();
   }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -87,6 +87,8 @@
   /// Handles a request that another daemon forwards.
   Awaitable<void> AnswerDetour(HttpServerExchange& exchange);
   void HandleContactChange(detour::ContactState state);
+  /// While this daemon leads and reaches no server, hands leadership to a daemon that does.
+  void YieldLeadership();
   PermitService::Ports PermitPorts();
   void ApplySharing(const CreditSharing& sharing);
   void HandleSharingRecord(const std::optional<KeyValue>& entry, StoreRevision revision);
@@ -123,6 +125,7 @@
   GatewayMetrics metrics_;
   FleetView view_;
   ContactMonitor contact_;
+  BootClock::time_point isolated_since_{};  ///< Zero if this daemon is not isolated.
   CountingStore store_;
   StoreView store_view_;
   DemandChannel channel_;
