A daemon that is cut off from servers does not take them for ended

A daemon whose links were all reset took each sound server that its requests were on for ended under them, and told the fleet so; requests whose servers 'ended' three times are refused by all. Cause: a refused connection was taken for the end of the server, whatever the daemon's own links. Ruled out: leaving such evidence out for good: a doubt is decided within milliseconds, and the next probe of the same server decides. Change: while different servers fail in a row, a refused connection confirms no crash; the probes of the crash go on as before.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -326,6 +326,10 @@
     return server ? std::optional(server->record().endpoint) : std::nullopt;
   };
   ports.service_exists = [this](const std::string& service) { return ServiceExists(service); };
+  ports.refusal_shows_end = [this](const std::string& server_id) {
+    contact_.RecordFailure(server_id);
+    return contact_.state() == detour::ContactState::kReachable;
+  };
   ports.changed = [this] { view_.changed.NotifyAll(); };
   return ports;
 }
--- a/src/gateway/quarantine_filter.cc
+++ b/src/gateway/quarantine_filter.cc
@@ -61,8 +61,11 @@
   }
   const bool replaced = result.status == kMisdirectedStatus && server.gone();
   if (result.connection_lost || replaced) {
-    if (quarantine_.tracker().AwaitsConfirmation(record.id))
+    if (!quarantine_.tracker().AwaitsConfirmation(record.id)) return;
+    if (replaced)
       quarantine_.Note(quarantine::ServerEnded{record.id});
+    else
+      quarantine_.NoteRefusedConnection(record.id);
     return;
   }
   if (result.status == 0) return;
--- a/src/quarantine/quarantine_service.cc
+++ b/src/quarantine/quarantine_service.cc
@@ -78,6 +78,12 @@
   evidence_changed_.NotifyAll();
 }
 
+bool QuarantineService::NoteRefusedConnection(const std::string& server_id) {
+  if (!ports_.refusal_shows_end(server_id)) return false;
+  Note(quarantine::ServerEnded{server_id});
+  return true;
+}
+
 void QuarantineService::Hear(const QuarantineNotice& notice) {
   quarantine::CasesReceived received;
   for (const CaseUpdate& update : notice.cases) {
@@ -213,9 +219,8 @@
     try {
       co_await connection.Connect(BootClock::now() + kProbeTimeout);
     } catch (const HttpError& error) {
-      if (!error.peer_ended()) continue;
+      if (!error.peer_ended() || !NoteRefusedConnection(server_id)) continue;
       ++counters_.servers_ended;
-      Note(quarantine::ServerEnded{server_id});
       co_return;
     }
   }
--- a/src/quarantine/quarantine_service.h
+++ b/src/quarantine/quarantine_service.h
@@ -54,6 +54,9 @@
     std::function<std::vector<std::string>()> peers;
     std::function<std::optional<Endpoint>(const std::string& server_id)> server;
     std::function<bool(const std::string& service)> service_exists;
+    /// @return whether a refused connection to the server shows that the server has ended, and not
+    /// that this daemon is cut off from the servers.
+    std::function<bool(const std::string& server_id)> refusal_shows_end;
     /// Called after a change, so that waiting requests can select a server again.
     std::function<void()> changed;
   };
@@ -69,6 +72,9 @@
 
   /// Handles an event that this daemon observed.
   void Note(const quarantine::Event& event);
+  /// Handles a connection that a server refused.
+  /// @return whether this shows that the server has ended.
+  bool NoteRefusedConnection(const std::string& server_id);
   /// Handles cases received from another daemon or read from the store.
   void Hear(const QuarantineNotice& notice);
   /// Called before a request whose connection was closed is sent to another server. Returns once it
--- a/test/detour/isolated_daemon_test.cc
+++ b/test/detour/isolated_daemon_test.cc
@@ -36,6 +36,11 @@
   LoadedDeployment(const LoadedDeployment&) = delete;
   LoadedDeployment& operator=(const LoadedDeployment&) = delete;
 
+  /// Adds clients that send to one gateway at the same time.
+  void AddClients(int gateway, int count) {
+    for (int client = 0; client < count; ++client)
+      boost::asio::co_spawn(deployment.context, SendRequests(gateway), boost::asio::detached);
+  }
   void ResetCounts() { std::fill(counts_.begin(), counts_.end(), ServedCount{}); }
   /// @return the count over the gateways from `first` up to but not including `last`.
   ServedCount CountOf(int first, int last) const {
@@ -80,7 +85,7 @@
     HttpClient client(deployment.context);
     for (int number = 0; !stopping_; ++number) {
       const auto kind = static_cast<RequestKind>(number % 3);
-      const std::string id = "g" + std::to_string(gateway) + "-" + std::to_string(number);
+      const std::string id = "request-" + std::to_string(next_id_++);
       deployment.platform.checker().Sent(id, kind);
       HttpSendOptions options;
       options.deadline = BootClock::now() + std::chrono::seconds(4);
@@ -103,6 +108,7 @@
   std::vector<ServedCount> counts_;
   bool stopping_ = false;
   int running_ = 0;
+  int next_id_ = 0;
 };
 
 TEST_CASE("Callers of daemons that are cut off from all servers are served like the others") {
@@ -145,6 +151,44 @@
   CHECK(loaded.deployment.platform.checker().violations() == std::vector<std::string>{});
 }
 
+TEST_CASE("A daemon that is cut off does not take sound servers for ended under its requests") {
+  constexpr int kClients = 20;
+  LoadedDeployment loaded(3);
+  loaded.AddClients(0, kClients);
+  loaded.deployment.RunFor(milliseconds(1'000));
+  loaded.deployment.platform.CutFromServers(0, ServerCut::kReset);
+  loaded.deployment.RunFor(milliseconds(2'000));
+  CHECK(loaded.deployment.gateways[0]->gateway.metrics().isolated == 1);
+  CHECK(loaded.deployment.gateways[0]->gateway.metrics().quarantine.servers_ended == 0);
+}
+
+TEST_CASE("A request ends at once where no daemon reaches any server") {
+  const ServerCut cut = GENERATE(ServerCut::kHang, ServerCut::kReset);
+  CAPTURE(static_cast<int>(cut));
+  LoadedDeployment loaded(3);
+  for (int gateway = 0; gateway < 3; ++gateway)
+    loaded.deployment.platform.CutFromServers(gateway, cut);
+  loaded.deployment.RunFor(kSettleTime);
+  const auto began = BootClock::now();
+  constexpr int kRequests = 10;
+  for (int number = 0; number < kRequests; ++number) {
+    const std::string id = "in-vain-" + std::to_string(number);
+    const std::string model = loaded.deployment.platform.models().front();
+    const HttpResponse response =
+        loaded.deployment.Send(number % 3, loaded.deployment.Stream(id, model));
+    CHECK(response.status == 503);
+    CHECK_FALSE(FindHeader(response.headers, "Retry-After").empty());
+  }
+  // Each alone could wait for 3 s; the bound leaves a slow machine time for ten message exchanges.
+  CHECK(BootClock::now() - began < milliseconds(3'000));
+  for (int gateway = 0; gateway < 3; ++gateway)
+    loaded.deployment.platform.CutFromServers(gateway, ServerCut::kNone);
+  loaded.deployment.RunFor(kSettleTime);
+  loaded.ResetCounts();
+  loaded.deployment.RunFor(milliseconds(2'000));
+  CHECK(loaded.CountOf(0, 3).Share() > 0.9);
+}
+
 TEST_CASE("Daemons that are cut off do not keep the leader from using sound servers") {
   LoadedDeployment loaded(3);
   const int leader = loaded.LeaderNumber();
--- a/test/emulator/emulated_clients.cc
+++ b/test/emulator/emulated_clients.cc
@@ -295,6 +295,9 @@
   if (platform_.tenants())
     platform_.tenant_checker().Answered(id, answer.status, gateway.disturbed_until > sent);
   const bool served = answer.status == 200 && answer.whole;
+  if (gateway.disturbed_until <= sent)
+    platform_.isolation_checker().Ended(static_cast<int>(&gateway - gateways_.data()), served,
+                                        sent);
   if (served)
     ++counts_.served;
   else if (answer.status == 503 || answer.status == 429)
--- a/test/emulator/emulated_platform.h
+++ b/test/emulator/emulated_platform.h
@@ -9,6 +9,7 @@
 
 #include "common/boot_clock.h"
 #include "fault_proxy.h"
+#include "isolation_checker.h"
 #include "promise_checker.h"
 #include "server_emulator.h"
 #include "server_links.h"
@@ -47,6 +48,7 @@
   PromiseChecker& checker() { return checker_; }
   TenantChecker& tenant_checker() { return tenant_checker_; }
   StatementChecker& statement_checker() { return statement_checker_; }
+  IsolationChecker& isolation_checker() { return isolation_checker_; }
   bool tenants() const { return options_.tenants; }
   /// Tenants with limits, and one whose key changes with each configuration.
   static constexpr const char* kSmallTenant = "small";
@@ -98,6 +100,7 @@
   PromiseChecker checker_;
   TenantChecker tenant_checker_;
   StatementChecker statement_checker_;
+  IsolationChecker isolation_checker_;
   StoreEmulator store_;
   std::vector<std::string> models_;
   std::vector<std::unique_ptr<FaultProxy>> store_proxies_;
--- a/test/emulator/fault_plan.cc
+++ b/test/emulator/fault_plan.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iostream>
+#include <set>
 
 namespace moorfold {
 
@@ -93,6 +94,26 @@
   }
 }
 
+Awaitable<void> FaultPlan::RunCuts() {
+  const int gateways = static_cast<int>(gateways_.size());
+  while (!stopped_) {
+    co_await Sleep(milliseconds(Draw(3'000, 9'000)));
+    if (stopped_ || Calm()) continue;
+    const auto cut = static_cast<ServerCut>(Draw(1, 3));
+    const int first = Draw(0, gateways - 1);
+    const int count = Draw(1, gateways);
+    std::set<int> isolated;
+    for (int number = first; number < first + count; ++number) isolated.insert(number % gateways);
+    Say("gateways_cut_from_servers");
+    for (const int gateway : isolated) platform_.CutFromServers(gateway, cut);
+    platform_.isolation_checker().CutBegan(isolated, BootClock::now());
+    const auto end = BootClock::now() + milliseconds(Draw(2'000, 9'000));
+    while (BootClock::now() < end && !Calm() && !stopped_) co_await Sleep(milliseconds(100));
+    platform_.isolation_checker().CutEnded();
+    for (const int gateway : isolated) platform_.CutFromServers(gateway, ServerCut::kNone);
+  }
+}
+
 void FaultPlan::KeepCalm(BootClock::time_point from, BootClock::time_point until) {
   calm_.push_back({from - kLongestFault, until});
 }
--- a/test/emulator/fault_plan.h
+++ b/test/emulator/fault_plan.h
@@ -30,6 +30,9 @@
   Awaitable<void> RunDrills();
   /// Servers name limits for some seconds, one or two at a time, whatever else goes on.
   Awaitable<void> RunLimits();
+  /// One or more gateways are cut off from all servers for some seconds, whatever else goes on;
+  /// now and then all of them.
+  Awaitable<void> RunCuts();
   int limits() const { return limits_; }
   int drills() const { return drills_; }
   /// No fault begins in that time; those from before have ended by its beginning.
--- a/test/emulator/main.cc
+++ b/test/emulator/main.cc
@@ -79,6 +79,8 @@
   FaultPlan drills(platform, addresses, clients, seed + kSeedOfDrills);
   constexpr std::uint64_t kSeedOfLimits = 50;
   FaultPlan limits(platform, addresses, clients, seed + kSeedOfLimits);
+  constexpr std::uint64_t kSeedOfCuts = 51;
+  FaultPlan cuts(platform, addresses, clients, seed + kSeedOfCuts);
   platform.statement_checker().SetExcused([&addresses](auto from, auto) {
     return std::any_of(addresses.begin(), addresses.end(),
                        [&](const GatewayAddress& each) { return each.signalled_until > from; });
@@ -91,7 +93,7 @@
   for (const PlannedSignal& signal : PlanSignals(seed, length, gateways)) {
     boost::asio::co_spawn(context, Expect(signal, addresses), boost::asio::detached);
     if (signal.judged_stop)
-      for (FaultPlan* plan : {&faults, &drills})
+      for (FaultPlan* plan : {&faults, &drills, &cuts})
         plan->KeepCalm(began + signal.at - kCalmBefore, began + signal.at + kCalmAfter);
   }
   clients.SetStaying(true);
@@ -102,10 +104,14 @@
   boost::asio::co_spawn(context, drills.RunDrills(), boost::asio::detached);
   for (int series = 0; series < kLimitSeries; ++series)
     boost::asio::co_spawn(context, limits.RunLimits(), boost::asio::detached);
+  // A gateway that follows another one learns of servers by that one's links.
+  if (FollowingOf(seed, relays) == Following::kNobody)
+    boost::asio::co_spawn(context, cuts.RunCuts(), boost::asio::detached);
   context.run_for(length - kFinalFault);
   faults.Stop();
   drills.Stop();
   limits.Stop();
+  cuts.Stop();
   context.run_for(kFinalFault - kServeAgain - kLastAnswers);
   const ClientCounts before = clients.counts();
   context.run_for(kServeAgain);
@@ -140,10 +146,16 @@
   for (const std::string& violation : over)
     std::cout << "event=violation seed=" << seed << " what=\"" << violation << "\"" << std::endl;
   std::cout << "limits: named " << limits.limits() << " times; passed " << over.size() << std::endl;
+  const IsolationChecker& isolation = platform.isolation_checker();
+  for (const std::string& violation : isolation.violations())
+    std::cout << "event=violation seed=" << seed << " what=\"" << violation << "\"" << std::endl;
+  std::cout << "cuts from servers: " << isolation.cuts() << "; callers served worse "
+            << isolation.violations().size() << std::endl;
   context.DestroyHandlers();
   const bool served = counts.served * 2 > counts.sent;
   const bool kept = platform.checker().violations().empty() && tenants.violations().empty() &&
-                    platform.statement_checker().violations().empty();
+                    platform.statement_checker().violations().empty() &&
+                    isolation.violations().empty();
   return kept && served ? kExitDone : kExitFailed;
 }
 
--- a/test/gateway/pipeline_fixture.h
+++ b/test/gateway/pipeline_fixture.h
@@ -185,6 +185,7 @@
       const ServerPtr server = view_.servers.Find(id);
       return server ? std::optional(server->record().endpoint) : std::nullopt;
     };
+    ports.refusal_shows_end = [](const std::string&) { return true; };
     ports.service_exists = [](const std::string&) { return true; };
     ports.changed = [this] { view_.changed.NotifyAll(); };
     return ports;
