Isolated daemons ask the leader for a detour, too

What callers saw: where all daemons but the leader were cut off from the servers, requests ended with servers_unreachable. Cause: the list of peers, made for gossip beside the leader, holds every daemon but the leader; the answers that fill it come from it. Change: detours are asked of the peers and the leader.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -340,6 +340,15 @@
   return peers;
 }
 
+std::vector<std::string> Gateway::OtherDaemons() {
+  std::vector<std::string> daemons = Peers();
+  const std::string leader = LeaderAddress();
+  const bool other_leads = !leader.empty() && leader != ToString(channel_.endpoint());
+  if (other_leads && std::find(daemons.begin(), daemons.end(), leader) == daemons.end())
+    daemons.push_back(leader);
+  return daemons;
+}
+
 bool Gateway::ServiceExists(const std::string& service) const {
   return view_.routes && view_.routes->configuration().FindService(service) != nullptr;
 }
@@ -377,7 +386,7 @@
   ports.answer = [this](const std::string& to, const DetourOffer& offer) {
     channel_.SendTo(to, offer);
   };
-  ports.peers = [this] { return Peers(); };
+  ports.peers = [this] { return OtherDaemons(); };
   ports.accepts = [this] {
     return Ready() && contact_.state() == detour::ContactState::kReachable;
   };
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -78,6 +78,8 @@
   void SetFleetSize(std::uint32_t daemons);
   QuarantineService::Ports QuarantinePorts();
   std::vector<std::string> Peers();
+  /// @return "IP:PORT" of the peers and of the leader, which answers name no peer.
+  std::vector<std::string> OtherDaemons();
   bool ServiceExists(const std::string& service) const;
   QuotaService::Ports QuotaPorts();
   /// @return the role of this daemon in distributing the servers' concurrency limits.
--- a/test/detour/isolated_daemon_test.cc
+++ b/test/detour/isolated_daemon_test.cc
@@ -130,6 +130,22 @@
   CHECK(loaded.deployment.platform.checker().violations() == std::vector<std::string>{});
 }
 
+TEST_CASE("Callers are served where all daemons but the leader are cut off from the servers") {
+  const int gateways = GENERATE(2, 3, 7);
+  CAPTURE(gateways);
+  LoadedDeployment loaded(gateways);
+  const int leader = loaded.LeaderNumber();
+  REQUIRE(leader >= 0);
+  for (int gateway = 0; gateway < gateways; ++gateway)
+    if (gateway != leader) loaded.deployment.platform.CutFromServers(gateway, ServerCut::kReset);
+  loaded.deployment.RunFor(kSettleTime);
+  loaded.ResetCounts();
+  loaded.deployment.RunFor(milliseconds(3'000));
+  const ServedCount all = loaded.CountOf(0, gateways);
+  CAPTURE(all.sent, all.served);
+  CHECK(all.Share() > 0.9);
+}
+
 TEST_CASE("A model is loaded while the leader is cut off from all servers") {
   const ServerCut cut = GENERATE(ServerCut::kHang, ServerCut::kReset, ServerCut::kRefuseNew);
   CAPTURE(static_cast<int>(cut));
