--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -50,6 +50,8 @@
   /// the other settings take effect at the next start.
   void Reload(const GatewaySettings& settings);
   Endpoint listen() const { return client_server_->endpoint(); }
+  /// Where other daemons send requests that this one forwards for them.
+  Endpoint detour() const { return detour_server_->endpoint(); }
   Endpoint readiness() const { return readiness_server_->endpoint(); }
   const GatewayMetrics& metrics() const { return metrics_; }
 
--- a/test/detour/isolated_daemon_test.cc
+++ b/test/detour/isolated_daemon_test.cc
@@ -146,6 +146,20 @@
   CHECK(all.Share() > 0.9);
 }
 
+TEST_CASE("Nobody but a daemon with an offer can send requests to the port of daemons") {
+  Deployment deployment(1);
+  REQUIRE(deployment.RunUntil([&] { return deployment.AllReady(); }));
+  HttpRequest request = deployment.Stream("forged", deployment.platform.models().front());
+  const std::string origin =
+      GENERATE(as<std::string>{}, "", "1;1;0;0;0", "0;0;0;0;0", "one;two", "1;1;0;0;0;0");
+  CAPTURE(origin);
+  request.headers.push_back({std::string(detour::kOriginHeader), origin});
+  const HttpResponse response =
+      deployment.SendTo(deployment.gateways[0]->gateway.detour(), std::move(request));
+  CHECK(response.status == 503);
+  for (const auto& server : deployment.platform.servers()) CHECK(server->runs() == 0);
+}
+
 TEST_CASE("A model is loaded while the leader is cut off from all servers") {
   const ServerCut cut = GENERATE(ServerCut::kHang, ServerCut::kReset, ServerCut::kRefuseNew);
   CAPTURE(static_cast<int>(cut));
--- a/test/support/gateway_deployment.h
+++ b/test/support/gateway_deployment.h
@@ -76,9 +76,13 @@
   }
   /// Sends one request through gateway `number` and waits for its answer.
   HttpResponse Send(int number, HttpRequest request) {
+    return SendTo(gateways.at(static_cast<std::size_t>(number))->gateway.listen(),
+                  std::move(request));
+  }
+  /// Sends one request to an address and waits for its answer.
+  HttpResponse SendTo(const Endpoint& to, HttpRequest request) {
     std::optional<HttpResponse> response;
     HttpClient client(context);
-    const Endpoint to = gateways.at(static_cast<std::size_t>(number))->gateway.listen();
     boost::asio::co_spawn(
         context,
         [&client, &response, to, request]() -> Awaitable<void> {
