Count forwarded requests from the requests in progress; dead code, and a misnamed line, gone

Cause: a forwarded request whose handler ends by an exception stayed counted; after 256 of them a daemon would offer no more detours. Ruled out: a guard object beside the one that registers open requests: two registers of one thing. Change: the count is taken from the open requests when an offer is made. ServerContact::Failing and ContactMonitor::contact, which nothing called, are gone; a declined request has its request_end line with origin instead of datagram_dropped. Measured: isolated_daemon_test, 6 cases of daemons cut off: pass. Conclusion: no change of what is sent.

--- a/src/detour/server_contact.cc
+++ b/src/detour/server_contact.cc
@@ -38,11 +38,6 @@
                     [&](const auto& entry) { return now - entry.second <= kFailureLifetime; }));
 }
 
-bool ServerContact::Failing(const std::string& server_id, Time now) const {
-  const auto found = failed_.find(server_id);
-  return found != failed_.end() && now - found->second <= kFailureLifetime;
-}
-
 ContactState ServerContact::State(std::size_t known_servers, Time now) const {
   const std::size_t failing = FailingServers(now);
   if (failing == 0) return ContactState::kReachable;
--- a/src/detour/server_contact.h
+++ b/src/detour/server_contact.h
@@ -35,7 +35,6 @@
   ContactState State(std::size_t known_servers, Time now) const;
   /// @return number of different servers that failed since the last response.
   std::size_t FailingServers(Time now) const;
-  bool Failing(const std::string& server_id, Time now) const;
 
  private:
   /// Failed servers since the last response of any server, with the time of their last failure.
--- a/src/gateway/contact_monitor.h
+++ b/src/gateway/contact_monitor.h
@@ -28,7 +28,6 @@
 
   detour::ContactState state() const { return state_; }
   bool isolated() const { return state_ == detour::ContactState::kIsolated; }
-  const detour::ServerContact& contact() const { return contact_; }
   /// @param handler called after each change of the state.
   void OnChange(ChangeHandler handler) { on_change_ = std::move(handler); }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -395,7 +395,7 @@
     const ServerPtr server = view_.servers.Find(server_id);
     return server && server->RespondedWithin(kRecentResponse, BootClock::now());
   };
-  ports.active = [this] { return pipeline_.active_detours(); };
+  ports.active = [this] { return pipeline_.ActiveDetours(); };
   ports.port = detour_server_->endpoint().port;
   return ports;
 }
@@ -405,7 +405,6 @@
   const std::optional<detour::Origin> origin = detour::ParseOrigin(header);
   if (!origin || !detours_.Allows(origin->token, exchange.remote_address())) {
     // An offer of this daemon's previous process, or not a daemon of this fleet.
-    LogDroppedDatagram("request from a sender without an offer", exchange.remote_address());
     co_await pipeline_.DeclineDetour(exchange);
     co_return;
   }
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -20,7 +20,7 @@
   std::string zone;
   Endpoint listen;     ///< For client requests.
   Endpoint readiness;  ///< For readiness probes of the load balancer.
-  Endpoint peer;       ///< For datagrams from other daemons.
+  Endpoint peer;       ///< For datagrams and forwarded requests of other daemons.
   Endpoint store;      ///< The platform's metadata store.
   std::optional<MetricsEndpoint> metrics;
   std::chrono::milliseconds retry_window{10'000};
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -529,9 +529,13 @@
   request->first_attempt_counted = origin.first_attempt_counted;
   request->counted_as_demand = true;  // By the daemon that took it from the client.
   ++metrics_.detours.carried;
-  ++active_detours_;
   co_await Process(exchange, request);
-  --active_detours_;
+}
+
+std::uint32_t RequestPipeline::ActiveDetours() const {
+  return static_cast<std::uint32_t>(std::count_if(
+      active_.begin(), active_.end(),
+      [](const GatewayRequest* request) { return request->detour_origin.has_value(); }));
 }
 
 Awaitable<void> RequestPipeline::DeclineDetour(HttpServerExchange& exchange) {
@@ -540,6 +544,7 @@
   request.arrival = BootClock::now();
   request.id = std::string(FindHeader(exchange.request().headers, protocol_.headers().request_id));
   request.detour_origin = detour::Origin{};
+  request.origin_address = exchange.remote_address();
   const Refusal declined = DeclinedRefusal();
   co_await Refuse(exchange, request, declined);
 }
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -50,7 +50,7 @@
   /// Responds that this daemon has not taken such a request.
   Awaitable<void> DeclineDetour(HttpServerExchange& exchange);
   /// @return number of such requests in progress.
-  std::uint32_t active_detours() const { return active_detours_; }
+  std::uint32_t ActiveDetours() const;
   /// Closes connections to servers that have been idle for too long.
   void Sweep() { forwarder_.Sweep(); }
   /// Sets how many retries each service may get in a window regardless of its first attempts.
@@ -141,7 +141,6 @@
   std::set<GatewayRequest*> active_;
   /// Daemons through which requests are sent, by address, in the form of servers.
   std::map<std::string, ServerPtr> detour_daemons_;
-  std::uint32_t active_detours_ = 0;
   bool rejects_waiting_ = false;
   double min_retries_ = 2;
 };
