--- a/test/emulator/store_emulator.cc
+++ b/test/emulator/store_emulator.cc
@@ -124,7 +124,8 @@
       random_(seed),
       server_(
           {&context}, {"127.0.0.1", 0}, {},
-          [this](HttpServerExchange& exchange) { return Handle(exchange, {}); }, Refuse) {}
+          [this](HttpServerExchange& exchange) { return Handle(exchange, AddressView()); },
+          Refuse) {}
 
 Endpoint StoreEmulator::AddListener(AddressView view) {
   listeners_.push_back(std::make_unique<HttpServer>(
@@ -217,7 +218,7 @@
                : reads_.Take(faults_.reads_per_second, now);
 }
 
-Awaitable<void> StoreEmulator::Handle(HttpServerExchange& exchange, const AddressView& view) {
+Awaitable<void> StoreEmulator::Handle(HttpServerExchange& exchange, AddressView view) {
   ++calls_;
   const HttpRequest request = exchange.request();
   if (faults_.delay.count() > 0) co_await Sleep(faults_.delay);
--- a/test/emulator/store_emulator.h
+++ b/test/emulator/store_emulator.h
@@ -85,7 +85,7 @@
     BootClock::time_point taken_at;
     KeyValueTable table;
   };
-  Awaitable<void> Handle(HttpServerExchange& exchange, const AddressView& view);
+  Awaitable<void> Handle(HttpServerExchange& exchange, AddressView view);
   Awaitable<HttpResponse> Answer(const HttpRequest& request);
   Awaitable<HttpResponse> Watch(const std::string& target);
   HttpResponse Range(const std::string& target);
