Log and measure each retry with the age of its permit

Cause: nothing shows when a retry was permitted, when it was sent and how much of the budget a daemon had left, so the hypotheses on the exceeded retry budget cannot be told apart. Change: log event retry (id, service, server, sends, ms since the permit, budget_left) and histogram moorfold_retry_permit_age_ms. No decision changes.

--- a/src/common/log_event.h
+++ b/src/common/log_event.h
@@ -44,6 +44,7 @@
   kLoadOutlook,
   kReportFailed,
   kAttemptFailed,
+  kRetry,
   kRequestEnd,
   kRequestsOpen,
   kQuarantine,
@@ -87,6 +88,7 @@
                                               "load_outlook",
                                               "report_failed",
                                               "attempt_failed",
+                                              "retry",
                                               "request_end",
                                               "requests_open",
                                               "quarantine",
@@ -172,6 +174,7 @@
   kPool,
   kVia,
   kOrigin,
+  kBudgetLeft,
 };
 inline constexpr std::array kLogFieldNames = {"id",
                                               "ids",
@@ -245,7 +248,8 @@
                                               "work",
                                               "pool",
                                               "via",
-                                              "origin"};
+                                              "origin",
+                                              "budget_left"};
 
 /// @return the name as it stands in the log.
 constexpr const char* Name(LogEvent event) {
@@ -255,7 +259,7 @@
   return kLogFieldNames[static_cast<std::size_t>(field)];
 }
 static_assert(kLogEventNames.size() == static_cast<std::size_t>(LogEvent::kLogLinesLeftOut) + 1);
-static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kOrigin) + 1);
+static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kBudgetLeft) + 1);
 
 /// One line of a gateway's log, made only of listed events and fields.
 class EventLine {
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -128,6 +128,7 @@
   time_to_end.Render("time_to_end_ms", text);
   event_gap.Render("event_gap_ms", text);
   wait_for_server.Render("wait_for_server_ms", text);
+  retry_permit_age.Render("retry_permit_age_ms", text);
   store_read.Render("store_read_ms", text);
   return text;
 }
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -106,6 +106,7 @@
   LatencyHistogram time_to_end;
   LatencyHistogram event_gap;  ///< Between forwarded events of a response stream.
   LatencyHistogram wait_for_server;
+  LatencyHistogram retry_permit_age;  ///< From the permit for a retry to its sending.
   LatencyHistogram store_read;  ///< From sending a read to its answer or failure.
   std::uint64_t stalls = 0;     ///< Times that this process was suspended or starved of CPU.
   std::int64_t longest_stall_ms = 0;
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -436,15 +436,17 @@
   std::string server_id;
   WindowedRetryBudget& retry_budget = RetryBudgetOf(request.service);
   std::uint32_t permitted_sends = request.arrived ? 0 : 1;
+  std::optional<SteadyTime> retry_permitted_at;
   // Check the quota first: a request over its limit neither waits for a server nor counts as
   // demand.
   while (co_await AwaitCredit(request)) {
     if (!request.counted_as_demand)
       ++view_.demand.CountsOf(request.service, request.model).arrivals;
     request.counted_as_demand = true;
-    if (NeedsRetryPermit(request, permitted_sends) &&
-        !co_await AwaitRetryBudget(request, retry_budget))
-      break;
+    if (NeedsRetryPermit(request, permitted_sends)) {
+      if (!co_await AwaitRetryBudget(request, retry_budget)) break;
+      retry_permitted_at = BootClock::now();
+    }
     permitted_sends = request.sends + 1;
     co_await AwaitStoreRead(request);
     const ServerPtr server = co_await AwaitTarget(request);
@@ -463,6 +465,12 @@
       retry_budget.RecordFirstAttempt(BootClock::now());
     ++request.sends;
     server_id = server->record().id;
+    if (retry_permitted_at) {
+      const auto now = BootClock::now();
+      reporter_.ReportRetry(request, *server, now - *retry_permitted_at,
+                            retry_budget.Remaining(now));
+      retry_permitted_at.reset();
+    }
     result = co_await Attempt(exchange, request, server);
     RecordAttempt(request, result);
     if (result.refused_with_capacity) RecordRefusalWithCapacity(request, server_id);
--- a/src/gateway/request_reporter.cc
+++ b/src/gateway/request_reporter.cc
@@ -134,6 +134,19 @@
           .Field(LogField::kExpectedMs, static_cast<std::int64_t>(request.expected_ms)));
 }
 
+void RequestReporter::ReportRetry(const GatewayRequest& request, const Server& server,
+                                  SteadyTime::duration permit_age, double budget_left) {
+  const std::int64_t age_ms = ToMilliseconds(permit_age);
+  metrics_.retry_permit_age.Observe(static_cast<double>(age_ms));
+  log_.Write(LogRank::kDecision, EventLine(LogEvent::kRetry)
+                                     .Field(LogField::kId, request.id)
+                                     .Field(LogField::kService, request.service)
+                                     .Field(LogField::kServer, server.record().id)
+                                     .Field(LogField::kSends, request.sends)
+                                     .Field(LogField::kMs, age_ms)
+                                     .Field(LogField::kBudgetLeft, budget_left));
+}
+
 void RequestReporter::LogOpenRequests(const std::set<GatewayRequest*>& active, SteadyTime now) {
   std::string ids;
   std::size_t listed = 0;
