--- a/test/support/gateway_deployment.h
+++ b/test/support/gateway_deployment.h
@@ -23,9 +23,12 @@
 struct GatewayUnderTest {
   GatewayUnderTest(boost::asio::io_context& context, const std::string& name,
                    Endpoint store_address, std::uint32_t relay_from_daemons)
+      : GatewayUnderTest(context, Settings(name, relay_from_daemons), store_address) {}
+  GatewayUnderTest(boost::asio::io_context& context, const GatewaySettings& settings,
+                   Endpoint store_address)
       : log(-1, {}),
         store(context, store_address, {}),
-        gateway(context, Settings(name, relay_from_daemons), store, protocol, log) {}
+        gateway(context, settings, store, protocol, log) {}
 
   static GatewaySettings Settings(const std::string& name, std::uint32_t relay_from_daemons) {
     GatewaySettings settings;
