Log and explain which parts of prompts the requests on crashed servers share

Cause: attempt_failed names the fingerprint of a whole request only, so requests that differ and share one part of their prompts cannot be related from logs. No decision changes.

--- a/src/common/log_event.h
+++ b/src/common/log_event.h
@@ -175,6 +175,7 @@
   kVia,
   kOrigin,
   kBudgetLeft,
+  kParts,
 };
 inline constexpr std::array kLogFieldNames = {"id",
                                               "ids",
@@ -249,7 +250,8 @@
                                               "pool",
                                               "via",
                                               "origin",
-                                              "budget_left"};
+                                              "budget_left",
+                                              "parts"};
 
 /// @return the name as it stands in the log.
 constexpr const char* Name(LogEvent event) {
@@ -259,7 +261,7 @@
   return kLogFieldNames[static_cast<std::size_t>(field)];
 }
 static_assert(kLogEventNames.size() == static_cast<std::size_t>(LogEvent::kLogLinesLeftOut) + 1);
-static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kBudgetLeft) + 1);
+static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kParts) + 1);
 
 /// One line of a gateway's log, made only of listed events and fields.
 class EventLine {
--- a/src/gateway/explain_links.cc
+++ b/src/gateway/explain_links.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <sstream>
 
 namespace moorfold {
 
@@ -10,7 +11,7 @@
 
 constexpr std::size_t kMaxRows = 20;
 
-/// Attempts with one fingerprint whose connection the server closed.
+/// Attempts whose connection the server closed, with one fingerprint or one prompt part in common.
 struct EndedLinks {
   std::string fingerprint;
   std::set<std::string> servers;
@@ -26,27 +27,27 @@
          " daemons:" + servers;
 }
 
-}  // namespace
+using LinksByFingerprint = std::map<std::string, EndedLinks>;
 
-std::vector<std::string> ExplainEndedLinks(const std::vector<LoggedEvent>& events) {
-  std::map<std::string, EndedLinks> by_fingerprint;
-  for (const LoggedEvent& event : events) {
-    if (event.event != "attempt_failed") continue;
-    if (EventField(event, "link") != "ended_by_server") continue;
-    const std::string fingerprint = EventField(event, "fingerprint");
-    EndedLinks& links = by_fingerprint[fingerprint];
-    links.fingerprint = fingerprint;
-    links.servers.insert(EventField(event, "server"));
-    links.daemons.insert(event.source);
-    ++links.attempts;
-  }
+void Add(LinksByFingerprint& by_fingerprint, const std::string& fingerprint,
+         const LoggedEvent& event) {
+  EndedLinks& links = by_fingerprint[fingerprint];
+  links.fingerprint = fingerprint;
+  links.servers.insert(EventField(event, "server"));
+  links.daemons.insert(event.source);
+  ++links.attempts;
+}
+
+/// @return the lines of one table, most servers first; nothing if there are no rows.
+std::vector<std::string> FormatTable(const std::string& title,
+                                     const LinksByFingerprint& by_fingerprint) {
   if (by_fingerprint.empty()) return {};
   std::vector<EndedLinks> rows;
   for (const auto& [fingerprint, links] : by_fingerprint) rows.push_back(links);
   std::stable_sort(rows.begin(), rows.end(), [](const EndedLinks& left, const EndedLinks& right) {
     return left.servers.size() > right.servers.size();
   });
-  std::vector<std::string> report = {"links ended by servers, by request:"};
+  std::vector<std::string> report = {title};
   for (std::size_t row = 0; row < std::min(rows.size(), kMaxRows); ++row)
     report.push_back(FormatRow(rows[row]));
   if (rows.size() > kMaxRows)
@@ -54,4 +55,23 @@
   return report;
 }
 
+}  // namespace
+
+std::vector<std::string> ExplainEndedLinks(const std::vector<LoggedEvent>& events) {
+  LinksByFingerprint by_request;
+  LinksByFingerprint by_part;
+  for (const LoggedEvent& event : events) {
+    if (event.event != "attempt_failed") continue;
+    if (EventField(event, "link") != "ended_by_server") continue;
+    Add(by_request, EventField(event, "fingerprint"), event);
+    std::istringstream parts(EventField(event, "parts"));
+    for (std::string part; std::getline(parts, part, ',');) Add(by_part, part, event);
+  }
+  std::vector<std::string> report = FormatTable("links ended by servers, by request:", by_request);
+  const std::vector<std::string> parts =
+      FormatTable("links ended by servers, by shared part of the prompt:", by_part);
+  report.insert(report.end(), parts.begin(), parts.end());
+  return report;
+}
+
 }  // namespace moorfold
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -43,6 +43,8 @@
   std::vector<PromptPart> parts;
   std::shared_ptr<const std::string> body;
   Fingerprint fingerprint;  ///< The same for each attempt at the same request.
+  /// Of the parts of its prompt that other requests may share.
+  std::vector<Fingerprint> part_fingerprints;
   SteadyTime arrival;
   /// Age of this daemon's knowledge of the configuration when the request was routed.
   std::chrono::milliseconds configuration_age{0};
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -28,6 +28,17 @@
 constexpr double kReadWaitBoundShare = 0.15;
 /// Time within which a retry is sent after it was counted; covers a new connection.
 constexpr milliseconds kRetryLifetime{500};
+/// Parts of one prompt that are compared with other prompts.
+constexpr std::size_t kMaxSharedParts = 8;
+
+/// The last part is the request's own.
+std::vector<Fingerprint> SharedPartFingerprints(const std::string& service,
+                                                const std::vector<PromptPart>& parts) {
+  std::vector<Fingerprint> fingerprints;
+  for (std::size_t index = 0; index + 1 < parts.size() && index < kMaxSharedParts; ++index)
+    fingerprints.push_back(PartFingerprintOf(service, parts[index].id));
+  return fingerprints;
+}
 
 }  // namespace
 
@@ -563,6 +574,7 @@
       {FindHeader(exchange.request().headers, "Host"), exchange.request().target,
        FindHeader(exchange.request().headers, protocol_.headers().model), *request->body,
        request->tenant == nullptr ? std::string_view() : std::string_view(request->tenant->name)});
+  request->part_fingerprints = SharedPartFingerprints(request->service, request->parts);
   if (quarantine_filter_.IsQuarantined(*request)) {
     ++metrics_.quarantine.refused;
     const Refusal quarantined = QuarantineRefusal();
--- a/src/gateway/request_reporter.cc
+++ b/src/gateway/request_reporter.cc
@@ -36,6 +36,13 @@
   return request.sends > 0 && request.work != balancing::RequestWork::kNeutral;
 }
 
+std::string JoinFingerprints(const std::vector<Fingerprint>& fingerprints) {
+  std::string text;
+  for (const Fingerprint& fingerprint : fingerprints)
+    text += (text.empty() ? "" : ",") + ToString(fingerprint);
+  return text;
+}
+
 const char* PoolName(const GatewayRequest& request) { return request.other_pool ? "other" : "own"; }
 
 }  // namespace
@@ -120,18 +127,19 @@
 
 void RequestReporter::ReportFailedAttempt(const GatewayRequest& request, const Server& server,
                                           const AttemptResult& result) {
-  log_.Write(
-      LogRank::kDecision,
-      EventLine(LogEvent::kAttemptFailed)
-          .Field(LogField::kId, request.id)
-          .Field(LogField::kServer, server.record().id)
-          .Field(LogField::kStatus, result.status)
-          .Field(LogField::kRan, result.attempt_outcome == AttemptOutcome::kNotRun ? "no" : "maybe")
-          .Field(LogField::kProblem, result.problem)
-          .Field(LogField::kLink, result.connection_lost ? "ended_by_server" : "open")
-          .Field(LogField::kFingerprint, ToString(request.fingerprint))
-          .Field(LogField::kInFlight, server.in_flight())
-          .Field(LogField::kExpectedMs, static_cast<std::int64_t>(request.expected_ms)));
+  EventLine line(LogEvent::kAttemptFailed);
+  line.Field(LogField::kId, request.id)
+      .Field(LogField::kServer, server.record().id)
+      .Field(LogField::kStatus, result.status)
+      .Field(LogField::kRan, result.attempt_outcome == AttemptOutcome::kNotRun ? "no" : "maybe")
+      .Field(LogField::kProblem, result.problem)
+      .Field(LogField::kLink, result.connection_lost ? "ended_by_server" : "open")
+      .Field(LogField::kFingerprint, ToString(request.fingerprint))
+      .Field(LogField::kInFlight, server.in_flight())
+      .Field(LogField::kExpectedMs, static_cast<std::int64_t>(request.expected_ms));
+  if (result.connection_lost && !request.part_fingerprints.empty())
+    line.Field(LogField::kParts, JoinFingerprints(request.part_fingerprints));
+  log_.Write(LogRank::kDecision, line);
 }
 
 void RequestReporter::ReportRetry(const GatewayRequest& request, const Server& server,
--- a/src/quarantine/fingerprint.cc
+++ b/src/quarantine/fingerprint.cc
@@ -2,7 +2,9 @@
 
 #include <sodium/crypto_generichash_blake2b.h>
 
+#include <algorithm>
 #include <charconv>
+#include <initializer_list>
 
 namespace moorfold {
 
@@ -10,6 +12,8 @@
 
 constexpr int kHexBase = 16;
 constexpr std::size_t kDigitsPerByte = 2;
+/// First bytes of the fingerprint of a prompt part.
+constexpr std::array<std::uint8_t, 4> kPartMark = {0x50, 0xa4, 0x70, 0x74};
 
 /// Prefixes each part with its length, so that different lists of parts never hash the same input.
 void HashPart(crypto_generichash_blake2b_state& state, std::string_view part) {
@@ -21,19 +25,31 @@
                                     part.size());
 }
 
-}  // namespace
-
-Fingerprint FingerprintOf(const RequestIdentity& identity) {
+Fingerprint Hash(std::initializer_list<std::string_view> parts) {
   crypto_generichash_blake2b_state state;
   crypto_generichash_blake2b_init(&state, nullptr, 0, Fingerprint::kBytes);
-  for (const std::string_view part :
-       {identity.host, identity.target, identity.model, identity.body, identity.tenant})
-    HashPart(state, part);
+  for (const std::string_view part : parts) HashPart(state, part);
   Fingerprint fingerprint;
   crypto_generichash_blake2b_final(&state, fingerprint.bytes.data(), fingerprint.bytes.size());
   return fingerprint;
 }
 
+}  // namespace
+
+Fingerprint FingerprintOf(const RequestIdentity& identity) {
+  return Hash({identity.host, identity.target, identity.model, identity.body, identity.tenant});
+}
+
+Fingerprint PartFingerprintOf(std::string_view service, std::string_view part_id) {
+  Fingerprint fingerprint = Hash({service, part_id});
+  std::copy(kPartMark.begin(), kPartMark.end(), fingerprint.bytes.begin());
+  return fingerprint;
+}
+
+bool IsPartFingerprint(const Fingerprint& fingerprint) {
+  return std::equal(kPartMark.begin(), kPartMark.end(), fingerprint.bytes.begin());
+}
+
 std::string ToString(const Fingerprint& fingerprint) {
   constexpr std::string_view kDigits = "0123456789abcdef";
   std::string text;
--- a/src/quarantine/fingerprint.h
+++ b/src/quarantine/fingerprint.h
@@ -39,6 +39,11 @@
 
 Fingerprint FingerprintOf(const RequestIdentity& identity);
 
+/// @return the fingerprint of a part that prompts of requests to the service share, whoever sends
+/// them. It is marked, so that every daemon can tell it from the fingerprint of a request.
+Fingerprint PartFingerprintOf(std::string_view service, std::string_view part_id);
+bool IsPartFingerprint(const Fingerprint& fingerprint);
+
 /// @return 32 hexadecimal digits.
 std::string ToString(const Fingerprint& fingerprint);
 /// @return nothing if `text` is not in the format of ToString.
--- a/test/gateway/explain_links_test.cc
+++ b/test/gateway/explain_links_test.cc
@@ -22,6 +22,18 @@
   CHECK(ExplainEndedLinks(ParseLog(log, "all.log")) == expected);
 }
 
+TEST_CASE("Requests that differ but share a prompt part are listed together under that part") {
+  const std::string log =
+      "1.0 a t_us=1 event=attempt_failed id=1 server=i-1 status=0 ran=maybe problem=\"x\" "
+      "link=ended_by_server fingerprint=aa parts=p1,p2\n"
+      "2.0 b t_us=2 event=attempt_failed id=2 server=i-2 status=0 ran=maybe problem=\"x\" "
+      "link=ended_by_server fingerprint=bb parts=p3,p2\n";
+  const std::vector<std::string> report = ExplainEndedLinks(ParseLog(log, "all.log"));
+  REQUIRE(report.size() == 7);
+  CHECK(report[3] == "links ended by servers, by shared part of the prompt:");
+  CHECK(report[4] == "  p2: 2 servers, 2 tries at 2 daemons: i-1 i-2");
+}
+
 TEST_CASE("Logs without connections closed by servers give no table") {
   CHECK(ExplainEndedLinks(ParseLog("t_us=1 event=start name=a\n", "a.log")).empty());
 }
