Failing test: requests that share a crashing prompt part end server after server

Cause: cases are kept for whole requests, so requests of which no two are alike never reach a verdict.

--- a/test/emulator/emulated_clients.cc
+++ b/test/emulator/emulated_clients.cc
@@ -155,6 +155,34 @@
   --running_;
 }
 
+void EmulatedClients::StartEndingPart(const std::string& name, milliseconds pause) {
+  boost::asio::co_spawn(context_, RunEndingPart(name, pause), boost::asio::detached);
+}
+
+Awaitable<void> EmulatedClients::RunEndingPart(std::string name, milliseconds pause) {
+  ++running_;
+  for (bool guilty = true; !stopping_; guilty = !guilty) {
+    co_await Sleep(pause);
+    GatewayAddress* gateway = PickGateway();
+    if (gateway == nullptr || calm_()) continue;
+    const std::string id = "part-" + name + "-" + std::to_string(next_id_++);
+    taken_by_[id] = gateway;
+    platform_.checker().Sent(id, RequestKind::kStream);
+    HttpRequest request = MakeRequest(id, RequestKind::kStream);
+    const std::string second = guilty ? ServerEmulator::EndingPart(name) : "sound-" + name;
+    for (HttpHeader& header : request.headers)
+      if (header.name == "X-Prompt-Prefix")
+        header.value = "first-" + name + ":800," + second + ":200," + id + kShortPart;
+    const Endpoint to = gateway->front;
+    const ClientAnswer answer = co_await Exchange(to, std::move(request), id, RequestKind::kStream);
+    if (guilty) continue;
+    platform_.checker().Answered(answer);
+    ++beside_ending_parts_.sent;
+    if (answer.status == 200 && answer.whole) ++beside_ending_parts_.served;
+  }
+  --running_;
+}
+
 void EmulatedClients::ShowKey(HttpRequest& request, const std::string& id) {
   if (!platform_.tenants()) return;
   constexpr std::size_t kParts = 40;
@@ -212,7 +240,7 @@
 
 Awaitable<ClientAnswer> EmulatedClients::Exchange(const Endpoint& gateway, HttpRequest request,
                                                   std::string id, RequestKind kind) {
-  const bool ends_servers = request.body.starts_with(ServerEmulator::EndingBody(""));
+  const bool ends_servers = !ServerEmulator::EndingOf(request).empty();
   HttpSendOptions options;
   options.deadline = BootClock::now() + kDeadline;
   options.fresh_connection = kind != RequestKind::kRepeatable;
--- a/test/emulator/emulated_clients.h
+++ b/test/emulator/emulated_clients.h
@@ -51,6 +51,11 @@
   /// @param copies tries under way at the same time.
   void StartEnding(const std::string& name, RequestKind kind, std::chrono::milliseconds pause,
                    int copies);
+  /// A client that sends streams until Stop, no two alike, at any gateway: every other one has a
+  /// prompt part under which servers end, the others share their first part only.
+  void StartEndingPart(const std::string& name, std::chrono::milliseconds pause);
+  /// What became of the sound ones among them.
+  const ClientCounts& beside_ending_parts() const { return beside_ending_parts_; }
   /// While `calm` holds, such clients send nothing: no server is to end then.
   void SetCalm(std::function<bool()> calm) { calm_ = std::move(calm); }
   /// Whether clients that were refused come back at once, and more than once.
@@ -67,6 +72,7 @@
   /// @return whether the request was served.
   Awaitable<bool> SendOne(int client, const std::string& id);
   Awaitable<void> RunEnding(std::string name, RequestKind kind, std::chrono::milliseconds pause);
+  Awaitable<void> RunEndingPart(std::string name, std::chrono::milliseconds pause);
   Awaitable<bool> SendRequest(GatewayAddress& gateway, const std::string& id, RequestKind kind);
   /// Sends a request and closes the connection after a moment.
   Awaitable<void> SendAndLeave(const GatewayAddress& gateway, const std::string& id);
@@ -87,6 +93,7 @@
   std::mt19937_64 random_;
   HttpClient client_;
   ClientCounts counts_;
+  ClientCounts beside_ending_parts_;
   std::map<int, GatewayAddress*> stays_with_;              ///< Of clients that stay.
   std::map<std::string, const GatewayAddress*> taken_by_;  ///< Of each request.
   std::function<bool()> calm_ = [] { return false; };
--- a/test/emulator/promise_checker.cc
+++ b/test/emulator/promise_checker.cc
@@ -44,24 +44,33 @@
     Violate("drain", "request " + id + " reached " + server + " late");
 }
 
+std::size_t PromiseChecker::EndsAllowed(const std::string& ending) const {
+  return IsPart(ending) ? bounds_.ends_of_part_allowed : bounds_.ends_allowed;
+}
+
+EndingSummary& PromiseChecker::SummaryOf(const std::string& ending) {
+  return IsPart(ending) ? part_summary_ : ending_summary_;
+}
+
 void PromiseChecker::EndingArrived(const std::string& ending, const std::string& id, Time at) {
   Ending& known = endings_[ending];
-  if (known.servers.size() < bounds_.ends_allowed || at - known.third <= bounds_.contact) return;
+  const std::size_t allowed = EndsAllowed(ending);
+  if (known.servers.size() < allowed || at - known.last_allowed <= bounds_.contact) return;
   if (may_be_behind_ && may_be_behind_(id)) return;
-  ++ending_summary_.sent_when_known;
+  ++SummaryOf(ending).sent_when_known;
   if (++known.late_sends == bounds_.sends_allowed + 1)
-    Violate("budget", "a request under which " + std::to_string(bounds_.ends_allowed) +
-                          " servers had ended was sent on: " + ending);
+    Violate("budget", "requests under which " + std::to_string(allowed) +
+                          " servers had ended were sent on: " + ending);
 }
 
 void PromiseChecker::EndedUnder(const std::string& ending, const std::string& server, Time at) {
   Ending& known = endings_[ending];
+  EndingSummary& summary = SummaryOf(ending);
   if (!known.servers.insert(server).second) return;
   if (on_ended_under_) on_ended_under_(ending, server);
-  if (known.servers.size() == bounds_.ends_allowed) known.third = at;
-  ending_summary_.requests = endings_.size();
-  ending_summary_.most_servers =
-      std::max<std::uint64_t>(ending_summary_.most_servers, known.servers.size());
+  if (known.servers.size() == EndsAllowed(ending)) known.last_allowed = at;
+  if (known.servers.size() == 1) ++summary.requests;
+  summary.most_servers = std::max<std::uint64_t>(summary.most_servers, known.servers.size());
 }
 
 void PromiseChecker::Quarantined(const std::string& id, bool ends_servers) {
--- a/test/emulator/promise_checker.h
+++ b/test/emulator/promise_checker.h
@@ -37,7 +37,7 @@
 
 /// What requests that end servers did, over a whole run.
 struct EndingSummary {
-  std::uint64_t requests = 0;      ///< Different ones.
+  std::uint64_t requests = 0;      ///< Different ones, or different parts of prompts.
   std::uint64_t most_servers = 0;  ///< That ended under one of them.
   std::uint64_t sent_when_known =
       0;  ///< Later than the bound after the third end, by daemons in touch.
@@ -62,7 +62,9 @@
     /// Within that time every daemon in touch knows of a request under which so many servers ended.
     std::chrono::milliseconds contact{3'000};
     std::size_t ends_allowed = 3;
-    std::uint64_t sends_allowed = 3;  ///< Of one such request, after that time.
+    /// As ends_allowed, for requests that have in common only a part of their prompts.
+    std::size_t ends_of_part_allowed = 5;
+    std::uint64_t sends_allowed = 3;  ///< Of one such request or part, after that time.
   };
 
   explicit PromiseChecker(Bounds bounds) : bounds_(bounds) {}
@@ -93,6 +95,8 @@
   /// A request was refused as one that ends servers.
   void Quarantined(const std::string& id, bool ends_servers);
   const EndingSummary& endings() const { return ending_summary_; }
+  /// As endings(), of requests that have in common only a part of their prompts.
+  const EndingSummary& part_endings() const { return part_summary_; }
   void Draining(const std::string& server, Time at) { draining_[server] = at; }
   /// A request for a route that has been in force since `since` was answered with `status`.
   void Probed(std::int64_t version, unsigned status, Time since, Time at, bool disturbed);
@@ -103,6 +107,9 @@
   std::map<unsigned, std::uint64_t> statuses() const { return statuses_; }
 
  private:
+  static bool IsPart(const std::string& ending) { return ending.starts_with("ends-servers-"); }
+  std::size_t EndsAllowed(const std::string& ending) const;
+  EndingSummary& SummaryOf(const std::string& ending);
   void Violate(const std::string& promise, const std::string& what);
 
   Bounds bounds_;
@@ -117,11 +124,12 @@
   /// What one request that ends servers did.
   struct Ending {
     std::set<std::string> servers;
-    Time third{};  ///< When the last allowed server ended.
+    Time last_allowed{};  ///< When the last allowed server ended.
     std::uint64_t late_sends = 0;
   };
   std::map<std::string, Ending> endings_;
   EndingSummary ending_summary_;
+  EndingSummary part_summary_;
   EndHandler on_ended_under_;
   std::set<std::string> worked_on_late_;
   std::uint64_t arrived_late_ = 0;  ///< Requests that reached a server after their clients left.
--- a/test/emulator/server_emulator.cc
+++ b/test/emulator/server_emulator.cc
@@ -92,8 +92,11 @@
   if (!succeeded_) store_.Remove("servers/" + options_.id);
 }
 
-bool ServerEmulator::EndsUnder(const HttpRequest& request) const {
-  return request.body.starts_with(EndingBody("")) && options_.version == "v1";
+std::string ServerEmulator::EndingOf(const HttpRequest& request) {
+  if (request.body.starts_with(EndingBody(""))) return request.body;
+  for (const PromptPart& part : ParsePromptParts(FindHeader(request.headers, "X-Prompt-Prefix")))
+    if (part.id.starts_with(EndingPart(""))) return part.id;
+  return {};
 }
 
 void ServerEmulator::TellTenant(const HttpRequest& request, const std::string& id) {
@@ -171,8 +174,8 @@
   }
   if (!id.empty()) checker_.Arrived(id, options_.id, BootClock::now());
   if (options_.statements != nullptr) options_.statements->Arrived(options_.id, BootClock::now());
-  if (request.body.starts_with(EndingBody("")))
-    checker_.EndingArrived(request.body, id, BootClock::now());
+  const std::string ending = EndingOf(request);
+  if (!ending.empty()) checker_.EndingArrived(ending, id, BootClock::now());
   headers = Headers(id);
   const std::string model(FindHeader(request.headers, "X-Model"));
   if (options_.engine && !Holds(model)) {
@@ -215,9 +218,15 @@
   ++runs_;
   checker_.Ran(id, kind, options_.id, BootClock::now());
   TellTenant(exchange.request(), id);
-  if (EndsUnder(exchange.request())) {
+  const std::string ending = EndingOf(exchange.request());
+  if (!ending.empty() && options_.version == "v1") {
+    if (ending.starts_with(EndingPart(""))) {
+      HttpHeaders headers = Headers(id);
+      headers.push_back({"X-Response-Seal", SealOf(id)});
+      co_await exchange.BeginStream(200, std::move(headers));
+    }
     co_await Sleep(options_.work);
-    checker_.EndedUnder(exchange.request().body, options_.id, BootClock::now());
+    checker_.EndedUnder(ending, options_.id, BootClock::now());
     End();
     exchange.Abort();
     co_return;
--- a/test/emulator/server_emulator.h
+++ b/test/emulator/server_emulator.h
@@ -85,6 +85,11 @@
   static std::string SealOf(const std::string& id) { return "seal-" + id; }
   /// @return a body under which each server of version v1 ends that begins to run it.
   static std::string EndingBody(const std::string& name) { return "ends servers: " + name; }
+  /// @return the id of a prompt part under which each server of version v1 ends that begins to
+  /// write an answer.
+  static std::string EndingPart(const std::string& name) { return "ends-servers-" + name; }
+  /// @return what of the request ends servers; empty: nothing.
+  static std::string EndingOf(const HttpRequest& request);
 
  private:
   Awaitable<void> Handle(HttpServerExchange& exchange);
@@ -103,7 +108,6 @@
   void WriteEntry();
   Awaitable<void> Beat();
   Awaitable<void> LetEntryLapse();
-  bool EndsUnder(const HttpRequest& request) const;
   void TellTenant(const HttpRequest& request, const std::string& id);
   boost::json::array ModelsJson() const;
   bool Chance(double share) { return std::bernoulli_distribution(share)(random_); }
