Quarantine: success on one software version does not hide crashes on another

What callers saw: nothing reported; found while looking for the cause of the crashing prompt parts elsewhere. Where a request ends servers of one version and others serve it, each crash was ignored. Evidence: a test with success on v1 before each of three crashes on v2 failed (state clear). Change: recent successes are kept by fingerprint and version (RecentSuccesses), as clearances are. Conclusion: the bound on servers ended holds for each version.

--- a/src/quarantine/crash_tracker.cc
+++ b/src/quarantine/crash_tracker.cc
@@ -32,6 +32,31 @@
 
 }  // namespace
 
+Fingerprint RecentSuccesses::KeyOf(const Fingerprint& fingerprint, std::string_view version) {
+  Fingerprint key = fingerprint;
+  const std::uint64_t hash = XXH64(version.data(), version.size(), 0);
+  constexpr std::size_t kBitsPerByte = 8;
+  for (std::size_t byte = 0; byte < sizeof hash; ++byte)
+    key.bytes.at(byte) ^= static_cast<std::uint8_t>(hash >> (kBitsPerByte * byte));
+  return key;
+}
+
+bool RecentSuccesses::Contains(const Fingerprint& fingerprint, std::string_view version,
+                               Time now) const {
+  const auto success = at_.find(KeyOf(fingerprint, version));
+  return success != at_.end() && now - success->second < window_;
+}
+
+void RecentSuccesses::Record(const Fingerprint& fingerprint, std::string_view version, Time now) {
+  const Fingerprint key = KeyOf(fingerprint, version);
+  const bool existing = !at_.insert_or_assign(key, now).second;
+  if (existing) return;
+  order_.push_back(key);
+  if (order_.size() <= kMaxRecentSuccesses) return;
+  at_.erase(order_.front());
+  order_.pop_front();
+}
+
 std::size_t CrashTracker::CrashCount(const Case& tracked, std::string_view version) {
   return static_cast<std::size_t>(
       std::count_if(tracked.crashes.begin(), tracked.crashes.end(),
@@ -58,7 +83,7 @@
   std::vector<Fingerprint> affected;
   for (const UnconfirmedClose& closed : unconfirmed->second) {
     const Fingerprint& fingerprint = closed.connection.fingerprint;
-    if (SucceededRecently(fingerprint, now)) continue;
+    if (recent_successes_.Contains(fingerprint, closed.connection.version, now)) continue;
     Case* tracked = FindOrCreateCase(fingerprint, closed.connection.service);
     if (tracked == nullptr) {
       ++effects.dropped;
@@ -93,7 +118,7 @@
 
 void CrashTracker::Handle(const RequestSucceeded& event, Time now, Effects& effects) {
   if (settings_.servers == 0) return;
-  RecordSuccess(event.fingerprint, now);
+  recent_successes_.Record(event.fingerprint, event.version, now);
   const auto existing = cases_.find(event.fingerprint);
   if (existing == cases_.end() || CrashCount(existing->second, event.version) == 0) return;
   Case& tracked = existing->second;
@@ -396,21 +421,6 @@
   digest_ ^= tracked.digest_part;
 }
 
-bool CrashTracker::SucceededRecently(const Fingerprint& fingerprint, Time now) const {
-  const auto success = recent_successes_.find(fingerprint);
-  return success != recent_successes_.end() &&
-         now - success->second < settings_.recent_success_window;
-}
-
-void CrashTracker::RecordSuccess(const Fingerprint& fingerprint, Time now) {
-  const bool existing = !recent_successes_.insert_or_assign(fingerprint, now).second;
-  if (existing) return;
-  recent_success_order_.push_back(fingerprint);
-  if (recent_success_order_.size() <= kMaxRecentSuccesses) return;
-  recent_successes_.erase(recent_success_order_.front());
-  recent_success_order_.pop_front();
-}
-
 CaseUpdate CrashTracker::ExportCase(const Fingerprint& fingerprint, Time now) const {
   CaseUpdate update;
   update.fingerprint = fingerprint;
--- a/src/quarantine/crash_tracker.h
+++ b/src/quarantine/crash_tracker.h
@@ -146,9 +146,28 @@
   Milliseconds time_left{0};          ///< Time until the case expires.
 };
 
+/// Remembers which fingerprints servers of which version lately completed responses to. Keeps a
+/// bounded number of them. Not thread-safe.
+class RecentSuccesses {
+ public:
+  explicit RecentSuccesses(Milliseconds window) : window_(window) {}
+
+  void Record(const Fingerprint& fingerprint, std::string_view version, Time now);
+  bool Contains(const Fingerprint& fingerprint, std::string_view version, Time now) const;
+
+ private:
+  /// @return a key that differs between versions.
+  static Fingerprint KeyOf(const Fingerprint& fingerprint, std::string_view version);
+
+  Milliseconds window_;
+  std::unordered_map<Fingerprint, Time, FingerprintHash> at_;
+  std::deque<Fingerprint> order_;  ///< Of first entry.
+};
+
 class CrashTracker {
  public:
-  explicit CrashTracker(Settings settings) : settings_(settings) {}
+  explicit CrashTracker(Settings settings)
+      : settings_(settings), recent_successes_(settings.recent_success_window) {}
 
   Effects Reduce(const Event& event, Time now);
 
@@ -226,8 +245,6 @@
   void RemoveCase(const Fingerprint& fingerprint, Effects& effects);
   void UpdateDigest(const Fingerprint& fingerprint, Case& tracked);
   void RemoveFromServerIndex(const Fingerprint& fingerprint, const std::string& server_id);
-  bool SucceededRecently(const Fingerprint& fingerprint, Time now) const;
-  void RecordSuccess(const Fingerprint& fingerprint, Time now);
   static std::size_t CrashCount(const Case& tracked, std::string_view version);
   static bool IsValid(const CaseUpdate& update);
 
@@ -238,8 +255,7 @@
   std::size_t unconfirmed_close_count_ = 0;
   /// For each crashed server, the cases that were running on it.
   std::unordered_map<std::string, std::vector<Fingerprint>> cases_by_server_;
-  std::unordered_map<Fingerprint, Time, FingerprintHash> recent_successes_;
-  std::deque<Fingerprint> recent_success_order_;
+  RecentSuccesses recent_successes_;
   std::size_t quarantined_ = 0;
   std::uint64_t digest_ = 0;
 };
--- a/test/quarantine/crash_tracker_test.cc
+++ b/test/quarantine/crash_tracker_test.cc
@@ -235,5 +235,16 @@
   CHECK(fixture.StateOf("crasher") == QuarantineState::kClear);
 }
 
+TEST_CASE("A request that succeeds on one version is blamed for crashes on another") {
+  TrackerFixture fixture;
+  for (const char* server : {"i-1", "i-2", "i-3"}) {
+    fixture.Apply(RequestSucceeded{FingerprintOfBody("crasher"), kV1});
+    fixture.Crash(server, {"crasher"}, "v2");
+    fixture.Advance(seconds(1));
+  }
+  CHECK(fixture.StateOf("crasher", "v2") == QuarantineState::kQuarantined);
+  CHECK(fixture.StateOf("crasher", kV1) != QuarantineState::kQuarantined);
+}
+
 }  // namespace
 }  // namespace moorfold
