Quarantine parts of prompts that crash servers

What callers saw: servers ended one after another, 30 to 35 in a series, under requests of which no two were alike; sound requests on these servers broke off, others waited for models to be loaded again. Cause: evidence was kept for whole requests (host, path, model, body), while the cause of the crashes was a part that their prompts share. Each request was a case of its own with one crash, so no verdict came. Class: a query of death known by the request and not by a feature that requests share. Ruled out: servers that end by the clock, verdicts lost with restarts, repeats of one request id. Change: each shared part has a case in CrashTracker; a complete response clears all parts of its request, also at daemons that only hear of a crash; verdict after three crashes that no quarantined part explains and more than any other part on those servers, after five in any case. A full table evicts cases with the fewest crashes first. Messages and the stored record keep their form: a marked digest. Measured: crashing_part_test 2 of 2 sizes failed before, pass; guilty_part_test 11 cases pass (batches of 64, two guilty parts, a guilty first part, parts that come together, one version, guilt that begins late, daemons with one crash each, invented parts); quarantine_test 34 of 34. Conclusion: the bound holds for what requests share, in the memory and messages that the quarantine had.

--- a/src/gateway/quarantine_filter.cc
+++ b/src/gateway/quarantine_filter.cc
@@ -10,13 +10,29 @@
 
 namespace moorfold {
 
+bool QuarantineFilter::HasCase(const GatewayRequest& request) const {
+  const quarantine::CrashTracker& tracker = quarantine_.tracker();
+  return tracker.HasCase(request.fingerprint) ||
+         std::any_of(request.part_fingerprints.begin(), request.part_fingerprints.end(),
+                     [&](const Fingerprint& part) { return tracker.HasCase(part); });
+}
+
+bool QuarantineFilter::IsQuarantinedFor(const GatewayRequest& request,
+                                        const std::string& version) const {
+  const auto quarantined = [&](const Fingerprint& fingerprint) {
+    return quarantine_.StateFor(fingerprint, version) == quarantine::QuarantineState::kQuarantined;
+  };
+  return quarantined(request.fingerprint) ||
+         std::any_of(request.part_fingerprints.begin(), request.part_fingerprints.end(),
+                     quarantined);
+}
+
 bool QuarantineFilter::IsQuarantined(const GatewayRequest& request) const {
-  if (!quarantine_.tracker().HasCase(request.fingerprint)) return false;
+  if (!HasCase(request)) return false;
   const std::vector<ServerPtr>& servers = view_.servers.Of(request.service);
   return !servers.empty() &&
          std::all_of(servers.begin(), servers.end(), [&](const ServerPtr& server) {
-           return quarantine_.StateFor(request.fingerprint, server->record().software_version) ==
-                  quarantine::QuarantineState::kQuarantined;
+           return IsQuarantinedFor(request, server->record().software_version);
          });
 }
 
@@ -29,10 +45,11 @@
   bool suspected = false;
   for (const ServerPtr& server : view_.servers.Of(request.service)) {
     const std::string& version = server->record().software_version;
+    if (IsQuarantinedFor(request, version)) {
+      choice_request.excluded_versions.push_back(version);
+      continue;
+    }
     switch (quarantine_.StateFor(request.fingerprint, version)) {
-      case quarantine::QuarantineState::kQuarantined:
-        choice_request.excluded_versions.push_back(version);
-        break;
       case quarantine::QuarantineState::kUndecided:
         choice_request.excluded.push_back(server->record().id);
         break;
@@ -40,6 +57,7 @@
         suspected = true;
         break;
       case quarantine::QuarantineState::kClear:
+      case quarantine::QuarantineState::kQuarantined:
         break;
     }
   }
@@ -56,7 +74,8 @@
                     result.attempt_outcome != AttemptOutcome::kClientLeft;
   if (result.connection_lost && sent) {
     quarantine_.Note(quarantine::ConnectionClosed{request.fingerprint, request.service, record.id,
-                                                  record.software_version});
+                                                  record.software_version,
+                                                  request.part_fingerprints});
     return;
   }
   const bool replaced = result.status == kMisdirectedStatus && server.gone();
@@ -75,7 +94,8 @@
   // request.
   if (result.attempt_outcome == AttemptOutcome::kAnswered &&
       result.status < http_status::kBadRequest)
-    quarantine_.Note(quarantine::RequestSucceeded{request.fingerprint, record.software_version});
+    quarantine_.Note(quarantine::RequestSucceeded{request.fingerprint, record.software_version,
+                                                  request.part_fingerprints});
 }
 
 }  // namespace moorfold
--- a/src/gateway/quarantine_filter.h
+++ b/src/gateway/quarantine_filter.h
@@ -14,8 +14,10 @@
   QuarantineFilter(const FleetView& view, QuarantineService& quarantine)
       : view_(view), quarantine_(quarantine) {}
 
-  /// @return whether the request is quarantined for the software version of every known server of
-  /// its service.
+  /// @return whether there is evidence against the request or a part of its prompt.
+  bool HasCase(const GatewayRequest& request) const;
+  /// @return whether the request, or a part of its prompt, is quarantined for the software version
+  /// of every known server of its service.
   bool IsQuarantined(const GatewayRequest& request) const;
   /// Excludes servers to which a suspected request must not be sent now.
   /// @return whether a server may be chosen at all; false while another attempt of the request is
@@ -26,6 +28,7 @@
                      const AttemptResult& result, SteadyTime sent_at);
 
  private:
+  bool IsQuarantinedFor(const GatewayRequest& request, const std::string& version) const;
   const FleetView& view_;
   QuarantineService& quarantine_;
 };
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -179,7 +179,7 @@
   ServerChoiceRequest choice_request = MakeChoiceRequest(request);
   for (const ServerRefusal& refusal : request.refusals)
     if (BootClock::now() < refusal.until) choice_request.excluded.push_back(refusal.server_id);
-  if (quarantine_.tracker().HasCase(request.fingerprint) &&
+  if (quarantine_filter_.HasCase(request) &&
       !quarantine_filter_.ExcludeServers(request, choice_request)) {
     reason = NoServerReason::kAllUnusable;
     return nullptr;
--- a/src/quarantine/crash_tracker.cc
+++ b/src/quarantine/crash_tracker.cc
@@ -19,6 +19,11 @@
 /// With crashes on fewer servers, a request cannot be told apart from the others on the same
 /// server.
 constexpr std::size_t kMinCrashesToCompare = 2;
+/// A part of prompts is on more crashed servers by chance than a request is.
+constexpr std::size_t kMinCrashesOfPart = 3;
+/// Parts that always come together cannot be told apart, so after that many crashes all of them are
+/// quarantined.
+constexpr std::size_t kMaxCrashesOfPart = 5;
 
 bool Contains(const std::vector<std::string>& names, std::string_view name) {
   return std::find(names.begin(), names.end(), name) != names.end();
@@ -81,17 +86,12 @@
   const auto unconfirmed = unconfirmed_closes_.find(event.server_id);
   if (unconfirmed == unconfirmed_closes_.end()) return;
   std::vector<Fingerprint> affected;
+  const auto record = [&](const Fingerprint& fingerprint, const UnconfirmedClose& closed) {
+    if (RecordCrash(fingerprint, closed, now, effects)) affected.push_back(fingerprint);
+  };
   for (const UnconfirmedClose& closed : unconfirmed->second) {
-    const Fingerprint& fingerprint = closed.connection.fingerprint;
-    if (recent_successes_.Contains(fingerprint, closed.connection.version, now)) continue;
-    Case* tracked = FindOrCreateCase(fingerprint, closed.connection.service);
-    if (tracked == nullptr) {
-      ++effects.dropped;
-      continue;
-    }
-    if (AddCrash(fingerprint, *tracked, {event.server_id, closed.connection.version, closed.at},
-                 now))
-      affected.push_back(fingerprint);
+    record(closed.connection.fingerprint, closed);
+    for (const Fingerprint& part : closed.connection.parts) record(part, closed);
   }
   unconfirmed_close_count_ -= unconfirmed->second.size();
   unconfirmed_closes_.erase(unconfirmed);
@@ -107,6 +107,25 @@
   }
 }
 
+bool CrashTracker::SucceededRecently(const Fingerprint& fingerprint, std::string_view version,
+                                     Time now) const {
+  return IsPartFingerprint(fingerprint) ? recent_part_successes_.Contains(fingerprint, version, now)
+                                        : recent_successes_.Contains(fingerprint, version, now);
+}
+
+bool CrashTracker::RecordCrash(const Fingerprint& fingerprint, const UnconfirmedClose& closed,
+                               Time now, Effects& effects) {
+  const ConnectionClosed& connection = closed.connection;
+  if (SucceededRecently(fingerprint, connection.version, now)) return false;
+  Case* tracked = FindOrCreateCase(fingerprint, connection.service);
+  if (tracked == nullptr) {
+    ++effects.dropped;
+    return false;
+  }
+  return AddCrash(fingerprint, *tracked, {connection.server_id, connection.version, closed.at},
+                  now);
+}
+
 void CrashTracker::Handle(const ServerResponded& event, Time, Effects&) {
   const auto unconfirmed = unconfirmed_closes_.find(event.server_id);
   if (unconfirmed == unconfirmed_closes_.end()) return;
@@ -118,14 +137,22 @@
 
 void CrashTracker::Handle(const RequestSucceeded& event, Time now, Effects& effects) {
   if (settings_.servers == 0) return;
-  recent_successes_.Record(event.fingerprint, event.version, now);
-  const auto existing = cases_.find(event.fingerprint);
-  if (existing == cases_.end() || CrashCount(existing->second, event.version) == 0) return;
+  RecordSuccess(event.fingerprint, event.version, now, effects);
+  for (const Fingerprint& part : event.parts) RecordSuccess(part, event.version, now, effects);
+}
+
+void CrashTracker::RecordSuccess(const Fingerprint& fingerprint, const std::string& version,
+                                 Time now, Effects& effects) {
+  RecentSuccesses& successes =
+      IsPartFingerprint(fingerprint) ? recent_part_successes_ : recent_successes_;
+  successes.Record(fingerprint, version, now);
+  const auto existing = cases_.find(fingerprint);
+  if (existing == cases_.end() || CrashCount(existing->second, version) == 0) return;
   Case& tracked = existing->second;
-  AddClearance(event.fingerprint, tracked, {event.version, now});
-  UpdateDigest(event.fingerprint, tracked);
-  effects.updated_cases.push_back(event.fingerprint);
-  effects.changes.push_back({CaseChangeKind::kCleared, event.fingerprint, tracked.service, 0});
+  AddClearance(fingerprint, tracked, {version, now});
+  UpdateDigest(fingerprint, tracked);
+  effects.updated_cases.push_back(fingerprint);
+  effects.changes.push_back({CaseChangeKind::kCleared, fingerprint, tracked.service, 0});
 }
 
 void CrashTracker::Handle(const Released& event, Time now, Effects& effects) {
@@ -162,6 +189,11 @@
     }
     if (!MergeUpdate(*tracked, update, now)) continue;
     effects.updated_cases.push_back(update.fingerprint);
+    // Other daemons may not have seen a success of the part.
+    if (IsPartFingerprint(update.fingerprint))
+      for (const CrashReport& crash : update.crashes)
+        if (SucceededRecently(update.fingerprint, crash.version, now))
+          AddClearance(update.fingerprint, *tracked, {crash.version, now});
     for (const std::string& version : update.quarantined_versions)
       if (CrashCount(*tracked, version) > 0)
         Quarantine(update.fingerprint, *tracked, version, effects);
@@ -216,16 +248,48 @@
     if (!Contains(versions, crash.version)) versions.push_back(crash.version);
   for (const std::string& version : versions) {
     if (Contains(tracked.quarantined_versions, version)) continue;
-    const std::size_t crashes = CrashCount(tracked, version);
     const bool quarantined_for_other_version = !tracked.quarantined_versions.empty();
-    const bool evidence_propagated =
-        now - tracked.last_crash_learned_at >= settings_.propagation_time;
-    const bool has_most_crashes = crashes >= kMinCrashesToCompare &&
-                                  crashes + 1 >= settings_.servers && evidence_propagated &&
-                                  HasMoreCrashesThanNeighbors(fingerprint, tracked, version);
-    if (quarantined_for_other_version || crashes >= settings_.servers || has_most_crashes)
-      Quarantine(fingerprint, tracked, version, effects);
+    const bool guilty = IsPartFingerprint(fingerprint)
+                            ? IsGuiltyPart(fingerprint, tracked, version, now)
+                            : IsGuiltyRequest(fingerprint, tracked, version, now);
+    if (quarantined_for_other_version || guilty) Quarantine(fingerprint, tracked, version, effects);
+  }
+}
+
+bool CrashTracker::IsGuiltyRequest(const Fingerprint& fingerprint, const Case& tracked,
+                                   const std::string& version, Time now) const {
+  const std::size_t crashes = CrashCount(tracked, version);
+  if (crashes >= settings_.servers) return true;
+  const bool evidence_propagated =
+      now - tracked.last_crash_learned_at >= settings_.propagation_time;
+  return crashes >= kMinCrashesToCompare && crashes + 1 >= settings_.servers &&
+         evidence_propagated && HasMoreCrashesThanNeighbors(fingerprint, tracked, version);
+}
+
+bool CrashTracker::IsGuiltyPart(const Fingerprint& fingerprint, const Case& tracked,
+                                const std::string& version, Time now) const {
+  const std::size_t own_crashes = CrashCount(tracked, version);
+  if (own_crashes < kMinCrashesOfPart) return false;
+  std::size_t unexplained = 0;
+  bool other_has_as_many = false;
+  for (const Crash& crash : tracked.crashes) {
+    if (crash.version != version) continue;
+    bool explained = false;
+    const auto neighbors = cases_by_server_.find(crash.server_id);
+    if (neighbors == cases_by_server_.end()) continue;
+    for (const Fingerprint& other : neighbors->second) {
+      const auto neighbor = cases_.find(other);
+      if (other == fingerprint || !IsPartFingerprint(other) || neighbor == cases_.end()) continue;
+      if (Contains(neighbor->second.quarantined_versions, version))
+        explained = true;
+      else if (CrashCount(neighbor->second, version) >= own_crashes)
+        other_has_as_many = true;
+    }
+    unexplained += explained ? 0 : 1;
   }
+  if (unexplained >= kMaxCrashesOfPart) return true;
+  return unexplained >= kMinCrashesOfPart && !other_has_as_many &&
+         now - tracked.last_crash_learned_at >= settings_.propagation_time;
 }
 
 void CrashTracker::Quarantine(const Fingerprint& fingerprint, Case& tracked,
@@ -249,11 +313,13 @@
     if (crash.version != version || neighbors == cases_by_server_.end()) continue;
     for (const Fingerprint& other : neighbors->second) {
       const auto existing = cases_.find(other);
+      const bool is_part = IsPartFingerprint(other);
       if (other == fingerprint || existing == cases_.end()) continue;
       // A neighbor that is quarantined explains the crash; a neighbor with as many crashes leaves
       // the cause undecided.
       const bool quarantined = Contains(existing->second.quarantined_versions, version);
-      if (quarantined || CrashCount(existing->second, version) >= own_crashes) return false;
+      const bool as_many = !is_part && CrashCount(existing->second, version) >= own_crashes;
+      if (quarantined || as_many) return false;
     }
   }
   return true;
@@ -359,24 +425,24 @@
   return &created;
 }
 
-/// Evicts the oldest case among a few candidates that is not quarantined. Examining every case
-/// would let a client that sends many crashing requests exhaust the CPU. @return whether a case was
-/// evicted.
+/// Evicts, among a few candidates that are not quarantined, the oldest one of those with the fewest
+/// crashes. Examining every case would let a client that sends many crashing requests exhaust the
+/// CPU. @return whether a case was evicted.
 bool CrashTracker::EvictOldestCase() {
   constexpr std::size_t kMaxExamined = 64;
-  const Fingerprint* oldest = nullptr;
-  Time oldest_at = Time::max();
+  const CaseMap::value_type* evicted = nullptr;
+  const auto rank = [](const Case& tracked) {
+    return std::make_pair(tracked.crashes.size(), tracked.last_crash_learned_at);
+  };
   std::size_t examined = 0;
-  for (const auto& [fingerprint, tracked] : cases_) {
+  for (const auto& entry : cases_) {
     if (++examined > kMaxExamined) break;
-    if (!tracked.quarantined_versions.empty() || tracked.last_crash_learned_at >= oldest_at)
-      continue;
-    oldest = &fingerprint;
-    oldest_at = tracked.last_crash_learned_at;
+    if (!entry.second.quarantined_versions.empty()) continue;
+    if (evicted == nullptr || rank(entry.second) < rank(evicted->second)) evicted = &entry;
   }
-  if (oldest == nullptr) return false;
+  if (evicted == nullptr) return false;
   Effects ignored;
-  RemoveCase(Fingerprint(*oldest), ignored);
+  RemoveCase(Fingerprint(evicted->first), ignored);
   return true;
 }
 
--- a/src/quarantine/crash_tracker.h
+++ b/src/quarantine/crash_tracker.h
@@ -39,6 +39,13 @@
 /// Consistency. Updates from other daemons merge with the same result in any order and any number
 /// of times: crashes are merged by server, and the newest clearance of each version counts.
 ///
+/// Parts of prompts. Requests that differ may crash servers because of a part that their prompts
+/// share. Each part, apart from a request's last, has a case of its own, with the crashes of all
+/// requests that have the part. A complete response clears all parts of its request, so parts that
+/// sound requests share are cleared again and again, while a part that crashes servers never is. A
+/// part is quarantined after three crashes that no quarantined part explains, if every other part
+/// on those servers has fewer; after five in any case.
+///
 /// Expiry. A case is removed `retention` after its last crash or clearance. Decisions hold for one
 /// version of the servers' software; after a quarantine, a single crash on another version
 /// quarantines the request for that version too.
@@ -66,6 +73,9 @@
   Milliseconds confirmation_timeout{5'000};
   /// A request that received a complete response within this time is not suspected.
   Milliseconds recent_success_window{10'000};
+  /// As above, for a part of prompts: it is shorter, since a part may begin to crash servers at any
+  /// moment, and popular parts have successes all the time.
+  Milliseconds recent_part_success_window{1'000};
   /// Maximum number of cases. A case and its index entries take about 400 bytes, so 4 MB in total.
   std::size_t max_cases = 10'000;
 };
@@ -84,6 +94,7 @@
   std::string service;
   std::string server_id;
   std::string version;
+  std::vector<Fingerprint> parts = {};  ///< Of its prompt, without the last one.
 };
 /// A server has ended: nothing listens at its address, or another incarnation does.
 struct ServerEnded {
@@ -98,6 +109,7 @@
 struct RequestSucceeded {
   Fingerprint fingerprint;
   std::string version;
+  std::vector<Fingerprint> parts = {};  ///< Of its prompt, without the last one.
 };
 /// Cases received from another daemon or read from the store.
 struct CasesReceived {
@@ -125,7 +137,7 @@
   CaseChangeKind kind = CaseChangeKind::kSuspected;
   Fingerprint fingerprint;
   std::string service;
-  std::size_t servers = 0;  ///< Servers that crashed while running the request.
+  std::size_t servers = 0;  ///< Servers that crashed while running the request or part.
 };
 
 struct Effects {
@@ -137,7 +149,7 @@
   std::size_t dropped = 0;  ///< Cases that were invalid or for which there was no room.
 };
 
-/// One quarantined request in the list shown to the operator.
+/// One quarantined request or part of prompts in the list shown to the operator.
 struct ListedCase {
   Fingerprint fingerprint;
   std::string service;
@@ -167,7 +179,9 @@
 class CrashTracker {
  public:
   explicit CrashTracker(Settings settings)
-      : settings_(settings), recent_successes_(settings.recent_success_window) {}
+      : settings_(settings),
+        recent_successes_(settings.recent_success_window),
+        recent_part_successes_(settings.recent_part_success_window) {}
 
   Effects Reduce(const Event& event, Time now);
 
@@ -226,6 +240,14 @@
   void Handle(const Released& event, Time now, Effects& effects);
   void Handle(const Tick& event, Time now, Effects& effects);
 
+  bool SucceededRecently(const Fingerprint& fingerprint, std::string_view version, Time now) const;
+  /// Records a crash of a server under a request or part.
+  /// @return whether the evidence is new.
+  bool RecordCrash(const Fingerprint& fingerprint, const UnconfirmedClose& closed, Time now,
+                   Effects& effects);
+  /// Records a success of a request or part, and clears it of crashes.
+  void RecordSuccess(const Fingerprint& fingerprint, const std::string& version, Time now,
+                     Effects& effects);
   /// @return whether the crash is new and no clearance covers it.
   bool AddCrash(const Fingerprint& fingerprint, Case& tracked, Crash crash, Time now);
   /// @return whether the clearance is newer than the one held for its version.
@@ -240,6 +262,10 @@
   void EvaluateCase(const Fingerprint& fingerprint, Case& tracked, Time now, Effects& effects);
   void Quarantine(const Fingerprint& fingerprint, Case& tracked, const std::string& version,
                   Effects& effects);
+  bool IsGuiltyRequest(const Fingerprint& fingerprint, const Case& tracked,
+                       const std::string& version, Time now) const;
+  bool IsGuiltyPart(const Fingerprint& fingerprint, const Case& tracked, const std::string& version,
+                    Time now) const;
   bool HasMoreCrashesThanNeighbors(const Fingerprint& fingerprint, const Case& tracked,
                                    const std::string& version) const;
   void RemoveCase(const Fingerprint& fingerprint, Effects& effects);
@@ -256,6 +282,7 @@
   /// For each crashed server, the cases that were running on it.
   std::unordered_map<std::string, std::vector<Fingerprint>> cases_by_server_;
   RecentSuccesses recent_successes_;
+  RecentSuccesses recent_part_successes_;
   std::size_t quarantined_ = 0;
   std::uint64_t digest_ = 0;
 };
--- a/src/quarantine/quarantine_service.cc
+++ b/src/quarantine/quarantine_service.cc
@@ -111,12 +111,14 @@
 void QuarantineService::Log(const CaseChange& change) {
   const bool routine =
       change.kind == CaseChangeKind::kSuspected || change.kind == CaseChangeKind::kCleared;
-  log_.Write(routine ? LogRank::kDecision : LogRank::kFailure,
-             EventLine(LogEvent::kQuarantine)
-                 .Field(LogField::kState, Name(change.kind))
-                 .Field(LogField::kFingerprint, ToString(change.fingerprint))
-                 .Field(LogField::kService, change.service)
-                 .Field(LogField::kServers, change.servers));
+  log_.Write(
+      routine ? LogRank::kDecision : LogRank::kFailure,
+      EventLine(LogEvent::kQuarantine)
+          .Field(LogField::kState, Name(change.kind))
+          .Field(LogField::kKind, IsPartFingerprint(change.fingerprint) ? "prompt_part" : "request")
+          .Field(LogField::kFingerprint, ToString(change.fingerprint))
+          .Field(LogField::kService, change.service)
+          .Field(LogField::kServers, change.servers));
 }
 
 /// Undecided cases can be decided once evidence of other daemons has had time to arrive.
