Quarantined parts: spare what sound requests share, in fleets of any size

What callers saw: nothing yet; found by a model of whole fleets before any landing. With 295 daemons all requests of a route were refused for the rest of the run (4062 of 4306 sound ones), with 58 up to a tenth. Cause: a clearance within a second after another one was dropped whole, so crashes that came in between stayed; parts that come with a guilty one had as many crashes and were quarantined with it at the fifth; crashes of one moment (a rack without power) counted as many; and ages that grow on the way let a crash look newer than the success that cleared it, so that evidence went round without end. Change: a clearance always removes what it covers, for a part also the second after it, as the daemon that saw the success does; a part that was cleared later than another with as many crashes is not blamed; crashes within 200 ms count once; a full case makes room only for a new moment; suspected parts are not in the digest. Conclusion: the verdict spares what has successes, and messages end.

--- a/src/quarantine/crash_tracker.cc
+++ b/src/quarantine/crash_tracker.cc
@@ -33,6 +33,22 @@
   return std::max<std::int64_t>(0, std::chrono::duration_cast<Milliseconds>(now - at).count());
 }
 
+/// Crashes within that time of each other may have one cause.
+constexpr Milliseconds kSameMoment{200};
+
+/// @return how many of the times are further than kSameMoment from the one counted before.
+std::size_t CountMoments(std::vector<Time> times) {
+  std::sort(times.begin(), times.end());
+  std::size_t moments = 0;
+  Time counted{};
+  for (const Time time : times) {
+    if (moments > 0 && time - counted < kSameMoment) continue;
+    counted = time;
+    ++moments;
+  }
+  return moments;
+}
+
 bool HasValidLength(const std::string& name) { return name.size() <= kMaxNameLength; }
 
 }  // namespace
@@ -68,6 +84,21 @@
                     [&](const Crash& crash) { return crash.version == version; }));
 }
 
+std::size_t CrashTracker::CrashMoments(const Case& tracked, std::string_view version) {
+  std::vector<Time> times;
+  for (const Crash& crash : tracked.crashes)
+    if (crash.version == version) times.push_back(crash.at);
+  return CountMoments(std::move(times));
+}
+
+Time CrashTracker::LastClearance(const Case& tracked, std::string_view version) {
+  Time last{};
+  for (const Clearance& clearance : tracked.clearances)
+    if (clearance.version.empty() || clearance.version == version)
+      last = std::max(last, clearance.at);
+  return last;
+}
+
 Effects CrashTracker::Reduce(const Event& event, Time now) {
   Effects effects;
   std::visit([&](const auto& each) { Handle(each, now, effects); }, event);
@@ -268,27 +299,32 @@
 
 bool CrashTracker::IsGuiltyPart(const Fingerprint& fingerprint, const Case& tracked,
                                 const std::string& version, Time now) const {
-  const std::size_t own_crashes = CrashCount(tracked, version);
-  if (own_crashes < kMinCrashesOfPart) return false;
-  std::size_t unexplained = 0;
-  bool other_has_as_many = false;
+  const std::size_t own_moments = CrashMoments(tracked, version);
+  if (own_moments < kMinCrashesOfPart) return false;
+  const Time own_clearance = LastClearance(tracked, version);
+  std::vector<Time> unexplained;
+  bool other_as_likely = false;
   for (const Crash& crash : tracked.crashes) {
-    if (crash.version != version) continue;
-    bool explained = false;
     const auto neighbors = cases_by_server_.find(crash.server_id);
-    if (neighbors == cases_by_server_.end()) continue;
+    if (crash.version != version || neighbors == cases_by_server_.end()) continue;
+    bool explained = false;
     for (const Fingerprint& other : neighbors->second) {
       const auto neighbor = cases_.find(other);
       if (other == fingerprint || !IsPartFingerprint(other) || neighbor == cases_.end()) continue;
-      if (Contains(neighbor->second.quarantined_versions, version))
+      if (Contains(neighbor->second.quarantined_versions, version)) {
         explained = true;
-      else if (CrashCount(neighbor->second, version) >= own_crashes)
-        other_has_as_many = true;
+        continue;
+      }
+      if (CrashMoments(neighbor->second, version) < own_moments) continue;
+      const Time clearance = LastClearance(neighbor->second, version);
+      if (clearance < own_clearance) return false;
+      other_as_likely = other_as_likely || clearance == own_clearance;
     }
-    unexplained += explained ? 0 : 1;
+    if (!explained) unexplained.push_back(crash.at);
   }
-  if (unexplained >= kMaxCrashesOfPart) return true;
-  return unexplained >= kMinCrashesOfPart && !other_has_as_many &&
+  const std::size_t unexplained_moments = CountMoments(std::move(unexplained));
+  if (unexplained_moments >= kMaxCrashesOfPart) return true;
+  return unexplained_moments >= kMinCrashesOfPart && !other_as_likely &&
          now - tracked.last_crash_learned_at >= settings_.propagation_time;
 }
 
@@ -325,23 +361,52 @@
   return true;
 }
 
+Milliseconds CrashTracker::SuccessCoverage(const Fingerprint& fingerprint) const {
+  return IsPartFingerprint(fingerprint) ? settings_.recent_part_success_window : Milliseconds(0);
+}
+
 bool CrashTracker::AddCrash(const Fingerprint& fingerprint, Case& tracked, Crash crash, Time now) {
   for (const Clearance& clearance : tracked.clearances)
     if ((clearance.version.empty() || clearance.version == crash.version) &&
-        clearance.at >= crash.at)
+        clearance.at + SuccessCoverage(fingerprint) >= crash.at)
       return false;
   for (Crash& existing : tracked.crashes) {
     if (existing.server_id != crash.server_id) continue;
     existing.at = std::min(existing.at, crash.at);
     return false;
   }
-  if (tracked.crashes.size() >= kMaxCrashesPerCase) return false;
+  if (!MakeRoomForCrash(fingerprint, tracked, crash)) return false;
   cases_by_server_[crash.server_id].push_back(fingerprint);
   tracked.crashes.push_back(std::move(crash));
   tracked.last_crash_learned_at = now;
   return true;
 }
 
+bool CrashTracker::MakeRoomForCrash(const Fingerprint& fingerprint, Case& tracked,
+                                    const Crash& added) {
+  if (tracked.crashes.size() < kMaxCrashesPerCase) return true;
+  const auto same_moment = [](const Crash& left, const Crash& right) {
+    const BootClock::duration apart = left.at - right.at;
+    return left.version == right.version && apart < kSameMoment && -apart < kSameMoment;
+  };
+  // Only a new moment is worth the place of another crash; otherwise two crashes could displace
+  // each other for ever.
+  if (!IsPartFingerprint(fingerprint) ||
+      std::any_of(tracked.crashes.begin(), tracked.crashes.end(),
+                  [&](const Crash& crash) { return same_moment(crash, added); }))
+    return false;
+  const auto redundant =
+      std::find_if(tracked.crashes.begin(), tracked.crashes.end(), [&](const Crash& crash) {
+        return std::any_of(tracked.crashes.begin(), tracked.crashes.end(), [&](const Crash& other) {
+          return &other != &crash && same_moment(other, crash);
+        });
+      });
+  if (redundant == tracked.crashes.end()) return false;
+  RemoveFromServerIndex(fingerprint, redundant->server_id);
+  tracked.crashes.erase(redundant);
+  return true;
+}
+
 bool CrashTracker::AddClearance(const Fingerprint& fingerprint, Case& tracked,
                                 const Clearance& clearance) {
   const auto same_version = [&](const Clearance& existing) {
@@ -352,22 +417,23 @@
   // The transit time of a message makes the same clearance look newer.
   constexpr Milliseconds kTransitTolerance{1'000};
   const bool new_version = existing == tracked.clearances.end();
-  if (!new_version && clearance.at <= existing->at + kTransitTolerance) return false;
+  const bool newer = new_version || clearance.at > existing->at + kTransitTolerance;
   if (!new_version)
-    existing->at = clearance.at;
+    existing->at = std::max(existing->at, clearance.at);
   else if (tracked.clearances.size() < kMaxVersionsPerCase)
     tracked.clearances.push_back(clearance);
-  RemoveClearedEvidence(fingerprint, tracked, clearance);
-  return true;
+  const bool removed = RemoveClearedEvidence(fingerprint, tracked, clearance);
+  return newer || removed;
 }
 
-void CrashTracker::RemoveClearedEvidence(const Fingerprint& fingerprint, Case& tracked,
+bool CrashTracker::RemoveClearedEvidence(const Fingerprint& fingerprint, Case& tracked,
                                          const Clearance& clearance) {
   const auto covers = [&](const std::string& version) {
     return clearance.version.empty() || clearance.version == version;
   };
-  std::erase_if(tracked.crashes, [&](const Crash& crash) {
-    const bool cleared = covers(crash.version) && crash.at <= clearance.at;
+  const std::size_t removed = std::erase_if(tracked.crashes, [&](const Crash& crash) {
+    const bool cleared =
+        covers(crash.version) && crash.at <= clearance.at + SuccessCoverage(fingerprint);
     if (cleared) RemoveFromServerIndex(fingerprint, crash.server_id);
     return cleared;
   });
@@ -376,6 +442,7 @@
     return covers(version) && CrashCount(tracked, version) == 0;
   });
   if (was_quarantined && tracked.quarantined_versions.empty()) --quarantined_;
+  return removed > 0;
 }
 
 bool CrashTracker::MergeUpdate(Case& tracked, const CaseUpdate& update, Time now) {
@@ -471,10 +538,11 @@
 void CrashTracker::UpdateDigest(const Fingerprint& fingerprint, Case& tracked) {
   digest_ ^= tracked.digest_part;
   tracked.digest_part = 0;
-  const bool in_digest = !tracked.quarantined_versions.empty() ||
-                         tracked.crashes.size() >= kMinCrashesToCompare ||
-                         !tracked.clearances.empty();
-  if (!in_digest) return;
+  // Suspected parts come and go with each crash.
+  const bool suspected_request =
+      !IsPartFingerprint(fingerprint) &&
+      (tracked.crashes.size() >= kMinCrashesToCompare || !tracked.clearances.empty());
+  if (tracked.quarantined_versions.empty() && !suspected_request) return;
   std::vector<std::string> parts;
   for (const Crash& crash : tracked.crashes) parts.push_back("c" + crash.server_id);
   for (const std::string& version : tracked.quarantined_versions) parts.push_back("q" + version);
--- a/src/quarantine/crash_tracker.h
+++ b/src/quarantine/crash_tracker.h
@@ -43,8 +43,10 @@
 /// share. Each part, apart from a request's last, has a case of its own, with the crashes of all
 /// requests that have the part. A complete response clears all parts of its request, so parts that
 /// sound requests share are cleared again and again, while a part that crashes servers never is. A
-/// part is quarantined after three crashes that no quarantined part explains, if every other part
-/// on those servers has fewer; after five in any case.
+/// part is quarantined after three crashes that no quarantined part explains, unless another part
+/// on those servers is as likely the cause: it has as many crashes, and its last clearance is no
+/// newer. Parts that are equally likely are quarantined after five crashes. Crashes at the same
+/// moment count once: they have another cause, such as a rack that lost power.
 ///
 /// Expiry. A case is removed `retention` after its last crash or clearance. Decisions hold for one
 /// version of the servers' software; after a quarantine, a single crash on another version
@@ -248,12 +250,16 @@
   /// Records a success of a request or part, and clears it of crashes.
   void RecordSuccess(const Fingerprint& fingerprint, const std::string& version, Time now,
                      Effects& effects);
+  /// @return how long after a clearance crashes are covered by it. For a part this is the time
+  /// after a success in which it is not suspected, so that all daemons ignore the same crashes.
+  Milliseconds SuccessCoverage(const Fingerprint& fingerprint) const;
   /// @return whether the crash is new and no clearance covers it.
   bool AddCrash(const Fingerprint& fingerprint, Case& tracked, Crash crash, Time now);
   /// @return whether the clearance is newer than the one held for its version.
   bool AddClearance(const Fingerprint& fingerprint, Case& tracked, const Clearance& clearance);
   /// Removes the crashes and quarantined versions that a clearance covers.
-  void RemoveClearedEvidence(const Fingerprint& fingerprint, Case& tracked,
+  /// @return whether there were any.
+  bool RemoveClearedEvidence(const Fingerprint& fingerprint, Case& tracked,
                              const Clearance& clearance);
   /// Merges a received case. @return whether anything changed.
   bool MergeUpdate(Case& tracked, const CaseUpdate& update, Time now);
@@ -272,6 +278,13 @@
   void UpdateDigest(const Fingerprint& fingerprint, Case& tracked);
   void RemoveFromServerIndex(const Fingerprint& fingerprint, const std::string& server_id);
   static std::size_t CrashCount(const Case& tracked, std::string_view version);
+  /// @return the number of moments at which servers of the version crashed under a part.
+  static std::size_t CrashMoments(const Case& tracked, std::string_view version);
+  /// @return when the part was last cleared for the version; Time{} if never.
+  static Time LastClearance(const Case& tracked, std::string_view version);
+  /// @return whether there is room for one more crash, possibly after removing one that shares its
+  /// moment with another.
+  bool MakeRoomForCrash(const Fingerprint& fingerprint, Case& tracked, const Crash& added);
   static bool IsValid(const CaseUpdate& update);
 
   Settings settings_;
--- a/test/quarantine/guilty_part_test.cc
+++ b/test/quarantine/guilty_part_test.cc
@@ -195,6 +195,39 @@
   CHECK_FALSE(restarted.Quarantined("guilty"));
 }
 
+TEST_CASE("Servers that crash at the same moment do not quarantine a part of their requests") {
+  PartFixture fixture;
+  for (int server = 0; server < 12; ++server) {
+    const std::string id = "rack-" + std::to_string(server);
+    fixture.tracker.Reduce(ConnectionClosed{fixture.NewRequest(), "s", id, kV1, {Part("first")}},
+                           fixture.now);
+    fixture.tracker.Reduce(ServerEnded{id}, fixture.now);
+  }
+  fixture.Advance(seconds(2));
+  CHECK_FALSE(fixture.Quarantined("first"));
+  // The crowded moment leaves room for evidence of later ones.
+  for (int crash = 0; crash < 4; ++crash) fixture.Crash({{"first"}});
+  CHECK(fixture.Quarantined("first"));
+}
+
+TEST_CASE("Evidence that comes again changes nothing, so daemons do not pass it on for ever") {
+  PartFixture observer;
+  for (int server = 0; server < 12; ++server) {
+    const std::string id = "rack-" + std::to_string(server);
+    observer.tracker.Reduce(ConnectionClosed{observer.NewRequest(), "s", id, kV1, {Part("first")}},
+                            observer.now);
+    observer.tracker.Reduce(ServerEnded{id}, observer.now);
+  }
+  PartFixture receiver;
+  CasesReceived received;
+  received.cases.push_back(observer.tracker.ExportCase(Part("first"), observer.now));
+  CHECK_FALSE(receiver.tracker.Reduce(received, receiver.now).updated_cases.empty());
+  CHECK(receiver.tracker.Reduce(received, receiver.now).updated_cases.empty());
+  CasesReceived back;
+  back.cases.push_back(receiver.tracker.ExportCase(Part("first"), receiver.now));
+  CHECK(observer.tracker.Reduce(back, observer.now).updated_cases.empty());
+}
+
 TEST_CASE("Fingerprints of parts are marked, and differ by service and id") {
   CHECK(IsPartFingerprint(Part("a")));
   CHECK_FALSE(IsPartFingerprint(FingerprintOf({"host", "/p", "", "a"})));
