--- a/scripts/soak_faults.sh
+++ b/scripts/soak_faults.sh
@@ -151,7 +151,7 @@
 fi
 for number in $(seq 0 $((gateways - 1))); do kill -TERM "${pids[$number]}" 2>/dev/null; done
 wait
-grep -E 'event=(soak|violation)|^crashing requests|^tenants:|^drills:|^limits:|^cuts from servers|^gateway-[0-9]+:' "$folder/emulator.log"
+grep -E 'event=(soak|violation)|^crashing (requests|parts)|^tenants:|^drills:|^limits:|^cuts from servers|^gateway-[0-9]+:' "$folder/emulator.log"
 requests_by_pool() { cat "$folder"/gateway-*.log | grep "event=request_end .*work=$1" | grep -c "pool=$2"; }
 paced=$(requests_by_pool paced own)
 long_prompts=$(requests_by_pool long_prompt own)
--- a/test/emulator/emulated_clients.cc
+++ b/test/emulator/emulated_clients.cc
@@ -174,8 +174,9 @@
       if (header.name == "X-Prompt-Prefix")
         header.value = "first-" + name + ":800," + second + ":200," + id + kShortPart;
     const Endpoint to = gateway->front;
-    const ClientAnswer answer = co_await Exchange(to, std::move(request), id, RequestKind::kStream);
+    ClientAnswer answer = co_await Exchange(to, std::move(request), id, RequestKind::kStream);
     if (guilty) continue;
+    answer.proper = platform_.tenant_checker().Proper(id);
     platform_.checker().Answered(answer);
     ++beside_ending_parts_.sent;
     if (answer.status == 200 && answer.whole) ++beside_ending_parts_.served;
--- a/test/emulator/fault_plan.cc
+++ b/test/emulator/fault_plan.cc
@@ -60,8 +60,15 @@
     co_await Sleep(milliseconds(Draw(4'000, 9'000)));
     if (stopped_) break;
     const auto kind = static_cast<RequestKind>(Draw(0, 2));
-    Say("ending_request");
-    clients_.StartEnding(std::to_string(ending), kind, milliseconds(Draw(200, 1'500)), Draw(1, 2));
+    const milliseconds pause(Draw(200, 1'500));
+    const int copies = Draw(1, 2);
+    constexpr int kPartOf = 4;  // One of so many is a part of prompts.
+    const bool part = ending % kPartOf == 1;
+    Say(part ? "ending_part" : "ending_request");
+    if (part)
+      clients_.StartEndingPart(std::to_string(ending), pause);
+    else
+      clients_.StartEnding(std::to_string(ending), kind, pause, copies);
   }
 }
 
--- a/test/emulator/main.cc
+++ b/test/emulator/main.cc
@@ -133,6 +133,11 @@
   std::cout << "crashing requests: " << endings.requests << "; servers ended by one: most "
             << endings.most_servers << "; sent after it was known: " << endings.sent_when_known
             << "; innocents refused: " << endings.innocents_refused << std::endl;
+  const EndingSummary& parts = platform.checker().part_endings();
+  std::cout << "crashing parts: " << parts.requests << "; servers ended by one: most "
+            << parts.most_servers << "; sent after it was known: " << parts.sent_when_known
+            << "; sound requests beside them: " << clients.beside_ending_parts().served << " of "
+            << clients.beside_ending_parts().sent << " served" << std::endl;
   const TenantChecker& tenants = platform.tenant_checker();
   for (const std::string& violation : tenants.violations())
     std::cout << "event=violation seed=" << seed << " what=\"" << violation << "\"" << std::endl;
