--- a/test/emulator/emulated_clients.cc
+++ b/test/emulator/emulated_clients.cc
@@ -172,7 +172,12 @@
     const std::string second = guilty ? ServerEmulator::EndingPart(name) : "sound-" + name;
     for (HttpHeader& header : request.headers)
       if (header.name == "X-Prompt-Prefix")
-        header.value = "first-" + name + ":800," + second + ":200," + id + kShortPart;
+        header.value = std::string("first-")
+                           .append(name)
+                           .append(":800,")
+                           .append(second)
+                           .append(":200,")
+                           .append(id + kShortPart);
     const Endpoint to = gateway->front;
     ClientAnswer answer = co_await Exchange(to, std::move(request), id, RequestKind::kStream);
     if (guilty) continue;
