--- a/src/quarantine/crash_tracker.cc
+++ b/src/quarantine/crash_tracker.cc
@@ -13,7 +13,6 @@
 constexpr std::size_t kMaxVersionsPerCase = 4;
 /// Unconfirmed connections: 64 requests on each of 64 servers.
 constexpr std::size_t kMaxUnconfirmedCloses = 4'096;
-constexpr std::size_t kMaxRecentSuccesses = 2'048;
 /// Server IDs, services and versions of legitimate daemons are shorter; longer ones are rejected.
 constexpr std::size_t kMaxNameLength = 200;
 /// With crashes on fewer servers, a request cannot be told apart from the others on the same
@@ -53,31 +52,6 @@
 
 }  // namespace
 
-Fingerprint RecentSuccesses::KeyOf(const Fingerprint& fingerprint, std::string_view version) {
-  Fingerprint key = fingerprint;
-  const std::uint64_t hash = XXH64(version.data(), version.size(), 0);
-  constexpr std::size_t kBitsPerByte = 8;
-  for (std::size_t byte = 0; byte < sizeof hash; ++byte)
-    key.bytes.at(byte) ^= static_cast<std::uint8_t>(hash >> (kBitsPerByte * byte));
-  return key;
-}
-
-bool RecentSuccesses::Contains(const Fingerprint& fingerprint, std::string_view version,
-                               Time now) const {
-  const auto success = at_.find(KeyOf(fingerprint, version));
-  return success != at_.end() && now - success->second < window_;
-}
-
-void RecentSuccesses::Record(const Fingerprint& fingerprint, std::string_view version, Time now) {
-  const Fingerprint key = KeyOf(fingerprint, version);
-  const bool existing = !at_.insert_or_assign(key, now).second;
-  if (existing) return;
-  order_.push_back(key);
-  if (order_.size() <= kMaxRecentSuccesses) return;
-  at_.erase(order_.front());
-  order_.pop_front();
-}
-
 std::size_t CrashTracker::CrashCount(const Case& tracked, std::string_view version) {
   return static_cast<std::size_t>(
       std::count_if(tracked.crashes.begin(), tracked.crashes.end(),
--- a/src/quarantine/crash_tracker.h
+++ b/src/quarantine/crash_tracker.h
@@ -2,7 +2,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -12,6 +11,7 @@
 #include "common/boot_clock.h"
 #include "quarantine/fingerprint.h"
 #include "quarantine/quarantine_messages.h"
+#include "quarantine/recent_successes.h"
 
 namespace moorfold {
 
@@ -59,9 +59,6 @@
 /// are returned in Effects. Not thread-safe.
 namespace quarantine {
 
-using Time = BootClock::time_point;
-using Milliseconds = std::chrono::milliseconds;
-
 struct Settings {
   /// Number of servers that may crash under one request before it is quarantined; 0 disables
   /// quarantine. The platform requires at most three.
@@ -160,24 +157,6 @@
   Milliseconds time_left{0};          ///< Time until the case expires.
 };
 
-/// Remembers which fingerprints servers of which version lately completed responses to. Keeps a
-/// bounded number of them. Not thread-safe.
-class RecentSuccesses {
- public:
-  explicit RecentSuccesses(Milliseconds window) : window_(window) {}
-
-  void Record(const Fingerprint& fingerprint, std::string_view version, Time now);
-  bool Contains(const Fingerprint& fingerprint, std::string_view version, Time now) const;
-
- private:
-  /// @return a key that differs between versions.
-  static Fingerprint KeyOf(const Fingerprint& fingerprint, std::string_view version);
-
-  Milliseconds window_;
-  std::unordered_map<Fingerprint, Time, FingerprintHash> at_;
-  std::deque<Fingerprint> order_;  ///< Of first entry.
-};
-
 class CrashTracker {
  public:
   explicit CrashTracker(Settings settings)
