Measure whether a daemon has room for more requests

Cause: logs cannot tell whether a request that fails at a crowded daemon failed at the servers or behind the daemon's own link or processor; the daemon knows only its share of a core. Ruled out: the event stalled, which says nothing here (the process runs), and the kernel's queues, which a process cannot read. Change: link_mbps, memory_mb and max_descriptors reach the settings; an observer of the client server's connections feeds a virtual queue of the link, samples of the event loop (only while connections come in quick succession) and a count of connections. Lines overload, moorfold_overloaded, moorfold_overloads_total, moorfold_link_delay_ms, moorfold_loop_late_share. Nothing is decided by it yet. Measured: overload_test 9 cases; gateway_test, http_test and config_test pass (gateway_test failed once before its table of fields named the two new ones). Conclusion: the hypotheses (link, own shortage taken for failing servers, processor) can be told apart on a daemon's own lines.

--- a/src/common/log_event.h
+++ b/src/common/log_event.h
@@ -25,6 +25,7 @@
   kStoreEraUnclear,
   kStoreReadLate,
   kStalled,
+  kOverload,
   kConfiguration,
   kServer,
   kServerGone,
@@ -69,6 +70,7 @@
                                               "store_era_unclear",
                                               "store_read_late",
                                               "stalled",
+                                              "overload",
                                               "configuration",
                                               "server",
                                               "server_gone",
@@ -176,6 +178,8 @@
   kOrigin,
   kBudgetLeft,
   kParts,
+  kLinkDelayMs,
+  kLoopLateShare,
 };
 inline constexpr std::array kLogFieldNames = {"id",
                                               "ids",
@@ -251,7 +255,9 @@
                                               "via",
                                               "origin",
                                               "budget_left",
-                                              "parts"};
+                                              "parts",
+                                              "link_delay_ms",
+                                              "loop_late_share"};
 
 /// @return the name as it stands in the log.
 constexpr const char* Name(LogEvent event) {
@@ -261,7 +267,7 @@
   return kLogFieldNames[static_cast<std::size_t>(field)];
 }
 static_assert(kLogEventNames.size() == static_cast<std::size_t>(LogEvent::kLogLinesLeftOut) + 1);
-static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kParts) + 1);
+static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kLoopLateShare) + 1);
 
 /// One line of a gateway's log, made only of listed events and fields.
 class EventLine {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -110,6 +110,10 @@
       log_(log),
       view_(context.get_executor()),
       contact_(view_, metrics_, log),
+      overload_(context,
+                {settings_.link_mbps,
+                 overload::ConnectionCapacity(settings_.max_descriptors, settings_.memory_mb)},
+                metrics_, log),
       store_(store, metrics_),
       store_view_(context, store_, protocol, view_, metrics_, log, FollowSettings(settings_)),
       channel_(context, settings_.peer,
@@ -223,6 +227,7 @@
   client_server_ = std::make_unique<HttpServer>(
       contexts, settings_.listen, HttpServerLimits{},
       [this](HttpServerExchange& exchange) { return pipeline_.Handle(exchange); }, Reject);
+  client_server_->SetObserver(&overload_);
   readiness_server_ = std::make_unique<HttpServer>(
       contexts, settings_.readiness, HttpServerLimits{},
       [this](HttpServerExchange& exchange) { return AnswerReadiness(exchange); }, Reject);
@@ -309,6 +314,7 @@
   metrics_.peak_memory_kb = PeakMemoryKilobytes();
   if (view_.routes) metrics_.configuration_age_ms = MillisecondsSince(view_.configured_at);
   pipeline_.UpdateLoadMetrics();
+  overload_.UpdateMetrics();
   metrics_.servers_known_age_ms = MillisecondsSince(view_.servers_current_at);
   metrics_.configuration_known_age_ms = MillisecondsSince(view_.configuration_current_at);
   co_await exchange.Respond(Plain(http_status::kOk, metrics_.Render()));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_settings.h"
+#include "gateway/overload_monitor.h"
 #include "gateway/relay_service.h"
 #include "gateway/request_pipeline.h"
 #include "gateway/server_statements.h"
@@ -129,6 +130,7 @@
   GatewayMetrics metrics_;
   FleetView view_;
   ContactMonitor contact_;
+  OverloadMonitor overload_;
   BootClock::time_point isolated_since_{};  ///< Zero if this daemon is not isolated.
   CountingStore store_;
   StoreView store_view_;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -127,6 +127,11 @@
     Line(text, "repeats_left{service=\"" + left.service + "\"}", Decimal(left.repeats));
   Count(text, "stalls", stalls);
   Gauge(text, "longest_stall_ms", longest_stall_ms);
+  Gauge(text, "link_delay_ms", link_delay_ms);
+  Gauge(text, "longest_link_delay_ms", longest_link_delay_ms);
+  Line(text, "loop_late_share", Decimal(loop_late_share));
+  Gauge(text, "overloaded", overloaded);
+  overloads.Render("overloads_total", text);
   Gauge(text, "peak_memory_kb", peak_memory_kb);
   time_to_response_head.Render("time_to_answer_ms", text);
   time_to_end.Render("time_to_end_ms", text);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -110,6 +110,11 @@
   LatencyHistogram store_read;  ///< From sending a read to its answer or failure.
   std::uint64_t stalls = 0;     ///< Times that this process was suspended or starved of CPU.
   std::int64_t longest_stall_ms = 0;
+  std::int64_t link_delay_ms = 0;  ///< Estimated wait of a byte for this daemon's link.
+  std::int64_t longest_link_delay_ms = 0;
+  double loop_late_share = 0;   ///< Of recent time, from 0 to 1.
+  std::int64_t overloaded = 0;  ///< 1 while this daemon has no room for more requests.
+  LabelledCounter overloads;    ///< By what was short.
 
   /// @return all metrics in the Prometheus text format.
   std::string Render() const;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -27,6 +27,9 @@
 constexpr std::int64_t kMaxLogLines = 100'000;
 constexpr std::int64_t kMaxDaemons = 1'000'000;
 constexpr std::int64_t kMaxQuarantineServers = 3;
+constexpr double kMaxLinkMbps = 1e6;
+constexpr std::int64_t kMaxMemoryMb = 1 << 24;
+constexpr std::int64_t kMaxDescriptors = 1 << 30;
 
 /// Reads the optional "PORT/PATH".
 std::optional<MetricsEndpoint> ReadMetrics(YamlMap& map) {
@@ -84,6 +87,11 @@
   settings.prompt_separation = root.Bool("prompt_separation", settings.prompt_separation);
   settings.load_outlook = root.Bool("load_outlook", settings.load_outlook);
   settings.cpu_share = root.Number("cpu_share", 0, 4096, settings.cpu_share);
+  settings.link_mbps = root.Number("link_mbps", 0, kMaxLinkMbps, settings.link_mbps);
+  settings.memory_mb =
+      static_cast<std::uint32_t>(root.Integer("memory_mb", 0, kMaxMemoryMb, settings.memory_mb));
+  settings.max_descriptors = static_cast<std::uint32_t>(
+      root.Integer("max_descriptors", 0, kMaxDescriptors, settings.max_descriptors));
   root.Finish();
   problems.ThrowIfAny();
   return settings;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -63,6 +63,11 @@
   /// requests that cannot wait that long are rejected at once.
   bool load_outlook = true;
   double cpu_share = 1;  ///< CPU cores available; larger daemons stand for election earlier.
+  /// Bandwidth of the machine's link in each direction, in megabits per second; 0: unknown.
+  double link_mbps = 0;
+  std::uint32_t memory_mb = 0;  ///< Memory that this process may use; 0: unknown.
+  /// File descriptors that this process may have open; 0: unknown.
+  std::uint32_t max_descriptors = 0;
 };
 
 /// @throws ConfigError listing all errors in the file.
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -31,6 +31,15 @@
 
 constexpr unsigned kHttp11 = 11;
 
+/// @return about as many bytes as the request had on the wire.
+std::size_t SizeOf(const HttpRequest& request) {
+  constexpr std::size_t kSeparators = 4;
+  std::size_t size = request.method.size() + request.target.size() + request.body.size();
+  for (const HttpHeader& header : request.headers)
+    size += header.name.size() + header.value.size() + kSeparators;
+  return size;
+}
+
 HttpRequest TakeRequest(http::request<http::string_body>&& message) {
   HttpRequest request;
   request.method = std::string(message.method_string());
@@ -69,6 +78,7 @@
     endpoint_ = {local.address().to_string(), local.port()};
   }
 
+  void SetObserver(HttpServerObserver* observer) { observer_ = observer; }
   void Start() { asio::co_spawn(*contexts_.front(), Accept(shared_from_this()), asio::detached); }
 
   void StopAccepting() {
@@ -121,6 +131,24 @@
     beast::tcp_stream& stream_;
   };
 
+  /// Tells the observer once that a connection's first request was read or will not come.
+  class UnreadMark {
+   public:
+    explicit UnreadMark(HttpServerObserver* observer) : observer_(observer) {
+      if (observer_ != nullptr) observer_->ConnectionAccepted();
+    }
+    ~UnreadMark() { Settle(); }
+    UnreadMark(const UnreadMark&) = delete;
+    UnreadMark& operator=(const UnreadMark&) = delete;
+    void Settle() {
+      if (observer_ != nullptr) observer_->ConnectionSettled();
+      observer_ = nullptr;
+    }
+
+   private:
+    HttpServerObserver* observer_;
+  };
+
   static Awaitable<void> Accept(std::shared_ptr<Impl> self) {
     std::size_t next = 0;
     while (!self->stopping_) {
@@ -146,18 +174,20 @@
       socket.set_option(tcp::no_delay(true), ignored);
       beast::tcp_stream stream(std::move(socket));
       beast::flat_buffer buffer;
+      UnreadMark unread(self->observer_);
       bool keep_alive = true;
       while (keep_alive && !self->last_answers_)
-        keep_alive = co_await ServeOne(*self, stream, buffer);
+        keep_alive = co_await ServeOne(*self, stream, buffer, unread);
       stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     } catch (const std::exception&) {  // The connection broke; its handler has been told.
     }
     --self->connections_;
+    if (self->observer_ != nullptr) self->observer_->ConnectionClosed();
   }
 
   static Awaitable<void> RunHandler(Impl& server, Exchange& exchange);
   static Awaitable<bool> ServeOne(Impl& server, beast::tcp_stream& stream,
-                                  beast::flat_buffer& buffer);
+                                  beast::flat_buffer& buffer, UnreadMark& unread);
 
   std::vector<asio::io_context*> contexts_;
   std::optional<tcp::acceptor> acceptor_;
@@ -165,6 +195,7 @@
   HttpServerLimits limits_;
   HttpHandler handler_;
   HttpRejection rejection_;
+  HttpServerObserver* observer_ = nullptr;
   std::atomic<bool> stopping_{false};
   std::mutex idle_mutex_;
   std::set<beast::tcp_stream*> idle_;
@@ -210,7 +241,7 @@
     message.body() = std::move(answer.body);
     message.prepare_payload();
     stream_.expires_after(server_.limits_.write_timeout);
-    co_await http::async_write(stream_, message, use_awaitable);
+    RecordWritten(co_await http::async_write(stream_, message, use_awaitable));
     complete_ = true;
   }
 
@@ -220,13 +251,14 @@
     message.chunked(true);
     http::response_serializer<http::empty_body> serializer(message);
     stream_.expires_after(server_.limits_.write_timeout);
-    co_await http::async_write_header(stream_, serializer, use_awaitable);
+    RecordWritten(co_await http::async_write_header(stream_, serializer, use_awaitable));
   }
 
   Awaitable<void> Write(std::string data) override {
     if (data.empty()) co_return;
     stream_.expires_after(server_.limits_.write_timeout);
-    co_await asio::async_write(stream_, http::make_chunk(asio::buffer(data)), use_awaitable);
+    RecordWritten(
+        co_await asio::async_write(stream_, http::make_chunk(asio::buffer(data)), use_awaitable));
   }
 
   Awaitable<void> EndStream() override {
@@ -261,6 +293,10 @@
     return message;
   }
 
+  void RecordWritten(std::size_t bytes) {
+    if (server_.observer_ != nullptr) server_.observer_->ResponseWritten(bytes);
+  }
+
   bool StaysOpen() {
     announced_open_ = keep_alive_ && !server_.stopping_ && !server_.closing_;
     return announced_open_;
@@ -346,7 +382,7 @@
 }
 
 Awaitable<bool> HttpServer::Impl::ServeOne(Impl& server, beast::tcp_stream& stream,
-                                           beast::flat_buffer& buffer) {
+                                           beast::flat_buffer& buffer, UnreadMark& unread) {
   http::request_parser<http::string_body> parser;
   parser.header_limit(server.limits_.header_bytes);
   parser.body_limit(server.limits_.body_bytes);
@@ -378,6 +414,8 @@
   const bool keep_alive = !error && parser.get().keep_alive();
   HttpRequest request;
   if (!error) request = TakeRequest(parser.release());
+  if (!error && server.observer_ != nullptr) server.observer_->RequestRead(SizeOf(request));
+  unread.Settle();
   Exchange exchange(server, stream, std::move(request), keep_alive);
   if (error) {
     const unsigned status = RejectionStatus(error);
@@ -410,6 +448,7 @@
 
 HttpServer::~HttpServer() { impl_->DestroyAcceptor(); }
 
+void HttpServer::SetObserver(HttpServerObserver* observer) { impl_->SetObserver(observer); }
 void HttpServer::Start() { impl_->Start(); }
 Endpoint HttpServer::endpoint() const { return impl_->endpoint(); }
 void HttpServer::StopAccepting() { impl_->StopAccepting(); }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -44,6 +44,20 @@
   virtual void OnDisconnect(std::function<void()> callback) = 0;
 };
 
+/// Is told what the connections of a server bring. Called on the connections' threads.
+class HttpServerObserver {
+ public:
+  virtual ~HttpServerObserver() = default;
+  virtual void ConnectionAccepted() = 0;
+  /// The first request of a connection was read, or the connection ended without one.
+  virtual void ConnectionSettled() = 0;
+  virtual void ConnectionClosed() = 0;
+  /// @param bytes of its head and body.
+  virtual void RequestRead(std::size_t bytes) = 0;
+  /// @param bytes of a response, or of one part of a stream.
+  virtual void ResponseWritten(std::size_t bytes) = 0;
+};
+
 using HttpHandler = std::function<Awaitable<void>(HttpServerExchange&)>;
 /// Makes the answer to a request that could not be read (400, 408, 413, 431).
 using HttpRejection = std::function<HttpResponse(unsigned status, const std::string& reason)>;
@@ -59,6 +73,8 @@
   ~HttpServer();
 
   void Start();
+  /// Before Start. @param observer outlives the server.
+  void SetObserver(HttpServerObserver* observer);
   Endpoint endpoint() const;
   /// For connections and requests from now on. The contexts' thread, if there is only one.
   void UpdateLimits(const HttpServerLimits& limits);
--- /dev/null
+++ b/src/overload/overload_detector.cc
@@ -0,0 +1,130 @@
+#include "overload/overload_detector.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace moorfold::overload {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Share of the link that requests and responses may use. The rest is for acknowledgements,
+/// handshakes, the store and other daemons.
+constexpr double kLinkShare = 0.75;
+/// A shortage of the link begins at this delay and ends at half of it. Short beside the targets of
+/// interactive requests, long beside the transfer of one request.
+constexpr milliseconds kMaxLinkDelay{50};
+constexpr double kRecoveredShare = 0.5;
+/// Headers of the packets that carry one message and its acknowledgement.
+constexpr double kMessageOverheadBytes = 120;
+constexpr double kFirstRequestBytes = 4'096;
+constexpr double kRequestBytesWeight = 0.05;
+/// A loop that is late for most of the time has more to do than processor time to do it.
+constexpr double kMaxLateShare = 0.5;
+constexpr milliseconds kLateShareWindow{100};
+/// A client's connection comes with one to a server; the rest is for pooled connections, the store
+/// and other daemons.
+constexpr double kDescriptorShare = 0.4;
+constexpr std::size_t kReservedDescriptors = 200;
+/// Buffers of a client's connection, its request and the connection to the server.
+constexpr double kConnectionMegabytes = 0.125;
+constexpr double kConnectionMemoryShare = 0.5;
+
+constexpr double kBitsPerByte = 8;
+constexpr double kBitsPerMegabit = 1e6;
+
+double Seconds(BootClock::duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+const char* Name(Shortage shortage) {
+  switch (shortage) {
+    case Shortage::kNone:
+      return "none";
+    case Shortage::kLink:
+      return "link";
+    case Shortage::kProcessor:
+      return "processor";
+    case Shortage::kConnections:
+      return "connections";
+  }
+  return "";
+}
+
+std::size_t ConnectionCapacity(std::size_t descriptors, std::size_t memory_mb) {
+  std::size_t capacity = std::numeric_limits<std::size_t>::max();
+  if (descriptors > 0) {
+    const std::size_t usable = descriptors - std::min(descriptors, kReservedDescriptors);
+    capacity = static_cast<std::size_t>(static_cast<double>(usable) * kDescriptorShare);
+  }
+  if (memory_mb > 0) {
+    const double megabytes = static_cast<double>(memory_mb) * kConnectionMemoryShare;
+    capacity = std::min(capacity, static_cast<std::size_t>(megabytes / kConnectionMegabytes));
+  }
+  if (capacity == std::numeric_limits<std::size_t>::max()) return 0;
+  return std::max<std::size_t>(1, capacity);
+}
+
+OverloadDetector::OverloadDetector(Capacity capacity)
+    : capacity_(capacity),
+      link_(capacity.link_mbps * kBitsPerMegabit / kBitsPerByte * kLinkShare),
+      request_bytes_(kFirstRequestBytes) {}
+
+/// A byte of a client's request or response crosses the link once in each direction, on its way
+/// from and to the client and on its way to and from the server.
+void OverloadDetector::Carry(std::size_t bytes, Time now) {
+  link_.Add(static_cast<double>(bytes) + kMessageOverheadBytes, now);
+}
+
+void OverloadDetector::RequestRead(std::size_t bytes, Time now) {
+  request_bytes_ += (static_cast<double>(bytes) - request_bytes_) * kRequestBytesWeight;
+  Carry(bytes, now);
+}
+
+void OverloadDetector::LoopSampled(BootClock::duration late, BootClock::duration elapsed) {
+  const double elapsed_s = Seconds(elapsed);
+  if (elapsed_s <= 0) return;
+  const double late_share = std::clamp(Seconds(late) / elapsed_s, 0.0, 1.0);
+  const double weight = std::min(1.0, elapsed_s / Seconds(kLateShareWindow));
+  loop_late_share_ += (late_share - loop_late_share_) * weight;
+}
+
+BootClock::duration OverloadDetector::LinkDelay(Time now) const {
+  if (link_.bytes_per_second() <= 0) return {};
+  const double expected = static_cast<double>(unread_) * (request_bytes_ + kMessageOverheadBytes);
+  const std::chrono::duration<double> unread_delay(expected / link_.bytes_per_second());
+  return link_.Delay(now) + std::chrono::duration_cast<BootClock::duration>(unread_delay);
+}
+
+bool OverloadDetector::Short(Shortage resource, Time now) const {
+  const double limit = shortage_ == resource ? kRecoveredShare : 1.0;
+  switch (resource) {
+    case Shortage::kNone:
+      return false;
+    case Shortage::kLink:
+      return Seconds(LinkDelay(now)) > Seconds(kMaxLinkDelay) * limit;
+    case Shortage::kProcessor:
+      return loop_late_share_ > kMaxLateShare * limit;
+    case Shortage::kConnections:
+      return capacity_.connections > 0 &&
+             static_cast<double>(connections_) >=
+                 static_cast<double>(capacity_.connections) * (limit < 1 ? 0.9 : 1.0);
+  }
+  return false;
+}
+
+Shortage OverloadDetector::Update(Time now) {
+  if (shortage_ != Shortage::kNone && Short(shortage_, now)) return shortage_;
+  shortage_ = Shortage::kNone;
+  for (const Shortage resource : {Shortage::kConnections, Shortage::kLink, Shortage::kProcessor}) {
+    if (!Short(resource, now)) continue;
+    shortage_ = resource;
+    break;
+  }
+  return shortage_;
+}
+
+}  // namespace moorfold::overload
--- /dev/null
+++ b/src/overload/overload_detector.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+#include "common/boot_clock.h"
+#include "overload/virtual_queue.h"
+
+namespace moorfold::overload {
+
+/// What a daemon has too little of for more requests.
+enum class Shortage : std::uint8_t { kNone, kLink, kProcessor, kConnections };
+
+/// @return the name used in logs.
+const char* Name(Shortage shortage);
+
+/// What the machine gives one daemon. 0: unknown, then not checked.
+struct Capacity {
+  double link_mbps = 0;         ///< Megabits per second in each direction.
+  std::size_t connections = 0;  ///< Of clients, open at a time.
+};
+
+/// @param descriptors that the process may have open; 0: unknown.
+/// @param memory_mb that the process may use, in megabytes; 0: unknown.
+/// @return how many client connections a daemon can hold; 0: unknown.
+std::size_t ConnectionCapacity(std::size_t descriptors, std::size_t memory_mb);
+
+/// Decides whether a daemon has room for more requests, from the bytes that it has taken on and
+/// from how late its event loop runs. Pure; single-threaded.
+class OverloadDetector {
+ public:
+  using Time = BootClock::time_point;
+
+  explicit OverloadDetector(Capacity capacity);
+
+  /// A connection was accepted whose first request has not been read. Its bytes are on their way
+  /// already, so the average request is counted for it until ConnectionSettled.
+  void ConnectionAccepted() { ++unread_; }
+  /// The first request of that connection was read, or it ended without one.
+  void ConnectionSettled() { unread_ -= unread_ > 0 ? 1 : 0; }
+  /// @param bytes of the request, head and body.
+  void RequestRead(std::size_t bytes, Time now);
+  /// @param bytes of a response, or of one part of a stream.
+  void ResponseWritten(std::size_t bytes, Time now) { Carry(bytes, now); }
+  /// @param late by how much a timer of the event loop fired late.
+  /// @param elapsed since the sample before.
+  void LoopSampled(BootClock::duration late, BootClock::duration elapsed);
+  void SetOpenConnections(std::size_t connections) { connections_ = connections; }
+
+  /// Hysteresis: a shortage ends only well below where it begins.
+  Shortage Update(Time now);
+  Shortage shortage() const { return shortage_; }
+  /// @return estimated time that a byte waits for this daemon's link.
+  BootClock::duration LinkDelay(Time now) const;
+  /// @return share of the recent time in which the event loop was late, from 0 to 1.
+  double loop_late_share() const { return loop_late_share_; }
+
+ private:
+  void Carry(std::size_t bytes, Time now);
+  bool Short(Shortage resource, Time now) const;
+
+  Capacity capacity_;
+  VirtualQueue link_;
+  std::size_t unread_ = 0;
+  std::size_t connections_ = 0;
+  double request_bytes_;  ///< Moving average.
+  double loop_late_share_ = 0;
+  Shortage shortage_ = Shortage::kNone;
+};
+
+}  // namespace moorfold::overload
--- /dev/null
+++ b/test/overload/overload_detector_test.cc
@@ -0,0 +1,113 @@
+#include "overload/overload_detector.h"
+
+#include <catch2/catch.hpp>
+
+namespace moorfold::overload {
+namespace {
+
+using std::chrono::milliseconds;
+using Time = OverloadDetector::Time;
+
+constexpr double kLinkMbps = 10;
+constexpr std::size_t kRequestBytes = 9'200;
+
+Time At(std::int64_t ms) { return Time{} + std::chrono::hours(1) + milliseconds(ms); }
+
+/// Offers requests at a steady rate for three seconds; while something is short, none is read.
+/// @return the bytes per second that were read.
+double BytesReadPerSecond(OverloadDetector& detector, int requests_per_second) {
+  constexpr int kSeconds = 3;
+  constexpr std::int64_t kMsPerSecond = 1'000;
+  std::size_t bytes = 0;
+  for (int number = 0; number < requests_per_second * kSeconds; ++number) {
+    const Time now = At(number * kMsPerSecond / requests_per_second);
+    if (detector.Update(now) != Shortage::kNone) continue;
+    detector.ConnectionAccepted();
+    detector.ConnectionSettled();
+    detector.RequestRead(kRequestBytes, now);
+    bytes += kRequestBytes;
+  }
+  return static_cast<double>(bytes) / kSeconds;
+}
+
+TEST_CASE("A daemon reads no more requests than its link carries") {
+  constexpr double kLinkBytesPerSecond = kLinkMbps * 1e6 / 8;
+  const int requests_per_second = GENERATE(200, 1'000, 5'000);
+  CAPTURE(requests_per_second);
+  OverloadDetector detector({kLinkMbps, 0});
+  const double read = BytesReadPerSecond(detector, requests_per_second);
+  CHECK(read < kLinkBytesPerSecond);
+  CHECK(read > kLinkBytesPerSecond / 2);
+}
+
+TEST_CASE("A daemon whose link has room reads all requests") {
+  constexpr int kRequestsPerSecond = 50;
+  OverloadDetector detector({kLinkMbps, 0});
+  CHECK(BytesReadPerSecond(detector, kRequestsPerSecond) == kRequestBytes * kRequestsPerSecond);
+}
+
+TEST_CASE("A link of unknown bandwidth is never short") {
+  constexpr int kRequestsPerSecond = 5'000;
+  OverloadDetector detector({0, 0});
+  CHECK(BytesReadPerSecond(detector, kRequestsPerSecond) == kRequestBytes * kRequestsPerSecond);
+}
+
+TEST_CASE("Connections accepted at the same moment are counted before their requests are read") {
+  constexpr int kConnections = 1'000;
+  OverloadDetector detector({kLinkMbps, 0});
+  int accepted = 0;
+  while (accepted < kConnections && detector.Update(At(0)) == Shortage::kNone) {
+    detector.ConnectionAccepted();
+    ++accepted;
+  }
+  CHECK(detector.shortage() == Shortage::kLink);
+  CHECK(accepted < kConnections / 10);
+}
+
+TEST_CASE("Connections that end without a request leave no trace in the estimate") {
+  constexpr int kConnections = 100;
+  OverloadDetector detector({kLinkMbps, 0});
+  for (int connection = 0; connection < kConnections; ++connection) detector.ConnectionAccepted();
+  for (int connection = 0; connection < kConnections; ++connection) detector.ConnectionSettled();
+  CHECK(detector.LinkDelay(At(0)) == BootClock::duration{});
+}
+
+TEST_CASE("The processor is short while the event loop is late most of the time") {
+  OverloadDetector detector({0, 0});
+  for (int sample = 0; sample < 20; ++sample)
+    detector.LoopSampled(milliseconds(30), milliseconds(40));
+  CHECK(detector.Update(At(0)) == Shortage::kProcessor);
+  for (int sample = 0; sample < 60; ++sample)
+    detector.LoopSampled(milliseconds(0), milliseconds(10));
+  CHECK(detector.Update(At(0)) == Shortage::kNone);
+}
+
+TEST_CASE("A single late timer is no shortage of the processor") {
+  OverloadDetector detector({0, 0});
+  detector.LoopSampled(milliseconds(30), milliseconds(40));
+  CHECK(detector.Update(At(0)) == Shortage::kNone);
+}
+
+TEST_CASE("Connections are short when all that the daemon can hold are open") {
+  OverloadDetector detector({0, 100});
+  detector.SetOpenConnections(99);
+  CHECK(detector.Update(At(0)) == Shortage::kNone);
+  detector.SetOpenConnections(100);
+  CHECK(detector.Update(At(0)) == Shortage::kConnections);
+  detector.SetOpenConnections(95);
+  CHECK(detector.Update(At(0)) == Shortage::kConnections);
+  detector.SetOpenConnections(85);
+  CHECK(detector.Update(At(0)) == Shortage::kNone);
+}
+
+TEST_CASE("The connections of a daemon leave descriptors for those to servers") {
+  const std::size_t descriptors = GENERATE(300, 4'100, 8'192);
+  CAPTURE(descriptors);
+  CHECK(ConnectionCapacity(descriptors, 0) > 0);
+  CHECK(ConnectionCapacity(descriptors, 0) * 2 <= descriptors - 200);
+  CHECK(ConnectionCapacity(descriptors, 10) <= ConnectionCapacity(descriptors, 0));
+  CHECK(ConnectionCapacity(0, 0) == 0);
+}
+
+}  // namespace
+}  // namespace moorfold::overload
