--- a/test/emulator/emulated_platform.cc
+++ b/test/emulator/emulated_platform.cc
@@ -138,6 +138,10 @@
   return address;
 }
 
+void EmulatedPlatform::SetServerLink(int gateway, const std::shared_ptr<SharedLink>& link) {
+  for (const std::unique_ptr<ServerLinks>& links : server_links_) links->SetLink(gateway, link);
+}
+
 void EmulatedPlatform::CutFromServers(int gateway, ServerCut cut) {
   cuts_[gateway] = cut;
   for (const std::unique_ptr<ServerLinks>& links : server_links_) links->Cut(gateway, cut);
--- a/test/emulator/emulated_platform.h
+++ b/test/emulator/emulated_platform.h
@@ -65,6 +65,8 @@
   ServerLinks& server_links(std::size_t number) { return *server_links_.at(number); }
   /// Cuts one gateway off from all servers, also those that come later, or ends that.
   void CutFromServers(int gateway, ServerCut cut);
+  /// One gateway reaches the servers that there are now over that link.
+  void SetServerLink(int gateway, const std::shared_ptr<SharedLink>& link);
   FaultProxy& store_proxy(int number) { return *store_proxies_.at(number); }
   const std::vector<std::string>& models() const { return models_; }
 
--- a/test/emulator/fault_proxy.cc
+++ b/test/emulator/fault_proxy.cc
@@ -55,6 +55,11 @@
   mode_changed_.NotifyAll();
 }
 
+void FaultProxy::SetLink(std::shared_ptr<SharedLink> link, Machine machine) {
+  link_ = std::move(link);
+  machine_ = machine;
+}
+
 void FaultProxy::SetTargetGone(bool gone) {
   SetRefusesNew(gone);
   if (gone) ResetAll();
@@ -158,6 +163,12 @@
       co_await mode_changed_.Wait();
     if (mode_ == ProxyMode::kDelay) co_await Sleep(kDelay);
     if (!to_target && bytes_per_second_ > 0) co_await Carry(got);
+    if (link_) {
+      const bool to_machine = to_target == (machine_ == Machine::kTarget);
+      co_await link_->Carry(
+          to_machine ? SharedLink::Direction::kToMachine : SharedLink::Direction::kFromMachine,
+          got);
+    }
     co_await asio::async_write(to, asio::buffer(chunk.data(), got),
                                asio::redirect_error(use_awaitable, error));
   }
--- a/test/emulator/fault_proxy.h
+++ b/test/emulator/fault_proxy.h
@@ -9,6 +9,7 @@
 #include "common/async_signal.h"
 #include "common/boot_clock.h"
 #include "http/http_types.h"
+#include "shared_link.h"
 
 namespace moorfold {
 
@@ -41,6 +42,9 @@
   void SilenceStanding();
   /// From now on all connections together bring callers so many bytes a second; 0: any number.
   void SetBytesPerSecond(double bytes) { bytes_per_second_ = bytes; }
+  /// The machine whose link carries both directions of all connections from now on.
+  enum class Machine : std::uint8_t { kTarget, kCaller };
+  void SetLink(std::shared_ptr<SharedLink> link, Machine machine);
   Endpoint endpoint() const;
   void set_target(Endpoint target) { target_ = std::move(target); }
 
@@ -63,6 +67,8 @@
   AsyncSignal mode_changed_;
   double bytes_per_second_ = 0;
   BootClock::time_point link_free_at_{};
+  std::shared_ptr<SharedLink> link_;
+  Machine machine_ = Machine::kTarget;
   std::set<std::shared_ptr<Pair>> pairs_;
   /// Fill the accept queue of an unreachable listener, so that the kernel drops further requests.
   std::vector<boost::asio::ip::tcp::socket> queue_fillers_;
--- a/test/emulator/server_links.cc
+++ b/test/emulator/server_links.cc
@@ -24,6 +24,10 @@
   Apply(link);
 }
 
+void ServerLinks::SetLink(int gateway, std::shared_ptr<SharedLink> link) {
+  at(gateway).proxy->SetLink(std::move(link), FaultProxy::Machine::kCaller);
+}
+
 void ServerLinks::SetMode(ProxyMode mode) {
   for (Link& link : links_) link.proxy->SetMode(mode);
 }
--- a/test/emulator/server_links.h
+++ b/test/emulator/server_links.h
@@ -25,6 +25,8 @@
   /// @return where gateway `number` finds the server.
   Endpoint endpoint(int number) const { return at(number).proxy->endpoint(); }
   void Cut(int gateway, ServerCut cut);
+  /// The gateway's machine has that link.
+  void SetLink(int gateway, std::shared_ptr<SharedLink> link);
 
   /// For all gateways, see FaultProxy. Cuts of single gateways last.
   void SetMode(ProxyMode mode);
--- a/test/support/gateway_deployment.h
+++ b/test/support/gateway_deployment.h
@@ -49,14 +49,19 @@
 
 /// Whole gateways against the emulated platform, over loopback, on one thread.
 struct Deployment {
+  /// Changes the settings of gateway `number` before it starts.
+  using AdjustSettings = std::function<void(int number, GatewaySettings& settings)>;
+
   explicit Deployment(int gateway_count, PlatformOptions options = {},
-                      std::uint32_t relay_from_daemons = 0)
+                      std::uint32_t relay_from_daemons = 0, const AdjustSettings& adjust = {})
       : platform(context, options) {
     platform.Start();
     for (int number = 0; number < gateway_count; ++number) {
+      GatewaySettings settings =
+          GatewayUnderTest::Settings("gateway-" + std::to_string(number), relay_from_daemons);
+      if (adjust) adjust(number, settings);
       gateways.push_back(
-          std::make_unique<GatewayUnderTest>(context, "gateway-" + std::to_string(number),
-                                             platform.store_for(number), relay_from_daemons));
+          std::make_unique<GatewayUnderTest>(context, settings, platform.store_for(number)));
       gateways.back()->gateway.Start();
       addresses.push_back(
           {gateways.back()->gateway.listen(), gateways.back()->gateway.readiness(), false, {}});
