A daemon without room refuses new connections instead of reading what it cannot serve

Callers saw: while most new connections of a zone went to few daemons, requests that these had read were late, refused or cut. Cause: nothing bounded what a daemon reads by what its link bears; behind a full link everything waits, earlier streams among it. Ruled out: the processor (the same without processor time charged), servers (other zones are served), shares of the fleet (no tenants and no limits here). Weighed: requests handed over by detour need the same bytes of the same link; readiness takes two missed questions and moves the crowd on. Change: OverloadDetector tells a shortage from a virtual queue of the bytes taken on, whose speed falls while all connections to servers are delayed, from the lateness of the event loop and from open connections. Meanwhile the listener is closed: clients are refused before they send, and know that nothing was read. The loop is sampled only while connections come in quick succession.

--- a/src/gateway/contact_monitor.cc
+++ b/src/gateway/contact_monitor.cc
@@ -6,6 +6,7 @@
 
 void ContactMonitor::RecordResponse() {
   contact_.RecordResponse();
+  responded_at_ = BootClock::now();
   if (state_ != detour::ContactState::kReachable) Update();
 }
 
--- a/src/gateway/contact_monitor.h
+++ b/src/gateway/contact_monitor.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <string>
 
+#include "common/boot_clock.h"
 #include "common/event_log.h"
 #include "detour/server_contact.h"
 #include "gateway/fleet_view.h"
@@ -26,6 +27,9 @@
   /// Lets failures expire. Call it periodically.
   void Update();
 
+  /// @return whether any server has responded since then.
+  bool RespondedSince(BootClock::time_point time) const { return responded_at_ >= time; }
+
   detour::ContactState state() const { return state_; }
   bool isolated() const { return state_ == detour::ContactState::kIsolated; }
   /// @param handler called after each change of the state.
@@ -37,6 +41,7 @@
   EventLog& log_;
   detour::ServerContact contact_;
   detour::ContactState state_ = detour::ContactState::kReachable;
+  BootClock::time_point responded_at_{};
   ChangeHandler on_change_;
 };
 
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -98,11 +98,13 @@
 };
 
 Forwarder::Forwarder(boost::asio::io_context& context, const FleetProtocol& protocol,
-                     ServerStatements& statements, ContactMonitor& contact, GatewayMetrics& metrics)
+                     ServerStatements& statements, ContactMonitor& contact,
+                     OverloadMonitor& overload, GatewayMetrics& metrics)
     : context_(context),
       protocol_(protocol),
       statements_(statements),
       contact_(contact),
+      overload_(overload),
       metrics_(metrics) {}
 
 void Forwarder::RecordHeadSent(GatewayRequest& request) {
@@ -129,13 +131,23 @@
   idle_limit_ = std::max(kMinIdleLimit, std::min(idle_limit_, upstream.rested() / 2));
 }
 
-Awaitable<UpstreamConnectionPtr> Forwarder::Connect(const GatewayRequest& request,
-                                                    const Server& server) {
+Awaitable<UpstreamConnectionPtr> Forwarder::Connect(const GatewayRequest& request, Server& server) {
   const milliseconds max_idle = std::min(idle_limit_, MaxIdleTime(request));
   if (UpstreamConnectionPtr idle = pool_.Take(server.connection_key(), max_idle)) co_return idle;
   auto fresh = std::make_shared<UpstreamConnection>(context_, server.record().endpoint);
   ++connections_opened_;
-  co_await fresh->Connect(std::min(request.expires_at, BootClock::now() + kConnectTimeout));
+  const SteadyTime began = BootClock::now();
+  const SteadyTime deadline = std::min(request.expires_at, began + kConnectTimeout);
+  try {
+    co_await fresh->Connect(deadline);
+  } catch (const HttpError& error) {
+    // Connections that do not come up say nothing about this daemon's link where no server
+    // responds.
+    if (!error.peer_ended() && contact_.RespondedSince(began))
+      overload_.ConnectTimed(BootClock::now() - began);
+    throw;
+  }
+  overload_.ConnectTimed(server.ConnectTimeBeyondLeast(BootClock::now() - began));
   co_return fresh;
 }
 
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -6,6 +6,7 @@
 #include "gateway/contact_monitor.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/gateway_request.h"
+#include "gateway/overload_monitor.h"
 #include "gateway/server_statements.h"
 #include "http/http_server.h"
 #include "http/upstream_connection.h"
@@ -18,7 +19,8 @@
 class Forwarder {
  public:
   Forwarder(boost::asio::io_context& context, const FleetProtocol& protocol,
-            ServerStatements& statements, ContactMonitor& contact, GatewayMetrics& metrics);
+            ServerStatements& statements, ContactMonitor& contact, OverloadMonitor& overload,
+            GatewayMetrics& metrics);
 
   /// @param attempt_deadline when to abandon the attempt; no later than the request's expiry.
   /// @param last_attempt whether to relay an error response of the server to the client.
@@ -31,7 +33,7 @@
  private:
   class AttemptGuard;
 
-  Awaitable<UpstreamConnectionPtr> Connect(const GatewayRequest& request, const Server& server);
+  Awaitable<UpstreamConnectionPtr> Connect(const GatewayRequest& request, Server& server);
   HttpRequest MakeRequestHead(const HttpRequest& original, const GatewayRequest& request,
                               const Server& server, SteadyTime attempt_deadline) const;
   HttpRequest MakeDetourHead(const HttpRequest& original, const GatewayRequest& request,
@@ -70,6 +72,7 @@
   const FleetProtocol& protocol_;
   ServerStatements& statements_;
   ContactMonitor& contact_;
+  OverloadMonitor& overload_;
   GatewayMetrics& metrics_;
   UpstreamPool pool_;
   std::uint64_t connections_opened_ = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -218,7 +218,7 @@
               {settings_.zone, ToString(channel_.endpoint()), settings_.relays_from_daemons},
               RelayPorts()),
       pipeline_(context, protocol, view_, quarantine_, quota_, statements_, permits_, retries_,
-                contact_, detours_, metrics_, log,
+                contact_, overload_, detours_, metrics_, log,
                 {settings_.zone, settings_.name, settings_.prompt_separation}) {
   contact_.OnChange([this](detour::ContactState state) { HandleContactChange(state); });
   view_.configuration_bound = settings_.configuration_bound;
@@ -227,7 +227,7 @@
   client_server_ = std::make_unique<HttpServer>(
       contexts, settings_.listen, HttpServerLimits{},
       [this](HttpServerExchange& exchange) { return pipeline_.Handle(exchange); }, Reject);
-  client_server_->SetObserver(&overload_);
+  overload_.Watch(*client_server_);
   readiness_server_ = std::make_unique<HttpServer>(
       contexts, settings_.readiness, HttpServerLimits{},
       [this](HttpServerExchange& exchange) { return AnswerReadiness(exchange); }, Reject);
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -131,6 +131,9 @@
   Gauge(text, "longest_link_delay_ms", longest_link_delay_ms);
   Line(text, "loop_late_share", Decimal(loop_late_share));
   Gauge(text, "overloaded", overloaded);
+  Count(text, "accept_pauses", accept_pauses);
+  Count(text, "accept_paused_ms", accept_paused_ms);
+  Count(text, "connections_closed_unread", connections_closed_unread);
   overloads.Render("overloads_total", text);
   Gauge(text, "peak_memory_kb", peak_memory_kb);
   time_to_response_head.Render("time_to_answer_ms", text);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -112,9 +112,12 @@
   std::int64_t longest_stall_ms = 0;
   std::int64_t link_delay_ms = 0;  ///< Estimated wait of a byte for this daemon's link.
   std::int64_t longest_link_delay_ms = 0;
-  double loop_late_share = 0;   ///< Of recent time, from 0 to 1.
-  std::int64_t overloaded = 0;  ///< 1 while this daemon has no room for more requests.
-  LabelledCounter overloads;    ///< By what was short.
+  double loop_late_share = 0;          ///< Of recent time, from 0 to 1.
+  std::int64_t overloaded = 0;         ///< 1 while this daemon has no room for more requests.
+  std::uint64_t accept_pauses = 0;     ///< Times that new connections were refused for a while.
+  std::uint64_t accept_paused_ms = 0;  ///< Sum of those times.
+  std::uint64_t connections_closed_unread = 0;
+  LabelledCounter overloads;  ///< By what was short.
 
   /// @return all metrics in the Prometheus text format.
   std::string Render() const;
--- a/src/gateway/overload_monitor.cc
+++ b/src/gateway/overload_monitor.cc
@@ -27,12 +27,21 @@
                                  GatewayMetrics& metrics, EventLog& log)
     : context_(context), metrics_(metrics), log_(log), detector_(capacity) {}
 
+void OverloadMonitor::Watch(HttpServer& server) {
+  throttle_.emplace(server, metrics_);
+  server.SetObserver(this);
+}
+
 void OverloadMonitor::UpdateMetrics() {
   metrics_.link_delay_ms = Milliseconds(detector_.LinkDelay(BootClock::now()));
   metrics_.loop_late_share = detector_.loop_late_share();
   metrics_.overloaded = shortage() == overload::Shortage::kNone ? 0 : 1;
 }
 
+void OverloadMonitor::ConnectTimed(BootClock::duration delay) {
+  detector_.ConnectTimed(delay, BootClock::now());
+}
+
 void OverloadMonitor::ConnectionAccepted() {
   const Time now = BootClock::now();
   if (now - interval_began_ > kAcceptInterval) {
@@ -43,6 +52,7 @@
   detector_.ConnectionAccepted();
   detector_.SetOpenConnections(++open_connections_);
   Update(now);
+  if (throttle_) detector_.ConnectionsClosedUnread(throttle_->ConnectionAccepted(shortage()), now);
   const bool many = accepted_ >= kAcceptsPerInterval;
   if (sampling_ || (!many && shortage() == overload::Shortage::kNone)) return;
   sampling_ = true;
@@ -75,17 +85,23 @@
                                      .Field(LogField::kLinkDelayMs, link_delay)
                                      .Field(LogField::kLoopLateShare, detector_.loop_late_share())
                                      .Field(LogField::kConnections, open_connections_));
-  if (on_change_) on_change_(after);
+}
+
+bool OverloadMonitor::SamplingNeeded(Time now) const {
+  const bool refuses = throttle_ && throttle_->paused();
+  return refuses || shortage() != overload::Shortage::kNone ||
+         now - interval_began_ < kAcceptInterval;
 }
 
 Awaitable<void> OverloadMonitor::SampleLoop() {
   Time before = BootClock::now();
-  while (shortage() != overload::Shortage::kNone || before - interval_began_ < kAcceptInterval) {
+  while (SamplingNeeded(before)) {
     const Time due = before + kSampleInterval;
     co_await Sleep(kSampleInterval);
     const Time now = BootClock::now();
     detector_.LoopSampled(std::max(BootClock::duration{}, now - due), now - before);
     Update(now);
+    if (throttle_) detector_.ConnectionsClosedUnread(throttle_->Update(shortage()), now);
     before = now;
   }
   sampling_ = false;
--- a/src/gateway/overload_monitor.h
+++ b/src/gateway/overload_monitor.h
@@ -1,32 +1,35 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <functional>
+#include <optional>
 
 #include "common/boot_clock.h"
 #include "common/event_log.h"
+#include "gateway/accept_throttle.h"
 #include "gateway/gateway_metrics.h"
 #include "http/http_server.h"
 #include "overload/overload_detector.h"
 
 namespace moorfold {
 
-/// Watches whether this daemon has room for more requests, and logs and counts the changes. The
-/// event loop is sampled only while connections come in quick succession or something is short.
-/// Not thread-safe.
+/// Watches whether this daemon has room for more requests, logs and counts the changes, and has new
+/// connections refused meanwhile. The event loop is sampled only while connections come in quick
+/// succession or something is short. Not thread-safe.
 class OverloadMonitor : public HttpServerObserver {
  public:
-  using ChangeHandler = std::function<void(overload::Shortage)>;
-
   OverloadMonitor(boost::asio::io_context& context, overload::Capacity capacity,
                   GatewayMetrics& metrics, EventLog& log);
 
-  /// @param handler called after each change of the shortage.
-  void OnChange(ChangeHandler handler) { on_change_ = std::move(handler); }
+  /// Observes that server and throttles it. Before its start. @param server outlives this object.
+  void Watch(HttpServer& server);
   overload::Shortage shortage() const { return detector_.shortage(); }
   /// Writes the current estimates to the metrics.
   void UpdateMetrics();
 
+  /// A connection to a server came up, or did not in time.
+  /// @param delay beyond the least that a connection to that server has taken.
+  void ConnectTimed(BootClock::duration delay);
+
   void ConnectionAccepted() override;
   void ConnectionSettled() override;
   void ConnectionClosed() override;
@@ -37,13 +40,14 @@
   using Time = BootClock::time_point;
 
   void Update(Time now);
+  bool SamplingNeeded(Time now) const;
   Awaitable<void> SampleLoop();
 
   boost::asio::io_context& context_;
   GatewayMetrics& metrics_;
   EventLog& log_;
   overload::OverloadDetector detector_;
-  ChangeHandler on_change_;
+  std::optional<AcceptThrottle> throttle_;
   bool sampling_ = false;
   std::size_t open_connections_ = 0;
   /// Connections accepted since the beginning of the current interval.
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -62,8 +62,9 @@
                                  FleetView& view, QuarantineService& quarantine,
                                  QuotaService& quota, ServerStatements& statements,
                                  PermitService& permits, RetryBudgetService& retries,
-                                 ContactMonitor& contact, DetourService& detours,
-                                 GatewayMetrics& metrics, EventLog& log, PipelineSettings settings)
+                                 ContactMonitor& contact, OverloadMonitor& overload,
+                                 DetourService& detours, GatewayMetrics& metrics, EventLog& log,
+                                 PipelineSettings settings)
     : protocol_(protocol),
       view_(view),
       quarantine_(quarantine),
@@ -77,7 +78,7 @@
       wait_estimator_(view),
       quarantine_filter_(view, quarantine),
       settings_(std::move(settings)),
-      forwarder_(context, protocol, statements, contact, metrics),
+      forwarder_(context, protocol, statements, contact, overload, metrics),
       reporter_(view, metrics, log) {}
 
 void RequestPipeline::RefuseWaiting() {
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -40,8 +40,8 @@
   RequestPipeline(boost::asio::io_context& context, const FleetProtocol& protocol, FleetView& view,
                   QuarantineService& quarantine, QuotaService& quota, ServerStatements& statements,
                   PermitService& permits, RetryBudgetService& retries, ContactMonitor& contact,
-                  DetourService& detours, GatewayMetrics& metrics, EventLog& log,
-                  PipelineSettings settings);
+                  OverloadMonitor& overload, DetourService& detours, GatewayMetrics& metrics,
+                  EventLog& log, PipelineSettings settings);
 
   Awaitable<void> Handle(HttpServerExchange& exchange);
   /// Processes a request that another daemon, which cannot reach the servers, took from a client.
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -121,6 +121,12 @@
   void RecordFailure(SteadyTime now);
   /// Records that a connection could not be established.
   void MarkUnreachable(SteadyTime now);
+  /// Records the time that a connection took to come up.
+  /// @return the part of it beyond the least that any connection to this server has taken.
+  BootClock::duration ConnectTimeBeyondLeast(BootClock::duration time) {
+    least_connect_time_ = std::min(least_connect_time_, time);
+    return time - least_connect_time_;
+  }
   /// Records that it rejected a request because it is full.
   void MarkFull(SteadyTime now);
   /// @return the moving average of failed responses, 0 to 1.
@@ -164,6 +170,7 @@
   SteadyTime full_until_{};
   SteadyTime at_limit_until_{};
   SteadyTime responded_at_{};
+  BootClock::duration least_connect_time_ = BootClock::duration::max();
   double error_share_ = 0;
   double stated_running_ = 0;
   double stated_waiting_ = 0;
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -69,8 +69,7 @@
         handler_(std::move(handler)),
         rejection_(std::move(rejection)) {
     try {
-      acceptor_.emplace(*contexts_.front(),
-                        tcp::endpoint(asio::ip::make_address(listen.address), listen.port));
+      Listen(tcp::endpoint(asio::ip::make_address(listen.address), listen.port));
     } catch (const boost::system::system_error& error) {
       throw ListenError(listen, error.code());
     }
@@ -89,6 +88,25 @@
     });
   }
 
+  std::size_t PauseAccepting() {
+    if (stopping_ || !acceptor_) return 0;
+    ++listener_;
+    const std::size_t closed = CloseWaiting();
+    acceptor_.reset();
+    return closed;
+  }
+
+  bool ResumeAccepting() {
+    if (stopping_ || acceptor_) return true;
+    try {
+      Listen(tcp::endpoint(asio::ip::make_address(endpoint_.address), endpoint_.port));
+    } catch (const boost::system::system_error&) {
+      return false;
+    }
+    Start();
+    return true;
+  }
+
   /// Connections that never end keep this object alive until their own context is destroyed; the
   /// acceptor must be gone before the context that it belongs to.
   void DestroyAcceptor() {
@@ -149,9 +167,28 @@
     HttpServerObserver* observer_;
   };
 
+  /// The kernel would reset these connections, too, but not tell how many there were.
+  std::size_t CloseWaiting() {
+    constexpr std::size_t kMaxWaiting = 4'096;
+    std::size_t closed = 0;
+    error_code error;
+    acceptor_->cancel(error);
+    acceptor_->non_blocking(true, error);
+    while (!error && closed < kMaxWaiting) {
+      tcp::socket socket(*contexts_.front());
+      acceptor_->accept(socket, error);
+      if (!error) ++closed;
+    }
+    return closed;
+  }
+
+  /// @throws boost::system::system_error.
+  void Listen(const tcp::endpoint& local) { acceptor_.emplace(*contexts_.front(), local); }
+
   static Awaitable<void> Accept(std::shared_ptr<Impl> self) {
     std::size_t next = 0;
-    while (!self->stopping_) {
+    const std::uint64_t listener = self->listener_;
+    while (!self->stopping_ && listener == self->listener_) {
       asio::io_context& context = *self->contexts_[next++ % self->contexts_.size()];
       tcp::socket socket(context);
       error_code error;
@@ -190,7 +227,8 @@
                                   beast::flat_buffer& buffer, UnreadMark& unread);
 
   std::vector<asio::io_context*> contexts_;
-  std::optional<tcp::acceptor> acceptor_;
+  std::optional<tcp::acceptor> acceptor_;  ///< Empty while paused.
+  std::uint64_t listener_ = 0;             ///< Number of pauses; tells the acceptors apart.
   Endpoint endpoint_;
   HttpServerLimits limits_;
   HttpHandler handler_;
@@ -453,6 +491,8 @@
 Endpoint HttpServer::endpoint() const { return impl_->endpoint(); }
 void HttpServer::StopAccepting() { impl_->StopAccepting(); }
 void HttpServer::UpdateLimits(const HttpServerLimits& limits) { impl_->UpdateLimits(limits); }
+std::size_t HttpServer::PauseAccepting() { return impl_->PauseAccepting(); }
+bool HttpServer::ResumeAccepting() { return impl_->ResumeAccepting(); }
 void HttpServer::CloseIdle() { impl_->CloseIdle(); }
 void HttpServer::AnnounceClose() { impl_->AnnounceClose(); }
 std::size_t HttpServer::active_requests() const { return impl_->active_requests(); }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -85,6 +85,12 @@
   void CloseIdle();
   /// Accepts no more; requests in progress go on and answers say "connection: close".
   void StopAccepting();
+  /// Until ResumeAccepting, new connections are refused, and open ones are served. Only where one
+  /// thread runs all contexts.
+  /// @return number of connections that waited to be accepted and were closed unread.
+  std::size_t PauseAccepting();
+  /// @return whether the server listens again; not if another process has taken its port.
+  bool ResumeAccepting();
   /// @return connections that are open now. Any thread.
   std::size_t open_connections() const;
   /// @return requests being answered now. Any thread.
--- a/src/overload/overload_detector.cc
+++ b/src/overload/overload_detector.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace moorfold::overload {
 
@@ -11,13 +12,24 @@
 
 /// Share of the link that requests and responses may use. The rest is for acknowledgements,
 /// handshakes, the store and other daemons.
-constexpr double kLinkShare = 0.75;
-/// A shortage of the link begins at this delay and ends at half of it. Short beside the targets of
-/// interactive requests, long beside the transfer of one request.
-constexpr milliseconds kMaxLinkDelay{50};
-constexpr double kRecoveredShare = 0.5;
+constexpr double kLinkShare = 0.6;
+/// A shortage of the link begins at this delay. Short beside the targets of interactive requests,
+/// long beside the transfer of one request.
+constexpr milliseconds kMaxLinkDelay{100};
+/// A shortage ends at these shares of where it begins.
+constexpr double kRecoveredDelayShare = 0.1;
+constexpr double kRecoveredLateShare = 0.5;
+constexpr double kRecoveredConnectionShare = 0.9;
 /// Headers of the packets that carry one message and its acknowledgement.
 constexpr double kMessageOverheadBytes = 120;
+/// Packets that open and close a client's connection and one to a server, in each direction.
+constexpr double kConnectionOverheadBytes = 800;
+/// The estimated speed falls to this share of itself at each interval with delayed connections,
+/// down to a share of the nominal speed, and otherwise rises by a share of the nominal speed per
+/// second.
+constexpr double kSpeedDecrease = 0.7;
+constexpr double kMinSpeedShare = 0.2;
+constexpr double kSpeedIncreasePerSecond = 0.25;
 constexpr double kFirstRequestBytes = 4'096;
 constexpr double kRequestBytesWeight = 0.05;
 /// A loop that is late for most of the time has more to do than processor time to do it.
@@ -34,6 +46,11 @@
 constexpr double kBitsPerByte = 8;
 constexpr double kBitsPerMegabit = 1e6;
 
+/// @return bytes per second for requests and responses; 0: unknown.
+double NominalSpeed(const Capacity& capacity) {
+  return capacity.link_mbps * kBitsPerMegabit / kBitsPerByte * kLinkShare;
+}
+
 double Seconds(BootClock::duration duration) {
   return std::chrono::duration<double>(duration).count();
 }
@@ -69,9 +86,7 @@
 }
 
 OverloadDetector::OverloadDetector(Capacity capacity)
-    : capacity_(capacity),
-      link_(capacity.link_mbps * kBitsPerMegabit / kBitsPerByte * kLinkShare),
-      request_bytes_(kFirstRequestBytes) {}
+    : capacity_(capacity), link_(NominalSpeed(capacity)), request_bytes_(kFirstRequestBytes) {}
 
 /// A byte of a client's request or response crosses the link once in each direction, on its way
 /// from and to the client and on its way to and from the server.
@@ -79,11 +94,37 @@
   link_.Add(static_cast<double>(bytes) + kMessageOverheadBytes, now);
 }
 
+double OverloadDetector::ExpectedBytes(std::size_t connections) const {
+  return static_cast<double>(connections) * (request_bytes_ + kConnectionOverheadBytes);
+}
+
+void OverloadDetector::ConnectionsClosedUnread(std::size_t count, Time now) {
+  link_.Add(ExpectedBytes(count), now);
+}
+
 void OverloadDetector::RequestRead(std::size_t bytes, Time now) {
   request_bytes_ += (static_cast<double>(bytes) - request_bytes_) * kRequestBytesWeight;
+  link_.Add(kConnectionOverheadBytes, now);
   Carry(bytes, now);
 }
 
+void OverloadDetector::ConnectTimed(BootClock::duration delay, Time now) {
+  if (!connect_delay_.Add(delay, now) || !connect_delay_.standing(now)) return;
+  SetLinkSpeed(link_.bytes_per_second() * kSpeedDecrease);
+}
+
+void OverloadDetector::SetLinkSpeed(double bytes_per_second) {
+  const double nominal = NominalSpeed(capacity_);
+  link_.SetBytesPerSecond(std::clamp(bytes_per_second, nominal * kMinSpeedShare, nominal));
+}
+
+void OverloadDetector::RecoverLinkSpeed(Time now) {
+  const double elapsed_s = Seconds(now - std::exchange(updated_at_, now));
+  if (connect_delay_.standing(now)) return;
+  SetLinkSpeed(link_.bytes_per_second() +
+               NominalSpeed(capacity_) * kSpeedIncreasePerSecond * elapsed_s);
+}
+
 void OverloadDetector::LoopSampled(BootClock::duration late, BootClock::duration elapsed) {
   const double elapsed_s = Seconds(elapsed);
   if (elapsed_s <= 0) return;
@@ -94,29 +135,32 @@
 
 BootClock::duration OverloadDetector::LinkDelay(Time now) const {
   if (link_.bytes_per_second() <= 0) return {};
-  const double expected = static_cast<double>(unread_) * (request_bytes_ + kMessageOverheadBytes);
-  const std::chrono::duration<double> unread_delay(expected / link_.bytes_per_second());
+  const std::chrono::duration<double> unread_delay(ExpectedBytes(unread_) /
+                                                   link_.bytes_per_second());
   return link_.Delay(now) + std::chrono::duration_cast<BootClock::duration>(unread_delay);
 }
 
 bool OverloadDetector::Short(Shortage resource, Time now) const {
-  const double limit = shortage_ == resource ? kRecoveredShare : 1.0;
+  const bool lasts = shortage_ == resource;
   switch (resource) {
     case Shortage::kNone:
       return false;
     case Shortage::kLink:
-      return Seconds(LinkDelay(now)) > Seconds(kMaxLinkDelay) * limit;
+      if (connect_delay_.standing(now)) return true;
+      return Seconds(LinkDelay(now)) > Seconds(kMaxLinkDelay) * (lasts ? kRecoveredDelayShare : 1);
     case Shortage::kProcessor:
-      return loop_late_share_ > kMaxLateShare * limit;
-    case Shortage::kConnections:
-      return capacity_.connections > 0 &&
-             static_cast<double>(connections_) >=
-                 static_cast<double>(capacity_.connections) * (limit < 1 ? 0.9 : 1.0);
+      return loop_late_share_ > kMaxLateShare * (lasts ? kRecoveredLateShare : 1);
+    case Shortage::kConnections: {
+      if (capacity_.connections == 0) return false;
+      const double limit = static_cast<double>(capacity_.connections);
+      return static_cast<double>(connections_) >= limit * (lasts ? kRecoveredConnectionShare : 1);
+    }
   }
   return false;
 }
 
 Shortage OverloadDetector::Update(Time now) {
+  RecoverLinkSpeed(now);
   if (shortage_ != Shortage::kNone && Short(shortage_, now)) return shortage_;
   shortage_ = Shortage::kNone;
   for (const Shortage resource : {Shortage::kConnections, Shortage::kLink, Shortage::kProcessor}) {
--- a/src/overload/overload_detector.h
+++ b/src/overload/overload_detector.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 
 #include "common/boot_clock.h"
+#include "overload/connect_delay.h"
 #include "overload/virtual_queue.h"
 
 namespace moorfold::overload {
@@ -26,8 +27,10 @@
 /// @return how many client connections a daemon can hold; 0: unknown.
 std::size_t ConnectionCapacity(std::size_t descriptors, std::size_t memory_mb);
 
-/// Decides whether a daemon has room for more requests, from the bytes that it has taken on and
-/// from how late its event loop runs. Pure; single-threaded.
+/// Decides whether a daemon has room for more requests, from the bytes that it has taken on, the
+/// time that connections need to come up, and how late its event loop runs. The speed of the link
+/// is an estimate, lowered while connections are delayed, as in an adaptive virtual queue. Pure;
+/// single-threaded.
 class OverloadDetector {
  public:
   using Time = BootClock::time_point;
@@ -39,10 +42,15 @@
   void ConnectionAccepted() { ++unread_; }
   /// The first request of that connection was read, or it ended without one.
   void ConnectionSettled() { unread_ -= unread_ > 0 ? 1 : 0; }
+  /// Connections were closed whose requests had probably arrived.
+  void ConnectionsClosedUnread(std::size_t count, Time now);
   /// @param bytes of the request, head and body.
   void RequestRead(std::size_t bytes, Time now);
   /// @param bytes of a response, or of one part of a stream.
   void ResponseWritten(std::size_t bytes, Time now) { Carry(bytes, now); }
+  /// A connection to a server came up, or did not in time.
+  /// @param delay beyond the least that a connection to that server has taken.
+  void ConnectTimed(BootClock::duration delay, Time now);
   /// @param late by how much a timer of the event loop fired late.
   /// @param elapsed since the sample before.
   void LoopSampled(BootClock::duration late, BootClock::duration elapsed);
@@ -58,10 +66,15 @@
 
  private:
   void Carry(std::size_t bytes, Time now);
+  double ExpectedBytes(std::size_t connections) const;
+  void SetLinkSpeed(double bytes_per_second);
+  void RecoverLinkSpeed(Time now);
   bool Short(Shortage resource, Time now) const;
 
   Capacity capacity_;
   VirtualQueue link_;
+  ConnectDelay connect_delay_;
+  Time updated_at_{};
   std::size_t unread_ = 0;
   std::size_t connections_ = 0;
   double request_bytes_;  ///< Moving average.
--- a/src/overload/virtual_queue.h
+++ b/src/overload/virtual_queue.h
@@ -27,6 +27,8 @@
     return std::max(BootClock::duration{}, empty_at_ - now);
   }
   double bytes_per_second() const { return bytes_per_second_; }
+  /// Changes the speed for bytes that are added from now on.
+  void SetBytesPerSecond(double bytes) { bytes_per_second_ = bytes; }
 
  private:
   double bytes_per_second_;
--- a/test/gateway/pipeline_fixture.h
+++ b/test/gateway/pipeline_fixture.h
@@ -33,9 +33,10 @@
         permits_(context_, "self", metrics_.permits, SingleDaemonPermitPorts()),
         retries_(context_, {}, metrics_.retries, RetryPorts()),
         contact_(view_, metrics_, log_),
+        overload_(context_, {}, metrics_, log_),
         detours_(context_, metrics_.detours, NoDetourPorts()),
         pipeline_(context_, protocol_, view_, quarantine_, quota_, statements_, permits_, retries_,
-                  contact_, detours_, metrics_, log_, std::move(settings)),
+                  contact_, overload_, detours_, metrics_, log_, std::move(settings)),
         front_(
             {&context_}, {"127.0.0.1", 0}, {},
             [this](HttpServerExchange& exchange) { return pipeline_.Handle(exchange); },
@@ -223,6 +224,7 @@
   PermitService permits_;
   RetryBudgetService retries_;
   ContactMonitor contact_;
+  OverloadMonitor overload_;
   DetourService detours_;
   RequestPipeline pipeline_;
   HttpServer front_;
--- a/test/overload/overload_detector_test.cc
+++ b/test/overload/overload_detector_test.cc
@@ -72,6 +72,40 @@
   CHECK(detector.LinkDelay(At(0)) == BootClock::duration{});
 }
 
+TEST_CASE("Connections closed unread count for the link, since their requests have crossed it") {
+  constexpr int kConnections = 100;
+  OverloadDetector detector({kLinkMbps, 0});
+  detector.ConnectionsClosedUnread(kConnections, At(0));
+  CHECK(detector.Update(At(0)) == Shortage::kLink);
+  CHECK(detector.Update(At(10'000)) == Shortage::kNone);
+}
+
+TEST_CASE("The link is short while all connections to servers are delayed") {
+  OverloadDetector detector({kLinkMbps, 0});
+  for (std::int64_t ms = 0; ms <= 200; ms += 20) detector.ConnectTimed(milliseconds(80), At(ms));
+  CHECK(detector.Update(At(200)) == Shortage::kLink);
+  for (std::int64_t ms = 220; ms <= 500; ms += 20) detector.ConnectTimed(milliseconds(2), At(ms));
+  CHECK(detector.Update(At(500)) == Shortage::kNone);
+}
+
+TEST_CASE("A server to which connections are slow is no shortage of the link") {
+  OverloadDetector detector({kLinkMbps, 0});
+  for (std::int64_t ms = 0; ms <= 400; ms += 20)
+    detector.ConnectTimed(milliseconds(ms % 40 == 0 ? 200 : 1), At(ms));
+  CHECK(detector.Update(At(400)) == Shortage::kNone);
+}
+
+TEST_CASE("A link found slow is taken for as fast as it is said to be after some seconds") {
+  constexpr int kRequestsPerSecond = 1'000;
+  OverloadDetector calm({kLinkMbps, 0});
+  OverloadDetector delayed({kLinkMbps, 0});
+  for (std::int64_t ms = -20'000; ms <= -19'000; ms += 20)
+    delayed.ConnectTimed(milliseconds(80), At(ms));
+  for (std::int64_t ms = -19'000; ms < 0; ms += 1'000) delayed.Update(At(ms));
+  CHECK(BytesReadPerSecond(delayed, kRequestsPerSecond) ==
+        Approx(BytesReadPerSecond(calm, kRequestsPerSecond)).epsilon(0.05));
+}
+
 TEST_CASE("The processor is short while the event loop is late most of the time") {
   OverloadDetector detector({0, 0});
   for (int sample = 0; sample < 20; ++sample)
