Own delay of a crowded daemon is not held against servers

Callers saw: a crowded daemon took itself for cut off from all servers, marked sound servers as unreachable, and refused with no_server or servers_unreachable, or sent requests by detours over the same full link. Cause: connections and attempts that ended by this daemon's own time limit counted as failures of servers, whatever it was short of. Ruled out: resets and refusals by servers, which still count, and silence of all servers, which still isolates the daemon. Change: a time limit counts neither for contact nor against the server where the daemon was short of something meanwhile and any server has responded since the attempt began; the prober likewise. A daemon that is short offers no detours. The problem of such an attempt names the daemon's own overload.

--- a/src/gateway/contact_monitor.h
+++ b/src/gateway/contact_monitor.h
@@ -8,6 +8,7 @@
 #include "detour/server_contact.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/overload_monitor.h"
 
 namespace moorfold {
 
@@ -17,8 +18,9 @@
  public:
   using ChangeHandler = std::function<void(detour::ContactState)>;
 
-  ContactMonitor(const FleetView& view, GatewayMetrics& metrics, EventLog& log)
-      : view_(view), metrics_(metrics), log_(log) {}
+  ContactMonitor(const FleetView& view, const OverloadMonitor& overload, GatewayMetrics& metrics,
+                 EventLog& log)
+      : view_(view), overload_(overload), metrics_(metrics), log_(log) {}
 
   /// Records a response of a server, or a connection that it accepted.
   void RecordResponse();
@@ -27,6 +29,11 @@
   /// Lets failures expire. Call it periodically.
   void Update();
 
+  /// @return whether the time limit of an attempt that began then says nothing about its server:
+  /// this daemon was short of something itself, and other servers have responded since.
+  bool IsOwnDelay(BootClock::time_point began) const {
+    return overload_.ShortSince(began) && RespondedSince(began);
+  }
   /// @return whether any server has responded since then.
   bool RespondedSince(BootClock::time_point time) const { return responded_at_ >= time; }
 
@@ -37,6 +44,7 @@
 
  private:
   const FleetView& view_;
+  const OverloadMonitor& overload_;
   GatewayMetrics& metrics_;
   EventLog& log_;
   detour::ServerContact contact_;
--- a/src/gateway/contact_prober.cc
+++ b/src/gateway/contact_prober.cc
@@ -51,10 +51,11 @@
 
 Awaitable<void> ContactProber::Probe(std::string server_id, Endpoint endpoint) {
   UpstreamConnection connection(context_, endpoint);
+  const auto began = BootClock::now();
   try {
-    co_await connection.Connect(BootClock::now() + kConnectTimeout);
-  } catch (const HttpError&) {
-    monitor_.RecordFailure(server_id);
+    co_await connection.Connect(began + kConnectTimeout);
+  } catch (const HttpError& error) {
+    if (error.peer_ended() || !monitor_.IsOwnDelay(began)) monitor_.RecordFailure(server_id);
     co_return;
   }
   monitor_.RecordResponse();
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -423,9 +423,13 @@
                                             bool last_attempt) {
   AttemptResult result;
   UpstreamConnectionPtr upstream;
+  const SteadyTime began = BootClock::now();
   try {
     upstream = co_await Connect(request, *server);
   } catch (const HttpError& error) {
+    if (!error.peer_ended() && contact_.IsOwnDelay(began))
+      co_return AttemptResult{AttemptOutcome::kNotRun, 0,
+                              "no connection in time while this daemon is overloaded"};
     server->MarkUnreachable(BootClock::now());
     RecordUnreachable(request, *server);
     co_return AttemptResult{AttemptOutcome::kNotRun, 0, error.what(), error.peer_ended()};
@@ -447,6 +451,7 @@
   }
   const AttemptGuard guard(request, *server, upstream, co_await boost::asio::this_coro::executor,
                            attempt_deadline);
+  bool own_delay = false;
   try {
     const SteadyTime sent_at = BootClock::now();
     upstream->BeginSend(
@@ -458,7 +463,9 @@
   } catch (const HttpError& error) {
     result = {AttemptOutcome::kMayHaveRun, 0, error.what(), error.peer_ended()};
     if (request.detour_target) result.runs = request.route->attempts;
-    if (upstream->cancelled() != CancelReason::kCallerLeft) RecordUnreachable(request, *server);
+    own_delay = upstream->cancelled() == CancelReason::kTimeLimit && contact_.IsOwnDelay(began);
+    if (upstream->cancelled() != CancelReason::kCallerLeft && !own_delay)
+      RecordUnreachable(request, *server);
     ShortenIdleLimit(*upstream);
   }
   if (upstream->cancelled() == CancelReason::kCallerLeft || request.client_left)
@@ -467,7 +474,7 @@
                                  : AttemptOutcome::kClientLeft;
   const bool unanswered = result.attempt_outcome == AttemptOutcome::kMayHaveRun ||
                           result.attempt_outcome == AttemptOutcome::kBrokenOff;
-  if (unanswered && result.status < http_status::kBadRequest)
+  if (unanswered && result.status < http_status::kBadRequest && !own_delay)
     server->RecordFailure(BootClock::now());
   else if (result.attempt_outcome == AttemptOutcome::kAnswered &&
            result.status < http_status::kFirstServerError)
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -109,11 +109,11 @@
       settings_(std::move(settings)),
       log_(log),
       view_(context.get_executor()),
-      contact_(view_, metrics_, log),
       overload_(context,
                 {settings_.link_mbps,
                  overload::ConnectionCapacity(settings_.max_descriptors, settings_.memory_mb)},
                 metrics_, log),
+      contact_(view_, overload_, metrics_, log),
       store_(store, metrics_),
       store_view_(context, store_, protocol, view_, metrics_, log, FollowSettings(settings_)),
       channel_(context, settings_.peer,
@@ -401,7 +401,8 @@
   };
   ports.peers = [this] { return OtherDaemons(); };
   ports.accepts = [this] {
-    return Ready() && contact_.state() == detour::ContactState::kReachable;
+    return Ready() && contact_.state() == detour::ContactState::kReachable &&
+           overload_.shortage() == overload::Shortage::kNone;
   };
   ports.reaches = [this](const std::string& server_id) {
     constexpr milliseconds kRecentResponse{2'000};
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -129,8 +129,8 @@
   EventLog& log_;
   GatewayMetrics metrics_;
   FleetView view_;
-  ContactMonitor contact_;
   OverloadMonitor overload_;
+  ContactMonitor contact_;
   BootClock::time_point isolated_since_{};  ///< Zero if this daemon is not isolated.
   CountingStore store_;
   StoreView store_view_;
--- a/src/gateway/overload_monitor.cc
+++ b/src/gateway/overload_monitor.cc
@@ -76,6 +76,7 @@
   const overload::Shortage after = detector_.Update(now);
   const std::int64_t link_delay = Milliseconds(detector_.LinkDelay(now));
   metrics_.longest_link_delay_ms = std::max(metrics_.longest_link_delay_ms, link_delay);
+  if (after != overload::Shortage::kNone) last_short_at_ = now;
   if (after == before) return;
   if (after != overload::Shortage::kNone)
     metrics_.overloads.Add({{"shortage", overload::Name(after)}});
--- a/src/gateway/overload_monitor.h
+++ b/src/gateway/overload_monitor.h
@@ -23,6 +23,10 @@
   /// Observes that server and throttles it. Before its start. @param server outlives this object.
   void Watch(HttpServer& server);
   overload::Shortage shortage() const { return detector_.shortage(); }
+  /// @return whether something has been short at any moment since then.
+  bool ShortSince(BootClock::time_point time) const {
+    return shortage() != overload::Shortage::kNone || last_short_at_ >= time;
+  }
   /// Writes the current estimates to the metrics.
   void UpdateMetrics();
 
@@ -48,6 +52,7 @@
   EventLog& log_;
   overload::OverloadDetector detector_;
   std::optional<AcceptThrottle> throttle_;
+  Time last_short_at_{};
   bool sampling_ = false;
   std::size_t open_connections_ = 0;
   /// Connections accepted since the beginning of the current interval.
--- a/test/gateway/pipeline_fixture.h
+++ b/test/gateway/pipeline_fixture.h
@@ -32,8 +32,8 @@
         statements_(protocol_, metrics_, log_),
         permits_(context_, "self", metrics_.permits, SingleDaemonPermitPorts()),
         retries_(context_, {}, metrics_.retries, RetryPorts()),
-        contact_(view_, metrics_, log_),
         overload_(context_, {}, metrics_, log_),
+        contact_(view_, overload_, metrics_, log_),
         detours_(context_, metrics_.detours, NoDetourPorts()),
         pipeline_(context_, protocol_, view_, quarantine_, quota_, statements_, permits_, retries_,
                   contact_, overload_, detours_, metrics_, log_, std::move(settings)),
@@ -223,8 +223,8 @@
   ServerStatements statements_;
   PermitService permits_;
   RetryBudgetService retries_;
-  ContactMonitor contact_;
   OverloadMonitor overload_;
+  ContactMonitor contact_;
   DetourService detours_;
   RequestPipeline pipeline_;
   HttpServer front_;
