Overload: count the first request of a connection when it is accepted

Cause: a connection that was accepted counted for the link until its first request was read; clients that open connections and rest would have kept a daemon from accepting others (found on reading the change). Ruled out: a limit on the time that such a connection counts, which needs a timer for each. Change: an average request is put into the virtual queue at once and the difference when it is read; the queue drains by itself. Measured: overload_test 13 cases (one replaces the case on connections that end without a request: those that stay open and those that end count alike), gateway_test, http_test and crowded_daemon_test pass. Conclusion: the observer needs one call less, and nothing is left standing.

--- a/src/gateway/overload_monitor.cc
+++ b/src/gateway/overload_monitor.cc
@@ -49,7 +49,7 @@
     accepted_ = 0;
   }
   ++accepted_;
-  detector_.ConnectionAccepted();
+  detector_.ConnectionAccepted(now);
   detector_.SetOpenConnections(++open_connections_);
   Update(now);
   if (throttle_) detector_.ConnectionsClosedUnread(throttle_->ConnectionAccepted(shortage()), now);
@@ -59,12 +59,10 @@
   boost::asio::co_spawn(context_, SampleLoop(), boost::asio::detached);
 }
 
-void OverloadMonitor::ConnectionSettled() { detector_.ConnectionSettled(); }
-
 void OverloadMonitor::ConnectionClosed() { detector_.SetOpenConnections(--open_connections_); }
 
-void OverloadMonitor::RequestRead(std::size_t bytes) {
-  detector_.RequestRead(bytes, BootClock::now());
+void OverloadMonitor::RequestRead(std::size_t bytes, bool first) {
+  detector_.RequestRead(bytes, first, BootClock::now());
 }
 
 void OverloadMonitor::ResponseWritten(std::size_t bytes) {
--- a/src/gateway/overload_monitor.h
+++ b/src/gateway/overload_monitor.h
@@ -35,9 +35,8 @@
   void ConnectTimed(BootClock::duration delay);
 
   void ConnectionAccepted() override;
-  void ConnectionSettled() override;
   void ConnectionClosed() override;
-  void RequestRead(std::size_t bytes) override;
+  void RequestRead(std::size_t bytes, bool first) override;
   void ResponseWritten(std::size_t bytes) override;
 
  private:
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -149,24 +149,6 @@
     beast::tcp_stream& stream_;
   };
 
-  /// Tells the observer once that a connection's first request was read or will not come.
-  class UnreadMark {
-   public:
-    explicit UnreadMark(HttpServerObserver* observer) : observer_(observer) {
-      if (observer_ != nullptr) observer_->ConnectionAccepted();
-    }
-    ~UnreadMark() { Settle(); }
-    UnreadMark(const UnreadMark&) = delete;
-    UnreadMark& operator=(const UnreadMark&) = delete;
-    void Settle() {
-      if (observer_ != nullptr) observer_->ConnectionSettled();
-      observer_ = nullptr;
-    }
-
-   private:
-    HttpServerObserver* observer_;
-  };
-
   /// The kernel would reset these connections, too, but not tell how many there were.
   std::size_t CloseWaiting() {
     constexpr std::size_t kMaxWaiting = 4'096;
@@ -206,15 +188,15 @@
 
   static Awaitable<void> Serve(std::shared_ptr<Impl> self, tcp::socket socket) {
     ++self->connections_;
+    if (self->observer_ != nullptr) self->observer_->ConnectionAccepted();
     try {
       error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
       beast::tcp_stream stream(std::move(socket));
       beast::flat_buffer buffer;
-      UnreadMark unread(self->observer_);
       bool keep_alive = true;
-      while (keep_alive && !self->last_answers_)
-        keep_alive = co_await ServeOne(*self, stream, buffer, unread);
+      for (bool first = true; keep_alive && !self->last_answers_; first = false)
+        keep_alive = co_await ServeOne(*self, stream, buffer, first);
       stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     } catch (const std::exception&) {  // The connection broke; its handler has been told.
     }
@@ -224,7 +206,7 @@
 
   static Awaitable<void> RunHandler(Impl& server, Exchange& exchange);
   static Awaitable<bool> ServeOne(Impl& server, beast::tcp_stream& stream,
-                                  beast::flat_buffer& buffer, UnreadMark& unread);
+                                  beast::flat_buffer& buffer, bool first);
 
   std::vector<asio::io_context*> contexts_;
   std::optional<tcp::acceptor> acceptor_;  ///< Empty while paused.
@@ -420,7 +402,7 @@
 }
 
 Awaitable<bool> HttpServer::Impl::ServeOne(Impl& server, beast::tcp_stream& stream,
-                                           beast::flat_buffer& buffer, UnreadMark& unread) {
+                                           beast::flat_buffer& buffer, bool first) {
   http::request_parser<http::string_body> parser;
   parser.header_limit(server.limits_.header_bytes);
   parser.body_limit(server.limits_.body_bytes);
@@ -452,8 +434,7 @@
   const bool keep_alive = !error && parser.get().keep_alive();
   HttpRequest request;
   if (!error) request = TakeRequest(parser.release());
-  if (!error && server.observer_ != nullptr) server.observer_->RequestRead(SizeOf(request));
-  unread.Settle();
+  if (!error && server.observer_ != nullptr) server.observer_->RequestRead(SizeOf(request), first);
   Exchange exchange(server, stream, std::move(request), keep_alive);
   if (error) {
     const unsigned status = RejectionStatus(error);
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -49,11 +49,10 @@
  public:
   virtual ~HttpServerObserver() = default;
   virtual void ConnectionAccepted() = 0;
-  /// The first request of a connection was read, or the connection ended without one.
-  virtual void ConnectionSettled() = 0;
   virtual void ConnectionClosed() = 0;
   /// @param bytes of its head and body.
-  virtual void RequestRead(std::size_t bytes) = 0;
+  /// @param first whether it is the first one on its connection.
+  virtual void RequestRead(std::size_t bytes, bool first) = 0;
   /// @param bytes of a response, or of one part of a stream.
   virtual void ResponseWritten(std::size_t bytes) = 0;
 };
--- a/src/overload/overload_detector.cc
+++ b/src/overload/overload_detector.cc
@@ -88,12 +88,6 @@
 OverloadDetector::OverloadDetector(Capacity capacity)
     : capacity_(capacity), link_(NominalSpeed(capacity)), request_bytes_(kFirstRequestBytes) {}
 
-/// A byte of a client's request or response crosses the link once in each direction, on its way
-/// from and to the client and on its way to and from the server.
-void OverloadDetector::Carry(std::size_t bytes, Time now) {
-  link_.Add(static_cast<double>(bytes) + kMessageOverheadBytes, now);
-}
-
 double OverloadDetector::ExpectedBytes(std::size_t connections) const {
   return static_cast<double>(connections) * (request_bytes_ + kConnectionOverheadBytes);
 }
@@ -102,10 +96,14 @@
   link_.Add(ExpectedBytes(count), now);
 }
 
-void OverloadDetector::RequestRead(std::size_t bytes, Time now) {
+void OverloadDetector::RequestRead(std::size_t bytes, bool first, Time now) {
+  const double counted = first ? ExpectedBytes(1) - kConnectionOverheadBytes : 0;
+  link_.Add(static_cast<double>(bytes) + kMessageOverheadBytes - counted, now);
   request_bytes_ += (static_cast<double>(bytes) - request_bytes_) * kRequestBytesWeight;
-  link_.Add(kConnectionOverheadBytes, now);
-  Carry(bytes, now);
+}
+
+void OverloadDetector::ResponseWritten(std::size_t bytes, Time now) {
+  link_.Add(static_cast<double>(bytes) + kMessageOverheadBytes, now);
 }
 
 void OverloadDetector::ConnectTimed(BootClock::duration delay, Time now) {
@@ -133,13 +131,6 @@
   loop_late_share_ += (late_share - loop_late_share_) * weight;
 }
 
-BootClock::duration OverloadDetector::LinkDelay(Time now) const {
-  if (link_.bytes_per_second() <= 0) return {};
-  const std::chrono::duration<double> unread_delay(ExpectedBytes(unread_) /
-                                                   link_.bytes_per_second());
-  return link_.Delay(now) + std::chrono::duration_cast<BootClock::duration>(unread_delay);
-}
-
 bool OverloadDetector::Short(Shortage resource, Time now) const {
   const bool lasts = shortage_ == resource;
   switch (resource) {
--- a/src/overload/overload_detector.h
+++ b/src/overload/overload_detector.h
@@ -37,17 +37,16 @@
 
   explicit OverloadDetector(Capacity capacity);
 
-  /// A connection was accepted whose first request has not been read. Its bytes are on their way
-  /// already, so the average request is counted for it until ConnectionSettled.
-  void ConnectionAccepted() { ++unread_; }
-  /// The first request of that connection was read, or it ended without one.
-  void ConnectionSettled() { unread_ -= unread_ > 0 ? 1 : 0; }
+  /// A connection was accepted. Its first request is on the way already, so an average one is
+  /// counted now, and the difference when it is read.
+  void ConnectionAccepted(Time now) { link_.Add(ExpectedBytes(1), now); }
   /// Connections were closed whose requests had probably arrived.
   void ConnectionsClosedUnread(std::size_t count, Time now);
   /// @param bytes of the request, head and body.
-  void RequestRead(std::size_t bytes, Time now);
+  /// @param first whether it is the first one on its connection.
+  void RequestRead(std::size_t bytes, bool first, Time now);
   /// @param bytes of a response, or of one part of a stream.
-  void ResponseWritten(std::size_t bytes, Time now) { Carry(bytes, now); }
+  void ResponseWritten(std::size_t bytes, Time now);
   /// A connection to a server came up, or did not in time.
   /// @param delay beyond the least that a connection to that server has taken.
   void ConnectTimed(BootClock::duration delay, Time now);
@@ -60,24 +59,24 @@
   Shortage Update(Time now);
   Shortage shortage() const { return shortage_; }
   /// @return estimated time that a byte waits for this daemon's link.
-  BootClock::duration LinkDelay(Time now) const;
+  BootClock::duration LinkDelay(Time now) const { return link_.Delay(now); }
   /// @return share of the recent time in which the event loop was late, from 0 to 1.
   double loop_late_share() const { return loop_late_share_; }
 
  private:
-  void Carry(std::size_t bytes, Time now);
   double ExpectedBytes(std::size_t connections) const;
   void SetLinkSpeed(double bytes_per_second);
   void RecoverLinkSpeed(Time now);
   bool Short(Shortage resource, Time now) const;
 
   Capacity capacity_;
+  /// A byte of a client's request or response crosses the link once in each direction, from and to
+  /// the client and to and from the server, so one queue stands for both.
   VirtualQueue link_;
   ConnectDelay connect_delay_;
   Time updated_at_{};
-  std::size_t unread_ = 0;
   std::size_t connections_ = 0;
-  double request_bytes_;  ///< Moving average.
+  double request_bytes_;  ///< Of one request, head and body; a moving average.
   double loop_late_share_ = 0;
   Shortage shortage_ = Shortage::kNone;
 };
--- a/src/overload/virtual_queue.h
+++ b/src/overload/virtual_queue.h
@@ -17,6 +17,7 @@
   /// @param bytes_per_second 0: unknown, the queue then stays empty.
   explicit VirtualQueue(double bytes_per_second) : bytes_per_second_(bytes_per_second) {}
 
+  /// @param bytes less than 0: so many that were added before do not come.
   void Add(double bytes, Time now) {
     if (bytes_per_second_ <= 0) return;
     const std::chrono::duration<double> taken(bytes / bytes_per_second_);
--- a/test/gateway/contact_monitor_test.cc
+++ b/test/gateway/contact_monitor_test.cc
@@ -18,7 +18,7 @@
   ContactMonitor contact{view, overload, metrics, log};
 
   void FillLink() {
-    overload.RequestRead(kMoreThanTheLinkCarries);
+    overload.RequestRead(kMoreThanTheLinkCarries, false);
     overload.ConnectionAccepted();
     REQUIRE(overload.shortage() == overload::Shortage::kLink);
   }
--- a/test/overload/overload_detector_test.cc
+++ b/test/overload/overload_detector_test.cc
@@ -22,9 +22,8 @@
   for (int number = 0; number < requests_per_second * kSeconds; ++number) {
     const Time now = At(number * kMsPerSecond / requests_per_second);
     if (detector.Update(now) != Shortage::kNone) continue;
-    detector.ConnectionAccepted();
-    detector.ConnectionSettled();
-    detector.RequestRead(kRequestBytes, now);
+    detector.ConnectionAccepted(now);
+    detector.RequestRead(kRequestBytes, true, now);
     bytes += kRequestBytes;
   }
   return static_cast<double>(bytes) / kSeconds;
@@ -57,19 +56,20 @@
   OverloadDetector detector({kLinkMbps, 0});
   int accepted = 0;
   while (accepted < kConnections && detector.Update(At(0)) == Shortage::kNone) {
-    detector.ConnectionAccepted();
+    detector.ConnectionAccepted(At(0));
     ++accepted;
   }
   CHECK(detector.shortage() == Shortage::kLink);
   CHECK(accepted < kConnections / 10);
 }
 
-TEST_CASE("Connections that end without a request leave no trace in the estimate") {
+TEST_CASE("Connections without a request do not keep a daemon from accepting others") {
   constexpr int kConnections = 100;
   OverloadDetector detector({kLinkMbps, 0});
-  for (int connection = 0; connection < kConnections; ++connection) detector.ConnectionAccepted();
-  for (int connection = 0; connection < kConnections; ++connection) detector.ConnectionSettled();
-  CHECK(detector.LinkDelay(At(0)) == BootClock::duration{});
+  for (int connection = 0; connection < kConnections; ++connection)
+    detector.ConnectionAccepted(At(0));
+  CHECK(detector.Update(At(0)) == Shortage::kLink);
+  CHECK(detector.Update(At(2'000)) == Shortage::kNone);
 }
 
 TEST_CASE("Connections closed unread count for the link, since their requests have crossed it") {
