Emulator: a proxy that refuses connections keeps its port

Cause: FaultProxy refused connections by closing its listener, so the kernel could give the port to another process. A daemon that the test had cut off from its servers then reached a stranger's listener there, took itself for connected, and sent it requests. In a trace of copies side by side, daemons that were cut off all the time had "isolated=0 isolations=8", and one copy's server ran requests that only another copy had sent ("unasked", "twice").

Change: StopListening binds the port again without listening (http/bound_acceptor.h). The test's message describes each gateway.

Measured: fault_proxy_test fails before and passes after.

--- a/test/detour/isolated_daemon_test.cc
+++ b/test/detour/isolated_daemon_test.cc
@@ -51,6 +51,32 @@
     }
     return sum;
   }
+  /// @return what a failed check needs to know of each gateway.
+  std::string Describe() const {
+    std::string text;
+    for (const auto& each : deployment.gateways) {
+      const GatewayMetrics& metrics = each->gateway.metrics();
+      const std::vector<std::pair<const char*, double>> values = {
+          {"leading", metrics.leading},
+          {"isolated", metrics.isolated},
+          {"isolations", metrics.isolations},
+          {"servers_failing", metrics.servers_failing},
+          {"detours_sent", metrics.detours.sent},
+          {"detours_carried", metrics.detours.carried},
+          {"detours_declined", metrics.detours.declined},
+          {"detours_not_found", metrics.detours.not_found},
+          {"accept_pauses", metrics.accept_pauses},
+          {"accept_paused_ms", metrics.accept_paused_ms},
+          {"longest_stall_ms", metrics.longest_stall_ms}};
+      text += "\n";
+      for (const auto& [name, value] : values)
+        text += std::string(name) + "=" + std::to_string(value) + " ";
+      text += "\n";
+      metrics.requests_ended.Render("requests_ended", text);
+      metrics.overloads.Render("overloads", text);
+    }
+    return text;
+  }
   int LeaderNumber() const {
     for (std::size_t number = 0; number < deployment.gateways.size(); ++number)
       if (deployment.gateways[number]->gateway.metrics().leading > 0)
@@ -142,7 +168,7 @@
   loaded.ResetCounts();
   loaded.deployment.RunFor(milliseconds(3'000));
   const ServedCount all = loaded.CountOf(0, gateways);
-  CAPTURE(all.sent, all.served);
+  CAPTURE(all.sent, all.served, loaded.Describe());
   CHECK(all.Share() > 0.9);
 }
 
--- a/test/emulator/fault_proxy.cc
+++ b/test/emulator/fault_proxy.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 
 #include "common/boot_clock.h"
+#include "http/bound_acceptor.h"
 
 namespace moorfold {
 
@@ -66,7 +67,7 @@
 }
 
 void FaultProxy::SetRefusesNew(bool refuses) {
-  if (refuses != acceptor_.is_open()) return;
+  if (refuses != listening_) return;
   if (refuses)
     StopListening();
   else
@@ -74,13 +75,16 @@
 }
 
 void FaultProxy::Listen() {
-  acceptor_ = tcp::acceptor(context_, address_);
+  acceptor_.listen();
+  listening_ = true;
   Start();
 }
 
 void FaultProxy::StopListening() {
   error_code ignored;
   acceptor_.close(ignored);
+  acceptor_ = BindAcceptor(context_, address_);
+  listening_ = false;
 }
 
 void FaultProxy::SetUnreachable(bool unreachable) {
@@ -93,10 +97,6 @@
   }
   SilenceStanding();
   // Nobody accepts: with an accept queue of one, the kernel leaves later requests unanswered.
-  acceptor_ = tcp::acceptor(context_);
-  acceptor_.open(address_.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(address_);
   acceptor_.listen(0);
   constexpr std::size_t kFillers = 3;
   queue_fillers_.reserve(kFillers);
--- a/test/emulator/fault_proxy.h
+++ b/test/emulator/fault_proxy.h
@@ -62,7 +62,8 @@
   boost::asio::io_context& context_;
   Endpoint target_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::ip::tcp::endpoint address_;  ///< Kept while nobody listens there.
+  boost::asio::ip::tcp::endpoint address_;
+  bool listening_ = true;
   ProxyMode mode_ = ProxyMode::kPass;
   AsyncSignal mode_changed_;
   double bytes_per_second_ = 0;
