A daemon that refuses connections keeps its port

Seen: nothing by callers yet; listed as a known limit of the overload design.

Cause: AcceptThrottle pauses by closing the listener, and another process of the machine could be given the port until it listens again; clients would then reach a stranger, and this daemon would stay without its port.

Change: PauseAccepting binds the port again without listening, and ResumeAccepting listens on it. If the port was lost between the two calls, ResumeAccepting binds it as before.

Measured: accept_throttle_test, "No other process is given the port of a daemon that refuses connections", fails before and passes after; its other cases pass.

Conclusion: what is left is the moment between close and bind.

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -15,6 +15,7 @@
 #include <set>
 
 #include "common/boot_clock.h"
+#include "http/bound_acceptor.h"
 #include "http/http_status.h"
 #include "http/listen_error.h"
 
@@ -69,7 +70,8 @@
         handler_(std::move(handler)),
         rejection_(std::move(rejection)) {
     try {
-      Listen(tcp::endpoint(asio::ip::make_address(listen.address), listen.port));
+      Bind(listen);
+      acceptor_->listen();
     } catch (const boost::system::system_error& error) {
       throw ListenError(listen, error.code());
     }
@@ -89,20 +91,28 @@
   }
 
   std::size_t PauseAccepting() {
-    if (stopping_ || !acceptor_) return 0;
+    if (stopping_ || paused_) return 0;
+    paused_ = true;
     ++listener_;
     const std::size_t closed = CloseWaiting();
     acceptor_.reset();
+    try {
+      Bind(endpoint_);
+    } catch (const boost::system::system_error&) {  // ResumeAccepting tries again.
+    }
     return closed;
   }
 
   bool ResumeAccepting() {
-    if (stopping_ || acceptor_) return true;
+    if (stopping_ || !paused_) return true;
     try {
-      Listen(tcp::endpoint(asio::ip::make_address(endpoint_.address), endpoint_.port));
+      if (!acceptor_) Bind(endpoint_);
+      acceptor_->listen();
     } catch (const boost::system::system_error&) {
+      acceptor_.reset();
       return false;
     }
+    paused_ = false;
     Start();
     return true;
   }
@@ -165,7 +175,10 @@
   }
 
   /// @throws boost::system::system_error.
-  void Listen(const tcp::endpoint& local) { acceptor_.emplace(*contexts_.front(), local); }
+  void Bind(const Endpoint& local) {
+    const tcp::endpoint address(asio::ip::make_address(local.address), local.port);
+    acceptor_.emplace(BindAcceptor(*contexts_.front(), address));
+  }
 
   static Awaitable<void> Accept(std::shared_ptr<Impl> self) {
     std::size_t next = 0;
@@ -209,8 +222,9 @@
                                   beast::flat_buffer& buffer, bool first);
 
   std::vector<asio::io_context*> contexts_;
-  std::optional<tcp::acceptor> acceptor_;  ///< Empty while paused.
-  std::uint64_t listener_ = 0;             ///< Number of pauses; tells the acceptors apart.
+  std::optional<tcp::acceptor> acceptor_;  ///< Does not listen while paused.
+  bool paused_ = false;
+  std::uint64_t listener_ = 0;  ///< Number of pauses; tells the acceptors apart.
   Endpoint endpoint_;
   HttpServerLimits limits_;
   HttpHandler handler_;
--- a/test/gateway/accept_throttle_test.cc
+++ b/test/gateway/accept_throttle_test.cc
@@ -78,6 +78,15 @@
   CHECK(fixture.metrics.connections_closed_unread == 1);
 }
 
+TEST_CASE("No other process is given the port of a daemon that refuses connections") {
+  ThrottledServer fixture;
+  const Endpoint endpoint = fixture.server.endpoint();
+  const tcp::endpoint address(asio::ip::make_address(endpoint.address), endpoint.port);
+  fixture.throttle.Update(overload::Shortage::kLink);
+  constexpr bool kReuseAddress = false;
+  CHECK_THROWS(tcp::acceptor(fixture.context, address, kReuseAddress));
+}
+
 TEST_CASE("A daemon that stays short still takes a connection a second") {
   ThrottledServer fixture;
   fixture.throttle.Update(overload::Shortage::kProcessor);
