Overload detector: IsShort; shorter description of gateways in a test

Cause: a predicate named like an adjective, and integers printed as reals in the message of isolated_daemon_test. Ruled out: nothing to rule out; no logic changed. Conclusion: none.

--- a/src/overload/overload_detector.cc
+++ b/src/overload/overload_detector.cc
@@ -131,7 +131,7 @@
   loop_late_share_ += (late_share - loop_late_share_) * weight;
 }
 
-bool OverloadDetector::Short(Shortage resource, Time now) const {
+bool OverloadDetector::IsShort(Shortage resource, Time now) const {
   const bool lasts = shortage_ == resource;
   switch (resource) {
     case Shortage::kNone:
@@ -152,10 +152,10 @@
 
 Shortage OverloadDetector::Update(Time now) {
   RecoverLinkSpeed(now);
-  if (shortage_ != Shortage::kNone && Short(shortage_, now)) return shortage_;
+  if (shortage_ != Shortage::kNone && IsShort(shortage_, now)) return shortage_;
   shortage_ = Shortage::kNone;
   for (const Shortage resource : {Shortage::kConnections, Shortage::kLink, Shortage::kProcessor}) {
-    if (!Short(resource, now)) continue;
+    if (!IsShort(resource, now)) continue;
     shortage_ = resource;
     break;
   }
--- a/src/overload/overload_detector.h
+++ b/src/overload/overload_detector.h
@@ -67,7 +67,7 @@
   double ExpectedBytes(std::size_t connections) const;
   void SetLinkSpeed(double bytes_per_second);
   void RecoverLinkSpeed(Time now);
-  bool Short(Shortage resource, Time now) const;
+  bool IsShort(Shortage resource, Time now) const;
 
   Capacity capacity_;
   /// A byte of a client's request or response crosses the link once in each direction, from and to
--- a/test/detour/isolated_daemon_test.cc
+++ b/test/detour/isolated_daemon_test.cc
@@ -54,23 +54,21 @@
   /// @return what a failed check needs to know of each gateway.
   std::string Describe() const {
     std::string text;
+    const auto add = [&text](const std::string& name, auto value) {
+      text += name + "=" + std::to_string(value) + " ";
+    };
     for (const auto& each : deployment.gateways) {
       const GatewayMetrics& metrics = each->gateway.metrics();
-      const std::vector<std::pair<const char*, double>> values = {
-          {"leading", metrics.leading},
-          {"isolated", metrics.isolated},
-          {"isolations", metrics.isolations},
-          {"servers_failing", metrics.servers_failing},
-          {"detours_sent", metrics.detours.sent},
-          {"detours_carried", metrics.detours.carried},
-          {"detours_declined", metrics.detours.declined},
-          {"detours_not_found", metrics.detours.not_found},
-          {"accept_pauses", metrics.accept_pauses},
-          {"accept_paused_ms", metrics.accept_paused_ms},
-          {"longest_stall_ms", metrics.longest_stall_ms}};
-      text += "\n";
-      for (const auto& [name, value] : values)
-        text += std::string(name) + "=" + std::to_string(value) + " ";
+      add("\nleading", metrics.leading);
+      add("isolated", metrics.isolated);
+      add("isolations", metrics.isolations);
+      add("servers_failing", metrics.servers_failing);
+      add("detours_sent", metrics.detours.sent);
+      add("detours_carried", metrics.detours.carried);
+      add("detours_declined", metrics.detours.declined);
+      add("detours_not_found", metrics.detours.not_found);
+      add("accept_paused_ms", metrics.accept_paused_ms);
+      add("longest_stall_ms", metrics.longest_stall_ms);
       text += "\n";
       metrics.requests_ended.Render("requests_ended", text);
       metrics.overloads.Render("overloads", text);
