--- a/review/standin/reset_answer.cc
+++ b/review/standin/reset_answer.cc
@@ -2,6 +2,7 @@
 // the middle of its answer. Usage: reset_answer FOLDER RECORD TROUBLE
 
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -75,6 +76,7 @@
 pid_t StartServer(std::vector<std::unique_ptr<Listener>>& listeners, int server, int notes) {
   const pid_t child = ::fork();
   if (child != 0) return child;
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // Ends with the script, however that ends.
   for (std::size_t other = 0; other < listeners.size(); ++other)
     if (other != static_cast<std::size_t>(server)) listeners[other]->CloseHere();
   listeners[static_cast<std::size_t>(server)]->Serve(
