--- a/src/common/log_event.h
+++ b/src/common/log_event.h
@@ -180,6 +180,9 @@
   kParts,
   kLinkDelayMs,
   kLoopLateShare,
+  kConnection,
+  kCarried,
+  kResponseId,
 };
 inline constexpr std::array kLogFieldNames = {"id",
                                               "ids",
@@ -257,7 +260,10 @@
                                               "budget_left",
                                               "parts",
                                               "link_delay_ms",
-                                              "loop_late_share"};
+                                              "loop_late_share",
+                                              "connection",
+                                              "carried",
+                                              "response_id"};
 
 /// @return the name as it stands in the log.
 constexpr const char* Name(LogEvent event) {
@@ -267,7 +273,7 @@
   return kLogFieldNames[static_cast<std::size_t>(field)];
 }
 static_assert(kLogEventNames.size() == static_cast<std::size_t>(LogEvent::kLogLinesLeftOut) + 1);
-static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kLoopLateShare) + 1);
+static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kResponseId) + 1);
 
 /// One line of a gateway's log, made only of listed events and fields.
 class EventLine {
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -246,16 +246,24 @@
   return result;
 }
 
+ResponseIdentity Forwarder::IdentityOf(const HttpHeaders& headers,
+                                       const GatewayRequest& request) const {
+  const std::string_view id = FindHeader(headers, protocol_.headers().request_id);
+  if (id == request.id) return ResponseIdentity::kOwn;
+  return id.empty() ? ResponseIdentity::kAbsent : ResponseIdentity::kOther;
+}
+
 Awaitable<void> Forwarder::ReadMatchingHead(UpstreamConnection& upstream,
                                             const GatewayRequest& request) {
   for (int foreign_responses = 0; foreign_responses < kMaxForeignResponses; ++foreign_responses) {
     co_await upstream.ReadHead();
     const HttpHeaders headers = upstream.headers();
-    const std::string_view id = FindHeader(headers, protocol_.headers().request_id);
+    const ResponseIdentity identity = IdentityOf(headers, request);
     const bool informational = upstream.status() < http_status::kOk;
     // A server that could not parse the request may not know its ID.
-    const bool failure_without_id = id.empty() && upstream.status() >= http_status::kBadRequest;
-    if (!informational && (id == request.id || failure_without_id)) co_return;
+    const bool failure_without_id =
+        identity == ResponseIdentity::kAbsent && upstream.status() >= http_status::kBadRequest;
+    if (!informational && (identity == ResponseIdentity::kOwn || failure_without_id)) co_return;
     co_await upstream.ReadAll();  // Discards a surplus response to an earlier request.
   }
   throw HttpError(HttpStage::kAwaitingAnswer, false, "received only responses to other requests");
@@ -422,6 +430,7 @@
                                             ServerPtr server, SteadyTime attempt_deadline,
                                             bool last_attempt) {
   AttemptResult result;
+  AttemptTrace trace;
   UpstreamConnectionPtr upstream;
   const SteadyTime began = BootClock::now();
   try {
@@ -459,6 +468,7 @@
             ? MakeDetourHead(exchange.request(), request, attempt_deadline)
             : MakeRequestHead(exchange.request(), request, *server, attempt_deadline),
         request.body);
+    trace = {upstream->number(), upstream->carried()};
     result = co_await Exchange(exchange, request, *server, sent_at, last_attempt);
   } catch (const HttpError& error) {
     result = {AttemptOutcome::kMayHaveRun, 0, error.what(), error.peer_ended()};
@@ -468,6 +478,8 @@
       RecordUnreachable(request, *server);
     ShortenIdleLimit(*upstream);
   }
+  if (upstream->HasHead()) trace.response = IdentityOf(upstream->headers(), request);
+  result.trace = trace;
   if (upstream->cancelled() == CancelReason::kCallerLeft || request.client_left)
     result.attempt_outcome = result.attempt_outcome == AttemptOutcome::kAnswered
                                  ? result.attempt_outcome
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -48,6 +48,7 @@
   void RecordUnreachable(const GatewayRequest& request, const Server& server);
   Awaitable<AttemptResult> Exchange(HttpServerExchange& exchange, GatewayRequest& request,
                                     Server& server, SteadyTime sent_at, bool last_attempt);
+  ResponseIdentity IdentityOf(const HttpHeaders& headers, const GatewayRequest& request) const;
   Awaitable<void> ReadMatchingHead(UpstreamConnection& upstream, const GatewayRequest& request);
   Awaitable<AttemptResult> RelayResponse(HttpServerExchange& exchange, GatewayRequest& request,
                                          HttpHeaders headers);
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -114,6 +114,16 @@
   kClientLeft   ///< The client disconnected during the attempt.
 };
 
+/// Whose request ID the last response to an attempt carried.
+enum class ResponseIdentity : std::uint8_t { kNoResponse, kOwn, kOther, kAbsent };
+
+/// Over which connection an attempt went and what came back, for logs.
+struct AttemptTrace {
+  std::uint64_t connection = 0;  ///< Number of the connection; 0: none came up.
+  std::uint32_t carried = 0;     ///< Requests that the connection had carried before.
+  ResponseIdentity response = ResponseIdentity::kNoResponse;
+};
+
 /// Result of one attempt, with details for logs.
 struct AttemptResult {
   AttemptOutcome attempt_outcome = AttemptOutcome::kNotRun;
@@ -125,6 +135,7 @@
   bool refused_with_capacity = false;
   /// Number of servers on which it may have run, if the outcome is that it may have run.
   std::uint32_t runs = 1;
+  AttemptTrace trace;
 };
 
 }  // namespace moorfold
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -505,6 +505,7 @@
   end.status = refusal.status;
   end.problem = result.problem;
   end.server_id = server_id;
+  end.trace = result.trace;
   reporter_.ReportEnd(request, end);
   co_await Answer(exchange, request, refusal);
 }
--- a/src/gateway/request_reporter.cc
+++ b/src/gateway/request_reporter.cc
@@ -43,6 +43,20 @@
   return text;
 }
 
+const char* Name(ResponseIdentity identity) {
+  switch (identity) {
+    case ResponseIdentity::kNoResponse:
+      return "no_response";
+    case ResponseIdentity::kOwn:
+      return "own";
+    case ResponseIdentity::kOther:
+      return "other";
+    case ResponseIdentity::kAbsent:
+      return "absent";
+  }
+  return "";
+}
+
 const char* PoolName(const GatewayRequest& request) { return request.other_pool ? "other" : "own"; }
 
 }  // namespace
@@ -116,6 +130,9 @@
   if (!end.server_id.empty())
     line.Field(LogField::kServer, end.server_id)
         .Field(LogField::kExpectedMs, static_cast<std::int64_t>(request.expected_ms));
+  if (end.trace.connection > 0)
+    line.Field(LogField::kConnection, end.trace.connection)
+        .Field(LogField::kCarried, end.trace.carried);
   if (request.detour_target) line.Field(LogField::kVia, request.detour_target->peer);
   if (request.detour_origin) line.Field(LogField::kOrigin, request.origin_address);
   line.Field(LogField::kStoreAgeMs, MillisecondsSince(view_.servers_current_at));
@@ -130,6 +147,10 @@
   EventLine line(LogEvent::kAttemptFailed);
   line.Field(LogField::kId, request.id)
       .Field(LogField::kServer, server.record().id)
+      .Field(LogField::kSends, request.sends)
+      .Field(LogField::kConnection, result.trace.connection)
+      .Field(LogField::kCarried, result.trace.carried)
+      .Field(LogField::kResponseId, Name(result.trace.response))
       .Field(LogField::kStatus, result.status)
       .Field(LogField::kRan, result.attempt_outcome == AttemptOutcome::kNotRun ? "no" : "maybe")
       .Field(LogField::kProblem, result.problem)
@@ -171,6 +192,7 @@
   RequestEnd end;
   end.status = result.status;
   end.problem = result.problem;
+  end.trace = result.trace;
   if (result.attempt_outcome == AttemptOutcome::kAnswered) {
     end.outcome = RequestOutcome::kAnswered;
     if (result.status >= http_status::kBadRequest) end.reason = EndReason::kServerError;
--- a/src/gateway/request_reporter.h
+++ b/src/gateway/request_reporter.h
@@ -18,6 +18,7 @@
   unsigned status = 0;    ///< Sent to the client; 0: no response.
   std::string problem;    ///< Description of the last attempt's failure.
   std::string server_id;  ///< The last server it was sent to; empty: none.
+  AttemptTrace trace;     ///< Of the last attempt.
 };
 
 /// Counts and logs request outcomes. Not thread-safe.
--- a/src/http/upstream_connection.cc
+++ b/src/http/upstream_connection.cc
@@ -1,5 +1,6 @@
 #include "http/upstream_connection.h"
 
+#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -25,6 +26,11 @@
 constexpr std::uint64_t kMostAnswerBytes = 256ULL * 1024 * 1024;
 using RequestMessage = http::request<http::span_body<char const>>;
 
+std::uint64_t NextNumber() {
+  static std::atomic<std::uint64_t> last{0};
+  return ++last;
+}
+
 /// @return whether the other side closed, reset or refused the connection.
 bool PeerEnded(const error_code& error) {
   return error == asio::error::eof || error == asio::error::connection_reset ||
@@ -51,6 +57,8 @@
   bool sent_everything_before_answer = true;
   CancelReason cancelled = CancelReason::kNone;
   std::chrono::milliseconds rested{0};
+  const std::uint64_t number = NextNumber();
+  std::uint32_t sent = 0;
 
   HttpError Failure(HttpStage stage, const error_code& error) const {
     const bool timed_out = cancelled == CancelReason::kTimeLimit;
@@ -108,7 +116,9 @@
   message->prepare_payload();
   state_->message = message;
   state_->body = std::move(body);
+  state_->parser.reset();
   state_->sending = true;
+  ++state_->sent;
   state_->send_failed = false;
   http::async_write(state_->socket, *message,
                     [state = state_, message](const error_code& error, std::size_t) {
@@ -131,6 +141,10 @@
   if (error) throw state->Failure(HttpStage::kAwaitingAnswer, error);
 }
 
+bool UpstreamConnection::HasHead() const {
+  return state_->parser && state_->parser->is_header_done();
+}
+
 unsigned UpstreamConnection::status() const { return state_->parser->get().result_int(); }
 
 HttpHeaders UpstreamConnection::headers() const {
@@ -198,6 +212,10 @@
 
 void UpstreamConnection::set_rested(std::chrono::milliseconds rested) { state_->rested = rested; }
 
+std::uint64_t UpstreamConnection::number() const { return state_->number; }
+
+std::uint32_t UpstreamConnection::carried() const { return std::max(state_->sent, 1U) - 1; }
+
 UpstreamConnectionPtr UpstreamPool::Take(const std::string& server_id,
                                          std::chrono::milliseconds longest_rest) {
   const auto found = idle_.find(server_id);
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -31,6 +31,8 @@
   /// Reads the head of the next answer.
   /// @throws HttpError (kSending when nothing can have been answered, else kAwaitingAnswer).
   Awaitable<void> ReadHead();
+  /// @return whether the head of an answer to the request that was sent last has been read.
+  bool HasHead() const;
   unsigned status() const;
   HttpHeaders headers() const;
   /// @return the next bytes of the body; empty at its end.
@@ -51,6 +53,10 @@
   /// @return how long it rested before it was taken up again; 0 for a fresh one.
   std::chrono::milliseconds rested() const;
   void set_rested(std::chrono::milliseconds rested);
+  /// @return a number that no other connection of this process has; from 1.
+  std::uint64_t number() const;
+  /// @return requests that it carried before the one that was sent last.
+  std::uint32_t carried() const;
 
  private:
   struct State;
--- a/test/gateway/request_reporter_test.cc
+++ b/test/gateway/request_reporter_test.cc
@@ -185,8 +185,8 @@
   });
 }
 
-/// @return the line that a reporter logs for the end of `request`.
-std::string EndLineOf(const GatewayRequest& request) {
+/// @return what a reporter logs during `action`.
+std::string LoggedBy(const std::function<void(RequestReporter&)>& action) {
   std::array<int, 2> ends{};
   REQUIRE(pipe(ends.data()) == 0);
   boost::asio::io_context context;
@@ -194,9 +194,7 @@
   GatewayMetrics metrics;
   EventLog log(ends[1], {});
   RequestReporter reporter(view, metrics, log);
-  RequestEnd end;
-  end.outcome = RequestOutcome::kRefused;
-  reporter.ReportEnd(request, end);
+  action(reporter);
   log.Flush();
   close(ends[1]);
   std::string out(4096, '\0');
@@ -207,6 +205,29 @@
   return out;
 }
 
+std::string EndLineOf(const GatewayRequest& request) {
+  return LoggedBy([&](RequestReporter& reporter) {
+    RequestEnd end;
+    end.outcome = RequestOutcome::kRefused;
+    reporter.ReportEnd(request, end);
+  });
+}
+
+TEST_CASE("A failed attempt's line tells which sending, which connection and whose response") {
+  GatewayRequest request;
+  request.id = "one";
+  request.sends = 3;
+  ServerRecord record;
+  record.id = "i-1";
+  const Server server(std::move(record));
+  AttemptResult result;
+  result.trace = {17, 5, ResponseIdentity::kAbsent};
+  const auto line = LoggedBy(
+      [&](RequestReporter& reporter) { reporter.ReportFailedAttempt(request, server, result); });
+  CHECK(line.find(" server=i-1 sends=3 connection=17 carried=5 response_id=absent ") !=
+        std::string::npos);
+}
+
 TEST_CASE("The line of a request's end names its work, and its pool once it was sent") {
   GatewayRequest request;
   request.id = "one";
@@ -225,13 +246,6 @@
 }
 
 TEST_CASE("Requests open for a while are logged once, so that the log names them after a kill") {
-  std::array<int, 2> ends{};
-  REQUIRE(pipe(ends.data()) == 0);
-  boost::asio::io_context context;
-  FleetView view(context.get_executor());
-  GatewayMetrics metrics;
-  EventLog log(ends[1], {});
-  RequestReporter reporter(view, metrics, log);
   const auto now = BootClock::now();
   GatewayRequest long_open;
   long_open.id = "old-one";
@@ -240,15 +254,10 @@
   recent.id = "young";
   recent.arrival = now;
   const std::set<GatewayRequest*> active = {&long_open, &recent};
-  reporter.LogOpenRequests(active, now);
-  reporter.LogOpenRequests(active, now);
-  log.Flush();
-  close(ends[1]);
-  std::string out(4096, '\0');
-  const ssize_t length = read(ends[0], out.data(), out.size());
-  close(ends[0]);
-  REQUIRE(length > 0);
-  out.resize(static_cast<std::size_t>(length));
+  const std::string out = LoggedBy([&](RequestReporter& reporter) {
+    reporter.LogOpenRequests(active, now);
+    reporter.LogOpenRequests(active, now);
+  });
   CHECK(out.find("event=requests_open ids=old-one\n") != std::string::npos);
   CHECK(out.find("old-one", out.find("old-one") + 1) == std::string::npos);
   CHECK(out.find("young") == std::string::npos);
