A refused request is not sent again over the connection that refused it

Callers saw 503 for requests that ran, and requests that must not run twice ran at two servers. Cause: a response is matched by its request ID, which belongs to the client's attempt, not to the sending. A refused request went back over the connection that had just refused it; where the server sent that refusal again, it was taken for the answer to the later sending, which ran. Class: an answer is matched to a question by a name that several questions share. Ruled out: closing each connection that refused (a new connection for every refusal of a full service); remembering connections in the request's record (a request that comes back over a detour has a new one). Change: a connection remembers, by hash, the requests that it refused, and the pool does not give it to them; after 64 refusals it is closed. It serves other requests, whose IDs differ, as before. The same holds for connections to other daemons. Conclusion: fixed by design for every surplus refusal with an ID; refusals without one and a server's 408 are still red.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -133,7 +133,8 @@
 
 Awaitable<UpstreamConnectionPtr> Forwarder::Connect(const GatewayRequest& request, Server& server) {
   const milliseconds max_idle = std::min(idle_limit_, MaxIdleTime(request));
-  if (UpstreamConnectionPtr idle = pool_.Take(server.connection_key(), max_idle)) co_return idle;
+  if (UpstreamConnectionPtr idle = pool_.Take(server.connection_key(), request.id, max_idle))
+    co_return idle;
   auto fresh = std::make_shared<UpstreamConnection>(context_, server.record().endpoint);
   ++connections_opened_;
   const SteadyTime began = BootClock::now();
@@ -362,6 +363,7 @@
   const unsigned status = request.upstream->status();
   const HttpHeaders headers = request.upstream->headers();
   co_await request.upstream->ReadAll();
+  request.upstream->RecordRefused(request.id);
   ReturnConnection(request, daemon);
   const auto stated = detour::ParseResult(FindHeader(headers, detour::kResultHeader));
   if (FindHeader(headers, protocol_.headers().not_run).empty() || !stated) {
@@ -399,6 +401,7 @@
   const bool not_run = !FindHeader(headers, names.not_run).empty();
   if (status == kMisdirectedStatus || (refused && not_run)) {
     co_await request.upstream->ReadAll();
+    request.upstream->RecordRefused(request.id);
     ReturnConnection(request, server);
     co_return HandleRefusal(headers, status, request, server);
   }
--- a/src/http/upstream_connection.cc
+++ b/src/http/upstream_connection.cc
@@ -1,5 +1,6 @@
 #include "http/upstream_connection.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -23,6 +24,8 @@
 namespace {
 constexpr unsigned kHttp11 = 11;
 constexpr std::size_t kReadChunk = 8 * 1024;
+/// Refused requests that one connection remembers.
+constexpr std::size_t kMaxRefusedRequests = 64;
 constexpr std::uint64_t kMostAnswerBytes = 256ULL * 1024 * 1024;
 using RequestMessage = http::request<http::span_body<char const>>;
 
@@ -59,6 +62,7 @@
   std::chrono::milliseconds rested{0};
   const std::uint64_t number = NextNumber();
   std::uint32_t sent = 0;
+  std::vector<std::size_t> refused;  ///< Hashes of request IDs.
 
   HttpError Failure(HttpStage stage, const error_code& error) const {
     const bool timed_out = cancelled == CancelReason::kTimeLimit;
@@ -190,11 +194,21 @@
 
 CancelReason UpstreamConnection::cancelled() const { return state_->cancelled; }
 
+void UpstreamConnection::RecordRefused(std::string_view request_id) {
+  state_->refused.push_back(std::hash<std::string_view>{}(request_id));
+}
+
+bool UpstreamConnection::HasRefused(std::string_view request_id) const {
+  const std::vector<std::size_t>& refused = state_->refused;
+  return std::find(refused.begin(), refused.end(), std::hash<std::string_view>{}(request_id)) !=
+         refused.end();
+}
+
 bool UpstreamConnection::Reusable() const {
-  return state_->cancelled == CancelReason::kNone && state_->socket.is_open() &&
-         state_->sent_everything_before_answer && !state_->sending && state_->parser &&
-         state_->parser->is_done() && state_->parser->keep_alive() && !state_->parser->need_eof() &&
-         state_->buffer.size() == 0;
+  return state_->refused.size() < kMaxRefusedRequests && state_->cancelled == CancelReason::kNone &&
+         state_->socket.is_open() && state_->sent_everything_before_answer && !state_->sending &&
+         state_->parser && state_->parser->is_done() && state_->parser->keep_alive() &&
+         !state_->parser->need_eof() && state_->buffer.size() == 0;
 }
 
 bool UpstreamConnection::Idle() {
@@ -216,19 +230,21 @@
 
 std::uint32_t UpstreamConnection::carried() const { return std::max(state_->sent, 1U) - 1; }
 
-UpstreamConnectionPtr UpstreamPool::Take(const std::string& server_id,
+UpstreamConnectionPtr UpstreamPool::Take(const std::string& server_id, std::string_view request_id,
                                          std::chrono::milliseconds longest_rest) {
   const auto found = idle_.find(server_id);
   if (found == idle_.end()) return nullptr;
   std::vector<Resting>& resting = found->second;
   const auto now = BootClock::now();
-  while (!resting.empty()) {
-    Resting last = std::move(resting.back());
-    resting.pop_back();
-    const auto rested = std::chrono::duration_cast<std::chrono::milliseconds>(now - last.since);
-    if (now >= last.until || rested > longest_rest || !last.connection->Idle()) continue;
-    last.connection->set_rested(std::max(rested, std::chrono::milliseconds(1)));
-    return last.connection;
+  for (std::size_t after = resting.size(); after > 0; --after) {
+    const auto each = resting.begin() + static_cast<std::ptrdiff_t>(after) - 1;
+    if (each->connection->HasRefused(request_id)) continue;
+    const Resting taken = std::move(*each);
+    resting.erase(each);
+    const auto rested = std::chrono::duration_cast<std::chrono::milliseconds>(now - taken.since);
+    if (now >= taken.until || rested > longest_rest || !taken.connection->Idle()) continue;
+    taken.connection->set_rested(std::max(rested, std::chrono::milliseconds(1)));
+    return taken.connection;
   }
   return nullptr;
 }
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "common/boot_clock.h"
@@ -44,8 +45,15 @@
   /// Ends whatever is under way with an error; any later call does the same.
   void Cancel(CancelReason reason);
   CancelReason cancelled() const;
+  /// Records that the server refused the request, so that the request may be sent again. It must
+  /// not be sent over this connection: the refusal could come a second time there and would be
+  /// taken for the answer to the later sending, which has the same ID.
+  void RecordRefused(std::string_view request_id);
+  /// @return whether RecordRefused was called for that ID, or, rarely, for another one.
+  bool HasRefused(std::string_view request_id) const;
   /// @return whether another request may be sent: the answer was whole, nothing is left over, the
-  /// whole request was sent and neither side wants to close.
+  /// whole request was sent, neither side wants to close, and the refused requests are not too many
+  /// to be remembered.
   bool Reusable() const;
   /// @return whether nothing has come and the peer has not closed, as far as can be seen.
   bool Idle();
@@ -67,9 +75,10 @@
 /// Connections that rest between requests, by the server's id. One thread.
 class UpstreamPool {
  public:
-  /// @return the connection to that server that was used last, if it rested no longer than
-  /// `longest_rest` and shows no sign of an end; or null.
-  UpstreamConnectionPtr Take(const std::string& server_id, std::chrono::milliseconds longest_rest);
+  /// @return the connection to that server that was used last of those that rested no longer than
+  /// `longest_rest`, show no sign of an end and have not refused the request; or null.
+  UpstreamConnectionPtr Take(const std::string& server_id, std::string_view request_id,
+                             std::chrono::milliseconds longest_rest);
   void Give(const std::string& server_id, UpstreamConnectionPtr connection,
             std::chrono::milliseconds keep);
   void Drop(const std::string& server_id) { idle_.erase(server_id); }
