A response without the request's ID is not taken for its answer

Callers saw 503, 429, 421 or 408 for requests that ran, also on their first sending. Cause: a failure without a request ID counted as the answer of the request that waited, as if only a server that could not parse the request sent one. Such a response may belong to another request, or to none: it says nothing about the one that is waiting. Ruled out: reading on until a response names the request (a connection with an unasked response is not to be trusted further); treating such a response as a refusal unless the status is 421. Exception that stays: a 421 that names another incarnation is proof without an ID, since the process at the other end of that connection refuses whatever expects another one. Change: such a response ends the attempt as one that may have run: 502, or a retry elsewhere where the request may be repeated.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -261,7 +261,7 @@
     const HttpHeaders headers = upstream.headers();
     const ResponseIdentity identity = IdentityOf(headers, request);
     const bool informational = upstream.status() < http_status::kOk;
-    // A server that could not parse the request may not know its ID.
+    // Reading on would not show whether it is a surplus response or the only one.
     const bool failure_without_id =
         identity == ResponseIdentity::kAbsent && upstream.status() >= http_status::kBadRequest;
     if (!informational && (identity == ResponseIdentity::kOwn || failure_without_id)) co_return;
@@ -392,6 +392,12 @@
   server.RecordResponse(BootClock::now());
   const unsigned status = request.upstream->status();
   HttpHeaders headers = request.upstream->headers();
+  const bool own = IdentityOf(headers, request) == ResponseIdentity::kOwn;
+  if (!own && !IsFromOtherServer(headers, status, server)) {
+    server.RecordErrorResponse();
+    co_return AttemptResult{AttemptOutcome::kMayHaveRun, status,
+                            "the response does not name the request"};
+  }
   const HeaderNames& names = protocol_.headers();
   const bool sealed = !FindHeader(headers, names.seal).empty();
   NoteLoad(headers, server);
--- a/test/fleet/placement_test.cc
+++ b/test/fleet/placement_test.cc
@@ -173,6 +173,47 @@
   CHECK(unload[0].name.adapter == "z");
 }
 
+TEST_CASE("A server is not ordered to load beyond its memory after its models are undescribed") {
+  // "gone" and "lost" stand for models that a newer configuration has dropped.
+  PlannedServer full = MakeServer("i", {"gone", "lost"});
+  std::vector<std::string> unloaded;
+  std::vector<PlacementStep> steps = Plan({{{"a", ""}, Waiting(5)}}, {full});
+  while (steps.size() == 1 && steps[0].kind == ServerOrderKind::kUnload) {
+    unloaded.push_back(steps[0].name.model);
+    std::erase_if(full.models,
+                  [&](const LoadedModel& held) { return held.name == steps[0].name.model; });
+    full.reserved_for = steps[0].reserved_for;
+    steps = Plan({{{"a", ""}, Waiting(5)}}, {full});
+  }
+  REQUIRE(steps.size() == 1);
+  CHECK(steps[0].kind == ServerOrderKind::kLoad);
+  CHECK(steps[0].name.model == "a");
+  CHECK(unloaded.size() == 2);
+  CHECK(full.models.empty());
+}
+
+TEST_CASE("A model that the configuration dropped is unloaded before models that it describes") {
+  const auto steps = Plan({{{"a", ""}, Waiting(5)}}, {MakeServer("i", {"b", "gone"})});
+  REQUIRE(steps.size() == 1);
+  CHECK(steps[0].kind == ServerOrderKind::kUnload);
+  CHECK(steps[0].name.model == "gone");
+}
+
+TEST_CASE("An adapter is not loaded beside a model of unknown size") {
+  PlannedServer server = MakeServer("i", {"b", "gone"});
+  const std::map<ModelReference, ModelDemand> demand = {{{"b", "a1"}, Waiting(5)}};
+  std::vector<PlacementStep> steps = Plan(demand, {server});
+  REQUIRE(steps.size() == 1);
+  CHECK(steps[0].kind == ServerOrderKind::kUnload);
+  CHECK(steps[0].name == ModelReference{"gone", ""});
+  SECTION("while another server has room for it") {
+    steps = Plan(demand, {server, MakeServer("j", {"b"})});
+    REQUIRE(steps.size() == 1);
+    CHECK(steps[0].kind == ServerOrderKind::kLoad);
+    CHECK(steps[0].server_id == "j");
+  }
+}
+
 TEST_CASE("A plan never exceeds a server's memory or adapter slots, nor orders a server twice") {
   rc::check([] {
     const EngineDescription engine = MakeEngine();
