A server's 408 is relayed as a refusal only if it states that nothing ran

Callers saw 408, a promise that the request has not run, for requests that ran. Cause: of the statuses that promise this (408, 421, 429, 503) the 408 was missing from those that need the server's statement, so it was passed on like any error. Ruled out: passing on the status without its seal, which would still promise. Change: 408 is handled as 429 and 503 are: a refusal with the statement, 502 without it.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -403,7 +403,8 @@
   NoteLoad(headers, server);
   RecordStatement({status, headers, sent_at, sealed}, server);
   const bool refused = status == http_status::kUnavailable ||
-                       status == http_status::kTooManyRequests || status == kMisdirectedStatus;
+                       status == http_status::kTooManyRequests ||
+                       status == http_status::kRequestTimeout || status == kMisdirectedStatus;
   const bool not_run = !FindHeader(headers, names.not_run).empty();
   if (status == kMisdirectedStatus || (refused && not_run)) {
     co_await request.upstream->ReadAll();
