Models that the configuration dropped count as memory on their servers

Cause: the planner takes the size of a held model from the configuration; one that a newer version has dropped counted as nothing, so a full server seemed to have room. Class: what is not described is taken for absent. Ruled out: remembering sizes of earlier versions (a new leader has not seen them); assuming the largest described size (the dropped model may be larger); unloading dropped models at once (an order each, also where a version comes back). Change: while a server holds an undescribed model its free memory is unknown: before anything is loaded there, undescribed models are unloaded, ahead of all others; adapters go to holders without such models first. An undescribed model has no last replica to protect, since no request asks for it. Only suspected: a version that states other sizes for models that are held.

--- a/src/fleet/placement_planner.cc
+++ b/src/fleet/placement_planner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace moorfold {
 
@@ -114,6 +115,12 @@
   return model->weights_mb + model->adapter_mb * static_cast<double>(held.adapters.size());
 }
 
+const LoadedModel* PlacementPlanner::FindUndescribed(const PlannedServer& server) const {
+  const auto found = std::find_if(server.models.begin(), server.models.end(),
+                                  [&](const LoadedModel& held) { return !IsDescribed(held); });
+  return found == server.models.end() ? nullptr : &*found;
+}
+
 double PlacementPlanner::FreeWeightMegabytes(const PlannedServer& server) const {
   double free = engine_.weights_mb;
   for (const LoadedModel& held : server.models) free -= HeldMegabytes(held);
@@ -217,10 +224,12 @@
   std::vector<const LoadedModel*> held;
   for (const LoadedModel& candidate : server.models) held.push_back(&candidate);
   std::sort(held.begin(), held.end(), [&](const LoadedModel* left, const LoadedModel* right) {
-    return RemovalLossOf(left->name) < RemovalLossOf(right->name);
+    return std::pair(IsDescribed(*left), RemovalLossOf(left->name)) <
+           std::pair(IsDescribed(*right), RemovalLossOf(right->name));
   });
   for (const LoadedModel* candidate : held) {
-    if (free >= model.weights_mb) break;
+    // What an undescribed model occupies is known only once it is gone.
+    if (IsDescribed(*candidate) && free >= model.weights_mb) break;
     free += HeldMegabytes(*candidate);
     AddVictim(placement, candidate->name);
   }
@@ -231,7 +240,8 @@
 void PlacementPlanner::AddVictim(Placement& placement, const std::string& model) {
   placement.cost += RemovalLossOf(model) * kPlanningHorizonS + kEvictionOverhead;
   placement.victims.push_back(model);
-  if (ReplicaCount(model) > 1) return;
+  // No request asks for an undescribed model.
+  if (FindDescription(model) == nullptr || ReplicaCount(model) > 1) return;
   if (limits_.may_replace_local_replicas && !FromWeightStore(*placement.server, model))
     placement.replaces_local_replica = true;
   else
@@ -395,6 +405,9 @@
 void PlacementPlanner::PlanAdapter(const ModelReference& name, const ModelDemand& demand) {
   const ModelDescription* model = FindDescription(name.model);
   if (model == nullptr) return;
+  const auto adapter_preference = [this](const PlannedServer& server) {
+    return std::pair(FindUndescribed(server) != nullptr, AdaptersOn(server));
+  };
   PlannedServer* best = nullptr;
   std::size_t holders = 0;
   for (PlannedServer& server : servers_) {
@@ -405,12 +418,17 @@
       continue;
     }
     if (!server.accepts_orders) continue;
-    if (best == nullptr || AdaptersOn(server) < AdaptersOn(*best)) best = &server;
+    if (best == nullptr || adapter_preference(server) < adapter_preference(*best)) best = &server;
   }
   const double requests_per_holder = kAdapterLoadShare * limits_.requests_per_server;
   const bool enough =
       holders > 0 && demand.in_flight <= requests_per_holder * static_cast<double>(holders);
   if (best == nullptr || enough) return;
+  if (const LoadedModel* undescribed = FindUndescribed(*best)) {
+    steps_.push_back({ServerOrderKind::kUnload, best->id, {undescribed->name, ""}, "", false, {}});
+    best->accepts_orders = false;
+    return;
+  }
   const bool room =
       AdaptersOn(*best) < engine_.adapter_slots && FreeWeightMegabytes(*best) >= model->adapter_mb;
   if (room) {
--- a/src/fleet/placement_planner.h
+++ b/src/fleet/placement_planner.h
@@ -123,8 +123,15 @@
   double LoadSeconds(const PlannedServer& server, const ModelDescription& model) const;
   bool LocalCopyExists(const std::string& model) const;
   bool FromWeightStore(const PlannedServer& server, const std::string& model) const;
+  /// @return memory that no described model occupies. An upper bound while the server holds an
+  /// undescribed one, whose size is unknown.
   double FreeWeightMegabytes(const PlannedServer& server) const;
+  /// @return whether the configuration in force describes the model; it may have dropped it.
+  bool IsDescribed(const LoadedModel& held) const { return descriptions_.contains(held.name); }
+  /// @return a held model of unknown size; null: there is none.
+  const LoadedModel* FindUndescribed(const PlannedServer& server) const;
   std::size_t AdaptersOn(const PlannedServer& server) const;
+  /// @return 0 for an undescribed model.
   double HeldMegabytes(const LoadedModel& held) const;
   std::size_t ReplicaCount(const std::string& model) const;
   bool HasPendingReplica(const std::string& model) const { return pending_models_.contains(model); }
--- a/test/fleet/placement_test.cc
+++ b/test/fleet/placement_test.cc
@@ -225,6 +225,8 @@
       for (const std::string& name : names)
         if (planned.models.size() < 2 && *rc::gen::inRange(0, 3) == 0)
           planned.models.push_back({name, {}});
+      if (planned.models.size() < 2 && *rc::gen::inRange(0, 4) == 0)
+        planned.models.push_back({"undescribed", {}});
       if (!planned.models.empty() && *rc::gen::arbitrary<bool>())
         planned.models[0].adapters = {"x", "y"};
       if (*rc::gen::inRange(0, 4) == 0) planned.reserved_for = *rc::gen::elementOf(names);
