A reset during the upload does not make a response without a length complete

Cause: while a request is being sent, a write is pending beside the read of the response. A reset wakes both; the write takes the socket's error, and the read that follows finds the end of the stream, which is how a response without a length ends. Ruled out: treating every such response that ends before the upload does as broken (a server may end its response and read on). Change: a response without a length is broken off if the upload has failed when the end is read; whole responses and streams share that code. HttpClient had the same fault and has the same check.

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -54,9 +54,9 @@
       boost::system::error_code sending;
       co_await http::async_write(stream_, message, asio::redirect_error(use_awaitable, sending));
       // A server may refuse early and stop reading: its answer is there all the same.
-      const bool refused =
+      send_failed_ =
           sending == asio::error::broken_pipe || sending == asio::error::connection_reset;
-      if (sending && !refused) throw system_error(sending);
+      if (sending && !send_failed_) throw system_error(sending);
       stage = HttpStage::kAwaitingAnswer;
       parser_.emplace();
       parser_->body_limit(options.most_body_bytes);
@@ -85,6 +85,9 @@
       chunk.resize(got);
       co_return chunk;
     }
+    // The failed write has taken the socket's error, so a reset looks like the end of the stream.
+    if (parser_->need_eof() && send_failed_)
+      throw Failure(HttpStage::kReadingAnswer, system_error(asio::error::connection_reset));
     co_return std::string();
   }
 
@@ -124,6 +127,7 @@
   Endpoint endpoint_;
   beast::flat_buffer buffer_;
   std::optional<http::response_parser<http::buffer_body>> parser_;
+  bool send_failed_ = false;
   std::chrono::milliseconds progress_timeout_{0};
   Deadline answer_end_{};
 };
--- a/src/http/upstream_connection.cc
+++ b/src/http/upstream_connection.cc
@@ -175,6 +175,9 @@
     chunk.resize(got);
     co_return chunk;
   }
+  // The failed write has taken the socket's error, so a reset looks like the end of the stream.
+  if (state->parser->need_eof() && state->send_failed)
+    throw state->Failure(HttpStage::kReadingAnswer, asio::error::connection_reset);
   co_return std::string();
 }
 
--- /dev/null
+++ b/test/http/early_response_test.cc
@@ -0,0 +1,114 @@
+// Responses that begin while their requests are still being sent.
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <future>
+#include <optional>
+
+#include "common/boot_clock.h"
+#include "http/http_client.h"
+#include "http/upstream_connection.h"
+#include "scripted_server.h"
+
+namespace moorfold {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::seconds;
+
+/// More than the socket buffers of both sides hold.
+constexpr std::size_t kUploadBytes = 64 * 1024 * 1024;
+const std::string kHeadWithoutLength = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+
+/// How reading a response ended.
+struct ReadResult {
+  std::string body;
+  std::optional<HttpStage> failed_at;
+  bool peer_ended = false;
+};
+
+ReadResult Run(asio::io_context& context, const std::function<Awaitable<std::string>()>& exchange) {
+  ReadResult result;
+  asio::co_spawn(context, exchange, [&](const std::exception_ptr& thrown, std::string body) {
+    result.body = std::move(body);
+    if (!thrown) return;
+    try {
+      std::rethrow_exception(thrown);
+    } catch (const HttpError& error) {
+      result.failed_at = error.stage();
+      result.peer_ended = error.peer_ended();
+    }
+  });
+  context.run();
+  return result;
+}
+
+/// Sends an upload and reads the response.
+/// @param begun is fulfilled once the first bytes of the body have been read.
+ReadResult Upload(const Endpoint& endpoint, std::promise<void>& begun) {
+  asio::io_context context(1);
+  UpstreamConnection connection(context, endpoint);
+  return Run(context, [&]() -> Awaitable<std::string> {
+    co_await connection.Connect(BootClock::now() + seconds(20));
+    connection.BeginSend({"POST", "/", {}, ""},
+                         std::make_shared<const std::string>(kUploadBytes, 'u'));
+    co_await connection.ReadHead();
+    std::string body = co_await connection.ReadSome();
+    begun.set_value();
+    body += co_await connection.ReadAll();
+    co_return body;
+  });
+}
+
+TEST_CASE("A response without a length that is reset during the upload is not taken for complete") {
+  // Whether the write or the read meets the reset varies.
+  [[maybe_unused]] const int repetition = GENERATE(range(0, 8));
+  std::promise<void> begun;
+  ScriptedServer server([&](ScriptedConnection& connection) {
+    connection.ReadHead();
+    connection.Write(kHeadWithoutLength + "half");
+    begun.get_future().wait();
+    connection.Reset();
+  });
+  const ReadResult result = Upload(server.endpoint(), begun);
+  CHECK(result.failed_at == HttpStage::kReadingAnswer);
+  CHECK(result.peer_ended);
+}
+
+TEST_CASE("A response without a length that ends during the upload is complete") {
+  std::promise<void> begun;
+  ScriptedServer server([&](ScriptedConnection& connection) {
+    connection.ReadHead();
+    connection.Write(kHeadWithoutLength + "whole");
+    connection.FinishWriting();
+    connection.ReadBody(kUploadBytes);
+  });
+  const ReadResult result = Upload(server.endpoint(), begun);
+  CHECK_FALSE(result.failed_at);
+  CHECK(result.body == "whole");
+}
+
+TEST_CASE("A client that could not send its whole request rejects a response without a length") {
+  ScriptedServer server([&](ScriptedConnection& connection) {
+    connection.ReadHead();
+    connection.Write(kHeadWithoutLength + "half");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    connection.Reset();
+  });
+  asio::io_context context(1);
+  HttpClient client(context);
+  const ReadResult result = Run(context, [&]() -> Awaitable<std::string> {
+    HttpSendOptions options;
+    options.deadline = BootClock::now() + seconds(20);
+    HttpRequest request{"POST", "/", {}, std::string(kUploadBytes, 'u')};
+    const HttpResponse response =
+        co_await client.Send(server.endpoint(), std::move(request), options);
+    co_return response.body;
+  });
+  CHECK(result.failed_at.has_value());
+}
+
+}  // namespace
+}  // namespace moorfold
--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -56,6 +56,11 @@
     socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
     socket_.close(ignored);
   }
+  /// Sends no more; what the caller sends still arrives.
+  void FinishWriting() {
+    boost::system::error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  }
   /// Waits until the caller closes. @return whether it did within `patience`.
   bool AwaitClose(std::chrono::milliseconds patience) {
     const auto give_up = BootClock::now() + patience;
