Responses without end are bounded in time and memory

Callers of a daemon lost all their requests when servers in trouble sent bytes that are no answer and did not end: the daemon kept up to 256 MiB of each body, surplus responses too, and the framing of a chunk without any bound, until its memory was used up. Cause: bodies were read whole before anything was done with them, whether they were to be passed on or thrown away; only heads were bounded, by the library. The unfinished event of a stream was kept whole, too, and searched from its beginning with each piece. Ruled out: one limit for the size of all responses (long sound ones are passed on); reading surplus bodies to the end to save their connection. Change: 32 KiB of a body are held: a shorter one is passed on whole or not at all, a longer one as it arrives if it has the seal, and otherwise it is no response (502). 16 KiB and 100 ms are spent on what is thrown away; a refusal stays one if its body does not end. An event may have 64 KiB, the unread bytes of a connection 16 (of reports and the store 64), a report or the answer to an order 256. A long body that breaks off is not begun again elsewhere. Time: the limit of the attempt, as before, for what may still be a response. Conclusion: whole for servers' responses, reports and orders; processor time of such responses on a small machine is not measured.

--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -19,6 +19,8 @@
 constexpr int kPauseToPlanTimeRatio = 9;
 constexpr milliseconds kReportTimeout{600};
 constexpr milliseconds kPollInterval{150};
+/// Of a report or the answer to an order; a report names some hundred models.
+constexpr std::uint64_t kMaxServerAnswerBytes = 256 * 1024;
 constexpr milliseconds kCompletionTimeout{8'000};
 constexpr milliseconds kFailureBackoff{800};
 constexpr milliseconds kAdapterLoadTime{15};
@@ -370,6 +372,7 @@
                                                                    Endpoint endpoint) {
   HttpSendOptions options;
   options.deadline = BootClock::now() + kReportTimeout;
+  options.most_body_bytes = kMaxServerAnswerBytes;
   try {
     HttpRequest request = protocol_.MakeReportQuery(id);
     const SteadyTime sent_at = BootClock::now();
@@ -414,6 +417,7 @@
                                                          const Endpoint& endpoint) {
   HttpSendOptions options;
   options.deadline = BootClock::now() + LeaderElection::kMaxOrderDuration;
+  options.most_body_bytes = kMaxServerAnswerBytes;
   options.fresh_connection = true;
   try {
     HttpRequest request = protocol_.MakeOrder(order);
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -12,8 +12,10 @@
  public:
   /// @return the unchanged bytes of all events that `bytes` completes; may be empty.
   std::string Take(std::string_view bytes) {
+    // An event's end may have begun in earlier bytes.
+    const std::size_t unsearched = pending_.size() - std::min(pending_.size(), kCrlfEnd.size() - 1);
     pending_.append(bytes);
-    const std::size_t end = EndOfLastEvent();
+    const std::size_t end = EndOfLastEvent(unsearched);
     std::string complete = pending_.substr(0, end);
     pending_.erase(0, end);
     UpdateLastId(complete);
@@ -27,11 +29,16 @@
   void DropPending() { pending_.clear(); }
 
  private:
-  std::size_t EndOfLastEvent() const {
-    const std::size_t plain = pending_.rfind("\n\n");
-    const std::size_t crlf = pending_.rfind("\r\n\r\n");
-    std::size_t end = plain == std::string::npos ? 0 : plain + 2;
-    if (crlf != std::string::npos) end = std::max(end, crlf + 4);
+  static constexpr std::string_view kPlainEnd = "\n\n";
+  static constexpr std::string_view kCrlfEnd = "\r\n\r\n";
+
+  /// @return where the last complete event ends; 0 if none ends at or after `from`.
+  std::size_t EndOfLastEvent(std::size_t from) const {
+    const std::string_view text = std::string_view(pending_).substr(from);
+    std::size_t end = 0;
+    for (const std::string_view mark : {kPlainEnd, kCrlfEnd})
+      if (const std::size_t at = text.rfind(mark); at != std::string_view::npos)
+        end = std::max(end, from + at + mark.size());
     return end;
   }
 
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -27,6 +27,13 @@
 constexpr milliseconds kMinIdleLimit{100};
 constexpr milliseconds kModelMissingTime{1'500};
 constexpr int kMaxForeignResponses = 3;
+/// Bytes of a body that are held before it is passed on: a shorter one is passed on whole or not at
+/// all, and one without a seal must not be longer.
+constexpr std::size_t kMaxHeldBodyBytes = 32 * 1024;
+constexpr std::size_t kMaxEventBytes = 64 * 1024;
+/// Bounds on the rest of a response that is not passed on: a new connection costs less.
+constexpr std::size_t kMaxDiscardedBytes = 16 * 1024;
+constexpr milliseconds kMaxDiscardTime{100};
 
 milliseconds Remaining(SteadyTime end) {
   return std::chrono::duration_cast<milliseconds>(end - BootClock::now());
@@ -265,11 +272,15 @@
     const bool failure_without_id =
         identity == ResponseIdentity::kAbsent && upstream.status() >= http_status::kBadRequest;
     if (!informational && (identity == ResponseIdentity::kOwn || failure_without_id)) co_return;
-    co_await upstream.ReadAll();  // Discards a surplus response to an earlier request.
+    if (!co_await DiscardBody(upstream)) break;  // A surplus response to an earlier request.
   }
   throw HttpError(HttpStage::kAwaitingAnswer, false, "received only responses to other requests");
 }
 
+Awaitable<bool> Forwarder::DiscardBody(UpstreamConnection& upstream) {
+  return upstream.Discard(kMaxDiscardedBytes, kMaxDiscardTime);
+}
+
 void Forwarder::ReturnConnection(const GatewayRequest& request, const Server& server) {
   if (!request.upstream->Reusable()) return;
   const milliseconds keep = KeepAliveTime(request.upstream->headers());
@@ -280,15 +291,42 @@
                                                   GatewayRequest& request, HttpHeaders headers) {
   HttpResponse response;
   response.status = request.upstream->status();
-  response.body = co_await request.upstream->ReadAll();
-  response.headers = EndToEndHeaders(headers);
+  response.body = co_await request.upstream->ReadUpTo(kMaxHeldBodyBytes);
   const unsigned status = response.status;
+  if (!request.upstream->Complete()) {
+    if (FindHeader(headers, protocol_.headers().seal).empty())
+      co_return AttemptResult{AttemptOutcome::kMayHaveRun, status,
+                              "the response has no seal and does not end"};
+    co_return co_await RelayLongBody(exchange, request, std::move(headers),
+                                     std::move(response.body));
+  }
+  response.headers = EndToEndHeaders(headers);
   if (request.client_left) co_return AttemptResult{AttemptOutcome::kClientLeft, status, ""};
   RecordHeadSent(request);
   co_await exchange.Respond(std::move(response));
   co_return AttemptResult{AttemptOutcome::kAnswered, status, ""};
 }
 
+Awaitable<AttemptResult> Forwarder::RelayLongBody(HttpServerExchange& exchange,
+                                                  GatewayRequest& request, HttpHeaders headers,
+                                                  std::string first) {
+  const unsigned status = request.upstream->status();
+  if (request.client_left) co_return AttemptResult{AttemptOutcome::kClientLeft, status, ""};
+  RecordHeadSent(request);
+  co_await exchange.BeginStream(status, EndToEndHeaders(headers));
+  try {
+    for (std::string bytes = std::move(first); !bytes.empty();
+         bytes = co_await request.upstream->ReadSome())
+      co_await exchange.Write(std::move(bytes));
+  } catch (const HttpError& error) {
+    const AttemptOutcome end =
+        request.client_left ? AttemptOutcome::kClientLeft : AttemptOutcome::kBrokenOff;
+    co_return AttemptResult{end, status, error.what(), error.peer_ended()};
+  }
+  co_await exchange.EndStream();
+  co_return AttemptResult{AttemptOutcome::kAnswered, status, ""};
+}
+
 Awaitable<AttemptResult> Forwarder::RelayStream(HttpServerExchange& exchange,
                                                 GatewayRequest& request, const Server& server,
                                                 HttpHeaders headers) {
@@ -303,6 +341,8 @@
       std::string events = splitter.Take(bytes);
       if (ended && !splitter.pending().empty())
         throw HttpError(HttpStage::kReadingAnswer, false, "the stream ended inside an event");
+      if (splitter.pending().size() > kMaxEventBytes)
+        throw HttpError(HttpStage::kReadingAnswer, false, "an event of the stream does not end");
       if (events.empty()) continue;
       if (request.head_sent) RecordEventGap(request, last_events);
       last_events = BootClock::now();
@@ -362,9 +402,8 @@
                                                       const Server& daemon) {
   const unsigned status = request.upstream->status();
   const HttpHeaders headers = request.upstream->headers();
-  co_await request.upstream->ReadAll();
   request.upstream->RecordRefused(request.id);
-  ReturnConnection(request, daemon);
+  if (co_await DiscardBody(*request.upstream)) ReturnConnection(request, daemon);
   const auto stated = detour::ParseResult(FindHeader(headers, detour::kResultHeader));
   if (FindHeader(headers, protocol_.headers().not_run).empty() || !stated) {
     AttemptResult result{AttemptOutcome::kMayHaveRun, status, "the request failed at the daemon"};
@@ -407,9 +446,8 @@
                        status == http_status::kRequestTimeout || status == kMisdirectedStatus;
   const bool not_run = !FindHeader(headers, names.not_run).empty();
   if (status == kMisdirectedStatus || (refused && not_run)) {
-    co_await request.upstream->ReadAll();
     request.upstream->RecordRefused(request.id);
-    ReturnConnection(request, server);
+    if (co_await DiscardBody(*request.upstream)) ReturnConnection(request, server);
     co_return HandleRefusal(headers, status, request, server);
   }
   const bool success = status >= http_status::kOk && status < http_status::kFirstRedirection;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -49,9 +49,15 @@
   Awaitable<AttemptResult> Exchange(HttpServerExchange& exchange, GatewayRequest& request,
                                     Server& server, SteadyTime sent_at, bool last_attempt);
   ResponseIdentity IdentityOf(const HttpHeaders& headers, const GatewayRequest& request) const;
+  /// @return whether the connection can carry another request.
+  static Awaitable<bool> DiscardBody(UpstreamConnection& upstream);
   Awaitable<void> ReadMatchingHead(UpstreamConnection& upstream, const GatewayRequest& request);
   Awaitable<AttemptResult> RelayResponse(HttpServerExchange& exchange, GatewayRequest& request,
                                          HttpHeaders headers);
+  /// Like RelayResponse, for a body of which `first` has been read and more is to come: passes it
+  /// on as it arrives.
+  Awaitable<AttemptResult> RelayLongBody(HttpServerExchange& exchange, GatewayRequest& request,
+                                         HttpHeaders headers, std::string first);
   Awaitable<AttemptResult> RelayStream(HttpServerExchange& exchange, GatewayRequest& request,
                                        const Server& server, HttpHeaders headers);
   AttemptResult HandleRefusal(const HttpHeaders& headers, unsigned status,
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -325,7 +325,9 @@
       return time_left && request.sends < kMaxSends ? NextStep::kTryAgain : NextStep::kGiveUp;
     case AttemptOutcome::kMayHaveRun:
     case AttemptOutcome::kBrokenOff:
-      if (time_left && request.Repeatable() && request.may_have_run < request.route->attempts)
+      // Only a stream can go on at another server after a part of it has been relayed.
+      if (time_left && request.Repeatable() && request.may_have_run < request.route->attempts &&
+          (!request.head_sent || request.route->type == RouteType::kStream))
         return NextStep::kTryAgain;
       return request.head_sent ? NextStep::kBreakOff : NextStep::kGiveUp;
   }
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -23,6 +23,8 @@
 
 namespace {
 constexpr std::size_t kReadChunk = 16 * 1024;
+/// Unread bytes of one connection: a head, or the framing of a chunk.
+constexpr std::size_t kMaxBufferBytes = 64 * 1024;
 constexpr std::size_t kMaxIdlePerEndpoint = 64;
 }  // namespace
 
@@ -125,7 +127,7 @@
 
   beast::tcp_stream stream_;
   Endpoint endpoint_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxBufferBytes};
   std::optional<http::response_parser<http::buffer_body>> parser_;
   bool send_failed_ = false;
   std::chrono::milliseconds progress_timeout_{0};
--- a/src/http/upstream_connection.cc
+++ b/src/http/upstream_connection.cc
@@ -26,7 +26,8 @@
 constexpr std::size_t kReadChunk = 8 * 1024;
 /// Refused requests that one connection remembers.
 constexpr std::size_t kMaxRefusedRequests = 64;
-constexpr std::uint64_t kMostAnswerBytes = 256ULL * 1024 * 1024;
+/// Unread bytes of one connection: a head, or the framing of a chunk.
+constexpr std::size_t kMaxBufferBytes = 16 * 1024;
 using RequestMessage = http::request<http::span_body<char const>>;
 
 std::uint64_t NextNumber() {
@@ -51,7 +52,7 @@
   tcp::socket socket;
   BootTimer timer;
   Endpoint endpoint;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxBufferBytes};
   std::optional<http::response_parser<http::buffer_body>> parser;
   std::shared_ptr<RequestMessage> message;
   std::shared_ptr<const std::string> body;
@@ -136,7 +137,7 @@
 Awaitable<void> UpstreamConnection::ReadHead() {
   const std::shared_ptr<State> state = state_;
   state->parser.emplace();
-  state->parser->body_limit(kMostAnswerBytes);
+  state->parser->body_limit(boost::none);  // Callers bound what they keep.
   error_code error;
   co_await http::async_read_header(state->socket, state->buffer, *state->parser,
                                    asio::redirect_error(use_awaitable, error));
@@ -181,15 +182,37 @@
   co_return std::string();
 }
 
-Awaitable<std::string> UpstreamConnection::ReadAll() {
+Awaitable<std::string> UpstreamConnection::ReadUpTo(std::size_t enough) {
   std::string body;
-  while (true) {
+  while (body.size() < enough) {
     const std::string chunk = co_await ReadSome();
-    if (chunk.empty()) co_return body;
+    if (chunk.empty()) break;
     body += chunk;
   }
+  co_return body;
 }
 
+Awaitable<bool> UpstreamConnection::Discard(std::size_t most_bytes,
+                                            std::chrono::milliseconds longest) {
+  const std::shared_ptr<State> state = state_;
+  const auto ended = std::make_shared<bool>(false);
+  state->timer.expires_after(longest);
+  state->timer.async_wait([state, ended](const error_code& error) {
+    error_code ignored;
+    if (!error && !*ended) state->socket.cancel(ignored);
+  });
+  std::size_t discarded = 0;
+  try {
+    while (!Complete() && discarded < most_bytes) discarded += (co_await ReadSome()).size();
+  } catch (const HttpError&) {  // The caller learns of it from the result.
+  }
+  *ended = true;
+  state->timer.cancel();
+  co_return Complete();
+}
+
+bool UpstreamConnection::Complete() const { return state_->parser && state_->parser->is_done(); }
+
 void UpstreamConnection::Cancel(CancelReason reason) {
   if (state_->cancelled == CancelReason::kNone) state_->cancelled = reason;
   state_->Reset();
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -39,8 +39,15 @@
   /// @return the next bytes of the body; empty at its end.
   /// @throws HttpError (kReadingAnswer) when the answer breaks off.
   Awaitable<std::string> ReadSome();
-  /// Reads the rest of the body. @throws HttpError (kReadingAnswer).
-  Awaitable<std::string> ReadAll();
+  /// Reads the rest of the body, or as much as makes `enough` bytes. @throws HttpError
+  /// (kReadingAnswer).
+  Awaitable<std::string> ReadUpTo(std::size_t enough);
+  /// Drops the rest of the body.
+  /// @return whether it ended within `most_bytes` and `longest`; if not, the connection is not
+  /// reusable.
+  Awaitable<bool> Discard(std::size_t most_bytes, std::chrono::milliseconds longest);
+  /// @return whether the whole body has been read.
+  bool Complete() const;
 
   /// Ends whatever is under way with an error; any later call does the same.
   void Cancel(CancelReason reason);
--- a/test/gateway/pipeline_fixture.h
+++ b/test/gateway/pipeline_fixture.h
@@ -130,6 +130,16 @@
     closed_by_reset_ = error == boost::asio::error::connection_reset;
     return answer;
   }
+  /// Sends `request` and drops what comes until the connection closes. Any thread.
+  void ExchangeAndDrop(const std::string& request) const {
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect({boost::asio::ip::make_address("127.0.0.1"), front_.endpoint().port});
+    boost::asio::write(socket, boost::asio::buffer(request));
+    std::array<char, 4096> chunk{};
+    boost::system::error_code error;
+    while (!error) socket.read_some(boost::asio::buffer(chunk), error);
+  }
   /// Sends `request` and closes the connection as soon as `leave` returns true.
   void SendAndDisconnect(const std::string& request, const std::function<bool()>& leave) {
     boost::asio::io_context context;
--- a/test/http/early_response_test.cc
+++ b/test/http/broken_response_test.cc
@@ -1,4 +1,4 @@
-// Responses that begin while their requests are still being sent.
+// Responses that begin while their requests are still being sent, and responses that do not end.
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
@@ -57,7 +57,7 @@
     co_await connection.ReadHead();
     std::string body = co_await connection.ReadSome();
     begun.set_value();
-    body += co_await connection.ReadAll();
+    body += co_await connection.ReadUpTo(kUploadBytes);
     co_return body;
   });
 }
@@ -110,5 +110,42 @@
   CHECK(result.failed_at.has_value());
 }
 
+TEST_CASE("A client gives up a response that does not end, whatever part of it goes on") {
+  const std::string line(1000, 'x');
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  struct Case {
+    const char* name;
+    std::string prefix;
+    std::string filler;
+  };
+  const Case each = GENERATE_COPY(Case{"the head", head + "X-Long: ", line},
+                                  Case{"the headers", head, "X-More: 1\r\n"},
+                                  Case{"the body", chunked, "3e8\r\n" + line + "\r\n"},
+                                  Case{"a body without a length", head + "\r\n", line},
+                                  Case{"a chunk extension", chunked + "5;a=", line},
+                                  Case{"the trailers", chunked + "0\r\n", "X-More: 1\r\n"});
+  CAPTURE(each.name);
+  ScriptedServer server([&](ScriptedConnection& connection) {
+    connection.ReadHead();
+    connection.Write(each.prefix);
+    while (connection.Write(each.filler)) continue;
+  });
+  asio::io_context context(1);
+  HttpClient client(context);
+  const auto began = BootClock::now();
+  const ReadResult result = Run(context, [&]() -> Awaitable<std::string> {
+    HttpSendOptions options;
+    options.deadline = began + seconds(20);
+    options.most_body_bytes = 64 * 1024;
+    HttpRequest request;
+    const HttpResponse response =
+        co_await client.Send(server.endpoint(), std::move(request), options);
+    co_return response.body;
+  });
+  CHECK(result.failed_at.has_value());
+  CHECK(BootClock::now() - began < seconds(10));
+}
+
 }  // namespace
 }  // namespace moorfold
--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -47,9 +47,11 @@
     buffer_.consume(got);
     return body;
   }
-  void Write(const std::string& bytes) {
-    boost::system::error_code ignored;
-    boost::asio::write(socket_, boost::asio::buffer(bytes), ignored);
+  /// @return whether the caller still takes bytes.
+  bool Write(const std::string& bytes) {
+    boost::system::error_code error;
+    boost::asio::write(socket_, boost::asio::buffer(bytes), error);
+    return !error;
   }
   void Reset() {
     boost::system::error_code ignored;
