A pooled connection with surplus bytes is not used for the next call

The client of reports, orders and the store matches answers to questions by their order on the connection alone, kept a connection whose buffer still held bytes, and did not look whether more had come while it rested. Change: a connection is kept only if nothing is left over, its request was sent whole and its answer had a length, and is taken from the pool only if nothing has come meanwhile, as connections for requests are. Conclusion: mended for surplus bytes that come before the next call; one that comes after it was sent is still taken for its answer.

--- a/src/http/connection_liveness.cc
+++ b/src/http/connection_liveness.cc
@@ -4,6 +4,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <boost/asio/buffer.hpp>
+
 namespace moorfold {
 
 namespace {
@@ -25,4 +27,13 @@
   return taken;
 }
 
+bool IsQuiet(boost::asio::ip::tcp::socket& socket) {
+  if (!socket.is_open()) return false;
+  boost::system::error_code error;
+  socket.non_blocking(true, error);
+  char byte = 0;
+  socket.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, error);
+  return error == boost::asio::error::would_block;
+}
+
 }  // namespace moorfold
--- a/src/http/connection_liveness.h
+++ b/src/http/connection_liveness.h
@@ -16,6 +16,10 @@
 /// hold, so callers go on in either case.
 bool EndWhenPeerIsSilent(boost::asio::ip::tcp::socket& socket);
 
+/// @return whether the socket is open, nothing has come that was not read, and the peer has not
+/// ended the connection, as far as can be seen.
+bool IsQuiet(boost::asio::ip::tcp::socket& socket);
+
 /// Between the last byte from a peer and the first probe, and between two probes: the shortest that
 /// the kernel counts.
 inline constexpr std::chrono::seconds kProbeEvery{1};
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -93,7 +93,13 @@
     co_return std::string();
   }
 
-  bool Reusable() const { return parser_ && parser_->is_done() && parser_->keep_alive(); }
+  /// @return whether the answer was whole, nothing is left over, the whole request was sent and
+  /// neither side wants to close.
+  bool Reusable() const {
+    return parser_ && parser_->is_done() && parser_->keep_alive() && !parser_->need_eof() &&
+           !send_failed_ && buffer_.size() == 0;
+  }
+  bool Idle() { return IsQuiet(stream_.socket()); }
   void Close() { stream_.close(); }
   const Endpoint& endpoint() const { return endpoint_; }
   const http::response_parser<http::buffer_body>& parser() const { return *parser_; }
@@ -138,10 +144,13 @@
  public:
   std::unique_ptr<HttpConnection> Take(const Endpoint& endpoint) {
     const auto idle = idle_.find(endpoint);
-    if (idle == idle_.end() || idle->second.empty()) return nullptr;
-    std::unique_ptr<HttpConnection> connection = std::move(idle->second.back());
-    idle->second.pop_back();
-    return connection;
+    if (idle == idle_.end()) return nullptr;
+    while (!idle->second.empty()) {
+      std::unique_ptr<HttpConnection> connection = std::move(idle->second.back());
+      idle->second.pop_back();
+      if (connection->Idle()) return connection;
+    }
+    return nullptr;
   }
   void Drop(const Endpoint& endpoint) { idle_.erase(endpoint); }
   void Give(std::unique_ptr<HttpConnection> connection) {
--- a/src/http/upstream_connection.cc
+++ b/src/http/upstream_connection.cc
@@ -237,14 +237,7 @@
          !state_->parser->need_eof() && state_->buffer.size() == 0;
 }
 
-bool UpstreamConnection::Idle() {
-  error_code error;
-  if (!state_->socket.is_open()) return false;
-  state_->socket.non_blocking(true, error);
-  char byte = 0;
-  state_->socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-  return error == asio::error::would_block;
-}
+bool UpstreamConnection::Idle() { return IsQuiet(state_->socket); }
 
 const Endpoint& UpstreamConnection::endpoint() const { return state_->endpoint; }
 
