Emulator and soak: servers that refuse, and send refusals twice or without an ID

Cause: no stand-in of ours sent such responses, so neither the end-to-end tests nor the soak could meet the incident's fault; the checker of refusals had nothing to find. Change: a server of the emulator may refuse with a free slot, send a refusal again before its connection's next answer, and send one without an ID before it runs a request; the soak plays that as a series of its own, drawn apart so that the other faults of each seed stay as they were. A caller's end of a connection is told with its port. With many servers the case did not bite, so it has one of each kind.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -417,7 +417,7 @@
 Awaitable<void> Gateway::AnswerDetour(HttpServerExchange& exchange) {
   const std::string_view header = FindHeader(exchange.request().headers, detour::kOriginHeader);
   const std::optional<detour::Origin> origin = detour::ParseOrigin(header);
-  if (!origin || !detours_.Allows(origin->token, exchange.remote_address())) {
+  if (!origin || !detours_.Allows(origin->token, exchange.remote().address)) {
     // An offer of this daemon's previous process, or not a daemon of this fleet.
     co_await pipeline_.DeclineDetour(exchange);
     co_return;
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -530,7 +530,7 @@
                                                 detour::Origin origin) {
   const auto request = std::make_shared<GatewayRequest>();
   request->detour_origin = origin;
-  request->origin_address = exchange.remote_address();
+  request->origin_address = exchange.remote().address;
   request->may_have_run = origin.may_have_run;
   request->arrived = origin.arrived;
   request->first_attempt_counted = origin.first_attempt_counted;
@@ -551,7 +551,7 @@
   request.arrival = BootClock::now();
   request.id = std::string(FindHeader(exchange.request().headers, protocol_.headers().request_id));
   request.detour_origin = detour::Origin{};
-  request.origin_address = exchange.remote_address();
+  request.origin_address = exchange.remote().address;
   const Refusal declined = DeclinedRefusal();
   co_await Refuse(exchange, request, declined);
 }
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -257,10 +257,10 @@
   const HttpRequest& request() const override { return request_; }
   std::string TakeBody() override { return std::move(request_.body); }
   asio::any_io_executor executor() override { return stream_.get_executor(); }
-  std::string remote_address() const override {
+  Endpoint remote() const override {
     error_code error;
     const tcp::endpoint remote = stream_.socket().remote_endpoint(error);
-    return error ? std::string() : remote.address().to_string();
+    return error ? Endpoint{} : Endpoint{remote.address().to_string(), remote.port()};
   }
   bool started() const override { return started_; }
   /// @return whether the connection serves on after this answer; decided once, with its head.
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -30,8 +30,8 @@
   /// @return the request's body, which request() no longer has afterwards.
   virtual std::string TakeBody() = 0;
   virtual boost::asio::any_io_executor executor() = 0;
-  /// @return the caller's IP number.
-  virtual std::string remote_address() const = 0;
+  /// @return the caller's end of the connection; empty if the connection has ended.
+  virtual Endpoint remote() const = 0;
   /// Sends a whole answer. Exactly one of Respond and BeginStream is called.
   virtual Awaitable<void> Respond(HttpResponse response) = 0;
   virtual Awaitable<void> BeginStream(unsigned status, HttpHeaders headers) = 0;
--- a/src/request/model_router.cc
+++ b/src/request/model_router.cc
@@ -312,7 +312,7 @@
             std::to_string(shared_.next_request.fetch_add(1, std::memory_order_relaxed));
   std::optional<ApiError> error = Parse(exchange.request(), call);
   if (!error) {
-    const CallerSlot slot(callers_, exchange.remote_address(), shared_.limits.requests_per_caller);
+    const CallerSlot slot(callers_, exchange.remote().address, shared_.limits.requests_per_caller);
     retries_.Earn();
     FindRoute(call.name)->counters->arrivals.fetch_add(1, std::memory_order_relaxed);
     exchange.OnDisconnect([this, &call] {
--- a/src/request/service_router.cc
+++ b/src/request/service_router.cc
@@ -38,7 +38,7 @@
   const HttpRequest& request() const override { return inner_.request(); }
   std::string TakeBody() override { return inner_.TakeBody(); }
   boost::asio::any_io_executor executor() override { return inner_.executor(); }
-  std::string remote_address() const override { return inner_.remote_address(); }
+  Endpoint remote() const override { return inner_.remote(); }
   Awaitable<void> Respond(HttpResponse response) override {
     answer_ = {response.status, std::string(FindHeader(response.headers, "Content-Type")),
                response.body.substr(0, kKeptAnswerBytes)};
--- a/test/emulator/fault_plan.cc
+++ b/test/emulator/fault_plan.cc
@@ -72,6 +72,25 @@
   }
 }
 
+Awaitable<void> FaultPlan::RunRefusals() {
+  while (!stopped_) {
+    co_await Sleep(milliseconds(Draw(1'000, 4'000)));
+    if (stopped_ || Calm()) continue;
+    Say("surplus_refusals");
+    const auto number =
+        static_cast<std::size_t>(Draw(0, static_cast<int>(platform_.servers().size()) - 1));
+    ServerEmulator* server = platform_.servers()[number].get();
+    server->faults().refusal_share = 0.3;
+    server->faults().repeated_refusal_share = 0.5;
+    server->faults().unnamed_refusal_share = 0.05;
+    co_await Sleep(milliseconds(Draw(1'000, 3'000)));
+    // Another may have its place by then.
+    if (platform_.servers()[number].get() != server) continue;
+    ServerFaults& faults = server->faults();
+    faults.refusal_share = faults.repeated_refusal_share = faults.unnamed_refusal_share = 0;
+  }
+}
+
 Awaitable<void> FaultPlan::RunDrills() {
   while (!stopped_) {
     co_await Sleep(milliseconds(Draw(5'000, 12'000)));
--- a/test/emulator/fault_plan.h
+++ b/test/emulator/fault_plan.h
@@ -33,6 +33,8 @@
   /// One or more gateways are cut off from all servers for some seconds, whatever else goes on;
   /// now and then all of them.
   Awaitable<void> RunCuts();
+  /// Servers refuse requests and send some refusals twice or without an ID, whatever else goes on.
+  Awaitable<void> RunRefusals();
   int limits() const { return limits_; }
   int drills() const { return drills_; }
   /// No fault begins in that time; those from before have ended by its beginning.
--- a/test/emulator/main.cc
+++ b/test/emulator/main.cc
@@ -81,6 +81,8 @@
   FaultPlan limits(platform, addresses, clients, seed + kSeedOfLimits);
   constexpr std::uint64_t kSeedOfCuts = 51;
   FaultPlan cuts(platform, addresses, clients, seed + kSeedOfCuts);
+  constexpr std::uint64_t kSeedOfRefusals = 52;
+  FaultPlan refusals(platform, addresses, clients, seed + kSeedOfRefusals);
   platform.statement_checker().SetExcused([&addresses](auto from, auto) {
     return std::any_of(addresses.begin(), addresses.end(),
                        [&](const GatewayAddress& each) { return each.signalled_until > from; });
@@ -93,7 +95,7 @@
   for (const PlannedSignal& signal : PlanSignals(seed, length, gateways)) {
     boost::asio::co_spawn(context, Expect(signal, addresses), boost::asio::detached);
     if (signal.judged_stop)
-      for (FaultPlan* plan : {&faults, &drills, &cuts})
+      for (FaultPlan* plan : {&faults, &drills, &cuts, &refusals})
         plan->KeepCalm(began + signal.at - kCalmBefore, began + signal.at + kCalmAfter);
   }
   clients.SetStaying(true);
@@ -107,11 +109,13 @@
   // A gateway that follows another one learns of servers by that one's links.
   if (FollowingOf(seed, relays) == Following::kNobody)
     boost::asio::co_spawn(context, cuts.RunCuts(), boost::asio::detached);
+  boost::asio::co_spawn(context, refusals.RunRefusals(), boost::asio::detached);
   context.run_for(length - kFinalFault);
   faults.Stop();
   drills.Stop();
   limits.Stop();
   cuts.Stop();
+  refusals.Stop();
   context.run_for(kFinalFault - kServeAgain - kLastAnswers);
   const ClientCounts before = clients.counts();
   context.run_for(kServeAgain);
--- a/test/emulator/server_emulator.cc
+++ b/test/emulator/server_emulator.cc
@@ -156,7 +156,7 @@
   const std::string id(FindHeader(request.headers, "X-Request-Id"));
   HttpHeaders headers;
   if (!expected.empty() && expected != options_.id) {
-    headers = {{"X-Instance-Id", options_.id}};
+    headers = {{"X-Request-Id", id}, {"X-Instance-Id", options_.id}};
     co_await exchange.Respond(Bare(421, std::move(headers)));
     co_return;
   }
@@ -183,14 +183,31 @@
     co_return;
   }
   const bool changing = options_.engine && model.substr(0, model.find('/')) == changing_;
-  if (running_ >= options_.slots || changing) {
-    headers.push_back({"X-Not-Executed", "1"});
-    co_await exchange.Respond(Bare(503, std::move(headers)));
+  co_await SendSurplus(exchange);
+  if (running_ >= options_.slots || changing || RareChance(faults_.refusal_share)) {
+    co_await SendRefusal(exchange, std::move(headers));
     co_return;
   }
   co_await Run(exchange, id, KindOf(request.target));
 }
 
+Awaitable<void> ServerEmulator::SendRefusal(HttpServerExchange& exchange, HttpHeaders headers) {
+  headers.push_back({"X-Not-Executed", "1"});
+  if (RareChance(faults_.repeated_refusal_share)) repeated_refusals_[exchange.remote()] = headers;
+  co_await exchange.Respond(Bare(503, std::move(headers)));
+}
+
+Awaitable<void> ServerEmulator::SendSurplus(HttpServerExchange& exchange) {
+  if (const auto repeated = repeated_refusals_.extract(exchange.remote())) {
+    ++surplus_refusals_;
+    co_await exchange.Respond(Bare(503, repeated.mapped()));
+  }
+  if (!RareChance(faults_.unnamed_refusal_share)) co_return;
+  ++surplus_refusals_;
+  HttpHeaders unnamed = {{"X-Not-Executed", "1"}};
+  co_await exchange.Respond(Bare(503, std::move(unnamed)));
+}
+
 int ServerEmulator::EventsOf(const std::string& id) {
   constexpr int kShort = 8;
   constexpr int kLong = 60;
--- a/test/emulator/server_emulator.h
+++ b/test/emulator/server_emulator.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 #include <functional>
+#include <map>
 #include <optional>
 #include <random>
 #include <set>
@@ -46,7 +47,11 @@
   double no_answer_share = 0;   ///< Runs, and closes the connection instead of answering.
   double late_order_share = 0;  ///< Orders without an answer, carried out later.
   std::chrono::milliseconds order_lateness{2'000};
-  bool says_leaving = false;  ///< Its answers say that it leaves; its entry does not.
+  double refusal_share = 0;  ///< Refuses although it has a free slot.
+  double repeated_refusal_share =
+      0;  ///< Of refusals: sent again before the connection's next answer.
+  double unnamed_refusal_share = 0;  ///< Runs, after a refusal that names no request.
+  bool says_leaving = false;         ///< Its answers say that it leaves; its entry does not.
 };
 
 /// A server of the platform: keeps its entry in the store, runs requests, carries out orders. What
@@ -77,6 +82,8 @@
   ServerFaults& faults() { return faults_; }
   const ServerOptions& options() const { return options_; }
   std::uint64_t runs() const { return runs_; }
+  /// @return refusals that it sent for no request or a second time.
+  std::uint64_t surplus_refusals() const { return surplus_refusals_; }
 
   /// The body and the seal that any server gives to a request.
   static std::string BodyOf(const std::string& id) { return "answer to " + id + "\n"; }
@@ -93,6 +100,10 @@
 
  private:
   Awaitable<void> Handle(HttpServerExchange& exchange);
+  /// Refuses a request, and may keep the refusal for the connection's next answer.
+  Awaitable<void> SendRefusal(HttpServerExchange& exchange, HttpHeaders headers);
+  /// Sends what a faulty server sends before an answer.
+  Awaitable<void> SendSurplus(HttpServerExchange& exchange);
   Awaitable<void> Run(HttpServerExchange& exchange, const std::string& id, RequestKind kind);
   /// Reads what of the prompt is not kept from requests before.
   Awaitable<void> ReadPrompt(const HttpRequest& request);
@@ -111,6 +122,8 @@
   void TellTenant(const HttpRequest& request, const std::string& id);
   boost::json::array ModelsJson() const;
   bool Chance(double share) { return std::bernoulli_distribution(share)(random_); }
+  /// As Chance, but takes no random number where the share is 0.
+  bool RareChance(double share) { return share > 0 && Chance(share); }
 
   boost::asio::io_context& context_;
   StoreEmulator& store_;
@@ -125,6 +138,8 @@
   std::int64_t order_count_ = 0;
   std::uint32_t running_ = 0;
   std::uint64_t runs_ = 0;
+  std::map<Endpoint, HttpHeaders> repeated_refusals_;  ///< By the caller's end of the connection.
+  std::uint64_t surplus_refusals_ = 0;
   bool draining_ = false;
   bool vanished_ = false;
   bool ended_ = false;
--- a/test/platform/gateway_end_to_end_test.cc
+++ b/test/platform/gateway_end_to_end_test.cc
@@ -66,6 +66,30 @@
   CHECK(deployment.clients->counts().unknown == 0);
 }
 
+TEST_CASE("Refusals that servers repeat or send without an ID make no refused request run") {
+  PlatformOptions options;
+  options.plain_servers = 1;  // A refused request comes back to the same server.
+  options.model_servers = 1;
+  Deployment deployment(1, options);
+  REQUIRE(deployment.RunUntil([&] { return deployment.AllReady(); }));
+  for (const auto& server : deployment.platform.servers()) {
+    server->faults().refusal_share = 0.4;
+    server->faults().repeated_refusal_share = 0.5;
+    server->faults().unnamed_refusal_share = 0.05;
+  }
+  deployment.clients->Start(3);
+  const auto surplus = [&] {
+    std::uint64_t count = 0;
+    for (const auto& server : deployment.platform.servers()) count += server->surplus_refusals();
+    return count;
+  };
+  REQUIRE(deployment.RunUntil([&] { return surplus() >= 20; }));
+  deployment.clients->Stop();
+  deployment.RunUntil([&] { return deployment.clients->running() == 0; });
+  CHECK(deployment.clients->counts().served > 0);
+  CHECK(deployment.platform.checker().violations() == std::vector<std::string>{});
+}
+
 TEST_CASE(
     "Requests are served while the store is down, and the newest configuration applies after") {
   Deployment deployment(1);
