A long response that has begun is not cut off by the limit of one attempt

Ruled out: holding long bodies whole again. Change: once the client has the head, the request's own time holds; a limit that passes while the client reads says nothing about the server; a break is judged as any other (own delay, reachability, idle limit). The case of long bodies compares them byte for byte now, where it counted bytes before; a form of short chunks with long extensions is added. Conclusion: fixed.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -78,30 +78,50 @@
 }  // namespace
 
 /// Publishes the attempt's connection in the request, so that it can be cancelled, and cancels it
-/// when the attempt's time is over.
+/// when the attempt's time is over. A response whose head the client has may take as long as the
+/// request.
 class Forwarder::AttemptGuard {
  public:
   AttemptGuard(GatewayRequest& request, Server& server, UpstreamConnectionPtr upstream,
                const boost::asio::any_io_executor& executor, SteadyTime end)
-      : request_(request), server_(server), timer_(executor, end) {
-    request_.upstream = upstream;
+      : state_(std::make_shared<State>(executor, request, upstream)), server_(server) {
+    request.upstream = std::move(upstream);
     server_.BeginRequest();
-    timer_.async_wait([upstream](const boost::system::error_code& error) {
-      if (!error) upstream->Cancel(CancelReason::kTimeLimit);
-    });
+    Arm(state_, end);
   }
   ~AttemptGuard() {
-    timer_.cancel();
+    state_->request->upstream.reset();
+    state_->request = nullptr;
+    state_->timer.cancel();
     server_.EndRequest();
-    request_.upstream.reset();
   }
   AttemptGuard(const AttemptGuard&) = delete;
   AttemptGuard& operator=(const AttemptGuard&) = delete;
 
  private:
-  GatewayRequest& request_;
+  /// Outlives the guard while the timer's handler is queued.
+  struct State {
+    State(const boost::asio::any_io_executor& executor, GatewayRequest& attempted,
+          UpstreamConnectionPtr used)
+        : timer(executor), request(&attempted), upstream(std::move(used)) {}
+    BootTimer timer;
+    GatewayRequest* request;  ///< Null: the attempt has ended.
+    UpstreamConnectionPtr upstream;
+  };
+
+  static void Arm(const std::shared_ptr<State>& state, SteadyTime end) {
+    state->timer.expires_at(end);
+    state->timer.async_wait([state](const boost::system::error_code& error) {
+      if (error || state->request == nullptr) return;
+      if (state->request->head_sent && BootClock::now() < state->request->expires_at)
+        Arm(state, state->request->expires_at);
+      else
+        state->upstream->Cancel(CancelReason::kTimeLimit);
+    });
+  }
+
+  std::shared_ptr<State> state_;
   Server& server_;
-  BootTimer timer_;
 };
 
 Forwarder::Forwarder(boost::asio::io_context& context, const FleetProtocol& protocol,
@@ -314,14 +334,13 @@
   if (request.client_left) co_return AttemptResult{AttemptOutcome::kClientLeft, status, ""};
   RecordHeadSent(request);
   co_await exchange.BeginStream(status, EndToEndHeaders(headers));
-  try {
-    for (std::string bytes = std::move(first); !bytes.empty();
-         bytes = co_await request.upstream->ReadSome())
-      co_await exchange.Write(std::move(bytes));
-  } catch (const HttpError& error) {
-    const AttemptOutcome end =
-        request.client_left ? AttemptOutcome::kClientLeft : AttemptOutcome::kBrokenOff;
-    co_return AttemptResult{end, status, error.what(), error.peer_ended()};
+  for (std::string bytes = std::move(first); !bytes.empty();
+       bytes = co_await request.upstream->ReadSome()) {
+    co_await exchange.Write(std::move(bytes));
+    if (request.upstream->cancelled() != CancelReason::kTimeLimit) continue;
+    AttemptResult result{AttemptOutcome::kBrokenOff, status, "the client reads too slowly"};
+    result.slow_client = true;
+    co_return result;
   }
   co_await exchange.EndStream();
   co_return AttemptResult{AttemptOutcome::kAnswered, status, ""};
@@ -534,7 +553,7 @@
                                  : AttemptOutcome::kClientLeft;
   const bool unanswered = result.attempt_outcome == AttemptOutcome::kMayHaveRun ||
                           result.attempt_outcome == AttemptOutcome::kBrokenOff;
-  if (unanswered && result.status < http_status::kBadRequest && !own_delay)
+  if (unanswered && result.status < http_status::kBadRequest && !own_delay && !result.slow_client)
     server->RecordFailure(BootClock::now());
   else if (result.attempt_outcome == AttemptOutcome::kAnswered &&
            result.status < http_status::kFirstServerError)
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -135,6 +135,8 @@
   bool refused_with_capacity = false;
   /// Number of servers on which it may have run, if the outcome is that it may have run.
   std::uint32_t runs = 1;
+  /// The time ended while the client took in what had come; says nothing about the server.
+  bool slow_client = false;
   AttemptTrace trace;
 };
 
--- a/test/gateway/endless_response_test.cc
+++ b/test/gateway/endless_response_test.cc
@@ -1,6 +1,5 @@
 // Servers whose bytes come without end until the gateway closes the connection.
 
-#include <algorithm>
 #include <catch2/catch.hpp>
 #include <fstream>
 #include <future>
@@ -48,6 +47,8 @@
        "HTTP/1.1 200 OK\r\n" + kOther + "Content-Length: 4\r\n\r\nbody"},
       {"a chunk extension that does not end",
        "HTTP/1.1 200 OK\r\n" + kSealed + kChunked + "5;a=", kLine},
+      {"short chunks with long extensions", "HTTP/1.1 200 OK\r\n" + kOther + kChunked,
+       "1;a=" + kLine + "\r\nx\r\n"},
       {"trailers without end", "HTTP/1.1 200 OK\r\n" + kSealed + kChunked + "0\r\n",
        "X-More: 1\r\n"},
   };
@@ -86,6 +87,20 @@
   return 0;
 }
 
+/// @return the body that was sent in chunks; empty if its last chunk is missing.
+std::string Unchunk(std::string_view chunked) {
+  std::string body;
+  while (true) {
+    const std::size_t line = chunked.find("\r\n");
+    if (line == std::string_view::npos) return {};
+    const std::size_t size = std::stoul(std::string(chunked.substr(0, line)), nullptr, 16);
+    if (size == 0) return body;
+    body.append(chunked.substr(line + 2, size));
+    if (chunked.size() < line + size + 4) return {};
+    chunked.remove_prefix(line + size + 4);
+  }
+}
+
 TEST_CASE("A response without end that cannot be used fails at once and its connection is closed") {
   for (const EndlessForm& form : UnusableForms()) {
     CAPTURE(form.name);
@@ -115,19 +130,38 @@
 }
 
 TEST_CASE("A long response is passed on whole, as it arrives") {
-  const std::string body(3'000'000, 'b');
+  std::string body;
+  while (body.size() < 3'000'000) body.append(std::to_string(body.size())).append("\n");
   PipelineFixture fixture;
+  std::string response = "HTTP/1.1 200 OK\r\n" + kSealed + "Content-Length: ";
+  response.append(std::to_string(body.size())).append("\r\n\r\n").append(body);
   ScriptedServer server([&](ScriptedConnection& connection) {
-    while (!connection.ReadHead().empty())
-      connection.Write("HTTP/1.1 200 OK\r\n" + kSealed +
-                       "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    while (!connection.ReadHead().empty()) connection.Write(response);
   });
   fixture.SetRoutes({PipelineFixture::MakeRoute(RouteType::kRepeatable)});
   fixture.AddServer("i-1", server.endpoint());
   const std::string answer = fixture.Exchange(Request("4000"));
   CHECK(PipelineFixture::Status(answer) == 200);
-  CHECK(static_cast<std::size_t>(std::count(answer.begin(), answer.end(), 'b')) >= body.size());
-  CHECK(answer.ends_with("\r\n0\r\n\r\n"));
+  CHECK(Unchunk(answer.substr(answer.find("\r\n\r\n") + 4)) == body);
+}
+
+TEST_CASE("A long response that has begun may outlast the limit of one attempt") {
+  constexpr int kPieces = 30;
+  const std::string piece(64 * 1024, 'b');
+  PipelineFixture fixture;
+  ScriptedServer server([&](ScriptedConnection& connection) {
+    if (connection.ReadHead().empty()) return;
+    connection.Write("HTTP/1.1 200 OK\r\n" + kSealed +
+                     "Content-Length: " + std::to_string(kPieces * piece.size()) + "\r\n\r\n");
+    for (int number = 0; number < kPieces; ++number) {
+      connection.Write(piece);
+      std::this_thread::sleep_for(milliseconds(40));  // An attempt has 400 ms.
+    }
+  });
+  fixture.SetRoutes({PipelineFixture::MakeRoute(RouteType::kRepeatable)});
+  fixture.AddServer("i-1", server.endpoint());
+  const std::string answer = fixture.Exchange(Request("4000"));
+  CHECK(Unchunk(answer.substr(answer.find("\r\n\r\n") + 4)).size() == kPieces * piece.size());
 }
 
 TEST_CASE("A long response that breaks off is neither completed nor begun again elsewhere") {
