Only proof that a request did not run is passed on as such, also by other daemons

What callers could see: 503 for a request that ran, where a server sends a 421 of another incarnation that belongs to no request, where a route allows 0 attempts and the request was lost at another daemon, or where a daemon of an earlier build passes on a server's 408. Cause: the exception for a 421 without an ID trusted bytes that belong to no request; runs at a daemon that gave no answer were counted as the route's attempts, which may be 0; responses of other daemons were not held to the rule on IDs. Change: a 421 without an ID marks the server as gone if it names another incarnation, and is no proof; at least one run is counted; responses through daemons need the ID, and a sealed status that promises is none of theirs. Conclusion: stricter than before; the paths through daemons have no test of their own.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -69,6 +69,18 @@
   return load;
 }
 
+/// @return whether clients take the status as a promise that the request has not run and never
+/// will.
+bool PromisesNotRun(unsigned status) {
+  return status == http_status::kUnavailable || status == http_status::kTooManyRequests ||
+         status == http_status::kRequestTimeout || status == kMisdirectedStatus;
+}
+
+/// @return the number of servers on which a request may have run that was lost at another daemon.
+std::uint32_t MostRunsAtDaemon(const GatewayRequest& request) {
+  return std::max(1U, request.route->attempts);
+}
+
 bool IsSystemOnly(std::string_view name, const HeaderNames& names) {
   return std::any_of(
       names.system_only.begin(), names.system_only.end(),
@@ -397,9 +409,16 @@
                                                           const Server& daemon) {
   co_await ReadMatchingHead(*request.upstream, request);
   HttpHeaders headers = request.upstream->headers();
-  if (FindHeader(headers, protocol_.headers().seal).empty())
-    co_return co_await ReadDaemonRefusal(request, daemon);
   const unsigned status = request.upstream->status();
+  const bool sealed = !FindHeader(headers, protocol_.headers().seal).empty();
+  if (IdentityOf(headers, request) != ResponseIdentity::kOwn ||
+      (sealed && PromisesNotRun(status))) {
+    AttemptResult unproven{AttemptOutcome::kMayHaveRun, status,
+                           "the response does not prove that the request did not run"};
+    unproven.runs = MostRunsAtDaemon(request);
+    co_return unproven;
+  }
+  if (!sealed) co_return co_await ReadDaemonRefusal(request, daemon);
   const std::uint32_t runs = detour::ParseResult(FindHeader(headers, detour::kResultHeader))
                                  .value_or(detour::Result{})
                                  .may_have_run;
@@ -426,7 +445,7 @@
   const auto stated = detour::ParseResult(FindHeader(headers, detour::kResultHeader));
   if (FindHeader(headers, protocol_.headers().not_run).empty() || !stated) {
     AttemptResult result{AttemptOutcome::kMayHaveRun, status, "the request failed at the daemon"};
-    result.runs = stated ? stated->may_have_run : request.route->attempts;
+    result.runs = stated ? stated->may_have_run : MostRunsAtDaemon(request);
     co_return result;
   }
   if (!stated->declined) {
@@ -450,9 +469,9 @@
   server.RecordResponse(BootClock::now());
   const unsigned status = request.upstream->status();
   HttpHeaders headers = request.upstream->headers();
-  const bool own = IdentityOf(headers, request) == ResponseIdentity::kOwn;
-  if (!own && !IsFromOtherServer(headers, status, server)) {
+  if (IdentityOf(headers, request) != ResponseIdentity::kOwn) {
     server.RecordErrorResponse();
+    if (IsFromOtherServer(headers, status, server)) server.MarkGone();
     co_return AttemptResult{AttemptOutcome::kMayHaveRun, status,
                             "the response does not name the request"};
   }
@@ -460,9 +479,7 @@
   const bool sealed = !FindHeader(headers, names.seal).empty();
   NoteLoad(headers, server);
   RecordStatement({status, headers, sent_at, sealed}, server);
-  const bool refused = status == http_status::kUnavailable ||
-                       status == http_status::kTooManyRequests ||
-                       status == http_status::kRequestTimeout || status == kMisdirectedStatus;
+  const bool refused = PromisesNotRun(status);
   const bool not_run = !FindHeader(headers, names.not_run).empty();
   if (status == kMisdirectedStatus || (refused && not_run)) {
     request.upstream->RecordRefused(request.id);
@@ -539,7 +556,7 @@
     result = co_await Exchange(exchange, request, *server, sent_at, last_attempt);
   } catch (const HttpError& error) {
     result = {AttemptOutcome::kMayHaveRun, 0, error.what(), error.peer_ended()};
-    if (request.detour_target) result.runs = request.route->attempts;
+    if (request.detour_target) result.runs = MostRunsAtDaemon(request);
     own_delay = upstream->cancelled() == CancelReason::kTimeLimit && contact_.IsOwnDelay(began);
     if (upstream->cancelled() != CancelReason::kCallerLeft && !own_delay)
       RecordUnreachable(request, *server);
--- a/test/gateway/refused_but_ran_test.cc
+++ b/test/gateway/refused_but_ran_test.cc
@@ -80,15 +80,15 @@
       GENERATE(RefusalForm{"503 Service Unavailable", "X-Not-Executed: 1\r\n"},
                RefusalForm{"429 Too Many Requests", "X-Not-Executed: 1\r\n"},
                RefusalForm{"421 Misdirected Request", ""},
-               RefusalForm{"421 Misdirected Request", "X-Instance-Id: i-1\r\n"},
+               RefusalForm{"421 Misdirected Request", "X-Instance-Id: i-9\r\n"},
                RefusalForm{"408 Request Timeout", ""});
   CAPTURE(form.status);
   PipelineFixture fixture;
   std::atomic<int> runs{0};
   ScriptedServer server([&](ScriptedConnection& connection) {
     while (!connection.ReadHead().empty()) {
-      connection.Write(RefusalBytes(form, ""));
       ++runs;
+      connection.Write(RefusalBytes(form, ""));
       connection.Write(kOk);
     }
   });
--- a/test/gateway/request_pipeline_test.cc
+++ b/test/gateway/request_pipeline_test.cc
@@ -266,8 +266,10 @@
 TEST_CASE("A server is no longer used after another incarnation answers at its address") {
   PipelineFixture fixture;
   std::atomic<int> requests{0};
-  ScriptedServer server(Always(
-      "HTTP/1.1 421 Misdirected\r\nX-Instance-Id: i-9\r\nContent-Length: 0\r\n\r\n", &requests));
+  ScriptedServer server(
+      Always("HTTP/1.1 421 Misdirected\r\nX-Request-Id: one\r\nX-Instance-Id: "
+             "i-9\r\nContent-Length: 0\r\n\r\n",
+             &requests));
   fixture.SetRoutes({PipelineFixture::MakeRoute(RouteType::kAtMostOnce)});
   fixture.AddServer("i-1", server.endpoint());
   CHECK(PipelineFixture::Status(fixture.Exchange(PipelineFixture::Request("/p/", "", "300"))) ==
