Servers whose responses do not end, or refuse without a statement, count as failing

Cause: an attempt counted against its server only below status 400 or from 500 on; an unusable 4xx, and a 408, 421 or 429 without the statement, changed nothing, and a server that answers at once looks the least loaded. Ruled out: counting every 4xx against its server (callers cause those). Change: an unsealed response that does not end is no response, as one that breaks off; a refusal without the statement counts as an error; the bounds count bytes as they come, framing included. Conclusion: mended for choice of servers; the cost of extensions is bounded by construction.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -327,8 +327,8 @@
   const unsigned status = response.status;
   if (!request.upstream->Complete()) {
     if (FindHeader(headers, protocol_.headers().seal).empty())
-      co_return AttemptResult{AttemptOutcome::kMayHaveRun, status,
-                              "the response has no seal and does not end"};
+      co_return AttemptResult{AttemptOutcome::kMayHaveRun, 0,
+                              "a response without a seal does not end"};
     co_return co_await RelayLongBody(exchange, request, std::move(headers),
                                      std::move(response.body));
   }
@@ -491,7 +491,7 @@
     co_return AttemptResult{AttemptOutcome::kMayHaveRun, status,
                             "the response lacks its seal or has a content encoding"};
   const bool failed = status >= http_status::kFirstServerError;
-  if (failed) server.RecordErrorResponse();
+  if (failed || refused) server.RecordErrorResponse();
   // A refusal without the "not run" header must not be relayed as a refusal, because the client
   // would take it as a guarantee that the request did not run.
   const bool unusable = refused || (failed && !last_attempt) || (!success && request.head_sent);
--- a/src/http/upstream_connection.cc
+++ b/src/http/upstream_connection.cc
@@ -63,7 +63,8 @@
   std::chrono::milliseconds rested{0};
   const std::uint64_t number = NextNumber();
   std::uint32_t sent = 0;
-  std::vector<std::size_t> refused;  ///< Hashes of request IDs.
+  std::size_t body_bytes_on_wire = 0;  ///< Of the current response, with the framing of chunks.
+  std::vector<std::size_t> refused;    ///< Hashes of request IDs.
 
   HttpError Failure(HttpStage stage, const error_code& error) const {
     const bool timed_out = cancelled == CancelReason::kTimeLimit;
@@ -137,6 +138,7 @@
 Awaitable<void> UpstreamConnection::ReadHead() {
   const std::shared_ptr<State> state = state_;
   state->parser.emplace();
+  state->body_bytes_on_wire = 0;
   state->parser->body_limit(boost::none);  // Callers bound what they keep.
   error_code error;
   co_await http::async_read_header(state->socket, state->buffer, *state->parser,
@@ -166,8 +168,8 @@
     state->parser->get().body().data = chunk.data();
     state->parser->get().body().size = chunk.size();
     error_code error;
-    co_await http::async_read_some(state->socket, state->buffer, *state->parser,
-                                   asio::redirect_error(use_awaitable, error));
+    state->body_bytes_on_wire += co_await http::async_read_some(
+        state->socket, state->buffer, *state->parser, asio::redirect_error(use_awaitable, error));
     if (state->cancelled != CancelReason::kNone) error = asio::error::operation_aborted;
     if (error && error != http::error::need_buffer)
       throw state->Failure(HttpStage::kReadingAnswer, error);
@@ -184,7 +186,7 @@
 
 Awaitable<std::string> UpstreamConnection::ReadUpTo(std::size_t enough) {
   std::string body;
-  while (body.size() < enough) {
+  while (state_->body_bytes_on_wire < enough) {
     const std::string chunk = co_await ReadSome();
     if (chunk.empty()) break;
     body += chunk;
@@ -200,9 +202,10 @@
   state->timer.async_wait([state, ended](const error_code& error) {
     if (!error && !*ended) state->Reset();
   });
-  std::size_t discarded = 0;
+  const std::size_t already_read = state->body_bytes_on_wire;
   try {
-    while (!Complete() && discarded < most_bytes) discarded += (co_await ReadSome()).size();
+    while (!Complete() && state->body_bytes_on_wire - already_read < most_bytes)
+      co_await ReadSome();
   } catch (const HttpError&) {  // The caller learns of it from the result.
   }
   *ended = true;
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -39,8 +39,9 @@
   /// @return the next bytes of the body; empty at its end.
   /// @throws HttpError (kReadingAnswer) when the answer breaks off.
   Awaitable<std::string> ReadSome();
-  /// Reads the rest of the body, or as much as makes `enough` bytes. @throws HttpError
-  /// (kReadingAnswer).
+  /// Reads the rest of the body, or until `enough` bytes of it, with the framing of chunks, have
+  /// come.
+  /// @throws HttpError (kReadingAnswer).
   Awaitable<std::string> ReadUpTo(std::size_t enough);
   /// Drops the rest of the body.
   /// @return whether it ended within `most_bytes` and `longest`; if not, the connection is of no
--- a/test/gateway/endless_response_test.cc
+++ b/test/gateway/endless_response_test.cc
@@ -49,6 +49,9 @@
        "HTTP/1.1 200 OK\r\n" + kSealed + kChunked + "5;a=", kLine},
       {"short chunks with long extensions", "HTTP/1.1 200 OK\r\n" + kOther + kChunked,
        "1;a=" + kLine + "\r\nx\r\n"},
+      {"an error of short chunks with long extensions",
+       "HTTP/1.1 500 Bad\r\nX-Request-Id: one\r\n" + kChunked,
+       "1;a=" + std::string(12'000, 'x') + "\r\nx\r\n"},
       {"trailers without end", "HTTP/1.1 200 OK\r\n" + kSealed + kChunked + "0\r\n",
        "X-More: 1\r\n"},
   };
@@ -117,6 +120,36 @@
   }
 }
 
+TEST_CASE("Servers whose responses do not end are avoided, whatever their status") {
+  const std::string status = GENERATE("404 None", "500 Bad", "429 Many");
+  const EndlessForm form{"", "HTTP/1.1 " + status + "\r\nX-Request-Id: one\r\n" + kChunked, kChunk};
+  PipelineFixture fixture;
+  std::atomic<int> closed{0};
+  ScriptedServer endless(Endless(form, closed));
+  ScriptedServer sound([](ScriptedConnection& connection) {
+    while (!connection.ReadHead().empty()) {
+      std::this_thread::sleep_for(milliseconds(30));
+      connection.Write("HTTP/1.1 200 OK\r\n" + kSealed + "Content-Length: 0\r\n\r\n");
+    }
+  });
+  fixture.SetRoutes({PipelineFixture::MakeRoute(RouteType::kAtMostOnce)});
+  constexpr int kFaulty = 4;
+  for (int number = 0; number < kFaulty; ++number)
+    fixture.AddServer("i-" + std::to_string(number), endless.endpoint());
+  fixture.AddServer("i-9", sound.endpoint());
+  constexpr int kRequests = 40;
+  std::vector<std::future<unsigned>> clients;
+  for (int number = 0; number < kRequests; ++number) {
+    clients.push_back(std::async(std::launch::async, [&fixture] {
+      return PipelineFixture::Status(fixture.Exchange(Request("4000")));
+    }));
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  int served = 0;
+  for (std::future<unsigned>& client : clients) served += client.get() == 200 ? 1 : 0;
+  CHECK(served >= kRequests - 2 * kFaulty);
+}
+
 TEST_CASE("A refusal with a body without end is a refusal, and its connection is closed") {
   const EndlessForm form{
       "", "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Request-Id: one\r\n" + kChunked, kChunk};
