A test's daemon has a port that no outgoing connection is given

What was seen: outlook_test failed once in a run of all tests beside other runs: the follower could not listen, its address was in use. Cause: the port was free for datagrams only and lay in the range of outgoing connections; a daemon listens there by TCP, too. Change: the port is held for the run, below that range (FreePorts). Not reproduced on purpose.

--- a/test/outlook/outlook_end_to_end_test.cc
+++ b/test/outlook/outlook_end_to_end_test.cc
@@ -1,8 +1,11 @@
 // Runs complete gateways against the emulated platform with a slow weight store.
 
+#include <unistd.h>
+
 #include <boost/asio/ip/udp.hpp>
 
 #include "fleet/fleet_messages.h"
+#include "free_ports.h"
 #include "gateway_deployment.h"
 
 namespace moorfold {
@@ -40,13 +43,6 @@
   CHECK(deployment.platform.checker().violations() == std::vector<std::string>{});
 }
 
-/// @return a UDP port of the loopback address that is free at the moment.
-std::uint16_t FreeUdpPort(boost::asio::io_context& context) {
-  const boost::asio::ip::udp::socket socket(context,
-                                            {boost::asio::ip::make_address("127.0.0.1"), 0});
-  return socket.local_endpoint().port();
-}
-
 TEST_CASE("A load outlook from a sender other than the leader is dropped") {
   // Guards against a daemon that has lost the leadership, or a stray sender, blocking a model.
   Deployment deployment(1);
@@ -55,7 +51,8 @@
   const platform::Protocol protocol;
   platform::StoreClient store(deployment.context, deployment.platform.store_for(1), {});
   GatewaySettings settings = GatewayUnderTest::Settings("follower", 0);
-  settings.peer.port = FreeUdpPort(deployment.context);
+  FreePorts ports(static_cast<int>(::getpid()));
+  settings.peer.port = ports.Next();
   Gateway follower(deployment.context, settings, store, protocol, log);
   follower.Start();
   REQUIRE(deployment.RunUntil([&] { return follower.metrics().configuration_version >= 1; }));
