Scripted server: a script that resets its connection does not race with the server's end

What was seen: the thread sanitizer reported a data race in http_test, whose new cases reset connections from scripts: the script closed the socket while the server's destructor read its descriptor. Cause: only the test's own server; http_test had no scripted server before. Change: closing and ending a connection hold a lock, and a closed one is not ended.

--- a/test/support/scripted_server.h
+++ b/test/support/scripted_server.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -54,6 +55,7 @@
     return !error;
   }
   void Reset() {
+    const std::lock_guard lock(closing_);
     boost::system::error_code ignored;
     socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
     socket_.close(ignored);
@@ -77,10 +79,14 @@
     return false;
   }
   /// Any thread.
-  void Shutdown() { ::shutdown(socket_.native_handle(), SHUT_RDWR); }
+  void Shutdown() {
+    const std::lock_guard lock(closing_);
+    if (socket_.is_open()) ::shutdown(socket_.native_handle(), SHUT_RDWR);
+  }
 
  private:
   tcp::socket socket_;
+  std::mutex closing_;  ///< Held where the socket is closed or another thread ends it.
   boost::asio::streambuf buffer_;
 };
 
