--- a/test/gateway/pipeline_fixture.h
+++ b/test/gateway/pipeline_fixture.h
@@ -22,8 +22,10 @@
 /// A request pipeline behind an HTTP server on loopback; the test sets up servers and routes.
 class PipelineFixture {
  public:
-  explicit PipelineFixture(PipelineSettings settings = {"z"})
-      : log_(-1, {}),
+  /// @param log_descriptor where the log goes; -1: nowhere.
+  explicit PipelineFixture(PipelineSettings settings = {"z"}, int log_descriptor = -1,
+                           EventLog::Options log_options = {})
+      : log_(log_descriptor, log_options),
         view_(context_.get_executor()),
         quarantine_(context_, {}, log_, metrics_.quarantine, SingleDaemonPorts()),
         quota_(context_, {std::chrono::seconds(8), 0.1, 0}, "self", metrics_.quota,
