Soak of refusals: servers that refuse long bodies early, refuse twice and lose answers, with daemons cut, killed and paused

Cause: no run of ours brought together what the record has: long bodies that may run once only, refusals before the body is in, refusals that come again up to three answers later, lost answers, and daemons that are killed, stand still or send through other daemons. Change: a server that reads its sockets itself through 4 kB buffers; `REFUSALS=N scripts/soak_faults.sh SEED SECONDS GATEWAYS` plays it against gateways as processes with the signals of the seed, and looks up each promise in its gateway's log; BUILD=COMMIT plays another build.

--- a/scripts/soak_faults.sh
+++ b/scripts/soak_faults.sh
@@ -5,6 +5,9 @@
 # PRODUCTION=COMMIT begins with gateways of that build; each that is started again is of this one. The
 # build is made once, outside the tree.
 # QUARANTINE_SERVERS=0 plays without the quarantine of requests under which servers end.
+# REFUSALS=N plays servers that refuse early, refuse twice and lose answers, N of each service, and checks
+# that each promise "not run" has a line with the request's ID in its gateway's log.
+# BUILD=COMMIT plays with gateways of that build only.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 seed=${1:?SEED}
@@ -14,17 +17,19 @@
 # Copies: a build meanwhile must not change the programs, nor keep them from being started.
 cp build/release/platform/moorfold-gateway build/release/test/moorfold-emulator "$folder"
 declare -a pids
-production=${PRODUCTION:-}
-if [ -n "$production" ]; then
-  built="${XDG_CACHE_HOME:-$HOME/.cache}/moorfold-builds/$production"
+gateway_of() {  # COMMIT: prints the path of that build's gateway
+  local built="${XDG_CACHE_HOME:-$HOME/.cache}/moorfold-builds/$1"
   if [ ! -x "$built/build/platform/moorfold-gateway" ]; then
     mkdir -p "$built"
-    git archive "$production" | tar -x -C "$built"
+    git archive "$1" | tar -x -C "$built"
     cmake -S "$built" -B "$built/build" -G Ninja -DCMAKE_BUILD_TYPE=Release -DMOORFOLD_ONLY_GATEWAY=ON >/dev/null
     cmake --build "$built/build" >/dev/null
   fi
-  cp "$built/build/platform/moorfold-gateway" "$folder/moorfold-gateway-before"
-fi
+  echo "$built/build/platform/moorfold-gateway"
+}
+production=${PRODUCTION:-}
+[ -n "$production" ] && cp "$(gateway_of "$production")" "$folder/moorfold-gateway-before"
+[ -n "${BUILD:-}" ] && cp "$(gateway_of "$BUILD")" "$folder/moorfold-gateway"
 # Which program each gateway runs, and since when all run this build's.
 declare -A programs
 replaced=0
@@ -111,7 +116,7 @@
 relays=--relays
 [ -n "$production" ] && relays=
 "$folder/moorfold-emulator" --seed "$seed" --seconds "$length" --gateways $gateways $relays \
-  --quarantine-servers "${QUARANTINE_SERVERS:-3}" --folder "$folder" >"$folder/emulator.log" 2>&1 &
+  --refusals "${REFUSALS:-0}" --quarantine-servers "${QUARANTINE_SERVERS:-3}" --folder "$folder" >"$folder/emulator.log" 2>&1 &
 emulator=$!
 for _ in $(seq 100); do
   grep -q event=ready "$folder/emulator.log" && break
@@ -152,14 +157,29 @@
 for number in $(seq 0 $((gateways - 1))); do kill -TERM "${pids[$number]}" 2>/dev/null; done
 wait
 grep -E 'event=(soak|violation)|^crashing (requests|parts)|^tenants:|^drills:|^limits:|^cuts from servers|^gateway-[0-9]+:' "$folder/emulator.log"
-requests_by_pool() { cat "$folder"/gateway-*.log | grep "event=request_end .*work=$1" | grep -c "pool=$2"; }
-paced=$(requests_by_pool paced own)
-long_prompts=$(requests_by_pool long_prompt own)
-echo "separation: paced $paced (other pool $(requests_by_pool paced other)), long prompts $long_prompts (other pool $(requests_by_pool long_prompt other))"
-if [ -z "$production" ] && { [ "$paced" -eq 0 ] || [ "$long_prompts" -eq 0 ]; }; then
+requests_by_pool() {
+  cat "$folder"/gateway-*.log | grep "event=request_end .*work=$1" | grep -c "pool=$2"
+}
+check_separation() {
+  local paced long_prompts
+  paced=$(requests_by_pool paced own)
+  long_prompts=$(requests_by_pool long_prompt own)
+  echo "separation: paced $paced (other pool $(requests_by_pool paced other)), long prompts $long_prompts (other pool $(requests_by_pool long_prompt other))"
+  if [ -n "$production" ] || { [ "$paced" -gt 0 ] && [ "$long_prompts" -gt 0 ]; }; then return; fi
   echo "no request was placed by separation"
   status=1
-fi
+}
+check_promises() {
+  local without_line=0 id number promised
+  while read -r id number promised; do
+    grep -qs "event=request_end id=$id .*status=$promised" "$folder/gateway-$number.log" && continue
+    without_line=$((without_line + 1))
+    echo "no line: $id status=$promised gateway-$number" >>"$folder/without-line.log"
+  done <"$folder/promised.txt"
+  echo "promises: $(wc -l <"$folder/promised.txt"), without a line in the log $without_line"
+  [ "$without_line" -eq 0 ] || status=1
+}
+if [ -n "${REFUSALS:-}" ]; then check_promises; else check_separation; fi
 if [ -n "$production" ]; then
   unread=$(cat "$folder"/gateway-*.log | grep -c 'event=datagram_dropped.*received:')
   broken=$(grep -c event=violation "$folder/emulator.log")
--- a/test/emulator/emulated_platform.cc
+++ b/test/emulator/emulated_platform.cc
@@ -110,6 +110,12 @@
   Serve(servers_.size() - 1);
 }
 
+Endpoint EmulatedPlatform::AddLinksTo(const Endpoint& server) {
+  server_links_.push_back(std::make_unique<ServerLinks>(context_, options_.gateways, server));
+  server_links_.back()->Start();
+  return server_links_.back()->endpoint(0);
+}
+
 void EmulatedPlatform::Serve(std::size_t number) {
   ServerEmulator& server = *servers_.at(number);
   server.Announce(server_links_.at(number)->endpoint(0));
--- a/test/emulator/emulated_platform.h
+++ b/test/emulator/emulated_platform.h
@@ -63,6 +63,9 @@
   BootClock::time_point WrittenAt(std::int64_t version) const;
   std::vector<std::unique_ptr<ServerEmulator>>& servers() { return servers_; }
   ServerLinks& server_links(std::size_t number) { return *server_links_.at(number); }
+  /// Puts links before a server that is not one of the platform's own; only where it has none.
+  /// @return the address that the server is to announce.
+  Endpoint AddLinksTo(const Endpoint& server);
   /// Cuts one gateway off from all servers, also those that come later, or ends that.
   void CutFromServers(int gateway, ServerCut cut);
   /// One gateway reaches the servers that there are now over that link.
--- a/test/emulator/main.cc
+++ b/test/emulator/main.cc
@@ -16,6 +16,7 @@
 #include "emulated_platform.h"
 #include "fault_plan.h"
 #include "gateway_files.h"
+#include "refusal_play.h"
 #include "signal_plan.h"
 
 namespace moorfold {
@@ -182,9 +183,18 @@
   TCLAP::SwitchArg signals("", "print-signals",
                            "only prints the signals of that seed: seconds, kind, gateway, length",
                            line.tclap());
+  TCLAP::ValueArg<int> refusals("", "refusals",
+                                "plays servers that refuse and send refusals again, so many of "
+                                "each service; 0: plays all other faults",
+                                false, 0, "N", line.tclap());
   TCLAP::SwitchArg relays("", "relays", "the gateways know relays: some seeds play them",
                           line.tclap());
   if (!line.Parse(arguments)) return kExitDone;
+  if (!signals.getValue() && refusals.getValue() > 0) {
+    const RefusalPlayOptions options{seed.getValue(), seconds(length.getValue()),
+                                     gateways.getValue(), refusals.getValue()};
+    return RunRefusalPlay(options, folder.getValue());
+  }
   if (!signals.getValue())
     return RunSoak(seed.getValue(), seconds(length.getValue()), gateways.getValue(),
                    quarantine_servers.getValue(), relays.getValue(), folder.getValue());
--- a/test/emulator/promise_checker.cc
+++ b/test/emulator/promise_checker.cc
@@ -22,11 +22,12 @@
 constexpr double kLateWorkShare = 0.25;
 constexpr double kRecoveredShare = 0.25;
 
-bool Promises(unsigned status) {
+}  // namespace
+
+bool PromiseChecker::Promises(unsigned status) {
   return status == kTimeout || status == kMisdirected || status == kTooMany ||
          status == kUnavailable;
 }
-}  // namespace
 
 void PromiseChecker::Violate(const std::string& promise, const std::string& what) {
   violations_.push_back(promise + ": " + what);
--- a/test/emulator/promise_checker.h
+++ b/test/emulator/promise_checker.h
@@ -69,6 +69,9 @@
 
   explicit PromiseChecker(Bounds bounds) : bounds_(bounds) {}
 
+  /// @return whether the status promises that the request did not run and never will.
+  static bool Promises(unsigned status);
+
   void Sent(const std::string& id, RequestKind kind);
   /// Whoever took that request may know servers as they were for a reason; asked when it matters.
   using MayBeBehind = std::function<bool(const std::string& id)>;
