A refusal that promises that nothing ran is in the log before the client has it

Callers saw refusals (408, 429, 503) of which no log names the request; an incident of such refusals could not be traced. Cause: lines waited up to 0.5 s or 4 kB in the process and went with a kill; the bound a second and a full output dropped them; the HTTP server answered 408 without any line; what the attempts had been stood on lines of a lower rank. Ruled out: waiting for the output without a bound (requests would hang with the log's reader); keeping such lines in a reserve (gone with a kill). Change: the line of a request that is refused with a promise is written through to the output before the answer, whatever the bound. If the output takes no line for 0.1 s, the client gets 502 instead, which promises nothing (`not_logged`, moorfold_refusals_not_logged_total). Requests that cannot be read go through the pipeline's report, with the ID as far as the head was read; a handler's exception has a line, too. `request_end` of what was not served lists every attempt: server, connection, what that had carried, whose ID the response had, status. log_lines_per_second 0 leaves just the refusals' lines. Conclusion: with an output that is read, each promise has its line, also if the process is killed next. A closed output (its reader is gone for good) counts as no log, and promises are given.

--- a/src/common/event_log.cc
+++ b/src/common/event_log.cc
@@ -3,6 +3,8 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <cerrno>
+
 #include "common/boot_clock.h"
 
 namespace moorfold {
@@ -50,15 +52,37 @@
     ++lost_;
     return;
   }
-  pending_ += "t_us=" + std::to_string(MicrosecondsNow()) + " " + line.text() + "\n";
+  pending_ += Timed(line);
   if (pending_.size() >= kFlushBytes) Flush();
 }
 
+bool EventLog::WriteThrough(const EventLine& line) {
+  Flush();
+  if (!pending_.empty()) return false;
+  const std::string text = Timed(line);
+  const std::size_t taken = HandOver(text);
+  // The rest of a line that was taken in part follows with the next lines.
+  if (taken > 0) pending_ = text.substr(taken);
+  if (closed_) ++lost_;
+  return closed_ || taken == text.size();
+}
+
+std::string EventLog::Timed(const EventLine& line) {
+  return "t_us=" + std::to_string(MicrosecondsNow()) + " " + line.text() + "\n";
+}
+
+std::size_t EventLog::HandOver(std::string_view text) {
+  const ssize_t written = ::write(descriptor_, text.data(), text.size());
+  if (written < 0) closed_ = errno == EPIPE || errno == EBADF;
+  return written > 0 ? static_cast<std::size_t>(written) : 0;
+}
+
 void EventLog::Flush() {
   while (!pending_.empty()) {
-    const ssize_t written = ::write(descriptor_, pending_.data(), pending_.size());
-    if (written <= 0) return;  // Full or closed: tried again with the next lines.
-    pending_.erase(0, static_cast<std::size_t>(written));
+    const std::size_t taken = HandOver(pending_);
+    if (closed_) pending_.clear();
+    if (taken == 0) return;  // Tried again with the next lines.
+    pending_.erase(0, taken);
   }
 }
 
--- a/src/common/event_log.h
+++ b/src/common/event_log.h
@@ -16,7 +16,8 @@
 };
 
 /// Lines of key=value pairs on standard output. Never blocks: when the output does not take them,
-/// or more than a number come in a second, lines are left out and counted. One thread.
+/// or more than a number come in a second, lines are left out and counted. A line that must not be
+/// lost is written through: it survives the end of the process. One thread.
 class EventLog {
  public:
   struct Options {
@@ -35,6 +36,10 @@
   EventLog(int descriptor, Options options);
 
   void Write(LogRank rank, const EventLine& line);
+  /// Writes a line that the bound does not concern, and hands it to the output at once.
+  /// @return whether the output has taken it; if not, the line is not written. True for an output
+  /// that is closed: it will never take one.
+  bool WriteThrough(const EventLine& line);
   /// Hands the lines written so far to the output, as far as it takes them.
   void Flush();
   std::uint64_t lost() const { return lost_; }
@@ -42,10 +47,15 @@
  private:
   bool Admit(LogRank rank);
   void NoteLosses();
+  /// @return how many bytes the output has taken.
+  std::size_t HandOver(std::string_view text);
+  /// @return `line` as it is written, with the time.
+  static std::string Timed(const EventLine& line);
 
   int descriptor_;
   Options options_;
   std::string pending_;
+  bool closed_ = false;  ///< Nobody reads the output any more.
   std::int64_t second_ = 0;
   std::uint32_t lines_this_second_ = 0;
   std::uint32_t routine_this_second_ = 0;
--- a/src/common/log_event.h
+++ b/src/common/log_event.h
@@ -183,6 +183,7 @@
   kConnection,
   kCarried,
   kResponseId,
+  kAttempts,
 };
 inline constexpr std::array kLogFieldNames = {"id",
                                               "ids",
@@ -263,7 +264,8 @@
                                               "loop_late_share",
                                               "connection",
                                               "carried",
-                                              "response_id"};
+                                              "response_id",
+                                              "attempts"};
 
 /// @return the name as it stands in the log.
 constexpr const char* Name(LogEvent event) {
@@ -273,7 +275,7 @@
   return kLogFieldNames[static_cast<std::size_t>(field)];
 }
 static_assert(kLogEventNames.size() == static_cast<std::size_t>(LogEvent::kLogLinesLeftOut) + 1);
-static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kResponseId) + 1);
+static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kAttempts) + 1);
 
 /// One line of a gateway's log, made only of listed events and fields.
 class EventLine {
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -28,9 +28,10 @@
   return {status, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(text)};
 }
 
-HttpResponse RejectUnread(unsigned status, const std::string& reason) {
-  const bool ours = status >= http_status::kFirstServerError;
-  return ToResponse({status, ours ? "internal_error" : "unreadable_request", reason,
+HttpResponse RejectUnread(const RejectedRequest& rejected) {
+  const bool ours = rejected.status >= http_status::kFirstServerError;
+  return ToResponse({rejected.status, ours ? "internal_error" : "unreadable_request",
+                     rejected.reason,
                      ours ? "report this" : "send a complete HTTP/1.1 request within the limits",
                      ours ? Executed::kUnknown : Executed::kNo, std::nullopt});
 }
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -69,13 +69,6 @@
   return load;
 }
 
-/// @return whether clients take the status as a promise that the request has not run and never
-/// will.
-bool PromisesNotRun(unsigned status) {
-  return status == http_status::kUnavailable || status == http_status::kTooManyRequests ||
-         status == http_status::kRequestTimeout || status == kMisdirectedStatus;
-}
-
 /// @return the number of servers on which a request may have run that was lost at another daemon.
 std::uint32_t MostRunsAtDaemon(const GatewayRequest& request) {
   return std::max(1U, request.route->attempts);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -97,8 +97,8 @@
   return {status, {{"Content-Type", "text/plain"}}, std::move(text)};
 }
 
-HttpResponse Reject(unsigned status, const std::string& reason) {
-  return Plain(status, "the request cannot be read: " + reason + "\n");
+HttpResponse RejectCall(const RejectedRequest& rejected) {
+  return Plain(rejected.status, "the request cannot be read: " + rejected.reason + "\n");
 }
 
 }  // namespace
@@ -226,15 +226,16 @@
   const std::vector<boost::asio::io_context*> contexts = {&context_};
   client_server_ = std::make_unique<HttpServer>(
       contexts, settings_.listen, HttpServerLimits{},
-      [this](HttpServerExchange& exchange) { return pipeline_.Handle(exchange); }, Reject);
+      [this](HttpServerExchange& exchange) { return pipeline_.Handle(exchange); },
+      [this](const RejectedRequest& rejected) { return pipeline_.Reject(rejected); });
   overload_.Watch(*client_server_);
   readiness_server_ = std::make_unique<HttpServer>(
       contexts, settings_.readiness, HttpServerLimits{},
-      [this](HttpServerExchange& exchange) { return AnswerReadiness(exchange); }, Reject);
+      [this](HttpServerExchange& exchange) { return AnswerReadiness(exchange); }, RejectCall);
   if (!settings_.metrics) return;
   metrics_server_ = std::make_unique<HttpServer>(
       contexts, Endpoint{settings_.listen.address, settings_.metrics->port}, HttpServerLimits{},
-      [this](HttpServerExchange& exchange) { return AnswerMetrics(exchange); }, Reject);
+      [this](HttpServerExchange& exchange) { return AnswerMetrics(exchange); }, RejectCall);
 }
 
 void Gateway::Start() {
@@ -388,7 +389,8 @@
 std::unique_ptr<HttpServer> Gateway::MakeDetourServer() {
   return std::make_unique<HttpServer>(
       std::vector<boost::asio::io_context*>{&context_}, settings_.peer, HttpServerLimits{},
-      [this](HttpServerExchange& exchange) { return AnswerDetour(exchange); }, Reject);
+      [this](HttpServerExchange& exchange) { return AnswerDetour(exchange); },
+      [this](const RejectedRequest& rejected) { return pipeline_.Reject(rejected); });
 }
 
 DetourService::Ports Gateway::DetourPorts() {
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -110,6 +110,7 @@
   Count(text, "loads_from_weight_store", loads_from_weight_store);
   Count(text, "replicas_replaced_for_late_responses", replicas_replaced_for_late_responses);
   Count(text, "log_lines_lost", log_lines_lost);
+  Count(text, "refusals_not_logged", refusals_not_logged);
   Gauge(text, "configuration_version", configuration_version);
   Gauge(text, "servers_known", servers_known);
   Gauge(text, "store_era", store_era);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -79,6 +79,8 @@
   /// Accepted unloads that replace a model's last replica to reduce late responses.
   std::uint64_t replicas_replaced_for_late_responses = 0;
   std::uint64_t log_lines_lost = 0;
+  /// Refusals that were not given because the log did not take their lines.
+  std::uint64_t refusals_not_logged = 0;
   std::int64_t configuration_version = 0;
   std::int64_t servers_known = 0;
   std::int64_t store_era = 0;             ///< How often the store was restored from an older copy.
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -27,6 +27,23 @@
   SteadyTime until;  ///< The request is not sent to this server before this time.
 };
 
+/// Whose request ID the last response to an attempt carried.
+enum class ResponseIdentity : std::uint8_t { kNoResponse, kOwn, kOther, kAbsent };
+
+/// Over which connection an attempt went and what came back, for logs.
+struct AttemptTrace {
+  std::uint64_t connection = 0;  ///< Number of the connection; 0: none came up.
+  std::uint32_t carried = 0;     ///< Requests that the connection had carried before.
+  ResponseIdentity response = ResponseIdentity::kNoResponse;
+};
+
+/// An attempt that has ended, for logs.
+struct RecordedAttempt {
+  std::string server_id;  ///< Or the address of the daemon through which the request was sent.
+  unsigned status = 0;    ///< Of the response; 0: none.
+  AttemptTrace trace;
+};
+
 /// State of one client request while the gateway processes it. Not thread-safe.
 struct GatewayRequest {
   std::string id;
@@ -63,10 +80,11 @@
   SteadyTime capacity_at{};  ///< If all servers are at their limits: when the first has capacity.
   /// What it does to other requests at its server; set by each choice of a server.
   balancing::RequestWork work = balancing::RequestWork::kNeutral;
-  bool other_pool = false;         ///< The chosen server is of the pool of the other work.
-  bool has_alternative = false;    ///< A server other than the chosen one could take it.
-  std::uint32_t may_have_run = 0;  ///< Number of servers on which it may have run.
-  UpstreamConnectionPtr upstream;  ///< Connection of the current attempt.
+  bool other_pool = false;                ///< The chosen server is of the pool of the other work.
+  bool has_alternative = false;           ///< A server other than the chosen one could take it.
+  std::uint32_t may_have_run = 0;         ///< Number of servers on which it may have run.
+  UpstreamConnectionPtr upstream;         ///< Connection of the current attempt.
+  std::vector<RecordedAttempt> attempts;  ///< Oldest first.
   std::vector<std::string> failed_servers;
   std::vector<ServerRefusal> refusals;
   /// Set if another daemon, which cannot reach the servers, took it from the client.
@@ -114,16 +132,6 @@
   kClientLeft   ///< The client disconnected during the attempt.
 };
 
-/// Whose request ID the last response to an attempt carried.
-enum class ResponseIdentity : std::uint8_t { kNoResponse, kOwn, kOther, kAbsent };
-
-/// Over which connection an attempt went and what came back, for logs.
-struct AttemptTrace {
-  std::uint64_t connection = 0;  ///< Number of the connection; 0: none came up.
-  std::uint32_t carried = 0;     ///< Requests that the connection had carried before.
-  ResponseIdentity response = ResponseIdentity::kNoResponse;
-};
-
 /// Result of one attempt, with details for logs.
 struct AttemptResult {
   AttemptOutcome attempt_outcome = AttemptOutcome::kNotRun;
--- a/src/gateway/refusals.cc
+++ b/src/gateway/refusals.cc
@@ -56,6 +56,13 @@
           false, 0};
 }
 
+Refusal UnloggedRefusal() {
+  return {
+      http_status::kBadGateway, EndReason::kNotLogged,
+      "this daemon cannot log that the request did not run; repeat it only if that does no harm",
+      true, 0};
+}
+
 HttpResponse ToResponse(const Refusal& refusal, const std::string& id_header,
                         const std::string& id) {
   HttpResponse response;
--- a/src/gateway/refusals.h
+++ b/src/gateway/refusals.h
@@ -21,6 +21,9 @@
 /// For a request that another daemon has sent here in vain.
 Refusal DeclinedRefusal();
 
+/// For a request that was to be refused, and whose refusal the log does not take.
+Refusal UnloggedRefusal();
+
 /// @param id_header name of the header that carries the request ID.
 /// @param id of the request; empty: the header is omitted.
 HttpResponse ToResponse(const Refusal& refusal, const std::string& id_header,
--- a/src/gateway/request_outcome.h
+++ b/src/gateway/request_outcome.h
@@ -42,6 +42,9 @@
   kLeftWaiting,            ///< The client disconnected before the request reached a server.
   kLeftAtServer,           ///< The client disconnected before a server responded.
   kLeftInAnswer,           ///< The client disconnected while the response was relayed.
+  kUnreadable,             ///< It could not be read: too slow, too large or malformed.
+  kInternalError,          ///< This daemon failed while it processed the request.
+  kNotLogged,              ///< It was to be refused, and the log does not take the refusal's line.
   kDaemonStopped           ///< This daemon's shutdown completed first.
 };
 
@@ -117,6 +120,12 @@
       return "left_at_server";
     case EndReason::kLeftInAnswer:
       return "left_in_answer";
+    case EndReason::kUnreadable:
+      return "unreadable";
+    case EndReason::kInternalError:
+      return "internal_error";
+    case EndReason::kNotLogged:
+      return "not_logged";
     case EndReason::kDaemonStopped:
       return "daemon_stopped";
   }
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -20,6 +20,9 @@
 /// may be executing an order, two at the same time are unlikely to be.
 constexpr std::size_t kRefusalsBeforeGivingUp = 2;
 constexpr milliseconds kRetryPollInterval{40};
+/// How long a refusal waits for the log to take its line, and how often it tries.
+constexpr milliseconds kMaxLogWait{100};
+constexpr milliseconds kLogPollInterval{10};
 /// Share of a route's target that a request may wait for its tenant's credit. A longer wait would
 /// leave little of the target for the server.
 constexpr double kCreditWaitTargetShare = 0.5;
@@ -40,6 +43,12 @@
   return fingerprints;
 }
 
+void SetRefusal(RequestEnd& end, const Refusal& refusal) {
+  end.outcome = refusal.may_have_run ? RequestOutcome::kFailed : RequestOutcome::kRefused;
+  end.reason = refusal.reason;
+  end.status = refusal.status;
+}
+
 }  // namespace
 
 /// Registers a request as open for the lifetime of this object.
@@ -429,7 +438,9 @@
   co_return result;
 }
 
-void RequestPipeline::RecordAttempt(GatewayRequest& request, const AttemptResult& result) {
+void RequestPipeline::RecordAttempt(GatewayRequest& request, const AttemptResult& result,
+                                    const std::string& server_id) {
+  request.attempts.push_back({server_id, result.status, result.trace});
   const bool may_have_run = result.attempt_outcome == AttemptOutcome::kMayHaveRun ||
                             result.attempt_outcome == AttemptOutcome::kBrokenOff;
   // An attempt that may have run consumes its credit; a retry must acquire new credit.
@@ -470,7 +481,7 @@
     ++request.sends;
     server_id = server->record().id;
     result = co_await Attempt(exchange, request, server);
-    RecordAttempt(request, result);
+    RecordAttempt(request, result, server_id);
     if (result.refused_with_capacity) RecordRefusalWithCapacity(request, server_id);
     const NextStep next = DecideNextStep(request, result);
     if (result.attempt_outcome != AttemptOutcome::kAnswered &&
@@ -500,28 +511,68 @@
     if (result.attempt_outcome != AttemptOutcome::kAnswered) exchange.Abort();
     co_return;
   }
-  const Refusal refusal = MakeFailureRefusal(request, result);
   RequestEnd end;
-  end.outcome = refusal.may_have_run ? RequestOutcome::kFailed : RequestOutcome::kRefused;
-  end.reason = refusal.reason;
-  end.status = refusal.status;
   end.problem = result.problem;
   end.server_id = server_id;
   end.trace = result.trace;
-  reporter_.ReportEnd(request, end);
-  co_await Answer(exchange, request, refusal);
+  const Refusal refusal = MakeFailureRefusal(request, result);
+  co_await Conclude(exchange, request, refusal, end);
 }
 
 Awaitable<void> RequestPipeline::Refuse(HttpServerExchange& exchange, const GatewayRequest& request,
                                         const Refusal& refusal) {
-  RequestEnd end;
-  end.outcome = RequestOutcome::kRefused;
-  end.reason = refusal.reason;
-  end.status = refusal.status;
-  reporter_.ReportEnd(request, end);
+  const RequestEnd end;
+  co_await Conclude(exchange, request, refusal, end);
+}
+
+Awaitable<void> RequestPipeline::Conclude(HttpServerExchange& exchange,
+                                          const GatewayRequest& request, const Refusal& refusal,
+                                          const RequestEnd& end) {
+  RequestEnd refused = end;
+  SetRefusal(refused, refusal);
+  if (PromisesNotRun(refusal.status) && !co_await LogRefusal(request, refused)) {
+    const Refusal unlogged = UnloggedRefusal();
+    SetRefusal(refused, unlogged);
+    reporter_.ReportEnd(request, refused);
+    co_await Answer(exchange, request, unlogged);
+    co_return;
+  }
+  if (!PromisesNotRun(refusal.status)) reporter_.ReportEnd(request, refused);
   co_await Answer(exchange, request, refusal);
 }
 
+Awaitable<bool> RequestPipeline::LogRefusal(const GatewayRequest& request, const RequestEnd& end) {
+  const SteadyTime give_up = BootClock::now() + kMaxLogWait;
+  while (!reporter_.TryReportRefusal(request, end)) {
+    if (BootClock::now() >= give_up) {
+      ++metrics_.refusals_not_logged;
+      co_return false;
+    }
+    co_await Sleep(kLogPollInterval);
+  }
+  co_return true;
+}
+
+HttpResponse RequestPipeline::Reject(const RejectedRequest& rejected) {
+  GatewayRequest request;
+  request.arrival = BootClock::now();
+  request.id = std::string(FindHeader(rejected.headers, protocol_.headers().request_id));
+  const bool internal = rejected.status == http_status::kInternalError;
+  Refusal refusal{rejected.status, internal ? EndReason::kInternalError : EndReason::kUnreadable,
+                  internal ? "report this" : "send a complete HTTP/1.1 request within the limits",
+                  internal, 0};
+  RequestEnd end;
+  end.problem = rejected.reason;
+  SetRefusal(end, refusal);
+  if (PromisesNotRun(refusal.status) && !reporter_.TryReportRefusal(request, end)) {
+    ++metrics_.refusals_not_logged;
+    refusal = UnloggedRefusal();
+    SetRefusal(end, refusal);
+  }
+  if (!PromisesNotRun(refusal.status)) reporter_.ReportEnd(request, end);
+  return ToResponse(refusal, protocol_.headers().request_id, request.id);
+}
+
 Awaitable<void> RequestPipeline::Handle(HttpServerExchange& exchange) {
   return Process(exchange, std::make_shared<GatewayRequest>());
 }
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -48,6 +48,9 @@
   Awaitable<void> HandleDetoured(HttpServerExchange& exchange, detour::Origin origin);
   /// Responds that this daemon has not taken such a request.
   Awaitable<void> DeclineDetour(HttpServerExchange& exchange);
+  /// Counts and logs a request that the HTTP server does not pass on.
+  /// @return its response.
+  HttpResponse Reject(const RejectedRequest& rejected);
   /// @return number of such requests in progress.
   std::uint32_t ActiveDetours() const;
   /// Closes connections to servers that have been idle for too long.
@@ -75,6 +78,13 @@
   Awaitable<void> Serve(HttpServerExchange& exchange, GatewayRequest& request);
   Awaitable<void> Finish(HttpServerExchange& exchange, const GatewayRequest& request,
                          const AttemptResult& result, const std::string& server_id);
+  /// Counts and logs the end of a request that the client is refused, and responds. Without a line
+  /// in the log, no promise that the request did not run is given.
+  /// @param end with what led to the refusal; the rest is set here.
+  Awaitable<void> Conclude(HttpServerExchange& exchange, const GatewayRequest& request,
+                           const Refusal& refusal, const RequestEnd& end);
+  /// @return whether the log has the refusal's line.
+  Awaitable<bool> LogRefusal(const GatewayRequest& request, const RequestEnd& end);
   /// While the known state is older than its bound and the store is responsive, waits for the
   /// store's next response.
   Awaitable<void> AwaitStoreRead(const GatewayRequest& request);
@@ -95,7 +105,8 @@
   /// none, and what is sent through another daemon is counted there.
   static bool IsRetry(const GatewayRequest& request);
   /// Updates the request after an attempt.
-  void RecordAttempt(GatewayRequest& request, const AttemptResult& result);
+  void RecordAttempt(GatewayRequest& request, const AttemptResult& result,
+                     const std::string& server_id);
   ServerPtr TryChooseServer(GatewayRequest& request, NoServerReason& reason) const;
   balancing::RequestWork Classify(const GatewayRequest& request) const;
   SteadyTime AttemptDeadline(const GatewayRequest& request) const;
--- a/src/gateway/request_reporter.cc
+++ b/src/gateway/request_reporter.cc
@@ -57,6 +57,18 @@
   return "";
 }
 
+/// @return each attempt as SERVER/CONNECTION/CARRIED/RESPONSE_ID/STATUS, oldest first.
+std::string FormatAttempts(const std::vector<RecordedAttempt>& attempts) {
+  std::string text;
+  for (const RecordedAttempt& attempt : attempts) {
+    if (!text.empty()) text += ",";
+    text += attempt.server_id + "/" + std::to_string(attempt.trace.connection) + "/" +
+            std::to_string(attempt.trace.carried) + "/" + Name(attempt.trace.response) + "/" +
+            std::to_string(attempt.status);
+  }
+  return text;
+}
+
 const char* PoolName(const GatewayRequest& request) { return request.other_pool ? "other" : "own"; }
 
 }  // namespace
@@ -101,6 +113,19 @@
   const bool succeeded =
       end.outcome == RequestOutcome::kAnswered && end.status < http_status::kBadRequest;
   const bool routine = succeeded && !request.MissedTarget();
+  log_.Write(routine     ? LogRank::kRoutine
+             : succeeded ? LogRank::kDecision
+                         : LogRank::kFailure,
+             MakeEndLine(request, end));
+}
+
+bool RequestReporter::TryReportRefusal(const GatewayRequest& request, const RequestEnd& end) {
+  if (!log_.WriteThrough(MakeEndLine(request, end))) return false;
+  Count(request, end);
+  return true;
+}
+
+EventLine RequestReporter::MakeEndLine(const GatewayRequest& request, const RequestEnd& end) const {
   EventLine line(LogEvent::kRequestEnd);
   line.Field(LogField::kId, request.id)
       .Field(LogField::kOutcome, Name(end.outcome))
@@ -135,11 +160,12 @@
         .Field(LogField::kCarried, end.trace.carried);
   if (request.detour_target) line.Field(LogField::kVia, request.detour_target->peer);
   if (request.detour_origin) line.Field(LogField::kOrigin, request.origin_address);
+  const bool succeeded =
+      end.outcome == RequestOutcome::kAnswered && end.status < http_status::kBadRequest;
+  if (!succeeded && !request.attempts.empty())
+    line.Field(LogField::kAttempts, FormatAttempts(request.attempts));
   line.Field(LogField::kStoreAgeMs, MillisecondsSince(view_.servers_current_at));
-  log_.Write(routine     ? LogRank::kRoutine
-             : succeeded ? LogRank::kDecision
-                         : LogRank::kFailure,
-             line);
+  return line;
 }
 
 void RequestReporter::ReportFailedAttempt(const GatewayRequest& request, const Server& server,
--- a/src/gateway/request_reporter.h
+++ b/src/gateway/request_reporter.h
@@ -28,6 +28,10 @@
       : view_(view), metrics_(metrics), log_(log) {}
 
   void ReportEnd(const GatewayRequest& request, const RequestEnd& end);
+  /// As ReportEnd, for a refusal that promises that the request did not run: its line is not left
+  /// out and survives the end of the process.
+  /// @return whether the log has it; if not, nothing is counted and the promise must not be given.
+  bool TryReportRefusal(const GatewayRequest& request, const RequestEnd& end);
   void ReportFailedAttempt(const GatewayRequest& request, const Server& server,
                            const AttemptResult& result);
   /// Logs that the request is sent again.
@@ -39,6 +43,7 @@
 
  private:
   void Count(const GatewayRequest& request, const RequestEnd& end);
+  EventLine MakeEndLine(const GatewayRequest& request, const RequestEnd& end) const;
 
   const FleetView& view_;
   GatewayMetrics& metrics_;
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -41,12 +41,18 @@
   return size;
 }
 
+HttpHeaders HeadersOf(const http::request<http::string_body>& message) {
+  HttpHeaders headers;
+  for (const auto& field : message)
+    headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  return headers;
+}
+
 HttpRequest TakeRequest(http::request<http::string_body>&& message) {
   HttpRequest request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
-  for (const auto& field : message)
-    request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  request.headers = HeadersOf(message);
   request.body = std::move(message.body());
   return request;
 }
@@ -447,12 +453,16 @@
     co_return false;
   const bool keep_alive = !error && parser.get().keep_alive();
   HttpRequest request;
-  if (!error) request = TakeRequest(parser.release());
+  if (error)
+    request.headers = HeadersOf(parser.get());
+  else
+    request = TakeRequest(parser.release());
   if (!error && server.observer_ != nullptr) server.observer_->RequestRead(SizeOf(request), first);
   Exchange exchange(server, stream, std::move(request), keep_alive);
   if (error) {
-    const unsigned status = RejectionStatus(error);
-    co_await exchange.Respond(server.rejection_(status, error.message()));
+    const RejectedRequest rejected{RejectionStatus(error), error.message(),
+                                   exchange.request().headers};
+    co_await exchange.Respond(server.rejection_(rejected));
     co_await Linger(stream);
     co_return false;
   }
@@ -471,7 +481,8 @@
     reason = thrown.what();
   }
   if (!failed || exchange.started()) co_return;
-  co_await exchange.Respond(server.rejection_(http_status::kInternalError, reason));
+  const RejectedRequest rejected{http_status::kInternalError, reason, exchange.request().headers};
+  co_await exchange.Respond(server.rejection_(rejected));
 }
 
 HttpServer::HttpServer(std::vector<asio::io_context*> contexts, const Endpoint& listen,
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -58,8 +58,14 @@
 };
 
 using HttpHandler = std::function<Awaitable<void>(HttpServerExchange&)>;
-/// Makes the answer to a request that could not be read (400, 408, 413, 431).
-using HttpRejection = std::function<HttpResponse(unsigned status, const std::string& reason)>;
+/// A request that gets no answer from its handler.
+struct RejectedRequest {
+  /// 400, 408, 413 or 431: it could not be read; 500: its handler threw before it answered.
+  unsigned status = 0;
+  std::string reason;
+  HttpHeaders headers;  ///< As far as they were read.
+};
+using HttpRejection = std::function<HttpResponse(const RejectedRequest&)>;
 
 /// HTTP/1.1 server. Connections are dealt to the given contexts in turn and stay there; each
 /// context is run by one thread. The handler is called on the connection's thread.
--- a/src/standin/json_response.h
+++ b/src/standin/json_response.h
@@ -3,7 +3,7 @@
 #include <boost/json.hpp>
 #include <string>
 
-#include "http/http_types.h"
+#include "http/http_server.h"
 
 namespace moorfold {
 
@@ -18,8 +18,8 @@
 inline HttpHeaders ContentType(const std::string& type) { return {{"Content-Type", type}}; }
 
 /// The rejection of a request that could not be read, as the stand-ins answer it.
-inline HttpResponse PlainRejection(unsigned status, const std::string& reason) {
-  return ErrorResponse(status, reason);
+inline HttpResponse PlainRejection(const RejectedRequest& rejected) {
+  return ErrorResponse(rejected.status, rejected.reason);
 }
 
 }  // namespace moorfold
--- a/test/emulator/server_emulator.cc
+++ b/test/emulator/server_emulator.cc
@@ -14,7 +14,9 @@
 
 constexpr milliseconds kHeartbeat{400};
 
-HttpResponse Refuse(unsigned status, const std::string& reason) { return {status, {}, reason}; }
+HttpResponse Reject(const RejectedRequest& rejected) {
+  return {rejected.status, {}, rejected.reason};
+}
 
 // Answers are made by a function: no braced temporaries stand in awaited calls (GCC 12).
 HttpResponse Bare(unsigned status, HttpHeaders headers, std::string body = "") {
@@ -38,7 +40,7 @@
       random_(seed),
       server_(
           {&context}, {"127.0.0.1", 0}, {},
-          [this](HttpServerExchange& exchange) { return Handle(exchange); }, Refuse) {
+          [this](HttpServerExchange& exchange) { return Handle(exchange); }, Reject) {
   for (const LoadedModel& held : options_.models) had_.insert(held.name);
 }
 
--- a/test/emulator/store_emulator.cc
+++ b/test/emulator/store_emulator.cc
@@ -116,6 +116,10 @@
 
 HttpResponse Refuse(unsigned status, const std::string& reason) { return {status, {}, reason}; }
 
+HttpResponse Reject(const RejectedRequest& rejected) {
+  return Refuse(rejected.status, rejected.reason);
+}
+
 }  // namespace
 
 StoreEmulator::StoreEmulator(boost::asio::io_context& context, std::uint64_t seed)
@@ -125,13 +129,13 @@
       server_(
           {&context}, {"127.0.0.1", 0}, {},
           [this](HttpServerExchange& exchange) { return Handle(exchange, AddressView()); },
-          Refuse) {}
+          Reject) {}
 
 Endpoint StoreEmulator::AddListener(AddressView view) {
   listeners_.push_back(std::make_unique<HttpServer>(
       std::vector<boost::asio::io_context*>{&context_}, Endpoint{"127.0.0.1", 0},
       HttpServerLimits{},
-      [this, view](HttpServerExchange& exchange) { return Handle(exchange, view); }, Refuse));
+      [this, view](HttpServerExchange& exchange) { return Handle(exchange, view); }, Reject));
   listeners_.back()->Start();
   return listeners_.back()->endpoint();
 }
--- a/test/gateway/accept_throttle_test.cc
+++ b/test/gateway/accept_throttle_test.cc
@@ -47,8 +47,8 @@
                       HttpResponse response{200, {}, "answer"};
                       co_await exchange.Respond(std::move(response));
                     },
-                    [](unsigned status, const std::string& reason) {
-                      return HttpResponse{status, {}, reason};
+                    [](const RejectedRequest& rejected) {
+                      return HttpResponse{rejected.status, {}, rejected.reason};
                     }};
   AcceptThrottle throttle{server, metrics};
 };
--- a/test/gateway/logged_refusal_test.cc
+++ b/test/gateway/logged_refusal_test.cc
@@ -98,8 +98,8 @@
 TEST_CASE("A request that is not read in time is logged before its 408") {
   const std::string head =
       "POST /p/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: slow\r\nContent-Length: 9\r\n";
-  const std::string sent = GENERATE_COPY(head, head + "\r\nbody");
-  CAPTURE(sent);
+  const bool whole_head = GENERATE(false, true);
+  CAPTURE(whole_head);
   LogPipe pipe;
   PipelineFixture fixture({"z"}, pipe.writing_end());
   fixture.SetRoutes({PipelineFixture::MakeRoute(RouteType::kAtMostOnce)});
@@ -108,8 +108,10 @@
     limits.header_timeout = limits.request_timeout = milliseconds(100);
     fixture.front().UpdateLimits(limits);
   });
-  CHECK(PipelineFixture::Status(fixture.Exchange(sent)) == 408);
-  CHECK(EndLine(pipe.Read(), "slow").find("status=408") != std::string::npos);
+  CHECK(PipelineFixture::Status(fixture.Exchange(whole_head ? head + "\r\nbody" : head)) == 408);
+  const std::string log = pipe.Read();
+  CAPTURE(log);
+  CHECK(EndLine(log, "slow").find("status=408") != std::string::npos);
 }
 
 TEST_CASE("The line of a refused request tells each attempt, even if the log exceeds its rate") {
--- a/test/gateway/pipeline_fixture.h
+++ b/test/gateway/pipeline_fixture.h
@@ -42,9 +42,7 @@
         front_(
             {&context_}, {"127.0.0.1", 0}, {},
             [this](HttpServerExchange& exchange) { return pipeline_.Handle(exchange); },
-            [](unsigned status, const std::string& reason) {
-              return HttpResponse{status, {}, reason};
-            }),
+            [this](const RejectedRequest& rejected) { return pipeline_.Reject(rejected); }),
         guard_(context_.get_executor()) {
     quota_.Start();
     front_.Start();
--- a/test/http/http_test.cc
+++ b/test/http/http_test.cc
@@ -29,8 +29,8 @@
       : server_(
             {&context_}, {"127.0.0.1", 0}, Limits(),
             [this](HttpServerExchange& exchange) { return Handle(exchange); },
-            [](unsigned status, const std::string& reason) {
-              return HttpResponse{status, {}, reason};
+            [](const RejectedRequest& rejected) {
+              return HttpResponse{rejected.status, {}, rejected.reason};
             }) {
     server_.Start();
     thread_ = std::thread([this] { context_.run(); });
