A leader with an older configuration does not unload models that requests ask for

Callers of a new model would see 421 and 503: a leader that has not read the newest configuration took the model, which servers hold and requests ask for, for one that had been dropped, and unloaded it first to make room. Cause: "not described by the configuration that I know" was taken for "dropped". Ruled out: comparing versions in reports of demand (an added field in each; requests tell the same); never unloading undescribed models (memory that a dropped model holds would be lost for good). Change: an undescribed model that requests wait for, that has requests in progress, or that had one within 5 s stays, and nothing is loaded beside it, since its size is unknown. Conclusion: fixed in the planner. An idle new model may still be unloaded by such a leader.

--- a/src/fleet/placement_planner.cc
+++ b/src/fleet/placement_planner.cc
@@ -42,6 +42,9 @@
 /// Share of a server's request capacity that an adapter may use on each holder before it is placed
 /// on another server.
 constexpr double kAdapterLoadShare = 0.5;
+/// Time since its last request in which an undescribed model may be new, not dropped. Longer than
+/// daemons usually differ in the configuration that they know.
+constexpr std::chrono::seconds kRecentRequestTime{5};
 /// Models placed by one plan, the highest gain first; the next plan follows soon.
 constexpr std::size_t kMaxCandidatesPerPlan = 16;
 
@@ -59,7 +62,8 @@
       demand_(std::move(demand)),
       servers_(std::move(servers)),
       limits_(limits),
-      value_(limits.requests_per_server, now) {
+      value_(limits.requests_per_server, now),
+      now_(now) {
   for (const ModelDescription& model : engine_.models) descriptions_[model.name] = &model;
   CountReplicas();
   for (const auto& [name, demanded] : demand_) {
@@ -121,6 +125,15 @@
   return found == server.models.end() ? nullptr : &*found;
 }
 
+bool PlacementPlanner::HoldsNewModel(const PlannedServer& server) const {
+  return std::any_of(server.models.begin(), server.models.end(), [&](const LoadedModel& held) {
+    if (IsDescribed(held)) return false;
+    const ModelDemand demand = TotalDemand(held.name);
+    return demand.waiting > 0 || demand.in_flight > 0 ||
+           now_ - demand.last_seen < kRecentRequestTime;
+  });
+}
+
 double PlacementPlanner::FreeWeightMegabytes(const PlannedServer& server) const {
   double free = engine_.weights_mb;
   for (const LoadedModel& held : server.models) free -= HeldMegabytes(held);
@@ -203,7 +216,7 @@
                                                                      bool local_copy_exists) {
   if (!server.accepts_orders || !server.reserved_for.empty() || !server.loading_model.empty())
     return std::nullopt;
-  if (server.Find(model.name) != nullptr) return std::nullopt;
+  if (server.Find(model.name) != nullptr || HoldsNewModel(server)) return std::nullopt;
   const bool from_store = FromWeightStore(server, model.name);
   if (from_store && limits_.weight_store_loads < 1) return std::nullopt;
   Placement placement{&server, 0, {}};
@@ -417,7 +430,7 @@
       ++holders;
       continue;
     }
-    if (!server.accepts_orders) continue;
+    if (!server.accepts_orders || HoldsNewModel(server)) continue;
     if (best == nullptr || adapter_preference(server) < adapter_preference(*best)) best = &server;
   }
   const double requests_per_holder = kAdapterLoadShare * limits_.requests_per_server;
--- a/src/fleet/placement_planner.h
+++ b/src/fleet/placement_planner.h
@@ -126,10 +126,14 @@
   /// @return memory that no described model occupies. An upper bound while the server holds an
   /// undescribed one, whose size is unknown.
   double FreeWeightMegabytes(const PlannedServer& server) const;
-  /// @return whether the configuration in force describes the model; it may have dropped it.
+  /// @return whether the known configuration describes the model; the one in force may have dropped
+  /// it, or it is new in a configuration that is not known yet.
   bool IsDescribed(const LoadedModel& held) const { return descriptions_.contains(held.name); }
   /// @return a held model of unknown size; null: there is none.
   const LoadedModel* FindUndescribed(const PlannedServer& server) const;
+  /// @return whether the server holds an undescribed model that requests ask for: daemons with a
+  /// newer configuration use it, so it stays, and what is free beside it is unknown.
+  bool HoldsNewModel(const PlannedServer& server) const;
   std::size_t AdaptersOn(const PlannedServer& server) const;
   /// @return 0 for an undescribed model.
   double HeldMegabytes(const LoadedModel& held) const;
@@ -152,6 +156,7 @@
   std::vector<PlannedServer> servers_;
   PlannerLimits limits_;
   PlacementValue value_;
+  Time now_;
   std::map<std::string, ModelDemand> demand_by_model_;
   std::vector<PlacementStep> steps_;
 };
--- a/test/fleet/placement_test.cc
+++ b/test/fleet/placement_test.cc
@@ -199,6 +199,27 @@
   CHECK(steps[0].name.model == "gone");
 }
 
+TEST_CASE("A leader with an older configuration does not unload a new model that requests ask for") {
+  const ModelReference name{"new", GENERATE("", "a1")};
+  const ModelDemand demand = GENERATE(Busy(1), Waiting(1), MakeDemand(0, 0));
+  CAPTURE(name.adapter, demand.in_flight, demand.waiting);
+  const PlannedServer server = MakeServer("i", {"b", "new"});
+  CHECK(Plan({{{"a", ""}, Waiting(5)}, {name, demand}}, {server}).empty());
+  CHECK(Plan({{{"b", "a1"}, Waiting(5)}, {name, demand}}, {server}).empty());
+  SECTION("until they have ceased") {
+    ModelDemand past = MakeDemand(0, 0);
+    past.last_seen = kNow - seconds(30);
+    CHECK(Plan({{{"a", ""}, Waiting(5)}, {name, past}}, {server}).size() == 1);
+    CHECK(Plan({{{"b", "a1"}, Waiting(5)}, {name, past}}, {server}).size() == 1);
+  }
+  SECTION("and loads on other servers instead") {
+    const auto steps =
+        Plan({{{"a", ""}, Waiting(5)}, {name, demand}}, {server, MakeServer("j", {})});
+    REQUIRE(steps.size() == 1);
+    CHECK(steps[0].server_id == "j");
+  }
+}
+
 TEST_CASE("An adapter is not loaded beside a model of unknown size") {
   PlannedServer server = MakeServer("i", {"b", "gone"});
   const std::map<ModelReference, ModelDemand> demand = {{{"b", "a1"}, Waiting(5)}};
