A response to an earlier report query is not taken for the answer to the next one

A leader could plan with a report that a server had made before its last order: a surplus response that came after the next query was sent was taken for that one's answer, and each later one was a query late. Cause: responses to reports were matched by their order on the connection alone. Class: an answer matched by what several questions share. Ruled out: fresh connections for all reports (a price each); the store's calls (its protocol names no request; a surplus answer that comes after the next call was sent is still taken there). Change: each query carries an ID of its own; a response that names another request fails the exchange, its connection is not used again, and the query is repeated over a fresh one. A response without an ID counts, as before. Conclusion: fixed for reports; open for the store.

--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -375,6 +375,10 @@
   options.most_body_bytes = kMaxServerAnswerBytes;
   try {
     HttpRequest request = protocol_.MakeReportQuery(id);
+    options.response_id =
+        HttpHeader{protocol_.headers().request_id,
+                   settings_.holder + "-report-" + std::to_string(++reports_requested_)};
+    request.headers.push_back(*options.response_id);
     const SteadyTime sent_at = BootClock::now();
     const HttpResponse response = co_await client_.Send(endpoint, std::move(request), options);
     RecordStatement(id, response, sent_at);
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -136,6 +136,7 @@
   ControllerSettings settings_;
   PlacementNoticeHandler send_notice_;
   HttpClient client_;
+  std::uint64_t reports_requested_ = 0;  ///< Makes their IDs unique.
   BootTimer timer_;
   /// Limits how often one kind of plan is made.
   struct PlanThrottle {
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -67,6 +67,7 @@
     } catch (const system_error& error) {
       throw Failure(stage, error);
     }
+    if (options.response_id) CheckIdentity(*options.response_id);
   }
 
   Awaitable<std::string> ReadSome() {
@@ -118,6 +119,14 @@
     return message;
   }
 
+  /// @throws HttpError if the response names another request.
+  void CheckIdentity(const HttpHeader& response_id) const {
+    const auto named = parser_->get().find(response_id.name);
+    if (named == parser_->get().end() || named->value() == response_id.value) return;
+    throw HttpError(HttpStage::kAwaitingAnswer, false,
+                    ToString(endpoint_) + ": received the response to another request");
+  }
+
   void SetDeadline(Deadline deadline) {
     if (deadline == Deadline::max())
       stream_.expires_never();
--- a/test/http/broken_response_test.cc
+++ b/test/http/broken_response_test.cc
@@ -183,5 +183,39 @@
   }
 }
 
+TEST_CASE(
+    "A surplus response that comes after the next call was sent is not taken for its answer") {
+  const auto answer = [](const std::string& id) {
+    return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: 1\r\n\r\n" + id;
+  };
+  ScriptedServer server([&](ScriptedConnection& connection) {
+    std::string earlier;
+    for (std::string head = connection.ReadHead(); !head.empty(); head = connection.ReadHead()) {
+      const std::string id(1, head.at(head.find("X-Id: ") + 6));
+      if (!earlier.empty()) connection.Write(answer(earlier));
+      connection.Write(answer(id));
+      earlier = id;
+    }
+  });
+  asio::io_context context(1);
+  HttpClient client(context);
+  const auto call = [&](const std::string& id) {
+    context.restart();
+    return Run(context, [&client, &server, id]() -> Awaitable<std::string> {
+      HttpRequest request;
+      request.headers = {{"X-Id", id}};
+      HttpSendOptions options;
+      options.deadline = BootClock::now() + seconds(20);
+      options.response_id = HttpHeader{"X-Id", id};
+      const Endpoint to = server.endpoint();
+      const HttpResponse response = co_await client.Send(to, std::move(request), options);
+      co_return response.body;
+    });
+  };
+  CHECK(call("1").body == "1");
+  CHECK(call("2").body == "2");
+  CHECK(call("3").body == "3");
+}
+
 }  // namespace
 }  // namespace moorfold
