--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -44,8 +44,8 @@
   std::chrono::milliseconds progress_timeout{0};
   std::chrono::milliseconds longest_answer{0};  ///< Of no meaning without `progress_timeout`.
   std::uint64_t most_body_bytes = 256ULL * 1024 * 1024;  ///< A longer answer is given up.
-  /// Header by which a response names its request, with the request's value. A response that carries
-  /// another value belongs to another call: the exchange fails.
+  /// Header by which a response names its request, with the request's value. A response that
+  /// carries another value belongs to another call: the exchange fails.
   std::optional<HttpHeader> response_id;
   /// For requests that must not run twice: never reuses a connection that the peer may have
   /// closed meanwhile, so a failure before the answer is never caused by the pool.
--- a/test/detour/refused_through_daemon_test.cc
+++ b/test/detour/refused_through_daemon_test.cc
@@ -20,6 +20,10 @@
   return "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: 0\r\n\r\n";
 }
 
+const std::string kProvenRefusal = RefusalBytes(kOwnId + kNotRun + kNoRunThere);
+const std::string kDeclinedRefusal = RefusalBytes(kOwnId + kNotRun + kDeclined);
+const std::string kRefusalOfAnother = RefusalBytes("X-Request-Id: two\r\n" + kNotRun + kNoRunThere);
+
 /// Sends one request that may run only once to a daemon that has lost contact with the servers.
 /// @return the status that the client gets.
 unsigned SendThrough(ScriptedServer& other_daemon) {
@@ -45,8 +49,7 @@
 
 TEST_CASE("A refusal by another daemon that proves that nothing ran is passed on") {
   ScriptedServer other_daemon([&](ScriptedConnection& connection) {
-    while (!connection.ReadHead().empty())
-      connection.Write(RefusalBytes(kOwnId + kNotRun + kNoRunThere));
+    while (!connection.ReadHead().empty()) connection.Write(kProvenRefusal);
   });
   CHECK(SendThrough(other_daemon) == 503);
 }
@@ -54,7 +57,7 @@
 TEST_CASE("A response of another daemon to another request is not taken for the answer") {
   ScriptedServer other_daemon([&](ScriptedConnection& connection) {
     while (!connection.ReadHead().empty()) {
-      connection.Write(RefusalBytes("X-Request-Id: two\r\n" + kNotRun + kNoRunThere));
+      connection.Write(kRefusalOfAnother);
       connection.Write(kOk);
     }
   });
@@ -67,10 +70,10 @@
   ScriptedServer other_daemon([&](ScriptedConnection& connection) {
     bool repeats = false;
     while (!connection.ReadHead().empty()) {
-      if (repeats) connection.Write(RefusalBytes(kOwnId + kNotRun + kNoRunThere));
+      if (repeats) connection.Write(kProvenRefusal);
       repeats = refused++ == 0;
       if (!repeats) ++runs;
-      connection.Write(repeats ? RefusalBytes(kOwnId + kNotRun + kDeclined) : kOk);
+      connection.Write(repeats ? kDeclinedRefusal : kOk);
     }
   });
   const unsigned status = SendThrough(other_daemon);
--- a/test/http/broken_response_test.cc
+++ b/test/http/broken_response_test.cc
@@ -207,8 +207,8 @@
       HttpSendOptions options;
       options.deadline = BootClock::now() + seconds(20);
       options.response_id = HttpHeader{"X-Id", id};
-      const Endpoint to = server.endpoint();
-      const HttpResponse response = co_await client.Send(to, std::move(request), options);
+      const HttpResponse response =
+          co_await client.Send(server.endpoint(), std::move(request), options);
       co_return response.body;
     });
   };
