--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DEPLOYMENT ?= hrdlicka
 JOBS ?= $(shell nproc)
 
-.PHONY: demo test build packages bench experiments soak soak-faults lint format clean
+.PHONY: demo test build packages bench experiments soak soak-faults soak-refusals lint format clean
 
 packages:
 	@scripts/install_packages.sh
@@ -34,6 +34,9 @@
 
 SEED ?= 1
 MINUTES ?= 2
+soak-refusals: build
+	@REFUSALS=2 scripts/soak_faults.sh $(SEED) $$(($(MINUTES) * 60)) 7
+
 soak-faults: build
 	@scripts/soak_faults.sh $(SEED) $$(($(MINUTES) * 60))
 
--- a/scripts/soak_faults.sh
+++ b/scripts/soak_faults.sh
@@ -7,6 +7,7 @@
 # QUARANTINE_SERVERS=0 plays without the quarantine of requests under which servers end.
 # REFUSALS=N plays servers that refuse early, refuse twice and lose answers, N of each service, and checks
 # that each promise "not run" has a line with the request's ID in its gateway's log.
+# STALLED_LOG=NUMBER leaves the log of that gateway unread until the end.
 # BUILD=COMMIT plays with gateways of that build only.
 set -uo pipefail
 cd "$(dirname "$0")/.."
@@ -46,8 +47,14 @@
   return 0
 }
 
+if [ -n "${STALLED_LOG:-}" ]; then
+  mkfifo "$folder/stalled"
+  exec 4<>"$folder/stalled"
+fi
+
 start_gateway() {  # NUMBER
-  local program=moorfold-gateway
+  local program=moorfold-gateway output="$folder/gateway-$1.log"
+  [ "$1" = "${STALLED_LOG:-}" ] && output=$folder/stalled
   if [ -n "$production" ] && [ -z "${programs[$1]:-}" ]; then
     program=moorfold-gateway-before
   elif [ "${programs[$1]:-}" = moorfold-gateway-before ]; then
@@ -55,7 +62,7 @@
   fi
   programs[$1]=$program
   "$folder/$program" --settings "$folder/gateway-$1.yaml" \
-    >>"$folder/gateway-$1.log" 2>&1 &
+    >>"$output" 2>&1 &
   pids[$1]=$!
 }
 alive() { kill -0 "$1" 2>/dev/null; }
@@ -171,6 +178,7 @@
 }
 check_promises() {
   local without_line=0 id number promised
+  [ -n "${STALLED_LOG:-}" ] && timeout 1 cat <&4 >"$folder/gateway-$STALLED_LOG.log"
   while read -r id number promised; do
     grep -qs "event=request_end id=$id .*status=$promised" "$folder/gateway-$number.log" && continue
     without_line=$((without_line + 1))
