The gateway's own error responses have a module: RefusalResponder

Cause: the request pipeline had grown by the rule that no promise is given without a line in the log; choosing what to do with a request and telling its client are two jobs. Ruled out: the reporter for it (it writes no responses). No change of behaviour. Conclusion: moved only.

--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -20,9 +20,6 @@
 /// may be executing an order, two at the same time are unlikely to be.
 constexpr std::size_t kRefusalsBeforeGivingUp = 2;
 constexpr milliseconds kRetryPollInterval{40};
-/// How long a refusal waits for the log to take its line, and how often it tries.
-constexpr milliseconds kMaxLogWait{100};
-constexpr milliseconds kLogPollInterval{10};
 /// Share of a route's target that a request may wait for its tenant's credit. A longer wait would
 /// leave little of the target for the server.
 constexpr double kCreditWaitTargetShare = 0.5;
@@ -43,12 +40,6 @@
   return fingerprints;
 }
 
-void SetRefusal(RequestEnd& end, const Refusal& refusal) {
-  end.outcome = refusal.may_have_run ? RequestOutcome::kFailed : RequestOutcome::kRefused;
-  end.reason = refusal.reason;
-  end.status = refusal.status;
-}
-
 }  // namespace
 
 /// Registers a request as open for the lifetime of this object.
@@ -88,7 +79,8 @@
       quarantine_filter_(view, quarantine),
       settings_(std::move(settings)),
       forwarder_(context, protocol, statements, contact, overload, metrics),
-      reporter_(view, metrics, log) {}
+      reporter_(view, metrics, log),
+      responder_(protocol, reporter_, metrics) {}
 
 void RequestPipeline::RefuseWaiting() {
   rejects_waiting_ = true;
@@ -366,19 +358,6 @@
           std::chrono::duration<double>(retry_after).count()};
 }
 
-Awaitable<void> RequestPipeline::Answer(HttpServerExchange& exchange, const GatewayRequest& request,
-                                        const Refusal& refusal) {
-  HttpResponse response = ToResponse(refusal, protocol_.headers().request_id, request.id);
-  if (request.detour_origin) {
-    if (!refusal.may_have_run) response.headers.push_back({protocol_.headers().not_run, "1"});
-    const bool declined = refusal.reason == EndReason::kDeclined;
-    response.headers.push_back(
-        {std::string(detour::kResultHeader),
-         detour::Format(detour::Result{declined, request.MayHaveRunHere()})});
-  }
-  co_await exchange.Respond(std::move(response));
-}
-
 Awaitable<bool> RequestPipeline::AwaitCredit(GatewayRequest& request) {
   // The daemon that took the request from its client holds the credit for it.
   if (request.detour_origin) co_return true;
@@ -516,61 +495,13 @@
   end.server_id = server_id;
   end.trace = result.trace;
   const Refusal refusal = MakeFailureRefusal(request, result);
-  co_await Conclude(exchange, request, refusal, end);
+  co_await responder_.Refuse(exchange, request, refusal, end);
 }
 
 Awaitable<void> RequestPipeline::Refuse(HttpServerExchange& exchange, const GatewayRequest& request,
                                         const Refusal& refusal) {
-  const RequestEnd end;
-  co_await Conclude(exchange, request, refusal, end);
-}
-
-Awaitable<void> RequestPipeline::Conclude(HttpServerExchange& exchange,
-                                          const GatewayRequest& request, const Refusal& refusal,
-                                          const RequestEnd& end) {
-  RequestEnd refused = end;
-  SetRefusal(refused, refusal);
-  if (PromisesNotRun(refusal.status) && !co_await LogRefusal(request, refused)) {
-    const Refusal unlogged = UnloggedRefusal();
-    SetRefusal(refused, unlogged);
-    reporter_.ReportEnd(request, refused);
-    co_await Answer(exchange, request, unlogged);
-    co_return;
-  }
-  if (!PromisesNotRun(refusal.status)) reporter_.ReportEnd(request, refused);
-  co_await Answer(exchange, request, refusal);
-}
-
-Awaitable<bool> RequestPipeline::LogRefusal(const GatewayRequest& request, const RequestEnd& end) {
-  const SteadyTime give_up = BootClock::now() + kMaxLogWait;
-  while (!reporter_.TryReportRefusal(request, end)) {
-    if (BootClock::now() >= give_up) {
-      ++metrics_.refusals_not_logged;
-      co_return false;
-    }
-    co_await Sleep(kLogPollInterval);
-  }
-  co_return true;
-}
-
-HttpResponse RequestPipeline::Reject(const RejectedRequest& rejected) {
-  GatewayRequest request;
-  request.arrival = BootClock::now();
-  request.id = std::string(FindHeader(rejected.headers, protocol_.headers().request_id));
-  const bool internal = rejected.status == http_status::kInternalError;
-  Refusal refusal{rejected.status, internal ? EndReason::kInternalError : EndReason::kUnreadable,
-                  internal ? "report this" : "send a complete HTTP/1.1 request within the limits",
-                  internal, 0};
-  RequestEnd end;
-  end.problem = rejected.reason;
-  SetRefusal(end, refusal);
-  if (PromisesNotRun(refusal.status) && !reporter_.TryReportRefusal(request, end)) {
-    ++metrics_.refusals_not_logged;
-    refusal = UnloggedRefusal();
-    SetRefusal(end, refusal);
-  }
-  if (!PromisesNotRun(refusal.status)) reporter_.ReportEnd(request, end);
-  return ToResponse(refusal, protocol_.headers().request_id, request.id);
+  const RequestEnd no_attempt;
+  co_await responder_.Refuse(exchange, request, refusal, no_attempt);
 }
 
 Awaitable<void> RequestPipeline::Handle(HttpServerExchange& exchange) {
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -12,6 +12,7 @@
 #include "gateway/forwarder.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/quarantine_filter.h"
+#include "gateway/refusal_responder.h"
 #include "gateway/request_admission.h"
 #include "gateway/request_reporter.h"
 #include "gateway/server_choice.h"
@@ -48,9 +49,8 @@
   Awaitable<void> HandleDetoured(HttpServerExchange& exchange, detour::Origin origin);
   /// Responds that this daemon has not taken such a request.
   Awaitable<void> DeclineDetour(HttpServerExchange& exchange);
-  /// Counts and logs a request that the HTTP server does not pass on.
-  /// @return its response.
-  HttpResponse Reject(const RejectedRequest& rejected);
+  /// Reports a request that the HTTP server does not pass on. @return its response.
+  HttpResponse Reject(const RejectedRequest& rejected) { return responder_.Reject(rejected); }
   /// @return number of such requests in progress.
   std::uint32_t ActiveDetours() const;
   /// Closes connections to servers that have been idle for too long.
@@ -78,13 +78,6 @@
   Awaitable<void> Serve(HttpServerExchange& exchange, GatewayRequest& request);
   Awaitable<void> Finish(HttpServerExchange& exchange, const GatewayRequest& request,
                          const AttemptResult& result, const std::string& server_id);
-  /// Counts and logs the end of a request that the client is refused, and responds. Without a line
-  /// in the log, no promise that the request did not run is given.
-  /// @param end with what led to the refusal; the rest is set here.
-  Awaitable<void> Conclude(HttpServerExchange& exchange, const GatewayRequest& request,
-                           const Refusal& refusal, const RequestEnd& end);
-  /// @return whether the log has the refusal's line.
-  Awaitable<bool> LogRefusal(const GatewayRequest& request, const RequestEnd& end);
   /// While the known state is older than its bound and the store is responsive, waits for the
   /// store's next response.
   Awaitable<void> AwaitStoreRead(const GatewayRequest& request);
@@ -116,8 +109,6 @@
   bool MayRetryElsewhere(const GatewayRequest& request) const;
   NextStep DecideNextStep(const GatewayRequest& request, const AttemptResult& result);
   Refusal MakeFailureRefusal(const GatewayRequest& request, const AttemptResult& result) const;
-  Awaitable<void> Answer(HttpServerExchange& exchange, const GatewayRequest& request,
-                         const Refusal& refusal);
   /// Records that a server with free capacity refused the request, and gives the request up if
   /// another server did so before: the fault is then likely in the request, since these servers
   /// serve other requests.
@@ -151,6 +142,7 @@
   PipelineSettings settings_;
   Forwarder forwarder_;
   RequestReporter reporter_;
+  RefusalResponder responder_;
   std::set<GatewayRequest*> active_;
   /// Daemons through which requests are sent, by address, in the form of servers.
   std::map<std::string, ServerPtr> detour_daemons_;
