Reword the comments of the core's and the host's sources

Cause: comments in the project's own idiom instead of the field's terms. Change: comments of nine source files. Conclusion: src/core and src/host done in part: headers and names remain.

--- a/src/core/claims/claim_views.cc
+++ b/src/core/claims/claim_views.cc
@@ -5,7 +5,8 @@
 namespace moorfold {
 namespace {
 
-/// An owner must be missing for so long before it is replaced: a change costs a transfer.
+/// Time for which an owner must be missing before it is replaced, since a replacement transfers
+/// its claims.
 constexpr Duration kOwnerPatience = std::chrono::seconds(3);
 constexpr Duration kProposalInterval = std::chrono::seconds(5);
 
--- a/src/core/demand/demand.cc
+++ b/src/core/demand/demand.cc
@@ -7,8 +7,8 @@
 namespace moorfold {
 namespace {
 
-constexpr float kHourMemory = 0.7F;  ///< Weight of earlier weeks against the newest.
-/// Shorter gaps are one burst: no policy would release a model within them.
+constexpr float kHourMemory = 0.7F;  ///< Weight of earlier weeks relative to the latest.
+/// Requests with shorter gaps are one burst, since no policy releases a model within a burst.
 constexpr Duration kBurstGap = std::chrono::seconds(30);
 
 std::int64_t HoursSinceEpoch(Timestamp when) {
--- a/src/core/demand/residency_policy.cc
+++ b/src/core/demand/residency_policy.cc
@@ -39,7 +39,7 @@
   bool HoldAhead(const ModelIntent&, const ModelDemand&, Timestamp) const override { return true; }
 };
 
-/// @return the upper edge of a gap bucket.
+/// @return the upper bound of a bucket of the gap histogram.
 Duration GapEdge(std::size_t bucket) { return std::chrono::seconds(std::int64_t{1} << bucket); }
 
 std::uint32_t GapCount(const DemandHistory& history) {
@@ -48,7 +48,7 @@
   return total;
 }
 
-/// Keeps a replica for the gap below which 95 of 100 gaps lie.
+/// Keeps a replica for the 95th percentile of the gaps.
 class HistogramKeepAlive : public ResidencyPolicy {
  public:
   explicit HistogramKeepAlive(Duration fallback) : fallback_(fallback) {}
@@ -73,9 +73,9 @@
 
 /// Weighs accelerator time against the expected cold start. In an hour with `rate` bursts an
 /// hour, holding the model for that hour costs 3600 accelerator-seconds and saves `rate` cold
-/// starts of `load_time` each, priced by the intent's cold_start_second_cost. Within an hour that
-/// is not worth holding, a replica is kept as long as the gap histogram says the next request is
-/// likely enough to pay for the wait.
+/// starts of `load_time` each, weighted by the intent's cold_start_second_cost. In an hour in which
+/// that does not pay, a replica is kept while the gap histogram makes the next request likely
+/// enough to pay for the time held.
 class CostAware : public ResidencyPolicy {
  public:
   CostAware(Duration assumed_load_time, Duration fallback)
@@ -113,10 +113,11 @@
     const double weeks = history.weeks_by_hour[slot];
     if (weeks <= 0) return false;
     const double bursts = history.bursts_by_hour[slot] / weeks;
-    const double chance = 1.0 - std::exp(-bursts);  // Held through, an hour has one cold start.
+    const double chance =
+        1.0 - std::exp(-bursts);  // An hour that is held throughout has one cold start.
     return chance * ColdStartCost(model, demand) > kSecondsPerHour;
   }
-  /// Tries each bucket edge: cost = time held over all gaps + cold starts of the longer ones.
+  /// Evaluates each bucket bound: cost = time held over all gaps + cold starts after longer gaps.
   static Duration BestKeepAlive(const DemandHistory& history, std::uint32_t total,
                                 double cold_cost) {
     double best_cost = cold_cost * total;
--- a/src/core/load/coordinator.cc
+++ b/src/core/load/coordinator.cc
@@ -5,7 +5,7 @@
 namespace moorfold {
 namespace {
 
-/// Longer than any load: after it, an unanswered order is believed only from reports.
+/// Longer than any load. After this time, only reports tell the outcome of an unanswered order.
 constexpr Duration kOrderForgotten = std::chrono::minutes(10);
 constexpr Duration kReconcileInterval = std::chrono::seconds(15);
 constexpr Duration kSwapForgotten = std::chrono::seconds(10);
@@ -55,7 +55,7 @@
     coordinator.active = true;
     coordinator.recovering = true;
     coordinator.active_since = now_;
-    // What the servers hold is asked anew before anything is ordered.
+    // Request fresh reports before sending any order.
     for (const DaemonName& member : state_.membership.alive)
       if (member != state_.self.name)
         effects_.push_back(SendMessage{member, ServerReportsRequest{}});
@@ -96,7 +96,7 @@
 void Coordinator::OnSwapFinished(const LedgerSwapFinished& finished) {
   state_.coordinator.swap_pending = false;
   if (finished.outcome != SwapOutcome::kCommitted) {
-    // A conflict, or an answer that was lost: the service is read before anything is tried again.
+    // After a conflict or a lost response, read the service before retrying.
     state_.ledger.last_read = now_;
     effects_.push_back(ReadLedger{});
     return;
@@ -229,7 +229,7 @@
     SendOrderFor(OrderKind::kRelease, victim.permit);
     free += victim.permit.memory;
   }
-  return false;  // The load follows when the releases are acknowledged.
+  return false;  // The load starts once the releases are acknowledged.
 }
 
 bool Coordinator::LoadOne(const ModelIntent& model, const Permit& permit) {
@@ -243,7 +243,7 @@
 }
 
 void Coordinator::LoadReplicas(const ModelIntent& model, std::uint32_t missing) {
-  std::vector<std::pair<bool, Permit>> candidates;  // Those that fit at once come first.
+  std::vector<std::pair<bool, Permit>> candidates;  // Permits that fit immediately come first.
   ForEachPermit(state_.ledger.ledger, {model.name, model.version}, [&](const Permit& permit) {
     if (permit.phase != PermitPhase::kHeld || !CanOrder(permit) || IsLoaded(permit)) return;
     if (HasPending(OrderKind::kLoad, permit)) return;
@@ -294,7 +294,7 @@
       std::vector<AdapterName> evicted;
       for (const AdapterName& other : present)
         if (const AdapterIntent* intent = model.FindAdapter(other)) used += intent->memory;
-      for (const AdapterName& other : present) {  // Reported least recently used first.
+      for (const AdapterName& other : present) {  // In order of last use, oldest first.
         if (used <= model.adapter_memory) break;
         const AdapterIntent* intent = model.FindAdapter(other);
         used -= intent == nullptr ? 0 : intent->memory;
@@ -347,7 +347,7 @@
   }
 }
 
-/// Models that are loaded somewhere or about to be: all others need no look without demand.
+/// Models that are loaded or loading somewhere. Other models need no decision without demand.
 std::set<ModelName> Coordinator::BusyModels() const {
   std::set<ModelName> busy;
   for (const auto& [name, server] : state_.servers)
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -9,7 +9,7 @@
 constexpr std::size_t kMaxRumoursPerMessage = 8;
 constexpr std::uint32_t kRumourFactor = 3;
 
-std::uint64_t NextRandom(std::uint64_t& seed) {  // SplitMix64: only spreads one given number.
+std::uint64_t NextRandom(std::uint64_t& seed) {  // SplitMix64.
   seed += 0x9E3779B97F4A7C15ULL;
   std::uint64_t mixed = seed;
   mixed = (mixed ^ (mixed >> 30U)) * 0xBF58476D1CE4E5B9ULL;
@@ -70,7 +70,7 @@
 
 std::vector<MemberUpdate> Membership::TakeRumours(const DaemonName& receiver) {
   std::vector<MemberUpdate> updates;
-  // The receiver always hears what is held against it, so that it can refute it.
+  // Always include suspicions of the receiver, so that it can refute them.
   const auto member = state_.members.find(receiver);
   if (member != state_.members.end() && member->second.status != MemberStatus::kAlive &&
       member->second.incarnation != 0)
@@ -206,7 +206,7 @@
   bool changed = ApplyAll(probe.updates, now);
   changed = HearFrom(from, probe.digest, now) || changed;
   Digest answer = digest;
-  answer.incarnation = state_.own_incarnation;  // A refutation just made goes out at once.
+  answer.incarnation = state_.own_incarnation;  // Send a new refutation immediately.
   const DaemonName receiver = probe.on_behalf_of.empty() ? from : probe.on_behalf_of;
   effects.push_back(SendMessage{
       receiver, ProbeAckMessage{probe.sequence, self_.name, answer, TakeRumours(receiver)}});
--- a/src/core/placement/placement.cc
+++ b/src/core/placement/placement.cc
@@ -27,7 +27,7 @@
 }
 
 /// An old version keeps its permits while it is loaded and the new one is not ready, so that a
-/// version change makes no cold gap.
+/// version change causes no cold starts.
 bool LedgerReconciler::OldVersionStillServes(const Permit& permit) const {
   const auto model = intent_.models.find(permit.key.servable.model);
   if (model == intent_.models.end()) return false;
@@ -49,7 +49,7 @@
 std::optional<ServerName> LedgerReconciler::ChooseHome(const Ledger& ledger, const PermitKey& key,
                                                        MebiBytes memory) const {
   std::map<ServerName, MebiBytes> homed;
-  std::set<ServerName> taken;  // One server never holds two permits of one model version.
+  std::set<ServerName> taken;  // A server holds at most one permit per model version.
   for (const auto& [other_key, permit] : ledger.permits) {
     homed[permit.home] += permit.memory;
     if (other_key.servable == key.servable) taken.insert(permit.home);
@@ -65,7 +65,7 @@
         std::find(cached.begin(), cached.end(), key.servable.model) != cached.end();
     const double pressure = static_cast<double>(homed[name] + memory) /
                             static_cast<double>(server.report->memory_total);
-    // A cached checkpoint is worth a third of a server's memory of crowding.
+    // A cached checkpoint outweighs a third of a server's memory in use.
     constexpr double kCacheWorth = 0.33;
     const Rank rank{pressure - (on_disk ? kCacheWorth : 0.0), !on_disk, name};
     if (!best || rank < *best) best = rank;
@@ -89,9 +89,9 @@
   const bool released = release != releases_.end() && release->second >= moving.since;
   if (!released && !IncarnationGone(moving, servers_)) return;
   Permit permit = moving;
-  next.permits.erase(moving.key);  // Its old home is free to be chosen again.
+  next.permits.erase(moving.key);  // Its previous server may be chosen again.
   if (permit.key.index >= Quota(permit.key.servable)) return;
-  // Without a place now, the permit is dropped; AddMissing tries again at the next change.
+  // If no server has room now, the permit is dropped; AddMissing retries at the next change.
   if (AssignHome(next, permit)) next.permits[permit.key] = permit;
 }
 
@@ -107,7 +107,8 @@
   if (!home_usable || !home->second.report) return;
   const Incarnation now_running = home->second.report->incarnation;
   if (now_running <= permit.incarnation) return;
-  permit.incarnation = now_running;  // The old incarnation's memory is gone: admit the new one.
+  permit.incarnation =
+      now_running;  // The previous incarnation lost its memory, so admit the new one.
   permit.since = next.revision;
 }
 
--- a/src/core/reducer.cc
+++ b/src/core/reducer.cc
@@ -11,7 +11,7 @@
 constexpr Duration kRequestInterval = std::chrono::milliseconds(500);
 constexpr Duration kDemandInterval = std::chrono::seconds(2);
 
-/// Composes the reducers of the single concerns for one event.
+/// Applies one event to the reducers of all concerns.
 class EventReducer {
  public:
   EventReducer(State& state, const Event& event)
@@ -234,14 +234,15 @@
     effects_.push_back(SendMessage{from, ClaimViewRequest{}});
   }
 
-  /// Until all know a new view, claims that name another one are refused: it is spread at once.
+  /// Broadcasts a new view immediately: until all daemons have it, claims made under another view
+  /// are refused.
   void PushClaimView() {
     for (const DaemonName& member : state_.membership.alive)
       if (member != state_.self.name)
         effects_.push_back(SendMessage{member, ClaimViewMessage{state_.claim_views.view}});
   }
 
-  /// @return true when the view was newer.
+  /// @return whether the view is newer than the known one.
   bool AdoptView(const ClaimView& view) {
     if (!claim_views_.Adopt(view)) return false;
     effects_.push_back(AdoptClaimView{view});
@@ -304,8 +305,8 @@
     effects_.push_back(PublishRouting{});
   }
 
-  /// The first few members by rank watch the service; they also read it again now and then, since
-  /// a watch can die unseen.
+  /// The first few members by rank watch the service. They also read it periodically, since a watch
+  /// can fail without notice.
   void UpdateWatch() {
     const bool should_watch = !state_.stopping && RankOf(state_.membership, state_.self.name) <
                                                       state_.settings.watchers_per_zone;
@@ -323,8 +324,8 @@
     effects_.push_back(ReadConfiguration{configuration.revision});
   }
 
-  /// Delegates (the watchers) compare revisions with one daemon of another zone at a time, which
-  /// heals a zone that cannot reach the service.
+  /// The watchers compare revisions with one daemon of another zone at a time, which updates a zone
+  /// that cannot reach the service.
   void SendZoneDigest() {
     if (!state_.configuration.watching) return;
     if (now_ - state_.last_zone_digest < state_.settings.zone_digest_interval) return;
--- a/src/core/reports/report_sharing.cc
+++ b/src/core/reports/report_sharing.cc
@@ -7,7 +7,7 @@
 namespace moorfold {
 namespace {
 
-/// How long the answer to a request for reports is waited for.
+/// Time to wait for the response to a request for reports.
 constexpr Duration kReportsRequestInterval = std::chrono::seconds(1);
 
 std::uint64_t RendezvousWeight(const std::string& key, const std::string& candidate) {
@@ -22,7 +22,7 @@
       });
 }
 
-/// Compares all but the figures that change with every request.
+/// Compares all fields except those that change with every request.
 bool SameStates(const ServerReport& left, const ServerReport& right) {
   if (left.incarnation != right.incarnation || left.memory_used != right.memory_used ||
       left.leaving != right.leaving || left.replicas.size() != right.replicas.size() ||
@@ -115,7 +115,7 @@
     if (member != state_.self.name) effects_.push_back(SendMessage{member, message});
 }
 
-/// A coordinator orders nothing on what it heard before it had the role.
+/// A coordinator sends no orders based on reports from before it had the role.
 bool ReportSharing::Misses(const ServerView& server) const {
   const CoordinatorState& coordinator = state_.coordinator;
   if (!server.listed) return false;
@@ -123,8 +123,8 @@
          (coordinator.active && server.report_received < coordinator.active_since);
 }
 
-/// What was shared once may not have arrived, or come before the receiver knew the server; without
-/// a change it is not shared again.
+/// A shared report may be lost, or may arrive before the receiver knows the server, and an
+/// unchanged report is not shared again.
 void ReportSharing::AskForMissing() {
   if (state_.stopping || state_.membership.alive.empty()) return;
   if (now_ - state_.last_reports_request < kReportsRequestInterval) return;
--- a/src/host/core_host.cc
+++ b/src/host/core_host.cc
@@ -162,13 +162,13 @@
 }
 
 void CoreHost::StartWatch() {
-  // Both watches end together; the configuration's tells when to start them again.
+  // Both watches end together; the end of the configuration's watch triggers their restart.
   claim_watch_ = ports_.documents->WatchClaimView(
       WhileAlive([this](const ClaimView& view) { Dispatch(ClaimViewRead{view}); }));
   watch_ = ports_.documents->WatchConfiguration(
       WhileAlive(
           [this](const ConfigurationDelta& delta) { Dispatch(ConfigurationDeltaRead{delta}); }),
-      // The regular reads go on meanwhile; the watch is tried again a little later.
+      // Periodic reads continue; the watch is retried after a delay.
       WhileAlive([this] {
         ports_.observer->OnLog({LogSeverity::kWarning, "configuration_watch_ended", {}});
         ports_.scheduler->After(kWatchRetry, WhileAlive([this] {
