--- a/test/fleet/placement_test.cc
+++ b/test/fleet/placement_test.cc
@@ -199,7 +199,8 @@
   CHECK(steps[0].name.model == "gone");
 }
 
-TEST_CASE("A leader with an older configuration does not unload a new model that requests ask for") {
+TEST_CASE(
+    "A leader with an older configuration does not unload a new model that requests ask for") {
   const ModelReference name{"new", GENERATE("", "a1")};
   const ModelDemand demand = GENERATE(Busy(1), Waiting(1), MakeDemand(0, 0));
   CAPTURE(name.adapter, demand.in_flight, demand.waiting);
