Failing test: a sound prompt part stays quarantined with a guilty one

A part that requests share with a guilty one is quarantined with it if nothing with the part succeeds before the fifth crash ("equally likely"), and then has no chance to succeed until the quarantine expires after ten minutes.

Ruled out: chance alone.

--- a/test/emulator/emulated_clients.cc
+++ b/test/emulator/emulated_clients.cc
@@ -155,13 +155,16 @@
   --running_;
 }
 
-void EmulatedClients::StartEndingPart(const std::string& name, milliseconds pause) {
-  boost::asio::co_spawn(context_, RunEndingPart(name, pause), boost::asio::detached);
+void EmulatedClients::StartEndingPart(const std::string& name, milliseconds pause,
+                                      milliseconds ending_only) {
+  boost::asio::co_spawn(context_, RunEndingPart(name, pause, ending_only), boost::asio::detached);
 }
 
-Awaitable<void> EmulatedClients::RunEndingPart(std::string name, milliseconds pause) {
+Awaitable<void> EmulatedClients::RunEndingPart(std::string name, milliseconds pause,
+                                               milliseconds ending_only) {
   ++running_;
-  for (bool guilty = true; !stopping_; guilty = !guilty) {
+  const auto mixed_from = BootClock::now() + ending_only;
+  for (bool guilty = true; !stopping_; guilty = !guilty || BootClock::now() < mixed_from) {
     co_await Sleep(pause);
     GatewayAddress* gateway = PickGateway();
     if (gateway == nullptr || calm_()) continue;
--- a/test/emulator/emulated_clients.h
+++ b/test/emulator/emulated_clients.h
@@ -53,7 +53,9 @@
                    int copies);
   /// A client that sends streams until Stop, no two alike, at any gateway: every other one has a
   /// prompt part under which servers end, the others share their first part only.
-  void StartEndingPart(const std::string& name, std::chrono::milliseconds pause);
+  /// @param ending_only time at the start in which all streams have the ending part.
+  void StartEndingPart(const std::string& name, std::chrono::milliseconds pause,
+                       std::chrono::milliseconds ending_only = std::chrono::milliseconds(0));
   /// What became of the sound ones among them.
   const ClientCounts& beside_ending_parts() const { return beside_ending_parts_; }
   /// While `calm` holds, such clients send nothing: no server is to end then.
@@ -72,7 +74,8 @@
   /// @return whether the request was served.
   Awaitable<bool> SendOne(int client, const std::string& id);
   Awaitable<void> RunEnding(std::string name, RequestKind kind, std::chrono::milliseconds pause);
-  Awaitable<void> RunEndingPart(std::string name, std::chrono::milliseconds pause);
+  Awaitable<void> RunEndingPart(std::string name, std::chrono::milliseconds pause,
+                                std::chrono::milliseconds ending_only);
   Awaitable<bool> SendRequest(GatewayAddress& gateway, const std::string& id, RequestKind kind);
   /// Sends a request and closes the connection after a moment.
   Awaitable<void> SendAndLeave(const GatewayAddress& gateway, const std::string& id);
--- a/test/quarantine/crashing_part_test.cc
+++ b/test/quarantine/crashing_part_test.cc
@@ -39,5 +39,26 @@
   CHECK(2 * sound.served >= sound.sent);
 }
 
+TEST_CASE("A sound part that came only with a guilty one at first is served without it later") {
+  const int gateways = GENERATE(1, 4);
+  CAPTURE(gateways);
+  Deployment deployment(gateways, ManyModelServers(gateways));
+  REQUIRE(deployment.RunUntil([&] { return deployment.AllReady() && deployment.Leaders() == 1; }));
+  deployment.clients->Start(6);
+  deployment.RunFor(milliseconds(4'000));  // Until the leader may issue orders.
+  deployment.clients->StartEndingPart("one", milliseconds(150), milliseconds(8'000));
+  deployment.RunFor(milliseconds(20'000));
+  deployment.clients->Stop();
+  deployment.RunUntil([&] { return deployment.clients->running() == 0; });
+  deployment.platform.checker().Finish();
+  const EndingSummary& endings = deployment.platform.checker().part_endings();
+  CHECK(endings.most_servers >= 5);
+  CHECK(endings.sent_when_known == 0);
+  CHECK(deployment.platform.checker().violations() == std::vector<std::string>{});
+  const ClientCounts& sound = deployment.clients->beside_ending_parts();
+  CHECK(sound.sent >= 20);
+  CHECK(2 * sound.served >= sound.sent);
+}
+
 }  // namespace
 }  // namespace moorfold
