Trial requests for a quarantined part that another part may explain

Cause: callers of sound requests got "quarantined" for up to ten minutes because a part of their prompts had come with a guilty part on five crashed servers. Which of the equally likely parts was quarantined depended on the order of evaluation, and a quarantined part explained the crashes of the others, so the guilty one could also go free. A quarantined part had no chance to succeed.

Ruled out: a verdict that waits for more crashes (the platform allows five and then three more); quarantine of the combination only (requests with one of the parts would be sent by all daemons at once); trials by any daemon (their number has no bound over a fleet).

Change: parts that are equally likely are all quarantined, up to the eight that one request can share. A request that lacks one of them is kUnproven: it waits, as an undecided one does, and the leader sends trials, one at a time for each part, none again with the same quarantined parts after one that may have crashed its server, two at most for a part (PartTrials). A complete response clears the part as before; two later crashes that no other part explains prove it guilty. When a part is cleared, the parts whose crashes it explained are evaluated at once. A request is checked again after its waits, right before it is sent.

A sound request at a daemon that does not lead waits, or is refused as not run, until the leader's trial has succeeded.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -329,6 +329,7 @@
   ports.broadcast = [this](const QuarantineNotice& notice) {
     if (election_.leading()) channel_.Broadcast(notice);
   };
+  ports.leads = [this] { return election_.leading(); };
   ports.leader = [this]() -> std::optional<std::string> {
     const std::string leader = LeaderAddress();
     if (election_.leading() || leader.empty()) return std::nullopt;
--- a/src/gateway/quarantine_filter.cc
+++ b/src/gateway/quarantine_filter.cc
@@ -10,6 +10,8 @@
 
 namespace moorfold {
 
+using quarantine::QuarantineState;
+
 bool QuarantineFilter::HasCase(const GatewayRequest& request) const {
   const quarantine::CrashTracker& tracker = quarantine_.tracker();
   return tracker.HasCase(request.fingerprint) ||
@@ -17,23 +19,48 @@
                      [&](const Fingerprint& part) { return tracker.HasCase(part); });
 }
 
-bool QuarantineFilter::IsQuarantinedFor(const GatewayRequest& request,
-                                        const std::string& version) const {
-  const auto quarantined = [&](const Fingerprint& fingerprint) {
-    return quarantine_.StateFor(fingerprint, version) == quarantine::QuarantineState::kQuarantined;
-  };
-  return quarantined(request.fingerprint) ||
-         std::any_of(request.part_fingerprints.begin(), request.part_fingerprints.end(),
-                     quarantined);
+QuarantineState QuarantineFilter::StateFor(const GatewayRequest& request,
+                                           const std::string& version) const {
+  const QuarantineState as_whole = quarantine_.StateFor(request.fingerprint, version);
+  const QuarantineState by_parts =
+      quarantine_.tracker().StateOfParts(request.part_fingerprints, version);
+  return std::max(as_whole, by_parts);
+}
+
+std::map<std::string, QuarantineState> QuarantineFilter::StatesByVersion(
+    const GatewayRequest& request) const {
+  std::map<std::string, QuarantineState> states;
+  for (const ServerPtr& server : view_.servers.Of(request.service)) {
+    const std::string& version = server->record().software_version;
+    const auto [state, added] = states.try_emplace(version, QuarantineState::kClear);
+    if (added) state->second = StateFor(request, version);
+  }
+  return states;
+}
+
+std::vector<Fingerprint> QuarantineFilter::QuarantinedParts(const GatewayRequest& request,
+                                                            const std::string& version) const {
+  std::vector<Fingerprint> quarantined;
+  for (const Fingerprint& part : request.part_fingerprints)
+    if (quarantine_.tracker().IsQuarantined(part, version)) quarantined.push_back(part);
+  return quarantined;
+}
+
+bool QuarantineFilter::MaySend(const GatewayRequest& request, const Server& server) const {
+  if (!HasCase(request)) return true;
+  const std::string& version = server.record().software_version;
+  const QuarantineState state = StateFor(request, version);
+  if (state == QuarantineState::kUnproven)
+    return quarantine_.MayTry(QuarantinedParts(request, version));
+  return state != QuarantineState::kQuarantined;
 }
 
 bool QuarantineFilter::IsQuarantined(const GatewayRequest& request) const {
   if (!HasCase(request)) return false;
-  const std::vector<ServerPtr>& servers = view_.servers.Of(request.service);
-  return !servers.empty() &&
-         std::all_of(servers.begin(), servers.end(), [&](const ServerPtr& server) {
-           return IsQuarantinedFor(request, server->record().software_version);
-         });
+  const std::map<std::string, QuarantineState> states = StatesByVersion(request);
+  return !states.empty() && std::all_of(states.begin(), states.end(), [](const auto& state) {
+    return state.second == QuarantineState::kQuarantined;
+  });
 }
 
 /// A suspected request is sent to one server at a time, and not to a server that is running another
@@ -43,21 +70,25 @@
                                       ServerChoiceRequest& choice_request) const {
   if (quarantine_.HasAttemptInFlight(request.fingerprint)) return false;
   bool suspected = false;
+  const std::map<std::string, QuarantineState> states = StatesByVersion(request);
   for (const ServerPtr& server : view_.servers.Of(request.service)) {
     const std::string& version = server->record().software_version;
-    if (IsQuarantinedFor(request, version)) {
-      choice_request.excluded_versions.push_back(version);
-      continue;
-    }
-    switch (quarantine_.StateFor(request.fingerprint, version)) {
-      case quarantine::QuarantineState::kUndecided:
+    switch (states.at(version)) {
+      case QuarantineState::kClear:
+        break;
+      case QuarantineState::kSuspect:
+        suspected = true;
+        break;
+      case QuarantineState::kUndecided:
         choice_request.excluded.push_back(server->record().id);
         break;
-      case quarantine::QuarantineState::kSuspect:
+      case QuarantineState::kUnproven:
         suspected = true;
+        if (!quarantine_.MayTry(QuarantinedParts(request, version)))
+          choice_request.excluded.push_back(server->record().id);
         break;
-      case quarantine::QuarantineState::kClear:
-      case quarantine::QuarantineState::kQuarantined:
+      case QuarantineState::kQuarantined:
+        choice_request.excluded_versions.push_back(version);
         break;
     }
   }
--- a/src/gateway/quarantine_filter.h
+++ b/src/gateway/quarantine_filter.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include <map>
+#include <string>
+#include <vector>
+
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_request.h"
 #include "gateway/server_choice.h"
@@ -23,12 +27,24 @@
   /// @return whether a server may be chosen at all; false while another attempt of the request is
   /// in flight.
   bool ExcludeServers(const GatewayRequest& request, ServerChoiceRequest& choice_request) const;
+  /// @return whether the request may still be sent to the server that was chosen before a wait.
+  bool MaySend(const GatewayRequest& request, const Server& server) const;
+  /// @return the quarantined parts of the request's prompt for which it would be a trial on that
+  /// server.
+  std::vector<Fingerprint> QuarantinedParts(const GatewayRequest& request,
+                                            const std::string& version) const;
   /// Reports to the CrashTracker what an attempt shows about its server and its request.
   void RecordAttempt(const GatewayRequest& request, const Server& server,
                      const AttemptResult& result, SteadyTime sent_at);
 
  private:
-  bool IsQuarantinedFor(const GatewayRequest& request, const std::string& version) const;
+  /// @return the state that follows from the request as a whole and from the parts of its prompt.
+  quarantine::QuarantineState StateFor(const GatewayRequest& request,
+                                       const std::string& version) const;
+  /// @return the states for all software versions of the request's service.
+  std::map<std::string, quarantine::QuarantineState> StatesByVersion(
+      const GatewayRequest& request) const;
+
   const FleetView& view_;
   QuarantineService& quarantine_;
 };
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -405,15 +405,21 @@
     co_return co_await forwarder_.Forward(exchange, request, server, request.expires_at, true);
   const ScopedDemandCount in_flight_mark(view_.demand, request.service, request.model,
                                          &ModelDemandCounters::Count::in_flight);
+  std::vector<Fingerprint> trial_parts =
+      quarantine_filter_.QuarantinedParts(request, server->record().software_version);
   std::optional<QuarantineService::SuspectAttempt> suspect_attempt;
-  if (quarantine_.tracker().HasCase(request.fingerprint))
-    suspect_attempt.emplace(quarantine_, request.fingerprint, server->record().id);
+  if (quarantine_.tracker().HasCase(request.fingerprint) || !trial_parts.empty())
+    suspect_attempt.emplace(quarantine_, request.fingerprint, server->record().id,
+                            std::move(trial_parts));
   const bool last = !MayRetryElsewhere(request);
   const SteadyTime sent_at = BootClock::now();
   AttemptResult result =
       co_await forwarder_.Forward(exchange, request, server, AttemptDeadline(request), last);
   wait_estimator_.RecordResponseTime(request, sent_at);
   quarantine_filter_.RecordAttempt(request, *server, result, sent_at);
+  const bool no_crash = result.attempt_outcome == AttemptOutcome::kAnswered ||
+                        result.attempt_outcome == AttemptOutcome::kNotRun;
+  if (suspect_attempt && no_crash) suspect_attempt->RecordNoCrash();
   co_return result;
 }
 
@@ -456,6 +462,7 @@
     if (request.refusal) break;
     // The client has disconnected, or the deadline has passed.
     if (request.client_left || BootClock::now() >= request.expires_at) break;
+    if (!request.detour_target && !quarantine_filter_.MaySend(request, *server)) continue;
     if (IsRetry(request) && !TryTakeRetry(request, *server)) continue;
     ++request.sends;
     server_id = server->record().id;
--- a/src/quarantine/crash_tracker.cc
+++ b/src/quarantine/crash_tracker.cc
@@ -3,6 +3,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 
 namespace moorfold::quarantine {
 
@@ -23,6 +25,12 @@
 /// Parts that always come together cannot be told apart, so after that many crashes all of them are
 /// quarantined.
 constexpr std::size_t kMaxCrashesOfPart = 5;
+/// The most parts that one request shares with others. If more are equally likely, most of them
+/// belong to sound requests on the crashed servers, and only the first of them is quarantined.
+constexpr std::size_t kMaxEquallyLikelyParts = 8;
+/// Crashes of trial requests after which the part that they have is proven guilty: a single one may
+/// have another cause.
+constexpr std::size_t kMinCrashesInTrials = 2;
 
 bool Contains(const std::vector<std::string>& names, std::string_view name) {
   return std::find(names.begin(), names.end(), name) != names.end();
@@ -154,10 +162,12 @@
   const auto existing = cases_.find(fingerprint);
   if (existing == cases_.end() || CrashCount(existing->second, version) == 0) return;
   Case& tracked = existing->second;
+  const std::vector<std::string> explained = ServersExplainedBy(fingerprint, tracked);
   AddClearance(fingerprint, tracked, {version, now});
   UpdateDigest(fingerprint, tracked);
   effects.updated_cases.push_back(fingerprint);
   effects.changes.push_back({CaseChangeKind::kCleared, fingerprint, tracked.service, 0});
+  EvaluatePartsOn(explained, now, effects);
 }
 
 void CrashTracker::Handle(const Released& event, Time now, Effects& effects) {
@@ -165,11 +175,36 @@
   if (existing == cases_.end()) return;
   Case& tracked = existing->second;
   const std::size_t servers = tracked.crashes.size();
+  const std::vector<std::string> explained = ServersExplainedBy(event.fingerprint, tracked);
   AddClearance(event.fingerprint, tracked, {"", now});
   UpdateDigest(event.fingerprint, tracked);
   effects.updated_cases.push_back(event.fingerprint);
   effects.changes.push_back(
       {CaseChangeKind::kReleased, event.fingerprint, tracked.service, servers});
+  EvaluatePartsOn(explained, now, effects);
+}
+
+std::vector<std::string> CrashTracker::ServersExplainedBy(const Fingerprint& fingerprint,
+                                                          const Case& tracked) {
+  std::vector<std::string> servers;
+  if (!IsPartFingerprint(fingerprint) || tracked.quarantined_versions.empty()) return servers;
+  for (const Crash& crash : tracked.crashes) servers.push_back(crash.server_id);
+  return servers;
+}
+
+void CrashTracker::EvaluatePartsOn(const std::vector<std::string>& server_ids, Time now,
+                                   Effects& effects) {
+  std::set<Fingerprint> parts;
+  for (const std::string& server_id : server_ids) {
+    const auto on_server = cases_by_server_.find(server_id);
+    if (on_server == cases_by_server_.end()) continue;
+    std::copy_if(on_server->second.begin(), on_server->second.end(),
+                 std::inserter(parts, parts.end()), IsPartFingerprint);
+  }
+  for (const Fingerprint& part : parts) {
+    const auto existing = cases_.find(part);
+    if (existing != cases_.end()) EvaluateCase(part, existing->second, now, effects);
+  }
 }
 
 void CrashTracker::Handle(const CasesReceived& event, Time now, Effects& effects) {
@@ -192,6 +227,7 @@
       ++effects.dropped;
       continue;
     }
+    const std::vector<std::string> explained = ServersExplainedBy(update.fingerprint, *tracked);
     if (!MergeUpdate(*tracked, update, now)) continue;
     effects.updated_cases.push_back(update.fingerprint);
     // Other daemons may not have seen a success of the part.
@@ -203,6 +239,7 @@
       if (CrashCount(*tracked, version) > 0)
         Quarantine(update.fingerprint, *tracked, version, effects);
     EvaluateCase(update.fingerprint, *tracked, now, effects);
+    if (tracked->quarantined_versions.empty()) EvaluatePartsOn(explained, now, effects);
   }
 }
 
@@ -244,6 +281,66 @@
   return QuarantineState::kSuspect;
 }
 
+bool CrashTracker::IsQuarantined(const Fingerprint& fingerprint, std::string_view version) const {
+  const auto existing = cases_.find(fingerprint);
+  return existing != cases_.end() && Contains(existing->second.quarantined_versions, version);
+}
+
+bool CrashTracker::IsQuarantined(const Fingerprint& fingerprint) const {
+  const auto existing = cases_.find(fingerprint);
+  return existing != cases_.end() && !existing->second.quarantined_versions.empty();
+}
+
+QuarantineState CrashTracker::StateOfParts(const std::vector<Fingerprint>& parts,
+                                           std::string_view version) const {
+  QuarantineState state = QuarantineState::kClear;
+  for (const Fingerprint& part : parts) {
+    if (!IsQuarantined(part, version)) continue;
+    if (IsProvenGuilty(cases_.at(part), parts, version)) return QuarantineState::kQuarantined;
+    state = QuarantineState::kUnproven;
+  }
+  return state;
+}
+
+bool CrashTracker::IsProvenGuilty(const Case& part,
+                                  const std::vector<Fingerprint>& parts_of_request,
+                                  std::string_view version) const {
+  std::vector<Time> unexplained;
+  Time last_explained{};
+  for (const Crash& crash : part.crashes) {
+    if (crash.version != version) continue;
+    if (IsExplainedByOtherPart(part, crash.server_id, parts_of_request, version))
+      last_explained = std::max(last_explained, crash.at);
+    else
+      unexplained.push_back(crash.at);
+  }
+  if (last_explained == Time{} || CountMoments(unexplained) >= kMinCrashesOfPart) return true;
+  std::erase_if(unexplained, [&](Time at) { return at <= last_explained; });
+  return CountMoments(std::move(unexplained)) >= kMinCrashesInTrials;
+}
+
+bool CrashTracker::IsExplainedByOtherPart(const Case& part, const std::string& server_id,
+                                          const std::vector<Fingerprint>& parts_of_request,
+                                          std::string_view version) const {
+  const auto on_server = cases_by_server_.find(server_id);
+  if (on_server == cases_by_server_.end()) return false;
+  const auto is_lacking = [&](const Fingerprint& other) {
+    return std::find(parts_of_request.begin(), parts_of_request.end(), other) ==
+           parts_of_request.end();
+  };
+  for (const Fingerprint& other : on_server->second) {
+    const auto existing = cases_.find(other);
+    if (!IsPartFingerprint(other) || !is_lacking(other) || existing == cases_.end()) continue;
+    const Case& tracked = existing->second;
+    const bool enough_crashes = Contains(tracked.quarantined_versions, version) ||
+                                (CrashCount(tracked, version) >= kMinCrashesOfPart &&
+                                 CrashMoments(tracked, version) >= kMinCrashesOfPart);
+    if (enough_crashes && LastClearance(tracked, version) <= LastClearance(part, version))
+      return true;
+  }
+  return false;
+}
+
 void CrashTracker::EvaluateCase(const Fingerprint& fingerprint, Case& tracked, Time now,
                                 Effects& effects) {
   UpdateDigest(fingerprint, tracked);
@@ -282,18 +379,23 @@
     const auto neighbors = cases_by_server_.find(crash.server_id);
     if (crash.version != version || neighbors == cases_by_server_.end()) continue;
     bool explained = false;
+    bool other_quarantined = false;
+    std::size_t as_likely = 0;
     for (const Fingerprint& other : neighbors->second) {
       const auto neighbor = cases_.find(other);
       if (other == fingerprint || !IsPartFingerprint(other) || neighbor == cases_.end()) continue;
-      if (Contains(neighbor->second.quarantined_versions, version)) {
-        explained = true;
-        continue;
-      }
-      if (CrashMoments(neighbor->second, version) < own_moments) continue;
+      const bool quarantined = Contains(neighbor->second.quarantined_versions, version);
+      const std::size_t moments = CrashMoments(neighbor->second, version);
       const Time clearance = LastClearance(neighbor->second, version);
-      if (clearance < own_clearance) return false;
-      other_as_likely = other_as_likely || clearance == own_clearance;
+      explained =
+          explained || (quarantined && (moments > own_moments || clearance < own_clearance));
+      other_quarantined = other_quarantined || quarantined;
+      if (moments < own_moments) continue;
+      if (clearance < own_clearance && !quarantined) return false;
+      if (clearance == own_clearance) ++as_likely;
     }
+    other_as_likely = other_as_likely || as_likely > 0;
+    explained = explained || (other_quarantined && as_likely >= kMaxEquallyLikelyParts);
     if (!explained) unexplained.push_back(crash.at);
   }
   const std::size_t unexplained_moments = CountMoments(std::move(unexplained));
--- a/src/quarantine/crash_tracker.h
+++ b/src/quarantine/crash_tracker.h
@@ -48,6 +48,11 @@
 /// newer. Parts that are equally likely are quarantined after five crashes. Crashes at the same
 /// moment count once: they have another cause, such as a rack that lost power.
 ///
+/// Trials. A sound part that no request succeeds with before the fifth crash is quarantined with
+/// the guilty one. A request is refused if it has both. If it has one of them only, that part is
+/// not proven guilty (kUnproven), and trial requests decide: a complete response clears the part,
+/// and two crashes that the other part does not explain prove it guilty.
+///
 /// Expiry. A case is removed `retention` after its last crash or clearance. Decisions hold for one
 /// version of the servers' software; after a quarantine, a single crash on another version
 /// quarantines the request for that version too.
@@ -84,6 +89,7 @@
   kClear,       ///< No evidence against the request.
   kSuspect,     ///< A server crashed while running it; the cause is not proven.
   kUndecided,   ///< Near the threshold; evidence from other daemons may still arrive.
+  kUnproven,    ///< A part is quarantined, but a part that the request lacks explains its crashes.
   kQuarantined  ///< Servers crash under it; the request is refused.
 };
 
@@ -170,6 +176,14 @@
   bool HasCase(const Fingerprint& fingerprint) const { return cases_.contains(fingerprint); }
   QuarantineState StateFor(const Fingerprint& fingerprint, std::string_view version,
                            Time now) const;
+  /// @return the state of a request as far as it follows from the parts of its prompt: kClear,
+  /// kUnproven or kQuarantined.
+  QuarantineState StateOfParts(const std::vector<Fingerprint>& parts,
+                               std::string_view version) const;
+  /// @return whether the request or part is quarantined for the version.
+  bool IsQuarantined(const Fingerprint& fingerprint, std::string_view version) const;
+  /// @return whether the request or part is quarantined for any version.
+  bool IsQuarantined(const Fingerprint& fingerprint) const;
   /// @return whether a connection that the server closed is not yet confirmed as a crash.
   bool AwaitsConfirmation(const std::string& server_id) const {
     return unconfirmed_closes_.contains(server_id);
@@ -245,6 +259,12 @@
   Case* FindOrCreateCase(const Fingerprint& fingerprint, const std::string& service);
   bool EvictOldestCase();
   void EvaluateCase(const Fingerprint& fingerprint, Case& tracked, Time now, Effects& effects);
+  /// @return the servers whose crashes a quarantined part explains; none for other cases.
+  static std::vector<std::string> ServersExplainedBy(const Fingerprint& fingerprint,
+                                                     const Case& tracked);
+  /// Evaluates the parts that were running on the servers, after the part that explained their
+  /// crashes has been cleared.
+  void EvaluatePartsOn(const std::vector<std::string>& server_ids, Time now, Effects& effects);
   void Quarantine(const Fingerprint& fingerprint, Case& tracked, const std::string& version,
                   Effects& effects);
   bool IsGuiltyRequest(const Fingerprint& fingerprint, const Case& tracked,
@@ -253,6 +273,15 @@
                     Time now) const;
   bool HasMoreCrashesThanNeighbors(const Fingerprint& fingerprint, const Case& tracked,
                                    const std::string& version) const;
+  /// @return whether the crashes of a quarantined part of a request prove it guilty, because parts
+  /// that the request lacks do not explain enough of them.
+  bool IsProvenGuilty(const Case& part, const std::vector<Fingerprint>& parts_of_request,
+                      std::string_view version) const;
+  /// @return whether a part that the request lacks is at least as likely as `part` to have crashed
+  /// the server.
+  bool IsExplainedByOtherPart(const Case& part, const std::string& server_id,
+                              const std::vector<Fingerprint>& parts_of_request,
+                              std::string_view version) const;
   void RemoveCase(const Fingerprint& fingerprint, Effects& effects);
   void UpdateDigest(const Fingerprint& fingerprint, Case& tracked);
   void RemoveFromServerIndex(const Fingerprint& fingerprint, const std::string& server_id);
--- a/src/quarantine/quarantine_service.cc
+++ b/src/quarantine/quarantine_service.cc
@@ -184,6 +184,7 @@
 void QuarantineService::Tick() {
   const auto now = BootClock::now();
   Apply(tracker_.Reduce(quarantine::Tick{}, now), true);
+  trials_.Prune([this](const Fingerprint& part) { return tracker_.IsQuarantined(part); });
   std::erase_if(recently_observed_,
                 [&](const auto& observation) { return now - observation.second > kRepeatPeriod; });
   if (recently_observed_.empty()) return;
@@ -238,9 +239,14 @@
 
 QuarantineService::SuspectAttempt::SuspectAttempt(QuarantineService& service,
                                                   const Fingerprint& fingerprint,
-                                                  std::string server_id)
-    : service_(service), fingerprint_(fingerprint), server_id_(std::move(server_id)) {
+                                                  std::string server_id,
+                                                  std::vector<Fingerprint> trial_parts)
+    : service_(service),
+      fingerprint_(fingerprint),
+      server_id_(std::move(server_id)),
+      trial_parts_(std::move(trial_parts)) {
   service_.suspect_attempts_.emplace(fingerprint_, server_id_);
+  service_.trials_.Begin(trial_parts_);
 }
 
 QuarantineService::SuspectAttempt::~SuspectAttempt() {
@@ -248,6 +254,7 @@
   const auto entry =
       std::find_if(first, last, [&](const auto& attempt) { return attempt.second == server_id_; });
   if (entry != last) service_.suspect_attempts_.erase(entry);
+  service_.trials_.End(trial_parts_, crash_possible_);
   service_.ports_.changed();
 }
 
--- a/src/quarantine/quarantine_service.h
+++ b/src/quarantine/quarantine_service.h
@@ -15,6 +15,7 @@
 #include "common/event_log.h"
 #include "http/http_types.h"
 #include "quarantine/crash_tracker.h"
+#include "quarantine/part_trials.h"
 
 namespace moorfold {
 
@@ -48,6 +49,8 @@
     std::function<void(const std::string& to, const QuarantineNotice& notice)> send;
     /// Sends to all daemons that report to this one; does nothing if this daemon is not the leader.
     std::function<void(const QuarantineNotice& notice)> broadcast;
+    /// @return whether this daemon is the leader.
+    std::function<bool()> leads;
     /// @return "IP:PORT" of the leader if it is another daemon.
     std::function<std::optional<std::string>()> leader;
     /// @return "IP:PORT" of each other known daemon.
@@ -85,17 +88,29 @@
   /// Registers an attempt to send a suspected request to a server, for the lifetime of this object.
   class SuspectAttempt {
    public:
+    /// @param trial_parts the quarantined parts of the request's prompt; empty if it is no trial.
     SuspectAttempt(QuarantineService& service, const Fingerprint& fingerprint,
-                   std::string server_id);
+                   std::string server_id, std::vector<Fingerprint> trial_parts);
     ~SuspectAttempt();
     SuspectAttempt(const SuspectAttempt&) = delete;
     SuspectAttempt& operator=(const SuspectAttempt&) = delete;
 
+    /// The server completed the request, or did not run it.
+    void RecordNoCrash() { crash_possible_ = false; }
+
    private:
     QuarantineService& service_;
     Fingerprint fingerprint_;
     std::string server_id_;
+    std::vector<Fingerprint> trial_parts_;
+    bool crash_possible_ = true;
   };
+  /// @param parts the quarantined parts of a request's prompt.
+  /// @return whether this daemon may send the request as a trial now. Only the leader sends trials:
+  /// their number is limited over all daemons.
+  bool MayTry(const std::vector<Fingerprint>& parts) const {
+    return ports_.leads() && trials_.MayBegin(parts);
+  }
   /// @return whether an attempt of the same request is in flight on a server.
   bool HasAttemptInFlight(const Fingerprint& fingerprint) const {
     return suspect_attempts_.contains(fingerprint);
@@ -140,6 +155,7 @@
   /// Evidence that this daemon observed, with the time of observation; repeated while it is recent.
   std::map<Fingerprint, Time> recently_observed_;
   std::multimap<Fingerprint, std::string> suspect_attempts_;
+  quarantine::PartTrials trials_;
   std::size_t sync_cursor_ = 0;
   std::mt19937 random_{std::random_device{}()};
 };
--- a/test/gateway/pipeline_fixture.h
+++ b/test/gateway/pipeline_fixture.h
@@ -236,6 +236,7 @@
     QuarantineService::Ports ports;
     ports.send = [](const std::string&, const QuarantineNotice&) {};
     ports.broadcast = [](const QuarantineNotice&) {};
+    ports.leads = [] { return true; };
     ports.leader = [] { return std::nullopt; };
     ports.peers = [] { return std::vector<std::string>(); };
     ports.server = [this](const std::string& id) -> std::optional<Endpoint> {
--- a/test/quarantine/guilty_part_test.cc
+++ b/test/quarantine/guilty_part_test.cc
@@ -59,6 +59,10 @@
     return tracker.StateFor(Part(part), version, now) == QuarantineState::kQuarantined;
   }
 
+  QuarantineState StateOf(const Parts& parts) const {
+    return tracker.StateOfParts(Fingerprints(parts), kV1);
+  }
+
   CrashTracker tracker;
   Time now = Time(std::chrono::hours(100));
   int next_server = 1;
@@ -119,6 +123,51 @@
   CHECK(fixture.tracker.quarantined() == 0);
   fixture.Crash({{"guilty", "companion"}});
   CHECK(fixture.Quarantined("guilty"));
+  CHECK(fixture.Quarantined("companion"));
+}
+
+TEST_CASE(
+    "A sound part quarantined with a guilty one is unproven for requests without the guilty one") {
+  PartFixture fixture;
+  for (int crash = 0; crash < 5; ++crash) fixture.Crash({{"first", "guilty"}});
+  REQUIRE(fixture.Quarantined("first"));
+  CHECK(fixture.StateOf({"first", "guilty"}) == QuarantineState::kQuarantined);
+  CHECK(fixture.StateOf({"first", "sound"}) == QuarantineState::kUnproven);
+  CHECK(fixture.StateOf({"other", "sound"}) == QuarantineState::kClear);
+  fixture.Succeed({"first", "sound"});
+  CHECK(fixture.StateOf({"first", "sound"}) == QuarantineState::kClear);
+  CHECK(fixture.StateOf({"first", "guilty"}) == QuarantineState::kQuarantined);
+  CHECK(fixture.StateOf({"guilty"}) == QuarantineState::kQuarantined);
+}
+
+TEST_CASE(
+    "A sound part with more crashes than the guilty one is unproven, and cleared by a success") {
+  PartFixture fixture;
+  fixture.Crash({{"first", "guilty too"}});
+  for (int crash = 0; crash < 4; ++crash) fixture.Crash({{"first", "guilty"}});
+  REQUIRE(fixture.Quarantined("first"));
+  CHECK(fixture.StateOf({"first", "sound"}) == QuarantineState::kUnproven);
+  fixture.Succeed({"first", "sound"});
+  CHECK(fixture.StateOf({"first", "sound"}) == QuarantineState::kClear);
+  CHECK(fixture.Quarantined("guilty"));
+}
+
+TEST_CASE("A guilty part is proven after two crashes without the part that always came with it") {
+  PartFixture fixture;
+  for (int crash = 0; crash < 5; ++crash) fixture.Crash({{"guilty", "companion"}});
+  fixture.Crash({{"guilty", "a"}});
+  CHECK(fixture.StateOf({"guilty", "b"}) == QuarantineState::kUnproven);
+  fixture.Crash({{"guilty", "b"}});
+  CHECK(fixture.StateOf({"guilty", "c"}) == QuarantineState::kQuarantined);
+  CHECK(fixture.StateOf({"companion", "c"}) == QuarantineState::kUnproven);
+}
+
+TEST_CASE("A part that crashed servers beside no other suspected part needs no trial") {
+  PartFixture fixture;
+  for (int crash = 0; crash < 3; ++crash)
+    fixture.Crash({{"guilty", "rare-" + std::to_string(crash)}});
+  REQUIRE(fixture.Quarantined("guilty"));
+  CHECK(fixture.StateOf({"guilty", "new"}) == QuarantineState::kQuarantined);
 }
 
 TEST_CASE("A part that crashes one version is quarantined there and spared where it succeeds") {
