Tell a daemon that missed the clearance of a quarantined part

Cause: the digest that daemons compare twice a second covers parts that are quarantined, not those that were cleared. A daemon that missed the clearance (lost datagrams, a pause of over ten seconds) sent its quarantined case to the leader, for which it was nothing new, and heard nothing back: it refused sound requests until the quarantine expired.

Ruled out: clearances of parts in the digest; popular parts are cleared with every crash.

Change: an update that names a version as quarantined which is cleared here sends the case out again.

Measured: the model of whole fleets compares digests now and has a case in which a sound part comes only with a guilty one for seven seconds. "A daemon that missed the clearance of a quarantined part is told again" failed before.

--- a/src/quarantine/crash_tracker.cc
+++ b/src/quarantine/crash_tracker.cc
@@ -228,7 +228,10 @@
       continue;
     }
     const std::vector<std::string> explained = ServersExplainedBy(update.fingerprint, *tracked);
-    if (!MergeUpdate(*tracked, update, now)) continue;
+    if (!MergeUpdate(*tracked, update, now)) {
+      if (IsOutdated(update, *tracked)) effects.updated_cases.push_back(update.fingerprint);
+      continue;
+    }
     effects.updated_cases.push_back(update.fingerprint);
     // Other daemons may not have seen a success of the part.
     if (IsPartFingerprint(update.fingerprint))
@@ -539,6 +542,14 @@
   return changed;
 }
 
+bool CrashTracker::IsOutdated(const CaseUpdate& update, const Case& tracked) {
+  return std::any_of(update.quarantined_versions.begin(), update.quarantined_versions.end(),
+                     [&](const std::string& version) {
+                       return !Contains(tracked.quarantined_versions, version) &&
+                              LastClearance(tracked, version) != Time{};
+                     });
+}
+
 bool CrashTracker::IsValid(const CaseUpdate& update) {
   if (update.service.empty() || !HasValidLength(update.service)) return false;
   if (update.crashes.size() > kMaxCrashesPerCase ||
--- a/src/quarantine/crash_tracker.h
+++ b/src/quarantine/crash_tracker.h
@@ -256,6 +256,9 @@
                              const Clearance& clearance);
   /// Merges a received case. @return whether anything changed.
   bool MergeUpdate(Case& tracked, const CaseUpdate& update, Time now);
+  /// @return whether the sender of an update that changed nothing has missed a clearance. The
+  /// digest does not cover parts that are not quarantined.
+  static bool IsOutdated(const CaseUpdate& update, const Case& tracked);
   Case* FindOrCreateCase(const Fingerprint& fingerprint, const std::string& service);
   bool EvictOldestCase();
   void EvaluateCase(const Fingerprint& fingerprint, Case& tracked, Time now, Effects& effects);
--- a/test/quarantine/crashing_part_model_test.cc
+++ b/test/quarantine/crashing_part_model_test.cc
@@ -7,6 +7,7 @@
 #include <random>
 
 #include "quarantine/crash_tracker.h"
+#include "quarantine/part_trials.h"
 
 namespace moorfold {
 namespace {
@@ -15,6 +16,7 @@
 using quarantine::ConnectionClosed;
 using quarantine::CrashTracker;
 using quarantine::Effects;
+using quarantine::PartTrials;
 using quarantine::QuarantineState;
 using quarantine::RequestSucceeded;
 using quarantine::ServerEnded;
@@ -33,6 +35,8 @@
   double guilty_per_second = 4;
   bool leader = true;
   bool restart_all = false;  ///< After the verdict; the leader has stored the quarantined cases.
+  /// Until then there are guilty requests only, all with the same companion part.
+  seconds sound_from{0};
 };
 
 /// What became of the requests.
@@ -41,6 +45,7 @@
   int late_sends = 0;  ///< Of guilty requests, 3 s after the fifth crash or later.
   int sound = 0;
   int sound_refused = 0;
+  int sound_delayed = 0;  ///< Not sent while a trial was to decide on one of their parts.
 };
 
 class PartModel {
@@ -52,6 +57,7 @@
 
   PartModelResult Run(seconds length) {
     const Time end = now_ + length;
+    sound_from_ = now_ + options_.sound_from;
     const Time restart_at = now_ + length / 2;
     for (int step = 0; now_ < end; ++step) {
       now_ += kStep;
@@ -67,11 +73,13 @@
  private:
   struct Daemon {
     CrashTracker tracker{quarantine::Settings{}};
+    std::size_t sync_cursor = 0;
   };
   struct Running {
     std::size_t daemon = 0;
     Fingerprint request;
     std::vector<Fingerprint> parts;
+    std::vector<Fingerprint> trial_parts = {};
     bool guilty = false;
     Time ends_at{};
   };
@@ -94,8 +102,9 @@
     request.daemon = static_cast<std::size_t>(Draw(options_.daemons - 1));
     request.request = FingerprintOf({"host", "/p", "", std::to_string(next_request_++)});
     const std::string second = guilty ? "guilty" : "topic-" + std::to_string(Draw(40));
+    const int caller = guilty && now_ < sound_from_ ? 0 : Draw(8);
     request.parts = {PartFingerprintOf("s", "first"),
-                     PartFingerprintOf("s", "caller-" + std::to_string(guilty ? 0 : Draw(8))),
+                     PartFingerprintOf("s", "caller-" + std::to_string(caller)),
                      PartFingerprintOf("s", second)};
     request.guilty = guilty;
     request.ends_at = now_ + (guilty ? milliseconds(100) : milliseconds(300 + Draw(400)));
@@ -106,27 +115,45 @@
     const auto count = [&](double per_second) {
       return std::poisson_distribution<int>(per_second * kStep.count() / 1'000)(random_);
     };
-    for (int sound = count(options_.requests_per_second); sound > 0; --sound)
-      SendOne(NewRequest(false));
+    if (now_ >= sound_from_)
+      for (int sound = count(options_.requests_per_second); sound > 0; --sound)
+        SendOne(NewRequest(false));
     for (int guilty = count(options_.guilty_per_second); guilty > 0; --guilty)
       SendOne(NewRequest(true));
   }
 
   void SendOne(Running request) {
     const CrashTracker& tracker = daemons_[request.daemon].tracker;
-    const bool refused =
-        std::any_of(request.parts.begin(), request.parts.end(), [&](const Fingerprint& part) {
-          return tracker.StateFor(part, kVersion, now_) == QuarantineState::kQuarantined;
-        });
+    const QuarantineState state = tracker.StateOfParts(request.parts, kVersion);
     if (!request.guilty) ++result_.sound;
-    if (refused) {
+    if (state == QuarantineState::kQuarantined) {
       result_.sound_refused += request.guilty ? 0 : 1;
       return;
     }
+    if (state == QuarantineState::kUnproven && !BeginTrial(request)) {
+      result_.sound_delayed += request.guilty ? 0 : 1;
+      return;
+    }
     if (request.guilty && result_.crashes >= 5 && now_ - fifth_crash_at_ > seconds(3))
       ++result_.late_sends;
     Server& server = servers_[static_cast<std::size_t>(Draw(options_.servers - 1))];
-    if (now_ >= server.starts_at) server.running.push_back(std::move(request));
+    if (now_ >= server.starts_at)
+      server.running.push_back(std::move(request));
+    else
+      trials_.End(request.trial_parts, false);
+  }
+
+  /// Only the first daemon leads and sends trials.
+  bool BeginTrial(Running& request) {
+    if (!options_.leader || request.daemon != 0) return false;
+    std::vector<Fingerprint> quarantined;
+    std::copy_if(
+        request.parts.begin(), request.parts.end(), std::back_inserter(quarantined),
+        [&](const Fingerprint& part) { return daemons_[0].tracker.IsQuarantined(part, kVersion); });
+    if (!trials_.MayBegin(quarantined)) return false;
+    trials_.Begin(quarantined);
+    request.trial_parts = std::move(quarantined);
+    return true;
   }
 
   void RunServers() {
@@ -143,8 +170,10 @@
         if (now_ >= running.ends_at) ended.push_back(running);
         return now_ >= running.ends_at;
       });
-      for (const Running& running : ended)
+      for (const Running& running : ended) {
+        trials_.End(running.trial_parts, false);
         Apply(running.daemon, RequestSucceeded{running.request, kVersion, running.parts}, true);
+      }
     }
   }
 
@@ -153,8 +182,10 @@
     for (const Running& running : server.running)
       Apply(running.daemon,
             ConnectionClosed{running.request, "s", server.id, kVersion, running.parts}, true);
-    for (const Running& running : server.running)
+    for (const Running& running : server.running) {
+      trials_.End(running.trial_parts, true);
       Apply(running.daemon, ServerEnded{server.id}, true);
+    }
     server = NewServer();
     server.starts_at = now_ + seconds(2);
   }
@@ -192,6 +223,22 @@
 
   void TickAll() {
     for (std::size_t daemon = 0; daemon < daemons_.size(); ++daemon) Apply(daemon, Tick{}, true);
+    if (!options_.leader) return;
+    for (std::size_t daemon = 1; daemon < daemons_.size(); ++daemon) {
+      if (daemons_[daemon].tracker.Digest() == daemons_[0].tracker.Digest()) continue;
+      SendCases(daemon, 0);
+      SendCases(0, daemon);
+    }
+  }
+
+  void SendCases(std::size_t from, std::size_t to) {
+    constexpr std::size_t kMaxCases = 32;
+    Daemon& sender = daemons_[from];
+    Datagram datagram;
+    datagram.to = to;
+    for (const Fingerprint& part : sender.tracker.NextCasesToSync(kMaxCases, sender.sync_cursor))
+      datagram.cases.cases.push_back(sender.tracker.ExportCase(part, now_));
+    SendDatagram(datagram);
   }
 
   void RestartAll() {
@@ -206,7 +253,9 @@
   PartModelOptions options_;
   std::mt19937_64 random_;
   Time now_{std::chrono::hours(100)};
+  Time sound_from_{};
   Time fifth_crash_at_{};
+  PartTrials trials_;
   std::vector<Daemon> daemons_;
   std::vector<Server> servers_;
   std::multimap<Time, Datagram> in_flight_;
@@ -233,5 +282,25 @@
   }
 }
 
+TEST_CASE(
+    "A sound part that came only with a crashing one at first is soon served in large fleets") {
+  PartModelOptions options =
+      GENERATE(PartModelOptions{2, 6, 15}, PartModelOptions{7, 18, 30},
+               PartModelOptions{58, 90, 170}, PartModelOptions{295, 160, 360});
+  options.restart_all = GENERATE(false, true);
+  options.sound_from = seconds(7);
+  CAPTURE(options.daemons, options.restart_all);
+  const int seeds = options.daemons > 100 ? 1 : 8;
+  for (int seed = 1; seed <= seeds; ++seed) {
+    CAPTURE(seed);
+    PartModel model(options, static_cast<std::uint64_t>(seed));
+    const PartModelResult result = model.Run(seconds(30));
+    CHECK(result.crashes >= 5);
+    CHECK(result.late_sends <= 3);
+    CHECK(result.sound_refused * 10 <= result.sound);
+    CHECK((result.sound_refused + result.sound_delayed) * 2 <= result.sound);
+  }
+}
+
 }  // namespace
 }  // namespace moorfold
--- a/test/quarantine/guilty_part_test.cc
+++ b/test/quarantine/guilty_part_test.cc
@@ -170,6 +170,18 @@
   CHECK(fixture.StateOf({"guilty", "new"}) == QuarantineState::kQuarantined);
 }
 
+TEST_CASE("A daemon that missed the clearance of a quarantined part is told again") {
+  PartFixture fixture;
+  for (int crash = 0; crash < 3; ++crash) fixture.Crash({{"sound"}});
+  REQUIRE(fixture.Quarantined("sound"));
+  const CasesReceived outdated{{fixture.tracker.ExportCase(Part("sound"), fixture.now)}};
+  fixture.Succeed({"sound"});
+  REQUIRE_FALSE(fixture.Quarantined("sound"));
+  const auto effects = fixture.tracker.Reduce(outdated, fixture.now);
+  CHECK(effects.updated_cases == std::vector<Fingerprint>{Part("sound")});
+  CHECK_FALSE(fixture.Quarantined("sound"));
+}
+
 TEST_CASE("A part that crashes one version is quarantined there and spared where it succeeds") {
   PartFixture fixture;
   for (int crash = 0; crash < 3; ++crash) {
