Decisions of the crash tracker on parts of prompts in a file of their own

Ruled out: a class of its own; the parts share cases and their index with requests.

Change: crash_tracker_parts.cc; CompareParts says what the other parts on one server mean. No change of logic.

Measured: quarantine_test passes as before (48 cases).

--- a/src/quarantine/crash_tracker.cc
+++ b/src/quarantine/crash_tracker.cc
@@ -3,8 +3,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <iterator>
-#include <set>
 
 namespace moorfold::quarantine {
 
@@ -20,17 +18,6 @@
 /// With crashes on fewer servers, a request cannot be told apart from the others on the same
 /// server.
 constexpr std::size_t kMinCrashesToCompare = 2;
-/// A part of prompts is on more crashed servers by chance than a request is.
-constexpr std::size_t kMinCrashesOfPart = 3;
-/// Parts that always come together cannot be told apart, so after that many crashes all of them are
-/// quarantined.
-constexpr std::size_t kMaxCrashesOfPart = 5;
-/// The most parts that one request shares with others. If more are equally likely, most of them
-/// belong to sound requests on the crashed servers, and only the first of them is quarantined.
-constexpr std::size_t kMaxEquallyLikelyParts = 8;
-/// Crashes of trial requests after which the part that they have is proven guilty: a single one may
-/// have another cause.
-constexpr std::size_t kMinCrashesInTrials = 2;
 
 bool Contains(const std::vector<std::string>& names, std::string_view name) {
   return std::find(names.begin(), names.end(), name) != names.end();
@@ -40,22 +27,6 @@
   return std::max<std::int64_t>(0, std::chrono::duration_cast<Milliseconds>(now - at).count());
 }
 
-/// Crashes within that time of each other may have one cause.
-constexpr Milliseconds kSameMoment{200};
-
-/// @return how many of the times are further than kSameMoment from the one counted before.
-std::size_t CountMoments(std::vector<Time> times) {
-  std::sort(times.begin(), times.end());
-  std::size_t moments = 0;
-  Time counted{};
-  for (const Time time : times) {
-    if (moments > 0 && time - counted < kSameMoment) continue;
-    counted = time;
-    ++moments;
-  }
-  return moments;
-}
-
 bool HasValidLength(const std::string& name) { return name.size() <= kMaxNameLength; }
 
 }  // namespace
@@ -66,21 +37,6 @@
                     [&](const Crash& crash) { return crash.version == version; }));
 }
 
-std::size_t CrashTracker::CrashMoments(const Case& tracked, std::string_view version) {
-  std::vector<Time> times;
-  for (const Crash& crash : tracked.crashes)
-    if (crash.version == version) times.push_back(crash.at);
-  return CountMoments(std::move(times));
-}
-
-Time CrashTracker::LastClearance(const Case& tracked, std::string_view version) {
-  Time last{};
-  for (const Clearance& clearance : tracked.clearances)
-    if (clearance.version.empty() || clearance.version == version)
-      last = std::max(last, clearance.at);
-  return last;
-}
-
 Effects CrashTracker::Reduce(const Event& event, Time now) {
   Effects effects;
   std::visit([&](const auto& each) { Handle(each, now, effects); }, event);
@@ -184,29 +140,6 @@
   EvaluatePartsOn(explained, now, effects);
 }
 
-std::vector<std::string> CrashTracker::ServersExplainedBy(const Fingerprint& fingerprint,
-                                                          const Case& tracked) {
-  std::vector<std::string> servers;
-  if (!IsPartFingerprint(fingerprint) || tracked.quarantined_versions.empty()) return servers;
-  for (const Crash& crash : tracked.crashes) servers.push_back(crash.server_id);
-  return servers;
-}
-
-void CrashTracker::EvaluatePartsOn(const std::vector<std::string>& server_ids, Time now,
-                                   Effects& effects) {
-  std::set<Fingerprint> parts;
-  for (const std::string& server_id : server_ids) {
-    const auto on_server = cases_by_server_.find(server_id);
-    if (on_server == cases_by_server_.end()) continue;
-    std::copy_if(on_server->second.begin(), on_server->second.end(),
-                 std::inserter(parts, parts.end()), IsPartFingerprint);
-  }
-  for (const Fingerprint& part : parts) {
-    const auto existing = cases_.find(part);
-    if (existing != cases_.end()) EvaluateCase(part, existing->second, now, effects);
-  }
-}
-
 void CrashTracker::Handle(const CasesReceived& event, Time now, Effects& effects) {
   if (settings_.servers == 0) return;
   for (const CaseUpdate& update : event.cases) {
@@ -273,7 +206,7 @@
   const auto existing = cases_.find(fingerprint);
   if (existing == cases_.end()) return QuarantineState::kClear;
   const Case& tracked = existing->second;
-  if (Contains(tracked.quarantined_versions, version)) return QuarantineState::kQuarantined;
+  if (IsQuarantined(tracked, version)) return QuarantineState::kQuarantined;
   const std::size_t crashes = CrashCount(tracked, version);
   if (crashes == 0)
     return tracked.quarantined_versions.empty() ? QuarantineState::kClear
@@ -284,9 +217,13 @@
   return QuarantineState::kSuspect;
 }
 
+bool CrashTracker::IsQuarantined(const Case& tracked, std::string_view version) {
+  return Contains(tracked.quarantined_versions, version);
+}
+
 bool CrashTracker::IsQuarantined(const Fingerprint& fingerprint, std::string_view version) const {
   const auto existing = cases_.find(fingerprint);
-  return existing != cases_.end() && Contains(existing->second.quarantined_versions, version);
+  return existing != cases_.end() && IsQuarantined(existing->second, version);
 }
 
 bool CrashTracker::IsQuarantined(const Fingerprint& fingerprint) const {
@@ -294,56 +231,6 @@
   return existing != cases_.end() && !existing->second.quarantined_versions.empty();
 }
 
-QuarantineState CrashTracker::StateOfParts(const std::vector<Fingerprint>& parts,
-                                           std::string_view version) const {
-  QuarantineState state = QuarantineState::kClear;
-  for (const Fingerprint& part : parts) {
-    if (!IsQuarantined(part, version)) continue;
-    if (IsProvenGuilty(cases_.at(part), parts, version)) return QuarantineState::kQuarantined;
-    state = QuarantineState::kUnproven;
-  }
-  return state;
-}
-
-bool CrashTracker::IsProvenGuilty(const Case& part,
-                                  const std::vector<Fingerprint>& parts_of_request,
-                                  std::string_view version) const {
-  std::vector<Time> unexplained;
-  Time last_explained{};
-  for (const Crash& crash : part.crashes) {
-    if (crash.version != version) continue;
-    if (IsExplainedByOtherPart(part, crash.server_id, parts_of_request, version))
-      last_explained = std::max(last_explained, crash.at);
-    else
-      unexplained.push_back(crash.at);
-  }
-  if (last_explained == Time{} || CountMoments(unexplained) >= kMinCrashesOfPart) return true;
-  std::erase_if(unexplained, [&](Time at) { return at <= last_explained; });
-  return CountMoments(std::move(unexplained)) >= kMinCrashesInTrials;
-}
-
-bool CrashTracker::IsExplainedByOtherPart(const Case& part, const std::string& server_id,
-                                          const std::vector<Fingerprint>& parts_of_request,
-                                          std::string_view version) const {
-  const auto on_server = cases_by_server_.find(server_id);
-  if (on_server == cases_by_server_.end()) return false;
-  const auto is_lacking = [&](const Fingerprint& other) {
-    return std::find(parts_of_request.begin(), parts_of_request.end(), other) ==
-           parts_of_request.end();
-  };
-  for (const Fingerprint& other : on_server->second) {
-    const auto existing = cases_.find(other);
-    if (!IsPartFingerprint(other) || !is_lacking(other) || existing == cases_.end()) continue;
-    const Case& tracked = existing->second;
-    const bool enough_crashes = Contains(tracked.quarantined_versions, version) ||
-                                (CrashCount(tracked, version) >= kMinCrashesOfPart &&
-                                 CrashMoments(tracked, version) >= kMinCrashesOfPart);
-    if (enough_crashes && LastClearance(tracked, version) <= LastClearance(part, version))
-      return true;
-  }
-  return false;
-}
-
 void CrashTracker::EvaluateCase(const Fingerprint& fingerprint, Case& tracked, Time now,
                                 Effects& effects) {
   UpdateDigest(fingerprint, tracked);
@@ -352,7 +239,7 @@
   for (const Crash& crash : tracked.crashes)
     if (!Contains(versions, crash.version)) versions.push_back(crash.version);
   for (const std::string& version : versions) {
-    if (Contains(tracked.quarantined_versions, version)) continue;
+    if (IsQuarantined(tracked, version)) continue;
     const bool quarantined_for_other_version = !tracked.quarantined_versions.empty();
     const bool guilty = IsPartFingerprint(fingerprint)
                             ? IsGuiltyPart(fingerprint, tracked, version, now)
@@ -371,46 +258,10 @@
          evidence_propagated && HasMoreCrashesThanNeighbors(fingerprint, tracked, version);
 }
 
-bool CrashTracker::IsGuiltyPart(const Fingerprint& fingerprint, const Case& tracked,
-                                const std::string& version, Time now) const {
-  const std::size_t own_moments = CrashMoments(tracked, version);
-  if (own_moments < kMinCrashesOfPart) return false;
-  const Time own_clearance = LastClearance(tracked, version);
-  std::vector<Time> unexplained;
-  bool other_as_likely = false;
-  for (const Crash& crash : tracked.crashes) {
-    const auto neighbors = cases_by_server_.find(crash.server_id);
-    if (crash.version != version || neighbors == cases_by_server_.end()) continue;
-    bool explained = false;
-    bool other_quarantined = false;
-    std::size_t as_likely = 0;
-    for (const Fingerprint& other : neighbors->second) {
-      const auto neighbor = cases_.find(other);
-      if (other == fingerprint || !IsPartFingerprint(other) || neighbor == cases_.end()) continue;
-      const bool quarantined = Contains(neighbor->second.quarantined_versions, version);
-      const std::size_t moments = CrashMoments(neighbor->second, version);
-      const Time clearance = LastClearance(neighbor->second, version);
-      explained =
-          explained || (quarantined && (moments > own_moments || clearance < own_clearance));
-      other_quarantined = other_quarantined || quarantined;
-      if (moments < own_moments) continue;
-      if (clearance < own_clearance && !quarantined) return false;
-      if (clearance == own_clearance) ++as_likely;
-    }
-    other_as_likely = other_as_likely || as_likely > 0;
-    explained = explained || (other_quarantined && as_likely >= kMaxEquallyLikelyParts);
-    if (!explained) unexplained.push_back(crash.at);
-  }
-  const std::size_t unexplained_moments = CountMoments(std::move(unexplained));
-  if (unexplained_moments >= kMaxCrashesOfPart) return true;
-  return unexplained_moments >= kMinCrashesOfPart && !other_as_likely &&
-         now - tracked.last_crash_learned_at >= settings_.propagation_time;
-}
-
 void CrashTracker::Quarantine(const Fingerprint& fingerprint, Case& tracked,
                               const std::string& version, Effects& effects) {
   const bool full = tracked.quarantined_versions.size() >= kMaxVersionsPerCase;
-  if (full || Contains(tracked.quarantined_versions, version)) return;
+  if (full || IsQuarantined(tracked, version)) return;
   if (tracked.quarantined_versions.empty()) ++quarantined_;
   tracked.quarantined_versions.push_back(version);
   UpdateDigest(fingerprint, tracked);
@@ -432,7 +283,7 @@
       if (other == fingerprint || existing == cases_.end()) continue;
       // A neighbor that is quarantined explains the crash; a neighbor with as many crashes leaves
       // the cause undecided.
-      const bool quarantined = Contains(existing->second.quarantined_versions, version);
+      const bool quarantined = IsQuarantined(existing->second, version);
       const bool as_many = !is_part && CrashCount(existing->second, version) >= own_crashes;
       if (quarantined || as_many) return false;
     }
@@ -537,7 +388,7 @@
   }
   for (const std::string& version : update.quarantined_versions) {
     const bool counts = CrashCount(tracked, version) > 0;
-    changed = changed || (counts && !Contains(tracked.quarantined_versions, version));
+    changed = changed || (counts && !IsQuarantined(tracked, version));
   }
   return changed;
 }
@@ -545,7 +396,7 @@
 bool CrashTracker::IsOutdated(const CaseUpdate& update, const Case& tracked) {
   return std::any_of(update.quarantined_versions.begin(), update.quarantined_versions.end(),
                      [&](const std::string& version) {
-                       return !Contains(tracked.quarantined_versions, version) &&
+                       return !IsQuarantined(tracked, version) &&
                               LastClearance(tracked, version) != Time{};
                      });
 }
--- a/src/quarantine/crash_tracker.h
+++ b/src/quarantine/crash_tracker.h
@@ -225,6 +225,12 @@
     ConnectionClosed connection;
     Time at{};
   };
+  /// What the other parts on a crashed server say about a part, for one version of the software.
+  struct OtherSuspects {
+    bool explain_crash = false;    ///< A part is quarantined that is likelier to be the cause.
+    bool one_is_likelier = false;  ///< Not quarantined, with as many crashes and an older success.
+    bool one_is_as_likely = false;
+  };
   using CaseMap = std::unordered_map<Fingerprint, Case, FingerprintHash>;
 
   void Handle(const ConnectionClosed& event, Time now, Effects& effects);
@@ -272,6 +278,8 @@
                   Effects& effects);
   bool IsGuiltyRequest(const Fingerprint& fingerprint, const Case& tracked,
                        const std::string& version, Time now) const;
+  OtherSuspects CompareParts(const Fingerprint& fingerprint, const Case& tracked,
+                             const std::string& server_id, std::string_view version) const;
   bool IsGuiltyPart(const Fingerprint& fingerprint, const Case& tracked, const std::string& version,
                     Time now) const;
   bool HasMoreCrashesThanNeighbors(const Fingerprint& fingerprint, const Case& tracked,
@@ -289,6 +297,11 @@
   void UpdateDigest(const Fingerprint& fingerprint, Case& tracked);
   void RemoveFromServerIndex(const Fingerprint& fingerprint, const std::string& server_id);
   static std::size_t CrashCount(const Case& tracked, std::string_view version);
+  static bool IsQuarantined(const Case& tracked, std::string_view version);
+  /// Crashes within that time of each other may have one cause.
+  static constexpr Milliseconds kSameMoment{200};
+  /// @return how many of the times are further than kSameMoment from the one counted before.
+  static std::size_t MomentCount(std::vector<Time> times);
   /// @return the number of moments at which servers of the version crashed under a part.
   static std::size_t CrashMoments(const Case& tracked, std::string_view version);
   /// @return when the part was last cleared for the version; Time{} if never.
