--- a/test/gateway/pipeline_fixture.h
+++ b/test/gateway/pipeline_fixture.h
@@ -100,7 +100,7 @@
     });
   }
   void AddServer(const std::string& id, const Endpoint& endpoint,
-                 std::vector<LoadedModel> models = {}) {
+                 std::vector<LoadedModel> models = {}, const std::string& software_version = "v1") {
     ServerRecord record;
     record.id = id;
     record.service = "s";
@@ -108,8 +108,12 @@
     record.zone = "z";
     record.slots = 4;
     record.models = std::move(models);
+    record.software_version = software_version;
     OnThread([&] { view_.servers.Put(record, BootClock::now()); });
   }
+  void RemoveServer(const std::string& id) {
+    OnThread([&] { view_.servers.Remove(id); });
+  }
 
   /// Sends `request` unchanged and reads until the connection closes or `stop` has been received.
   /// @param from local address of the client.
