--- a/test/emulator/emulated_platform.cc
+++ b/test/emulator/emulated_platform.cc
@@ -110,6 +110,11 @@
   Serve(servers_.size() - 1);
 }
 
+std::size_t EmulatedPlatform::AddModelServer(std::vector<LoadedModel> models) {
+  AddServer(true, std::move(models));
+  return servers_.size() - 1;
+}
+
 Endpoint EmulatedPlatform::AddLinksTo(const Endpoint& server) {
   server_links_.push_back(std::make_unique<ServerLinks>(context_, options_.gateways, server));
   server_links_.back()->Start();
@@ -187,7 +192,9 @@
   json::array routes = {MakeRoute("safe", "/safe/", "safe", "booking", 2),
                         MakeRoute("once", "/once/", "unsafe", "booking", 1),
                         MakeRoute("stream", "/stream/", "stream", "models", 1, 0),
-                        MakeRoute("long", kLongPromptPath, "stream", "models", 1, 2)};
+                        MakeRoute("long", kLongPromptPath, "stream", "models", 1, 2),
+                        MakeRoute("resumable", kResumablePath, "stream", "models", 2, 0)};
+  routes.back().as_object()["resumable"] = true;
   for (const std::int64_t version : {version_, version_ - 1}) {
     routes.push_back(MakeRoute("v" + std::to_string(version), "/v" + std::to_string(version) + "/",
                                "safe", "booking", 2));
--- a/test/emulator/emulated_platform.h
+++ b/test/emulator/emulated_platform.h
@@ -38,6 +38,8 @@
   static constexpr const char* kHost = "host.example";
   /// Path of the less urgent stream route for long prompts; the other stream route is urgent.
   static constexpr const char* kLongPromptPath = "/stream/long/";
+  /// Path of the stream route whose streams may be resumed, see ResumablePath.
+  static constexpr const char* kResumablePath = "/stream/resumable/";
 
   EmulatedPlatform(boost::asio::io_context& context, PlatformOptions options);
 
@@ -80,6 +82,8 @@
   BootClock::time_point configured_at() const { return configured_at_; }
   /// Servers that start from now on run that version of their software.
   void SetServerVersion(std::string version) { server_version_ = std::move(version); }
+  /// Another model server joins. @return its number.
+  std::size_t AddModelServer(std::vector<LoadedModel> models);
   /// One server leaves and another of its kind comes.
   void ReplaceServer(std::size_t number);
   /// As in a release: the new one comes first, the old one says that it leaves, serves on for that
--- a/test/emulator/server_emulator.cc
+++ b/test/emulator/server_emulator.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "common/boot_clock.h"
+#include "resumable_stream.h"
 
 namespace moorfold {
 
@@ -25,6 +26,7 @@
 
 RequestKind KindOf(const std::string& target) {
   if (target.find("/once/") != std::string::npos) return RequestKind::kAtMostOnce;
+  if (ResumablePath::Parse(target)) return RequestKind::kRepeatable;
   if (target.find("/stream/") != std::string::npos) return RequestKind::kStream;
   return RequestKind::kRepeatable;
 }
@@ -266,7 +268,7 @@
     co_await exchange.Respond(Bare(500, std::move(headers)));
     co_return;
   }
-  if (kind == RequestKind::kStream)
+  if (kind == RequestKind::kStream || ResumablePath::Parse(exchange.request().target))
     co_await Stream(exchange, id, std::move(headers));
   else
     co_await exchange.Respond(Bare(200, std::move(headers), BodyOf(id)));
@@ -277,19 +279,29 @@
   headers.push_back({"Content-Type", "text/event-stream"});
   const std::string last(FindHeader(exchange.request().headers, "Last-Event-Id"));
   int event = last.empty() ? 1 : std::stoi(last) + 1;
+  const std::optional<ResumablePath> path = ResumablePath::Parse(exchange.request().target);
+  const int end = path ? path->events : EventsOf(id);
+  const int last_sent = path ? DrawBreak(event, end) : end;
   co_await exchange.BeginStream(200, std::move(headers));
-  for (; event <= EventsOf(id) && !ended_; ++event) {
-    co_await exchange.Write("id: " + std::to_string(event) + "\ndata: " + id + "\n\n");
+  for (; event <= last_sent && !ended_; ++event) {
+    std::string text = path ? MakeStreamEvent(event, options_.id, options_.version, path->name)
+                            : "id: " + std::to_string(event) + "\ndata: " + id + "\n\n";
+    co_await exchange.Write(std::move(text));
     checker_.Working(id, BootClock::now());
     const double batch = static_cast<double>(running_) / static_cast<double>(options_.slots);
     co_await Sleep(std::chrono::duration_cast<milliseconds>(options_.event_gap * (1 + batch)));
   }
-  if (ended_)
+  if (ended_ || last_sent < end)
     exchange.Abort();
   else
     co_await exchange.EndStream();
 }
 
+int ServerEmulator::DrawBreak(int next, int last) {
+  if (next >= last || !RareChance(faults_.stream_break_share)) return last;
+  return std::uniform_int_distribution<int>(next, last - 1)(random_);
+}
+
 HttpResponse ServerEmulator::Report() const {
   const json::value body = {{"stage", "both"},
                             {"models", ModelsJson()},
--- a/test/emulator/server_emulator.h
+++ b/test/emulator/server_emulator.h
@@ -51,6 +51,7 @@
   double repeated_refusal_share =
       0;  ///< Of refusals: sent again before the connection's next answer.
   double unnamed_refusal_share = 0;  ///< Runs, after a refusal that names no request.
+  double stream_break_share = 0;     ///< Of resumable streams: broken off after an event.
   bool says_leaving = false;         ///< Its answers say that it leaves; its entry does not.
 };
 
@@ -108,6 +109,8 @@
   /// Reads what of the prompt is not kept from requests before.
   Awaitable<void> ReadPrompt(const HttpRequest& request);
   Awaitable<void> Stream(HttpServerExchange& exchange, const std::string& id, HttpHeaders headers);
+  /// @return the last event before the stream breaks off; `last` if it does not.
+  int DrawBreak(int next, int last);
   Awaitable<void> TakeOrder(HttpServerExchange& exchange);
   Awaitable<void> CarryOut(ServerOrder order);
   unsigned Judge(const ServerOrder& order, std::int64_t expected_count);
