Log which software version began a stream, which one it goes on at, and what is resumed

Cause: the record of the incident could not tell a resumption inside an answer from a client's take-up or a first attempt: no line named a software version, Last-Event-Id or Resumes, and a server whose entry changed its version in place wrote no line.

Ruled out: nothing yet; the hypotheses of docs/incidents/real-processes-streams-joined.md need these lines to be told apart.

Change: request_end and attempt_failed carry software_version, stream_version, resumes and last_event (64 bytes at most of what a client states); event=server carries software_version and is written when service or version change in place. No decision changes.

Measured: gateway_test (event names against docs/OPERATIONS.md) passes.

Conclusion: a log now shows at which version a stream began and went on.

--- a/src/common/log_event.h
+++ b/src/common/log_event.h
@@ -184,6 +184,10 @@
   kCarried,
   kResponseId,
   kAttempts,
+  kSoftwareVersion,
+  kStreamVersion,
+  kResumes,
+  kLastEvent,
 };
 inline constexpr std::array kLogFieldNames = {"id",
                                               "ids",
@@ -265,7 +269,11 @@
                                               "connection",
                                               "carried",
                                               "response_id",
-                                              "attempts"};
+                                              "attempts",
+                                              "software_version",
+                                              "stream_version",
+                                              "resumes",
+                                              "last_event"};
 
 /// @return the name as it stands in the log.
 constexpr const char* Name(LogEvent event) {
@@ -275,7 +283,7 @@
   return kLogFieldNames[static_cast<std::size_t>(field)];
 }
 static_assert(kLogEventNames.size() == static_cast<std::size_t>(LogEvent::kLogLinesLeftOut) + 1);
-static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kAttempts) + 1);
+static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kLastEvent) + 1);
 
 /// One line of a gateway's log, made only of listed events and fields.
 class EventLine {
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -371,6 +371,8 @@
       if (request.head_sent) RecordEventGap(request, last_events);
       last_events = BootClock::now();
       if (!request.head_sent) {
+        if (request.client_last_event.empty() && !request.stream_version && !request.detour_target)
+          request.stream_version = request.attempt_version;
         RecordHeadSent(request);
         co_await exchange.BeginStream(status, EndToEndHeaders(headers));
       }
@@ -535,6 +537,7 @@
     if (upstream->Reusable()) pool_.Give(server->connection_key(), upstream, kMaxIdle);
     co_return AttemptResult{AttemptOutcome::kNotRun, 0, "the retry was not sent in time"};
   }
+  request.attempt_version = server->record().software_version;
   const AttemptGuard guard(request, *server, upstream, co_await boost::asio::this_coro::executor,
                            attempt_deadline);
   bool own_delay = false;
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -75,7 +75,14 @@
   std::chrono::milliseconds waited{0};       ///< Time spent without a usable server.
   std::chrono::milliseconds longest_gap{0};  ///< Between two writes of stream events.
   std::string last_event_id;                 ///< Last complete event that the client received.
-  std::uint32_t sends = 0;                   ///< Number of servers that it was sent to.
+  /// Of a client that resumes a stream: the last event that it has, and the ID of the attempt that
+  /// brought the first one; empty if the client states none.
+  std::string client_last_event;
+  std::string resumes;
+  /// Software version of the server whose events the client has; empty: not known yet, or none.
+  std::optional<std::string> stream_version;
+  std::string attempt_version;  ///< Software version of the server of the current attempt.
+  std::uint32_t sends = 0;      ///< Number of servers that it was sent to.
   NoServerReason no_server_reason = NoServerReason::kNone;  ///< Of the latest failed choice.
   SteadyTime capacity_at{};  ///< If all servers are at their limits: when the first has capacity.
   /// What it does to other requests at its server; set by each choice of a server.
--- a/src/gateway/request_admission.cc
+++ b/src/gateway/request_admission.cc
@@ -98,6 +98,8 @@
   const milliseconds timeout =
       request.route->timeout.count() > 0 ? request.route->timeout : no_limit;
   request.expires_at = request.arrival + std::min(stated, timeout);
+  request.client_last_event = std::string(FindHeader(http.headers, names.last_event));
+  request.resumes = std::string(FindHeader(http.headers, names.resumes));
   request.service = service_selector_.Next(*request.route);
   request.model = ParseModelReference(FindHeader(http.headers, names.model));
   request.parts = ParsePromptParts(FindHeader(http.headers, names.prompt_parts));
--- a/src/gateway/request_reporter.cc
+++ b/src/gateway/request_reporter.cc
@@ -69,6 +69,20 @@
   return text;
 }
 
+/// Adds which software version began the stream, which one the latest attempt went to, and what the
+/// client or this daemon resumes.
+void AddStreamFields(const GatewayRequest& request, EventLine& line) {
+  constexpr std::size_t kMaxLoggedBytes = 64;
+  if (!request.attempt_version.empty())
+    line.Field(LogField::kSoftwareVersion, request.attempt_version);
+  if (request.stream_version) line.Field(LogField::kStreamVersion, *request.stream_version);
+  if (!request.resumes.empty())
+    line.Field(LogField::kResumes, request.resumes.substr(0, kMaxLoggedBytes));
+  const std::string& last_event =
+      request.last_event_id.empty() ? request.client_last_event : request.last_event_id;
+  if (!last_event.empty()) line.Field(LogField::kLastEvent, last_event.substr(0, kMaxLoggedBytes));
+}
+
 const char* PoolName(const GatewayRequest& request) { return request.other_pool ? "other" : "own"; }
 
 }  // namespace
@@ -155,6 +169,7 @@
   if (!end.server_id.empty())
     line.Field(LogField::kServer, end.server_id)
         .Field(LogField::kExpectedMs, static_cast<std::int64_t>(request.expected_ms));
+  AddStreamFields(request, line);
   if (end.trace.connection > 0)
     line.Field(LogField::kConnection, end.trace.connection)
         .Field(LogField::kCarried, end.trace.carried);
@@ -184,6 +199,7 @@
       .Field(LogField::kFingerprint, ToString(request.fingerprint))
       .Field(LogField::kInFlight, server.in_flight())
       .Field(LogField::kExpectedMs, static_cast<std::int64_t>(request.expected_ms));
+  AddStreamFields(request, line);
   if (result.connection_lost && !request.part_fingerprints.empty())
     line.Field(LogField::kParts, JoinFingerprints(request.part_fingerprints));
   log_.Write(LogRank::kDecision, line);
--- a/src/gateway/server_entries.cc
+++ b/src/gateway/server_entries.cc
@@ -39,7 +39,11 @@
   const ServerPtr known = view_.servers.Find(record.id);
   const bool restarted =
       known != nullptr && IsLaterIncarnation(record.incarnation, known->record().incarnation);
-  if (known == nullptr || restarted || known->record().draining != record.draining)
+  const bool changed_in_place =
+      known != nullptr && (known->record().service != record.service ||
+                           known->record().software_version != record.software_version);
+  if (known == nullptr || restarted || changed_in_place ||
+      known->record().draining != record.draining)
     LogServer(record, revision);
   const bool reappeared = pending_removals_.erase(record.id) > 0;
   if (known == nullptr || reappeared || !EqualForRouting(known->record(), record))
@@ -107,6 +111,7 @@
                  .Field(LogField::kServer, record.id)
                  .Field(LogField::kService, record.service)
                  .Field(LogField::kAddress, ToString(record.endpoint))
+                 .Field(LogField::kSoftwareVersion, record.software_version)
                  .Field(LogField::kState, record.draining ? "draining" : "ready")
                  .Field(LogField::kLife, record.incarnation)
                  .Field(LogField::kModels, record.models.size())
--- a/src/ports/fleet_protocol.h
+++ b/src/ports/fleet_protocol.h
@@ -26,6 +26,7 @@
   std::string model;            ///< MODEL or MODEL/ADAPTER.
   std::string prompt_parts;     ///< ID:TOKENS, separated by commas.
   std::string last_event;       ///< The last event that the client has.
+  std::string resumes;          ///< Request ID of the attempt that brought a stream's first event.
   std::string tenant;           ///< Name of the tenant for which a server works.
   std::string token_usage;      ///< "IN,OUT": tokens of the prompt, and the most that come out.
   /// By these the system steers servers: which one runs a request and with which weights, in whose
