Soak of streams that clients take up while servers of several software versions serve

Cause: no play of real processes had servers of several versions and clients that take streams up.

Ruled out: judging by statuses: each event names its server and version, and the checker judges what clients hold.

Change: VERSIONS=N scripts/soak_faults.sh plays N servers of each of two versions, three at times; servers that break streams off; single and whole releases, the latter up to 2 s around each kill of all gateways; gateways killed, paused or cut from the store while servers join; a store that is slow or away; odd entries among those of the servers, one each beat. VersionChecker tells joins inside one answer from those over tries, finds missing and double events, and compares the share of take-ups that go on with that of new streams that begin in the same seconds. Signals are sent within 10 ms of their plan. The moment of a release around a kill is as exact as that.

--- a/scripts/soak_faults.sh
+++ b/scripts/soak_faults.sh
@@ -7,6 +7,7 @@
 # QUARANTINE_SERVERS=0 plays without the quarantine of requests under which servers end.
 # REFUSALS=N plays servers that refuse early, refuse twice and lose answers, N of each service, and checks
 # that each promise "not run" has a line with the request's ID in its gateway's log.
+# VERSIONS=N plays streams that clients take up while servers of two software versions serve, N of each.
 # STALLED_LOG=NUMBER leaves the log of that gateway unread until the end.
 # BUILD=COMMIT plays with gateways of that build only.
 set -uo pipefail
@@ -119,11 +120,13 @@
   done
 }
 
+polling=0.1
+[ -n "${VERSIONS:-}" ] && polling=0.01
 # Builds before this one need not know of relays.
 relays=--relays
 [ -n "$production" ] && relays=
 "$folder/moorfold-emulator" --seed "$seed" --seconds "$length" --gateways $gateways $relays \
-  --refusals "${REFUSALS:-0}" --quarantine-servers "${QUARANTINE_SERVERS:-3}" --folder "$folder" >"$folder/emulator.log" 2>&1 &
+  --refusals "${REFUSALS:-0}" --versions "${VERSIONS:-0}" --quarantine-servers "${QUARANTINE_SERVERS:-3}" --folder "$folder" >"$folder/emulator.log" 2>&1 &
 emulator=$!
 for _ in $(seq 100); do
   grep -q event=ready "$folder/emulator.log" && break
@@ -133,7 +136,7 @@
 
 began=$(date +%s.%N)
 "$folder/moorfold-emulator" --seed "$seed" --seconds "$length" --gateways $gateways \
-  --print-signals >"$folder/signals.txt"
+  --versions "${VERSIONS:-0}" --print-signals >"$folder/signals.txt"
 elapsed() { awk -v began="$began" -v now="$(date +%s.%N)" 'BEGIN{print now-began}'; }
 exec 3<"$folder/signals.txt"
 pending=$(head -c 1 "$folder/signals.txt")
@@ -147,7 +150,7 @@
   done
   follow_up "$now"
   note_ended "$now"
-  sleep 0.1
+  sleep "$polling"
 done
 exec 3<&-
 wait "$emulator"
@@ -163,7 +166,7 @@
 fi
 for number in $(seq 0 $((gateways - 1))); do kill -TERM "${pids[$number]}" 2>/dev/null; done
 wait
-grep -E 'event=(soak|violation)|^crashing (requests|parts)|^tenants:|^drills:|^limits:|^cuts from servers|^gateway-[0-9]+:' "$folder/emulator.log"
+grep -E 'event=(soak|violation)|^crashing (requests|parts)|^tenants:|^drills:|^limits:|^cuts from servers|^versions:|^take-ups:|^gateway-[0-9]+:' "$folder/emulator.log"
 requests_by_pool() {
   cat "$folder"/gateway-*.log | grep "event=request_end .*work=$1" | grep -c "pool=$2"
 }
@@ -187,7 +190,11 @@
   echo "promises: $(wc -l <"$folder/promised.txt"), without a line in the log $without_line"
   [ "$without_line" -eq 0 ] || status=1
 }
-if [ -n "${REFUSALS:-}" ]; then check_promises; else check_separation; fi
+if [ -n "${REFUSALS:-}" ]; then
+  check_promises
+elif [ -z "${VERSIONS:-}" ]; then
+  check_separation
+fi
 if [ -n "$production" ]; then
   unread=$(cat "$folder"/gateway-*.log | grep -c 'event=datagram_dropped.*received:')
   broken=$(grep -c event=violation "$folder/emulator.log")
--- a/test/emulator/main.cc
+++ b/test/emulator/main.cc
@@ -18,6 +18,7 @@
 #include "gateway_files.h"
 #include "refusal_play.h"
 #include "signal_plan.h"
+#include "version_play.h"
 
 namespace moorfold {
 namespace {
@@ -187,6 +188,10 @@
                                 "plays servers that refuse and send refusals again, so many of "
                                 "each service; 0: plays all other faults",
                                 false, 0, "N", line.tclap());
+  TCLAP::ValueArg<int> versions("", "versions",
+                                "plays servers of two software versions, so many of each; 0: plays "
+                                "all other faults",
+                                false, 0, "N", line.tclap());
   TCLAP::SwitchArg relays("", "relays", "the gateways know relays: some seeds play them",
                           line.tclap());
   if (!line.Parse(arguments)) return kExitDone;
@@ -195,12 +200,18 @@
                                      gateways.getValue(), refusals.getValue()};
     return RunRefusalPlay(options, folder.getValue());
   }
+  if (!signals.getValue() && versions.getValue() > 0) {
+    const VersionPlayOptions options{seed.getValue(), seconds(length.getValue()),
+                                     gateways.getValue(), versions.getValue()};
+    return RunVersionPlay(options, folder.getValue());
+  }
   if (!signals.getValue())
     return RunSoak(seed.getValue(), seconds(length.getValue()), gateways.getValue(),
                    quarantine_servers.getValue(), relays.getValue(), folder.getValue());
   constexpr double kMillisecondsPerSecond = 1000;
+  const auto plan = versions.getValue() > 0 ? PlanVersionSignals : PlanSignals;
   for (const PlannedSignal& signal :
-       PlanSignals(seed.getValue(), seconds(length.getValue()), gateways.getValue()))
+       plan(seed.getValue(), seconds(length.getValue()), gateways.getValue()))
     std::cout << static_cast<double>(signal.at.count()) / kMillisecondsPerSecond << " "
               << Name(signal.kind) << " " << signal.gateway << " "
               << static_cast<double>(signal.length.count()) / kMillisecondsPerSecond << "\n";
--- a/test/emulator/server_emulator.h
+++ b/test/emulator/server_emulator.h
@@ -75,6 +75,8 @@
   /// entry goes after three heartbeats of silence.
   void End();
   bool ended() const { return ended_; }
+  /// Whether callers may still begin requests here.
+  bool serving() const { return !draining_ && !vanished_ && !ended_; }
   /// Another incarnation has its id: its entry is no longer this one's to remove.
   void Succeeded() { succeeded_ = true; }
   /// Hears of the end, to make what callers see of it.
--- a/test/emulator/signal_plan.cc
+++ b/test/emulator/signal_plan.cc
@@ -55,6 +55,26 @@
   return signals;
 }
 
+std::vector<PlannedSignal> PlanVersionSignals(std::uint64_t seed, milliseconds length,
+                                              int gateways) {
+  constexpr milliseconds kFirst{8'000};
+  constexpr milliseconds kCalmEnd{9'000};
+  constexpr milliseconds kBackAfterKill{300};
+  std::mt19937_64 random(seed);
+  const auto draw = [&](int least, int most) {
+    return std::uniform_int_distribution<int>(least, most)(random);
+  };
+  std::vector<PlannedSignal> signals;
+  for (milliseconds at = kFirst; at < length - kCalmEnd;) {
+    signals.push_back({at, SignalKind::kKillAll, 0, kBackAfterKill});
+    milliseconds next = at + milliseconds(draw(2'000, 3'500));
+    signals.push_back({next, draw(0, 2) == 0 ? SignalKind::kKill : SignalKind::kPause,
+                       draw(0, gateways - 1), milliseconds(draw(500, 2'500))});
+    at = next + milliseconds(draw(3'000, 5'500));
+  }
+  return signals;
+}
+
 milliseconds OutOfTouch(const PlannedSignal& signal) {
   constexpr milliseconds kEarly{1'000};
   constexpr milliseconds kLongestStop{8'500};
--- a/test/emulator/signal_plan.h
+++ b/test/emulator/signal_plan.h
@@ -28,6 +28,11 @@
 std::vector<PlannedSignal> PlanSignals(std::uint64_t seed, std::chrono::milliseconds length,
                                        int gateways);
 
+/// All gateways are killed every few seconds; in between, some are killed or paused. The same seed
+/// gives the same signals.
+std::vector<PlannedSignal> PlanVersionSignals(std::uint64_t seed, std::chrono::milliseconds length,
+                                              int gateways);
+
 /// @return for how long a gateway is out of touch, from a second before the signal on.
 std::chrono::milliseconds OutOfTouch(const PlannedSignal& signal);
 
--- a/test/emulator/version_checker.cc
+++ b/test/emulator/version_checker.cc
@@ -38,14 +38,31 @@
   known.last = event;
 }
 
-void VersionChecker::Asked(bool begun) {
+void VersionChecker::Asked(bool begun, std::int64_t second) {
   ++summary_.new_streams;
-  if (begun) ++summary_.new_begun;
+  ++seconds_[second].asked;
+  if (!begun) return;
+  ++summary_.new_begun;
+  ++seconds_[second].begun;
 }
 
-void VersionChecker::TookUp(bool went_on) {
+void VersionChecker::TookUp(TakeUp result, std::int64_t second) {
   ++summary_.take_ups;
-  if (went_on) ++summary_.went_on;
+  ++seconds_[second].take_ups;
+  if (result == TakeUp::kWentOn) ++summary_.went_on;
+  if (result == TakeUp::kRefused) ++summary_.refused;
+}
+
+double VersionChecker::BeginShareBesideTakeUps() const {
+  double begun = 0;
+  double take_ups = 0;
+  for (const auto& [at, second] : seconds_) {
+    if (second.asked == 0) continue;
+    const auto weight = static_cast<double>(second.take_ups);
+    take_ups += weight;
+    begun += weight * static_cast<double>(second.begun) / static_cast<double>(second.asked);
+  }
+  return take_ups == 0 ? 1 : begun / take_ups;
 }
 
 }  // namespace moorfold
--- a/test/emulator/version_checker.h
+++ b/test/emulator/version_checker.h
@@ -29,6 +29,7 @@
     std::uint64_t new_begun = 0;       ///< Of them: those that brought an event.
     std::uint64_t take_ups = 0;        ///< Of streams whose version's servers serve.
     std::uint64_t went_on = 0;         ///< Of them: those that brought a further event.
+    std::uint64_t refused = 0;         ///< Of them: those all of whose answers were refusals.
 
     std::uint64_t joined() const { return joined_inside + joined_over; }
     double BeginShare() const { return Share(new_begun, new_streams); }
@@ -43,9 +44,15 @@
   /// @param own whether the event names the stream as its own.
   void Received(const std::string& stream, const Event& event, bool own);
   /// A client has asked for a new stream, over all its tries.
-  void Asked(bool begun);
+  /// @param second in which it began to ask.
+  void Asked(bool begun, std::int64_t second = 0);
+  enum class TakeUp : std::uint8_t { kWentOn, kRefused, kFailed };
   /// A client has taken up a stream whose version's servers serve, over all its tries.
-  void TookUp(bool went_on);
+  /// @param second in which it began to.
+  void TookUp(TakeUp result, std::int64_t second = 0);
+  /// @return of the new streams asked for in the seconds of the take-ups: the share that began,
+  /// each second weighed by its take-ups. Seconds without new streams do not count.
+  double BeginShareBesideTakeUps() const;
 
   const Summary& summary() const { return summary_; }
   /// @return a line for each stream that is not as it should be.
@@ -59,7 +66,14 @@
     bool misnumbered = false;
   };
 
+  struct Second {
+    std::uint64_t asked = 0;
+    std::uint64_t begun = 0;
+    std::uint64_t take_ups = 0;
+  };
+
   std::map<std::string, Stream> streams_;
+  std::map<std::int64_t, Second> seconds_;
   Summary summary_;
   std::vector<std::string> violations_;
 };
--- a/test/gateway/taken_up_streams_test.cc
+++ b/test/gateway/taken_up_streams_test.cc
@@ -168,7 +168,8 @@
         gateway = GatewayFor(gateway - first_gateway + 1, first_gateway);
     }
     if (take_up)
-      deployment_.checker.TookUp(events > 0);
+      deployment_.checker.TookUp(events > 0 ? VersionChecker::TakeUp::kWentOn
+                                            : VersionChecker::TakeUp::kFailed);
     else
       deployment_.checker.Asked(events > 0);
     --running_;
