Failing test: streams that go on through another daemon are joined from two software versions

Cause: a daemon that reaches no server sends its streams through another one, which is told nothing of the version that began them.

Ruled out: joins at the daemon before it is cut off: 0 streams had joined by then.

Change: a case in taken_up_streams_test, for streams under way and for take-ups; the soak cuts gateways off from all servers now and then.

--- a/test/emulator/version_play.cc
+++ b/test/emulator/version_play.cc
@@ -68,6 +68,7 @@
       Spawn(RunClient(client));
     Spawn(Release());
     Spawn(DisturbStore());
+    Spawn(CutFromServers());
     Spawn(LeaveOddEntries());
     for (const PlannedSignal& signal :
          PlanVersionSignals(options_.seed, options_.length, options_.gateways))
@@ -190,6 +191,19 @@
       platform_.store_proxy(gateway).SetMode(ProxyMode::kPass);
     }
   }
+  /// Gateways that reach no server send requests through other gateways.
+  Awaitable<void> CutFromServers() {
+    while (!stopped_) {
+      co_await Sleep(milliseconds(Draw(4'000, 9'000)));
+      if (stopped_) break;
+      const int gateway = Draw(0, options_.gateways - 1);
+      const int cut = Draw(1, 3);
+      Say("cut from servers, gateway " + std::to_string(gateway) + ", kind " + std::to_string(cut));
+      platform_.CutFromServers(gateway, static_cast<ServerCut>(cut));
+      co_await Sleep(milliseconds(Draw(1'000, 4'000)));
+      platform_.CutFromServers(gateway, ServerCut::kNone);
+    }
+  }
   Awaitable<void> LeaveOddEntries() {
     constexpr milliseconds kBeat{400};
     const std::vector<std::string> entries = OddServerEntries();
--- a/test/gateway/taken_up_streams_test.cc
+++ b/test/gateway/taken_up_streams_test.cc
@@ -263,6 +263,28 @@
   deployment.platform.store_proxy(0).SetMode(ProxyMode::kPass);
 }
 
+TEST_CASE("A stream that goes on through another daemon is not joined from two software versions") {
+  const bool taken_up = GENERATE(false, true);
+  CAPTURE(taken_up);
+  VersionedDeployment deployment(2);
+  deployment.AddServers("v1", 2);
+  deployment.AddServers("v2", 2);
+  REQUIRE(deployment.AwaitReady());
+  deployment.RunFor(seconds(1));
+  Streams streams(deployment);
+  streams.Begin(kStreams, taken_up ? kFewEvents : 0);
+  if (taken_up) streams.AwaitEnd();
+  deployment.RunFor(milliseconds(300));
+  CHECK(streams.CountOf("v1") > 0);
+  CHECK(streams.CountOf("v2") > 0);
+  deployment.platform.CutFromServers(0, ServerCut::kReset);
+  deployment.RunFor(seconds(2));  // Until the daemon knows that it reaches no server.
+  streams.TakeUp(0, 0);
+  streams.AwaitEnd();
+  CHECK(deployment.checker.summary().joined() == 0);
+  CHECK(deployment.checker.violations() == std::vector<std::string>{});
+}
+
 TEST_CASE("A take-up that does not say which stream it resumes is not run at a guessed version") {
   VersionedDeployment deployment(3);
   deployment.AddServers("v1", 2);
