A broken stream goes on only at servers of the software version that began it

What callers saw: one answer held events of two software versions of a service, which do not fit together.

Cause: after a stream broke, the daemon chose the next server by model, load and prompt. The software version of a server was read from its entry and not part of the choice. No kill and no outdated daemon is needed.

Ruled out: that the entry was wrong (X-Expect-Instance holds the id); the scripted servers of the test have entries that are right.

Change: ServerChoiceRequest::required_version, which is hard, unlike load, prompt or pool. The version is that of the server when the attempt was sent, noted at the first event that the client gets. If no server has it, the stream is broken off at once, so that the client can act (no_server_reason stream_version_not_served).

A client's take-up is still sent to any version; that is the next fix.

--- a/src/gateway/refusals.cc
+++ b/src/gateway/refusals.cc
@@ -43,6 +43,13 @@
           false, 0};
 }
 
+Refusal StreamVersionNotServedRefusal(double jitter) {
+  constexpr double kRetryAfterS = 1;
+  return {http_status::kUnavailable, EndReason::kStreamVersionNotServed,
+          "no server has the software version that began this stream; begin it anew", false,
+          kRetryAfterS * (1 + jitter)};
+}
+
 Refusal IsolatedRefusal(double jitter) {
   // Callers may find another daemon at once; this one looks for servers several times a second.
   constexpr double kRetryAfterS = 0.3;
--- a/src/gateway/refusals.h
+++ b/src/gateway/refusals.h
@@ -14,6 +14,10 @@
 /// Has no Retry-After: a later attempt at the same request would be refused as well.
 Refusal QuarantineRefusal();
 
+/// For a request that resumes a stream which no server of the service began.
+/// @param jitter as above.
+Refusal StreamVersionNotServedRefusal(double jitter);
+
 /// For a daemon that reaches no server and has found no detour.
 /// @param jitter as above.
 Refusal IsolatedRefusal(double jitter);
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -173,6 +173,7 @@
                                      request.failed_servers};
   choice_request.daemon_name = settings_.name;
   choice_request.work = request.work;
+  choice_request.required_version = request.stream_version;
   return choice_request;
 }
 
@@ -345,6 +346,8 @@
   }
   if (request.refusal) return *request.refusal;
   if (request.no_server_reason == NoServerReason::kQuarantined) return QuarantineRefusal();
+  if (request.no_server_reason == NoServerReason::kVersionNotServed)
+    return StreamVersionNotServedRefusal(JitterOf(request.id));
   const bool at_limit = request.no_server_reason == NoServerReason::kAtLimit;
   const bool full = result.status != 0 && !at_limit;
   const WaitingRequest waiting_request = wait_estimator_.MakeWaitingRequest(
--- a/src/gateway/server_choice.cc
+++ b/src/gateway/server_choice.cc
@@ -105,10 +105,22 @@
              : directory.ServersWithModel(request.service, request.model.model);
 }
 
+bool HasRequiredVersion(const Server& server, const ServerChoiceRequest& request) {
+  return !request.required_version || server.record().software_version == *request.required_version;
+}
+
+/// @return whether the service has a server of the required version that is not leaving.
+bool IsVersionServed(const ServerDirectory::Servers& servers, const ServerChoiceRequest& request) {
+  return std::any_of(servers.begin(), servers.end(), [&](const ServerPtr& server) {
+    return HasRequiredVersion(*server, request) && !server->IsLeaving();
+  });
+}
+
 /// @return whether the server holds the request's model and can take the request now. If not, why
 /// is recorded in `choice`.
 bool CanTake(const Server& server, const ServerChoiceRequest& request, SteadyTime now,
              ServerChoice& choice) {
+  if (!HasRequiredVersion(server, request)) return false;
   if (!request.model.model.empty() && !server.Holds(request.model, now)) return false;
   if (Contains(request.excluded_versions, server.record().software_version)) {
     if (choice.reason != NoServerReason::kAllUnusable) choice.reason = NoServerReason::kQuarantined;
@@ -159,7 +171,8 @@
   std::vector<std::string> ids;
   for (const ServerPtr& server : ServersFor(directory, request)) {
     const bool holds = request.model.model.empty() || server->Holds(request.model, now);
-    if (holds && server->Unreachable(now) && !server->RejectsRequests(now) &&
+    if (holds && HasRequiredVersion(*server, request) && server->Unreachable(now) &&
+        !server->RejectsRequests(now) &&
         !Contains(request.excluded_versions, server->record().software_version))
       ids.push_back(server->record().id);
   }
@@ -171,6 +184,11 @@
   ServerChoice choice;
   const bool service_known = !directory.Of(request.service).empty();
   choice.reason = service_known ? NoServerReason::kModelNotHeld : NoServerReason::kUnknownService;
+  if (request.required_version && service_known &&
+      !IsVersionServed(directory.Of(request.service), request)) {
+    choice.reason = NoServerReason::kVersionNotServed;
+    return choice;
+  }
   int unlimited = 0;  ///< Usable servers without a stated limit.
   const ServerDirectory::Servers& servers = ServersFor(directory, request);
   Candidates candidates;
--- a/src/gateway/server_choice.h
+++ b/src/gateway/server_choice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,8 @@
   std::vector<std::string> excluded;  ///< IDs of servers not to be used.
   /// Software versions whose servers crash while processing this request.
   std::vector<std::string> excluded_versions = {};
+  /// If set, only servers of this software version can take the request.
+  std::optional<std::string> required_version = {};
   std::string daemon_name = {};  ///< Of the daemon that chooses.
   balancing::RequestWork work = balancing::RequestWork::kNeutral;
 };
@@ -27,8 +30,9 @@
   kUnknownService,
   kModelNotHeld,
   kAllUnusable,
-  kAtLimit,     ///< Every server is at its stated limit or in a pause that it asked for.
-  kQuarantined  ///< Every server that holds the model would crash while processing it.
+  kAtLimit,          ///< Every server is at its stated limit or in a pause that it asked for.
+  kQuarantined,      ///< Every server that holds the model would crash while processing it.
+  kVersionNotServed  ///< The service has no server of the required software version.
 };
 
 struct ServerChoice {
--- a/src/gateway/wait_policy.cc
+++ b/src/gateway/wait_policy.cc
@@ -67,7 +67,9 @@
 }
 
 SteadyTime WaitDeadline(const WaitingRequest& request) {
-  if (request.reason == NoServerReason::kQuarantined) return request.arrival;
+  if (request.reason == NoServerReason::kQuarantined ||
+      request.reason == NoServerReason::kVersionNotServed)
+    return request.arrival;
   const SteadyTime latest_start = LatestUsefulStart(request);
   const SteadyTime target_deadline = std::min(latest_start, request.arrival + request.target);
   if (request.reason == NoServerReason::kAtLimit && request.capacity_at > target_deadline)
