A stream that a client takes up goes on only at the software version that began it

What callers saw: streams joined from two software versions over a client's tries, most of all after all daemons were killed at once, and at a daemon that was behind while servers of a new version joined.

Cause: a request with Last-Event-Id was sent to any server. Resumes was not read, and no daemon that had not seen the stream could know its version.

Change: src/streams. The store states for each service the version at which streams begin without an entry of their own (moorfold/stream-versions, written by the leader under a comparison). Any other stream has an entry (streams/DIGEST) that the store has acknowledged before the first event is passed on, up to 32 in one transaction. A take-up reads the entry of the stream that it names; none means the stated version; what cannot be known, or is not served, is refused at once with a reason of its own. The stated version changes only after every stream without an entry must have ended and no daemon acts on the earlier record; in another era of the store nothing is stated. Both answers are facts that do not change, so a daemon may stand still between the look-up and the sending. Listings of the store leave these entries out.

A service with one version makes no call for a stream but one read of the record each 30 s, and one read for each take-up.

--- a/src/common/log_event.h
+++ b/src/common/log_event.h
@@ -54,6 +54,8 @@
   kSharingNotStored,
   kRelayPlan,
   kRelayPlanNotStored,
+  kStreamVersions,
+  kStreamVersionsNotStored,
   kDatagramDropped,
   kLogLinesLeftOut,
 };
@@ -99,6 +101,8 @@
                                               "sharing_not_stored",
                                               "relay_plan",
                                               "relay_plan_not_stored",
+                                              "stream_versions",
+                                              "stream_versions_not_stored",
                                               "datagram_dropped",
                                               "log_lines_left_out"};
 
--- a/src/fleet/routing_configuration.h
+++ b/src/fleet/routing_configuration.h
@@ -40,6 +40,12 @@
   bool open = false;           ///< Clients need no API key.
   bool resumable = false;      ///< A broken stream may continue on another server.
   std::vector<WeightedService> services;  ///< At least one.
+
+  bool HasService(const std::string& service) const {
+    for (const WeightedService& part : services)
+      if (part.service == service) return true;
+    return false;
+  }
 };
 
 /// Resource costs of a model as the operator states them. Sizes are in megabytes.
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -31,6 +31,8 @@
 /// all, and one without a seal must not be longer.
 constexpr std::size_t kMaxHeldBodyBytes = 32 * 1024;
 constexpr std::size_t kMaxEventBytes = 64 * 1024;
+/// How long a stream's first event waits for the store to take the stream's software version.
+constexpr milliseconds kRecordTimeout{1'500};
 /// Bounds on the rest of a response that is not passed on: a new connection costs less.
 constexpr std::size_t kMaxDiscardedBytes = 16 * 1024;
 constexpr milliseconds kMaxDiscardTime{100};
@@ -131,12 +133,14 @@
 
 Forwarder::Forwarder(boost::asio::io_context& context, const FleetProtocol& protocol,
                      ServerStatements& statements, ContactMonitor& contact,
-                     OverloadMonitor& overload, GatewayMetrics& metrics)
+                     OverloadMonitor& overload, streams::StreamOrigins& origins,
+                     GatewayMetrics& metrics)
     : context_(context),
       protocol_(protocol),
       statements_(statements),
       contact_(contact),
       overload_(overload),
+      origins_(origins),
       metrics_(metrics) {}
 
 void Forwarder::RecordHeadSent(GatewayRequest& request) {
@@ -145,6 +149,19 @@
   metrics_.time_to_response_head.Observe(ElapsedMs(request.arrival));
 }
 
+Awaitable<bool> Forwarder::RecordStreamOrigin(GatewayRequest& request) {
+  // What comes through another daemon was recorded by that daemon.
+  if (!request.BeginsResumableStream() || request.detour_target) co_return true;
+  // Later attempts stay at this version even if it cannot be recorded now: a write without an
+  // answer may take effect later.
+  request.stream_version = request.attempt_version;
+  streams::StreamName name{request.tenant == nullptr ? "" : request.tenant->name, request.id};
+  streams::StreamOrigin origin{request.service, request.attempt_version};
+  const bool may_omit = request.route->services.size() == 1 && !request.MayHaveBegunElsewhere();
+  const SteadyTime until = std::min(request.expires_at, BootClock::now() + kRecordTimeout);
+  co_return co_await origins_.Record(std::move(name), std::move(origin), may_omit, until);
+}
+
 void Forwarder::RecordEventGap(GatewayRequest& request, SteadyTime last_events) {
   const double gap_ms = ElapsedMs(last_events);
   metrics_.event_gap.Observe(gap_ms);
@@ -209,6 +226,9 @@
   const detour::Origin origin{request.detour_target->token, request.table->configuration().version,
                               request.first_attempt_counted, request.arrived, request.may_have_run};
   head.headers.push_back({std::string(detour::kOriginHeader), detour::Format(origin)});
+  const bool resumes_own_stream = !request.last_event_id.empty() &&
+                                  request.client_last_event.empty() && request.resumes.empty();
+  if (resumes_own_stream) head.headers.push_back({protocol_.headers().resumes, request.id});
   return head;
 }
 
@@ -344,7 +364,7 @@
     co_await exchange.Write(std::move(bytes));
     if (request.upstream->cancelled() != CancelReason::kTimeLimit) continue;
     AttemptResult result{AttemptOutcome::kBrokenOff, status, "the client reads too slowly"};
-    result.slow_client = true;
+    result.server_fault = false;
     co_return result;
   }
   co_await exchange.EndStream();
@@ -371,8 +391,12 @@
       if (request.head_sent) RecordEventGap(request, last_events);
       last_events = BootClock::now();
       if (!request.head_sent) {
-        if (request.client_last_event.empty() && !request.stream_version && !request.detour_target)
-          request.stream_version = request.attempt_version;
+        if (!co_await RecordStreamOrigin(request)) {
+          AttemptResult result{AttemptOutcome::kMayHaveRun, 0,
+                               "the store does not take the stream's software version"};
+          result.server_fault = false;
+          co_return result;
+        }
         RecordHeadSent(request);
         co_await exchange.BeginStream(status, EndToEndHeaders(headers));
       }
@@ -567,7 +591,7 @@
                                  : AttemptOutcome::kClientLeft;
   const bool unanswered = result.attempt_outcome == AttemptOutcome::kMayHaveRun ||
                           result.attempt_outcome == AttemptOutcome::kBrokenOff;
-  if (unanswered && result.status < http_status::kBadRequest && !own_delay && !result.slow_client)
+  if (unanswered && result.status < http_status::kBadRequest && !own_delay && result.server_fault)
     server->RecordFailure(BootClock::now());
   else if (result.attempt_outcome == AttemptOutcome::kAnswered &&
            result.status < http_status::kFirstServerError)
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -11,6 +11,7 @@
 #include "http/http_server.h"
 #include "http/upstream_connection.h"
 #include "ports/fleet_protocol.h"
+#include "streams/stream_origins.h"
 
 namespace moorfold {
 
@@ -20,7 +21,7 @@
  public:
   Forwarder(boost::asio::io_context& context, const FleetProtocol& protocol,
             ServerStatements& statements, ContactMonitor& contact, OverloadMonitor& overload,
-            GatewayMetrics& metrics);
+            streams::StreamOrigins& origins, GatewayMetrics& metrics);
 
   /// @param attempt_deadline when to abandon the attempt; no later than the request's expiry.
   /// @param last_attempt whether to relay an error response of the server to the client.
@@ -71,6 +72,10 @@
   void ShortenIdleLimit(const UpstreamConnection& upstream);
   void ReturnConnection(const GatewayRequest& request, const Server& server);
   void RecordHeadSent(GatewayRequest& request);
+  /// Before the first event of a stream is passed on: makes sure that daemons can find out at which
+  /// software version it began.
+  /// @return whether the event may be passed on.
+  Awaitable<bool> RecordStreamOrigin(GatewayRequest& request);
   /// Records the gap between two writes of stream events.
   /// @param last_events time of the previous write.
   void RecordEventGap(GatewayRequest& request, SteadyTime last_events);
@@ -80,6 +85,7 @@
   ServerStatements& statements_;
   ContactMonitor& contact_;
   OverloadMonitor& overload_;
+  streams::StreamOrigins& origins_;
   GatewayMetrics& metrics_;
   UpstreamPool pool_;
   std::uint64_t connections_opened_ = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -212,13 +212,15 @@
       prober_(context, view_, contact_),
       detour_server_(MakeDetourServer()),
       detours_(context, metrics_.detours, DetourPorts()),
+      origins_(context, store_, metrics_.streams, settings_.stream_lifetimes),
+      stream_versions_(store_, log, settings_.stream_lifetimes, StreamVersionPorts()),
       census_(ToString(channel_.endpoint()), settings_.cpu_share),
       sharing_record_(store_, log, kSharingKey, LogEvent::kSharingNotStored),
       relays_(context, store_, store_view_, metrics_, log,
               {settings_.zone, ToString(channel_.endpoint()), settings_.relays_from_daemons},
               RelayPorts()),
       pipeline_(context, protocol, view_, quarantine_, quota_, statements_, permits_, retries_,
-                contact_, overload_, detours_, metrics_, log,
+                contact_, overload_, detours_, origins_, metrics_, log,
                 {settings_.zone, settings_.name, settings_.prompt_separation}) {
   contact_.OnChange([this](detour::ContactState state) { HandleContactChange(state); });
   view_.configuration_bound = settings_.configuration_bound;
@@ -494,6 +496,31 @@
   return ports;
 }
 
+streams::StreamVersionKeeper::Ports Gateway::StreamVersionPorts() {
+  streams::StreamVersionKeeper::Ports ports;
+  ports.leads = [this] { return election_.HoldsLease(); };
+  ports.servers = [this] {
+    streams::ServersByVersion servers;
+    if (!view_.routes) return servers;
+    for (const Route& route : view_.routes->configuration().routes) {
+      if (!route.resumable) continue;
+      for (const WeightedService& part : route.services) servers.try_emplace(part.service);
+    }
+    for (auto& [service, versions] : servers)
+      for (const ServerPtr& server : view_.servers.Of(service))
+        if (!server->IsLeaving()) ++versions[server->record().software_version];
+    return servers;
+  };
+  ports.longest_timeout = [this] {
+    milliseconds longest{0};
+    if (!view_.routes) return longest;
+    for (const Route& route : view_.routes->configuration().routes)
+      if (route.resumable) longest = std::max(longest, route.timeout);
+    return longest;
+  };
+  return ports;
+}
+
 void Gateway::ApplySharing(const CreditSharing& sharing) {
   if (sharing == quota_.sharing()) return;
   log_.Write(LogRank::kDecision, EventLine(LogEvent::kSharing)
@@ -551,6 +578,7 @@
     store_view_.ObserveEra(store_.era());
     UpdateQuarantine();
     UpdateQuotaSharing();
+    stream_versions_.Tick();
     pipeline_.Sweep();
     contact_.Update();
     retries_.Update();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -30,6 +30,8 @@
 #include "quarantine/quarantine_record.h"
 #include "quarantine/quarantine_service.h"
 #include "server_limits/permit_service.h"
+#include "streams/stream_origins.h"
+#include "streams/stream_version_keeper.h"
 #include "tenants/credit_sharing_planner.h"
 #include "tenants/quota_service.h"
 
@@ -95,6 +97,7 @@
   void YieldLeadership();
   PermitService::Ports PermitPorts();
   RetryBudgetService::Ports RetryPorts();
+  streams::StreamVersionKeeper::Ports StreamVersionPorts();
   void ApplySharing(const CreditSharing& sharing);
   void HandleSharingRecord(const std::optional<KeyValue>& entry, StoreRevision revision);
   /// On the leader: recomputes how tenants' limits are divided among the daemons and broadcasts it.
@@ -149,6 +152,8 @@
   /// Takes requests that other daemons forward. Its port is stated in DetourOffer.
   std::unique_ptr<HttpServer> detour_server_;
   DetourService detours_;
+  streams::StreamOrigins origins_;
+  streams::StreamVersionKeeper stream_versions_;
   quota::CreditSharingPlanner census_;
   PublishedRecord<CreditSharing> sharing_record_;
   RelayService relays_;
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -73,6 +73,12 @@
   Count(text, "retry_grant_queries", retries.asked);
   Count(text, "retry_grant_queries_unanswered", retries.unanswered);
   Count(text, "retry_grants_given", retries.grants_given);
+  Count(text, "streams_begun_implied", streams.began_implied);
+  Count(text, "streams_entered", streams.entered);
+  Count(text, "streams_not_entered", streams.not_entered);
+  Count(text, "stream_versions_found", streams.found);
+  Count(text, "stream_versions_unknown", streams.unknown);
+  Count(text, "stream_versions_unavailable", streams.unavailable);
   Count(text, "permit_questions", permits.asked);
   Count(text, "permit_questions_answered", permits.answered);
   Count(text, "permit_questions_unanswered", permits.unanswered);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -10,6 +10,7 @@
 #include "quarantine/quarantine_service.h"
 #include "retry_budget/retry_budget_service.h"
 #include "server_limits/permit_counters.h"
+#include "streams/stream_origin_counters.h"
 #include "tenants/quota_service.h"
 
 namespace moorfold {
@@ -103,6 +104,7 @@
   QuotaCounters quota;
   PermitCounters permits;
   RetryBudgetCounters retries;
+  streams::StreamOriginCounters streams;
   LabelledCounter tenant_requests;         ///< By tenant, outcome and reason.
   LabelledCounter tenant_units;            ///< Units counted against limits, by tenant.
   LatencyHistogram time_to_response_head;  ///< From a request's arrival to its response head.
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -56,7 +56,8 @@
   bool strip_credentials = false;       ///< Do not forward the API key to servers.
   std::uint32_t priority = 0;           ///< 0 is the most urgent.
   std::string service;
-  ModelReference model;  ///< Empty if the service holds no models.
+  ModelReference named_model;  ///< As the client names it.
+  ModelReference model;        ///< Empty if the service holds no models.
   std::vector<PromptPart> parts;
   std::shared_ptr<const std::string> body;
   Fingerprint fingerprint;  ///< The same for each attempt at the same request.
@@ -101,12 +102,26 @@
   std::string origin_address;  ///< IP number of that daemon.
   /// Set if the current attempt goes through another daemon.
   std::optional<detour::Target> detour_target;
+  bool sent_through_daemon =
+      false;  ///< An earlier or the current attempt went through another one.
   bool first_attempt_counted = false;  ///< In the retry budget, here or at another daemon.
   /// If the current attempt is a retry: when it must have been sent.
   std::optional<SteadyTime> retry_valid_until;
   bool arrived = false;            ///< A server, or a daemon that took it, has received it.
   std::optional<Refusal> refusal;  ///< Why it must not be sent again.
 
+  /// @return whether the client has events of its stream, from this attempt or an earlier one.
+  bool StreamHasBegun() const {
+    return !last_event_id.empty() || !client_last_event.empty() || !resumes.empty();
+  }
+  /// @return whether its first event is the first one of a stream that can be resumed.
+  bool BeginsResumableStream() const {
+    return route->type == RouteType::kStream && route->resumable && !StreamHasBegun();
+  }
+  /// @return whether another daemon may have passed on, or recorded, a first event of it.
+  bool MayHaveBegunElsewhere() const {
+    return sent_through_daemon || (detour_origin && (detour_origin->arrived || may_have_run > 0));
+  }
   /// @return number of servers on which it may have run because of this daemon.
   std::uint32_t MayHaveRunHere() const {
     return may_have_run - (detour_origin ? detour_origin->may_have_run : 0);
@@ -152,8 +167,8 @@
   bool refused_with_capacity = false;
   /// Number of servers on which it may have run, if the outcome is that it may have run.
   std::uint32_t runs = 1;
-  /// The time ended while the client took in what had come; says nothing about the server.
-  bool slow_client = false;
+  /// False: an attempt without a complete response that says nothing about the server.
+  bool server_fault = true;
   AttemptTrace trace;
 };
 
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "http/http_types.h"
+#include "streams/stream_lifetimes.h"
 
 namespace moorfold {
 
@@ -29,6 +30,7 @@
   std::chrono::milliseconds order_handover{3'000};
   std::chrono::milliseconds load_window{5'000};
   std::chrono::milliseconds drain_timeout{8'000};
+  streams::StreamLifetimes stream_lifetimes = {};  ///< Not read from the settings file.
   /// Maximum time from the store's record that a server is leaving until no request is sent to it.
   std::chrono::milliseconds staleness_bound{2'000};
   /// Maximum time from a configuration's arrival in the store until it is active.
--- a/src/gateway/refusals.cc
+++ b/src/gateway/refusals.cc
@@ -43,6 +43,18 @@
           false, 0};
 }
 
+Refusal StreamVersionUnknownRefusal() {
+  return {http_status::kUnavailable, EndReason::kStreamVersionUnknown,
+          "the servers that began this stream are not known; begin it anew", false, 0};
+}
+
+Refusal StreamVersionUnavailableRefusal(double jitter) {
+  constexpr double kRetryAfterS = 0.3;
+  return {http_status::kUnavailable, EndReason::kStreamVersionUnavailable,
+          "this daemon cannot reach its store; come back after the stated time", false,
+          kRetryAfterS * (1 + jitter)};
+}
+
 Refusal StreamVersionNotServedRefusal(double jitter) {
   constexpr double kRetryAfterS = 1;
   return {http_status::kUnavailable, EndReason::kStreamVersionNotServed,
@@ -50,6 +62,11 @@
           kRetryAfterS * (1 + jitter)};
 }
 
+Refusal StreamNotResumableRefusal() {
+  return {http_status::kUnavailable, EndReason::kStreamNotResumable,
+          "streams of this route cannot be resumed; begin it anew", false, 0};
+}
+
 Refusal IsolatedRefusal(double jitter) {
   // Callers may find another daemon at once; this one looks for servers several times a second.
   constexpr double kRetryAfterS = 0.3;
--- a/src/gateway/refusals.h
+++ b/src/gateway/refusals.h
@@ -14,10 +14,20 @@
 /// Has no Retry-After: a later attempt at the same request would be refused as well.
 Refusal QuarantineRefusal();
 
+/// For a request that resumes a stream whose software version cannot be known. Has no Retry-After:
+/// the stream cannot go on, only begin anew.
+Refusal StreamVersionUnknownRefusal();
+
+/// For a request that resumes a stream while the store does not tell its software version.
+/// @param jitter as above.
+Refusal StreamVersionUnavailableRefusal(double jitter);
+
 /// For a request that resumes a stream which no server of the service began.
 /// @param jitter as above.
 Refusal StreamVersionNotServedRefusal(double jitter);
 
+Refusal StreamNotResumableRefusal();
+
 /// For a daemon that reaches no server and has found no detour.
 /// @param jitter as above.
 Refusal IsolatedRefusal(double jitter);
--- a/src/gateway/request_admission.cc
+++ b/src/gateway/request_admission.cc
@@ -100,12 +100,17 @@
   request.expires_at = request.arrival + std::min(stated, timeout);
   request.client_last_event = std::string(FindHeader(http.headers, names.last_event));
   request.resumes = std::string(FindHeader(http.headers, names.resumes));
-  request.service = service_selector_.Next(*request.route);
-  request.model = ParseModelReference(FindHeader(http.headers, names.model));
+  request.named_model = ParseModelReference(FindHeader(http.headers, names.model));
   request.parts = ParsePromptParts(FindHeader(http.headers, names.prompt_parts));
-  const ServiceDescription* service = request.table->configuration().FindService(request.service);
-  if (service == nullptr || !service->engine) request.model = {};
+  AssignService(request, service_selector_.Next(*request.route));
   return std::nullopt;
 }
 
+void RequestAdmission::AssignService(GatewayRequest& request, std::string service) {
+  request.service = std::move(service);
+  const ServiceDescription* described = request.table->configuration().FindService(request.service);
+  const bool holds_models = described != nullptr && described->engine;
+  request.model = holds_models ? request.named_model : ModelReference{};
+}
+
 }  // namespace moorfold
--- a/src/gateway/request_admission.h
+++ b/src/gateway/request_admission.h
@@ -20,6 +20,8 @@
 
   /// Fills in `request`. @pre its arrival is set. @return the refusal, if it cannot be served.
   std::optional<Refusal> Admit(const HttpRequest& http, GatewayRequest& request);
+  /// Sets the service, and the model if the service holds models.
+  static void AssignService(GatewayRequest& request, std::string service);
   /// Checks the API key again before a send: it may have been revoked while the request waited or
   /// was being retried. Responses in progress are not affected.
   /// @return the refusal, if the request must not be sent.
--- a/src/gateway/request_outcome.h
+++ b/src/gateway/request_outcome.h
@@ -15,38 +15,41 @@
 
 /// Why a request ended with its outcome.
 enum class EndReason : std::uint8_t {
-  kNone,                    ///< Answered successfully.
-  kServerError,             ///< The server answered with an error status.
-  kNoConfiguration,         ///< This daemon has just started and has no configuration.
-  kNoRoute,                 ///< No route of the active configuration matches.
-  kConfigurationMayBeOld,   ///< The request does not match the known configuration, which may be
-                            ///< outdated.
-  kNoServer,                ///< No usable server holds the requested model or service.
-  kServersUnreachable,      ///< This daemon reaches no server, and no other daemon offers to help.
-  kRefusedByDaemon,         ///< Another daemon, through which it was sent, refused it.
-  kDeclined,                ///< Another daemon sent it here, and this one cannot serve it either.
-  kServersFull,             ///< Every server that could serve it rejected it.
-  kServersAtLimit,          ///< Every server that could serve it is at its stated limit.
-  kQuarantined,             ///< Servers crash while they process it.
-  kRefusedByServers,        ///< Several servers with free capacity reject this request only.
-  kKeyMissing,              ///< It carries no API key where one is required.
-  kKeyUnreadable,           ///< It carries several API keys, or a malformed one.
-  kKeyUnknown,              ///< No tenant of the active configuration has its API key.
-  kKeyGone,                 ///< Its API key was revoked while it waited.
-  kTokensUnreadable,        ///< Its token usage header cannot be parsed.
-  kOverQuota,               ///< Its tenant has used up its quota.
-  kQuotaUnknown,            ///< The remaining quota of its tenant could not be determined.
-  kOutOfTime,               ///< It timed out at a server.
-  kServerFailed,            ///< A server received it and gave no usable response.
-  kStreamVersionNotServed,  ///< No server has the software version that began its stream.
-  kStreamBroke,             ///< The server's stream ended prematurely.
-  kLeftWaiting,             ///< The client disconnected before the request reached a server.
-  kLeftAtServer,            ///< The client disconnected before a server responded.
-  kLeftInAnswer,            ///< The client disconnected while the response was relayed.
-  kUnreadable,              ///< It could not be read: too slow, too large or malformed.
-  kInternalError,           ///< This daemon failed while it processed the request.
-  kNotLogged,               ///< It was to be refused, and the log does not take the refusal's line.
-  kDaemonStopped            ///< This daemon's shutdown completed first.
+  kNone,                   ///< Answered successfully.
+  kServerError,            ///< The server answered with an error status.
+  kNoConfiguration,        ///< This daemon has just started and has no configuration.
+  kNoRoute,                ///< No route of the active configuration matches.
+  kConfigurationMayBeOld,  ///< The request does not match the known configuration, which may be
+                           ///< outdated.
+  kNoServer,               ///< No usable server holds the requested model or service.
+  kServersUnreachable,     ///< This daemon reaches no server, and no other daemon offers to help.
+  kRefusedByDaemon,        ///< Another daemon, through which it was sent, refused it.
+  kDeclined,               ///< Another daemon sent it here, and this one cannot serve it either.
+  kServersFull,            ///< Every server that could serve it rejected it.
+  kServersAtLimit,         ///< Every server that could serve it is at its stated limit.
+  kQuarantined,            ///< Servers crash while they process it.
+  kRefusedByServers,       ///< Several servers with free capacity reject this request only.
+  kKeyMissing,             ///< It carries no API key where one is required.
+  kKeyUnreadable,          ///< It carries several API keys, or a malformed one.
+  kKeyUnknown,             ///< No tenant of the active configuration has its API key.
+  kKeyGone,                ///< Its API key was revoked while it waited.
+  kTokensUnreadable,       ///< Its token usage header cannot be parsed.
+  kOverQuota,              ///< Its tenant has used up its quota.
+  kQuotaUnknown,           ///< The remaining quota of its tenant could not be determined.
+  kOutOfTime,              ///< It timed out at a server.
+  kServerFailed,           ///< A server received it and gave no usable response.
+  kStreamVersionUnknown,   ///< It resumes a stream whose software version cannot be known.
+  kStreamVersionUnavailable,  ///< It resumes a stream; the store did not tell its software version.
+  kStreamVersionNotServed,    ///< No server has the software version that began its stream.
+  kStreamNotResumable,        ///< It resumes a stream of a route whose streams cannot be resumed.
+  kStreamBroke,               ///< The server's stream ended prematurely.
+  kLeftWaiting,               ///< The client disconnected before the request reached a server.
+  kLeftAtServer,              ///< The client disconnected before a server responded.
+  kLeftInAnswer,              ///< The client disconnected while the response was relayed.
+  kUnreadable,                ///< It could not be read: too slow, too large or malformed.
+  kInternalError,             ///< This daemon failed while it processed the request.
+  kNotLogged,     ///< It was to be refused, and the log does not take the refusal's line.
+  kDaemonStopped  ///< This daemon's shutdown completed first.
 };
 
 /// @return the name used in logs, metrics and error responses.
@@ -113,8 +116,14 @@
       return "out_of_time";
     case EndReason::kServerFailed:
       return "server_failed";
+    case EndReason::kStreamVersionUnknown:
+      return "stream_version_unknown";
+    case EndReason::kStreamVersionUnavailable:
+      return "stream_version_unavailable";
     case EndReason::kStreamVersionNotServed:
       return "stream_version_not_served";
+    case EndReason::kStreamNotResumable:
+      return "stream_not_resumable";
     case EndReason::kStreamBroke:
       return "stream_broke";
     case EndReason::kLeftWaiting:
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -28,6 +28,8 @@
 constexpr double kReadWaitBoundShare = 0.15;
 /// Time within which a retry is sent after it was counted; covers a new connection.
 constexpr milliseconds kRetryLifetime{500};
+/// How long a request that resumes a stream waits for the store to tell where the stream began.
+constexpr milliseconds kOriginTimeout{1'000};
 /// Parts of one prompt that are compared with other prompts.
 constexpr std::size_t kMaxSharedParts = 8;
 
@@ -63,8 +65,8 @@
                                  QuotaService& quota, ServerStatements& statements,
                                  PermitService& permits, RetryBudgetService& retries,
                                  ContactMonitor& contact, OverloadMonitor& overload,
-                                 DetourService& detours, GatewayMetrics& metrics, EventLog& log,
-                                 PipelineSettings settings)
+                                 DetourService& detours, streams::StreamOrigins& origins,
+                                 GatewayMetrics& metrics, EventLog& log, PipelineSettings settings)
     : protocol_(protocol),
       view_(view),
       quarantine_(quarantine),
@@ -73,12 +75,13 @@
       retries_(retries),
       contact_(contact),
       detours_(detours),
+      origins_(origins),
       metrics_(metrics),
       admission_(protocol, view),
       wait_estimator_(view),
       quarantine_filter_(view, quarantine),
       settings_(std::move(settings)),
-      forwarder_(context, protocol, statements, contact, overload, metrics),
+      forwarder_(context, protocol, statements, contact, overload, origins, metrics),
       reporter_(view, metrics, log),
       responder_(protocol, reporter_, metrics) {}
 
@@ -173,10 +176,54 @@
                                      request.failed_servers};
   choice_request.daemon_name = settings_.name;
   choice_request.work = request.work;
-  choice_request.required_version = request.stream_version;
+  choice_request.required_version = RequiredVersion(request);
   return choice_request;
 }
 
+std::optional<std::string> RequestPipeline::RequiredVersion(const GatewayRequest& request) const {
+  if (request.stream_version) return request.stream_version;
+  // Without the store, a stream can only begin where it needs no entry there.
+  if (request.BeginsResumableStream() && !view_.store_reachable)
+    return origins_.VersionWithoutEntry(request.service);
+  return std::nullopt;
+}
+
+std::optional<streams::StreamName> RequestPipeline::ResumedStream(const GatewayRequest& request) {
+  const std::string tenant = request.tenant == nullptr ? std::string() : request.tenant->name;
+  if (!request.resumes.empty()) return streams::StreamName{tenant, request.resumes};
+  // The client resumes nothing, so the events that it has came from an earlier attempt of this
+  // request, through another daemon.
+  if (request.client_last_event.empty()) return streams::StreamName{tenant, request.id};
+  return std::nullopt;
+}
+
+Awaitable<bool> RequestPipeline::FindStreamVersion(GatewayRequest& request) {
+  const bool resumes = request.route->type == RouteType::kStream && request.StreamHasBegun();
+  if (!resumes || request.stream_version) co_return true;
+  if (!request.route->resumable) {
+    request.refusal = StreamNotResumableRefusal();
+    co_return false;
+  }
+  const SteadyTime until = std::min(request.expires_at, BootClock::now() + kOriginTimeout);
+  streams::StreamService service{request.service, request.route->services.size() == 1};
+  std::optional<streams::StreamName> name = ResumedStream(request);
+  streams::OriginAnswer answer;
+  if (name)
+    answer = co_await origins_.Find(std::move(*name), std::move(service), until);
+  else
+    answer = co_await origins_.FindUnnamed(std::move(service), until);
+  if (answer.state == streams::OriginState::kKnown &&
+      request.route->HasService(answer.origin.service)) {
+    RequestAdmission::AssignService(request, answer.origin.service);
+    request.stream_version = answer.origin.software_version;
+    co_return true;
+  }
+  request.refusal = answer.state == streams::OriginState::kStoreUnavailable
+                        ? StreamVersionUnavailableRefusal(JitterOf(request.id))
+                        : StreamVersionUnknownRefusal();
+  co_return false;
+}
+
 ServerPtr RequestPipeline::TryChooseServer(GatewayRequest& request, NoServerReason& reason) const {
   request.work = Classify(request);
   ServerChoiceRequest choice_request = MakeChoiceRequest(request);
@@ -224,6 +271,7 @@
   detour::Need need{std::move(server_ids), request.failed_servers};
   request.detour_target = co_await detours_.Find(std::move(need));
   if (!request.detour_target) co_return nullptr;
+  request.sent_through_daemon = true;
   constexpr std::size_t kMaxDaemons = 64;
   if (detour_daemons_.size() > kMaxDaemons) detour_daemons_.clear();
   ServerPtr& daemon = detour_daemons_[request.detour_target->peer];
@@ -257,6 +305,7 @@
 }
 
 Awaitable<ServerPtr> RequestPipeline::AwaitServer(GatewayRequest& request) {
+  if (!co_await FindStreamVersion(request)) co_return nullptr;
   NoServerReason reason = NoServerReason::kNone;
   if (ServerPtr server = TryChooseServer(request, reason)) co_return server;
   if (reason == NoServerReason::kAllUnusable) {
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -23,6 +23,7 @@
 #include "quarantine/quarantine_service.h"
 #include "retry_budget/retry_budget_service.h"
 #include "server_limits/permit_service.h"
+#include "streams/stream_origins.h"
 #include "tenants/quota_service.h"
 
 namespace moorfold {
@@ -41,8 +42,9 @@
   RequestPipeline(boost::asio::io_context& context, const FleetProtocol& protocol, FleetView& view,
                   QuarantineService& quarantine, QuotaService& quota, ServerStatements& statements,
                   PermitService& permits, RetryBudgetService& retries, ContactMonitor& contact,
-                  OverloadMonitor& overload, DetourService& detours, GatewayMetrics& metrics,
-                  EventLog& log, PipelineSettings settings);
+                  OverloadMonitor& overload, DetourService& detours,
+                  streams::StreamOrigins& origins, GatewayMetrics& metrics, EventLog& log,
+                  PipelineSettings settings);
 
   Awaitable<void> Handle(HttpServerExchange& exchange);
   /// Processes a request that another daemon, which cannot reach the servers, took from a client.
@@ -100,6 +102,14 @@
   /// Updates the request after an attempt.
   void RecordAttempt(GatewayRequest& request, const AttemptResult& result,
                      const std::string& server_id);
+  /// Finds out at which software version a stream began that the request resumes; no other server
+  /// may go on with it.
+  /// @return whether it may be sent; if not, `request.refusal` says why.
+  Awaitable<bool> FindStreamVersion(GatewayRequest& request);
+  /// @return the stream that the request resumes; nothing if it is not named.
+  static std::optional<streams::StreamName> ResumedStream(const GatewayRequest& request);
+  /// @return the software version that the request's next server must have; nothing: any.
+  std::optional<std::string> RequiredVersion(const GatewayRequest& request) const;
   ServerPtr TryChooseServer(GatewayRequest& request, NoServerReason& reason) const;
   balancing::RequestWork Classify(const GatewayRequest& request) const;
   SteadyTime AttemptDeadline(const GatewayRequest& request) const;
@@ -135,6 +145,7 @@
   RetryBudgetService& retries_;
   ContactMonitor& contact_;
   DetourService& detours_;
+  streams::StreamOrigins& origins_;
   GatewayMetrics& metrics_;
   RequestAdmission admission_;
   WaitEstimator wait_estimator_;
--- a/src/gateway/store_view.cc
+++ b/src/gateway/store_view.cc
@@ -4,6 +4,7 @@
 #include <unordered_set>
 
 #include "common/boot_clock.h"
+#include "streams/stream_origins.h"
 
 namespace moorfold {
 
@@ -25,8 +26,8 @@
 /// report.
 constexpr double kSlowReadFraction = 0.5;
 
-/// @return the range of all keys: every key starts with the empty string.
-KeyRange AllKeys() { return {"", "\xff"}; }
+/// @return the range of all keys that this daemon follows; those of streams sort after them.
+KeyRange AllKeys() { return {"", streams::kOriginPrefix}; }
 
 /// @return the approximate size of an entry in a response, in bytes.
 double EncodedSize(const KeyValue& entry) {
--- a/test/gateway/event_names_test.cc
+++ b/test/gateway/event_names_test.cc
@@ -23,8 +23,8 @@
 std::string GatewaySources() {
   const std::filesystem::path root = MOORFOLD_SOURCE_DIR;
   std::string text = ReadFile(root / "src/common/event_log.cc");
-  for (const char* folder :
-       {"src/gateway", "src/fleet", "src/quarantine", "src/tenants", "src/outlook", "platform"})
+  for (const char* folder : {"src/gateway", "src/fleet", "src/quarantine", "src/tenants",
+                             "src/outlook", "src/streams", "platform"})
     for (const auto& entry : std::filesystem::directory_iterator(root / folder))
       if (entry.path().extension() == ".cc") text += ReadFile(entry.path());
   return text;
--- a/test/gateway/pipeline_fixture.h
+++ b/test/gateway/pipeline_fixture.h
@@ -14,6 +14,7 @@
 #include "common/closable_context.h"
 #include "gateway/request_pipeline.h"
 #include "http/http_server.h"
+#include "memory_store.h"
 #include "protocol.h"
 #include "scripted_server.h"
 
@@ -37,13 +38,16 @@
         overload_(context_, {}, metrics_, log_),
         contact_(view_, overload_, metrics_, log_),
         detours_(context_, metrics_.detours, DetourPorts()),
+        store_(context_),
+        origins_(context_, store_, metrics_.streams, {}),
         pipeline_(context_, protocol_, view_, quarantine_, quota_, statements_, permits_, retries_,
-                  contact_, overload_, detours_, metrics_, log_, std::move(settings)),
+                  contact_, overload_, detours_, origins_, metrics_, log_, std::move(settings)),
         front_(
             {&context_}, {"127.0.0.1", 0}, {},
             [this](HttpServerExchange& exchange) { return pipeline_.Handle(exchange); },
             [this](const RejectedRequest& rejected) { return pipeline_.Reject(rejected); }),
         guard_(context_.get_executor()) {
+    SetImpliedVersion("v1");
     quota_.Start();
     front_.Start();
     thread_ = std::thread([this] { context_.run(); });
@@ -183,6 +187,14 @@
         contact_.RecordFailure("unreachable-" + std::to_string(server));
     });
   }
+  /// Sets the software version at which streams of service "s" begin without an entry of their own.
+  void SetImpliedVersion(const std::string& version,
+                         streams::ImpliedState state = streams::ImpliedState::kOpen) {
+    const streams::ImpliedVersionRecord record{store_.era(), {{"s", state, version}}};
+    store_.Put(streams::kImpliedVersionKey, EncodeMessage(record));
+  }
+  /// Touch only on the pipeline's thread.
+  MemoryStore& store() { return store_; }
   FleetView& view() { return view_; }
   QuarantineService& quarantine() { return quarantine_; }
   QuotaService& quota() { return quota_; }
@@ -266,6 +278,8 @@
   OverloadMonitor overload_;
   ContactMonitor contact_;
   DetourService detours_;
+  MemoryStore store_;
+  streams::StreamOrigins origins_;
   RequestPipeline pipeline_;
   HttpServer front_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard_;
