--- a/test/platform/odd_store_items_test.cc
+++ b/test/platform/odd_store_items_test.cc
@@ -37,6 +37,12 @@
   return R"({"keyFile":")" + key + "\"," + fields + "}";
 }
 
+std::string Page(const std::string& odd_item) {
+  const std::string before = Item("servers/a", R"("value":"e30=","revision":3,"lease":0)");
+  const std::string after = Item("servers/z", R"("value":"e30=","revision":4,"lease":0)");
+  return R"({"at":9,"more":false,"items":[)" + before + "," + odd_item + "," + after + "]}";
+}
+
 TEST_CASE("Base64 of any length is decoded within its buffer") {
   const std::string digits(200, 'Q');
   std::string items;
@@ -55,5 +61,40 @@
   }
 }
 
+TEST_CASE("An odd item of a listing costs only itself") {
+  const std::vector<std::string> odd_items = {
+      "null",
+      "7",
+      "\"x\"",
+      "[]",
+      "{}",
+      R"({"keyFile":7})",
+      Item("servers/i-1", R"("value":null,"revision":5)"),
+      Item("servers/i-1", R"("value":7,"revision":5)"),
+      Item("servers/i-1", R"("value":"====","revision":5)"),
+      Item("servers/i-1", R"("value":"e3=0","revision":5)"),
+      Item("servers/i-1", R"("value":"e30=")"),
+      Item("servers/i-1", R"("value":"e30=","revision":"5")"),
+      Item("servers/i-1", R"("value":"e30=","revision":-5)"),
+      Item("servers/i-1", R"("value":"e30=","revision":1e300)"),
+      Item("servers/i-1", R"("value":"e30=","revision":18446744073709551615)"),
+      Item("servers/i-1", R"("value":"e30=","revision":18446744073709551616)"),
+      Item("servers/i-1", R"("value":"e30=","revision":5,"lease":"x")"),
+      Item("servers/i-1", R"("value":"e30=","revision":5,"lease":-1e300)"),
+      Item("servers/i-1", R"("value":"e30=","revision":5,"createdAt":[[[[[[[[{}]]]]]]]])"),
+      Item("servers/i-1", R"("value":"e30=","revision":5,"gone":{})"),
+      Item("servers/i-1\\u0000\\n\xc3\xa9", R"("value":"e30=","revision":5)"),
+      Item("servers/i-\xff", R"("value":"e30=","revision":5)"),
+  };
+  for (const std::string& odd_item : odd_items) {
+    INFO(odd_item);
+    const Outcome<RangeResult> listing = List(Page(odd_item));
+    CHECK(listing.ok());
+    if (!listing.ok()) continue;
+    CHECK(listing.value().entries.front().key == "servers/a");
+    CHECK(listing.value().entries.back().key == "servers/z");
+  }
+}
+
 }  // namespace
 }  // namespace moorfold
