Skip entries of servers that cannot be contacted or passed on

A relay answers with datagrams of 8 kB. An entry with a long version, or with many models or adapters, fits none: the answer to a change question was a gap and the page of servers with that entry was too large to be sent, so that followers lacked all changes and read the store instead. An entry with 50,000 models also held up the daemon that read it, as each change compares every model with every other. An entry with port 0 or without a service was used like any other. A follower took records from a relay as they came.

Each record, from the store or from a relay, is now checked in one place. A record with a name longer than 200 bytes, without a service, without an IP address and port, or larger than what one datagram carries is skipped with event=entry_skipped, and the others are followed. This also bounds the software version that a daemon keeps for each server.

--- a/src/gateway/store_view.cc
+++ b/src/gateway/store_view.cc
@@ -4,6 +4,7 @@
 #include <unordered_set>
 
 #include "common/boot_clock.h"
+#include "gateway/server_record_check.h"
 
 namespace moorfold {
 
@@ -426,7 +427,9 @@
 
 void StoreView::ApplyServer(const KeyValue& entry) {
   const std::string id = entry.key.substr(protocol_.layout().server_prefix.size());
-  servers_.Put(protocol_.ParseServer(id, entry.value), entry.mod_revision, listing_new_era_);
+  ServerRecord record = protocol_.ParseServer(id, entry.value);
+  CheckServerRecord(record);
+  servers_.Put(std::move(record), entry.mod_revision, listing_new_era_);
 }
 
 void StoreView::ApplyRemoval(const std::string& key, StoreRevision revision) {
--- a/src/gateway/store_view_relay.cc
+++ b/src/gateway/store_view_relay.cc
@@ -5,6 +5,7 @@
 #include <unordered_set>
 
 #include "common/boot_clock.h"
+#include "gateway/server_record_check.h"
 #include "gateway/servers_page.h"
 #include "gateway/store_view.h"
 #include "relay/change_answer.h"
@@ -178,6 +179,15 @@
     ApplyRemoval(protocol_.layout().server_prefix + change.record.id, change.revision);
     return;
   }
+  try {
+    CheckServerRecord(change.record);
+  } catch (const std::exception& error) {
+    KeyValue entry;
+    entry.key = protocol_.layout().server_prefix + change.record.id;
+    entry.mod_revision = change.revision;
+    ApplyUnreadable(entry, error.what());
+    return;
+  }
   ServerRecord record = change.record;
   const ServerPtr known = view_.servers.Find(record.id);
   if (known != nullptr && !IsLaterIncarnation(record.incarnation, known->record().incarnation)) {
