Fail a connection to an address that is none with an HttpError

UpstreamConnection::Connect parsed the address with the overload of make_address that throws boost::system::system_error. Its callers handle HttpError, as HttpConnection already throws, so a server record with a malformed address, such as one from a relay, would have ended the coroutine of the request without an answer. Before: the test got the other exception; after: an HttpError of the stage kConnecting.

--- a/src/http/upstream_connection.cc
+++ b/src/http/upstream_connection.cc
@@ -94,14 +94,16 @@
 
 Awaitable<void> UpstreamConnection::Connect(Deadline deadline) {
   const std::shared_ptr<State> state = state_;
+  error_code error;
+  const asio::ip::address address = asio::ip::make_address(state->endpoint.address, error);
+  if (error) throw state->Failure(HttpStage::kConnecting, error);
   state->timer.expires_at(deadline);
-  state->timer.async_wait([state](const error_code& error) {
-    if (error) return;
+  state->timer.async_wait([state](const error_code& cancelled) {
+    if (cancelled) return;
     state->cancelled = CancelReason::kTimeLimit;
     state->Reset();
   });
-  const tcp::endpoint target(asio::ip::make_address(state->endpoint.address), state->endpoint.port);
-  error_code error;
+  const tcp::endpoint target(address, state->endpoint.port);
   co_await state->socket.async_connect(target, asio::redirect_error(use_awaitable, error));
   state->timer.cancel();
   if (!error && state->cancelled != CancelReason::kNone) error = asio::error::operation_aborted;
--- a/test/gateway/odd_relayed_entries_test.cc
+++ b/test/gateway/odd_relayed_entries_test.cc
@@ -1,9 +1,11 @@
+#include <boost/asio/co_spawn.hpp>
 #include <catch2/catch.hpp>
 
 #include "../relay/relay_fixture.h"
 #include "fleet/demand_channel.h"
 #include "fleet/fleet_messages.h"
 #include "gateway/relay_service.h"
+#include "http/upstream_connection.h"
 #include "quarantine/quarantine_messages.h"
 #include "relay/change_answer.h"
 
@@ -113,5 +115,25 @@
   }
 }
 
+TEST_CASE("A server whose address is none fails its requests and not the daemon") {
+  boost::asio::io_context context;
+  std::optional<HttpStage> failed_at;
+  std::exception_ptr other;
+  boost::asio::co_spawn(
+      context,
+      [&]() -> Awaitable<void> {
+        UpstreamConnection connection(context, {"no address", 1});
+        try {
+          co_await connection.Connect(BootClock::now() + milliseconds(1'000));
+        } catch (const HttpError& error) {
+          failed_at = error.stage();
+        }
+      },
+      [&](std::exception_ptr error) { other = error; });
+  context.run_for(milliseconds(3'000));
+  CHECK(other == nullptr);
+  CHECK(failed_at == HttpStage::kConnecting);
+}
+
 }  // namespace
 }  // namespace moorfold
