Go on reporting to later leaders after a leader record with an odd address

SendReport let the exception for a malformed leader address through, unlike SendTo. It ended the coroutine that reports demand and asks for changes, without a line in the log: the daemon never again reported to any leader nor followed its answers. The report is now dropped with a line.

Ruled out: truncated, garbage and oversized values of the keys of the leader, relay plan, quarantine and quota sharing, which are skipped (Odd values of the keys of the daemons cost only themselves).

--- a/src/fleet/demand_channel.cc
+++ b/src/fleet/demand_channel.cc
@@ -128,7 +128,15 @@
 }
 
 void DemandChannel::SendReport(const std::string& to, const DemandReport& report) {
-  const udp::endpoint target = Resolve(to);
+  try {
+    SendReport(Resolve(to), report);
+  } catch (const std::exception& error) {
+    // The address comes from the leader's record or from another daemon and may be invalid.
+    handlers_.on_drop(std::string("not sent: ") + error.what());
+  }
+}
+
+void DemandChannel::SendReport(const udp::endpoint& target, const DemandReport& report) {
   DemandReport part = report;
   part.entries.clear();
   part.question.reset();
--- a/src/fleet/demand_channel.h
+++ b/src/fleet/demand_channel.h
@@ -93,7 +93,7 @@
   DemandChannel(boost::asio::io_context& context, const Endpoint& listen, Handlers handlers);
 
   void Start();
-  /// @param to "IP:PORT" of the leader.
+  /// @param to "IP:PORT" of the leader. The report is dropped if the address is invalid.
   void SendReport(const std::string& to, const DemandReport& report);
   /// @param to "IP:PORT" of another daemon. The message is dropped if the address is invalid.
   void SendTo(const std::string& to, const FleetMessage& message);
@@ -110,6 +110,7 @@
   void HandleDatagram(std::size_t length);
   void Dispatch(FleetMessage message, const std::string& from);
   void Send(const FleetMessage& message, const boost::asio::ip::udp::endpoint& to);
+  void SendReport(const boost::asio::ip::udp::endpoint& target, const DemandReport& report);
 
   static constexpr std::size_t kMaxDatagramBytes = 8 * 1024;
 
--- a/test/gateway/odd_entries_test.cc
+++ b/test/gateway/odd_entries_test.cc
@@ -56,6 +56,46 @@
           Entry(models + "]")};
 }
 
+template <typename Record>
+std::vector<std::string> Damaged(const Record& record) {
+  const std::string bytes = EncodeMessage(record);
+  std::string counts = bytes;
+  for (std::size_t at = 1; at < std::min<std::size_t>(counts.size(), 9); ++at) counts[at] = '\x7f';
+  return {"",          "{}",   "garbage",     bytes.substr(0, bytes.size() / 2),
+          bytes + "x", counts, Nested(1'000), std::string(100, '\xff')};
+}
+
+std::vector<std::pair<std::string, std::string>> OddInternalEntries() {
+  LeaderRecord leader;
+  leader.name = "another";
+  leader.address = "no address";
+  leader.era = 1;
+  RelayPlan plan;
+  plan.number = 5;
+  plan.zones = {{1, {"no address", "127.0.0.1:1"}}};
+  RelayPlan last_plan;
+  last_plan.number = kMaxInteger;
+  QuarantineNotice quarantine;
+  quarantine.cases = {CaseUpdate{
+      Fingerprint{}, "booking", {{"i-1", "v1", kMaxInteger}, {"i-2", "v1", -kMaxInteger}}, {}, {}}};
+  CreditSharing sharing;
+  sharing.daemons = std::numeric_limits<std::uint32_t>::max();
+  sharing.hosts = {"no address", ""};
+  std::vector<std::pair<std::string, std::string>> entries;
+  const auto add = [&](const std::string& key, const std::vector<std::string>& values) {
+    for (const std::string& value : values) entries.emplace_back(key, value);
+  };
+  add("moorfold/leader", Damaged(leader));
+  add("moorfold/relays", Damaged(plan));
+  add("moorfold/quarantine", Damaged(quarantine));
+  add("moorfold/quota-sharing", Damaged(sharing));
+  add("moorfold/relays", {EncodeMessage(plan), EncodeMessage(last_plan)});
+  add("moorfold/quarantine", {EncodeMessage(quarantine)});
+  add("moorfold/quota-sharing", {EncodeMessage(sharing)});
+  add("moorfold/another", {"garbage"});
+  return entries;
+}
+
 HttpRequest SafeRequest(Deployment& deployment, const std::string& id) {
   deployment.platform.checker().Sent(id, RequestKind::kRepeatable);
   return {"GET",
@@ -100,5 +140,35 @@
   for (const auto& each : deployment.gateways) CHECK(each->gateway.metrics().entries_skipped > 10);
 }
 
+TEST_CASE("Odd values of the keys of the daemons cost only themselves") {
+  const std::uint32_t relay_from_daemons = GENERATE(0U, 2U);
+  Deployment deployment(3, {}, relay_from_daemons);
+  REQUIRE(deployment.RunUntil([&] { return deployment.AllReady() && deployment.Leaders() == 1; }));
+  PutAll(deployment, OddInternalEntries());
+  CheckFollowsServersThatJoin(deployment);
+  CHECK(deployment.RunUntil([&] { return deployment.Leaders() == 1; }));
+}
+
+TEST_CASE("A leader record with an odd address does not end the reports to later leaders") {
+  Deployment deployment(2);
+  REQUIRE(deployment.RunUntil([&] { return deployment.AllReady() && deployment.Leaders() == 1; }));
+  LeaderRecord record;
+  record.name = "another";
+  record.address = "no address";
+  record.era = 1;
+  deployment.platform.store().Put("moorfold/leader", EncodeMessage(record));
+  REQUIRE(deployment.RunUntil([&] { return deployment.Leaders() == 0; }));
+  deployment.RunFor(milliseconds(2'000));
+  deployment.platform.store().Remove("moorfold/leader");
+  REQUIRE(deployment.RunUntil([&] { return deployment.Leaders() == 1; }));
+  const auto answers = [&] {
+    std::uint64_t sent = 0;
+    for (const auto& each : deployment.gateways) sent += each->gateway.metrics().relay_answers_sent;
+    return sent;
+  };
+  const std::uint64_t before = answers();
+  CHECK(deployment.RunUntil([&] { return answers() > before + 2; }, milliseconds(10'000)));
+}
+
 }  // namespace
 }  // namespace moorfold
