Reject relay plans whose number leaves none for later plans

A plan takes effect if its number is higher than that of the plan in force. After a plan with the highest number, from another writer of its key or in a datagram, no later plan could take effect at any daemon, and the leader's next number overflowed. Numbers are now accepted up to 2^53, in plans and in reports.

--- a/src/gateway/relay_service.cc
+++ b/src/gateway/relay_service.cc
@@ -1,6 +1,7 @@
 #include "gateway/relay_service.h"
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace moorfold {
 
@@ -16,6 +17,10 @@
 /// Interval between checks for lost messages: not shorter than the time after which a question is
 /// sent again.
 constexpr milliseconds kRetryInterval{160};
+/// More plans than a fleet ever makes; later leaders can still count on from here.
+constexpr std::int64_t kMaxPlanNumber = std::int64_t{1} << 53;
+
+bool IsValidPlanNumber(std::int64_t number) { return number >= 0 && number <= kMaxPlanNumber; }
 
 }  // namespace
 
@@ -38,6 +43,8 @@
 }
 
 void RelayService::ApplyPlan(const RelayPlan& plan) {
+  if (!IsValidPlanNumber(plan.number))
+    throw std::runtime_error("the number of the relay plan is out of range");
   newest_plan_number_ = std::max(newest_plan_number_, plan.number);
   if (plan.number <= plan_.number) return;
   plan_ = plan;
@@ -86,7 +93,8 @@
                  report.relay_plan.has_value()},
                 BootClock::now());
   if (!report.relay_plan) return;
-  newest_plan_number_ = std::max(newest_plan_number_, *report.relay_plan);
+  if (IsValidPlanNumber(*report.relay_plan))
+    newest_plan_number_ = std::max(newest_plan_number_, *report.relay_plan);
   if (plan_.number > 0 && *report.relay_plan != plan_.number) ports_.send(report.address, plan_);
 }
 
--- a/test/relay/relay_service_test.cc
+++ b/test/relay/relay_service_test.cc
@@ -3,6 +3,8 @@
 #include "gateway/relay_service.h"
 
 #include <catch2/catch.hpp>
+#include <limits>
+#include <stdexcept>
 
 #include "clock_jump.h"
 #include "relay_fixture.h"
@@ -79,6 +81,22 @@
   CHECK_FALSE(fixture.member.store_view.MakeServersPage(question).relays);
 }
 
+TEST_CASE("A relay plan with a number out of range does not keep out the plans of later leaders") {
+  const std::int64_t number = GENERATE(std::numeric_limits<std::int64_t>::max(),
+                                       std::numeric_limits<std::int64_t>::min(), -1);
+  ServiceFixture fixture;
+  KeyValue entry;
+  entry.value = EncodeMessage(ServiceFixture::Plan(number, {kOther, kLeader}));
+  CHECK_THROWS_AS(fixture.service.ApplyRecord(entry, {}), std::runtime_error);
+  DemandReport report;
+  report.relay_plan = number;
+  fixture.leads = true;
+  fixture.service.TakeReport(report);
+  fixture.leads = false;
+  fixture.service.ApplyPlan(ServiceFixture::Plan(1, {kSelf, kOther}));
+  CHECK(fixture.service.Watches());
+}
+
 TEST_CASE("Another relay asks the first and serves the data it receives; a daemon only asks") {
   ServiceFixture fixture;
   SECTION("relay") {
