Escape bytes that are not printable ASCII in log lines, and bound values

Names, addresses and versions that other writers leave in the store stood raw in the log: a NUL or a control character, or bytes that are not UTF-8, and a value of any length. A newline was replaced by a space. Every byte that is not printable ASCII is now written as \xNN in quotes, and a value is cut off at 4 kB, which is more than the longest list of request ids that is logged.

--- a/src/common/log_line.h
+++ b/src/common/log_line.h
@@ -1,14 +1,21 @@
 #pragma once
 
+#include <algorithm>
+#include <cstddef>
 #include <ostream>
 #include <string>
+#include <string_view>
 #include <type_traits>
 
 namespace moorfold {
 
-/// One event of the log: "event=NAME key=value ...". Values with spaces or quotes are quoted.
+/// One event of the log: "event=NAME key=value ...". A value other than a plain word is quoted. In
+/// quotes, a backslash precedes a quote or a backslash, and every byte that is not printable ASCII
+/// is written as \xNN. Values are cut off at kMaxValueBytes.
 class LogLine {
  public:
+  static constexpr std::size_t kMaxValueBytes = 4'096;
+
   explicit LogLine(const std::string& event) : text_("event=" + event) {}
 
   LogLine& Field(const std::string& key, const std::string& value) {
@@ -29,14 +36,35 @@
   }
 
  private:
-  static std::string Quote(const std::string& value) {
-    if (!value.empty() && value.find_first_of(" \"\n=") == std::string::npos) return value;
-    std::string quoted = "\"";
-    for (const char character : value) {
-      if (character == '"' || character == '\\') quoted += '\\';
-      quoted += character == '\n' ? ' ' : character;
+  static bool IsPrintable(char character) { return character >= ' ' && character <= '~'; }
+  static bool IsPlain(char character) {
+    constexpr std::string_view kQuotedCharacters = " \"\\=";
+    return IsPrintable(character) && kQuotedCharacters.find(character) == std::string_view::npos;
+  }
+
+  static void AppendEscaped(std::string& text, char character) {
+    constexpr std::string_view kDigits = "0123456789abcdef";
+    constexpr unsigned kBitsPerDigit = 4;
+    constexpr unsigned kDigitMask = 15;
+    if (IsPrintable(character)) {
+      if (character == '"' || character == '\\') text += '\\';
+      text += character;
+      return;
     }
-    return quoted + "\"";
+    const auto byte = static_cast<unsigned char>(character);
+    text += "\\x";
+    text += kDigits[byte >> kBitsPerDigit];
+    text += kDigits[byte & kDigitMask];
+  }
+
+  static std::string Quote(std::string_view value) {
+    const bool cut = value.size() > kMaxValueBytes;
+    value = value.substr(0, kMaxValueBytes);
+    if (!cut && !value.empty() && std::all_of(value.begin(), value.end(), IsPlain))
+      return std::string(value);
+    std::string quoted = "\"";
+    for (const char character : value) AppendEscaped(quoted, character);
+    return quoted + (cut ? "...\"" : "\"");
   }
 
   std::string text_;
