Reject messages and records with a flag that is neither 0 nor 1

BoundedInputArchive copied the byte of a flag into a bool. A bool with another value is undefined behaviour, and a damaged record of the leader key or a datagram can bring one. Such a message is now rejected like one of a wrong length.

Found by the decoder fuzz test with the undefined behaviour sanitizer (LeaderRecord, ServerChange, ChangeAnswer). Before: the byte 2 was accepted and the sanitizer reported it; after: it is rejected.

--- a/src/common/bounded_archive.h
+++ b/src/common/bounded_archive.h
@@ -67,6 +67,13 @@
 void CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive& archive, Number& number) {
   archive.Load(&number, sizeof(number));
 }
+/// A bool that holds another byte than 0 or 1 has undefined behaviour.
+inline void CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive& archive, bool& flag) {
+  std::uint8_t byte = 0;
+  archive.Load(&byte, sizeof(byte));
+  if (byte > 1) throw std::runtime_error("a flag is neither 0 nor 1");
+  flag = byte == 1;
+}
 
 template <typename Value>
 void CEREAL_SERIALIZE_FUNCTION_NAME(BoundedInputArchive& archive,
--- a/test/gateway/odd_entries_test.cc
+++ b/test/gateway/odd_entries_test.cc
@@ -2,7 +2,6 @@
 
 #include <limits>
 
-#include "common/log_event.h"
 #include "fleet/fleet_messages.h"
 #include "gateway_deployment.h"
 
@@ -149,6 +148,19 @@
   CHECK(deployment.RunUntil([&] { return deployment.Leaders() == 1; }));
 }
 
+TEST_CASE("A record with a flag that is neither 0 nor 1 is rejected") {
+  LeaderRecord record;
+  record.name = "one";
+  record.address = "127.0.0.1:1";
+  std::string bytes = EncodeMessage(record);
+  const std::size_t settled_at = 1 + 8 + record.name.size() + 8 + record.address.size();
+  REQUIRE(bytes.at(settled_at) == 0);
+  bytes[settled_at] = 1;
+  CHECK(DecodeMessage<LeaderRecord>(bytes).settled);
+  bytes[settled_at] = 2;
+  CHECK_THROWS_AS(DecodeMessage<LeaderRecord>(bytes), std::runtime_error);
+}
+
 TEST_CASE("A leader record with an odd address does not end the reports to later leaders") {
   Deployment deployment(2);
   REQUIRE(deployment.RunUntil([&] { return deployment.AllReady() && deployment.Leaders() == 1; }));
