A model that streams need on one software version is loaded on that version

Cause: the leader places models regardless of software versions. After the server of a version that held a rare model has crashed, the model is loaded on a server of any version, or counts as served by a replica on another one; streams that began on the version cannot go on although new streams of the model begin.

Ruled out: a version in DemandEntry (its body is fixed for earlier builds); subtracting the bound requests from the plain demand (the two reports may be lost one without the other, and new streams would wait).

PlacementPlanner places the model on a server of the version unless one of it that serves has, loads or makes room for the model, valued as a model that requests wait for and nobody holds. It evicts only what nobody uses or another server of the version has, and the only copy on a needed version is valued as a last one. Cause software_version in order lines.

--- a/src/fleet/demand.cc
+++ b/src/fleet/demand.cc
@@ -1,5 +1,7 @@
 #include "fleet/demand.h"
 
+#include <utility>
+
 namespace moorfold {
 
 std::vector<DemandEntry> ModelDemandCounters::Take() {
@@ -22,6 +24,16 @@
   return entries;
 }
 
+std::vector<VersionDemandEntry> ModelDemandCounters::TakeVersionDemand() {
+  std::vector<VersionDemandEntry> entries;
+  for (auto& [key, count] : version_counts_) {
+    const std::uint32_t waiting = count.waiting + std::exchange(count.turned_away, 0U);
+    if (waiting > 0) entries.push_back({key.service, key.name, key.software_version, waiting});
+  }
+  std::erase_if(version_counts_, [](const auto& counted) { return counted.second.waiting == 0; });
+  return entries;
+}
+
 std::int64_t ModelDemandCounters::Waiting() const {
   std::int64_t waiting = 0;
   for (const auto& [key, count] : counts_) waiting += count.waiting;
--- a/src/fleet/demand_channel.cc
+++ b/src/fleet/demand_channel.cc
@@ -106,6 +106,8 @@
     handlers_.on_retry_grant_request(*grant_request, from);
   } else if (const auto* grant_response = std::get_if<RetryGrantResponse>(&message)) {
     handlers_.on_retry_grant_response(*grant_response, from);
+  } else if (const auto* version_demand = std::get_if<VersionDemand>(&message)) {
+    handlers_.on_version_demand(*version_demand);
   } else {
     handlers_.on_leadership_offer(std::get<LeadershipOffer>(message));
   }
@@ -142,6 +144,17 @@
   if (!part.entries.empty() || report.entries.empty() || part.question) Send(part, target);
 }
 
+void DemandChannel::SendVersionDemand(const std::string& to, const VersionDemand& demand) {
+  VersionDemand part{demand.sender, {}};
+  for (const VersionDemandEntry& entry : demand.entries) {
+    part.entries.push_back(entry);
+    if (part.entries.size() < VersionDemand::kMaxEntries) continue;
+    SendTo(to, part);
+    part.entries.clear();
+  }
+  if (!part.entries.empty()) SendTo(to, part);
+}
+
 void DemandChannel::Broadcast(const FleetMessage& message) {
   const auto now = BootClock::now();
   std::erase_if(reporters_,
--- a/src/fleet/demand_channel.h
+++ b/src/fleet/demand_channel.h
@@ -57,6 +57,7 @@
       std::function<void(const RetryGrantRequest&, const std::string& from)>;
   using RetryGrantResponseHandler =
       std::function<void(const RetryGrantResponse&, const std::string& from)>;
+  using VersionDemandHandler = std::function<void(const VersionDemand&)>;
   using LeadershipOfferHandler = std::function<void(const LeadershipOffer&)>;
   /// Receives the reason why a datagram could not be sent or handled.
   using DropHandler = std::function<void(const std::string& problem)>;
@@ -85,6 +86,7 @@
     DetourOfferHandler on_detour_offer;
     RetryGrantRequestHandler on_retry_grant_request;
     RetryGrantResponseHandler on_retry_grant_response;
+    VersionDemandHandler on_version_demand;
     DropHandler on_drop;
     UndecodableHandler on_undecodable;
   };
@@ -95,6 +97,9 @@
   void Start();
   /// @param to "IP:PORT" of the leader.
   void SendReport(const std::string& to, const DemandReport& report);
+  /// Sends the entries in as many datagrams as they need; none for no entries.
+  /// @param to "IP:PORT" of the leader. Dropped if the address is invalid.
+  void SendVersionDemand(const std::string& to, const VersionDemand& demand);
   /// @param to "IP:PORT" of another daemon. The message is dropped if the address is invalid.
   void SendTo(const std::string& to, const FleetMessage& message);
   /// Sends to every daemon that reported within the last 5 seconds.
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -30,8 +30,10 @@
 /// paired days of one deployment).
 constexpr double kTargetSlotUtilization = 0.6;
 
-/// Cause of an unload in its order line.
+/// Cause in the line of an unload.
 constexpr const char* kLateResponsesCause = "late_responses";
+/// Cause of an order for requests that are bound to the software version of its server.
+constexpr const char* kSoftwareVersionCause = "software_version";
 
 const char* OutcomeName(ServerOrderOutcome outcome) {
   switch (outcome) {
@@ -103,6 +105,15 @@
   if (std::any_of(report.entries.begin(), report.entries.end(), waits)) PlanSoon();
 }
 
+void FleetController::AddVersionDemand(const VersionDemand& demand) {
+  version_demand_.Add(demand, BootClock::now());
+  const bool adapters =
+      std::any_of(demand.entries.begin(), demand.entries.end(),
+                  [](const VersionDemandEntry& entry) { return !entry.name.adapter.empty(); });
+  if (adapters) PlanAdaptersSoon();
+  PlanSoon();
+}
+
 void FleetController::PlanSoon() { SchedulePlan(full_plan_throttle_, &FleetController::PlanAll); }
 
 void FleetController::PlanAdaptersSoon() {
@@ -182,6 +193,9 @@
   std::set<std::string> models;
   for (const auto& [name, wanted] : demand)
     if (wanted.waiting > 0 && !name.adapter.empty()) models.insert(name.model);
+  std::vector<VersionNeed> version_needs = version_demand_.ForService(service.name, now);
+  for (const VersionNeed& need : version_needs)
+    if (need.waiting > 0 && !need.name.adapter.empty()) models.insert(need.name.model);
   std::map<std::string, ServerPtr> holding;
   for (const std::string& model : models)
     for (const ServerPtr& server : fleet_view_.servers.ServersWithModel(service.name, model))
@@ -190,7 +204,8 @@
   std::vector<PlannedServer> servers;
   for (const auto& [id, server] : holding) servers.push_back(MakePlannedServer(*server));
   const PlannerLimits limits{0, kTargetSlotUtilization * service.engine->slots};
-  PlacementPlanner planner(*service.engine, std::move(demand), std::move(servers), limits, now);
+  PlacementPlanner planner(*service.engine, std::move(demand), std::move(servers), limits, now,
+                           std::move(version_needs));
   StartSteps(planner.PlanAdaptersOnly());
 }
 
@@ -230,6 +245,7 @@
   const ManagedServerPtr managed = ManagedForRecord(server.record());
   PlannedServer planned;
   planned.id = server.record().id;
+  planned.software_version = server.record().software_version;
   planned.serving = server.Usable(now) && !server.RejectsRequests(now) && !server.Suspect(now) &&
                     !demand_.Unreachable(server.record().id, now);
   planned.accepts_orders = planned.serving && !managed->operation_pending &&
@@ -278,7 +294,8 @@
   const PlannerLimits limits{loads, kTargetSlotUtilization * service.engine->slots,
                              MayReplaceLocalReplicas(service.name)};
   PlacementPlanner planner(*service.engine, demand_.ForService(service.name, now),
-                           std::move(servers), limits, now);
+                           std::move(servers), limits, now,
+                           version_demand_.ForService(service.name, now));
   const bool announce = settings_.load_outlook && announcer_.Due(service.name, now) &&
                         outlook::LoadsExceedTarget(fleet_view_.routes->configuration(), service);
   std::vector<std::string> awaited;
@@ -450,6 +467,7 @@
     line.Field(LogField::kCause, kLateResponsesCause);
     if (outcome == ServerOrderOutcome::kInProgress) ++metrics_.replicas_replaced_for_late_responses;
   }
+  if (step.for_software_version) line.Field(LogField::kCause, kSoftwareVersionCause);
   log_.Write(LogRank::kDecision, line);
 }
 
--- a/src/fleet/fleet_controller.h
+++ b/src/fleet/fleet_controller.h
@@ -12,6 +12,7 @@
 #include "fleet/leader_election.h"
 #include "fleet/load_concurrency_limit.h"
 #include "fleet/placement_planner.h"
+#include "fleet/version_demand.h"
 #include "gateway/fleet_view.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/server_statements.h"
@@ -66,6 +67,7 @@
 
   void Start();
   void AddReport(const DemandReport& report);
+  void AddVersionDemand(const VersionDemand& demand);
   /// Stops issuing orders.
   void Stop() { stopped_ = true; }
   /// @return the number of orders that await a response.
@@ -153,6 +155,7 @@
   PlanThrottle full_plan_throttle_;
   PlanThrottle adapter_plan_throttle_;
   FleetDemand demand_;
+  FleetVersionDemand version_demand_;
   std::map<std::string, ManagedServerPtr> managed_;
   LoadConcurrencyLimit store_limit_;
   outlook::OutlookAnnouncer announcer_;
--- a/src/fleet/fleet_messages.h
+++ b/src/fleet/fleet_messages.h
@@ -92,6 +92,21 @@
   }
 };
 
+/// The part of a daemon's demand that is bound to a software version, sent to the leader next to
+/// the report and only while there is any. May be lost; the next one replaces it.
+struct VersionDemand {
+  /// Keeps the datagram well below the size that receivers accept.
+  static constexpr std::size_t kMaxEntries = 24;
+
+  std::string sender;                       ///< As in DemandReport.
+  std::vector<VersionDemandEntry> entries;  ///< At most kMaxEntries.
+
+  template <typename Archive>
+  void serialize(Archive& archive) {
+    archive(sender, entries);
+  }
+};
+
 /// Sent by the leader to every daemon: a server holds, will hold or unloads a model or adapter.
 struct PlacementNotice {
   std::string server_id;
@@ -120,12 +135,13 @@
 
 /// Alternatives from RelayPlan on require relay support (DemandReport::relay_plan). Builds that do
 /// not know the permit, detour or retry messages ignore them, so their queries get no response.
+/// A leader that does not know VersionDemand places models regardless of software versions.
 using FleetMessage =
     std::variant<DemandReport, PlacementNotice, ChangeAnswer, LeadershipOffer, QuarantineNotice,
                  CreditSharing, CreditQuestion, CreditAnswer, RelayPlan, ServersRequest,
                  ServersPage, ConfigurationPartRequest, ConfigurationPart, PermitRequest,
                  PermitResponse, LoadOutlookNotice, DetourQuery, DetourOffer, RetryGrantRequest,
-                 RetryGrantResponse>;
+                 RetryGrantResponse, VersionDemand>;
 
 template <typename Archive>
 void serialize(Archive& archive, ModelReference& name) {
@@ -137,6 +153,11 @@
   archive(entry.service, entry.name, entry.waiting, entry.in_flight, entry.arrivals, entry.late);
 }
 
+template <typename Archive>
+void serialize(Archive& archive, VersionDemandEntry& entry) {
+  archive(entry.service, entry.name, entry.software_version, entry.waiting);
+}
+
 /// Write and read the added fields of a message; most messages have none.
 template <typename Message>
 void WriteAdded(const Message&, AddedFields&) {}
--- a/src/fleet/placement_planner.cc
+++ b/src/fleet/placement_planner.cc
@@ -57,7 +57,7 @@
 PlacementPlanner::PlacementPlanner(const EngineDescription& engine,
                                    std::map<ModelReference, ModelDemand> demand,
                                    std::vector<PlannedServer> servers, PlannerLimits limits,
-                                   Time now)
+                                   Time now, std::vector<VersionNeed> version_needs)
     : engine_(engine),
       demand_(std::move(demand)),
       servers_(std::move(servers)),
@@ -65,6 +65,7 @@
       value_(limits.requests_per_server, now),
       now_(now) {
   for (const ModelDescription& model : engine_.models) descriptions_[model.name] = &model;
+  RecordVersionNeeds(std::move(version_needs));
   CountReplicas();
   for (const auto& [name, demanded] : demand_) {
     ModelDemand& total = demand_by_model_[name.model];
@@ -86,6 +87,20 @@
         ++found->second.serving_servers;
 }
 
+void PlacementPlanner::RecordVersionNeeds(std::vector<VersionNeed> needs) {
+  const bool several_versions =
+      std::any_of(servers_.begin(), servers_.end(), [this](const PlannedServer& server) {
+        return server.software_version != servers_.front().software_version;
+      });
+  if (!several_versions) return;
+  version_needs_ = std::move(needs);
+  for (const VersionNeed& need : version_needs_) {
+    VersionWait& total = version_waits_[{need.name.model, need.software_version}];
+    total.waiting += need.waiting;
+    total.unserved_s = std::max(total.unserved_s, need.unserved_s);
+  }
+}
+
 std::vector<PlacementStep> PlacementPlanner::Plan() {
   PlanAdapters();
   PlanModels();
@@ -152,15 +167,46 @@
 void PlacementPlanner::CountReplicas() {
   for (const PlannedServer& server : servers_) {
     if (!server.serving) continue;
-    for (const LoadedModel& held : server.models) ++replica_counts_[held.name];
+    for (const LoadedModel& held : server.models) CountReplica(server, held.name);
     for (const std::string* expected : {&server.loading_model, &server.reserved_for})
       if (!expected->empty() && server.Find(*expected) == nullptr) {
-        ++replica_counts_[*expected];
+        CountReplica(server, *expected);
         pending_models_.insert(*expected);
       }
   }
 }
 
+void PlacementPlanner::CountReplica(const PlannedServer& server, const std::string& model) {
+  ++replica_counts_[model];
+  if (!version_needs_.empty()) ++version_replica_counts_[{model, server.software_version}];
+}
+
+void PlacementPlanner::DiscountReplica(const PlannedServer& server, const std::string& model) {
+  --replica_counts_[model];
+  if (!version_needs_.empty()) --version_replica_counts_[{model, server.software_version}];
+}
+
+std::size_t PlacementPlanner::VersionReplicaCount(const VersionedModel& model) const {
+  const auto found = version_replica_counts_.find(model);
+  return found == version_replica_counts_.end() ? 0 : found->second;
+}
+
+bool PlacementPlanner::IsNeededOnVersion(const PlannedServer& server,
+                                         const std::string& model) const {
+  if (version_needs_.empty()) return false;
+  const VersionedModel key{model, server.software_version};
+  return version_waits_.contains(key) && VersionReplicaCount(key) <= 1;
+}
+
+bool PlacementPlanner::MayEvictForVersion(const PlannedServer& server,
+                                          const std::string& model) const {
+  if (FindDescription(model) == nullptr) return true;
+  if (VersionReplicaCount({model, server.software_version}) > 1) return true;
+  const ModelDemand demand = TotalDemand(model);
+  const bool used = demand.in_flight > 0 || demand.waiting > 0;
+  return !used && !IsNeededOnVersion(server, model);
+}
+
 std::size_t PlacementPlanner::ReplicaCount(const std::string& model) const {
   const auto found = replica_counts_.find(model);
   return found == replica_counts_.end() ? 0 : found->second;
@@ -172,8 +218,10 @@
 }
 
 /// @return whether a server without the model can load it from its memory or disk.
-bool PlacementPlanner::LocalCopyExists(const std::string& model) const {
+bool PlacementPlanner::LocalCopyExists(const std::string& model,
+                                       const std::optional<std::string>& software_version) const {
   return std::any_of(servers_.begin(), servers_.end(), [&](const PlannedServer& server) {
+    if (software_version && server.software_version != *software_version) return false;
     return server.serving && server.Find(model) == nullptr && !FromWeightStore(server, model);
   });
 }
@@ -197,6 +245,17 @@
   return loss->second;
 }
 
+/// As RemovalLossOf(), but the only replica on a software version that requests need counts as the
+/// last one.
+double PlacementPlanner::RemovalLossAt(const PlannedServer& server, const std::string& model) {
+  const ModelDescription* description = FindDescription(model);
+  if (description == nullptr || !IsNeededOnVersion(server, model)) return RemovalLossOf(model);
+  ModelDemand demand = TotalDemand(model);
+  const VersionWait& wait = version_waits_.at({model, server.software_version});
+  demand.waiting = std::max(demand.waiting, wait.waiting);
+  return value_.RemovalLoss(*description, demand, 1);
+}
+
 /// Assumes that demand continues for about as long as it has lasted so far.
 /// @return the probability that the model's demand persists for `seconds`.
 double PlacementPlanner::DemandSurvivalProbability(const std::string& model, double seconds) const {
@@ -212,8 +271,7 @@
 
 std::optional<PlacementPlanner::Placement> PlacementPlanner::PlaceAt(PlannedServer& server,
                                                                      const ModelDescription& model,
-                                                                     double gain,
-                                                                     bool local_copy_exists) {
+                                                                     const ReplicaTerms& terms) {
   if (!server.accepts_orders || !server.reserved_for.empty() || !server.loading_model.empty())
     return std::nullopt;
   if (server.Find(model.name) != nullptr || HoldsNewModel(server)) return std::nullopt;
@@ -223,13 +281,13 @@
   const double load_s = LoadSeconds(server, model);
   // If another server has the weights in memory or on disk, waiting until it accepts orders is
   // better.
-  const bool only_source = from_store && !local_copy_exists;
+  const bool only_source = from_store && !terms.local_copy_exists;
   // Another replica pays off only if the demand outlasts its load.
-  if (ReplicaCount(model.name) > 0)
+  if (terms.has_replica)
     placement.cost +=
-        gain * kPlanningHorizonS * (1 - DemandSurvivalProbability(model.name, load_s));
+        terms.gain * kPlanningHorizonS * (1 - DemandSurvivalProbability(model.name, load_s));
   else if (!only_source)
-    placement.cost += gain * load_s;
+    placement.cost += terms.gain * load_s;
   if (from_store)
     placement.cost += load_s * std::min(kBlockedServerCost,
                                         kBlockedFleetCost / static_cast<double>(servers_.size()));
@@ -237,12 +295,13 @@
   std::vector<const LoadedModel*> held;
   for (const LoadedModel& candidate : server.models) held.push_back(&candidate);
   std::sort(held.begin(), held.end(), [&](const LoadedModel* left, const LoadedModel* right) {
-    return std::pair(IsDescribed(*left), RemovalLossOf(left->name)) <
-           std::pair(IsDescribed(*right), RemovalLossOf(right->name));
+    return std::pair(IsDescribed(*left), RemovalLossAt(server, left->name)) <
+           std::pair(IsDescribed(*right), RemovalLossAt(server, right->name));
   });
   for (const LoadedModel* candidate : held) {
     // What an undescribed model occupies is known only once it is gone.
     if (IsDescribed(*candidate) && free >= model.weights_mb) break;
+    if (terms.for_software_version && !MayEvictForVersion(server, candidate->name)) continue;
     free += HeldMegabytes(*candidate);
     AddVictim(placement, candidate->name);
   }
@@ -251,10 +310,11 @@
 }
 
 void PlacementPlanner::AddVictim(Placement& placement, const std::string& model) {
-  placement.cost += RemovalLossOf(model) * kPlanningHorizonS + kEvictionOverhead;
+  placement.cost += RemovalLossAt(*placement.server, model) * kPlanningHorizonS + kEvictionOverhead;
   placement.victims.push_back(model);
   // No request asks for an undescribed model.
-  if (FindDescription(model) == nullptr || ReplicaCount(model) > 1) return;
+  if (FindDescription(model) == nullptr) return;
+  if (ReplicaCount(model) > 1 && !IsNeededOnVersion(*placement.server, model)) return;
   if (limits_.may_replace_local_replicas && !FromWeightStore(*placement.server, model))
     placement.replaces_local_replica = true;
   else
@@ -281,7 +341,7 @@
   const auto expected = std::chrono::milliseconds(std::llround(
       LoadSeconds(server, model) * std::chrono::milliseconds(std::chrono::seconds(1)).count()));
   steps_.push_back({ServerOrderKind::kLoad, server.id, {model.name, ""}, "", from_store, expected});
-  ++replica_counts_[model.name];
+  CountReplica(server, model.name);
   removal_losses_.erase(model.name);
   server.loading_model = model.name;
   server.reserved_for.clear();
@@ -291,8 +351,8 @@
 void PlacementPlanner::AddUnloadStep(PlannedServer& server, const std::string& model,
                                      const std::string& reserved_for) {
   steps_.push_back({ServerOrderKind::kUnload, server.id, {model, ""}, reserved_for, false, {}});
-  ++replica_counts_[reserved_for];
-  --replica_counts_[model];
+  CountReplica(server, reserved_for);
+  DiscountReplica(server, model);
   removal_losses_.erase(model);
   server.reserved_for = reserved_for;
   server.accepts_orders = false;
@@ -307,14 +367,18 @@
     return false;
   }
   const std::string reserved_for = std::exchange(server.reserved_for, "");
-  --replica_counts_[reserved_for];
-  const std::optional<Placement> placement =
-      PlaceAt(server, *model, 0, LocalCopyExists(model->name));
+  DiscountReplica(server, reserved_for);
+  ReplicaTerms terms;
+  terms.has_replica = ReplicaCount(model->name) > 0;
+  terms.local_copy_exists = LocalCopyExists(model->name);
+  terms.for_software_version = version_waits_.contains({model->name, server.software_version});
+  const std::optional<Placement> placement = PlaceAt(server, *model, terms);
   if (!placement) return false;
   if (placement->victims.empty())
     AddLoadStep(server, *model);
   else
     AddUnloadStep(server, placement->victims.front(), reserved_for);
+  steps_.back().for_software_version = terms.for_software_version;
   return true;
 }
 
@@ -322,13 +386,18 @@
     const ReplicaCandidate& candidate_model) {
   std::optional<Placement> best;
   double best_benefit = kMinBenefit;
-  // Independent of the server: evaluating it for each one would make a plan quadratic in the number
-  // of servers.
-  const bool local_copy_exists = LocalCopyExists(candidate_model.model->name);
+  const std::optional<std::string>& version = candidate_model.software_version;
+  const std::string& name = candidate_model.model->name;
+  // Independent of the server: evaluating them for each one would make a plan quadratic in the
+  // number of servers.
+  ReplicaTerms terms;
+  terms.gain = candidate_model.gain + candidate_model.late_gain;
+  terms.has_replica = !version && ReplicaCount(name) > 0;
+  terms.local_copy_exists = LocalCopyExists(name, version);
+  terms.for_software_version = version.has_value();
   for (PlannedServer& server : servers_) {
-    std::optional<Placement> placement =
-        PlaceAt(server, *candidate_model.model, candidate_model.gain + candidate_model.late_gain,
-                local_copy_exists);
+    if (version && server.software_version != *version) continue;
+    std::optional<Placement> placement = PlaceAt(server, *candidate_model.model, terms);
     if (!placement) continue;
     const double gain =
         candidate_model.gain +
@@ -345,10 +414,18 @@
                                     const Placement& placement) {
   if (placement.victims.empty()) {
     AddLoadStep(*placement.server, *candidate_model.model);
-    return;
+  } else {
+    AddUnloadStep(*placement.server, placement.victims.front(), candidate_model.model->name);
+    steps_.back().for_late_responses = ReplacesForLateResponses(candidate_model, placement);
   }
-  AddUnloadStep(*placement.server, placement.victims.front(), candidate_model.model->name);
-  steps_.back().for_late_responses = ReplacesForLateResponses(candidate_model, placement);
+  steps_.back().for_software_version = candidate_model.software_version.has_value();
+}
+
+void PlacementPlanner::SortByGain(std::vector<ReplicaCandidate>& candidates) {
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const ReplicaCandidate& left, const ReplicaCandidate& right) {
+                     return left.gain + left.late_gain > right.gain + right.late_gain;
+                   });
 }
 
 std::vector<PlacementPlanner::ReplicaCandidate> PlacementPlanner::RankCandidates() const {
@@ -367,13 +444,32 @@
     if ((gain + late_gain) * kPlanningHorizonS > kMinBenefit)
       candidates.push_back({model, gain, late_gain, value_.HasLateResponses(demand, replicas)});
   }
-  std::stable_sort(candidates.begin(), candidates.end(),
-                   [](const ReplicaCandidate& left, const ReplicaCandidate& right) {
-                     return left.gain + left.late_gain > right.gain + right.late_gain;
-                   });
+  SortByGain(candidates);
   return candidates;
 }
 
+void PlacementPlanner::AddVersionCandidates(std::vector<ReplicaCandidate>& candidates) const {
+  std::vector<ReplicaCandidate> merged;
+  for (const auto& [key, need] : version_waits_) {
+    const ModelDescription* model = FindDescription(key.model);
+    if (model == nullptr || need.waiting <= 0 || VersionReplicaCount(key) > 0) continue;
+    ModelDemand bound;
+    bound.waiting = need.waiting;
+    ReplicaCandidate candidate{model, value_.Gain(*model, bound, 0)};
+    candidate.gain +=
+        kWaitingRequestWeight * need.waiting + kUnservedSecondWeight * need.unserved_s;
+    if (ReplicaCount(key.model) == 0)
+      for (const ReplicaCandidate& other : candidates)
+        if (other.model == model) candidate.gain = std::max(candidate.gain, other.gain);
+    candidate.software_version = key.software_version;
+    merged.push_back(std::move(candidate));
+  }
+  if (merged.empty()) return;
+  merged.insert(merged.end(), candidates.begin(), candidates.end());
+  SortByGain(merged);
+  candidates = std::move(merged);
+}
+
 std::vector<std::string> PlacementPlanner::ModelsAwaitingStoreLoad() const {
   std::vector<std::string> models;
   std::unordered_set<std::string> without_copy;
@@ -398,13 +494,19 @@
   for (PlannedServer& server : servers_)
     if (server.accepts_orders && !server.reserved_for.empty()) ContinueReservation(server);
   std::vector<ReplicaCandidate> candidates = RankCandidates();
+  AddVersionCandidates(candidates);
   if (candidates.size() > kMaxCandidatesPerPlan) candidates.resize(kMaxCandidatesPerPlan);
   // Last replicas are replaced for late responses after all other placements, since a model that
   // requests wait for needs the server more.
   std::vector<ReplicaCandidate> deferred;
+  std::unordered_set<const ModelDescription*> placed_for_version;
   for (const ReplicaCandidate& candidate_model : candidates) {
+    // The new replica serves the other requests, too.
+    if (!candidate_model.software_version && placed_for_version.contains(candidate_model.model))
+      continue;
     const std::optional<Placement> placement = BestPlacement(candidate_model);
     if (!placement) continue;
+    if (candidate_model.software_version) placed_for_version.insert(candidate_model.model);
     if (ReplacesForLateResponses(candidate_model, *placement))
       deferred.push_back(candidate_model);
     else
@@ -415,7 +517,8 @@
       AddFirstStep(candidate_model, *placement);
 }
 
-void PlacementPlanner::PlanAdapter(const ModelReference& name, const ModelDemand& demand) {
+void PlacementPlanner::PlanAdapter(const ModelReference& name, const ModelDemand& demand,
+                                   const std::optional<std::string>& software_version) {
   const ModelDescription* model = FindDescription(name.model);
   if (model == nullptr) return;
   const auto adapter_preference = [this](const PlannedServer& server) {
@@ -426,6 +529,7 @@
   for (PlannedServer& server : servers_) {
     const LoadedModel* held = server.Find(name.model);
     if (held == nullptr || !server.serving) continue;
+    if (software_version && server.software_version != *software_version) continue;
     if (held->HasAdapter(name.adapter)) {
       ++holders;
       continue;
@@ -462,7 +566,23 @@
   best->accepts_orders = false;
 }
 
+std::set<ModelReference> PlacementPlanner::PlanVersionAdapters() {
+  std::set<ModelReference> planned;
+  for (const VersionNeed& need : version_needs_) {
+    if (need.name.adapter.empty() || need.waiting <= 0) continue;
+    ModelDemand bound;
+    bound.waiting = need.waiting;
+    const std::size_t steps_before = steps_.size();
+    PlanAdapter(need.name, bound, need.software_version);
+    if (steps_.size() == steps_before) continue;
+    steps_.back().for_software_version = true;
+    planned.insert(need.name);
+  }
+  return planned;
+}
+
 void PlacementPlanner::PlanAdapters() {
+  const std::set<ModelReference> planned = PlanVersionAdapters();
   std::vector<std::pair<ModelReference, ModelDemand>> wanted;
   for (const auto& [name, demand] : demand_)
     if (!name.adapter.empty() && (demand.waiting > 0 || demand.in_flight > 0))
@@ -470,7 +590,8 @@
   std::stable_sort(wanted.begin(), wanted.end(), [](const auto& left, const auto& right) {
     return left.second.waiting > right.second.waiting;
   });
-  for (const auto& [name, demand] : wanted) PlanAdapter(name, demand);
+  for (const auto& [name, demand] : wanted)
+    if (!planned.contains(name)) PlanAdapter(name, demand);
 }
 
 }  // namespace moorfold
--- a/src/fleet/placement_planner.h
+++ b/src/fleet/placement_planner.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -12,6 +13,7 @@
 #include "fleet/placement_value.h"
 #include "fleet/routing_configuration.h"
 #include "fleet/server_record.h"
+#include "fleet/version_demand.h"
 
 namespace moorfold {
 
@@ -26,6 +28,7 @@
   std::vector<std::string> on_disk;
   std::string loading_model;  ///< Model whose load was ordered and has not completed.
   std::string reserved_for;   ///< Model for which memory is being freed.
+  std::string software_version;
 
   const LoadedModel* Find(const std::string& model) const {
     for (const LoadedModel& held : models)
@@ -45,6 +48,8 @@
   /// For an unload: whether it begins a placement that replaces the last replica of a model, made
   /// for the gain from fewer late responses. Set once for each placement.
   bool for_late_responses = false;
+  /// Whether requests that are bound to the server's software version need the model or adapter.
+  bool for_software_version = false;
 };
 
 struct PlannerLimits {
@@ -64,8 +69,11 @@
  public:
   using Time = BootClock::time_point;
 
+  /// @param version_needs have no effect if all servers are of one software version. The requests
+  /// may count in `demand` as well.
   PlacementPlanner(const EngineDescription& engine, std::map<ModelReference, ModelDemand> demand,
-                   std::vector<PlannedServer> servers, PlannerLimits limits, Time now);
+                   std::vector<PlannedServer> servers, PlannerLimits limits, Time now,
+                   std::vector<VersionNeed> version_needs = {});
 
   std::vector<PlacementStep> Plan();
   /// Plans adapters only. If the given servers include all holders of the models whose adapters
@@ -83,6 +91,26 @@
     double gain = 0;                  ///< Request-seconds saved per second.
     double late_gain = 0;             ///< Request-seconds saved per second by fewer late responses.
     bool has_late_responses = false;  ///< More than tolerated.
+    /// Set if the replica has to be on a server of that software version, which has none.
+    std::optional<std::string> software_version;
+  };
+  struct VersionedModel {
+    std::string model;
+    std::string software_version;
+    auto operator<=>(const VersionedModel&) const = default;
+  };
+  struct VersionWait {
+    double waiting = 0;
+    double unserved_s = 0;
+  };
+  /// What the value of one more replica depends on besides the server.
+  struct ReplicaTerms {
+    double gain = 0;
+    /// Whether the servers on which the requests may run have or expect a replica.
+    bool has_replica = false;
+    /// Whether one of these servers can load the model without the weight store.
+    bool local_copy_exists = false;
+    bool for_software_version = false;
   };
   /// A way to place a model on a server.
   struct Placement {
@@ -98,17 +126,36 @@
   };
 
   void PlanAdapters();
-  void PlanAdapter(const ModelReference& name, const ModelDemand& demand);
+  /// Plans adapters that requests need on one software version.
+  /// @return those for which a step was added.
+  std::set<ModelReference> PlanVersionAdapters();
+  /// @param software_version if set, only servers of that version count.
+  void PlanAdapter(const ModelReference& name, const ModelDemand& demand,
+                   const std::optional<std::string>& software_version = std::nullopt);
   void PlanModels();
   std::vector<ReplicaCandidate> RankCandidates() const;
+  /// Adds the models that requests need on a software version of which no server has or expects
+  /// them. Such a model comes before the same one regardless of the version.
+  void AddVersionCandidates(std::vector<ReplicaCandidate>& candidates) const;
+  /// Sorts in descending order; equal candidates keep theirs.
+  static void SortByGain(std::vector<ReplicaCandidate>& candidates);
+  void RecordVersionNeeds(std::vector<VersionNeed> needs);
+  std::size_t VersionReplicaCount(const VersionedModel& model) const;
+  /// @return whether the server has the only replica of the model on a software version that
+  /// requests need it on, or lately needed it on.
+  bool IsNeededOnVersion(const PlannedServer& server, const std::string& model) const;
+  /// @return whether a model may be evicted for requests that are bound to the server's software
+  /// version: nobody uses it, or another server of the version has it.
+  bool MayEvictForVersion(const PlannedServer& server, const std::string& model) const;
+  void CountReplica(const PlannedServer& server, const std::string& model);
+  void DiscountReplica(const PlannedServer& server, const std::string& model);
   /// @return the placement with the highest benefit, or nothing if none is worth its cost.
   std::optional<Placement> BestPlacement(const ReplicaCandidate& candidate_model);
   void AddFirstStep(const ReplicaCandidate& candidate_model, const Placement& placement);
   bool ContinueReservation(PlannedServer& server);
   /// @return how to place the model on the server, or nothing if that is not possible now.
-  /// @param local_copy_exists whether some server can load the model without the weight store.
   std::optional<Placement> PlaceAt(PlannedServer& server, const ModelDescription& model,
-                                   double gain, bool local_copy_exists);
+                                   const ReplicaTerms& terms);
   /// Adds a model of the server to those that the placement evicts.
   void AddVictim(Placement& placement, const std::string& model);
   /// @return whether the gain from fewer late responses may justify the placement.
@@ -118,10 +165,13 @@
   static bool ReplacesForLateResponses(const ReplicaCandidate& candidate_model,
                                        const Placement& placement);
   double RemovalLossOf(const std::string& model);
+  double RemovalLossAt(const PlannedServer& server, const std::string& model);
   double DemandSurvivalProbability(const std::string& model, double seconds) const;
   void CountReplicas();
   double LoadSeconds(const PlannedServer& server, const ModelDescription& model) const;
-  bool LocalCopyExists(const std::string& model) const;
+  /// @param software_version if set, only servers of that version count.
+  bool LocalCopyExists(const std::string& model,
+                       const std::optional<std::string>& software_version = std::nullopt) const;
   bool FromWeightStore(const PlannedServer& server, const std::string& model) const;
   /// @return memory that no described model occupies. An upper bound while the server holds an
   /// undescribed one, whose size is unknown.
@@ -158,6 +208,10 @@
   PlacementValue value_;
   Time now_;
   std::map<std::string, ModelDemand> demand_by_model_;
+  std::vector<VersionNeed> version_needs_;
+  std::map<VersionedModel, VersionWait> version_waits_;  ///< Over all adapters of a model.
+  /// As `replica_counts_`, by software version. Empty without version needs.
+  std::map<VersionedModel, std::size_t> version_replica_counts_;
   std::vector<PlacementStep> steps_;
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -178,6 +178,7 @@
                 [this](const RetryGrantResponse& response, const std::string& from) {
                   retries_.Hear(response, from);
                 },
+                [this](const VersionDemand& demand) { controller_.AddVersionDemand(demand); },
                 [this](const std::string& problem) {
                   log_.Write(
                       LogRank::kRoutine,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -113,6 +113,8 @@
   void ReportToLeader(DemandReport report);
   void AttachChangeQuestion(DemandReport& report);
   void ReportAsRelayFollower(const DemandReport& report);
+  /// Reports the demand that is bound to a software version, if there is any.
+  void ReportVersionDemand();
   void HandleDemandReport(const DemandReport& report);
   void TransferLeadership();
   std::vector<std::string> UnreachableServers() const;
--- a/src/gateway/gateway_fleet.cc
+++ b/src/gateway/gateway_fleet.cc
@@ -25,6 +25,15 @@
 /// Number of change questions that may await an answer; older ones are abandoned.
 constexpr std::size_t kMaxOpenQuestions = 4;
 
+/// @return whether the service has servers of another software version.
+bool HasOtherVersion(const ServerDirectory& servers, const std::string& service,
+                     const std::string& software_version) {
+  const auto& of_service = servers.Of(service);
+  return std::any_of(of_service.begin(), of_service.end(), [&](const ServerPtr& server) {
+    return server->record().software_version != software_version;
+  });
+}
+
 }  // namespace
 
 void Gateway::BroadcastToFleet(const FleetMessage& notice) {
@@ -144,6 +153,7 @@
       ReportAsRelayFollower(report);
     else
       ReportToLeader(std::move(report));
+    ReportVersionDemand();
     co_await Sleep(kMinReportGap);
   }
 }
@@ -175,6 +185,20 @@
   if (QuestionDue(now)) relays_.RequestChanges();
 }
 
+void Gateway::ReportVersionDemand() {
+  VersionDemand demand{settings_.name, view_.demand.TakeVersionDemand()};
+  // The report states all that the leader needs if every server is of that version.
+  std::erase_if(demand.entries, [&](const VersionDemandEntry& entry) {
+    return !HasOtherVersion(view_.servers, entry.service, entry.software_version);
+  });
+  if (demand.entries.empty()) return;
+  const std::string leader = LeaderAddress();
+  if (election_.leading())
+    controller_.AddVersionDemand(demand);
+  else if (!leader.empty())
+    channel_.SendVersionDemand(leader, demand);
+}
+
 void Gateway::HandleDemandReport(const DemandReport& report) {
   members_.Note(report, BootClock::now());
   census_.Note(report.address, report.strength, BootClock::now());
--- a/test/fleet/demand_channel_test.cc
+++ b/test/fleet/demand_channel_test.cc
@@ -37,6 +37,7 @@
                                      [](const DetourOffer&, const std::string&) {},
                                      [](const RetryGrantRequest&, const std::string&) {},
                                      [](const RetryGrantResponse&, const std::string&) {},
+                                     [](const VersionDemand&) {},
                                      [](const std::string&) {}};
   const DemandChannel first(context, {"127.0.0.1", 0}, none);
   try {
@@ -51,6 +52,7 @@
 TEST_CASE("Reports and notices pass between daemons; datagrams that are no message are ignored") {
   boost::asio::io_context context;
   std::vector<DemandReport> reports;
+  std::vector<VersionDemand> version_demand;
   std::vector<PlacementNotice> notices;
   std::vector<ChangeAnswer> answers;
   std::string answered_from;
@@ -79,6 +81,7 @@
       [](const DetourOffer&, const std::string&) {},
       [](const RetryGrantRequest&, const std::string&) {},
       [](const RetryGrantResponse&, const std::string&) {},
+      [&](const VersionDemand& demand) { version_demand.push_back(demand); },
       [](const std::string&) {},
       [&](const UndecodableMessage& message) { dropped.push_back(message.problem); }};
   DemandChannel leader(context, {"127.0.0.1", 0}, to_leader);
@@ -109,6 +112,7 @@
       [](const DetourOffer&, const std::string&) {},
       [](const RetryGrantRequest&, const std::string&) {},
       [](const RetryGrantResponse&, const std::string&) {},
+      [](const VersionDemand&) {},
       [](const std::string&) {}};
   DemandChannel daemon(context, {"127.0.0.1", 0}, to_daemon);
   leader.Start();
@@ -137,6 +141,17 @@
   CHECK(reports[0].unreachable == std::vector<std::string>{"i-9"});
   CHECK(reports[0].uptime_ms == 1'234);
   CHECK(leader.reporters() == 1);
+  VersionDemand needs{"one", {}};
+  daemon.SendVersionDemand(ToString(leader.endpoint()), needs);
+  for (int entry = 0; entry < 60; ++entry)
+    needs.entries.push_back({"s", {"m" + std::to_string(entry), ""}, "v1", 1});
+  daemon.SendVersionDemand(ToString(leader.endpoint()), needs);
+  while (version_demand.size() < 3 && BootClock::now() < deadline)
+    context.run_one_for(milliseconds(50));
+  REQUIRE(version_demand.size() == 3);  // None without entries, then 24, 24 and 12.
+  CHECK(version_demand[0].sender == "one");
+  CHECK(version_demand[2].entries.size() == 12);
+  CHECK(version_demand[2].entries.back().name.model == "m59");
   leader.SendTo(reports[0].address, LeadershipOffer{"leader"});
   const auto questions = std::count_if(
       reports.begin(), reports.end(),
--- a/test/fleet/golden_messages_test.cc
+++ b/test/fleet/golden_messages_test.cc
@@ -25,6 +25,8 @@
 constexpr const char* kDetour = "detour";  ///< Messages added with detours, also of format 1.
 constexpr const char* kRetries =
     "retries";  ///< Messages added with grants of retries, also of format 1.
+constexpr const char* kVersionDemand =
+    "version_demand";  ///< Messages added with demand by software version, also of format 1.
 constexpr const char* kRelays = "relays";  ///< Messages added with relays, also of format 1.
 
 std::string Load(const std::string& build, const std::string& name) {
@@ -335,6 +337,38 @@
   CHECK(read_response.granted == 3);
 }
 
+TEST_CASE("Demand by software version is encoded and decoded as in the first build that had it") {
+  const VersionDemand golden{"edge-3", {{"pool", {"model-1", "a1"}, "v1", 2}}};
+  CHECK(EncodeMessage(FleetMessage(golden)) == Load(kVersionDemand, "version_demand"));
+  const auto demand = LoadMessage<VersionDemand>(kVersionDemand, "version_demand");
+  CHECK(demand.sender == "edge-3");
+  REQUIRE(demand.entries.size() == 1);
+  CHECK(demand.entries[0].service == "pool");
+  CHECK(demand.entries[0].name == ModelReference{"model-1", "a1"});
+  CHECK(demand.entries[0].software_version == "v1");
+  CHECK(demand.entries[0].waiting == 2);
+}
+
+/// The messages of the last build before demand by software version.
+using EarlierFleetMessage =
+    std::variant<DemandReport, PlacementNotice, ChangeAnswer, LeadershipOffer, QuarantineNotice,
+                 CreditSharing, CreditQuestion, CreditAnswer, RelayPlan, ServersRequest,
+                 ServersPage, ConfigurationPartRequest, ConfigurationPart, PermitRequest,
+                 PermitResponse, LoadOutlookNotice, DetourQuery, DetourOffer, RetryGrantRequest,
+                 RetryGrantResponse>;
+
+TEST_CASE("An earlier build rejects demand by software version and decodes all other messages") {
+  // Guards against a message that an earlier leader takes for another one.
+  const std::string bytes = Load(kVersionDemand, "version_demand");
+  CHECK_THROWS(
+      DecodeBody<EarlierFleetMessage>(ReadFormatted(bytes).body, BodyLayout::kWithIncarnations));
+  CHECK(FormatOf(bytes) == kMessageFormat);
+  const std::string report = EncodeMessage(FleetMessage(GoldenMessages().report));
+  const auto earlier =
+      DecodeBody<EarlierFleetMessage>(ReadFormatted(report).body, BodyLayout::kWithIncarnations);
+  CHECK(std::get<DemandReport>(earlier).sender == "edge-3");
+}
+
 TEST_CASE("A load outlook is encoded and decoded as in the first build that had it") {
   const LoadOutlookNotice golden{"s", {{"model-1", 13'000}, {"model-2", 26'000}}};
   CHECK(EncodeMessage(FleetMessage(golden)) == Load(kOutlook, "load_outlook"));
