--- a/src/fleet/demand_channel.h
+++ b/src/fleet/demand_channel.h
@@ -57,6 +57,7 @@
       std::function<void(const RetryGrantRequest&, const std::string& from)>;
   using RetryGrantResponseHandler =
       std::function<void(const RetryGrantResponse&, const std::string& from)>;
+  using VersionDemandHandler = std::function<void(const VersionDemand&)>;
   using LeadershipOfferHandler = std::function<void(const LeadershipOffer&)>;
   /// Receives the reason why a datagram could not be sent or handled.
   using DropHandler = std::function<void(const std::string& problem)>;
@@ -85,6 +86,7 @@
     DetourOfferHandler on_detour_offer;
     RetryGrantRequestHandler on_retry_grant_request;
     RetryGrantResponseHandler on_retry_grant_response;
+    VersionDemandHandler on_version_demand;
     DropHandler on_drop;
     UndecodableHandler on_undecodable;
   };
@@ -93,8 +95,11 @@
   DemandChannel(boost::asio::io_context& context, const Endpoint& listen, Handlers handlers);
 
   void Start();
-  /// @param to "IP:PORT" of the leader.
+  /// @param to "IP:PORT" of the leader. The report is dropped if the address is invalid.
   void SendReport(const std::string& to, const DemandReport& report);
+  /// Sends the entries in as many datagrams as they need; none for no entries.
+  /// @param to "IP:PORT" of the leader. Dropped if the address is invalid.
+  void SendVersionDemand(const std::string& to, const VersionDemand& demand);
   /// @param to "IP:PORT" of another daemon. The message is dropped if the address is invalid.
   void SendTo(const std::string& to, const FleetMessage& message);
   /// Sends to every daemon that reported within the last 5 seconds.
@@ -110,6 +115,7 @@
   void HandleDatagram(std::size_t length);
   void Dispatch(FleetMessage message, const std::string& from);
   void Send(const FleetMessage& message, const boost::asio::ip::udp::endpoint& to);
+  void SendReport(const boost::asio::ip::udp::endpoint& target, const DemandReport& report);
 
   static constexpr std::size_t kMaxDatagramBytes = 8 * 1024;
 
--- a/src/gateway/store_view.cc
+++ b/src/gateway/store_view.cc
@@ -4,6 +4,8 @@
 #include <unordered_set>
 
 #include "common/boot_clock.h"
+#include "gateway/server_record_check.h"
+#include "streams/stream_origins.h"
 
 namespace moorfold {
 
@@ -25,8 +27,8 @@
 /// report.
 constexpr double kSlowReadFraction = 0.5;
 
-/// @return the range of all keys: every key starts with the empty string.
-KeyRange AllKeys() { return {"", "\xff"}; }
+/// @return the range of all keys that this daemon follows; those of streams sort after them.
+KeyRange AllKeys() { return {"", streams::kOriginPrefix}; }
 
 /// @return the approximate size of an entry in a response, in bytes.
 double EncodedSize(const KeyValue& entry) {
@@ -426,7 +428,9 @@
 
 void StoreView::ApplyServer(const KeyValue& entry) {
   const std::string id = entry.key.substr(protocol_.layout().server_prefix.size());
-  servers_.Put(protocol_.ParseServer(id, entry.value), entry.mod_revision, listing_new_era_);
+  ServerRecord record = protocol_.ParseServer(id, entry.value);
+  CheckServerRecord(record);
+  servers_.Put(std::move(record), entry.mod_revision, listing_new_era_);
 }
 
 void StoreView::ApplyRemoval(const std::string& key, StoreRevision revision) {
