Take-ups that wait for a model ask for it on the software version of their stream

What callers saw: a stream of a rare model whose server crashed could go on nowhere while servers of its version served, although new streams of the model began.

Cause: demand named the model only, so the leader loaded it on a server of another version.

Ruled out: waiting longer; the model would not come.

Change: a request that waits for a model on a required version counts as need on that version (ScopedVersionNeed).

--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -316,6 +316,9 @@
   }
   const ScopedDemandCount waiting(view_.demand, request.service, request.model,
                                   &ModelDemandCounters::Count::waiting);
+  std::optional<ScopedVersionNeed> version_need;
+  if (request.stream_version && reason == NoServerReason::kModelNotHeld)
+    version_need.emplace(view_.demand, request.service, request.model, *request.stream_version);
   const auto began = BootClock::now();
   ++metrics_.waits_for_server;
   view_.demand_raised.NotifyAll();
