Skip a leader record whose order history holds times out of range

The next leader takes over the times in the record of a released key. With a quiet time out of range, the addition overflowed, and the next leader never issued an order.

Ruled out: ages of orders and remaining times of loads out of range, which left the next leader free to order; they are skipped as well.

--- a/src/fleet/leader_election.cc
+++ b/src/fleet/leader_election.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <functional>
+#include <stdexcept>
 
 #include "common/boot_clock.h"
 #include "fleet/fencing_token.h"
@@ -43,6 +44,19 @@
 /// A leader has at most one write of its record in flight, so the second attempt knows the
 /// revision.
 constexpr int kMaxReleaseAttempts = 2;
+/// Limit of the times in a record: far longer than any wait that a leader leaves behind.
+constexpr milliseconds kMaxInheritedTime = std::chrono::hours(1);
+
+/// @throws std::runtime_error if a time in the history of a leader's record is out of range.
+void CheckOrderHistory(const OrderHistoryRecord& history) {
+  const auto check = [](std::int64_t time_ms) {
+    if (time_ms < 0 || time_ms > kMaxInheritedTime.count())
+      throw std::runtime_error("a time in the order history is out of range");
+  };
+  check(history.quiet_ms);
+  for (const RecentServerOrder& order : history.servers) check(order.age_ms);
+  for (const std::int64_t remaining_ms : history.load_remaining_ms) check(remaining_ms);
+}
 
 }  // namespace
 
@@ -100,7 +114,9 @@
   key_orphaned_ = false;
   if (entry) {
     try {
-      leader_ = DecodeMessage<LeaderRecord>(entry->value);
+      auto record = DecodeMessage<LeaderRecord>(entry->value);
+      CheckOrderHistory(record.history);
+      leader_ = std::move(record);
       restore_wait_.NoteRecord(*leader_);
       leader_revision_ = entry->mod_revision;
       leader_lease_ = entry->lease;
--- a/test/gateway/odd_entries_test.cc
+++ b/test/gateway/odd_entries_test.cc
@@ -2,6 +2,7 @@
 
 #include <limits>
 
+#include "../fleet/candidate.h"
 #include "fleet/fleet_messages.h"
 #include "gateway_deployment.h"
 
@@ -161,6 +162,24 @@
   CHECK_THROWS_AS(DecodeMessage<LeaderRecord>(bytes), std::runtime_error);
 }
 
+TEST_CASE("A released leader record with odd times does not keep the next leader from ordering") {
+  const std::int64_t odd = GENERATE(kMaxInteger, -kMaxInteger);
+  LeaderRecord record;
+  record.name = "another";
+  record.released = true;
+  SECTION("quiet time") { record.history.quiet_ms = odd; }
+  SECTION("age of an order") { record.history.servers = {{"i-1", "another", odd}}; }
+  SECTION("remaining time of a load") { record.history.load_remaining_ms = {odd}; }
+  boost::asio::io_context context;
+  KeyValueTable table;
+  Transaction transaction;
+  transaction.operations.emplace_back(PutOperation{kLeaderKey, EncodeMessage(record), {}});
+  table.Transact(transaction);
+  Candidate candidate(context, table, "one");
+  CHECK(RunUntil(context, {&candidate}, [&] { return candidate.election.MayOrder(); }));
+  CHECK(candidate.election.ServerSafeToOrder("i-1"));
+}
+
 TEST_CASE("A leader record with an odd address does not end the reports to later leaders") {
   Deployment deployment(2);
   REQUIRE(deployment.RunUntil([&] { return deployment.AllReady() && deployment.Leaders() == 1; }));
