--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -155,11 +155,10 @@
   // Later attempts stay at this version even if it cannot be recorded now: a write without an
   // answer may take effect later.
   request.stream_version = request.attempt_version;
-  streams::StreamName name{request.tenant == nullptr ? "" : request.tenant->name, request.id};
   streams::StreamOrigin origin{request.service, request.attempt_version};
   const bool may_omit = request.route->services.size() == 1 && !request.MayHaveBegunElsewhere();
   const SteadyTime until = std::min(request.expires_at, BootClock::now() + kRecordTimeout);
-  co_return co_await origins_.Record(std::move(name), std::move(origin), may_omit, until);
+  co_return co_await origins_.Record(request.id, std::move(origin), may_omit, until);
 }
 
 void Forwarder::RecordEventGap(GatewayRequest& request, SteadyTime last_events) {
@@ -397,6 +396,7 @@
           result.server_fault = false;
           co_return result;
         }
+        if (request.client_left) co_return AttemptResult{AttemptOutcome::kClientLeft, status, ""};
         RecordHeadSent(request);
         co_await exchange.BeginStream(status, EndToEndHeaders(headers));
       }
@@ -562,6 +562,13 @@
     co_return AttemptResult{AttemptOutcome::kNotRun, 0, "the retry was not sent in time"};
   }
   request.attempt_version = server->record().software_version;
+  // The entry may have changed since the server was chosen.
+  if (request.stream_version && !request.detour_target &&
+      request.attempt_version != *request.stream_version) {
+    if (upstream->Reusable()) pool_.Give(server->connection_key(), upstream, kMaxIdle);
+    co_return AttemptResult{AttemptOutcome::kNotRun, 0,
+                            "the server's software version is not the stream's any more"};
+  }
   const AttemptGuard guard(request, *server, upstream, co_await boost::asio::this_coro::executor,
                            attempt_deadline);
   bool own_delay = false;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -47,6 +47,8 @@
 constexpr milliseconds kSharingBroadcastInterval{2'000};
 constexpr milliseconds kLeaderLease{3'000};
 constexpr milliseconds kStopPollInterval{50};
+/// Longest time of a request on a route without a time-out.
+constexpr milliseconds kNoTimeout = std::chrono::hours(1);
 /// Time for the load balancer to see twice that this daemon is not ready.
 constexpr milliseconds kNotReadyPropagation{2'600};
 constexpr milliseconds kStopMargin{300};
@@ -516,7 +518,8 @@
     milliseconds longest{0};
     if (!view_.routes) return longest;
     for (const Route& route : view_.routes->configuration().routes)
-      if (route.resumable) longest = std::max(longest, route.timeout);
+      if (route.resumable)
+        longest = std::max(longest, route.timeout.count() > 0 ? route.timeout : kNoTimeout);
     return longest;
   };
   return ports;
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -29,7 +29,7 @@
 /// Time within which a retry is sent after it was counted; covers a new connection.
 constexpr milliseconds kRetryLifetime{500};
 /// How long a request that resumes a stream waits for the store to tell where the stream began.
-constexpr milliseconds kOriginTimeout{1'000};
+constexpr milliseconds kOriginTimeout{1'800};
 /// Parts of one prompt that are compared with other prompts.
 constexpr std::size_t kMaxSharedParts = 8;
 
@@ -182,18 +182,22 @@
 
 std::optional<std::string> RequestPipeline::RequiredVersion(const GatewayRequest& request) const {
   if (request.stream_version) return request.stream_version;
+  if (!request.BeginsResumableStream() || view_.store_reachable) return std::nullopt;
   // Without the store, a stream can only begin where it needs no entry there.
-  if (request.BeginsResumableStream() && !view_.store_reachable)
-    return origins_.VersionWithoutEntry(request.service);
-  return std::nullopt;
+  std::optional<std::string> version = origins_.VersionWithoutEntry(request.service);
+  const ServerDirectory::Servers& servers = view_.servers.Of(request.service);
+  const bool served = std::any_of(servers.begin(), servers.end(), [&](const ServerPtr& server) {
+    return server->record().software_version == version && server->Usable(BootClock::now());
+  });
+  if (!served) version.reset();
+  return version;
 }
 
-std::optional<streams::StreamName> RequestPipeline::ResumedStream(const GatewayRequest& request) {
-  const std::string tenant = request.tenant == nullptr ? std::string() : request.tenant->name;
-  if (!request.resumes.empty()) return streams::StreamName{tenant, request.resumes};
+std::optional<std::string> RequestPipeline::ResumedStream(const GatewayRequest& request) {
+  if (!request.resumes.empty()) return request.resumes;
   // The client resumes nothing, so the events that it has came from an earlier attempt of this
   // request, through another daemon.
-  if (request.client_last_event.empty()) return streams::StreamName{tenant, request.id};
+  if (request.client_last_event.empty()) return request.id;
   return std::nullopt;
 }
 
@@ -206,10 +210,10 @@
   }
   const SteadyTime until = std::min(request.expires_at, BootClock::now() + kOriginTimeout);
   streams::StreamService service{request.service, request.route->services.size() == 1};
-  std::optional<streams::StreamName> name = ResumedStream(request);
+  std::optional<std::string> stream = ResumedStream(request);
   streams::OriginAnswer answer;
-  if (name)
-    answer = co_await origins_.Find(std::move(*name), std::move(service), until);
+  if (stream)
+    answer = co_await origins_.Find(std::move(*stream), std::move(service), until);
   else
     answer = co_await origins_.FindUnnamed(std::move(service), until);
   if (answer.state == streams::OriginState::kKnown &&
@@ -268,6 +272,8 @@
                                                  std::vector<std::string> server_ids) {
   // One hop at most: daemons that cannot reach the servers must not pass requests in circles.
   if (request.detour_origin) co_return nullptr;
+  // An entry for this version may yet be written, so the stream can begin at no other.
+  if (request.BeginsResumableStream() && request.stream_version) co_return nullptr;
   detour::Need need{std::move(server_ids), request.failed_servers};
   request.detour_target = co_await detours_.Find(std::move(need));
   if (!request.detour_target) co_return nullptr;
@@ -317,17 +323,17 @@
   const ScopedDemandCount waiting(view_.demand, request.service, request.model,
                                   &ModelDemandCounters::Count::waiting);
   std::optional<ScopedVersionNeed> version_need;
-  if (request.stream_version && reason == NoServerReason::kModelNotHeld)
-    version_need.emplace(view_.demand, request.service, request.model, *request.stream_version);
   const auto began = BootClock::now();
   ++metrics_.waits_for_server;
   view_.demand_raised.NotifyAll();
   request.no_server_reason = reason;
   // The expected load time of the model may change during the wait, so recompute the deadline.
   while (!request.client_left && !rejects_waiting_ &&
-         BootClock::now() < wait_estimator_.WaitUntil(request, reason)) {
+         BootClock::now() < WaitForServerUntil(request, reason)) {
+    if (request.stream_version && reason == NoServerReason::kModelNotHeld && !version_need)
+      version_need.emplace(view_.demand, request.service, request.model, *request.stream_version);
     const SteadyTime next_poll = BootClock::now() + kRetryPollInterval;
-    co_await view_.changed.Wait(std::min(wait_estimator_.WaitUntil(request, reason), next_poll));
+    co_await view_.changed.Wait(std::min(WaitForServerUntil(request, reason), next_poll));
     request.failed_servers.clear();
     ServerPtr server = TryChooseServer(request, reason);
     request.no_server_reason = reason;
@@ -342,9 +348,19 @@
   co_return nullptr;
 }
 
+SteadyTime RequestPipeline::WaitForServerUntil(const GatewayRequest& request,
+                                               NoServerReason reason) const {
+  // Servers of the version may have joined that this daemon has not heard of.
+  const bool outdated =
+      reason == NoServerReason::kVersionNotServed && view_.servers_current_at < request.arrival;
+  return wait_estimator_.WaitUntil(request, outdated ? NoServerReason::kAllUnusable : reason);
+}
+
 void RequestPipeline::RecordTurnedAway(const GatewayRequest& request, NoServerReason reason) {
   if (request.model.model.empty() || reason != NoServerReason::kModelNotHeld) return;
   ++view_.demand.CountsOf(request.service, request.model).turned_away;
+  if (request.stream_version)
+    view_.demand.NeedOnVersion(request.service, request.model, *request.stream_version);
   view_.demand_raised.NotifyAll();
   if (RefusedByOutlook(wait_estimator_.MakeWaitingRequest(request, reason)))
     ++metrics_.requests_refused_by_outlook;
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -106,13 +106,15 @@
   /// may go on with it.
   /// @return whether it may be sent; if not, `request.refusal` says why.
   Awaitable<bool> FindStreamVersion(GatewayRequest& request);
-  /// @return the stream that the request resumes; nothing if it is not named.
-  static std::optional<streams::StreamName> ResumedStream(const GatewayRequest& request);
+  /// @return the ID of the stream that the request resumes; nothing if it is not stated.
+  static std::optional<std::string> ResumedStream(const GatewayRequest& request);
   /// @return the software version that the request's next server must have; nothing: any.
   std::optional<std::string> RequiredVersion(const GatewayRequest& request) const;
   ServerPtr TryChooseServer(GatewayRequest& request, NoServerReason& reason) const;
   balancing::RequestWork Classify(const GatewayRequest& request) const;
   SteadyTime AttemptDeadline(const GatewayRequest& request) const;
+  /// @return until when the request waits for a server.
+  SteadyTime WaitForServerUntil(const GatewayRequest& request, NoServerReason reason) const;
   /// Counts a request that is refused because no server holds its model, so that the leader still
   /// learns of the demand.
   void RecordTurnedAway(const GatewayRequest& request, NoServerReason reason);
--- a/src/streams/implied_version_planner.cc
+++ b/src/streams/implied_version_planner.cc
@@ -36,6 +36,7 @@
   }
   ImpliedVersionRecord planned{era, {}};
   for (const auto& [service, versions] : services) {
+    if (!named.contains(service) && versions.empty()) continue;
     const bool fresh = knows_all && !named.contains(service);
     planned.services.push_back(PlanService(before.Find(service), fresh, versions, lifetimes, now));
   }
--- a/src/streams/stream_origins.cc
+++ b/src/streams/stream_origins.cc
@@ -14,6 +14,8 @@
 
 /// Entries in one transaction; the store takes no more.
 constexpr std::size_t kMaxEntriesPerWrite = 32;
+/// A write whose answer is lost holds up only its own entries.
+constexpr std::uint32_t kMaxWritesInFlight = 4;
 constexpr std::size_t kMaxOwnStreams = 4'096;
 constexpr milliseconds kWriteRetryDelay{100};
 /// Age at which a record in use is read again, well before it must not be used any more.
@@ -38,11 +40,10 @@
 
 }  // namespace
 
-std::string OriginKey(const StreamName& name) {
+std::string OriginKey(const std::string& stream) {
   RequestIdentity identity;
   identity.target = kOriginPrefix;
-  identity.body = name.request_id;
-  identity.tenant = name.tenant;
+  identity.body = stream;
   return kOriginPrefix + ToString(FingerprintOf(identity));
 }
 
@@ -127,9 +128,9 @@
   own_order_.pop_front();
 }
 
-Awaitable<bool> StreamOrigins::Record(StreamName name, StreamOrigin origin, bool may_omit,
+Awaitable<bool> StreamOrigins::Record(std::string stream, StreamOrigin origin, bool may_omit,
                                       Time until) {
-  const std::string key = OriginKey(name);
+  const std::string key = OriginKey(stream);
   const auto known = own_.find(key);
   if (known == own_.end())
     Remember(key, origin);
@@ -139,94 +140,121 @@
     ++counters_.began_implied;
     co_return true;
   }
-  const bool entered = co_await Enter(key, std::move(origin), until);
+  const bool entered =
+      co_await Enter(key, std::move(origin), until) == PendingEntry::State::kEntered;
   ++(entered ? counters_.entered : counters_.not_entered);
   co_return entered;
 }
 
-Awaitable<bool> StreamOrigins::Enter(std::string key, StreamOrigin origin, Time until) {
+Awaitable<StreamOrigins::PendingEntry::State> StreamOrigins::Enter(std::string key,
+                                                                   StreamOrigin origin,
+                                                                   Time until) {
   std::shared_ptr<PendingEntry>& slot = pending_[key];
-  if (!slot) slot = std::make_shared<PendingEntry>();
+  if (!slot) {
+    slot = std::make_shared<PendingEntry>();
+    slot->origin = origin;
+    queue_.push_back(key);
+  }
   const std::shared_ptr<PendingEntry> entry = slot;
-  entry->origin = std::move(origin);
+  if (entry->origin != origin) co_return PendingEntry::State::kConflict;
   ++entry->waiters;
   WriteEntries();
   while (entry->state == PendingEntry::State::kWaiting && BootClock::now() < until)
     co_await settled_.Wait(until);
   --entry->waiters;
-  co_return entry->state == PendingEntry::State::kEntered;
+  co_return entry->state;
 }
 
-void StreamOrigins::WriteEntries() {
-  if (writing_) return;
-  std::erase_if(pending_, [](const auto& pending) { return pending.second->waiters == 0; });
-  Transaction transaction;
-  std::vector<std::string> keys;
-  for (const auto& [key, entry] : pending_) {
-    if (keys.size() == kMaxEntriesPerWrite || (entry->alone && !keys.empty())) break;
-    keys.push_back(key);
-    transaction.comparisons.push_back({key, {store_.era(), 0}});
-    transaction.operations.emplace_back(PutOperation{key, EncodeMessage(entry->origin), {}});
-    if (entry->alone) break;
+std::vector<std::string> StreamOrigins::TakeBatch() {
+  std::vector<std::string> batch;
+  for (const std::string& key : queue_) {
+    PendingEntry& entry = *pending_.at(key);
+    if (entry.in_flight) continue;
+    if (entry.alone && !batch.empty()) break;
+    entry.in_flight = true;
+    batch.push_back(key);
+    if (entry.alone || batch.size() == kMaxEntriesPerWrite) break;
   }
-  if (keys.empty()) return;
-  writing_ = true;
-  store_.Transact(std::move(transaction), [this, keys](const Outcome<TransactionResult>& result) {
-    EndWrite(keys, result);
+  return batch;
+}
+
+void StreamOrigins::WriteEntries() {
+  // What nobody waits for any more is not written.
+  std::erase_if(queue_, [this](const std::string& key) {
+    const PendingEntry& entry = *pending_.at(key);
+    const bool unwanted = entry.waiters == 0 && !entry.in_flight;
+    if (unwanted) pending_.erase(key);
+    return unwanted;
   });
+  while (writes_in_flight_ < kMaxWritesInFlight) {
+    const std::vector<std::string> keys = TakeBatch();
+    if (keys.empty()) return;
+    Transaction transaction;
+    for (const std::string& key : keys) {
+      const StreamOrigin& origin = pending_.at(key)->origin;
+      transaction.comparisons.push_back({key, {store_.era(), 0}});
+      transaction.operations.emplace_back(PutOperation{key, EncodeMessage(origin), {}});
+    }
+    ++writes_in_flight_;
+    store_.Transact(std::move(transaction), [this, keys](const Outcome<TransactionResult>& result) {
+      EndWrite(keys, result);
+    });
+  }
 }
 
 void StreamOrigins::EndWrite(const std::vector<std::string>& keys,
                              const Outcome<TransactionResult>& result) {
-  if (!result.ok()) {
-    WriteLater();
+  const bool exists = result.ok() && !result.value().succeeded;
+  // An entry exists: written by an earlier call without an answer, or for another stream.
+  if (exists && keys.size() == 1) {
+    ResolveConflict(keys.front());
     return;
   }
-  if (result.value().succeeded) {
-    writing_ = false;
-    for (const std::string& key : keys) Settle(key, PendingEntry::State::kEntered);
-    WriteEntries();
+  --writes_in_flight_;
+  Release(keys);
+  if (!result.ok()) {
+    WriteLater();
     return;
   }
-  // One of the entries exists: written by an earlier call without an answer, or for another stream.
-  if (keys.size() == 1) {
-    ResolveConflict(keys.front());
-    return;
+  for (const std::string& key : keys) {
+    if (exists)
+      pending_.at(key)->alone = true;
+    else
+      Settle(key, PendingEntry::State::kEntered);
   }
-  writing_ = false;
-  for (const std::string& key : keys)
-    if (const auto found = pending_.find(key); found != pending_.end()) found->second->alone = true;
   WriteEntries();
 }
 
 void StreamOrigins::ResolveConflict(const std::string& key) {
   store_.Range({key, ""}, [this, key](const Outcome<RangeResult>& result) {
-    const auto found = pending_.find(key);
-    if (!result.ok() || result.value().entries.empty() || found == pending_.end()) {
+    --writes_in_flight_;
+    Release({key});
+    if (!result.ok() || result.value().entries.empty()) {
       WriteLater();
       return;
     }
-    writing_ = false;
-    const bool same = DecodeOrigin(result.value().entries.front()) == found->second->origin;
+    const bool same = DecodeOrigin(result.value().entries.front()) == pending_.at(key)->origin;
     Settle(key, same ? PendingEntry::State::kEntered : PendingEntry::State::kConflict);
     WriteEntries();
   });
 }
 
+void StreamOrigins::Release(const std::vector<std::string>& keys) {
+  for (const std::string& key : keys) pending_.at(key)->in_flight = false;
+}
+
 void StreamOrigins::Settle(const std::string& key, PendingEntry::State state) {
   const auto found = pending_.find(key);
-  if (found == pending_.end()) return;
   found->second->state = state;
   pending_.erase(found);
+  std::erase(queue_, key);
   settled_.NotifyAll();
 }
 
 void StreamOrigins::WriteLater() {
   retry_timer_.expires_after(kWriteRetryDelay);
   retry_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (error) return;
-    writing_ = false;
-    WriteEntries();
+    if (!error) WriteEntries();
   });
 }
 
@@ -256,10 +284,8 @@
   co_return OriginAnswer{OriginState::kKnown, {service, implied.software_version}};
 }
 
-Awaitable<OriginAnswer> StreamOrigins::Find(StreamName name, StreamService service, Time until) {
-  const std::string key = OriginKey(name);
-  if (const auto own = own_.find(key); own != own_.end())
-    co_return Count({OriginState::kKnown, own->second});
+Awaitable<OriginAnswer> StreamOrigins::Find(std::string stream, StreamService service, Time until) {
+  const std::string key = OriginKey(stream);
   KeyRange range{key, ""};
   const std::optional<Outcome<RangeResult>> read = co_await Read(std::move(range), false, until);
   if (!read || !read->ok()) co_return Count({OriginState::kStoreUnavailable, {}});
@@ -274,8 +300,8 @@
   // A stream that goes on while its version is closing may outlive the record's change.
   const bool outlasts = implied.state == OriginState::kKnown &&
                         !VersionWithoutEntry(implied.origin.service).has_value();
-  if (outlasts && !co_await Enter(key, implied.origin, until))
-    co_return Count({OriginState::kStoreUnavailable, {}});
+  if (outlasts && co_await Enter(key, implied.origin, until) == PendingEntry::State::kConflict)
+    co_return Count({OriginState::kUnknown, {}});
   co_return Count(std::move(implied));
 }
 
--- a/src/streams/stream_origins.h
+++ b/src/streams/stream_origins.h
@@ -20,12 +20,6 @@
 /// Sorts after the prefix of servers, so that a listing of the store has servers on its first page.
 inline constexpr const char* kOriginPrefix = "streams/";
 
-/// The attempt that brought a stream's first event.
-struct StreamName {
-  std::string tenant;  ///< Empty if tenants are not in use.
-  std::string request_id;
-};
-
 /// The service of a stream's route.
 struct StreamService {
   std::string name;
@@ -57,13 +51,14 @@
   /// service only, and no other daemon may have written an entry for it.
   /// @param until when to give up.
   /// @return whether they can; false if the store does not acknowledge an entry, or another stream
-  /// with this name began at another version.
-  Awaitable<bool> Record(StreamName name, StreamOrigin origin, bool may_omit,
+  /// with this ID began at another version.
+  Awaitable<bool> Record(std::string stream, StreamOrigin origin, bool may_omit,
                          BootClock::time_point until);
 
   /// Finds out where a stream began that a client resumes.
   /// @param service of the route by which the client resumes it.
-  Awaitable<OriginAnswer> Find(StreamName name, StreamService service, BootClock::time_point until);
+  Awaitable<OriginAnswer> Find(std::string stream, StreamService service,
+                               BootClock::time_point until);
   /// Like Find for a client that does not name the stream: known only if every stream of the
   /// service began at the same version.
   Awaitable<OriginAnswer> FindUnnamed(StreamService service, BootClock::time_point until);
@@ -85,9 +80,9 @@
     StreamOrigin origin;
     State state = State::kWaiting;
     std::uint32_t waiters = 0;
+    bool in_flight = false;
     bool alone = false;  ///< Written in a transaction of its own, to tell it from its neighbours.
   };
-  using PendingEntries = std::map<std::string, std::shared_ptr<PendingEntry>>;
 
   Awaitable<std::optional<Outcome<RangeResult>>> Read(KeyRange range, bool first_page, Time until);
   /// @return whether a cached record may be used.
@@ -97,14 +92,19 @@
   Awaitable<bool> CanOmitEntry(StreamOrigin origin, Time until);
   /// @return the implied version for a stream without an entry.
   Awaitable<OriginAnswer> FindImplied(std::string service, std::int64_t era, Time until);
-  Awaitable<bool> Enter(std::string key, StreamOrigin origin, Time until);
+  /// @return kWaiting if the store has not acknowledged the entry in time.
+  Awaitable<PendingEntry::State> Enter(std::string key, StreamOrigin origin, Time until);
   void RefreshRecord();
   OriginAnswer Count(OriginAnswer answer);
   void Remember(const std::string& key, const StreamOrigin& origin);
+  /// Writes pending entries as long as transactions may be sent.
   void WriteEntries();
+  /// @return the next entries for one transaction; none if all are in flight.
+  std::vector<std::string> TakeBatch();
   void EndWrite(const std::vector<std::string>& keys, const Outcome<TransactionResult>& result);
   void ResolveConflict(const std::string& key);
   void Settle(const std::string& key, PendingEntry::State state);
+  void Release(const std::vector<std::string>& keys);
   void WriteLater();
 
   boost::asio::io_context& context_;
@@ -113,15 +113,18 @@
   StreamLifetimes lifetimes_;
   std::optional<CachedRecord> cached_;
   bool refreshing_ = false;
-  std::map<std::string, StreamOrigin> own_;  ///< Of streams that began at this daemon, by key.
-  std::deque<std::string> own_order_;        ///< Keys of `own_`, oldest first.
-  PendingEntries pending_;
-  bool writing_ = false;
+  /// Of streams that may have begun here, by key; another one of the same name is not let begin.
+  std::map<std::string, StreamOrigin> own_;
+  std::deque<std::string> own_order_;  ///< Keys of `own_`, oldest first.
+  std::map<std::string, std::shared_ptr<PendingEntry>> pending_;
+  std::deque<std::string> queue_;  ///< Keys of `pending_`, in the order of arrival.
+  std::uint32_t writes_in_flight_ = 0;
   AsyncSignal settled_;
   BootTimer retry_timer_;
 };
 
-/// @return the key of a stream's entry: a digest, whatever bytes the name has.
-std::string OriginKey(const StreamName& name);
+/// @param stream request ID of the attempt that brought the first event.
+/// @return the key of a stream's entry: a digest, whatever bytes the ID has.
+std::string OriginKey(const std::string& stream);
 
 }  // namespace moorfold::streams
--- a/src/streams/stream_version_keeper.cc
+++ b/src/streams/stream_version_keeper.cc
@@ -13,6 +13,10 @@
 /// Minimum time between two calls; also the delay after a failed one.
 constexpr milliseconds kMinCallInterval{1'000};
 constexpr milliseconds kSweepInterval{30'000};
+/// Interval of sweeps while no entries are expected.
+constexpr milliseconds kIdleSweepInterval{300'000};
+/// A write without an answer may take effect late, so the record is read again.
+constexpr milliseconds kReadInterval{60'000};
 /// Operations in one transaction; the store takes no more.
 constexpr std::size_t kMaxOperations = 32;
 
@@ -41,6 +45,8 @@
 
 void StreamVersionKeeper::Forget() {
   known_ = false;
+  revision_ = {kEraUntold, 0};
+  stored_.reset();
   entries_unknown_ = true;
   first_seen_.clear();
   planner_.Reset();
@@ -54,7 +60,7 @@
     return;
   }
   if (now < next_call_at_) return;
-  if (!known_ || revision_.era != store_.era()) {
+  if (!known_ || revision_.era != store_.era() || now - read_at_ >= kReadInterval) {
     Read();
     return;
   }
@@ -82,14 +88,18 @@
     LogProblem(result.failure().message);
     return;
   }
+  known_ = true;
+  read_at_ = BootClock::now();
+  const std::vector<KeyValue>& entries = result.value().entries;
+  const StoreRevision read = entries.empty() ? StoreRevision{result.value().revision.era, 0}
+                                             : entries.front().mod_revision;
+  if (read == revision_) return;
   // What this daemon observed until now may have changed and changed back.
   planner_.Reset();
-  known_ = true;
+  revision_ = read;
   stored_.reset();
-  revision_ = {result.value().revision.era, 0};
-  if (result.value().entries.empty()) return;
-  const KeyValue& entry = result.value().entries.front();
-  revision_ = entry.mod_revision;
+  if (entries.empty()) return;
+  const KeyValue& entry = entries.front();
   try {
     stored_ = DecodeMessage<ImpliedVersionRecord>(entry.value);
   } catch (const std::exception& error) {  // Of another writer: the next write replaces it.
@@ -129,7 +139,8 @@
 }
 
 bool StreamVersionKeeper::SweepDue(const ServersByVersion& servers, Time now) const {
-  if (now < next_sweep_at_) return false;
+  if (now >= swept_at_ + kIdleSweepInterval) return true;
+  if (now < swept_at_ + kSweepInterval) return false;
   const bool mixed = std::any_of(servers.begin(), servers.end(),
                                  [](const auto& service) { return service.second.size() > 1; });
   const bool all_open = !stored_ || std::all_of(stored_->services.begin(), stored_->services.end(),
@@ -141,7 +152,7 @@
 
 void StreamVersionKeeper::Sweep() {
   call_in_flight_ = true;
-  next_sweep_at_ = BootClock::now() + kSweepInterval;
+  swept_at_ = BootClock::now();
   store_.Range(PrefixRange(kOriginPrefix), [this](const Outcome<RangeResult>& result) {
     if (result.ok()) {
       RemoveEnded(result.value());
--- a/src/streams/stream_version_keeper.h
+++ b/src/streams/stream_version_keeper.h
@@ -55,11 +55,12 @@
   Ports ports_;
   ImpliedVersionPlanner planner_;
   bool known_ = false;  ///< `stored_` is what the store held at the last read or write.
-  StoreRevision revision_;
+  StoreRevision revision_{kEraUntold, 0};
   std::optional<ImpliedVersionRecord> stored_;
   bool call_in_flight_ = false;
   Time next_call_at_{};
-  Time next_sweep_at_{};
+  Time read_at_{};
+  Time swept_at_{};
   bool entries_unknown_ = true;             ///< No sweep since this daemon leads.
   std::map<std::string, Time> first_seen_;  ///< Entries of streams, by key.
 };
