Test: a daemon that misses a change of the implied version begins no stream that is joined

Cause: no test let the implied version change; with the default lifetimes that takes minutes, more than a soak lasts.

Change: a case of taken_up_streams_test with short lifetimes: one daemon is cut from the store, or paused, while v2 joins and v1's entries go; streams begin at all daemons and are taken up at the others until v2 is implied and v1 has come back.

--- a/test/gateway/taken_up_streams_test.cc
+++ b/test/gateway/taken_up_streams_test.cc
@@ -1,9 +1,11 @@
 // Streams that clients take up again while servers of several software versions serve.
 
+#include <set>
 #include <thread>
 
 #include "gateway_deployment.h"
 #include "resumable_stream.h"
+#include "streams/stream_origins.h"
 
 namespace moorfold {
 namespace {
@@ -20,8 +22,8 @@
 
 /// A gateway with a context of its own, as a process has.
 struct GatewayProcess {
-  GatewayProcess(const std::string& name, const Endpoint& store)
-      : under_test(context, name, store, 0) {
+  GatewayProcess(const GatewaySettings& settings, const Endpoint& store)
+      : under_test(context, settings, store) {
     under_test.gateway.Start();
   }
   ~GatewayProcess() { context.DestroyHandlers(); }
@@ -40,7 +42,8 @@
 
 /// Gateways that may be killed or paused, and model servers of several software versions.
 struct VersionedDeployment {
-  explicit VersionedDeployment(int gateway_count) : platform(context, Options(gateway_count)) {
+  explicit VersionedDeployment(int gateway_count, streams::StreamLifetimes stream_lifetimes = {})
+      : platform(context, Options(gateway_count)), lifetimes(stream_lifetimes) {
     platform.Start();
     gateways.resize(static_cast<std::size_t>(gateway_count));
     StartGateways();
@@ -65,9 +68,12 @@
       platform.AddModelServer({{platform.models().front(), {}}});
   }
   void StartGateways() {
-    for (std::size_t number = 0; number < gateways.size(); ++number)
-      gateways[number] = std::make_unique<GatewayProcess>(
-          "gateway-" + std::to_string(number), platform.store_for(static_cast<int>(number)));
+    for (std::size_t number = 0; number < gateways.size(); ++number) {
+      GatewaySettings settings = GatewayUnderTest::Settings("gateway-" + std::to_string(number), 0);
+      settings.stream_lifetimes = lifetimes;
+      gateways[number] =
+          std::make_unique<GatewayProcess>(settings, platform.store_for(static_cast<int>(number)));
+    }
   }
   void KillGateways() {
     for (auto& gateway : gateways) gateway.reset();
@@ -97,8 +103,18 @@
     });
   }
 
+  /// @return the version at which streams begin without an entry of their own; empty: none.
+  std::string ImpliedVersion() const {
+    const auto found = table.Range({streams::kImpliedVersionKey, ""}).entries;
+    if (found.empty()) return {};
+    const auto record = DecodeMessage<streams::ImpliedVersionRecord>(found.front().value);
+    const streams::ImpliedVersion implied = record.Find("models");
+    return implied.state == streams::ImpliedState::kOpen ? implied.software_version : "";
+  }
   ClosableContext context{1};
   EmulatedPlatform platform;
+  const KeyValueTable& table = platform.store().table();
+  streams::StreamLifetimes lifetimes;
   VersionChecker checker;
   std::vector<std::unique_ptr<GatewayProcess>> gateways;
 };
@@ -129,7 +145,7 @@
   void TakeUp(int first_gateway = 0, int last_gateway = -1) {
     int number = 1;
     for (const auto& stream : streams_) {
-      if (!stream->begun() || stream->complete()) continue;
+      if (!stream->begun() || stream->complete() || under_way_.contains(stream.get())) continue;
       const int gateway = last_gateway >= 0 ? last_gateway : GatewayFor(number++, first_gateway);
       ++running_;
       boost::asio::co_spawn(deployment_.context, RunTries(*stream, gateway, first_gateway, 0),
@@ -155,6 +171,7 @@
   Awaitable<void> RunTries(ResumableStream& stream, int gateway, int first_gateway,
                            int leave_after) {
     constexpr milliseconds kPause{150};
+    under_way_.insert(&stream);
     const bool take_up = stream.begun();
     const auto deadline = BootClock::now() + kPatience;
     int events = 0;
@@ -172,12 +189,14 @@
                                             : VersionChecker::TakeUp::kFailed);
     else
       deployment_.checker.Asked(events > 0);
+    under_way_.erase(&stream);
     --running_;
   }
 
   VersionedDeployment& deployment_;
   HttpClient client_;
   std::vector<std::unique_ptr<ResumableStream>> streams_;
+  std::set<const ResumableStream*> under_way_;
   int running_ = 0;
 };
 
@@ -285,6 +304,48 @@
   CHECK(deployment.checker.violations() == std::vector<std::string>{});
 }
 
+TEST_CASE("A daemon that missed a change of the implied version begins no stream that is joined") {
+  const bool paused = GENERATE(false, true);
+  CAPTURE(paused);
+  VersionedDeployment deployment(3, {seconds(2), seconds(2)});
+  deployment.AddServers("v1", 2);
+  REQUIRE(deployment.AwaitReady());
+  REQUIRE(deployment.RunUntil([&] { return deployment.ImpliedVersion() == "v1"; }));
+  deployment.RunFor(seconds(1));
+  if (paused)
+    deployment.gateways[0]->paused = true;
+  else
+    deployment.platform.store_proxy(0).SetMode(ProxyMode::kSilent);
+  deployment.AddServers("v2", 2);
+  // Both go on with what reaches them.
+  for (int server = 0; server < 2; ++server)
+    deployment.platform.servers()[static_cast<std::size_t>(server)]->Vanish();
+  Streams streams(deployment);
+  const auto play = [&](int rounds) {
+    constexpr int kStreamsOfRound = 6;
+    for (int round = 0; round < rounds; ++round) {
+      streams.Begin(kStreamsOfRound, kFewEvents);
+      deployment.RunFor(milliseconds(300));
+      streams.TakeUp(1);
+      deployment.RunFor(milliseconds(200));
+    }
+  };
+  while (deployment.ImpliedVersion() != "v2" && streams.all().size() < 2'000) play(1);
+  CHECK(deployment.ImpliedVersion() == "v2");
+  play(4);
+  deployment.gateways[0]->paused = false;
+  deployment.platform.store_proxy(0).SetMode(ProxyMode::kPass);
+  deployment.AddServers("v1", 2);
+  play(6);
+  streams.AwaitEnd();
+  streams.TakeUp(1);
+  streams.AwaitEnd();
+  CHECK(streams.CountOf("v2") > 0);
+  CHECK(streams.CountOf("v1") > 0);
+  CHECK(deployment.checker.summary().joined() == 0);
+  CHECK(deployment.checker.violations() == std::vector<std::string>{});
+}
+
 TEST_CASE("A take-up that does not say which stream it resumes is not run at a guessed version") {
   VersionedDeployment deployment(3);
   deployment.AddServers("v1", 2);
