Bound what connections hold for requests, in one account

Cause: a parser's buffer without bound (trailers, chunk extensions), bodies bounded for each connection only, library defaults on the port for daemons; memory_mb bounded connections, not bytes. Ruled out: heads and pipelined requests (held before). Unread bytes in the kernel were 14 MB at most; bounded by the size of socket buffers all the same. Change: RequestMemory counts heads, bodies while read and while kept, read buffers and receive buffers of all ports; charged before they are read, given back with the account. Stalled connections, then larger ones, make room; a quarter is left to small requests; the rest is refused as not run (503 memory_short), to daemons with the header that lets them try another one. Connections beyond a port's limit take the place of inactive ones. Framing behind a head is bounded like a head (431).

--- a/src/common/log_event.h
+++ b/src/common/log_event.h
@@ -26,6 +26,7 @@
   kStoreReadLate,
   kStalled,
   kOverload,
+  kConnectionEvicted,
   kConfiguration,
   kServer,
   kServerGone,
@@ -73,6 +74,7 @@
                                               "store_read_late",
                                               "stalled",
                                               "overload",
+                                              "connection_evicted",
                                               "configuration",
                                               "server",
                                               "server_gone",
@@ -192,6 +194,7 @@
   kStreamVersion,
   kResumes,
   kLastEvent,
+  kBytes,
 };
 inline constexpr std::array kLogFieldNames = {"id",
                                               "ids",
@@ -277,7 +280,8 @@
                                               "software_version",
                                               "stream_version",
                                               "resumes",
-                                              "last_event"};
+                                              "last_event",
+                                              "bytes"};
 
 /// @return the name as it stands in the log.
 constexpr const char* Name(LogEvent event) {
@@ -287,7 +291,7 @@
   return kLogFieldNames[static_cast<std::size_t>(field)];
 }
 static_assert(kLogEventNames.size() == static_cast<std::size_t>(LogEvent::kLogLinesLeftOut) + 1);
-static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kLastEvent) + 1);
+static_assert(kLogFieldNames.size() == static_cast<std::size_t>(LogField::kBytes) + 1);
 
 /// One line of a gateway's log, made only of listed events and fields.
 class EventLine {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -57,6 +57,15 @@
 /// Factor on the configured idle timeout: clients may reuse a connection until shortly before the
 /// configured timeout expires, so the server closes it later.
 constexpr double kIdleMargin = 1.2;
+/// Share of a process's memory that connections may hold for requests, unless a setting says it.
+constexpr double kRequestMemoryShare = 0.5;
+/// Connections of other daemons, as a share of those of clients.
+constexpr std::size_t kDaemonConnectionDivisor = 2;
+constexpr std::size_t kMinDaemonConnections = 16;
+/// Connections of load balancers and monitoring, to each of their ports.
+constexpr std::size_t kOperatorConnections = 32;
+constexpr std::size_t kBytesPerKilobyte = 1024;
+constexpr std::size_t kBytesPerMegabyte = 1024 * 1024;
 
 milliseconds CandidacyDelay(const GatewaySettings& settings) {
   constexpr double kLongestMs = 300;
@@ -111,6 +120,7 @@
       settings_(std::move(settings)),
       log_(log),
       view_(context.get_executor()),
+      request_memory_(MakeRequestMemory()),
       overload_(context,
                 {settings_.link_mbps,
                  overload::ConnectionCapacity(settings_.max_descriptors, settings_.memory_mb)},
@@ -229,18 +239,24 @@
   view_.configuration_bound = settings_.configuration_bound;
   view_.staleness_bound = settings_.staleness_bound;
   const std::vector<boost::asio::io_context*> contexts = {&context_};
+  HttpServerLimits client_limits;
+  client_limits.socket_buffer_bytes = SocketBufferBytes();
   client_server_ = std::make_unique<HttpServer>(
-      contexts, settings_.listen, HttpServerLimits{},
+      contexts, settings_.listen, client_limits,
       [this](HttpServerExchange& exchange) { return pipeline_.Handle(exchange); },
       [this](const RejectedRequest& rejected) { return pipeline_.Reject(rejected); });
+  client_server_->SetMemory(request_memory_);
   overload_.Watch(*client_server_);
   readiness_server_ = std::make_unique<HttpServer>(
-      contexts, settings_.readiness, HttpServerLimits{},
+      contexts, settings_.readiness, InternalLimits(kOperatorConnections),
       [this](HttpServerExchange& exchange) { return AnswerReadiness(exchange); }, RejectCall);
+  readiness_server_->SetMemory(request_memory_);
   if (!settings_.metrics) return;
   metrics_server_ = std::make_unique<HttpServer>(
-      contexts, Endpoint{settings_.listen.address, settings_.metrics->port}, HttpServerLimits{},
+      contexts, Endpoint{settings_.listen.address, settings_.metrics->port},
+      InternalLimits(kOperatorConnections),
       [this](HttpServerExchange& exchange) { return AnswerMetrics(exchange); }, RejectCall);
+  metrics_server_->SetMemory(request_memory_);
 }
 
 void Gateway::Start() {
@@ -289,6 +305,7 @@
   const ClientLimits& configured = configuration.limits;
   longest_idle_ = std::max(longest_idle_, configured.idle_timeout);
   HttpServerLimits limits;
+  limits.socket_buffer_bytes = SocketBufferBytes();
   limits.header_bytes = configured.header_bytes;
   limits.body_bytes = configured.body_bytes;
   limits.header_timeout = configured.header_timeout;
@@ -299,6 +316,35 @@
     quarantine_.Hear(*std::exchange(pending_quarantine_record_, std::nullopt));
 }
 
+std::size_t Gateway::SocketBufferBytes() const {
+  return settings_.socket_buffer_kb * kBytesPerKilobyte;
+}
+
+HttpServerLimits Gateway::InternalLimits(std::size_t connections) const {
+  HttpServerLimits limits;
+  limits.socket_buffer_bytes = SocketBufferBytes();
+  limits.connections = connections;
+  return limits;
+}
+
+std::shared_ptr<RequestMemory> Gateway::MakeRequestMemory() {
+  RequestMemoryLimits limits;
+  const double megabytes = settings_.request_memory_mb > 0
+                               ? settings_.request_memory_mb
+                               : settings_.memory_mb * kRequestMemoryShare;
+  limits.bytes = static_cast<std::size_t>(megabytes * kBytesPerMegabyte);
+  limits.stalled_after = settings_.stalled_after;
+  auto memory = std::make_shared<RequestMemory>(limits);
+  memory->OnEviction([this](EvictionReason reason, std::size_t bytes) {
+    metrics_.connections_evicted.Add({{"reason", Name(reason)}});
+    log_.Write(LogRank::kDecision, EventLine(LogEvent::kConnectionEvicted)
+                                       .Field(LogField::kReason, Name(reason))
+                                       .Field(LogField::kBytes, bytes)
+                                       .Field(LogField::kTotal, request_memory_->bytes()));
+  });
+  return memory;
+}
+
 Awaitable<void> Gateway::AnswerReadiness(HttpServerExchange& exchange) {
   const bool ready = Ready();
   co_await exchange.Respond(Plain(ready ? http_status::kOk : http_status::kUnavailable,
@@ -321,6 +367,10 @@
   if (view_.routes) metrics_.configuration_age_ms = MillisecondsSince(view_.configured_at);
   pipeline_.UpdateLoadMetrics();
   overload_.UpdateMetrics();
+  metrics_.request_memory_bytes = static_cast<std::int64_t>(request_memory_->bytes());
+  metrics_.peak_request_memory_bytes = static_cast<std::int64_t>(request_memory_->peak_bytes());
+  metrics_.request_memory_limit_bytes = static_cast<std::int64_t>(request_memory_->limits().bytes);
+  metrics_.request_memory_denied = request_memory_->charges_denied();
   metrics_.servers_known_age_ms = MillisecondsSince(view_.servers_current_at);
   metrics_.configuration_known_age_ms = MillisecondsSince(view_.configuration_current_at);
   co_await exchange.Respond(Plain(http_status::kOk, metrics_.Render()));
@@ -393,10 +443,17 @@
 }
 
 std::unique_ptr<HttpServer> Gateway::MakeDetourServer() {
-  return std::make_unique<HttpServer>(
-      std::vector<boost::asio::io_context*>{&context_}, settings_.peer, HttpServerLimits{},
+  const std::size_t clients =
+      overload::ConnectionCapacity(settings_.max_descriptors, settings_.memory_mb);
+  const std::size_t connections =
+      clients == 0 ? HttpServerLimits{}.connections
+                   : std::max(kMinDaemonConnections, clients / kDaemonConnectionDivisor);
+  auto server = std::make_unique<HttpServer>(
+      std::vector<boost::asio::io_context*>{&context_}, settings_.peer, InternalLimits(connections),
       [this](HttpServerExchange& exchange) { return AnswerDetour(exchange); },
-      [this](const RejectedRequest& rejected) { return pipeline_.Reject(rejected); });
+      [this](const RejectedRequest& rejected) { return pipeline_.RejectDetour(rejected); });
+  server->SetMemory(request_memory_);
+  return server;
 }
 
 DetourService::Ports Gateway::DetourPorts() {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -61,6 +61,10 @@
  private:
   bool Ready() const { return !stopping_ && view_.routes != nullptr; }
   void ApplyConfiguration(const RoutingConfiguration& configuration);
+  /// @return limits of a server that is not for clients.
+  HttpServerLimits InternalLimits(std::size_t connections) const;
+  std::size_t SocketBufferBytes() const;
+  std::shared_ptr<RequestMemory> MakeRequestMemory();
   Awaitable<void> AnswerReadiness(HttpServerExchange& exchange);
   Awaitable<void> AnswerMetrics(HttpServerExchange& exchange);
   void ApplyPlacementNotice(const PlacementNotice& notice);
@@ -134,6 +138,7 @@
   EventLog& log_;
   GatewayMetrics metrics_;
   FleetView view_;
+  std::shared_ptr<RequestMemory> request_memory_;  ///< Of the connections to all ports.
   OverloadMonitor overload_;
   ContactMonitor contact_;
   BootClock::time_point isolated_since_{};  ///< Zero if this daemon is not isolated.
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -142,6 +142,11 @@
   Count(text, "accept_paused_ms", accept_paused_ms);
   Count(text, "connections_closed_unread", connections_closed_unread);
   overloads.Render("overloads_total", text);
+  Gauge(text, "request_memory_bytes", request_memory_bytes);
+  Gauge(text, "request_memory_peak_bytes", peak_request_memory_bytes);
+  Gauge(text, "request_memory_limit_bytes", request_memory_limit_bytes);
+  Count(text, "request_memory_denied", request_memory_denied);
+  connections_evicted.Render("connections_evicted_total", text);
   Gauge(text, "peak_memory_kb", peak_memory_kb);
   time_to_response_head.Render("time_to_answer_ms", text);
   time_to_end.Render("time_to_end_ms", text);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -121,7 +121,12 @@
   std::uint64_t accept_pauses = 0;     ///< Times that new connections were refused for a while.
   std::uint64_t accept_paused_ms = 0;  ///< Sum of those times.
   std::uint64_t connections_closed_unread = 0;
-  LabelledCounter overloads;  ///< By what was short.
+  LabelledCounter overloads;              ///< By what was short.
+  std::int64_t request_memory_bytes = 0;  ///< Held by connections for requests.
+  std::int64_t peak_request_memory_bytes = 0;
+  std::int64_t request_memory_limit_bytes = 0;  ///< 0: not bounded.
+  std::uint64_t request_memory_denied = 0;      ///< Bytes that were not read for lack of memory.
+  LabelledCounter connections_evicted;          ///< For others' sake, by reason.
 
   /// @return all metrics in the Prometheus text format.
   std::string Render() const;
--- a/src/gateway/gateway_settings.cc
+++ b/src/gateway/gateway_settings.cc
@@ -29,6 +29,7 @@
 constexpr std::int64_t kMaxQuarantineServers = 3;
 constexpr double kMaxLinkMbps = 1e6;
 constexpr std::int64_t kMaxMemoryMb = 1 << 24;
+constexpr std::int64_t kMaxSocketBufferKb = 64 * 1024;
 constexpr std::int64_t kMaxDescriptors = 1 << 30;
 
 /// Reads the optional "PORT/PATH".
@@ -90,6 +91,11 @@
   settings.link_mbps = root.Number("link_mbps", 0, kMaxLinkMbps, settings.link_mbps);
   settings.memory_mb =
       static_cast<std::uint32_t>(root.Integer("memory_mb", 0, kMaxMemoryMb, settings.memory_mb));
+  settings.request_memory_mb = static_cast<std::uint32_t>(
+      root.Integer("request_memory_mb", 0, kMaxMemoryMb, settings.request_memory_mb));
+  settings.stalled_after = ReadTime(root, "stalled_after", settings.stalled_after);
+  settings.socket_buffer_kb = static_cast<std::uint32_t>(
+      root.Integer("socket_buffer_kb", 0, kMaxSocketBufferKb, settings.socket_buffer_kb));
   settings.max_descriptors = static_cast<std::uint32_t>(
       root.Integer("max_descriptors", 0, kMaxDescriptors, settings.max_descriptors));
   root.Finish();
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -68,6 +68,15 @@
   /// Bandwidth of the machine's link in each direction, in megabits per second; 0: unknown.
   double link_mbps = 0;
   std::uint32_t memory_mb = 0;  ///< Memory that this process may use; 0: unknown.
+  /// Memory that the connections of this process may hold for requests, in megabytes; 0: half of
+  /// memory_mb.
+  std::uint32_t request_memory_mb = 0;
+  /// Time without a byte after which a connection that owes a part of a request is closed first
+  /// when memory or connections are short.
+  std::chrono::milliseconds stalled_after{1'000};
+  /// Bytes that the kernel is asked to hold in each direction of a connection, in kilobytes; 0: as
+  /// it likes.
+  std::uint32_t socket_buffer_kb = 32;
   /// File descriptors that this process may have open; 0: unknown.
   std::uint32_t max_descriptors = 0;
 };
--- a/src/gateway/overload_monitor.cc
+++ b/src/gateway/overload_monitor.cc
@@ -30,6 +30,7 @@
 void OverloadMonitor::Watch(HttpServer& server) {
   throttle_.emplace(server, metrics_);
   server.SetObserver(this);
+  server_ = &server;
 }
 
 void OverloadMonitor::UpdateMetrics() {
@@ -86,6 +87,11 @@
                                      .Field(LogField::kConnections, open_connections_));
 }
 
+void OverloadMonitor::CloseInactiveConnections() {
+  if (server_ == nullptr || shortage() != overload::Shortage::kConnections) return;
+  server_->CloseInactive(detector_.SurplusConnections());
+}
+
 bool OverloadMonitor::SamplingNeeded(Time now) const {
   const bool refuses = throttle_ && throttle_->paused();
   return refuses || shortage() != overload::Shortage::kNone ||
@@ -100,6 +106,7 @@
     const Time now = BootClock::now();
     detector_.LoopSampled(std::max(BootClock::duration{}, now - due), now - before);
     Update(now);
+    CloseInactiveConnections();
     if (throttle_) detector_.ConnectionsClosedUnread(throttle_->Update(shortage()), now);
     before = now;
   }
--- a/src/gateway/overload_monitor.h
+++ b/src/gateway/overload_monitor.h
@@ -43,6 +43,8 @@
   using Time = BootClock::time_point;
 
   void Update(Time now);
+  /// While connections are short, closes those that make no use of theirs.
+  void CloseInactiveConnections();
   bool SamplingNeeded(Time now) const;
   Awaitable<void> SampleLoop();
 
@@ -51,6 +53,7 @@
   EventLog& log_;
   overload::OverloadDetector detector_;
   std::optional<AcceptThrottle> throttle_;
+  HttpServer* server_ = nullptr;  ///< The one that is watched.
   Time last_short_at_{};
   bool sampling_ = false;
   std::size_t open_connections_ = 0;
--- a/src/gateway/refusal_responder.cc
+++ b/src/gateway/refusal_responder.cc
@@ -4,6 +4,7 @@
 #include "common/boot_clock.h"
 #include "detour/detour_headers.h"
 #include "gateway/refusals.h"
+#include "gateway/wait_policy.h"
 #include "http/http_status.h"
 
 namespace moorfold {
@@ -23,7 +24,8 @@
   return end;
 }
 
-Refusal RejectionRefusal(unsigned status) {
+Refusal RejectionRefusal(unsigned status, const std::string& request_id) {
+  if (status == http_status::kUnavailable) return MemoryShortRefusal(JitterOf(request_id));
   if (status == http_status::kInternalError)
     return {status, EndReason::kInternalError, "report this", true, 0};
   return {status, EndReason::kUnreadable, "send a complete HTTP/1.1 request within the limits",
@@ -53,7 +55,7 @@
   request.id = std::string(FindHeader(rejected.headers, protocol_.headers().request_id));
   RequestEnd problem;
   problem.problem = rejected.reason;
-  Refusal refusal = RejectionRefusal(rejected.status);
+  Refusal refusal = RejectionRefusal(rejected.status, request.id);
   const bool logged = PromisesNotRun(refusal.status) &&
                       reporter_.TryReportRefusal(request, EndWith(refusal, problem));
   if (PromisesNotRun(refusal.status) && !logged) {
@@ -64,6 +66,18 @@
   return ToResponse(refusal, protocol_.headers().request_id, request.id);
 }
 
+HttpResponse RefusalResponder::RejectDetour(const RejectedRequest& rejected) {
+  HttpResponse response = Reject(rejected);
+  if (response.status >= http_status::kFirstServerError &&
+      response.status != http_status::kUnavailable)
+    return response;
+  // What was not read whole has not run, and may be sent to another daemon.
+  response.headers.push_back({protocol_.headers().not_run, "1"});
+  response.headers.push_back(
+      {std::string(detour::kResultHeader), detour::Format(detour::Result{true, 0})});
+  return response;
+}
+
 Awaitable<void> RefusalResponder::Respond(HttpServerExchange& exchange,
                                           const GatewayRequest& request, const Refusal& refusal) {
   HttpResponse response = ToResponse(refusal, protocol_.headers().request_id, request.id);
--- a/src/gateway/refusal_responder.h
+++ b/src/gateway/refusal_responder.h
@@ -24,6 +24,8 @@
                          const Refusal& refusal, const RequestEnd& last_attempt);
   /// Reports a request that the HTTP server does not pass on. @return its response.
   HttpResponse Reject(const RejectedRequest& rejected);
+  /// As Reject, for a request that another daemon has sent.
+  HttpResponse RejectDetour(const RejectedRequest& rejected);
 
  private:
   Awaitable<void> Respond(HttpServerExchange& exchange, const GatewayRequest& request,
--- a/src/gateway/refusals.cc
+++ b/src/gateway/refusals.cc
@@ -75,6 +75,14 @@
           false, kRetryAfterS * (1 + jitter)};
 }
 
+Refusal MemoryShortRefusal(double jitter) {
+  constexpr double kRetryAfterS = 1;
+  return {http_status::kUnavailable, EndReason::kMemoryShort,
+          "this daemon has no memory for the request; come back after the stated time, on a new "
+          "connection",
+          false, kRetryAfterS * (1 + jitter)};
+}
+
 Refusal DeclinedRefusal() {
   return {http_status::kUnavailable, EndReason::kDeclined, "send the request to another daemon",
           false, 0};
--- a/src/gateway/refusals.h
+++ b/src/gateway/refusals.h
@@ -32,6 +32,10 @@
 /// @param jitter as above.
 Refusal IsolatedRefusal(double jitter);
 
+/// For a request that was not read whole, since this daemon has no memory for it.
+/// @param jitter as above.
+Refusal MemoryShortRefusal(double jitter);
+
 /// For a request that another daemon has sent here in vain.
 Refusal DeclinedRefusal();
 
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -53,6 +53,10 @@
   Awaitable<void> DeclineDetour(HttpServerExchange& exchange);
   /// Reports a request that the HTTP server does not pass on. @return its response.
   HttpResponse Reject(const RejectedRequest& rejected) { return responder_.Reject(rejected); }
+  /// As Reject, for a request that another daemon has sent. @return its response.
+  HttpResponse RejectDetour(const RejectedRequest& rejected) {
+    return responder_.RejectDetour(rejected);
+  }
   /// @return number of such requests in progress.
   std::uint32_t ActiveDetours() const;
   /// Closes connections to servers that have been idle for too long.
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -7,7 +7,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <mutex>
@@ -18,6 +17,7 @@
 #include "http/bound_acceptor.h"
 #include "http/http_status.h"
 #include "http/listen_error.h"
+#include "http/request_reader.h"
 
 namespace moorfold {
 
@@ -41,30 +41,6 @@
   return size;
 }
 
-HttpHeaders HeadersOf(const http::request<http::string_body>& message) {
-  HttpHeaders headers;
-  for (const auto& field : message)
-    headers.push_back({std::string(field.name_string()), std::string(field.value())});
-  return headers;
-}
-
-HttpRequest TakeRequest(http::request<http::string_body>&& message) {
-  HttpRequest request;
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
-  request.headers = HeadersOf(message);
-  request.body = std::move(message.body());
-  return request;
-}
-
-unsigned RejectionStatus(const error_code& code) {
-  if (code == beast::error::timeout) return http_status::kRequestTimeout;
-  if (code == http::error::body_limit) return http_status::kTooLarge;
-  if (code == http::error::header_limit || code == http::error::buffer_overflow)
-    return http_status::kHeadersTooLarge;
-  return http_status::kBadRequest;
-}
-
 }  // namespace
 
 class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl> {
@@ -86,6 +62,7 @@
   }
 
   void SetObserver(HttpServerObserver* observer) { observer_ = observer; }
+  void SetMemory(std::shared_ptr<RequestMemory> memory) { memory_ = std::move(memory); }
   void Start() { asio::co_spawn(*contexts_.front(), Accept(shared_from_this()), asio::detached); }
 
   void StopAccepting() {
@@ -139,6 +116,10 @@
     for (beast::tcp_stream* stream : idle_) stream->socket().cancel(ignored);
   }
 
+  std::size_t CloseInactive(std::size_t count) {
+    return memory_ ? memory_->EvictInactive(this, count) : 0;
+  }
+
   const Endpoint& endpoint() const { return endpoint_; }
   std::size_t active_requests() const { return active_requests_; }
   std::size_t open_connections() const { return connections_; }
@@ -184,6 +165,11 @@
   void Bind(const Endpoint& local) {
     const tcp::endpoint address(asio::ip::make_address(local.address), local.port);
     acceptor_.emplace(BindAcceptor(*contexts_.front(), address));
+    if (limits_.socket_buffer_bytes == 0) return;
+    const auto bytes = static_cast<int>(limits_.socket_buffer_bytes);
+    error_code ignored;  // A connection without these bounds works as well.
+    acceptor_->set_option(asio::socket_base::receive_buffer_size(bytes), ignored);
+    acceptor_->set_option(asio::socket_base::send_buffer_size(bytes), ignored);
   }
 
   static Awaitable<void> Accept(std::shared_ptr<Impl> self) {
@@ -200,7 +186,7 @@
         co_await pause.async_wait(use_awaitable);
         continue;
       }
-      if (self->connections_ >= self->limits_.connections) continue;
+      if (self->connections_ >= self->limits_.connections && self->CloseInactive(1) == 0) continue;
       asio::co_spawn(context, Serve(self, std::move(socket)), asio::detached);
     }
   }
@@ -212,10 +198,12 @@
       error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
       beast::tcp_stream stream(std::move(socket));
-      beast::flat_buffer buffer;
-      bool keep_alive = true;
-      for (bool first = true; keep_alive && !self->last_answers_; first = false)
-        keep_alive = co_await ServeOne(*self, stream, buffer, first);
+      RequestReader reader(stream, self->memory_, self.get());
+      bool keep_alive = reader.Open(self->limits_.socket_buffer_bytes);
+      for (bool first = true; keep_alive && !self->last_answers_; first = false) {
+        keep_alive = co_await ServeOne(*self, stream, reader, first);
+        reader.EndRequest();
+      }
       stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
     } catch (const std::exception&) {  // The connection broke; its handler has been told.
     }
@@ -224,8 +212,8 @@
   }
 
   static Awaitable<void> RunHandler(Impl& server, Exchange& exchange);
-  static Awaitable<bool> ServeOne(Impl& server, beast::tcp_stream& stream,
-                                  beast::flat_buffer& buffer, bool first);
+  static Awaitable<bool> ServeOne(Impl& server, beast::tcp_stream& stream, RequestReader& reader,
+                                  bool first);
 
   std::vector<asio::io_context*> contexts_;
   std::optional<tcp::acceptor> acceptor_;  ///< Does not listen while paused.
@@ -236,6 +224,7 @@
   HttpHandler handler_;
   HttpRejection rejection_;
   HttpServerObserver* observer_ = nullptr;
+  std::shared_ptr<RequestMemory> memory_;
   std::atomic<bool> stopping_{false};
   std::mutex idle_mutex_;
   std::set<beast::tcp_stream*> idle_;
@@ -373,43 +362,11 @@
   std::shared_ptr<DisconnectWatch> watch_;
 };
 
-/// Cancels the reading of a request that takes too long. The stream's own expiry would close the
-/// connection, and the caller would never hear why.
-class ReadTimeout {
- public:
-  ReadTimeout(beast::tcp_stream& stream, std::chrono::milliseconds length)
-      : state_(std::make_shared<State>(stream.get_executor(), length)) {
-    state_->timer.async_wait([state = state_, &stream](const error_code& error) {
-      if (error || state->ended) return;
-      state->passed = true;
-      error_code ignored;
-      stream.socket().cancel(ignored);
-    });
-  }
-  ~ReadTimeout() {
-    state_->ended = true;
-    state_->timer.cancel();
-  }
-  ReadTimeout(const ReadTimeout&) = delete;
-  ReadTimeout& operator=(const ReadTimeout&) = delete;
-  bool passed() const { return state_->passed; }
-
- private:
-  struct State {
-    State(const asio::any_io_executor& executor, std::chrono::milliseconds length)
-        : timer(executor, length) {}
-    BootTimer timer;
-    bool ended = false;
-    bool passed = false;
-  };
-  std::shared_ptr<State> state_;
-};
-
 /// Reads on for a moment after a refusal: closing with unread bytes would reset the connection,
 /// and the refusal might never arrive.
 Awaitable<void> Linger(beast::tcp_stream& stream) {
   constexpr std::chrono::milliseconds kLingerTime{500};
-  constexpr std::size_t kChunk = 64 * 1024;
+  constexpr std::size_t kChunk = 4 * 1024;
   constexpr std::size_t kMostBytes = 64 * 1024 * 1024;
   error_code error;
   stream.socket().shutdown(tcp::socket::shutdown_send, error);
@@ -422,53 +379,26 @@
 }
 
 Awaitable<bool> HttpServer::Impl::ServeOne(Impl& server, beast::tcp_stream& stream,
-                                           beast::flat_buffer& buffer, bool first) {
-  http::request_parser<http::string_body> parser;
-  parser.header_limit(server.limits_.header_bytes);
-  parser.body_limit(server.limits_.body_bytes);
-  error_code error;
-  if (buffer.size() == 0) {  // Idle between requests: the request's own time has not begun.
+                                           RequestReader& reader, bool first) {
+  if (!reader.HasBytes()) {  // Idle between requests: the request's own time has not begun.
     const IdleMark idle(server, stream);
-    stream.expires_after(server.limits_.idle_timeout);
-    constexpr std::size_t kFirstRead = 4096;
-    const std::size_t got = co_await stream.async_read_some(
-        buffer.prepare(kFirstRead), asio::redirect_error(use_awaitable, error));
-    buffer.commit(got);
-    if (error) co_return false;
-  }
-  stream.expires_never();
-  {
-    const ReadTimeout timeout(stream, server.limits_.header_timeout);
-    co_await http::async_read_header(stream, buffer, parser,
-                                     asio::redirect_error(use_awaitable, error));
-    if (timeout.passed()) error = beast::error::timeout;
+    if (!co_await reader.AwaitRequest(server.limits_.idle_timeout)) co_return false;
   }
-  if (!error && !parser.is_done()) {
-    const ReadTimeout timeout(stream, server.limits_.request_timeout);
-    co_await http::async_read(stream, buffer, parser, asio::redirect_error(use_awaitable, error));
-    if (timeout.passed()) error = beast::error::timeout;
-  }
-  if (buffer.size() == 0) buffer.shrink_to_fit();  // Idle connections keep no large buffer.
-  if (error == http::error::end_of_stream || error == asio::error::connection_reset)
-    co_return false;
-  const bool keep_alive = !error && parser.get().keep_alive();
-  HttpRequest request;
-  if (error)
-    request.headers = HeadersOf(parser.get());
-  else
-    request = TakeRequest(parser.release());
-  if (!error && server.observer_ != nullptr) server.observer_->RequestRead(SizeOf(request), first);
-  Exchange exchange(server, stream, std::move(request), keep_alive);
-  if (error) {
-    const RejectedRequest rejected{RejectionStatus(error), error.message(),
-                                   exchange.request().headers};
-    co_await exchange.Respond(server.rejection_(rejected));
+  ReadResult read = co_await reader.Read(server.limits_);
+  if (read.end == ReadResult::End::kClosed) co_return false;
+  const bool rejected = read.end == ReadResult::End::kRejected;
+  if (!rejected && server.observer_ != nullptr)
+    server.observer_->RequestRead(SizeOf(read.request), first);
+  Exchange exchange(server, stream, std::move(read.request), read.keep_alive);
+  if (rejected) {
+    const RejectedRequest problem{read.status, read.reason, exchange.request().headers};
+    co_await exchange.Respond(server.rejection_(problem));
     co_await Linger(stream);
     co_return false;
   }
   co_await RunHandler(server, exchange);
   if (!exchange.complete()) stream.close();
-  co_return exchange.keep_alive() && exchange.complete();
+  co_return exchange.keep_alive() && exchange.complete() && !reader.evicted();
 }
 
 Awaitable<void> HttpServer::Impl::RunHandler(Impl& server, Exchange& exchange) {
@@ -493,6 +423,9 @@
 HttpServer::~HttpServer() { impl_->DestroyAcceptor(); }
 
 void HttpServer::SetObserver(HttpServerObserver* observer) { impl_->SetObserver(observer); }
+void HttpServer::SetMemory(std::shared_ptr<RequestMemory> memory) {
+  impl_->SetMemory(std::move(memory));
+}
 void HttpServer::Start() { impl_->Start(); }
 Endpoint HttpServer::endpoint() const { return impl_->endpoint(); }
 void HttpServer::StopAccepting() { impl_->StopAccepting(); }
@@ -500,6 +433,7 @@
 std::size_t HttpServer::PauseAccepting() { return impl_->PauseAccepting(); }
 bool HttpServer::ResumeAccepting() { return impl_->ResumeAccepting(); }
 void HttpServer::CloseIdle() { impl_->CloseIdle(); }
+void HttpServer::CloseInactive(std::size_t count) { impl_->CloseInactive(count); }
 void HttpServer::AnnounceClose() { impl_->AnnounceClose(); }
 std::size_t HttpServer::active_requests() const { return impl_->active_requests(); }
 std::size_t HttpServer::open_connections() const { return impl_->open_connections(); }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -8,20 +8,12 @@
 #include <string_view>
 #include <vector>
 
+#include "http/http_server_limits.h"
 #include "http/http_types.h"
+#include "http/request_memory.h"
 
 namespace moorfold {
 
-struct HttpServerLimits {
-  std::uint32_t header_bytes = 32 * 1024;
-  std::uint64_t body_bytes = 8ULL * 1024 * 1024;
-  std::chrono::milliseconds header_timeout{15'000};   ///< From the first byte to the header's end.
-  std::chrono::milliseconds request_timeout{15'000};  ///< From the header's end to the last byte.
-  std::chrono::milliseconds idle_timeout{120'000};
-  std::chrono::milliseconds write_timeout{30'000};  ///< A caller that stops reading is cut off.
-  std::size_t connections = 10'000;
-};
-
 /// A request being answered. Lives as long as its handler runs, on one thread.
 class HttpServerExchange {
  public:
@@ -80,6 +72,8 @@
   void Start();
   /// Before Start. @param observer outlives the server.
   void SetObserver(HttpServerObserver* observer);
+  /// Before Start: counts what connections hold. Only where one thread runs all contexts.
+  void SetMemory(std::shared_ptr<RequestMemory> memory);
   Endpoint endpoint() const;
   /// For connections and requests from now on. The contexts' thread, if there is only one.
   void UpdateLimits(const HttpServerLimits& limits);
@@ -96,6 +90,9 @@
   std::size_t PauseAccepting();
   /// @return whether the server listens again; not if another process has taken its port.
   bool ResumeAccepting();
+  /// Closes up to `count` connections that are stalled in a request or have rested long. Only where
+  /// one thread runs all contexts and memory is counted.
+  void CloseInactive(std::size_t count);
   /// @return connections that are open now. Any thread.
   std::size_t open_connections() const;
   /// @return requests being answered now. Any thread.
--- a/src/overload/overload_detector.cc
+++ b/src/overload/overload_detector.cc
@@ -150,6 +150,12 @@
   return false;
 }
 
+std::size_t OverloadDetector::SurplusConnections() const {
+  const auto enough = static_cast<std::size_t>(static_cast<double>(capacity_.connections) *
+                                               kRecoveredConnectionShare);
+  return capacity_.connections == 0 || connections_ < enough ? 0 : connections_ - enough + 1;
+}
+
 Shortage OverloadDetector::Update(Time now) {
   RecoverLinkSpeed(now);
   if (shortage_ != Shortage::kNone && IsShort(shortage_, now)) return shortage_;
--- a/src/overload/overload_detector.h
+++ b/src/overload/overload_detector.h
@@ -58,6 +58,8 @@
   /// Hysteresis: a shortage ends only well below where it begins.
   Shortage Update(Time now);
   Shortage shortage() const { return shortage_; }
+  /// @return number of connections whose end would end a shortage of them.
+  std::size_t SurplusConnections() const;
   /// @return estimated time that a byte waits for this daemon's link.
   BootClock::duration LinkDelay(Time now) const { return link_.Delay(now); }
   /// @return share of the recent time in which the event loop was late, from 0 to 1.
--- a/test/hostile_clients/gateway_process.cc
+++ b/test/processes/gateway_process.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -27,6 +28,12 @@
 constexpr const char* kLoopback = "127.0.0.1";
 constexpr milliseconds kSampleInterval{10};
 
+/// @return the program under test; the variable MOORFOLD_GATEWAY_PROGRAM names another build of it.
+const char* Program() {
+  const char* const other = std::getenv("MOORFOLD_GATEWAY_PROGRAM");
+  return other != nullptr ? other : MOORFOLD_GATEWAY;
+}
+
 std::uint64_t ResidentBytes(pid_t pid) {
   std::ifstream status("/proc/" + std::to_string(pid) + "/status");
   constexpr std::uint64_t kKilobyte = 1024;
@@ -82,14 +89,13 @@
   ::posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, kOwnerOnly);
   ::posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-  std::vector<std::string> arguments = {MOORFOLD_GATEWAY, "--settings", settings};
+  std::vector<std::string> arguments = {Program(), "--settings", settings};
   std::vector<char*> pointers;
   for (std::string& argument : arguments) pointers.push_back(argument.data());
   pointers.push_back(nullptr);
-  const int failed =
-      ::posix_spawn(&pid_, MOORFOLD_GATEWAY, &actions, nullptr, pointers.data(), environ);
+  const int failed = ::posix_spawn(&pid_, Program(), &actions, nullptr, pointers.data(), environ);
   ::posix_spawn_file_actions_destroy(&actions);
-  if (failed != 0) throw std::runtime_error("cannot start " MOORFOLD_GATEWAY);
+  if (failed != 0) throw std::runtime_error(std::string("cannot start ") + Program());
   sampler_ = std::thread([this] { Sample(); });
   const auto give_up = std::chrono::steady_clock::now() + std::chrono::seconds(60);
   while (RawClient::StatusOfGet(readiness_, "/readyz") != 200) {
--- a/test/hostile_clients/hostile_clients_test.cc
+++ b/test/processes/hostile_clients_test.cc
@@ -263,5 +263,28 @@
   CheckBounds();
 }
 
+/// Prints what callers get beside a crowd that stays, for docs/design/request-memory.md.
+TEST_CASE_METHOD(Fixture, "Figures of callers beside stalled bodies", "[.figures]") {
+  constexpr int kCallers = 20;
+  constexpr milliseconds kLongestAnswer{20'000};
+  Crowd crowd;
+  for (int number = 0; number < kCrowd; ++number)
+    crowd.Add(gateway.front(), LargeBody(4 * number + 1, kMegabyte));
+  crowd.Send();
+  int small = 0;
+  int large = 0;
+  for (int number = 0; number < kCallers; ++number) {
+    for (const std::size_t bytes : {std::size_t{4}, kLargestBody}) {
+      RawClient client(gateway.front());
+      const std::string id = "caller-" + std::to_string(number) + "-" + std::to_string(bytes);
+      client.SendAll(Head(id, LengthOf(bytes)) + std::string(bytes, 'x'), kLongestAnswer);
+      const bool served = RawClient::StatusOf(client.ReadResponse(kLongestAnswer)) == 200;
+      (bytes == kLargestBody ? large : small) += served ? 1 : 0;
+    }
+  }
+  WARN("served at the first try, of " << kCallers << ": small " << small << ", largest " << large
+                                      << "; memory " << gateway.peak_memory() / kMegabyte << " MB");
+}
+
 }  // namespace
 }  // namespace moorfold
