--- a/test/processes/hostile_clients_test.cc
+++ b/test/processes/hostile_clients_test.cc
@@ -268,8 +268,11 @@
   constexpr int kCallers = 20;
   constexpr milliseconds kLongestAnswer{20'000};
   Crowd crowd;
-  for (int number = 0; number < kCrowd; ++number)
-    crowd.Add(gateway.front(), LargeBody(4 * number + 1, kMegabyte));
+  for (int number = 0; number < kCrowd; ++number) {
+    const std::string id = "hostile-" + std::to_string(number);
+    crowd.Add(gateway.front(), Repeat(Head(id, LengthOf(kLargestBody)),
+                                      std::string(16 * 1024, 'x'), 24 * 16 * 1024));
+  }
   crowd.Send();
   int small = 0;
   int large = 0;
