--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -134,14 +134,15 @@
 Forwarder::Forwarder(boost::asio::io_context& context, const FleetProtocol& protocol,
                      ServerStatements& statements, ContactMonitor& contact,
                      OverloadMonitor& overload, streams::StreamOrigins& origins,
-                     GatewayMetrics& metrics)
+                     GatewayMetrics& metrics, std::size_t socket_buffer_bytes)
     : context_(context),
       protocol_(protocol),
       statements_(statements),
       contact_(contact),
       overload_(overload),
       origins_(origins),
-      metrics_(metrics) {}
+      metrics_(metrics),
+      socket_buffer_bytes_(socket_buffer_bytes) {}
 
 void Forwarder::RecordHeadSent(GatewayRequest& request) {
   request.head_sent = true;
@@ -183,7 +184,8 @@
   const milliseconds max_idle = std::min(idle_limit_, MaxIdleTime(request));
   if (UpstreamConnectionPtr idle = pool_.Take(server.connection_key(), request.id, max_idle))
     co_return idle;
-  auto fresh = std::make_shared<UpstreamConnection>(context_, server.record().endpoint);
+  auto fresh = std::make_shared<UpstreamConnection>(context_, server.record().endpoint,
+                                                    socket_buffer_bytes_);
   ++connections_opened_;
   const SteadyTime began = BootClock::now();
   const SteadyTime deadline = std::min(request.expires_at, began + kConnectTimeout);
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -21,7 +21,8 @@
  public:
   Forwarder(boost::asio::io_context& context, const FleetProtocol& protocol,
             ServerStatements& statements, ContactMonitor& contact, OverloadMonitor& overload,
-            streams::StreamOrigins& origins, GatewayMetrics& metrics);
+            streams::StreamOrigins& origins, GatewayMetrics& metrics,
+            std::size_t socket_buffer_bytes);
 
   /// @param attempt_deadline when to abandon the attempt; no later than the request's expiry.
   /// @param last_attempt whether to relay an error response of the server to the client.
@@ -87,6 +88,7 @@
   OverloadMonitor& overload_;
   streams::StreamOrigins& origins_;
   GatewayMetrics& metrics_;
+  std::size_t socket_buffer_bytes_;  ///< Of connections to servers; 0: as the kernel likes.
   UpstreamPool pool_;
   std::uint64_t connections_opened_ = 0;
   /// Maximum idle time of a reused connection; lowered when servers drop idle connections sooner.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -232,9 +232,10 @@
       relays_(context, store_, store_view_, metrics_, log,
               {settings_.zone, ToString(channel_.endpoint()), settings_.relays_from_daemons},
               RelayPorts()),
-      pipeline_(context, protocol, view_, quarantine_, quota_, statements_, permits_, retries_,
-                contact_, overload_, detours_, origins_, metrics_, log,
-                {settings_.zone, settings_.name, settings_.prompt_separation}) {
+      pipeline_(
+          context, protocol, view_, quarantine_, quota_, statements_, permits_, retries_, contact_,
+          overload_, detours_, origins_, metrics_, log,
+          {settings_.zone, settings_.name, settings_.prompt_separation, SocketBufferBytes()}) {
   contact_.OnChange([this](detour::ContactState state) { HandleContactChange(state); });
   view_.configuration_bound = settings_.configuration_bound;
   view_.staleness_bound = settings_.staleness_bound;
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -81,7 +81,8 @@
       wait_estimator_(view),
       quarantine_filter_(view, quarantine),
       settings_(std::move(settings)),
-      forwarder_(context, protocol, statements, contact, overload, origins, metrics),
+      forwarder_(context, protocol, statements, contact, overload, origins, metrics,
+                 settings_.socket_buffer_bytes),
       reporter_(view, metrics, log),
       responder_(protocol, reporter_, metrics) {}
 
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -33,6 +33,7 @@
   std::string zone;
   std::string name = {};  ///< Of this daemon.
   bool prompt_separation = true;
+  std::size_t socket_buffer_bytes = 0;  ///< Of connections to servers; 0: as the kernel likes.
 };
 
 /// Processes requests: finds the route, chooses a server, forwards, retries if allowed and
--- a/src/http/upstream_connection.cc
+++ b/src/http/upstream_connection.cc
@@ -46,12 +46,16 @@
 
 /// Outlives the connection while an operation on the socket still ends.
 struct UpstreamConnection::State {
-  State(asio::io_context& context, Endpoint to)
-      : socket(context), timer(context), endpoint(std::move(to)) {}
+  State(asio::io_context& context, Endpoint to, std::size_t buffer_bytes)
+      : socket(context),
+        timer(context),
+        endpoint(std::move(to)),
+        socket_buffer_bytes(static_cast<int>(buffer_bytes)) {}
 
   tcp::socket socket;
   BootTimer timer;
   Endpoint endpoint;
+  int socket_buffer_bytes;
   beast::flat_buffer buffer{kMaxBufferBytes};
   std::optional<http::response_parser<http::buffer_body>> parser;
   std::shared_ptr<RequestMessage> message;
@@ -72,6 +76,15 @@
     return {stage, timed_out, ToString(endpoint) + ": " + error.message(), peer_ended};
   }
 
+  /// Before the connection is made: what is received later follows the size announced then.
+  void BoundBuffers() {
+    if (socket_buffer_bytes == 0) return;
+    error_code ignored;  // A connection without these bounds works as well.
+    socket.open(tcp::v4(), ignored);
+    socket.set_option(asio::socket_base::receive_buffer_size(socket_buffer_bytes), ignored);
+    socket.set_option(asio::socket_base::send_buffer_size(socket_buffer_bytes), ignored);
+  }
+
   /// Closing by a reset: nothing that still lies in buffers may arrive later.
   void Reset() {
     error_code ignored;
@@ -80,8 +93,9 @@
   }
 };
 
-UpstreamConnection::UpstreamConnection(asio::io_context& context, Endpoint endpoint)
-    : state_(std::make_shared<State>(context, std::move(endpoint))) {}
+UpstreamConnection::UpstreamConnection(asio::io_context& context, Endpoint endpoint,
+                                       std::size_t socket_buffer_bytes)
+    : state_(std::make_shared<State>(context, std::move(endpoint), socket_buffer_bytes)) {}
 
 UpstreamConnection::~UpstreamConnection() {
   if (state_->sending) {
@@ -104,6 +118,7 @@
     state->Reset();
   });
   const tcp::endpoint target(address, state->endpoint.port);
+  if (address.is_v4()) state->BoundBuffers();
   co_await state->socket.async_connect(target, asio::redirect_error(use_awaitable, error));
   state->timer.cancel();
   if (!error && state->cancelled != CancelReason::kNone) error = asio::error::operation_aborted;
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -19,7 +19,9 @@
 /// answer is read, since a server may answer before it has read everything. One thread.
 class UpstreamConnection : public std::enable_shared_from_this<UpstreamConnection> {
  public:
-  UpstreamConnection(boost::asio::io_context& context, Endpoint endpoint);
+  /// @param socket_buffer_bytes that the kernel is asked to hold in each direction; 0: as it likes.
+  UpstreamConnection(boost::asio::io_context& context, Endpoint endpoint,
+                     std::size_t socket_buffer_bytes = 0);
   ~UpstreamConnection();
   UpstreamConnection(const UpstreamConnection&) = delete;
   UpstreamConnection& operator=(const UpstreamConnection&) = delete;
--- a/test/processes/gateway_process.cc
+++ b/test/processes/gateway_process.cc
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -66,6 +67,14 @@
   context_.DestroyHandlers();
 }
 
+void PlatformThread::AddServer(const std::string& id, const std::string& service,
+                               const Endpoint& address) {
+  const std::string entry = R"({"service":")" + service + R"(","address":")" + ToString(address) +
+                            R"(","zone":"z","version":"v1","slots":64,"state":"ready",)" +
+                            R"("coldLeftMs":0,"seq":1,"models":[{"name":"m0","adapters":[]}]})";
+  boost::asio::post(context_, [this, id, entry] { platform_.store().Put("servers/" + id, entry); });
+}
+
 GatewayProcess::GatewayProcess(const Endpoint& store, MachineLimits limits, const std::string& more)
     : ports_(::getpid()) {
   front_ = {kLoopback, ports_.Next()};
@@ -151,7 +160,9 @@
     constexpr const char* kListening = "0A";
     constexpr int kHex = 16;
     const auto port = std::stoul(local.substr(local.find(':') + 1), nullptr, kHex);
-    const bool own = port == front_.port || port == peer_.port || port == readiness_.port;
+    const auto remote_port = std::stoul(remote.substr(remote.find(':') + 1), nullptr, kHex);
+    const bool own = port == front_.port || port == peer_.port || port == readiness_.port ||
+                     (remote_port == server_port_ && server_port_ != 0);
     if (own && state != kListening)
       bytes += std::stoull(queues.substr(queues.find(':') + 1), nullptr, kHex);
   }
--- a/test/processes/gateway_process.h
+++ b/test/processes/gateway_process.h
@@ -28,6 +28,8 @@
   PlatformThread& operator=(const PlatformThread&) = delete;
 
   Endpoint store() const { return platform_.store_for(0); }
+  /// A server that is not the platform's own joins a service and stays.
+  void AddServer(const std::string& id, const std::string& service, const Endpoint& address);
 
  private:
   ClosableContext context_;
@@ -50,6 +52,8 @@
   Endpoint front() const { return front_; }
   Endpoint peer() const { return peer_; }
   Endpoint readiness() const { return readiness_; }
+  /// From now on, bytes that came from that port count as unread, too.
+  void WatchServer(std::uint16_t port) { server_port_ = port; }
   void Terminate() const;
   bool Lives();
   /// @return whether the process ends within the time.
@@ -73,6 +77,7 @@
   std::string folder_;
   pid_t pid_ = -1;
   bool ended_ = false;
+  std::atomic<std::uint16_t> server_port_{0};
   std::atomic<bool> sampling_{true};
   std::atomic<std::uint64_t> peak_memory_{0};
   std::atomic<std::uint64_t> peak_unread_{0};
--- a/test/processes/hostile_clients_test.cc
+++ b/test/processes/hostile_clients_test.cc
@@ -270,8 +270,8 @@
   Crowd crowd;
   for (int number = 0; number < kCrowd; ++number) {
     const std::string id = "hostile-" + std::to_string(number);
-    crowd.Add(gateway.front(), Repeat(Head(id, LengthOf(kLargestBody)),
-                                      std::string(16 * 1024, 'x'), 24 * 16 * 1024));
+    crowd.Add(gateway.front(), Repeat(Head(id, LengthOf(kLargestBody)), std::string(16 * 1024, 'x'),
+                                      24 * 16 * 1024));
   }
   crowd.Send();
   int small = 0;
