A planned stop takes no request that it could not answer in time

What callers saw: requests whose last bytes came late in the grace were passed on and cut at its end without an answer, also those that may not be repeated. Cause: the end of the grace bounded answers, but not taking requests; a connection inside a request is not idle and was served on. Ruled out: requests that wait (refused from 2.6 s on). Change: from then on a request that was read whole is refused (503 daemon_stopping, not run) if its time is not over when the last answers are due; a detoured one is declined.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -675,15 +675,17 @@
 /// Accepts new requests until the load balancer has seen that this daemon is not ready. From then
 /// on only requests in progress continue, since later ones might not finish in time.
 /// @return whether the daemon can stop.
-bool Gateway::AdvanceDrain(BootClock::duration elapsed) {
+bool Gateway::AdvanceDrain(BootClock::time_point began) {
+  const auto elapsed = BootClock::now() - began;
   if (elapsed >= settings_.drain_timeout - kStopMargin) return true;
   if (elapsed < kNotReadyPropagation) return false;
   client_server_->StopAccepting();
   client_server_->CloseIdle();
   detour_server_->StopAccepting();
   detour_server_->CloseIdle();
-  pipeline_.RefuseWaiting();
-  if (elapsed >= settings_.drain_timeout - kFinalAnswerMargin) pipeline_.TimeOutUnanswered();
+  const auto last_answers_at = began + settings_.drain_timeout - kFinalAnswerMargin;
+  pipeline_.RefuseWaiting(last_answers_at);
+  if (BootClock::now() >= last_answers_at) pipeline_.TimeOutUnanswered();
   return client_server_->open_connections() == 0 && detour_server_->active_requests() == 0;
 }
 
@@ -707,7 +709,7 @@
     TransferLeadership();
     const auto elapsed = BootClock::now() - began;
     const bool last_moment = elapsed >= settings_.drain_timeout - kStopMargin;
-    if (AdvanceDrain(elapsed) && (resigned_ || last_moment)) break;
+    if (AdvanceDrain(began) && (resigned_ || last_moment)) break;
     co_await Sleep(kStopPollInterval);
   }
   pipeline_.ReportInterrupted();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -131,7 +131,7 @@
   /// @param due the time at which the timer was set to fire.
   void RecordStall(BootClock::time_point due);
   Awaitable<void> Stop();
-  bool AdvanceDrain(BootClock::duration elapsed);
+  bool AdvanceDrain(BootClock::time_point began);
 
   boost::asio::io_context& context_;
   GatewaySettings settings_;
--- a/src/gateway/refusals.cc
+++ b/src/gateway/refusals.cc
@@ -75,6 +75,11 @@
           false, kRetryAfterS * (1 + jitter)};
 }
 
+Refusal StoppingRefusal() {
+  return {http_status::kUnavailable, EndReason::kDaemonStopping,
+          "this daemon stops; send the request to another one, on a new connection", false, 0};
+}
+
 Refusal MemoryShortRefusal(double jitter) {
   constexpr double kRetryAfterS = 1;
   return {http_status::kUnavailable, EndReason::kMemoryShort,
--- a/src/gateway/refusals.h
+++ b/src/gateway/refusals.h
@@ -32,6 +32,9 @@
 /// @param jitter as above.
 Refusal IsolatedRefusal(double jitter);
 
+/// For a request that a daemon has read whole so late in its stop that it could not answer in time.
+Refusal StoppingRefusal();
+
 /// For a request that was not read whole, since this daemon has no memory for it.
 /// @param jitter as above.
 Refusal MemoryShortRefusal(double jitter);
--- a/src/gateway/request_outcome.h
+++ b/src/gateway/request_outcome.h
@@ -47,6 +47,7 @@
   kLeftAtServer,              ///< The client disconnected before a server responded.
   kLeftInAnswer,              ///< The client disconnected while the response was relayed.
   kUnreadable,                ///< It could not be read: too slow, too large or malformed.
+  kDaemonStopping,            ///< This daemon stops before the request's time is over.
   kMemoryShort,               ///< It could not be read: its bytes had no room in memory.
   kInternalError,             ///< This daemon failed while it processed the request.
   kNotLogged,     ///< It was to be refused, and the log does not take the refusal's line.
@@ -135,6 +136,8 @@
       return "left_in_answer";
     case EndReason::kUnreadable:
       return "unreadable";
+    case EndReason::kDaemonStopping:
+      return "daemon_stopping";
     case EndReason::kMemoryShort:
       return "memory_short";
     case EndReason::kInternalError:
--- a/src/gateway/request_pipeline.cc
+++ b/src/gateway/request_pipeline.cc
@@ -86,8 +86,9 @@
       reporter_(view, metrics, log),
       responder_(protocol, reporter_, metrics) {}
 
-void RequestPipeline::RefuseWaiting() {
+void RequestPipeline::RefuseWaiting(SteadyTime last_answers_at) {
   rejects_waiting_ = true;
+  last_answers_at_ = last_answers_at;
   view_.changed.NotifyAll();
 }
 
@@ -617,23 +618,28 @@
   co_await Refuse(exchange, request, declined);
 }
 
+std::optional<Refusal> RequestPipeline::Admit(const HttpRequest& http, GatewayRequest& request) {
+  if (std::optional<Refusal> refusal = admission_.Admit(http, request)) return refusal;
+  const bool too_late = request.expires_at > last_answers_at_;
+  if (request.detour_origin && (too_late || !MayTakeDetour(request))) {
+    ++metrics_.detours.declined;
+    return DeclinedRefusal();
+  }
+  if (too_late) return StoppingRefusal();
+  return std::nullopt;
+}
+
 /// @param request Shared because the exchange's disconnect callback may outlive this coroutine.
 Awaitable<void> RequestPipeline::Process(HttpServerExchange& exchange,
                                          std::shared_ptr<GatewayRequest> request) {
   request->arrival = BootClock::now();
   ++metrics_.requests;
   co_await AwaitStoreRead(*request);
-  const std::optional<Refusal> refusal = admission_.Admit(exchange.request(), *request);
+  const std::optional<Refusal> refusal = Admit(exchange.request(), *request);
   if (refusal) {
     co_await Refuse(exchange, *request, *refusal);
     co_return;
   }
-  if (request->detour_origin && !MayTakeDetour(*request)) {
-    ++metrics_.detours.declined;
-    const Refusal declined = DeclinedRefusal();
-    co_await Refuse(exchange, *request, declined);
-    co_return;
-  }
   request->body = std::make_shared<const std::string>(exchange.TakeBody());
   request->fingerprint = FingerprintOf(
       {FindHeader(exchange.request().headers, "Host"), exchange.request().target,
--- a/src/gateway/request_pipeline.h
+++ b/src/gateway/request_pipeline.h
@@ -62,8 +62,9 @@
   std::uint32_t ActiveDetours() const;
   /// Closes connections to servers that have been idle for too long.
   void Sweep() { forwarder_.Sweep(); }
-  /// From now on rejects requests that have no server, because this daemon is about to stop.
-  void RefuseWaiting();
+  /// From now on rejects requests that have no server, because this daemon is about to stop, and
+  /// new ones whose time is not over at `last_answers_at`.
+  void RefuseWaiting(SteadyTime last_answers_at);
   /// Times out all requests whose response head has not been sent, even if a server has them.
   void TimeOutUnanswered();
   /// Counts and logs the requests that are still open when the process is about to exit.
@@ -96,6 +97,8 @@
   /// Finds a daemon that reaches one of the servers, or any if none is named.
   /// @return the daemon, in the form of a server; null if there is none.
   Awaitable<ServerPtr> FindDetour(GatewayRequest& request, std::vector<std::string> server_ids);
+  /// @return why a request that was read whole is not served; nothing if it is.
+  std::optional<Refusal> Admit(const HttpRequest& http, GatewayRequest& request);
   /// @return whether this daemon may serve a request in the place of the one that took it.
   bool MayTakeDetour(const GatewayRequest& request) const;
   /// @return servers that hold the request's model and cannot be reached from here.
@@ -165,6 +168,7 @@
   /// Daemons through which requests are sent, by address, in the form of servers.
   std::map<std::string, ServerPtr> detour_daemons_;
   bool rejects_waiting_ = false;
+  SteadyTime last_answers_at_ = SteadyTime::max();  ///< Of this daemon, once it stops.
 };
 
 }  // namespace moorfold
--- a/test/gateway/request_pipeline_test.cc
+++ b/test/gateway/request_pipeline_test.cc
@@ -416,7 +416,7 @@
   });
   bool both = false;
   while (!both) fixture.OnThread([&] { both = reached && fixture.view().demand.Waiting() > 0; });
-  fixture.OnThread([&] { fixture.pipeline().RefuseWaiting(); });
+  fixture.OnThread([&] { fixture.pipeline().RefuseWaiting(SteadyTime::max()); });
   CHECK(PipelineFixture::Status(waiting.get()) == 503);
   fixture.OnThread([&] { fixture.pipeline().TimeOutUnanswered(); });
   CHECK(PipelineFixture::Status(running.get()) == 504);
