--- a/test/gateway/joined_streams_test.cc
+++ b/test/gateway/joined_streams_test.cc
@@ -31,14 +31,14 @@
   ScriptedServer server;
 };
 
-/// The route's streams may be resumed, within a time that leaves room for several choices.
+/// The route's streams may be resumed; the time is long enough for a machine that is busy.
 struct ResumableStreams {
   ResumableStreams() {
     Route route = PipelineFixture::MakeRoute(RouteType::kStream);
     route.resumable = true;
     fixture.SetRoutes({route});
   }
-  std::string Send() { return fixture.Exchange(PipelineFixture::Request("/p/x", "", "1500")); }
+  std::string Send() { return fixture.Exchange(PipelineFixture::Request("/p/x", "", "60000")); }
   static bool IsComplete(const std::string& answer) {
     return answer.find("data: a") != std::string::npos &&
            answer.find("data: b") != std::string::npos && answer.ends_with("0\r\n\r\n");
@@ -74,6 +74,7 @@
   });
   streams.fixture.AddServer(ids.first, first.server.endpoint(), {}, "v1");
   const std::string answer = streams.Send();
+  CAPTURE(answer);
   CHECK(answer.find("data: a") != std::string::npos);
   CHECK(other.resumed == 0);
   if (server_gone) CHECK(answer.find("data: b") == std::string::npos);
@@ -130,6 +131,7 @@
   });
   streams.fixture.AddServer(ids.first, first.server.endpoint(), {}, "v1");
   const std::string answer = streams.Send();
+  CAPTURE(answer);
   CHECK(answer.find("data: a") != std::string::npos);
   CHECK(successor.resumed == 0);
   CHECK(other.resumed == 0);
@@ -152,6 +154,7 @@
   streams.fixture.AddServer(ids.first, resetting.endpoint(), {}, "v1");
   streams.fixture.AddServer(ids.second, other.endpoint(), {}, "v2");
   const std::string answer = streams.Send();
+  CAPTURE(answer);
   CHECK(answer.find("data: a") != std::string::npos);
   CHECK(answer.find("data: b") != std::string::npos);
   CHECK(PipelineFixture::Status(answer) == 200);
