--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -52,7 +52,8 @@
 using HttpHandler = std::function<Awaitable<void>(HttpServerExchange&)>;
 /// A request that gets no answer from its handler.
 struct RejectedRequest {
-  /// 400, 408, 413 or 431: it could not be read; 500: its handler threw before it answered.
+  /// 400, 408, 413 or 431: it could not be read; 503: there was no memory for it; 500: its handler
+  /// threw before it answered.
   unsigned status = 0;
   std::string reason;
   HttpHeaders headers;  ///< As far as they were read.
