The test of an endless event reaches its server

Ruled out: the other forms, whose counts the servers raise themselves. Change: the server counts, and the play begins when it has been reached.

--- a/test/processes/faulty_servers_test.cc
+++ b/test/processes/faulty_servers_test.cc
@@ -175,13 +175,25 @@
 
 TEST_CASE("A server's event without end does not exhaust memory", "[endless_event]") {
   FaultyServer server("booking", Endless("", ""));
-  ScriptedServer streams([](ScriptedConnection& connection) {
-    const std::string id = IdIn(connection.ReadHead());
+  ScriptedServer streams([&](ScriptedConnection& connection) {
+    const std::string head = connection.ReadHead();
+    if (!head.starts_with("POST /stream/")) return;
+    ++server.faults;
+    const std::string id = IdIn(head);
     Endless(kHead + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", kKilobyte)(connection,
                                                                                        id);
   });
   server.platform.AddServer("i-streams", "models", streams.endpoint());
-  ++server.faults;
+  server.gateway.WatchServer(streams.endpoint().port);
+  // The gateway learns of the new server a little later.
+  const auto give_up = std::chrono::steady_clock::now() + kPatience;
+  while (server.faults == 0 && std::chrono::steady_clock::now() < give_up) {
+    RawClient client(server.gateway.front());
+    client.SendAll(Request("/stream/x", "first"), kPatience);
+    client.ReadResponse(milliseconds(500));
+  }
+  REQUIRE(server.faults > 0);
+  server.faults = 0;
   server.PlayClients("/stream/x");
 }
 
